--- /dev/null
+++ b/packages/bench/src/__tests__/whole-path.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {request} from 'undici';
+import {runProgram} from '@gentiandoor/cli';
+import {ADMIN_KEY, Deployment} from '../deployment.js';
+
+function bundleText(publicKey: string): string {
+  return `
+[bundle]
+version = 1
+base = 0
+author = moana
+sign_offs = 1
+[operator.kerry]
+public_key = ${publicKey}
+[rack.hall-a-r1]
+data_centre = hall-a
+vms = hall-a-r1-[1-2]
+[pool.counter-preview]
+vms = hall-a-r1-[1-2]
+[service.counter-preview]
+pool = counter-preview
+`;
+}
+
+describe('the whole path', () => {
+  const deployment = new Deployment();
+
+  before(async () => {
+    await deployment.startPlatform();
+    await deployment.startRack({
+      name: 'hall-a-r1',
+      dataCentre: 'hall-a',
+      vms: ['hall-a-r1-1', 'hall-a-r1-2'],
+    });
+    await deployment.startDaemon('entry-1', 'hall-a');
+  });
+
+  after(() => deployment.stop());
+
+  describe('before a bundle is in force', () => {
+    it('answers that nothing was run and when to come again', async () => {
+      const answer = await request(
+        `http://${deployment.daemons[0].callerAddress}/counter-preview/x`,
+      );
+      assert.equal(answer.statusCode, 503);
+      assert.equal(answer.headers['gentiandoor-run'], 'no');
+      assert.equal(answer.headers['gentiandoor-reason'], 'no_bundle');
+      assert.equal(answer.headers['retry-after'], '2');
+      await answer.body.dump();
+    });
+  });
+
+  describe('after a roll-out', () => {
+    before(() => deployment.rollOut(bundleText(deployment.operator.publicKey)));
+
+    it('carries a request to a target and its whole answer back', async () => {
+      const answer = await request(
+        `http://${deployment.daemons[0].callerAddress}/counter-preview/x`,
+      );
+      assert.equal(answer.statusCode, 200);
+      assert.equal(answer.headers['gentiandoor-run'], 'yes');
+      const body = (await answer.body.json()) as {path: string};
+      assert.equal(body.path, '/counter-preview/x');
+    });
+
+    it('carries a body', async () => {
+      const answer = await request(
+        `http://${deployment.daemons[0].callerAddress}/counter-preview/y`,
+        {
+          method: 'POST',
+          body: 'a crest',
+        },
+      );
+      assert.equal(answer.statusCode, 200);
+      await answer.body.dump();
+      const ran = [...deployment.targets.values()].flatMap(
+        target => target.ran,
+      );
+      assert.equal(ran.filter(item => item.body === 'a crest').length, 1);
+    });
+
+    it('refuses an unknown service', async () => {
+      const answer = await request(
+        `http://${deployment.daemons[0].callerAddress}/nothing`,
+      );
+      assert.equal(answer.statusCode, 404);
+      await answer.body.dump();
+    });
+
+    it('shows the version in force on the command line', async () => {
+      const lines: string[] = [];
+      const {adminAddress} = deployment.daemons[0];
+      const code = await runProgram(
+        [
+          'node',
+          'gentiandoor',
+          'status',
+          '--admin',
+          adminAddress,
+          '--key',
+          ADMIN_KEY,
+          '--json',
+        ],
+        line => lines.push(line),
+      );
+      assert.equal(code, 0);
+      assert.equal(
+        (JSON.parse(lines[0]) as {bundle: {version: number}}).bundle.version,
+        1,
+      );
+    });
+  });
+});
--- /dev/null
+++ b/packages/bench/src/deployment.ts
@@ -0,0 +1,175 @@
+import {randomUUID} from 'node:crypto';
+import {
+  SilentLogger,
+  SystemClock,
+  parseSettings,
+  sleep,
+  type Logger,
+} from '@gentiandoor/kernel';
+import {
+  ListedState,
+  RecordKind,
+  StreamName,
+  digestOf,
+  encodeRecord,
+  makeOperatorKeys,
+  parseBundle,
+  signBundle,
+  type FleetRecord,
+  type OperatorKeys,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import {Daemon} from '@gentiandoor/daemon';
+import type {AdminServer} from '@gentiandoor/plugin-admin';
+import type {CallerHttpServer} from '@gentiandoor/plugin-caller-http';
+import {
+  MemoryLog,
+  MemoryVmList,
+  PlatformServer,
+  TargetServer,
+} from '@gentiandoor/stand-ins';
+
+/** Key of the admin ports of a deployment under test. */
+export const ADMIN_KEY = 'admin-key-for-tests-only';
+const LOOPBACK = '127.0.0.1:0';
+const WAIT_STEP_MILLISECONDS = 10;
+
+/** A rack and its VMs. */
+export interface RackPlan {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly vms: readonly string[];
+}
+
+/** A daemon of a deployment. */
+export interface RunningDaemon {
+  readonly name: string;
+  readonly daemon: Daemon;
+  readonly callerAddress: string;
+  readonly adminAddress: string;
+}
+
+/** Embedded stand-ins and daemons in one process. */
+export class Deployment {
+  readonly clock = new SystemClock();
+  readonly log = new MemoryLog(this.clock);
+  readonly list = new MemoryVmList(this.clock);
+  readonly platform = new PlatformServer(this.log, this.list);
+  readonly targets = new Map<string, TargetServer>();
+  readonly daemons: RunningDaemon[] = [];
+  /** The operator whose key the daemons trust before the first bundle. */
+  readonly operator: OperatorKeys = makeOperatorKeys();
+  private platformAddress = '';
+
+  constructor(private readonly logger: Logger = new SilentLogger()) {}
+
+  async startPlatform(): Promise<void> {
+    this.platformAddress = await this.platform.start(LOOPBACK);
+  }
+
+  async startRack(rack: RackPlan): Promise<void> {
+    for (const id of rack.vms) {
+      const target = new TargetServer(id);
+      await target.start(LOOPBACK);
+      this.targets.set(id, target);
+      const {address} = target;
+      const {dataCentre, name} = rack;
+      this.list.put({
+        id,
+        address,
+        dataCentre,
+        rack: name,
+        state: ListedState.Live,
+      });
+    }
+  }
+
+  async startDaemon(name: string, dataCentre: string): Promise<RunningDaemon> {
+    const settings = parseSettings(
+      this.settingsOf(name, dataCentre),
+      `${name}.ini`,
+    );
+    const daemon = new Daemon(settings, {logger: this.logger});
+    await daemon.start();
+    const running = {
+      name,
+      daemon,
+      callerAddress: `127.0.0.1:${daemon.resolve<CallerHttpServer>('callerHttp').port}`,
+      adminAddress: `127.0.0.1:${daemon.resolve<AdminServer>('admin').port}`,
+    };
+    this.daemons.push(running);
+    return running;
+  }
+
+  /** Proposes a bundle, signs it off as the trusted operator and waits until all daemons have it. */
+  async rollOut(text: string): Promise<void> {
+    const {version} = parseBundle(text);
+    const digest = digestOf(text);
+    const writer = 'operator';
+    await this.append({
+      kind: RecordKind.BundleProposed,
+      id: randomUUID(),
+      writer,
+      text,
+    });
+    await this.append({
+      kind: RecordKind.BundleSigned,
+      id: randomUUID(),
+      writer,
+      version,
+      digest,
+      operator: 'kerry',
+      signature: signBundle(this.operator.privateKey, version, digest),
+    });
+    await this.until(() =>
+      this.daemons.every(running => inForceVersion(running) === version),
+    );
+  }
+
+  async append(record: FleetRecord): Promise<void> {
+    await this.log.append(StreamName.Fleet, [encodeRecord(record)]);
+  }
+
+  /** Waits for a condition; rejects after ten seconds. */
+  async until(condition: () => boolean): Promise<void> {
+    for (let waited = 0; waited < 10_000; waited += WAIT_STEP_MILLISECONDS) {
+      if (condition()) return;
+      await sleep(this.clock, WAIT_STEP_MILLISECONDS);
+    }
+    throw new Error('the condition did not come true within ten seconds');
+  }
+
+  async stop(): Promise<void> {
+    for (const {daemon} of this.daemons) await daemon.stop();
+    for (const target of this.targets.values()) await target.stop();
+    await this.platform.stop();
+  }
+
+  private settingsOf(name: string, dataCentre: string): string {
+    return `
+[daemon]
+name = ${name}
+data_centre = ${dataCentre}
+log_level = warn
+[metrics]
+[platform-log]
+address = ${this.platformAddress}
+[platform-list]
+address = ${this.platformAddress}
+poll_milliseconds = 200
+[shared-state]
+trusted_operators = kerry:${this.operator.publicKey}
+[target-http]
+[caller-http]
+listen = ${LOOPBACK}
+[admin]
+listen = ${LOOPBACK}
+key = ${ADMIN_KEY}
+`;
+  }
+}
+
+function inForceVersion(running: RunningDaemon): number | undefined {
+  const {state} = running.daemon.resolve<SharedState>('sharedState');
+  return state.inForce?.bundle.version;
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,1 @@
+export * from './deployment.js';
--- /dev/null
+++ b/packages/cli/src/command-error.ts
@@ -0,0 +1,12 @@
+import type {ExitCode} from './exit-codes.js';
+
+/** A command that ends with a message and an exit code. */
+export class CommandError extends Error {
+  constructor(
+    readonly exitCode: ExitCode,
+    message: string,
+  ) {
+    super(message);
+    this.name = 'CommandError';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+export * from './daemon.js';
+export * from './plugins.js';
+export * from './wiring.js';
--- /dev/null
+++ b/packages/daemon/src/plugins.ts
@@ -0,0 +1,21 @@
+import {PluginRegistry} from '@gentiandoor/kernel';
+import {registerAdmin} from '@gentiandoor/plugin-admin';
+import {registerCallerHttp} from '@gentiandoor/plugin-caller-http';
+import {registerMetrics} from '@gentiandoor/plugin-metrics';
+import {registerPlatformList} from '@gentiandoor/plugin-platform-list';
+import {registerPlatformLog} from '@gentiandoor/plugin-platform-log';
+import {registerSharedState} from '@gentiandoor/plugin-shared-state';
+import {registerTargetHttp} from '@gentiandoor/plugin-target-http';
+
+/** All plug-ins of the daemon, in the order in which they start. */
+export function allPlugins(): PluginRegistry {
+  const registry = new PluginRegistry();
+  registerMetrics(registry);
+  registerPlatformLog(registry);
+  registerPlatformList(registry);
+  registerSharedState(registry);
+  registerTargetHttp(registry);
+  registerCallerHttp(registry);
+  registerAdmin(registry);
+  return registry;
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,2 @@
+export * from './target-choice.js';
+export * from './waiting-queue.js';
--- /dev/null
+++ b/packages/kernel/src/clock.ts
@@ -0,0 +1,129 @@
+/** A cancellable timer. */
+export interface Timer {
+  cancel(): void;
+}
+
+/**
+ * Source of time and timers, in milliseconds.
+ * Deadlines use `monotonicMilliseconds`: the wall clock steps.
+ */
+export interface Clock {
+  /** Milliseconds since an arbitrary start; never goes back. */
+  monotonicMilliseconds(): number;
+  /** Milliseconds since the Unix epoch; for display and records only. */
+  wallMilliseconds(): number;
+  /** Calls `action` once after `delayMilliseconds`. */
+  schedule(delayMilliseconds: number, action: () => void): Timer;
+}
+
+/** Waits for `delayMilliseconds` on `clock`; ends early when `signal` aborts. */
+export function sleep(
+  clock: Clock,
+  delayMilliseconds: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  return new Promise(resolve => {
+    if (signal?.aborted) {
+      resolve();
+      return;
+    }
+    const finish = () => {
+      signal?.removeEventListener('abort', finish);
+      timer.cancel();
+      resolve();
+    };
+    const timer = clock.schedule(delayMilliseconds, finish);
+    signal?.addEventListener('abort', finish, {once: true});
+  });
+}
+
+/** The clock of the machine. */
+export class SystemClock implements Clock {
+  monotonicMilliseconds(): number {
+    return performance.now();
+  }
+
+  wallMilliseconds(): number {
+    return Date.now();
+  }
+
+  schedule(delayMilliseconds: number, action: () => void): Timer {
+    const handle = setTimeout(action, delayMilliseconds);
+    return {cancel: () => clearTimeout(handle)};
+  }
+}
+
+interface PendingTimer {
+  readonly due: number;
+  readonly order: number;
+  readonly action: () => void;
+}
+
+/** A clock for tests and models: time moves only by `advance`. */
+export class VirtualClock implements Clock {
+  private now = 0;
+  private order = 0;
+  private readonly pending = new Set<PendingTimer>();
+
+  constructor(private readonly wallStart = 1_700_000_000_000) {}
+
+  monotonicMilliseconds(): number {
+    return this.now;
+  }
+
+  wallMilliseconds(): number {
+    return this.wallStart + this.now;
+  }
+
+  schedule(delayMilliseconds: number, action: () => void): Timer {
+    const timer: PendingTimer = {
+      due: this.now + Math.max(0, delayMilliseconds),
+      order: this.order++,
+      action,
+    };
+    this.pending.add(timer);
+    return {cancel: () => this.pending.delete(timer)};
+  }
+
+  /** Moves time forward and runs each timer that falls due, in order. */
+  advance(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    for (let next = this.nextDue(end); next; next = this.nextDue(end)) {
+      this.pending.delete(next);
+      this.now = Math.max(this.now, next.due);
+      next.action();
+    }
+    this.now = end;
+  }
+
+  /** As `advance`, and lets promises settle after each timer. */
+  async advanceAsync(milliseconds: number): Promise<void> {
+    const end = this.now + milliseconds;
+    await settlePromises();
+    for (let next = this.nextDue(end); next; next = this.nextDue(end)) {
+      this.pending.delete(next);
+      this.now = Math.max(this.now, next.due);
+      next.action();
+      await settlePromises();
+    }
+    this.now = end;
+  }
+
+  private nextDue(end: number): PendingTimer | undefined {
+    let best: PendingTimer | undefined;
+    for (const timer of this.pending) {
+      if (timer.due > end) continue;
+      if (!best || isBefore(timer, best)) best = timer;
+    }
+    return best;
+  }
+}
+
+function isBefore(left: PendingTimer, right: PendingTimer): boolean {
+  if (left.due !== right.due) return left.due < right.due;
+  return left.order < right.order;
+}
+
+function settlePromises(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/packages/kernel/src/error-kinds.ts
@@ -0,0 +1,229 @@
+/** Whether the request was run by a target. */
+export enum RunOutcome {
+  /** No byte of the request went to a target, or the target said so itself. */
+  NotRun = 'no',
+  /** Bytes were sent and no whole answer came back. */
+  Unknown = 'unknown',
+  /** A target ran it. */
+  Run = 'yes',
+}
+
+/** The closed list of error kinds. */
+export enum ErrorKind {
+  BadRequest = 'bad_request',
+  HeadTooLarge = 'head_too_large',
+  BodyTooLarge = 'body_too_large',
+  BodyTimeout = 'body_timeout',
+  CallerGone = 'caller_gone',
+  UpgradeRefused = 'upgrade_refused',
+  ExpectationRefused = 'expectation_refused',
+  UnknownService = 'unknown_service',
+  UnknownCaller = 'unknown_caller',
+  KeyRequired = 'key_required',
+  KeyInvalid = 'key_invalid',
+  KeyReused = 'key_reused',
+  KeyInProgress = 'key_in_progress',
+  KeyAlreadyRun = 'key_already_run',
+  KeyOutcomeUnknown = 'key_outcome_unknown',
+  KeyForgotten = 'key_forgotten',
+  ClaimUnavailable = 'claim_unavailable',
+  NoBundle = 'no_bundle',
+  NoTarget = 'no_target',
+  QueueFull = 'queue_full',
+  QueueTimeout = 'queue_timeout',
+  QueueDropped = 'queue_dropped',
+  QuotaExceeded = 'quota_exceeded',
+  Draining = 'draining',
+  TargetRefused = 'target_refused',
+  TargetUnreachable = 'target_unreachable',
+  TargetFailed = 'target_failed',
+  TargetTimeout = 'target_timeout',
+  AnswerTruncated = 'answer_truncated',
+  AnswerMalformed = 'answer_malformed',
+  Internal = 'internal',
+}
+
+/** What a caller is told for an error kind. */
+export interface ErrorAnswer {
+  /** HTTP status code. */
+  readonly status: number;
+  /** Whether the request was run. */
+  readonly run: RunOutcome;
+  /** Seconds for `Retry-After`; undefined where a retry does not help. */
+  readonly retryAfterSeconds?: number;
+  /** One sentence for the caller: what happened and what to do. */
+  readonly advice: string;
+}
+
+const {NotRun, Unknown, Run} = RunOutcome;
+
+function answer(
+  status: number,
+  run: RunOutcome,
+  advice: string,
+  retryAfterSeconds?: number,
+): ErrorAnswer {
+  return {status, run, advice, retryAfterSeconds};
+}
+
+/** The table from error kind to answer. docs/errors.md is held against it by a test. */
+export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  [ErrorKind.BadRequest]: answer(
+    400,
+    NotRun,
+    'The request is malformed; correct it.',
+  ),
+  [ErrorKind.HeadTooLarge]: answer(
+    431,
+    NotRun,
+    'The request head is over the limit.',
+  ),
+  [ErrorKind.BodyTooLarge]: answer(
+    413,
+    NotRun,
+    'The request body is over the limit.',
+  ),
+  [ErrorKind.BodyTimeout]: answer(
+    408,
+    NotRun,
+    'The request body came too slowly.',
+    1,
+  ),
+  [ErrorKind.CallerGone]: answer(
+    499,
+    NotRun,
+    'The caller closed the connection.',
+  ),
+  [ErrorKind.UpgradeRefused]: answer(
+    501,
+    NotRun,
+    'Protocol upgrades are not supported.',
+  ),
+  [ErrorKind.ExpectationRefused]: answer(
+    417,
+    NotRun,
+    'Only Expect: 100-continue is supported.',
+  ),
+  [ErrorKind.UnknownService]: answer(
+    404,
+    NotRun,
+    'No service of that name is in the bundle in force.',
+  ),
+  [ErrorKind.UnknownCaller]: answer(
+    401,
+    NotRun,
+    'Send a caller key that the bundle in force knows.',
+  ),
+  [ErrorKind.KeyRequired]: answer(
+    428,
+    NotRun,
+    'This service needs an Idempotency-Key header.',
+  ),
+  [ErrorKind.KeyInvalid]: answer(
+    400,
+    NotRun,
+    'The Idempotency-Key is malformed.',
+  ),
+  [ErrorKind.KeyReused]: answer(
+    422,
+    NotRun,
+    'The Idempotency-Key was used for another request.',
+  ),
+  [ErrorKind.KeyInProgress]: answer(
+    409,
+    Unknown,
+    'A request with this key is running; ask again later.',
+    1,
+  ),
+  [ErrorKind.KeyAlreadyRun]: answer(
+    409,
+    Run,
+    'A request with this key was run; its answer is no longer held.',
+  ),
+  [ErrorKind.KeyOutcomeUnknown]: answer(
+    409,
+    Unknown,
+    'A request with this key may have been run; it will not be run again.',
+  ),
+  [ErrorKind.KeyForgotten]: answer(
+    409,
+    Unknown,
+    'This key is older than the claims that are kept; it will not be run.',
+  ),
+  [ErrorKind.ClaimUnavailable]: answer(
+    503,
+    NotRun,
+    'The platform log cannot be reached to claim the key.',
+    2,
+  ),
+  [ErrorKind.NoBundle]: answer(
+    503,
+    NotRun,
+    'No configuration is in force at this daemon yet.',
+    2,
+  ),
+  [ErrorKind.NoTarget]: answer(
+    503,
+    NotRun,
+    'No VM of the pool can take the request.',
+    1,
+  ),
+  [ErrorKind.QueueFull]: answer(503, NotRun, 'The service is saturated.', 1),
+  [ErrorKind.QueueTimeout]: answer(
+    503,
+    NotRun,
+    'The request waited as long as it may.',
+    1,
+  ),
+  [ErrorKind.QueueDropped]: answer(
+    503,
+    NotRun,
+    'A standing queue is being cut short.',
+    1,
+  ),
+  [ErrorKind.QuotaExceeded]: answer(
+    429,
+    NotRun,
+    'The quota of the team is used up.',
+    1,
+  ),
+  [ErrorKind.Draining]: answer(
+    503,
+    NotRun,
+    'This daemon is stopping; connect again.',
+    1,
+  ),
+  [ErrorKind.TargetRefused]: answer(
+    503,
+    NotRun,
+    'The target refused the request before running it.',
+    1,
+  ),
+  [ErrorKind.TargetUnreachable]: answer(
+    503,
+    NotRun,
+    'No connection to a target could be opened.',
+    1,
+  ),
+  [ErrorKind.TargetFailed]: answer(
+    502,
+    Unknown,
+    'The connection to the target broke after the request was sent.',
+  ),
+  [ErrorKind.TargetTimeout]: answer(
+    504,
+    Unknown,
+    'The target did not answer in time.',
+  ),
+  [ErrorKind.AnswerTruncated]: answer(
+    502,
+    Unknown,
+    'The answer of the target broke off.',
+  ),
+  [ErrorKind.AnswerMalformed]: answer(
+    502,
+    Unknown,
+    'The answer of the target was malformed.',
+  ),
+  [ErrorKind.Internal]: answer(500, Unknown, 'The daemon failed; see its log.'),
+};
--- /dev/null
+++ b/packages/kernel/src/metrics.ts
@@ -0,0 +1,73 @@
+/** Names of all metrics; docs/metrics.md is held against this by a test. */
+export enum MetricName {
+  /** Requests by service and result. */
+  Requests = 'requests',
+  /** Refusals by error kind. */
+  Refusals = 'refusals',
+  /** Retries by reason. */
+  Retries = 'retries',
+  /** Milliseconds from a request's head to the end of its answer. */
+  RequestDuration = 'request_duration',
+  /** Requests that wait, by service. */
+  QueueLength = 'queue_length',
+  /** Exchanges in flight, by service. */
+  InFlight = 'in_flight',
+  LogAppends = 'log_appends',
+  LogAppendFailures = 'log_append_failures',
+  LogReads = 'log_reads',
+  LogReadFailures = 'log_read_failures',
+  RecordsApplied = 'records_applied',
+  RecordsRejected = 'records_rejected',
+  StateHashDifferences = 'state_hash_differences',
+  PeerMessages = 'peer_messages',
+  PeerDisconnects = 'peer_disconnects',
+  EventLoopDelay = 'event_loop_delay',
+}
+
+/** Labels of one metric. */
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** Counters, gauges and timings. */
+export interface Metrics {
+  increment(name: MetricName, tags?: MetricTags, by?: number): void;
+  gauge(name: MetricName, value: number, tags?: MetricTags): void;
+  /** `milliseconds` of one observation. */
+  timing(name: MetricName, milliseconds: number, tags?: MetricTags): void;
+}
+
+/** Keeps counters and gauges in memory: for tests and the admin port. */
+export class MemoryMetrics implements Metrics {
+  private readonly values = new Map<string, number>();
+
+  increment(name: MetricName, tags: MetricTags = {}, by = 1): void {
+    const key = metricKey(name, tags);
+    this.values.set(key, (this.values.get(key) ?? 0) + by);
+  }
+
+  gauge(name: MetricName, value: number, tags: MetricTags = {}): void {
+    this.values.set(metricKey(name, tags), value);
+  }
+
+  timing(name: MetricName, _milliseconds: number, tags: MetricTags = {}): void {
+    this.increment(name, tags);
+  }
+
+  /** The value of one counter or gauge; 0 where it was never set. */
+  value(name: MetricName, tags: MetricTags = {}): number {
+    return this.values.get(metricKey(name, tags)) ?? 0;
+  }
+
+  /** All values by `name{tag=value}`. */
+  snapshot(): Record<string, number> {
+    return Object.fromEntries(
+      [...this.values].sort(([a], [b]) => (a < b ? -1 : 1)),
+    );
+  }
+}
+
+function metricKey(name: MetricName, tags: MetricTags): string {
+  const parts = Object.keys(tags)
+    .sort()
+    .map(tag => `${tag}=${tags[tag]}`);
+  return parts.length > 0 ? `${name}{${parts.join(',')}}` : name;
+}
--- /dev/null
+++ b/packages/kernel/src/settings.ts
@@ -0,0 +1,157 @@
+import {parse} from 'ini';
+import {z} from 'zod';
+import {SettingsError} from './errors.js';
+
+/** One section of a settings file as read. */
+export type SettingsSection = Readonly<Record<string, unknown>>;
+
+/** All sections of a settings file, before the plug-ins check them. */
+export class SettingsFile {
+  constructor(
+    readonly path: string,
+    private readonly sections: ReadonlyMap<string, SettingsSection>,
+  ) {}
+
+  /** Names of the sections in the file. */
+  sectionNames(): string[] {
+    return [...this.sections.keys()];
+  }
+
+  /** Checks one section; throws `SettingsError` naming file, section, key and what was expected. */
+  section<Schema extends z.ZodType>(
+    name: string,
+    schema: Schema,
+  ): z.output<Schema> {
+    const result = schema.safeParse(this.sections.get(name) ?? {});
+    if (result.success) return result.data;
+    const problems = result.error.issues.map(issue =>
+      this.describe(name, issue),
+    );
+    throw new SettingsError(problems.join('\n'));
+  }
+
+  private describe(section: string, issue: z.core.$ZodIssue): string {
+    if (issue.code === 'unrecognized_keys') {
+      return `${this.path}: [${section}] unknown key ${issue.keys.join(', ')}: expected only documented keys`;
+    }
+    const key = issue.path.join('.') || '(section)';
+    return `${this.path}: [${section}] ${key}: ${issue.message}`;
+  }
+}
+
+/** Reads INI text; a doubled section or key is an error, not a silent merge. */
+export function parseSettings(text: string, path: string): SettingsFile {
+  rejectDoubles(text, path);
+  const sections = new Map<string, SettingsSection>();
+  for (const [name, value] of Object.entries(
+    parse(text) as Record<string, unknown>,
+  )) {
+    if (typeof value !== 'object' || value === null) {
+      throw new SettingsError(
+        `${path}: ${name}: expected every key inside a [section]`,
+      );
+    }
+    sections.set(name, value as SettingsSection);
+  }
+  return new SettingsFile(path, sections);
+}
+
+/**
+ * Finds what the INI library would merge without a word: a section or a key that stands twice.
+ * Throws `SettingsError` with the line number.
+ */
+export function rejectDoubles(text: string, path: string): void {
+  const sections = new Set<string>();
+  let keys = new Set<string>();
+  let section = '';
+  text.split(/\r?\n/).forEach((raw, index) => {
+    const line = raw.trim();
+    if (line === '' || line.startsWith(';') || line.startsWith('#')) return;
+    const header = /^\[([^\]]*)\]$/.exec(line);
+    if (header) {
+      section = header[1].trim();
+      if (sections.has(section)) {
+        throw new SettingsError(
+          `${path}:${index + 1}: section [${section}] stands twice`,
+        );
+      }
+      sections.add(section);
+      keys = new Set();
+      return;
+    }
+    const key = line.split('=', 1)[0].trim();
+    if (!line.includes('=')) {
+      throw new SettingsError(
+        `${path}:${index + 1}: expected "key = value", found "${line}"`,
+      );
+    }
+    if (!key.endsWith('[]') && keys.has(key)) {
+      throw new SettingsError(
+        `${path}:${index + 1}: [${section}] key ${key} stands twice`,
+      );
+    }
+    keys.add(key);
+  });
+}
+
+/** A whole number within bounds, from INI text. */
+export function integerSetting(minimum: number, maximum: number) {
+  return z
+    .union([z.string(), z.number()], {
+      error: `expected a whole number from ${minimum} to ${maximum}`,
+    })
+    .transform(Number)
+    .refine(
+      value => Number.isInteger(value) && value >= minimum && value <= maximum,
+      {
+        error: `expected a whole number from ${minimum} to ${maximum}`,
+      },
+    );
+}
+
+/** A number within bounds, from INI text. */
+export function numberSetting(minimum: number, maximum: number) {
+  return z
+    .union([z.string(), z.number()], {
+      error: `expected a number from ${minimum} to ${maximum}`,
+    })
+    .transform(Number)
+    .refine(
+      value => Number.isFinite(value) && value >= minimum && value <= maximum,
+      {
+        error: `expected a number from ${minimum} to ${maximum}`,
+      },
+    );
+}
+
+const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
+
+/** An IP number with a port, such as 127.0.0.1:8080. */
+export function addressSetting() {
+  return z
+    .string({
+      error: 'expected an IP number with a port, such as 127.0.0.1:8080',
+    })
+    .regex(ADDRESS, {
+      error: 'expected an IP number with a port, such as 127.0.0.1:8080',
+    });
+}
+
+/** A comma-separated list. */
+export function listSetting() {
+  return z.string({error: 'expected a comma-separated list'}).transform(text =>
+    text
+      .split(',')
+      .map(item => item.trim())
+      .filter(item => item !== ''),
+  );
+}
+
+/** Host and port of an address setting. */
+export function splitAddress(address: string): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/plugin-admin/src/admin-server.ts
@@ -0,0 +1,109 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import http from 'node:http';
+import Koa from 'koa';
+import {
+  splitAddress,
+  type DaemonIdentity,
+  type DrainState,
+  type MemoryMetrics,
+  type Plugin,
+} from '@gentiandoor/kernel';
+import type {SharedState, VmList} from '@gentiandoor/shared-state';
+import type {AdminOptions} from './admin-options.js';
+
+/** What the admin port needs. */
+export interface AdminServerDependencies {
+  readonly identity: DaemonIdentity;
+  readonly drainState: DrainState;
+  readonly sharedState: SharedState;
+  readonly vmList: VmList;
+  readonly metrics: {readonly memory: MemoryMetrics};
+  readonly adminOptions: AdminOptions;
+}
+
+/** Health for the balancer, and status for operators. */
+export class AdminServer implements Plugin {
+  private readonly server: http.Server;
+
+  constructor(private readonly dependencies: AdminServerDependencies) {
+    const koa = new Koa();
+    koa.use(context => this.answer(context));
+    this.server = http.createServer(koa.callback());
+  }
+
+  /** The port in use. */
+  get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  async start(): Promise<void> {
+    const {host, port} = splitAddress(this.dependencies.adminOptions.listen);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private answer(context: Koa.Context): void {
+    if (context.path === '/health/live') {
+      context.body = {live: true};
+      return;
+    }
+    if (context.path === '/health/ready') {
+      const ready = this.isReady();
+      context.status = ready ? 200 : 503;
+      context.body = {ready, draining: this.dependencies.drainState.isDraining};
+      return;
+    }
+    if (!this.isAuthorized(context.get('authorization'))) {
+      context.status = 401;
+      context.body = {
+        error: 'send the operators\u2019 key: Authorization: Bearer KEY',
+      };
+      return;
+    }
+    if (context.path === '/status') context.body = this.status();
+    else if (context.path === '/metrics') {
+      context.body = this.dependencies.metrics.memory.snapshot();
+    }
+  }
+
+  private isReady(): boolean {
+    const {drainState, sharedState} = this.dependencies;
+    return !drainState.isDraining && sharedState.state.inForce !== undefined;
+  }
+
+  private isAuthorized(header: string): boolean {
+    const expected = digest(`Bearer ${this.dependencies.adminOptions.key}`);
+    return timingSafeEqual(digest(header), expected);
+  }
+
+  private status() {
+    const {identity, drainState, sharedState, vmList} = this.dependencies;
+    const {state} = sharedState;
+    return {
+      daemon: identity,
+      draining: drainState.isDraining,
+      logReachable: sharedState.isLogReachable,
+      offset: state.nextOffset,
+      bundle: state.inForce && {
+        version: state.inForce.bundle.version,
+        digest: state.inForce.digest,
+        offset: state.inForce.offset,
+      },
+      members: [...state.members.values()],
+      vms: [...state.vms.values()],
+      listedVms: vmList.current().size,
+    };
+  }
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
--- /dev/null
+++ b/packages/plugin-admin/src/index.ts
@@ -0,0 +1,21 @@
+import {asClass, asValue} from 'awilix';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {adminOptions} from './admin-options.js';
+import {AdminServer} from './admin-server.js';
+
+export {AdminServer} from './admin-server.js';
+
+/** Registers the operators' edge. */
+export function registerAdmin(registry: PluginRegistry): void {
+  registry.add({
+    name: 'admin',
+    options: adminOptions,
+    service: 'admin',
+    register(container, options) {
+      container.register({
+        adminOptions: asValue(options),
+        admin: asClass(AdminServer).singleton(),
+      });
+    },
+  });
+}
--- /dev/null
+++ b/packages/plugin-metrics/src/index.ts
@@ -0,0 +1,20 @@
+import {asValue} from 'awilix';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {metricsOptions, type MetricsOptions} from './metrics-options.js';
+import {StatsdMetrics} from './statsd-metrics.js';
+
+export {StatsdMetrics} from './statsd-metrics.js';
+
+/** Registers the metrics edge. */
+export function registerMetrics(registry: PluginRegistry): void {
+  registry.add({
+    name: 'metrics',
+    options: metricsOptions,
+    service: 'metrics',
+    register(container, options) {
+      container.register({
+        metrics: asValue(new StatsdMetrics(options as MetricsOptions)),
+      });
+    },
+  });
+}
--- /dev/null
+++ b/packages/plugin-platform-list/src/http-vm-list.ts
@@ -0,0 +1,120 @@
+import {Pool} from 'undici';
+import {z} from 'zod';
+import {
+  LogEvent,
+  jitter,
+  sleep,
+  type Clock,
+  type Logger,
+  type Plugin,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {
+  ListedState,
+  type ListedVm,
+  type VmList,
+} from '@gentiandoor/shared-state';
+import type {PlatformListOptions} from './platform-list-options.js';
+
+const listBody = z.object({
+  vms: z.array(
+    z.object({
+      id: z.string(),
+      address: z.string(),
+      dataCentre: z.string(),
+      rack: z.string(),
+      state: z.enum(ListedState),
+    }),
+  ),
+});
+
+/** What the list needs. */
+export interface HttpVmListDependencies {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly platformListOptions: PlatformListOptions;
+}
+
+/** Polls the platform's list of VMs; keeps the last one while the platform is gone. */
+export class HttpVmList implements VmList, Plugin {
+  private vms: ReadonlyMap<string, ListedVm> = new Map();
+  private readAt = -Infinity;
+  private readonly listeners: Array<() => void> = [];
+  private readonly stopping = new AbortController();
+  private readonly pool: Pool;
+  private polling: Promise<void> = Promise.resolve();
+  private reachable = true;
+
+  constructor(private readonly dependencies: HttpVmListDependencies) {
+    const {address} = dependencies.platformListOptions;
+    this.pool = new Pool(`http://${address}`, {connections: 1, pipelining: 1});
+  }
+
+  current(): ReadonlyMap<string, ListedVm> {
+    return this.vms;
+  }
+
+  ageMilliseconds(): number {
+    return this.dependencies.clock.monotonicMilliseconds() - this.readAt;
+  }
+
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  async start(): Promise<void> {
+    await this.readOnce();
+    this.polling = this.poll();
+  }
+
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.polling;
+    await this.pool.destroy();
+  }
+
+  private async poll(): Promise<void> {
+    const {clock, random, platformListOptions: options} = this.dependencies;
+    while (!this.stopping.signal.aborted) {
+      await sleep(
+        clock,
+        jitter(random, options.poll_milliseconds),
+        this.stopping.signal,
+      );
+      if (!this.stopping.signal.aborted) await this.readOnce();
+    }
+  }
+
+  private async readOnce(): Promise<void> {
+    const {clock, logger} = this.dependencies;
+    try {
+      const listed = await this.fetchList();
+      this.vms = new Map(listed.map(vm => [vm.id, vm]));
+      this.readAt = clock.monotonicMilliseconds();
+      if (!this.reachable) logger.info(LogEvent.ListReturned);
+      this.reachable = true;
+      for (const listener of this.listeners) listener();
+    } catch (error) {
+      if (this.stopping.signal.aborted) return;
+      if (this.reachable)
+        logger.warn(LogEvent.ListUnavailable, {error: String(error)});
+      this.reachable = false;
+    }
+  }
+
+  private async fetchList(): Promise<ListedVm[]> {
+    const timeout = AbortSignal.timeout(
+      this.dependencies.platformListOptions.timeout_milliseconds,
+    );
+    const answer = await this.pool.request({
+      path: '/vms',
+      method: 'GET',
+      signal: AbortSignal.any([timeout, this.stopping.signal]),
+    });
+    const body = await answer.body.json();
+    if (answer.statusCode !== 200)
+      throw new Error(`status ${answer.statusCode}`);
+    return listBody.parse(body).vms;
+  }
+}
--- /dev/null
+++ b/packages/plugin-platform-log/src/index.ts
@@ -0,0 +1,22 @@
+import {asValue} from 'awilix';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {HttpPlatformLog} from './http-platform-log.js';
+import {
+  platformLogOptions,
+  type PlatformLogOptions,
+} from './platform-log-options.js';
+
+export {HttpPlatformLog} from './http-platform-log.js';
+
+/** Registers the edge to the platform's log. */
+export function registerPlatformLog(registry: PluginRegistry): void {
+  registry.add({
+    name: 'platform-log',
+    options: platformLogOptions,
+    service: 'platformLog',
+    register(container, options) {
+      const log = new HttpPlatformLog(options as PlatformLogOptions);
+      container.register({platformLog: asValue(log)});
+    },
+  });
+}
--- /dev/null
+++ b/packages/plugin-platform-log/src/platform-log-options.ts
@@ -0,0 +1,12 @@
+import {z} from 'zod';
+import {addressSetting, integerSetting} from '@gentiandoor/kernel';
+
+/** Settings section [platform-log]. */
+export const platformLogOptions = z.strictObject({
+  address: addressSetting(),
+  /** Longest wait for the log's answer, in milliseconds, beyond the wait asked for. */
+  timeout_milliseconds: integerSetting(50, 60_000).default(2000),
+});
+
+/** Checked settings of the platform log plug-in. */
+export type PlatformLogOptions = z.output<typeof platformLogOptions>;
--- /dev/null
+++ b/packages/plugin-shared-state/src/index.ts
@@ -0,0 +1,21 @@
+import {asClass, asValue} from 'awilix';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {LogFollower} from './log-follower.js';
+import {sharedStateOptions} from './shared-state-options.js';
+
+export {LogFollower} from './log-follower.js';
+
+/** Registers the shared state that is folded from the log. */
+export function registerSharedState(registry: PluginRegistry): void {
+  registry.add({
+    name: 'shared-state',
+    options: sharedStateOptions,
+    service: 'sharedState',
+    register(container, options) {
+      container.register({
+        sharedStateOptions: asValue(options),
+        sharedState: asClass(LogFollower).singleton(),
+      });
+    },
+  });
+}
--- /dev/null
+++ b/packages/plugin-target-http/src/index.ts
@@ -0,0 +1,21 @@
+import {asClass, asValue} from 'awilix';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {HttpTargetTransport} from './http-target-transport.js';
+import {targetHttpOptions} from './target-http-options.js';
+
+export {HttpTargetTransport} from './http-target-transport.js';
+
+/** Registers the edge to targets. */
+export function registerTargetHttp(registry: PluginRegistry): void {
+  registry.add({
+    name: 'target-http',
+    options: targetHttpOptions,
+    service: 'targetTransport',
+    register(container, options) {
+      container.register({
+        targetHttpOptions: asValue(options),
+        targetTransport: asClass(HttpTargetTransport).singleton(),
+      });
+    },
+  });
+}
--- /dev/null
+++ b/packages/shared-state/src/bundle-checks.ts
@@ -0,0 +1,124 @@
+import {FailureDomain, type Bundle, type ServiceEntry} from './bundle.js';
+
+/** Problems that make a bundle unacceptable; empty when there are none. */
+export function checkBundle(bundle: Bundle): string[] {
+  return [
+    ...checkVersion(bundle),
+    ...checkRacks(bundle),
+    ...checkPools(bundle),
+    ...checkServices(bundle),
+    ...checkCallers(bundle),
+    ...checkOperators(bundle),
+  ];
+}
+
+function checkVersion(bundle: Bundle): string[] {
+  if (bundle.version > bundle.base) return [];
+  return [
+    `bundle: version ${bundle.version} must be above base ${bundle.base}`,
+  ];
+}
+
+function checkRacks(bundle: Bundle): string[] {
+  const seen = new Map<string, string>();
+  const problems: string[] = [];
+  for (const [rack, entry] of Object.entries(bundle.racks)) {
+    for (const vm of entry.vms) {
+      const other = seen.get(vm);
+      if (other !== undefined)
+        problems.push(`rack.${rack}: VM ${vm} is in rack ${other} too`);
+      seen.set(vm, rack);
+    }
+  }
+  return problems;
+}
+
+function checkPools(bundle: Bundle): string[] {
+  const racks = rackOfVms(bundle);
+  const owner = new Map<string, string>();
+  const problems: string[] = [];
+  for (const [pool, entry] of Object.entries(bundle.pools)) {
+    for (const vm of entry.vms) {
+      const other = owner.get(vm);
+      if (other !== undefined)
+        problems.push(`pool.${pool}: VM ${vm} is in pool ${other} too`);
+      if (!racks.has(vm)) problems.push(`pool.${pool}: VM ${vm} is in no rack`);
+      owner.set(vm, pool);
+    }
+  }
+  return problems;
+}
+
+function checkServices(bundle: Bundle): string[] {
+  return Object.entries(bundle.services).flatMap(([name, service]) => {
+    const pool = bundle.pools[service.pool];
+    if (!pool)
+      return [`service.${name}: pool ${service.pool} is not in the bundle`];
+    return checkBudget(name, service, bundle);
+  });
+}
+
+function checkBudget(
+  name: string,
+  service: ServiceEntry,
+  bundle: Bundle,
+): string[] {
+  const vms = bundle.pools[service.pool].vms;
+  const lost = largestDomain(bundle, vms, service.budget.survive);
+  const left = vms.length - lost;
+  if (left >= service.budget.availableVms) return [];
+  return [
+    `service.${name}: available_vms ${service.budget.availableVms} cannot be met: pool ${service.pool} has ${vms.length} VMs and keeps ${left} after the loss of its largest ${service.budget.survive}`,
+  ];
+}
+
+function checkCallers(bundle: Bundle): string[] {
+  return Object.entries(bundle.callers)
+    .filter(([, caller]) => !(caller.team in bundle.teams))
+    .map(
+      ([name, caller]) =>
+        `caller.${name}: team ${caller.team} is not in the bundle`,
+    );
+}
+
+function checkOperators(bundle: Bundle): string[] {
+  const active = Object.values(bundle.operators).filter(
+    entry => !entry.revoked,
+  );
+  const others =
+    bundle.author in bundle.operators ? active.length - 1 : active.length;
+  if (others >= bundle.signOffs) return [];
+  return [
+    `bundle: sign_offs ${bundle.signOffs} cannot be met by ${others} operators besides the author`,
+  ];
+}
+
+/** Rack of each VM of the bundle. */
+export function rackOfVms(bundle: Bundle): Map<string, string> {
+  const racks = new Map<string, string>();
+  for (const [rack, entry] of Object.entries(bundle.racks)) {
+    for (const vm of entry.vms) racks.set(vm, rack);
+  }
+  return racks;
+}
+
+/** The most of `vms` that one failure of the given domain takes. */
+export function largestDomain(
+  bundle: Bundle,
+  vms: readonly string[],
+  domain: FailureDomain,
+): number {
+  if (domain === FailureDomain.None || vms.length === 0) return 0;
+  if (domain === FailureDomain.Vm) return 1;
+  const racks = rackOfVms(bundle);
+  const counts = new Map<string, number>();
+  for (const vm of vms) {
+    const rack = racks.get(vm) ?? '';
+    const name =
+      domain === FailureDomain.Rack
+        ? rack
+        : (bundle.racks[rack]?.dataCentre ?? '');
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return Math.max(...counts.values());
+}
--- /dev/null
+++ b/packages/shared-state/src/fold-bundles.ts
@@ -0,0 +1,159 @@
+import {toError} from '@gentiandoor/kernel';
+import type {Bundle} from './bundle.js';
+import {parseBundle} from './bundle-parser.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type ProposedBundle,
+  type Rejection,
+} from './fleet-state.js';
+import type {BundleProposed, BundleSigned} from './records.js';
+import {digestOf, verifyBundle} from './signatures.js';
+
+/** Proposals kept at one time; the oldest goes first. */
+const PROPOSALS_KEPT = 64;
+
+/** Puts a bundle up for sign-off if it builds on the version in force. */
+export function applyBundleProposed(
+  state: FleetState,
+  record: BundleProposed,
+): Rejection | undefined {
+  let bundle: Bundle;
+  try {
+    bundle = parseBundle(record.text);
+  } catch (error) {
+    return {
+      reason: RejectionReason.BundleInvalid,
+      detail: toError(error).message,
+    };
+  }
+  const conflict = conflictWithForce(state, bundle);
+  if (conflict) return conflict;
+  const digest = digestOf(record.text);
+  if (state.proposals.has(digest)) return undefined;
+  state.proposals.set(digest, {
+    bundle,
+    text: record.text,
+    digest,
+    signers: new Set(),
+  });
+  if (state.proposals.size > PROPOSALS_KEPT) {
+    const [oldest] = state.proposals.keys();
+    state.proposals.delete(oldest);
+  }
+  return takeEffectIfSigned(state, digest, state.nextOffset - 1);
+}
+
+/** Counts a sign-off; the last one needed brings the bundle into force. */
+export function applyBundleSigned(
+  state: FleetState,
+  record: BundleSigned,
+  offset: number,
+): Rejection | undefined {
+  const proposal = state.proposals.get(record.digest);
+  if (!proposal) {
+    return {
+      reason: RejectionReason.BundleUnknown,
+      detail: `no proposal with digest ${record.digest}; propose it again on the version in force`,
+    };
+  }
+  const refusal = checkSigner(state, proposal, record);
+  if (refusal) return refusal;
+  proposal.signers.add(record.operator);
+  return takeEffectIfSigned(state, record.digest, offset);
+}
+
+function conflictWithForce(
+  state: FleetState,
+  bundle: Bundle,
+): Rejection | undefined {
+  const version = state.inForce?.bundle.version ?? 0;
+  if (bundle.base === version && bundle.version > version) return undefined;
+  return {
+    reason: RejectionReason.BundleConflict,
+    detail: `version ${bundle.version} was made from ${bundle.base}, but ${version} is in force; make it again from ${version}`,
+  };
+}
+
+function checkSigner(
+  state: FleetState,
+  proposal: ProposedBundle,
+  record: BundleSigned,
+): Rejection | undefined {
+  if (record.version !== proposal.bundle.version) {
+    return {
+      reason: RejectionReason.BundleDigestDiffers,
+      detail: `the digest belongs to version ${proposal.bundle.version}`,
+    };
+  }
+  const operator = operatorKey(state, record.operator);
+  if (!operator) {
+    return {
+      reason: RejectionReason.SignerUnknown,
+      detail: `operator ${record.operator} is not in the bundle in force`,
+    };
+  }
+  if (operator.revoked) {
+    return {
+      reason: RejectionReason.SignerRevoked,
+      detail: `the key of ${record.operator} is revoked`,
+    };
+  }
+  if (record.operator === proposal.bundle.author) {
+    return {
+      reason: RejectionReason.SignerIsAuthor,
+      detail: `${record.operator} is the author; another operator must sign off`,
+    };
+  }
+  if (
+    !verifyBundle(
+      operator.publicKey,
+      record.version,
+      record.digest,
+      record.signature,
+    )
+  ) {
+    return {
+      reason: RejectionReason.SignatureWrong,
+      detail: `the signature is not the key of ${record.operator} over this bundle`,
+    };
+  }
+  return undefined;
+}
+
+function operatorKey(state: FleetState, name: string) {
+  if (state.inForce) return state.inForce.bundle.operators[name];
+  const publicKey = state.trusted[name];
+  return publicKey === undefined ? undefined : {publicKey, revoked: false};
+}
+
+function signOffsNeeded(state: FleetState, bundle: Bundle): number {
+  return state.inForce
+    ? state.inForce.bundle.signOffs
+    : Math.max(1, bundle.signOffs);
+}
+
+function takeEffectIfSigned(
+  state: FleetState,
+  digest: string,
+  offset: number,
+): Rejection | undefined {
+  const proposal = state.proposals.get(digest);
+  if (!proposal) return undefined;
+  if (proposal.signers.size < signOffsNeeded(state, proposal.bundle))
+    return undefined;
+  const {bundle, text} = proposal;
+  state.inForce = {bundle, text, digest, offset};
+  state.proposals.clear();
+  takeNewVms(state, bundle);
+  return undefined;
+}
+
+/** A VM that no pool owns yet goes to the pool that names it; owned ones change by moves only. */
+function takeNewVms(state: FleetState, bundle: Bundle): void {
+  for (const [pool, entry] of Object.entries(bundle.pools)) {
+    for (const id of entry.vms) {
+      if (!state.vms.has(id)) state.vms.set(id, {id, pool, epoch: 1});
+    }
+  }
+}
--- /dev/null
+++ b/packages/shared-state/src/signatures.ts
@@ -0,0 +1,74 @@
+import {
+  createHash,
+  createPrivateKey,
+  createPublicKey,
+  generateKeyPairSync,
+  sign,
+  verify,
+} from 'node:crypto';
+
+/** An Ed25519 key pair in base64 DER. */
+export interface OperatorKeys {
+  readonly publicKey: string;
+  readonly privateKey: string;
+}
+
+/** SHA-256 of a bundle's text, in hexadecimal. */
+export function digestOf(text: string): string {
+  return createHash('sha256').update(text, 'utf8').digest('hex');
+}
+
+/** Makes a new operator key pair. */
+export function makeOperatorKeys(): OperatorKeys {
+  const pair = generateKeyPairSync('ed25519');
+  return {
+    publicKey: pair.publicKey
+      .export({type: 'spki', format: 'der'})
+      .toString('base64'),
+    privateKey: pair.privateKey
+      .export({type: 'pkcs8', format: 'der'})
+      .toString('base64'),
+  };
+}
+
+/** Signs off a bundle: the signature covers its version and digest. */
+export function signBundle(
+  privateKey: string,
+  version: number,
+  digest: string,
+): string {
+  const key = createPrivateKey({
+    key: Buffer.from(privateKey, 'base64'),
+    format: 'der',
+    type: 'pkcs8',
+  });
+  return sign(null, signedText(version, digest), key).toString('base64');
+}
+
+/** True when `signature` is the key's over this version and digest; false on any malformed input. */
+export function verifyBundle(
+  publicKey: string,
+  version: number,
+  digest: string,
+  signature: string,
+): boolean {
+  try {
+    const key = createPublicKey({
+      key: Buffer.from(publicKey, 'base64'),
+      format: 'der',
+      type: 'spki',
+    });
+    return verify(
+      null,
+      signedText(version, digest),
+      key,
+      Buffer.from(signature, 'base64'),
+    );
+  } catch {
+    return false;
+  }
+}
+
+function signedText(version: number, digest: string): Buffer {
+  return Buffer.from(`gentiandoor bundle ${version} ${digest}`, 'utf8');
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,5 @@
+export * from './http-listener.js';
+export * from './memory-log.js';
+export * from './memory-vm-list.js';
+export * from './platform-server.js';
+export * from './target-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/memory-log.ts
@@ -0,0 +1,150 @@
+import {LogFailure, PlatformLogError, type Clock} from '@gentiandoor/kernel';
+import type {
+  AppendPosition,
+  LogBatch,
+  PlatformLog,
+  ReadOptions,
+  StreamName,
+} from '@gentiandoor/shared-state';
+
+/** Faults of the log, switched on by name. */
+export enum LogFault {
+  /** Every call is refused. */
+  Outage = 'outage',
+  /** Appends take effect, their answers are lost. */
+  LostAnswers = 'lost_answers',
+}
+
+/** Bounds of the log. */
+export interface MemoryLogOptions {
+  /** Appends in any one second, over all streams. */
+  readonly appendsPerSecond: number;
+  /** Records kept of a stream. */
+  readonly retainedRecords: number;
+}
+
+const DEFAULT_OPTIONS: MemoryLogOptions = {
+  appendsPerSecond: 500,
+  retainedRecords: 1_000_000,
+};
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+class Stream {
+  oldest = 0;
+  readonly records: Uint8Array[] = [];
+  readonly waiters = new Set<() => void>();
+
+  get end(): number {
+    return this.oldest + this.records.length;
+  }
+}
+
+/** The platform's log in memory: offsets, capped appends, retention, faults. */
+export class MemoryLog implements PlatformLog {
+  readonly faults = new Set<LogFault>();
+  /** Appends taken so far. */
+  appends = 0;
+  private readonly streams = new Map<string, Stream>();
+  private recentAppends: number[] = [];
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: MemoryLogOptions = DEFAULT_OPTIONS,
+  ) {}
+
+  async append(
+    stream: StreamName,
+    payloads: readonly Uint8Array[],
+  ): Promise<AppendPosition> {
+    this.refuseWhenOut();
+    this.countAppend();
+    const target = this.stream(stream);
+    const firstOffset = target.end;
+    target.records.push(...payloads);
+    this.retain(target);
+    for (const wake of [...target.waiters]) wake();
+    if (this.faults.has(LogFault.LostAnswers)) {
+      throw new PlatformLogError(LogFailure.NoAnswer, 'the answer was lost');
+    }
+    return {firstOffset};
+  }
+
+  async read(
+    name: StreamName,
+    from: number,
+    options: ReadOptions,
+    signal?: AbortSignal,
+  ): Promise<LogBatch> {
+    this.refuseWhenOut();
+    const stream = this.stream(name);
+    if (from >= stream.end && options.waitMilliseconds > 0) {
+      await this.waitForRecord(stream, options.waitMilliseconds, signal);
+      this.refuseWhenOut();
+    }
+    if (from < stream.oldest) {
+      throw new PlatformLogError(
+        LogFailure.Gap,
+        `oldest offset is ${stream.oldest}`,
+      );
+    }
+    const start = from - stream.oldest;
+    return {
+      from,
+      payloads: stream.records.slice(start, start + options.limit),
+      end: stream.end,
+      oldest: stream.oldest,
+    };
+  }
+
+  private stream(name: string): Stream {
+    const stream = this.streams.get(name) ?? new Stream();
+    this.streams.set(name, stream);
+    return stream;
+  }
+
+  private refuseWhenOut(): void {
+    if (!this.faults.has(LogFault.Outage)) return;
+    throw new PlatformLogError(LogFailure.Refused, 'the log is out');
+  }
+
+  private countAppend(): void {
+    const now = this.clock.monotonicMilliseconds();
+    this.recentAppends = this.recentAppends.filter(
+      at => at > now - MILLISECONDS_PER_SECOND,
+    );
+    if (this.recentAppends.length >= this.options.appendsPerSecond) {
+      throw new PlatformLogError(
+        LogFailure.Refused,
+        'too many appends this second',
+      );
+    }
+    this.recentAppends.push(now);
+    this.appends++;
+  }
+
+  private retain(stream: Stream): void {
+    const excess = stream.records.length - this.options.retainedRecords;
+    if (excess <= 0) return;
+    stream.records.splice(0, excess);
+    stream.oldest += excess;
+  }
+
+  private waitForRecord(
+    stream: Stream,
+    milliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    return new Promise(resolve => {
+      const finish = () => {
+        stream.waiters.delete(finish);
+        timer.cancel();
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      const timer = this.clock.schedule(milliseconds, finish);
+      stream.waiters.add(finish);
+      signal?.addEventListener('abort', finish, {once: true});
+    });
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/memory-vm-list.ts
@@ -0,0 +1,57 @@
+import type {Clock} from '@gentiandoor/kernel';
+import {ListedState, type ListedVm} from '@gentiandoor/shared-state';
+
+interface Change {
+  readonly visibleAt: number;
+  readonly vm: ListedVm | undefined;
+  readonly id: string;
+}
+
+/** The platform's list of VMs in memory; changes show after a lag. */
+export class MemoryVmList {
+  /** Milliseconds until a change shows. */
+  lagMilliseconds = 0;
+  private readonly shown = new Map<string, ListedVm>();
+  private pending: Change[] = [];
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Adds or changes a VM. */
+  put(vm: ListedVm): void {
+    this.change(vm.id, vm);
+  }
+
+  /** Marks a VM as leaving. */
+  leave(id: string): void {
+    const vm = this.latest(id);
+    if (vm) this.change(id, {...vm, state: ListedState.Leaving});
+  }
+
+  remove(id: string): void {
+    this.change(id, undefined);
+  }
+
+  /** What a reader sees now. */
+  visible(): ListedVm[] {
+    const now = this.clock.monotonicMilliseconds();
+    const due = this.pending.filter(change => change.visibleAt <= now);
+    this.pending = this.pending.filter(change => change.visibleAt > now);
+    for (const change of due) this.show(change);
+    return [...this.shown.values()];
+  }
+
+  private change(id: string, vm: ListedVm | undefined): void {
+    const visibleAt = this.clock.monotonicMilliseconds() + this.lagMilliseconds;
+    this.pending.push({id, vm, visibleAt});
+  }
+
+  private show(change: Change): void {
+    if (change.vm) this.shown.set(change.id, change.vm);
+    else this.shown.delete(change.id);
+  }
+
+  private latest(id: string): ListedVm | undefined {
+    const last = this.pending.filter(change => change.id === id).at(-1);
+    return last ? last.vm : this.shown.get(id);
+  }
+}
