--- a/packages/daemon/src/plugins.ts
+++ b/packages/daemon/src/plugins.ts
@@ -2,6 +2,8 @@
 import {registerAdmin} from '@gentiandoor/plugin-admin';
 import {registerCallerHttp} from '@gentiandoor/plugin-caller-http';
 import {registerMetrics} from '@gentiandoor/plugin-metrics';
+import {registerOnceOnly} from '@gentiandoor/plugin-once-only';
+import {registerPeers} from '@gentiandoor/plugin-peers';
 import {registerPlatformList} from '@gentiandoor/plugin-platform-list';
 import {registerPlatformLog} from '@gentiandoor/plugin-platform-log';
 import {registerSharedState} from '@gentiandoor/plugin-shared-state';
@@ -14,6 +16,8 @@
   registerPlatformLog(registry);
   registerPlatformList(registry);
   registerSharedState(registry);
+  registerPeers(registry);
+  registerOnceOnly(registry);
   registerTargetHttp(registry);
   registerCallerHttp(registry);
   registerAdmin(registry);
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -6,6 +6,8 @@
   type AwilixContainer,
 } from 'awilix';
 import {
+  AdminRoutes,
+  DecisionJournal,
   DrainState,
   LifeCycle,
   PinoLogger,
@@ -56,13 +58,16 @@
     overrides.logger ??
     new PinoLogger(options.log_level, {daemon: identity.name});
   const drainState = new DrainState();
+  const clock = overrides.clock ?? new SystemClock();
   const container = createContainer({
     injectionMode: InjectionMode.PROXY,
     strict: true,
   });
   container.register({
     identity: asValue(identity),
-    clock: asValue(overrides.clock ?? new SystemClock()),
+    clock: asValue(clock),
+    adminRoutes: asValue(new AdminRoutes()),
+    decisionJournal: asValue(new DecisionJournal(clock)),
     random: asValue(new SeededRandom(options.seed ?? randomInt(SEED_BOUND))),
     logger: asValue(logger),
     drainState: asValue(drainState),
--- /dev/null
+++ b/packages/kernel/src/decision-journal.ts
@@ -0,0 +1,89 @@
+import type {Clock} from './clock.js';
+
+/** What a decision is about. */
+export enum SubjectKind {
+  Vm = 'vm',
+  Pool = 'pool',
+  Service = 'service',
+  Job = 'job',
+  Wave = 'wave',
+  Request = 'request',
+  Bundle = 'bundle',
+  Daemon = 'daemon',
+}
+
+/** An alternative that a decision turned down. */
+export interface TurnedDown {
+  readonly choice: string;
+  readonly because: string;
+}
+
+/** A decision of the system, with what led to it. */
+export interface Decision {
+  readonly subject: SubjectKind;
+  readonly id: string;
+  /** What was decided, in one sentence. */
+  readonly decision: string;
+  /** Name of the rule that decided. */
+  readonly rule: string;
+  /** What made the decision necessary. */
+  readonly cause: string;
+  /** Facts that the rule looked at. */
+  readonly evidence: Readonly<Record<string, string | number | boolean>>;
+  readonly turnedDown?: readonly TurnedDown[];
+}
+
+/** A decision as kept. */
+export interface JournalEntry extends Decision {
+  /** Milliseconds since the Unix epoch. */
+  readonly at: number;
+}
+
+const DEFAULT_CAPACITY = 5000;
+const DEFAULT_PER_SUBJECT = 50;
+
+/** Keeps recent decisions for `explain`; bounded in memory, the oldest go first. */
+export class DecisionJournal {
+  private readonly subjects = new Map<string, JournalEntry[]>();
+  private size = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly capacity = DEFAULT_CAPACITY,
+    private readonly perSubject = DEFAULT_PER_SUBJECT,
+  ) {}
+
+  record(decision: Decision): void {
+    const key = subjectKey(decision.subject, decision.id);
+    const entries = this.subjects.get(key) ?? [];
+    // Set again, so that the map's order is by last decision and the stalest subject goes first.
+    this.subjects.delete(key);
+    this.subjects.set(key, entries);
+    entries.push({...decision, at: this.clock.wallMilliseconds()});
+    this.size++;
+    if (entries.length > this.perSubject) {
+      entries.shift();
+      this.size--;
+    }
+    this.evict();
+  }
+
+  /** Decisions about one subject, oldest first. */
+  about(subject: SubjectKind, id: string): readonly JournalEntry[] {
+    return this.subjects.get(subjectKey(subject, id)) ?? [];
+  }
+
+  private evict(): void {
+    while (this.size > this.capacity) {
+      const [stalest] = this.subjects;
+      if (!stalest) return;
+      const [key, entries] = stalest;
+      this.subjects.delete(key);
+      this.size -= entries.length;
+    }
+  }
+}
+
+function subjectKey(subject: SubjectKind, id: string): string {
+  return `${subject}/${id}`;
+}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -11,3 +11,7 @@
 export * from './random.js';
 export * from './settings.js';
 export * from './target-transport.js';
+export * from './admin-routes.js';
+export * from './decision-journal.js';
+export * from './log-event-catalogue.js';
+export * from './metric-catalogue.js';
--- /dev/null
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -0,0 +1,100 @@
+import {LogEvent} from './log-events.js';
+
+/** What a log event means and what an operator does about it. */
+export interface LogEventEntry {
+  readonly meaning: string;
+  readonly action: string;
+}
+
+const NOTHING = 'nothing';
+
+function entry(meaning: string, action = NOTHING): LogEventEntry {
+  return {meaning, action};
+}
+
+/** The catalogue behind docs/log-events.md. */
+export const LOG_EVENT_CATALOGUE: Readonly<Record<LogEvent, LogEventEntry>> = {
+  [LogEvent.DaemonStarted]: entry('The daemon has started all plug-ins.'),
+  [LogEvent.DaemonDraining]: entry('A graceful stop has begun.'),
+  [LogEvent.DaemonStopped]: entry(
+    'The daemon has stopped with nothing in flight.',
+  ),
+  [LogEvent.DaemonStopForced]: entry(
+    'A second signal ended the daemon; the line says what was cut.',
+    'give drains more time before the second signal',
+  ),
+  [LogEvent.PluginStarted]: entry('A plug-in has started.'),
+  [LogEvent.PluginFailed]: entry(
+    'A plug-in could not start; the daemon ends.',
+    'read the error; mostly an address in use or not reachable',
+  ),
+  [LogEvent.RequestFailed]: entry(
+    'A request ended without a target\u2019s whole answer.',
+  ),
+  [LogEvent.RequestInternalError]: entry(
+    'A fault of the daemon itself.',
+    'report it with the line',
+  ),
+  [LogEvent.TargetEjected]: entry(
+    'A target gets no new work because of its failures.',
+    'look at the VM if it does not return',
+  ),
+  [LogEvent.TargetReturned]: entry('An ejected target gets work again.'),
+  [LogEvent.TargetSilent]: entry(
+    'A connection to a target went silent; its siblings are tested.',
+    'look at the network path if it repeats',
+  ),
+  [LogEvent.LogUnavailable]: entry(
+    'The platform\u2019s log cannot be reached; serving goes on with the last state.',
+    'see docs/operations/platform-log-gone.md',
+  ),
+  [LogEvent.LogReturned]: entry('The platform\u2019s log answers again.'),
+  [LogEvent.LogGap]: entry(
+    'Records this daemon needs are no longer kept; it starts from a snapshot.',
+    'check retention against snapshots if it repeats',
+  ),
+  [LogEvent.RecordRejected]: entry(
+    'The fold did not accept a record; the line gives reason and detail.',
+    'the writer was told; act only if it was you',
+  ),
+  [LogEvent.RecordUnreadable]: entry(
+    'A record is of a newer format or damaged; it is kept out.',
+    'finish the upgrade of the daemons',
+  ),
+  [LogEvent.StateHashDiffers]: entry(
+    'Two daemons folded the same offset to different states.',
+    'restart the one that differs from the rest and report it',
+  ),
+  [LogEvent.SnapshotWritten]: entry(
+    'A snapshot of the folded state was appended.',
+  ),
+  [LogEvent.SnapshotLoaded]: entry('The daemon started from a snapshot.'),
+  [LogEvent.BundleInForce]: entry('A bundle came into force at this daemon.'),
+  [LogEvent.BundleConflict]: entry(
+    'Two bundles carry one version and differ.',
+    'propose the loser again on the version in force',
+  ),
+  [LogEvent.ListUnavailable]: entry(
+    'The list of VMs cannot be read; the last one is used.',
+    'check the platform',
+  ),
+  [LogEvent.ListReturned]: entry('The list of VMs can be read again.'),
+  [LogEvent.PeerConnected]: entry('A link to another daemon is up.'),
+  [LogEvent.PeerLost]: entry(
+    'A link to another daemon is down.',
+    'check the network between data centres if it stays down',
+  ),
+  [LogEvent.PeerRefused]: entry(
+    'A peer link was refused: wrong key or version.',
+    'check peer keys and versions',
+  ),
+  [LogEvent.PlannerTermTaken]: entry(
+    'This daemon plans for the fleet from here on.',
+  ),
+  [LogEvent.PlannerTermLost]: entry(
+    'Another daemon plans for the fleet from here on.',
+  ),
+  [LogEvent.FleetDecision]: entry(
+    'A decision about the fleet; `gentiandoor explain` shows its reasons.',
+  ),
+};
--- /dev/null
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -0,0 +1,70 @@
+import {MetricName} from './metrics.js';
+
+/** Kinds of metrics. */
+export enum MetricType {
+  Counter = 'counter',
+  Gauge = 'gauge',
+  Timing = 'timing',
+}
+
+/** What a metric counts and what an operator reads from it. */
+export interface MetricEntry {
+  readonly type: MetricType;
+  /** Names of its tags. */
+  readonly tags: readonly string[];
+  readonly meaning: string;
+}
+
+function counter(meaning: string, ...tags: string[]): MetricEntry {
+  return {type: MetricType.Counter, tags, meaning};
+}
+
+function gauge(meaning: string, ...tags: string[]): MetricEntry {
+  return {type: MetricType.Gauge, tags, meaning};
+}
+
+function timing(meaning: string, ...tags: string[]): MetricEntry {
+  return {type: MetricType.Timing, tags, meaning};
+}
+
+/** The catalogue behind docs/metrics.md. */
+export const METRIC_CATALOGUE: Readonly<Record<MetricName, MetricEntry>> = {
+  [MetricName.Requests]: counter('requests answered whole', 'service'),
+  [MetricName.Refusals]: counter(
+    'requests that ended in an error kind of docs/errors.md',
+    'reason',
+  ),
+  [MetricName.Retries]: counter('requests sent to a second target', 'reason'),
+  [MetricName.RequestDuration]: timing(
+    'milliseconds from a request\u2019s head to the end of its answer',
+    'service',
+  ),
+  [MetricName.QueueLength]: gauge('requests that wait for a slot', 'service'),
+  [MetricName.InFlight]: gauge('exchanges in flight', 'service'),
+  [MetricName.LogAppends]: counter(
+    'appends sent to the platform\u2019s log',
+    'stream',
+  ),
+  [MetricName.LogAppendFailures]: counter(
+    'appends refused or without an answer',
+    'stream',
+  ),
+  [MetricName.LogReads]: counter(
+    'reads sent to the platform\u2019s log',
+    'stream',
+  ),
+  [MetricName.LogReadFailures]: counter('reads that failed', 'stream'),
+  [MetricName.RecordsApplied]: counter('records that took effect'),
+  [MetricName.RecordsRejected]: counter(
+    'records that the fold did not accept',
+    'reason',
+  ),
+  [MetricName.StateHashDifferences]: counter(
+    'offsets at which a peer folded another state; must stay 0',
+  ),
+  [MetricName.PeerMessages]: counter('messages on peer links', 'direction'),
+  [MetricName.PeerDisconnects]: counter('peer links that ended', 'reason'),
+  [MetricName.EventLoopDelay]: timing(
+    'milliseconds by which the event loop ran late',
+  ),
+};
--- a/packages/plugin-admin/src/admin-server.ts
+++ b/packages/plugin-admin/src/admin-server.ts
@@ -1,8 +1,12 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import http from 'node:http';
+import {json} from 'node:stream/consumers';
 import Koa from 'koa';
 import {
+  AdminMethod,
   splitAddress,
+  type AdminAnswer,
+  type AdminRoutes,
   type DaemonIdentity,
   type DrainState,
   type MemoryMetrics,
@@ -15,6 +19,7 @@
 export interface AdminServerDependencies {
   readonly identity: DaemonIdentity;
   readonly drainState: DrainState;
+  readonly adminRoutes: AdminRoutes;
   readonly sharedState: SharedState;
   readonly vmList: VmList;
   readonly metrics: {readonly memory: MemoryMetrics};
@@ -29,6 +34,11 @@
     const koa = new Koa();
     koa.use(context => this.answer(context));
     this.server = http.createServer(koa.callback());
+    const {adminRoutes, metrics} = dependencies;
+    adminRoutes.add(AdminMethod.Get, '/status', async () => ok(this.status()));
+    adminRoutes.add(AdminMethod.Get, '/metrics', async () =>
+      ok(metrics.memory.snapshot()),
+    );
   }
 
   /** The port in use. */
@@ -50,7 +60,7 @@
     this.server.closeAllConnections();
   }
 
-  private answer(context: Koa.Context): void {
+  private async answer(context: Koa.Context): Promise<void> {
     if (context.path === '/health/live') {
       context.body = {live: true};
       return;
@@ -68,10 +78,25 @@
       };
       return;
     }
-    if (context.path === '/status') context.body = this.status();
-    else if (context.path === '/metrics') {
-      context.body = this.dependencies.metrics.memory.snapshot();
+    const handler = this.dependencies.adminRoutes.find(
+      context.method,
+      context.path,
+    );
+    if (!handler) {
+      context.status = 404;
+      context.body = {error: `no admin path ${context.method} ${context.path}`};
+      return;
     }
+    const {status, body} = await handler({
+      path: context.path,
+      query: firstValues(context.query),
+      body:
+        context.method === AdminMethod.Post
+          ? await json(context.req)
+          : undefined,
+    });
+    context.status = status;
+    context.body = body;
   }
 
   private isReady(): boolean {
@@ -104,6 +129,19 @@
   }
 }
 
+function ok(body: unknown): AdminAnswer {
+  return {status: 200, body};
+}
+
+function firstValues(query: Koa.Context['query']): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(query).map(([name, value]) => [
+      name,
+      [value].flat()[0] ?? '',
+    ]),
+  );
+}
+
 function digest(text: string): Buffer {
   return createHash('sha256').update(text).digest();
 }
--- /dev/null
+++ b/packages/plugin-once-only/src/local-once-only.ts
@@ -0,0 +1,80 @@
+import {ErrorKind, RequestError, type Plugin} from '@gentiandoor/kernel';
+import type {
+  HeldAnswer,
+  HeldClaim,
+  KeyDecision,
+  KeyedRequest,
+  OnceOnly,
+} from '@gentiandoor/shared-state';
+import type {OnceOnlyOptions} from './once-only-options.js';
+
+enum ClaimState {
+  Running = 'running',
+  Finished = 'finished',
+  Lost = 'lost',
+}
+
+interface Claim {
+  state: ClaimState;
+  readonly fingerprint: string;
+  answer?: HeldAnswer;
+}
+
+/** Recognises keys at one daemon only: the baseline of the claims in the log. */
+export class LocalOnceOnly implements OnceOnly, Plugin {
+  private readonly claims = new Map<string, Claim>();
+
+  constructor(
+    private readonly dependencies: {readonly onceOnlyOptions: OnceOnlyOptions},
+  ) {}
+
+  async start(): Promise<void> {}
+
+  async stop(): Promise<void> {}
+
+  async begin(request: KeyedRequest): Promise<KeyDecision> {
+    const name = JSON.stringify([request.caller, request.service, request.key]);
+    const claim = this.claims.get(name);
+    if (!claim)
+      return {run: true, claim: this.claim(name, request.fingerprint)};
+    if (claim.fingerprint !== request.fingerprint) {
+      throw new RequestError(
+        ErrorKind.KeyReused,
+        'the key belongs to another request',
+      );
+    }
+    if (claim.answer) return {run: false, answer: claim.answer};
+    throw new RequestError(
+      KIND_OF_STATE[claim.state],
+      `the key is ${claim.state}`,
+    );
+  }
+
+  private claim(name: string, fingerprint: string): HeldClaim {
+    const claim: Claim = {state: ClaimState.Running, fingerprint};
+    this.claims.set(name, claim);
+    this.forgetOldest();
+    return {
+      finish: answer => {
+        claim.state = ClaimState.Finished;
+        claim.answer = answer;
+      },
+      release: () => this.claims.delete(name),
+      lose: () => {
+        claim.state = ClaimState.Lost;
+      },
+    };
+  }
+
+  private forgetOldest(): void {
+    if (this.claims.size <= this.dependencies.onceOnlyOptions.keys) return;
+    const [oldest] = this.claims.keys();
+    this.claims.delete(oldest);
+  }
+}
+
+const KIND_OF_STATE: Readonly<Record<ClaimState, ErrorKind>> = {
+  [ClaimState.Running]: ErrorKind.KeyInProgress,
+  [ClaimState.Finished]: ErrorKind.KeyAlreadyRun,
+  [ClaimState.Lost]: ErrorKind.KeyOutcomeUnknown,
+};
--- /dev/null
+++ b/packages/plugin-peers/src/peers-options.ts
@@ -0,0 +1,4 @@
+import {z} from 'zod';
+
+/** Settings section [peers]. */
+export const peersOptions = z.strictObject({});
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -10,3 +10,5 @@
 export * from './records.js';
 export * from './shared-state.js';
 export * from './signatures.js';
+export * from './once-only.js';
+export * from './peer-links.js';
--- /dev/null
+++ b/packages/stand-ins/src/memory-peer-network.ts
@@ -0,0 +1,87 @@
+import type {
+  Peer,
+  PeerHandler,
+  PeerLinks,
+  PeerTopic,
+} from '@gentiandoor/shared-state';
+
+/** Peer links in memory, with cuts between data centres. */
+export class MemoryPeerNetwork {
+  private readonly members = new Map<string, MemoryPeerLinks>();
+  private readonly cuts = new Set<string>();
+
+  /** Adds a daemon. */
+  join(peer: Peer): MemoryPeerLinks {
+    const links = new MemoryPeerLinks(peer, this);
+    this.members.set(peer.incarnation, links);
+    return links;
+  }
+
+  /** Takes a daemon out, as a crash does. */
+  leave(incarnation: string): void {
+    this.members.delete(incarnation);
+  }
+
+  /** Cuts two data centres off from each other. */
+  cut(left: string, right: string): void {
+    this.cuts.add(cutKey(left, right));
+  }
+
+  heal(left: string, right: string): void {
+    this.cuts.delete(cutKey(left, right));
+  }
+
+  reachableFrom(from: Peer): MemoryPeerLinks[] {
+    return [...this.members.values()].filter(
+      ({self}) =>
+        self.incarnation !== from.incarnation &&
+        !this.cuts.has(cutKey(self.dataCentre, from.dataCentre)),
+    );
+  }
+}
+
+/** One daemon's links in a `MemoryPeerNetwork`. */
+export class MemoryPeerLinks implements PeerLinks {
+  private readonly handlers = new Map<PeerTopic, PeerHandler>();
+
+  constructor(
+    readonly self: Peer,
+    private readonly network: MemoryPeerNetwork,
+  ) {}
+
+  connected(): readonly Peer[] {
+    return this.network.reachableFrom(this.self).map(links => links.self);
+  }
+
+  broadcast(topic: PeerTopic, message: unknown): void {
+    for (const links of this.network.reachableFrom(this.self)) {
+      void links.take(this.self, topic, message).catch(() => undefined);
+    }
+  }
+
+  async request(
+    incarnation: string,
+    topic: PeerTopic,
+    message: unknown,
+  ): Promise<unknown> {
+    const links = this.network
+      .reachableFrom(this.self)
+      .find(candidate => candidate.self.incarnation === incarnation);
+    if (!links) throw new Error(`no link to ${incarnation}`);
+    return links.take(this.self, topic, message);
+  }
+
+  handle(topic: PeerTopic, handler: PeerHandler): void {
+    this.handlers.set(topic, handler);
+  }
+
+  async take(from: Peer, topic: PeerTopic, message: unknown): Promise<unknown> {
+    const handler = this.handlers.get(topic);
+    if (!handler) throw new Error(`no handler for ${topic}`);
+    return handler(from, structuredClone(message));
+  }
+}
+
+function cutKey(left: string, right: string): string {
+  return [left, right].sort().join('|');
+}
