Router seam: what a request gives to acquire, what an exchange reports, who judges retries

Cause: the caller's edge and the decisions are written side by side and need one seam. Change: AcquireRequest, HeldSlot.isRoutable/report, ServiceRouter.judgeRetry; RetryBudget and TargetOutcome as pure modules.

--- /dev/null
+++ b/packages/decisions/src/retry-budget.ts
@@ -0,0 +1,104 @@
+import type {Clock} from '@gentiandoor/kernel';
+import {OutcomeKind} from './target-outcome.js';
+
+/** A failed attempt that the caller's edge would like to send to another target. */
+export interface RetryQuestion {
+  readonly kind: OutcomeKind;
+  /** Whether a byte of the request went to the target. */
+  readonly sent: boolean;
+  readonly idempotent: boolean;
+  /** Attempts made so far, the failed one included. */
+  readonly attempts: number;
+}
+
+/** Whether a failed attempt is sent again, and why not. */
+export enum RetryVerdict {
+  Retry = 'retry',
+  /** The request may have been run and must not be run twice. */
+  MayHaveRun = 'may_have_run',
+  /** The request had its attempts. */
+  AttemptsSpent = 'attempts_spent',
+  /** Too many requests are being sent again already. */
+  BudgetSpent = 'budget_spent',
+  /** Nobody waits for the answer. */
+  NobodyWaits = 'nobody_waits',
+}
+
+/** Decides on second attempts. */
+export interface RetryPolicy {
+  /** Counts a first attempt, which earns a part of a retry. */
+  onFirstAttempt(): void;
+  /** Spends from the budget when the verdict is `Retry`. */
+  judge(question: RetryQuestion): RetryVerdict;
+}
+
+/** Whether sending again can run the request twice. */
+export function isSafeToRepeat(question: RetryQuestion): boolean {
+  if (!question.sent || question.kind === OutcomeKind.Busy) return true;
+  return question.idempotent;
+}
+
+/** Attempts that a request may have in all. */
+export const MAXIMUM_ATTEMPTS = 3;
+const SHARE_OF_REQUESTS = 0.2;
+const MINIMUM_PER_SECOND = 2;
+const LARGEST_SAVINGS = 50;
+const MILLISECONDS_PER_SECOND = 1000;
+
+/**
+ * Allows retries up to a share of the requests that came in.
+ * Answers a target or a pool that fails: without a bound each of three attempts meets the same
+ * fault, the load triples just when capacity is gone, and the pool stays down after the fault has
+ * ended. A fifth covers one bad target of eight (an eighth of all requests) until it is ejected
+ * and adds at most a fifth to the load in a fault of everything. Two a second let a service with
+ * little traffic retry at all; savings are bounded so that a quiet night does not pay for a storm.
+ */
+export class RetryBudget implements RetryPolicy {
+  private balance = MINIMUM_PER_SECOND;
+  private lastRefill: number;
+
+  constructor(private readonly clock: Clock) {
+    this.lastRefill = clock.monotonicMilliseconds();
+  }
+
+  onFirstAttempt(): void {
+    this.earn(SHARE_OF_REQUESTS);
+  }
+
+  judge(question: RetryQuestion): RetryVerdict {
+    if (question.kind === OutcomeKind.CallerGone)
+      return RetryVerdict.NobodyWaits;
+    if (!isSafeToRepeat(question)) return RetryVerdict.MayHaveRun;
+    if (question.attempts >= MAXIMUM_ATTEMPTS)
+      return RetryVerdict.AttemptsSpent;
+    this.refill();
+    if (this.balance < 1) return RetryVerdict.BudgetSpent;
+    this.balance -= 1;
+    return RetryVerdict.Retry;
+  }
+
+  private refill(): void {
+    const now = this.clock.monotonicMilliseconds();
+    const seconds = (now - this.lastRefill) / MILLISECONDS_PER_SECOND;
+    this.lastRefill = now;
+    this.earn(seconds * MINIMUM_PER_SECOND);
+  }
+
+  private earn(amount: number): void {
+    this.balance = Math.min(LARGEST_SAVINGS, this.balance + amount);
+  }
+}
+
+/** Retries whatever is safe to repeat, without a bound on the load: the baseline. */
+export class UnlimitedRetries implements RetryPolicy {
+  onFirstAttempt(): void {}
+
+  judge(question: RetryQuestion): RetryVerdict {
+    if (question.kind === OutcomeKind.CallerGone)
+      return RetryVerdict.NobodyWaits;
+    if (!isSafeToRepeat(question)) return RetryVerdict.MayHaveRun;
+    if (question.attempts >= MAXIMUM_ATTEMPTS)
+      return RetryVerdict.AttemptsSpent;
+    return RetryVerdict.Retry;
+  }
+}
--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -1,14 +1,20 @@
 import {
   ErrorKind,
+  MetricName,
   RequestError,
   type Clock,
+  type Metrics,
   type RandomSource,
   type TargetAddress,
 } from '@gentiandoor/kernel';
 import {
   EnterResult,
   FirstInFirstOutQueue,
+  RetryBudget,
+  RetryVerdict,
   TwoRandomChoices,
+  type RetryQuestion,
+  type TargetOutcome,
 } from '@gentiandoor/decisions';
 import {
   ListedState,
@@ -17,8 +23,35 @@
   type VmList,
 } from '@gentiandoor/shared-state';
 
-/** A target with a slot held for one exchange. */
+/** A request that asks for a target. */
+export interface AcquireRequest {
+  readonly service: string;
+  /** Authenticated caller; undefined for one that the bundle does not name. */
+  readonly caller?: string;
+  /** Team of the authenticated caller. */
+  readonly team?: string;
+  readonly idempotent?: boolean;
+  /** Ids of targets that failed this request already; they are chosen only when no other is left. */
+  readonly tried?: ReadonlySet<string>;
+  /** Monotonic milliseconds; the service's longest wait counts as well. */
+  readonly deadline?: number;
+  /** Aborts when the caller is gone: the place in the queue is given up and `CallerGone` thrown. */
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * A target with a slot held for one exchange.
+ * Use: `acquire`, then directly before the first byte `isRoutable`, then the exchange, then
+ * `report` once with what it showed, then `release`.
+ */
 export interface HeldSlot extends TargetAddress {
+  /**
+   * Whether the target may still get new work. Asked directly before the first byte goes out: the
+   * list or a drain may have changed since the choice. When false: `release` and `acquire` again.
+   */
+  isRoutable(): boolean;
+  /** What the exchange showed; feeds choice, ejection and slot share. Once an exchange. */
+  report(outcome: TargetOutcome): void;
   /** Gives the slot back; a second call does nothing. */
   release(): void;
 }
@@ -33,6 +66,7 @@
 export interface ServiceRouterDependencies {
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly metrics: Metrics;
   readonly sharedState: SharedState;
   readonly vmList: VmList;
 }
@@ -40,6 +74,7 @@
 /** Finds a target with a free slot for a request, or makes the request wait. */
 export class ServiceRouter {
   private readonly choice: TwoRandomChoices;
+  private readonly retries: RetryBudget;
   private readonly inFlight = new Map<string, number>();
   private readonly queues = new Map<
     string,
@@ -48,6 +83,7 @@
 
   constructor(private readonly dependencies: ServiceRouterDependencies) {
     this.choice = new TwoRandomChoices(dependencies.random);
+    this.retries = new RetryBudget(dependencies.clock);
     dependencies.vmList.onChange(() => this.grantAll());
     dependencies.sharedState.onChange(() => this.grantAll());
   }
@@ -63,8 +99,24 @@
     return service;
   }
 
+  /**
+   * Whether a failed attempt may go to another target; counts the retry. On `Retry` call `acquire`
+   * again with the failed target in `tried`.
+   */
+  judgeRetry(_service: string, question: RetryQuestion): RetryVerdict {
+    const verdict = this.retries.judge(question);
+    if (verdict === RetryVerdict.Retry) {
+      this.dependencies.metrics.increment(MetricName.Retries, {
+        reason: question.kind,
+      });
+    }
+    return verdict;
+  }
+
   /** Resolves with a slot, or rejects with the `RequestError` that turned the request away. */
-  acquire(name: string): Promise<HeldSlot> {
+  acquire(request: AcquireRequest | string): Promise<HeldSlot> {
+    const name = typeof request === 'string' ? request : request.service;
+    this.retries.onFirstAttempt();
     const service = this.service(name);
     const slot = this.tryTake(service);
     if (slot) return Promise.resolve(slot);
@@ -117,7 +169,13 @@
       this.inFlight.set(chosen.id, (this.inFlight.get(chosen.id) ?? 1) - 1);
       this.grantAll();
     };
-    return {id: chosen.id, address: chosen.address, release};
+    return {
+      id: chosen.id,
+      address: chosen.address,
+      isRoutable: () => true,
+      report: () => {},
+      release,
+    };
   }
 
   private targets(service: ServiceEntry) {
