--- /dev/null
+++ b/packages/bench/src/model/deployment-model.ts
@@ -0,0 +1,173 @@
+import {SeededRandom, type RandomSource} from '@gentiandoor/kernel';
+import {WorkLength, type TeamTerms} from '@gentiandoor/decisions';
+import {EventClock} from './event-clock.js';
+import {ModelDaemon, ONE_WAY_MILLISECONDS} from './model-daemon.js';
+import {ModelTarget, drawWorkMilliseconds} from './model-target.js';
+import type {Policy} from './policies.js';
+import {Tally} from './tally.js';
+
+/** Requests of one kind that come at random moments. */
+export interface Stream {
+  readonly name: string;
+  readonly work: WorkLength;
+  readonly meanMilliseconds: number;
+  /** Requests a second at a moment of the run, in milliseconds. */
+  readonly perSecond: (now: number) => number;
+  /** Largest value of `perSecond`. */
+  readonly peakPerSecond: number;
+  readonly team: TeamTerms;
+  readonly callers: number;
+  readonly idempotent: boolean;
+  readonly waitMilliseconds: number;
+  readonly patienceMilliseconds: number;
+  readonly queueLimit: number;
+  /** Daemons that get this stream's requests; all when undefined. */
+  readonly daemons?: number;
+}
+
+/** The fleet that a scenario plays on. */
+export interface ModelPlan {
+  readonly daemons: number;
+  readonly targets: number;
+  readonly targetsInRack: number;
+  readonly seed: number;
+  readonly warmUpMilliseconds: number;
+  readonly milliseconds: number;
+  readonly streams: readonly Stream[];
+  /** Requests that wait inside a target past its slots; it answers busy to more. */
+  readonly backlog?: number;
+  /** Called at the start: schedules faults. */
+  readonly script?: (model: DeploymentModel) => void;
+}
+
+/** Slots of a target today. */
+export const SLOTS = 8;
+const CONNECTIONS = 64;
+const SUMMARY_MILLISECONDS = 250;
+
+/** Daemons and targets on a virtual clock, under one policy. */
+export class DeploymentModel {
+  readonly clock = new EventClock();
+  readonly targets = new Map<string, ModelTarget>();
+  readonly daemons: ModelDaemon[] = [];
+  readonly tallies = new Map<string, Tally>();
+  /** Changes of standing of any target at any daemon. */
+  standingChanges = 0;
+  private readonly random: RandomSource;
+
+  constructor(
+    readonly plan: ModelPlan,
+    policy: Policy,
+  ) {
+    this.random = new SeededRandom(plan.seed);
+    for (let index = 0; index < plan.targets; index++) this.addTarget(index);
+    for (let index = 0; index < plan.daemons; index++)
+      this.addDaemon(index, policy);
+    this.setTargets([...this.targets.keys()]);
+    for (const stream of plan.streams) this.startStream(stream);
+    plan.script?.(this);
+  }
+
+  /** Plays the whole plan. */
+  run(): void {
+    const {warmUpMilliseconds, milliseconds} = this.plan;
+    this.clock.runUntil(warmUpMilliseconds + milliseconds);
+  }
+
+  /** Gives every daemon the same routable targets. */
+  setTargets(ids: readonly string[]): void {
+    const routable = ids.flatMap(id => this.targets.get(id)?.routable ?? []);
+    for (const daemon of this.daemons) daemon.pool.setTargets(routable);
+  }
+
+  /** Slot-milliseconds that all targets could have run in the measured time. */
+  capacity(): number {
+    return this.plan.targets * SLOTS * this.plan.milliseconds;
+  }
+
+  private addTarget(index: number): void {
+    const id = `vm-${index}`;
+    const routable = {
+      id,
+      address: id,
+      rack: `rack-${Math.floor(index / this.plan.targetsInRack)}`,
+      isNear: true,
+      slots: SLOTS,
+      connections: CONNECTIONS,
+    };
+    this.targets.set(
+      id,
+      new ModelTarget(routable, this.clock, this.plan.backlog ?? 0),
+    );
+  }
+
+  private addDaemon(index: number, policy: Policy): void {
+    const daemon = new ModelDaemon({
+      clock: this.clock,
+      random: new SeededRandom(this.plan.seed + 1 + index),
+      name: `entry-${index}`,
+      daemons: this.plan.daemons,
+      policy,
+      targets: this.targets,
+      onStanding: () => this.standingChanges++,
+    });
+    this.daemons.push(daemon);
+    const offset = (SUMMARY_MILLISECONDS * index) / this.plan.daemons;
+    this.clock.schedule(offset, () => this.summarise(daemon, `entry-${index}`));
+  }
+
+  private summarise(daemon: ModelDaemon, name: string): void {
+    const targets = daemon.pool.uses();
+    const teams = daemon.teamUses();
+    this.clock.schedule(ONE_WAY_MILLISECONDS, () => {
+      for (const peer of this.daemons) {
+        if (peer !== daemon) peer.onPeer(name, targets, teams);
+      }
+    });
+    this.clock.schedule(SUMMARY_MILLISECONDS, () =>
+      this.summarise(daemon, name),
+    );
+  }
+
+  private startStream(stream: Stream): void {
+    const tally = new Tally();
+    this.tallies.set(stream.name, tally);
+    this.scheduleArrival(stream, tally, new Tally());
+  }
+
+  /** Arrivals at random moments; a changing rate is had by leaving some out. */
+  private scheduleArrival(
+    stream: Stream,
+    tally: Tally,
+    unmeasured: Tally,
+  ): void {
+    const {clock, random, plan} = this;
+    const gap = -Math.log(1 - random.nextFraction()) / stream.peakPerSecond;
+    clock.schedule(gap * 1000, () => {
+      const now = clock.monotonicMilliseconds();
+      if (random.nextFraction() * stream.peakPerSecond < stream.perSecond(now))
+        this.submit(stream, now < plan.warmUpMilliseconds ? unmeasured : tally);
+      this.scheduleArrival(stream, tally, unmeasured);
+    });
+  }
+
+  private submit(stream: Stream, tally: Tally): void {
+    const {random} = this;
+    const {team, idempotent, work, queueLimit} = stream;
+    const daemons = stream.daemons ?? this.daemons.length;
+    tally.offered++;
+    this.daemons[random.nextInteger(daemons)].submit({
+      tally,
+      startedAt: this.clock.monotonicMilliseconds(),
+      service: stream.name,
+      work,
+      milliseconds: drawWorkMilliseconds(random, stream.meanMilliseconds),
+      idempotent,
+      caller: `${stream.name}-${random.nextInteger(stream.callers)}`,
+      team,
+      waitMilliseconds: stream.waitMilliseconds,
+      patienceMilliseconds: stream.patienceMilliseconds,
+      queueLimit,
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/model/model-daemon.ts
@@ -0,0 +1,186 @@
+import type {RandomSource} from '@gentiandoor/kernel';
+import {
+  OutcomeKind,
+  PeerShare,
+  NoTeamQuota,
+  RetryVerdict,
+  SharedTeamQuota,
+  WorkLength,
+  createStandardPool,
+  type PeerUses,
+  type PoolSlot,
+  type RetryPolicy,
+  type SlotPool,
+  type TeamTerms,
+} from '@gentiandoor/decisions';
+import type {EventClock} from './event-clock.js';
+import type {ModelTarget} from './model-target.js';
+import type {Policy} from './policies.js';
+import type {Tally} from './tally.js';
+
+/** One-way time between daemon and target, and between daemons. */
+export const ONE_WAY_MILLISECONDS = 0.5;
+
+const SUMMARY_EXPIRY_MILLISECONDS = 1000;
+
+/** A request of the model. */
+export interface ModelRequest {
+  readonly tally: Tally;
+  readonly startedAt: number;
+  readonly service: string;
+  readonly work: WorkLength;
+  readonly milliseconds: number;
+  readonly idempotent: boolean;
+  readonly caller: string;
+  readonly team: TeamTerms;
+  readonly waitMilliseconds: number;
+  /** From the request to the moment when its caller gives up. */
+  readonly patienceMilliseconds: number;
+  readonly queueLimit: number;
+}
+
+/** What a daemon of the model needs. */
+export interface ModelDaemonOptions {
+  readonly clock: EventClock;
+  readonly random: RandomSource;
+  readonly name: string;
+  readonly daemons: number;
+  readonly policy: Policy;
+  readonly targets: ReadonlyMap<string, ModelTarget>;
+  readonly onStanding: () => void;
+}
+
+/** One of a request's attempts. */
+interface Attempt {
+  readonly number: number;
+  readonly tried: ReadonlySet<string>;
+}
+
+/** A daemon with the real decisions and no network. */
+export class ModelDaemon {
+  readonly pool: SlotPool;
+  /** Busy answers met. */
+  busyAnswers = 0;
+  private readonly retries: RetryPolicy;
+  private readonly quotaShare: PeerShare;
+  private readonly quota: SharedTeamQuota;
+
+  constructor(private readonly options: ModelDaemonOptions) {
+    const {clock, random, name, policy, daemons} = options;
+    this.retries = policy.retries(clock);
+    this.quotaShare = new PeerShare(clock, name, 0);
+    this.quota = new SharedTeamQuota(this.quotaShare);
+    this.pool = createStandardPool({
+      clock,
+      random,
+      self: name,
+      quota: policy.hasQuotas ? this.quota : new NoTeamQuota(),
+      onSpill: () => {},
+      onStanding: options.onStanding,
+      replaced: policy.parts(clock, random, daemons),
+    });
+  }
+
+  /** Takes a new request. */
+  submit(request: ModelRequest): void {
+    this.retries.onFirstAttempt();
+    this.attempt(request, {number: 1, tried: new Set()});
+  }
+
+  /** What this daemon uses, for its peers. */
+  teamUses(): PeerUses {
+    const uses = [...this.quota.uses()].map(
+      ([team, inFlight]) => [team, {inFlight, waiting: false}] as const,
+    );
+    return new Map(uses);
+  }
+
+  onPeer(peer: string, targets: PeerUses, teams: PeerUses): void {
+    this.quotaShare.onPeer(peer, teams, SUMMARY_EXPIRY_MILLISECONDS);
+    this.pool.onPeer(peer, targets, SUMMARY_EXPIRY_MILLISECONDS);
+  }
+
+  private attempt(request: ModelRequest, attempt: Attempt): void {
+    const now = this.options.clock.monotonicMilliseconds();
+    this.pool.acquire({
+      service: request.service,
+      queueLimit: request.queueLimit,
+      work: request.work,
+      team: request.team,
+      caller: request.caller,
+      idempotent: request.idempotent,
+      tried: attempt.tried,
+      enteredAt: now,
+      deadline: request.startedAt + request.waitMilliseconds,
+      grant: slot => this.send(request, attempt, slot),
+      refuse: ({reason, quotaHeld}) => {
+        const text = quotaHeld ? 'quota' : (reason ?? 'no_target');
+        request.tally.recordRefusal(text, this.age(request));
+      },
+    });
+  }
+
+  private send(request: ModelRequest, attempt: Attempt, slot: PoolSlot): void {
+    const {clock, targets} = this.options;
+    const sentAt = clock.monotonicMilliseconds();
+    const target = targets.get(slot.target.id);
+    if (!target) throw new Error(`no target ${slot.target.id}`);
+    clock.schedule(ONE_WAY_MILLISECONDS, () =>
+      target.begin(request, kind =>
+        clock.schedule(ONE_WAY_MILLISECONDS, () => {
+          const latencyMilliseconds = clock.monotonicMilliseconds() - sentAt;
+          slot.report({kind, latencyMilliseconds, leaving: false});
+          slot.release();
+          this.onEnd(request, attempt, target.routable.id, kind);
+        }),
+      ),
+    );
+  }
+
+  private onEnd(
+    request: ModelRequest,
+    {number, tried}: Attempt,
+    target: string,
+    kind: OutcomeKind,
+  ): void {
+    const {tally} = request;
+    if (kind === OutcomeKind.Succeeded) {
+      this.onAnswer(request);
+      return;
+    }
+    if (kind === OutcomeKind.Busy) this.busyAnswers++;
+    const verdict = this.retries.judge({
+      kind,
+      sent: kind === OutcomeKind.ServerError,
+      idempotent: request.idempotent,
+      attempts: number,
+    });
+    if (verdict === RetryVerdict.Retry) {
+      tally.recordRetry(kind);
+      this.attempt(request, {
+        number: number + 1,
+        tried: new Set([...tried, target]),
+      });
+    } else if (kind === OutcomeKind.Busy) {
+      tally.recordRefusal(kind, this.age(request));
+    } else {
+      tally.failed++;
+    }
+  }
+
+  private onAnswer(request: ModelRequest): void {
+    const {tally} = request;
+    const age = this.age(request);
+    if (age > request.patienceMilliseconds) {
+      tally.late++;
+      return;
+    }
+    tally.answered++;
+    tally.usefulWork += request.milliseconds;
+    tally.recordLatency(age);
+  }
+
+  private age(request: ModelRequest): number {
+    return this.options.clock.monotonicMilliseconds() - request.startedAt;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/drain-rate.ts
@@ -0,0 +1,71 @@
+import type {RandomSource} from '@gentiandoor/kernel';
+import {WorkLength} from './work-class.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
+const SMALLEST_SHARE = 0.01;
+const FIRST_HOLD_MILLISECONDS = 50;
+
+class HoldTime {
+  milliseconds = FIRST_HOLD_MILLISECONDS;
+  private count = 0;
+
+  observe(milliseconds: number): void {
+    this.count++;
+    const share = Math.max(SMALLEST_SHARE, 1 / this.count);
+    this.milliseconds += (milliseconds - this.milliseconds) * share;
+  }
+}
+
+/**
+ * How fast slots come free, from what is in flight and how long exchanges hold a slot.
+ * Little's law gives it at once after a change of load, where a count of releases over a window
+ * would lag by the window.
+ */
+export class DrainRate {
+  private readonly holds = {
+    [WorkLength.Short]: new HoldTime(),
+    [WorkLength.Long]: new HoldTime(),
+  };
+  private readonly inFlight = {[WorkLength.Short]: 0, [WorkLength.Long]: 0};
+
+  onStart(work: WorkLength): void {
+    this.inFlight[work]++;
+  }
+
+  onEnd(work: WorkLength, heldMilliseconds: number): void {
+    this.inFlight[work]--;
+    this.holds[work].observe(heldMilliseconds);
+  }
+
+  inFlightOf(work: WorkLength): number {
+    return this.inFlight[work];
+  }
+
+  /** Mean milliseconds that an exchange holds a slot. */
+  holdMilliseconds(work: WorkLength): number {
+    return this.holds[work].milliseconds;
+  }
+
+  /** Slots of one kind of work that come free in a millisecond. */
+  perMillisecond(work: WorkLength): number {
+    return Math.max(1, this.inFlight[work]) / this.holds[work].milliseconds;
+  }
+}
+
+const SMALLEST_RETRY_SECONDS = 1;
+const LARGEST_RETRY_SECONDS = 60;
+
+/**
+ * Whole seconds after which to come again: when those that wait now are through, spread over as
+ * long again, so that callers refused together do not come back together.
+ */
+export function retryAfterSeconds(
+  random: RandomSource,
+  waiting: number,
+  perMillisecond: number,
+): number {
+  const drained = (waiting + 1) / perMillisecond / MILLISECONDS_PER_SECOND;
+  const base = Math.max(SMALLEST_RETRY_SECONDS, drained);
+  const spread = base * (1 + random.nextFraction());
+  return Math.min(LARGEST_RETRY_SECONDS, Math.ceil(spread));
+}
--- /dev/null
+++ b/packages/decisions/src/fair-share.ts
@@ -0,0 +1,56 @@
+/** One that wants part of something that is shared. */
+export interface Contender {
+  readonly name: string;
+  /** How much it wants; Infinity for all it can get. */
+  readonly demand: number;
+}
+
+/**
+ * The whole units that `self`, whose demand is taken as unbounded, gets of `total` by max-min
+ * fairness: small demands are met in full, the rest is shared evenly. Units left over by the
+ * division go to contenders in an order that depends on `key` only, so that all daemons with the
+ * same picture give out each unit once and not always to the same daemon.
+ */
+export function fairShare(
+  key: string,
+  total: number,
+  self: string,
+  others: readonly Contender[],
+): number {
+  const sorted = [...others].sort(byDemand);
+  let remaining = total;
+  let index = 0;
+  while (index < sorted.length) {
+    const level = remaining / (sorted.length - index + 1);
+    if (sorted[index].demand > level) break;
+    remaining -= sorted[index].demand;
+    index++;
+  }
+  const names = sorted.slice(index).map(contender => contender.name);
+  const share = Math.floor(remaining / (names.length + 1));
+  const left = remaining - share * (names.length + 1);
+  return share + (rankOf(key, self, names) < left ? 1 : 0);
+}
+
+function byDemand(left: Contender, right: Contender): number {
+  if (left.demand === right.demand) return 0;
+  return left.demand < right.demand ? -1 : 1;
+}
+
+function rankOf(key: string, self: string, others: readonly string[]): number {
+  const own = hash(key, self);
+  return others.filter(name => hash(key, name) < own).length;
+}
+
+const HASH_START = 0x811c9dc5;
+const HASH_FACTOR = 0x01000193;
+
+/** FNV-1a of key and name, 32 bits. */
+function hash(key: string, name: string): number {
+  const text = `${key}/${name}`;
+  let value = HASH_START;
+  for (let index = 0; index < text.length; index++) {
+    value = Math.imul(value ^ text.charCodeAt(index), HASH_FACTOR);
+  }
+  return (value ^ (value >>> 15)) >>> 0;
+}
--- a/packages/decisions/src/retry-budget.ts
+++ b/packages/decisions/src/retry-budget.ts
@@ -40,6 +40,8 @@
 
 /** Attempts that a request may have in all. */
 export const MAXIMUM_ATTEMPTS = 3;
+/** Attempts of a request that met busy targets only; its wait is bounded by its deadline as well. */
+export const MAXIMUM_BUSY_ATTEMPTS = 8;
 const SHARE_OF_REQUESTS = 0.2;
 const MINIMUM_PER_SECOND = 2;
 const LARGEST_SAVINGS = 50;
@@ -52,6 +54,8 @@
  * ended. A fifth covers one bad target of eight (an eighth of all requests) until it is ejected
  * and adds at most a fifth to the load in a fault of everything. Two a second let a service with
  * little traffic retry at all; savings are bounded so that a quiet night does not pay for a storm.
+ * A busy answer costs no budget: it cost the target nothing, the answer has cut this daemon's
+ * share, and the request goes back to waiting under its first deadline.
  */
 export class RetryBudget implements RetryPolicy {
   private balance = MINIMUM_PER_SECOND;
@@ -69,6 +73,7 @@
     if (question.kind === OutcomeKind.CallerGone)
       return RetryVerdict.NobodyWaits;
     if (!isSafeToRepeat(question)) return RetryVerdict.MayHaveRun;
+    if (question.kind === OutcomeKind.Busy) return judgeBusy(question);
     if (question.attempts >= MAXIMUM_ATTEMPTS)
       return RetryVerdict.AttemptsSpent;
     this.refill();
@@ -89,6 +94,12 @@
   }
 }
 
+function judgeBusy(question: RetryQuestion): RetryVerdict {
+  return question.attempts < MAXIMUM_BUSY_ATTEMPTS
+    ? RetryVerdict.Retry
+    : RetryVerdict.AttemptsSpent;
+}
+
 /** Retries whatever is safe to repeat, without a bound on the load: the baseline. */
 export class UnlimitedRetries implements RetryPolicy {
   onFirstAttempt(): void {}
--- /dev/null
+++ b/packages/decisions/src/standard-pool.ts
@@ -0,0 +1,46 @@
+import type {Clock, RandomSource} from '@gentiandoor/kernel';
+import {ShortReserve} from './class-gate.js';
+import {DrainRate} from './drain-rate.js';
+import {BoundedEjection, type StandingChange} from './ejection.js';
+import {FairQueue} from './fair-queue.js';
+import {SlotPool, type SlotPoolParts, type SpillReason} from './slot-pool.js';
+import {PeerShare} from './slot-share.js';
+import {TwoRandomChoices} from './target-choice.js';
+import type {TeamQuota} from './team-quota.js';
+import {SteppedRamp} from './weight-ramp.js';
+
+/** What a pool of the daemon is made of. */
+export interface StandardPoolOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** This daemon's incarnation, as its peers know it. */
+  readonly self: string;
+  readonly quota: TeamQuota;
+  readonly onSpill: (reason: SpillReason) => void;
+  readonly onStanding: (change: StandingChange) => void;
+  /** Parts that a comparison replaces. */
+  readonly replaced?: Partial<SlotPoolParts>;
+}
+
+/** Puts the decisions of one pool together as the daemon uses them. */
+export function createStandardPool(options: StandardPoolOptions): SlotPool {
+  const {clock, random, self, quota, onSpill, replaced = {}} = options;
+  const drain = new DrainRate();
+  const gate =
+    replaced.gate ?? new ShortReserve(clock, drain, () => pool.capacity());
+  const pool: SlotPool = new SlotPool({
+    clock,
+    random,
+    drain,
+    gate,
+    quota,
+    onSpill,
+    share: new PeerShare(clock, self),
+    choice: new TwoRandomChoices(random),
+    ejection: new BoundedEjection(options.onStanding),
+    ramp: new SteppedRamp(),
+    queue: new FairQueue(drain, gate),
+    ...replaced,
+  });
+  return pool;
+}
--- /dev/null
+++ b/packages/decisions/src/target-entry.ts
@@ -0,0 +1,110 @@
+import type {Ejection} from './ejection.js';
+import {TargetStanding} from './ejection.js';
+import {LatencyEstimate} from './latency-estimate.js';
+import type {SlotShare} from './slot-share.js';
+import type {ChoiceAsk, TargetLoad} from './target-choice.js';
+import type {WeightRamp} from './weight-ramp.js';
+
+/** A target that a pool's work may go to. */
+export interface RoutableTarget {
+  readonly id: string;
+  /** IP number and port. */
+  readonly address: string;
+  readonly rack: string;
+  /** Whether it is in this daemon's data centre. */
+  readonly isNear: boolean;
+  /** Exchanges at one time that the target takes from all daemons. */
+  readonly slots: number;
+  /** Connections at one time that the target takes from all daemons. */
+  readonly connections: number;
+}
+
+/** What all targets of a pool share. */
+export interface EntryParts {
+  now(): number;
+  /** Milliseconds that a short exchange usually takes in this pool. */
+  usualMilliseconds(): number;
+  readonly share: SlotShare;
+  readonly ejection: Ejection;
+  readonly ramp: WeightRamp;
+}
+
+const PROBATION_IN_FLIGHT = 1;
+/** The list shows a leaving target long before; a target that closes for its own reasons comes back. */
+const LEAVING_SIGN_MILLISECONDS = 15_000;
+
+/** What a daemon knows of one target, and whether it may get a request now. */
+export class TargetEntry implements TargetLoad {
+  inFlight = 0;
+  /** Monotonic milliseconds of the last whole answer. */
+  lastAnswerAt: number | undefined;
+  readonly latency = new LatencyEstimate();
+  private leavingUntil = -Infinity;
+  private isGone = false;
+
+  constructor(
+    public target: RoutableTarget,
+    private readonly parts: EntryParts,
+  ) {}
+
+  get id(): string {
+    return this.target.id;
+  }
+
+  /** Slots that this daemon may use here now. */
+  limit(): number {
+    const {slots, connections} = this.target;
+    const whole = Math.min(slots, connections);
+    return this.parts.share.limit(this.id, whole);
+  }
+
+  /** Slots here that are this daemon's own part. */
+  private own(): number {
+    const {slots, connections} = this.target;
+    return this.parts.share.own(this.id, Math.min(slots, connections));
+  }
+
+  hasRoom(ask: ChoiceAsk): boolean {
+    const bound = ask.mayBorrow === false ? this.own() : this.limit();
+    if (this.inFlight >= bound || !this.isOpen()) return false;
+    if (this.standing() === TargetStanding.InUse) return true;
+    // A request that cannot be repeated is not used to find out whether a bad target works again.
+    return ask.idempotent && this.inFlight < PROBATION_IN_FLIGHT;
+  }
+
+  cost(): number {
+    if (this.standing() === TargetStanding.Probation) return 0;
+    const usual = this.parts.usualMilliseconds();
+    const expected = this.latency.expected(usual, this.parts.now());
+    return ((this.inFlight + 1) * expected) / this.target.slots;
+  }
+
+  weight(): number {
+    return this.parts.ramp.weight(this.id, this.parts.now());
+  }
+
+  /** Whether new work may go there at all: neither gone, leaving nor ejected. */
+  isOpen(): boolean {
+    if (this.isGone || this.isLeaving()) return false;
+    return this.standing() !== TargetStanding.Ejected;
+  }
+
+  /** Whether the target or a peer said lately that it is leaving. */
+  isLeaving(): boolean {
+    return this.parts.now() < this.leavingUntil;
+  }
+
+  /** First-hand: the target itself said that it is leaving. */
+  onLeaving(): void {
+    this.leavingUntil = this.parts.now() + LEAVING_SIGN_MILLISECONDS;
+  }
+
+  /** The target is no longer routable; exchanges in flight end by themselves. */
+  onGone(): void {
+    this.isGone = true;
+  }
+
+  private standing(): TargetStanding {
+    return this.parts.ejection.standing(this.id, this.parts.now());
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/team-lane.ts
@@ -0,0 +1,164 @@
+import type {Waiter} from './waiting-queue.js';
+
+/** The requests of one caller, in order. */
+export class CallerFlow<Item extends Waiter> {
+  readonly items = new Set<Item>();
+
+  constructor(
+    readonly caller: string,
+    readonly team: TeamFlow<Item>,
+  ) {}
+
+  get length(): number {
+    return this.items.size;
+  }
+
+  newest(): Item | undefined {
+    let newest: Item | undefined;
+    for (const item of this.items) newest = item;
+    return newest;
+  }
+}
+
+/** The waiting callers of one team, served in turn. */
+export class TeamFlow<Item extends Waiter> {
+  /** In order of turn: a caller that was served goes to the end. */
+  readonly callers = new Map<string, CallerFlow<Item>>();
+  /** Work done divided by weight; the team with the least goes next. */
+  pass = 0;
+
+  constructor(
+    readonly name: string,
+    readonly weight: number,
+  ) {}
+
+  add(item: Item): void {
+    const flow =
+      this.callers.get(item.caller) ?? new CallerFlow(item.caller, this);
+    this.callers.set(item.caller, flow);
+    flow.items.add(item);
+  }
+
+  /** False when the item is not here. */
+  remove(item: Item): boolean {
+    const flow = this.callers.get(item.caller);
+    if (!flow?.items.delete(item)) return false;
+    if (flow.length === 0) this.callers.delete(item.caller);
+    return true;
+  }
+
+  /** The first item that may run of the first caller in turn that has one. */
+  peek(now: number, mayRun: (item: Item) => boolean): Item | undefined {
+    for (const flow of this.callers.values()) {
+      for (const item of flow.items) {
+        if (item.deadline <= now) continue;
+        if (mayRun(item)) return item;
+        break;
+      }
+    }
+    return undefined;
+  }
+
+  /** Takes the item out and sends its caller to the end of the turn. */
+  take(item: Item): void {
+    const flow = this.callers.get(item.caller);
+    if (!flow) return;
+    flow.items.delete(item);
+    this.callers.delete(item.caller);
+    if (flow.length > 0) this.callers.set(item.caller, flow);
+  }
+}
+
+/** Teams whose requests are of one kind and urgency, served by weight. */
+export class TeamLane<Item extends Waiter> {
+  private readonly teams = new Map<string, TeamFlow<Item>>();
+  /** Pass of the team served last: a team that comes back starts here, with no savings. */
+  private virtualTime = 0;
+  private size = 0;
+
+  get length(): number {
+    return this.size;
+  }
+
+  add(item: Item): void {
+    this.teamOf(item).add(item);
+    this.size++;
+  }
+
+  remove(item: Item): boolean {
+    const team = this.teams.get(item.team.name);
+    if (!team?.remove(item)) return false;
+    this.size--;
+    this.dropIfEmpty(team);
+    return true;
+  }
+
+  /** Takes out the next item that may run, by team weight and then by caller in turn. */
+  next(now: number, mayRun: (item: Item) => boolean): Item | undefined {
+    let best: TeamFlow<Item> | undefined;
+    let found: Item | undefined;
+    for (const team of this.teams.values()) {
+      if (best && team.pass >= best.pass) continue;
+      const item = team.peek(now, mayRun);
+      if (!item) continue;
+      best = team;
+      found = item;
+    }
+    if (!best || !found) return undefined;
+    this.serve(best, found);
+    return found;
+  }
+
+  /**
+   * Requests that go before a new one of this item's flow: as many of its own flow as wait, each
+   * with its share of the others'.
+   */
+  aheadOf(item: Item): number {
+    const team = this.teams.get(item.team.name);
+    const own = team?.callers.get(item.caller)?.length ?? 0;
+    const callers = team?.callers.size ?? 0;
+    const turns = (own + 1) * Math.max(1, callers + (own === 0 ? 1 : 0));
+    const share = this.shareOf(item, team);
+    return Math.min(this.size, turns / share - 1);
+  }
+
+  /** The longest flow, and undefined when nobody waits. */
+  longest(service: string): CallerFlow<Item> | undefined {
+    let longest: CallerFlow<Item> | undefined;
+    for (const team of this.teams.values()) {
+      for (const flow of team.callers.values()) {
+        if (flow.length <= (longest?.length ?? 0)) continue;
+        const [first] = flow.items;
+        if (first.service === service) longest = flow;
+      }
+    }
+    return longest;
+  }
+
+  private shareOf(item: Item, team: TeamFlow<Item> | undefined): number {
+    let weights = team ? 0 : item.team.weight;
+    for (const other of this.teams.values()) weights += other.weight;
+    return item.team.weight / weights;
+  }
+
+  private teamOf(item: Item): TeamFlow<Item> {
+    const known = this.teams.get(item.team.name);
+    if (known) return known;
+    const team = new TeamFlow<Item>(item.team.name, item.team.weight);
+    team.pass = this.virtualTime;
+    this.teams.set(item.team.name, team);
+    return team;
+  }
+
+  private serve(team: TeamFlow<Item>, item: Item): void {
+    this.virtualTime = team.pass;
+    team.pass += 1 / team.weight;
+    team.take(item);
+    this.size--;
+    this.dropIfEmpty(team);
+  }
+
+  private dropIfEmpty(team: TeamFlow<Item>): void {
+    if (team.callers.size === 0) this.teams.delete(team.name);
+  }
+}
--- a/packages/decisions/src/waiting-queue.ts
+++ b/packages/decisions/src/waiting-queue.ts
@@ -1,61 +1,56 @@
-/** A place in a queue. */
+import type {WorkLength} from './work-class.js';
+
+/** A team as the queue needs it. */
+export interface TeamTerms {
+  readonly name: string;
+  /** Share relative to other teams. */
+  readonly weight: number;
+  /** Slots at one time over the whole deployment. */
+  readonly slots: number;
+  readonly urgent: boolean;
+}
+
+/** A request that waits. Team and caller come from authenticated identity, never from the request's own words. */
 export interface Waiter {
-  /** Monotonic milliseconds after which the waiter is turned away. */
+  readonly service: string;
+  /** Requests of the service that may wait here. */
+  readonly queueLimit: number;
+  readonly work: WorkLength;
+  readonly team: TeamTerms;
+  readonly caller: string;
+  /** Monotonic milliseconds at which it began to wait. */
+  readonly enteredAt: number;
+  /** Monotonic milliseconds after which it is turned away. */
   readonly deadline: number;
 }
 
-/** Answer of `enter`. */
-export enum EnterResult {
-  Waiting = 'waiting',
+/** Why a waiter was turned away. */
+export enum TurnAway {
+  /** As many wait as may. */
   Full = 'full',
+  /** It waited, or would wait, past its deadline. */
+  Late = 'late',
+  /** A standing queue is kept short. */
+  Standing = 'standing',
+}
+
+/** A waiter that the queue gave up. */
+export interface TurnedAway<Item extends Waiter> {
+  readonly item: Item;
+  readonly reason: TurnAway;
 }
 
-/** Requests that wait for a slot. */
+/** Requests that wait for a slot of one pool. An item is handed out or turned away, never both. */
 export interface WaitingQueue<Item extends Waiter> {
   readonly length: number;
-  enter(item: Item): EnterResult;
-  /** The next item to run; undefined when none waits. */
-  next(now: number): Item | undefined;
+  /** Requests of one service that wait. */
+  lengthOf(service: string): number;
+  /** Takes the item in; returns whom it turned away for it, the item itself among them or not. */
+  enter(item: Item, now: number): readonly TurnedAway<Item>[];
+  /** Takes out the next item to run among those that `mayRun` allows. */
+  next(now: number, mayRun: (item: Item) => boolean): Item | undefined;
   /** Takes out an item whose caller gave up; false when it is no longer waiting. */
   leave(item: Item): boolean;
-  /** Takes out all items whose deadline has passed. */
-  expire(now: number): Item[];
-}
-
-/** First in, first out, with a bound: the baseline of the other queues. */
-export class FirstInFirstOutQueue<
-  Item extends Waiter,
-> implements WaitingQueue<Item> {
-  private readonly items = new Set<Item>();
-
-  constructor(private readonly limit: number) {}
-
-  get length(): number {
-    return this.items.size;
-  }
-
-  enter(item: Item): EnterResult {
-    if (this.items.size >= this.limit) return EnterResult.Full;
-    this.items.add(item);
-    return EnterResult.Waiting;
-  }
-
-  next(now: number): Item | undefined {
-    for (const item of this.items) {
-      if (item.deadline <= now) continue;
-      this.items.delete(item);
-      return item;
-    }
-    return undefined;
-  }
-
-  leave(item: Item): boolean {
-    return this.items.delete(item);
-  }
-
-  expire(now: number): Item[] {
-    const late = [...this.items].filter(item => item.deadline <= now);
-    for (const item of late) this.items.delete(item);
-    return late;
-  }
+  /** Takes out all items that must be turned away by now. */
+  expire(now: number): readonly TurnedAway<Item>[];
 }
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -35,6 +35,18 @@
     'reason',
   ),
   [MetricName.Retries]: counter('requests sent to a second target', 'reason'),
+  [MetricName.RetriesDenied]: counter(
+    'failed attempts that were not sent again',
+    'reason',
+  ),
+  [MetricName.Spills]: counter(
+    'exchanges sent to another data centre because the own had no room',
+    'reason',
+  ),
+  [MetricName.StandingChanges]: counter(
+    'VMs that were ejected or brought back',
+    'standing',
+  ),
   [MetricName.RequestDuration]: timing(
     'milliseconds from a request\u2019s head to the end of its answer',
     'service',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -6,6 +6,12 @@
   Refusals = 'refusals',
   /** Retries by reason. */
   Retries = 'retries',
+  /** Failed attempts that were not sent again, by the verdict. */
+  RetriesDenied = 'retries_denied',
+  /** Exchanges sent to another data centre, by reason. */
+  Spills = 'spills',
+  /** VMs ejected or brought back, by new standing. */
+  StandingChanges = 'standing_changes',
   /** Milliseconds from a request's head to the end of its answer. */
   RequestDuration = 'request_duration',
   /** Requests that wait, by service. */
--- /dev/null
+++ b/packages/plugin-caller-http/src/load-summaries.ts
@@ -0,0 +1,129 @@
+import {z} from 'zod';
+import type {Clock} from '@gentiandoor/kernel';
+import type {PeerShare, PeerUse, SharedTeamQuota} from '@gentiandoor/decisions';
+import {PeerTopic, type PeerLinks} from '@gentiandoor/shared-state';
+import type {PoolTable} from './pool-table.js';
+
+const count = z.number().int().nonnegative();
+
+/** One pool in a summary: whether requests wait, uses by VM, and VMs that said they are leaving. */
+const poolSummary = z.object({
+  waiting: z.boolean(),
+  uses: z.array(z.tuple([z.string(), count])),
+  leaving: z.array(z.string()),
+});
+
+/** What a daemon tells its peers of its load. */
+const loadSummary = z.object({
+  pools: z.record(z.string(), poolSummary),
+  teams: z.array(z.tuple([z.string(), count])),
+  /** Milliseconds after which the summary says nothing any more. */
+  expiryMilliseconds: z.number().positive().max(60_000),
+});
+type LoadSummary = z.output<typeof loadSummary>;
+
+/** Five exchanges of 50 ms: shares follow a change of load within a few of them. */
+const SHORTEST_MILLISECONDS = 250;
+/** Bytes a second to all peers; the rest of a node's 7 KB/s is for the log and keyed requests. */
+const BYTES_PER_SECOND = 4000;
+const BYTES_OF_USE = 12;
+const BYTES_OF_HEAD = 60;
+const SUMMARIES_UNTIL_EXPIRY = 4;
+const MILLISECONDS_PER_SECOND = 1000;
+
+/**
+ * Tells peers what this daemon uses of targets and quotas, as often as its part of the network
+ * allows, and only while it has work; takes in what they tell.
+ */
+export class LoadSummaries {
+  private isRunning = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly peerLinks: PeerLinks,
+    private readonly pools: PoolTable,
+    private readonly quota: SharedTeamQuota,
+    private readonly quotaShare: PeerShare,
+    private readonly onTick: () => void,
+  ) {
+    peerLinks.handle(PeerTopic.TargetSummary, (from, message) => {
+      this.take(from.incarnation, message);
+      return Promise.resolve(undefined);
+    });
+  }
+
+  /** There is work: summaries go out until it ends. */
+  wake(): void {
+    if (this.isRunning) return;
+    this.isRunning = true;
+    this.clock.schedule(SHORTEST_MILLISECONDS, () => this.tick());
+  }
+
+  private tick(): void {
+    this.onTick();
+    const peers = this.peerLinks.connected().length;
+    const pause = pauseFor(this.countUses(), peers);
+    if (peers > 0) {
+      const message = this.summary(pause * SUMMARIES_UNTIL_EXPIRY);
+      this.peerLinks.broadcast(PeerTopic.TargetSummary, message);
+    }
+    this.isRunning = this.hasWork();
+    if (this.isRunning) this.clock.schedule(pause, () => this.tick());
+  }
+
+  private hasWork(): boolean {
+    for (const [, pool] of this.pools.all()) {
+      if (pool.inFlight > 0 || pool.waiting > 0) return true;
+    }
+    return false;
+  }
+
+  private countUses(): number {
+    let uses = 0;
+    for (const [, pool] of this.pools.all()) uses += pool.uses().size;
+    return uses;
+  }
+
+  private summary(expiryMilliseconds: number): LoadSummary {
+    const pools: LoadSummary['pools'] = {};
+    for (const [name, pool] of this.pools.all()) {
+      const uses = [...pool.uses()].map(([id, {inFlight}]) => [id, inFlight]);
+      const leaving = pool.leaving();
+      if (uses.length === 0 && leaving.length === 0) continue;
+      pools[name] = {
+        waiting: pool.waiting > 0,
+        uses: uses as Array<[string, number]>,
+        leaving,
+      };
+    }
+    return {pools, teams: [...this.quota.uses()], expiryMilliseconds};
+  }
+
+  /** A malformed summary is dropped: shares go on by what targets answer. */
+  private take(peer: string, message: unknown): void {
+    const parsed = loadSummary.safeParse(message);
+    if (!parsed.success) return;
+    const {pools, teams, expiryMilliseconds} = parsed.data;
+    this.quotaShare.onPeer(peer, toUses(teams, false), expiryMilliseconds);
+    for (const [name, {waiting, uses, leaving}] of Object.entries(pools)) {
+      const pool = this.pools.get(name);
+      if (!pool) continue;
+      for (const id of leaving) pool.onLeaving(id);
+      pool.onPeer(peer, toUses(uses, waiting), expiryMilliseconds);
+    }
+  }
+}
+
+function toUses(
+  uses: ReadonlyArray<readonly [string, number]>,
+  waiting: boolean,
+): Map<string, PeerUse> {
+  return new Map(uses.map(([key, inFlight]) => [key, {inFlight, waiting}]));
+}
+
+/** Milliseconds between summaries: longer where there is more to tell, or more peers. */
+function pauseFor(uses: number, peers: number): number {
+  const bytes = (BYTES_OF_HEAD + uses * BYTES_OF_USE) * peers;
+  const needed = (bytes / BYTES_PER_SECOND) * MILLISECONDS_PER_SECOND;
+  return Math.max(SHORTEST_MILLISECONDS, needed);
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/pool-table.ts
@@ -0,0 +1,156 @@
+import type {
+  Clock,
+  DaemonIdentity,
+  DecisionJournal,
+  Metrics,
+  RandomSource,
+} from '@gentiandoor/kernel';
+import {
+  RoutableTargets,
+  createStandardPool,
+  type SlotPool,
+  type TargetFacts,
+  type TeamQuota,
+} from '@gentiandoor/decisions';
+import {
+  ListedState,
+  type PoolEntry,
+  type SharedState,
+  type VmList,
+} from '@gentiandoor/shared-state';
+import {RoutingEvents} from './routing-events.js';
+
+/** What the table needs. */
+export interface PoolTableDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly identity: DaemonIdentity;
+  readonly decisionJournal: DecisionJournal;
+  readonly sharedState: SharedState;
+  readonly vmList: VmList;
+}
+
+interface RoutedPool {
+  readonly slots: SlotPool;
+  readonly routable: RoutableTargets;
+}
+
+/** Changes that come together are taken in together. */
+const REFRESH_MILLISECONDS = 20;
+/** How often a pool is looked at again while it keeps a VM that the list no longer shows. */
+const KEEP_MILLISECONDS = 500;
+
+/**
+ * The pools that this daemon has had requests for, each with its routable targets. Targets are
+ * worked out when log or list change, never for a request.
+ */
+export class PoolTable {
+  private readonly pools = new Map<string, RoutedPool>();
+  private owned: ReadonlyMap<string, readonly string[]> | undefined;
+  private isRefreshDue = false;
+
+  constructor(
+    private readonly dependencies: PoolTableDependencies,
+    private readonly quota: TeamQuota,
+  ) {
+    dependencies.sharedState.onChange(() => {
+      this.owned = undefined;
+      this.refreshIn(REFRESH_MILLISECONDS);
+    });
+    dependencies.vmList.onChange(() => this.refreshIn(REFRESH_MILLISECONDS));
+  }
+
+  /** Pools in use by name. */
+  all(): IterableIterator<[string, SlotPool]> {
+    return this.slotPools();
+  }
+
+  /** A pool in use; undefined when no request has asked for it. */
+  get(name: string): SlotPool | undefined {
+    return this.pools.get(name)?.slots;
+  }
+
+  /** The pool of that name, made on first use. */
+  use(name: string): SlotPool {
+    const known = this.pools.get(name);
+    if (known) return known.slots;
+    const pool = this.create(name);
+    this.pools.set(name, pool);
+    this.refresh(name, pool);
+    return pool.slots;
+  }
+
+  private *slotPools(): IterableIterator<[string, SlotPool]> {
+    for (const [name, {slots}] of this.pools) yield [name, slots];
+  }
+
+  private create(name: string): RoutedPool {
+    const {clock, random, metrics, identity, decisionJournal} =
+      this.dependencies;
+    const events = new RoutingEvents(name, clock, metrics, decisionJournal);
+    const slots = createStandardPool({
+      clock,
+      random,
+      self: identity.incarnation,
+      quota: this.quota,
+      onSpill: reason => events.onSpill(reason),
+      onStanding: change => events.onStanding(change),
+    });
+    return {slots, routable: new RoutableTargets(identity.dataCentre)};
+  }
+
+  private refreshIn(milliseconds: number): void {
+    if (this.isRefreshDue || this.pools.size === 0) return;
+    this.isRefreshDue = true;
+    this.dependencies.clock.schedule(milliseconds, () => {
+      this.isRefreshDue = false;
+      for (const [name, pool] of this.pools) this.refresh(name, pool);
+    });
+  }
+
+  private refresh(name: string, {slots, routable}: RoutedPool): void {
+    const {clock, sharedState} = this.dependencies;
+    const entry = sharedState.state.inForce?.bundle.pools[name];
+    const facts = entry ? this.factsOf(name, slots) : [];
+    const now = clock.monotonicMilliseconds();
+    slots.setTargets(routable.select(facts, limitsOf(entry), now));
+    if (routable.keepsMissing) this.refreshIn(KEEP_MILLISECONDS);
+  }
+
+  private factsOf(name: string, slots: SlotPool): TargetFacts[] {
+    const {sharedState, vmList} = this.dependencies;
+    const listed = vmList.current();
+    this.owned ??= ownersOf(sharedState);
+    const ids = this.owned.get(name) ?? [];
+    return ids.map(id => {
+      const vm = listed.get(id);
+      return {
+        id,
+        isDraining: sharedState.state.vms.get(id)?.drainReason !== undefined,
+        listed: vm && {
+          address: vm.address,
+          dataCentre: vm.dataCentre,
+          rack: vm.rack,
+          isLeaving: vm.state === ListedState.Leaving,
+        },
+        lastAnswerAt: slots.lastAnswerAt(id),
+      };
+    });
+  }
+}
+
+function limitsOf(entry: PoolEntry | undefined) {
+  return {slots: entry?.slots ?? 0, connections: entry?.connections ?? 0};
+}
+
+/** VMs by the pool that owns them. */
+function ownersOf({state}: SharedState): Map<string, string[]> {
+  const owners = new Map<string, string[]>();
+  for (const {id, pool} of state.vms.values()) {
+    const ids = owners.get(pool) ?? [];
+    ids.push(id);
+    owners.set(pool, ids);
+  }
+  return owners;
+}
--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -2,33 +2,37 @@
   ErrorKind,
   MetricName,
   RequestError,
-  type Clock,
-  type Metrics,
-  type RandomSource,
   type TargetAddress,
 } from '@gentiandoor/kernel';
 import {
-  EnterResult,
-  FirstInFirstOutQueue,
+  PeerShare,
   RetryBudget,
   RetryVerdict,
-  TwoRandomChoices,
+  SharedTeamQuota,
+  TurnAway,
+  WorkLength,
+  type PoolSlot,
   type RetryQuestion,
+  type SlotAsk,
+  type SlotRefusal,
   type TargetOutcome,
+  type TeamTerms,
 } from '@gentiandoor/decisions';
 import {
-  ListedState,
+  WorkClass,
+  type Bundle,
+  type PeerLinks,
   type ServiceEntry,
-  type SharedState,
-  type VmList,
 } from '@gentiandoor/shared-state';
+import {LoadSummaries} from './load-summaries.js';
+import {PoolTable, type PoolTableDependencies} from './pool-table.js';
 
 /** A request that asks for a target. */
 export interface AcquireRequest {
   readonly service: string;
   /** Authenticated caller; undefined for one that the bundle does not name. */
   readonly caller?: string;
-  /** Team of the authenticated caller. */
+  /** Team of the authenticated caller; the caller's own in the bundle when undefined. */
   readonly team?: string;
   readonly idempotent?: boolean;
   /** Ids of targets that failed this request already; they are chosen only when no other is left. */
@@ -56,44 +60,58 @@
   release(): void;
 }
 
-interface WaitingRequest {
-  readonly deadline: number;
-  readonly grant: (slot: HeldSlot) => void;
-  readonly refuse: (error: RequestError) => void;
-}
-
 /** What the router needs. */
-export interface ServiceRouterDependencies {
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly metrics: Metrics;
-  readonly sharedState: SharedState;
-  readonly vmList: VmList;
+export interface ServiceRouterDependencies extends PoolTableDependencies {
+  readonly peerLinks: PeerLinks;
 }
 
+const KIND_OF_TURN_AWAY: Readonly<Record<TurnAway, ErrorKind>> = {
+  [TurnAway.Full]: ErrorKind.QueueFull,
+  [TurnAway.Late]: ErrorKind.QueueTimeout,
+  [TurnAway.Standing]: ErrorKind.QueueDropped,
+};
+const WORK_OF_CLASS: Readonly<Record<WorkClass, WorkLength>> = {
+  [WorkClass.Short]: WorkLength.Short,
+  [WorkClass.Long]: WorkLength.Long,
+};
+/** All callers that the bundle does not name are one team and one caller together. */
+const UNNAMED_TEAM: TeamTerms = {
+  name: '',
+  weight: 1,
+  slots: Number.MAX_SAFE_INTEGER,
+  urgent: false,
+};
+const UNNAMED_CALLER = '';
+/** A quota of less than one slot a daemon leaves some daemons none. */
+const SMALLEST_QUOTA_PART = 0;
+
 /** Finds a target with a free slot for a request, or makes the request wait. */
 export class ServiceRouter {
-  private readonly choice: TwoRandomChoices;
-  private readonly retries: RetryBudget;
+  private readonly pools: PoolTable;
+  private readonly summaries: LoadSummaries;
+  private readonly retries = new Map<string, RetryBudget>();
+  /** Exchanges in flight by service. */
   private readonly inFlight = new Map<string, number>();
-  private readonly queues = new Map<
-    string,
-    FirstInFirstOutQueue<WaitingRequest>
-  >();
 
   constructor(private readonly dependencies: ServiceRouterDependencies) {
-    this.choice = new TwoRandomChoices(dependencies.random);
-    this.retries = new RetryBudget(dependencies.clock);
-    dependencies.vmList.onChange(() => this.grantAll());
-    dependencies.sharedState.onChange(() => this.grantAll());
+    const {clock, identity, peerLinks} = dependencies;
+    const self = identity.incarnation;
+    const quotaShare = new PeerShare(clock, self, SMALLEST_QUOTA_PART);
+    const quota = new SharedTeamQuota(quotaShare);
+    this.pools = new PoolTable(dependencies, quota);
+    this.summaries = new LoadSummaries(
+      clock,
+      peerLinks,
+      this.pools,
+      quota,
+      quotaShare,
+      () => this.writeGauges(),
+    );
   }
 
   /** The service's entry in the bundle in force; throws `RequestError`. */
   service(name: string): ServiceEntry {
-    const {inForce} = this.dependencies.sharedState.state;
-    if (!inForce)
-      throw new RequestError(ErrorKind.NoBundle, 'no bundle in force');
-    const service = inForce.bundle.services[name];
+    const service = this.bundle().services[name];
     if (!service)
       throw new RequestError(ErrorKind.UnknownService, `no service ${name}`);
     return service;
@@ -103,115 +121,127 @@
    * Whether a failed attempt may go to another target; counts the retry. On `Retry` call `acquire`
    * again with the failed target in `tried`.
    */
-  judgeRetry(_service: string, question: RetryQuestion): RetryVerdict {
-    const verdict = this.retries.judge(question);
+  judgeRetry(service: string, question: RetryQuestion): RetryVerdict {
+    const {metrics} = this.dependencies;
+    const verdict = this.retriesOf(service).judge(question);
     if (verdict === RetryVerdict.Retry) {
-      this.dependencies.metrics.increment(MetricName.Retries, {
-        reason: question.kind,
-      });
+      metrics.increment(MetricName.Retries, {reason: question.kind});
+    } else {
+      metrics.increment(MetricName.RetriesDenied, {reason: verdict});
     }
     return verdict;
   }
 
   /** Resolves with a slot, or rejects with the `RequestError` that turned the request away. */
-  acquire(request: AcquireRequest | string): Promise<HeldSlot> {
-    const name = typeof request === 'string' ? request : request.service;
-    this.retries.onFirstAttempt();
-    const service = this.service(name);
-    const slot = this.tryTake(service);
-    if (slot) return Promise.resolve(slot);
-    return this.wait(name, service);
-  }
-
-  private wait(name: string, service: ServiceEntry): Promise<HeldSlot> {
-    const {clock} = this.dependencies;
+  acquire(wanted: AcquireRequest | string): Promise<HeldSlot> {
+    const request = typeof wanted === 'string' ? {service: wanted} : wanted;
+    const service = this.service(request.service);
+    const pool = this.pools.use(service.pool);
+    if (!request.tried) this.retriesOf(request.service).onFirstAttempt();
+    this.summaries.wake();
     return new Promise((resolve, reject) => {
-      const item: WaitingRequest = {
-        deadline: clock.monotonicMilliseconds() + service.waitMilliseconds,
-        grant: resolve,
-        refuse: reject,
+      const {signal} = request;
+      const onAbort = () => {
+        if (pool.cancel(ask)) reject(callerGone());
       };
-      const queue = this.queueOf(name, service);
-      if (queue.enter(item) === EnterResult.Full) {
-        reject(
-          new RequestError(
-            ErrorKind.QueueFull,
-            `${queue.length} requests wait`,
-          ),
-        );
+      const settle = () => signal?.removeEventListener('abort', onAbort);
+      const ask: SlotAsk = {
+        ...this.terms(request, service),
+        grant: slot => {
+          settle();
+          resolve(this.hold(request.service, slot));
+        },
+        refuse: refusal => {
+          settle();
+          reject(toError(refusal));
+        },
+      };
+      if (signal?.aborted) {
+        reject(callerGone());
         return;
       }
-      clock.schedule(service.waitMilliseconds, () => {
-        if (!queue.leave(item)) return;
-        reject(new RequestError(ErrorKind.QueueTimeout, 'no slot in time'));
-      });
+      signal?.addEventListener('abort', onAbort, {once: true});
+      pool.acquire(ask);
     });
   }
 
-  private queueOf(
-    name: string,
-    service: ServiceEntry,
-  ): FirstInFirstOutQueue<WaitingRequest> {
-    const queue =
-      this.queues.get(name) ?? new FirstInFirstOutQueue(service.queueLimit);
-    this.queues.set(name, queue);
-    return queue;
+  private terms(request: AcquireRequest, service: ServiceEntry) {
+    const now = this.dependencies.clock.monotonicMilliseconds();
+    const latest = now + service.waitMilliseconds;
+    return {
+      service: request.service,
+      queueLimit: service.queueLimit,
+      work: WORK_OF_CLASS[service.workClass],
+      team: this.teamOf(request),
+      caller: request.caller ?? UNNAMED_CALLER,
+      idempotent: request.idempotent ?? false,
+      tried: request.tried,
+      enteredAt: now,
+      deadline: Math.min(latest, request.deadline ?? latest),
+    };
   }
 
-  private tryTake(service: ServiceEntry): HeldSlot | undefined {
-    const chosen = this.choice.choose(this.targets(service));
-    if (!chosen) return undefined;
-    this.inFlight.set(chosen.id, chosen.inFlight + 1);
-    let released = false;
-    const release = () => {
-      if (released) return;
-      released = true;
-      this.inFlight.set(chosen.id, (this.inFlight.get(chosen.id) ?? 1) - 1);
-      this.grantAll();
-    };
+  private teamOf({caller, team}: AcquireRequest): TeamTerms {
+    const {callers, teams} = this.bundle();
+    const name = team ?? callers[caller ?? UNNAMED_CALLER]?.team;
+    const entry = name === undefined ? undefined : teams[name];
+    return name === undefined || !entry ? UNNAMED_TEAM : {name, ...entry};
+  }
+
+  private hold(service: string, slot: PoolSlot): HeldSlot {
+    this.inFlight.set(service, (this.inFlight.get(service) ?? 0) + 1);
+    let isReleased = false;
     return {
-      id: chosen.id,
-      address: chosen.address,
-      isRoutable: () => true,
-      report: () => {},
-      release,
+      id: slot.target.id,
+      address: slot.target.address,
+      isRoutable: () => slot.isRoutable(),
+      report: outcome => slot.report(outcome),
+      release: () => {
+        if (isReleased) return;
+        isReleased = true;
+        this.inFlight.set(service, (this.inFlight.get(service) ?? 1) - 1);
+        slot.release();
+      },
     };
   }
 
-  private targets(service: ServiceEntry) {
-    const {sharedState, vmList} = this.dependencies;
-    const pool = sharedState.state.inForce?.bundle.pools[service.pool];
-    if (!pool) return [];
-    const listed = vmList.current();
-    return pool.vms.flatMap(id => {
-      const vm = sharedState.state.vms.get(id);
-      const seen = listed.get(id);
-      if (!vm || !seen || vm.pool !== service.pool) return [];
-      if (vm.drainReason !== undefined || seen.state === ListedState.Leaving)
-        return [];
-      return [
-        {
-          id,
-          address: seen.address,
-          inFlight: this.inFlight.get(id) ?? 0,
-          slots: pool.slots,
-        },
-      ];
-    });
+  private retriesOf(service: string): RetryBudget {
+    const known = this.retries.get(service);
+    if (known) return known;
+    const budget = new RetryBudget(this.dependencies.clock);
+    this.retries.set(service, budget);
+    return budget;
   }
 
-  private grantAll(): void {
-    const {clock, sharedState} = this.dependencies;
-    for (const [name, queue] of this.queues) {
-      const service = sharedState.state.inForce?.bundle.services[name];
-      if (!service) continue;
-      while (queue.length > 0) {
-        const slot = this.tryTake(service);
-        if (!slot) break;
-        const item = queue.next(clock.monotonicMilliseconds());
-        if (item) item.grant(slot);
-        else slot.release();
-      }
+  private bundle(): Bundle {
+    const {inForce} = this.dependencies.sharedState.state;
+    if (!inForce)
+      throw new RequestError(ErrorKind.NoBundle, 'no bundle in force');
+    return inForce.bundle;
+  }
+
+  private writeGauges(): void {
+    const {metrics, sharedState} = this.dependencies;
+    const services = sharedState.state.inForce?.bundle.services ?? {};
+    for (const [service, inFlight] of this.inFlight) {
+      const pool = this.pools.get(services[service]?.pool ?? '');
+      const waiting = pool?.waitingOf(service) ?? 0;
+      metrics.gauge(MetricName.InFlight, inFlight, {service});
+      metrics.gauge(MetricName.QueueLength, waiting, {service});
     }
   }
 }
+
+function toError(refusal: SlotRefusal): RequestError {
+  const {reason, quotaHeld, retryAfterSeconds} = refusal;
+  if (reason === undefined)
+    return new RequestError(ErrorKind.NoTarget, 'no VM can take the request', {
+      retryAfterSeconds,
+    });
+  const kind = quotaHeld ? ErrorKind.QuotaExceeded : KIND_OF_TURN_AWAY[reason];
+  return new RequestError(kind, `turned away: ${reason}`, {retryAfterSeconds});
+}
+
+function callerGone(): RequestError {
+  return new RequestError(ErrorKind.CallerGone, 'the caller left the queue');
+}
