--- a/packages/bench/src/__tests__/whole-path.test.ts
+++ b/packages/bench/src/__tests__/whole-path.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {after, before, describe, it} from 'node:test';
 import {request} from 'undici';
-import {runProgram} from '@gentiandoor/cli';
+import {processContext, runProgram} from '@gentiandoor/cli';
 import {ADMIN_KEY, Deployment} from '../deployment.js';
 
 function bundleText(publicKey: string): string {
@@ -102,7 +102,7 @@
           ADMIN_KEY,
           '--json',
         ],
-        line => lines.push(line),
+        {...processContext(), print: line => lines.push(line)},
       );
       assert.equal(code, 0);
       assert.equal(
--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -17,6 +17,11 @@
     return this.call('GET', path);
   }
 
+  /** Sends `body` as JSON; throws `CommandError`. */
+  async post(path: string, body: unknown): Promise<unknown> {
+    return this.call('POST', path, body);
+  }
+
   private async call(
     method: 'GET' | 'POST',
     path: string,
@@ -26,8 +31,8 @@
     const text = await answer.body.text();
     if (answer.statusCode === 200) return JSON.parse(text);
     throw new CommandError(
-      ExitCode.Failed,
-      `${this.address}${path} answered ${answer.statusCode}: ${text}`,
+      exitCodeOf(answer.statusCode),
+      errorText(text, answer.statusCode),
     );
   }
 
@@ -50,3 +55,17 @@
     }
   }
 }
+
+function exitCodeOf(status: number): ExitCode {
+  if (status === 400 || status === 401) return ExitCode.BadInput;
+  return status === 503 ? ExitCode.Unreachable : ExitCode.Failed;
+}
+
+function errorText(text: string, status: number): string {
+  try {
+    const {error} = JSON.parse(text) as {error?: string};
+    return error ?? `the daemon answered ${status}`;
+  } catch {
+    return `the daemon answered ${status}: ${text}`;
+  }
+}
--- a/packages/cli/src/bin/gentiandoor.ts
+++ b/packages/cli/src/bin/gentiandoor.ts
@@ -1,7 +1,5 @@
 #!/usr/bin/env node
+import {processContext} from '../process-context.js';
 import {runProgram} from '../program.js';
 
-const code = await runProgram(process.argv, line =>
-  process.stdout.write(`${line}\n`),
-);
-process.exit(code);
+process.exitCode = await runProgram(process.argv, processContext());
--- /dev/null
+++ b/packages/cli/src/commands/bundle.ts
@@ -0,0 +1,236 @@
+import type {BundlesView, PublishResult} from '@gentiandoor/plugin-admin';
+import {BundleError} from '@gentiandoor/kernel';
+import {parseBundle, signBundle, type Bundle} from '@gentiandoor/shared-state';
+import {bundleDifference, describeChange} from '../bundle-difference.js';
+import type {CommandDefinition} from '../command-registry.js';
+import {
+  adminClient,
+  readInput,
+  show,
+  type CommandContext,
+  type CommonOptions,
+} from '../command-context.js';
+import {CommandError} from '../command-error.js';
+import {ExitCode} from '../exit-codes.js';
+import {showPublished} from '../publish-result.js';
+import {withProgress} from '../with-progress.js';
+
+interface DiffOptions extends CommonOptions {
+  readonly against?: string;
+}
+
+interface SignOffOptions extends CommonOptions {
+  readonly operator?: string;
+  readonly 'private-key'?: string;
+}
+
+async function check(
+  context: CommandContext,
+  file: string,
+  options: CommonOptions,
+): Promise<void> {
+  const bundle = parseFile(context, file);
+  const summary = {
+    version: bundle.version,
+    base: bundle.base,
+    pools: Object.keys(bundle.pools).length,
+    services: Object.keys(bundle.services).length,
+    vms: Object.values(bundle.pools).reduce(
+      (sum, pool) => sum + pool.vms.length,
+      0,
+    ),
+  };
+  show(context, options, summary, [
+    `${file}: version ${summary.version} on base ${summary.base}: ${summary.pools} pools, ${summary.services} services, ${summary.vms} VMs; no problem found`,
+  ]);
+}
+
+async function diff(
+  context: CommandContext,
+  file: string,
+  options: DiffOptions,
+): Promise<void> {
+  const after = readInput(context, file);
+  const before = options.against
+    ? readInput(context, options.against)
+    : ((await readBundles(context, options)).inForce?.text ?? '');
+  const changes = bundleDifference(before, after);
+  const lines = changes.map(describeChange);
+  show(context, options, changes, lines.length > 0 ? lines : ['no difference']);
+}
+
+async function propose(
+  context: CommandContext,
+  file: string,
+  options: CommonOptions,
+): Promise<void> {
+  const text = readInput(context, file);
+  const {version} = parseText(text, file);
+  const result = await withProgress(
+    context,
+    'waiting for the platform\u2019s log',
+    adminClient(context, options).post('/bundles/proposals', {text}),
+  );
+  showPublished(
+    context,
+    options,
+    result as PublishResult,
+    `version ${version} proposed`,
+  );
+}
+
+async function signOff(
+  context: CommandContext,
+  version: string,
+  options: SignOffOptions,
+): Promise<void> {
+  const {operator} = options;
+  const keyFile = options['private-key'];
+  if (operator === undefined || keyFile === undefined) {
+    throw new CommandError(
+      ExitCode.BadInput,
+      'expected --operator NAME and --private-key FILE',
+    );
+  }
+  const {digest} = await findProposal(context, options, Number(version));
+  const privateKey = readInput(context, keyFile)
+    .trim()
+    .replace(/^private_key\s*=\s*/, '');
+  const signature = sign(privateKey, Number(version), digest, keyFile);
+  const result = await withProgress(
+    context,
+    'waiting for the platform\u2019s log',
+    adminClient(context, options).post('/bundles/sign-offs', {
+      version: Number(version),
+      digest,
+      operator,
+      signature,
+    }),
+  );
+  showPublished(
+    context,
+    options,
+    result as PublishResult,
+    `version ${version} signed off`,
+  );
+}
+
+function sign(
+  privateKey: string,
+  version: number,
+  digest: string,
+  file: string,
+): string {
+  try {
+    return signBundle(privateKey, version, digest);
+  } catch {
+    throw new CommandError(
+      ExitCode.BadInput,
+      `${file}: expected a private key as \`gentiandoor keys make\` prints it`,
+    );
+  }
+}
+
+async function findProposal(
+  context: CommandContext,
+  options: CommonOptions,
+  version: number,
+) {
+  const {proposals} = await readBundles(context, options);
+  const matching = proposals.filter(proposal => proposal.version === version);
+  if (matching.length === 1) return matching[0];
+  const found =
+    proposals.map(proposal => proposal.version).join(', ') || 'none';
+  throw new CommandError(
+    ExitCode.BadInput,
+    `${matching.length} proposals of version ${version}; proposed versions: ${found}`,
+  );
+}
+
+async function status(
+  context: CommandContext,
+  options: CommonOptions,
+): Promise<void> {
+  const view = await readBundles(context, options);
+  const {inForce, proposals} = view;
+  const lines = [
+    inForce
+      ? `in force: version ${inForce.version} by ${inForce.author}, digest ${inForce.digest}, offset ${inForce.offset}`
+      : 'in force: none',
+    ...proposals.map(
+      proposal =>
+        `proposed: version ${proposal.version} by ${proposal.author}, signed off by ${proposal.signers.join(', ') || 'nobody'} (${proposal.signers.length} of ${proposal.signOffsNeeded})`,
+    ),
+  ];
+  show(context, options, view, lines);
+}
+
+async function readBundles(
+  context: CommandContext,
+  options: CommonOptions,
+): Promise<BundlesView> {
+  return (await adminClient(context, options).get('/bundles')) as BundlesView;
+}
+
+function parseFile(context: CommandContext, file: string): Bundle {
+  return parseText(readInput(context, file), file);
+}
+
+function parseText(text: string, file: string): Bundle {
+  try {
+    return parseBundle(text);
+  } catch (error) {
+    if (!(error instanceof BundleError)) throw error;
+    throw new CommandError(
+      ExitCode.BadInput,
+      `${file} cannot be accepted:\n${error.message}`,
+    );
+  }
+}
+
+/** Commands for bundles. */
+export const bundleCommands: readonly CommandDefinition[] = [
+  {
+    usage: 'bundle check <file>',
+    description: 'Checks a bundle without sending it.',
+    examples: ['bundle check examples/kingston/bundle.ini'],
+    run: check,
+  },
+  {
+    usage: 'bundle diff <file>',
+    description:
+      'Shows what a bundle changes against the one in force, or against another file.',
+    examples: [
+      'bundle diff next.ini',
+      'bundle diff next.ini --against now.ini',
+    ],
+    options: [
+      ['--against', 'File to compare with instead of the bundle in force'],
+    ],
+    run: diff,
+  },
+  {
+    usage: 'bundle propose <file>',
+    description: 'Puts a bundle up for sign-off.',
+    examples: ['bundle propose next.ini'],
+    run: propose,
+  },
+  {
+    usage: 'bundle sign-off <version>',
+    description:
+      'Signs a proposed bundle off with an operator\u2019s private key.',
+    examples: ['bundle sign-off 7 --operator keisha --private-key keisha.key'],
+    options: [
+      ['--operator', 'Name of the operator in the bundle in force'],
+      ['--private-key', 'File with the operator\u2019s private key'],
+    ],
+    run: signOff,
+  },
+  {
+    usage: 'bundle status',
+    description:
+      'Shows the bundle in force and the ones that wait for sign-offs.',
+    examples: ['bundle status --json'],
+    run: status,
+  },
+];
--- /dev/null
+++ b/packages/cli/src/format-columns.ts
@@ -0,0 +1,16 @@
+/** Rows under headings, in columns as wide as their widest cell. */
+export function formatColumns(
+  headings: readonly string[],
+  rows: ReadonlyArray<readonly string[]>,
+): string[] {
+  const lines = [headings, ...rows];
+  const widths = headings.map((_, column) =>
+    Math.max(...lines.map(line => (line[column] ?? '').length)),
+  );
+  return lines.map(line =>
+    line
+      .map((cell, column) => cell.padEnd(widths[column]))
+      .join('  ')
+      .trimEnd(),
+  );
+}
--- /dev/null
+++ b/packages/cli/src/process-context.ts
@@ -0,0 +1,14 @@
+import {readFileSync} from 'node:fs';
+import {SystemClock} from '@gentiandoor/kernel';
+import type {CommandContext} from './command-context.js';
+
+/** The world of the process. */
+export function processContext(): CommandContext {
+  return {
+    print: line => process.stdout.write(`${line}\n`),
+    note: line => process.stderr.write(`${line}\n`),
+    readFile: path => readFileSync(path, 'utf8'),
+    environment: process.env,
+    clock: new SystemClock(),
+  };
+}
--- /dev/null
+++ b/packages/cli/src/publish-result.ts
@@ -0,0 +1,26 @@
+import type {PublishResult} from '@gentiandoor/plugin-admin';
+import {
+  show,
+  type CommandContext,
+  type CommonOptions,
+} from './command-context.js';
+import {CommandError} from './command-error.js';
+import {ExitCode} from './exit-codes.js';
+
+/** Prints what became of a record; throws `CommandError` when the fold rejected it. */
+export function showPublished(
+  context: CommandContext,
+  options: CommonOptions,
+  result: PublishResult,
+  done: string,
+): void {
+  if (options.json) context.print(JSON.stringify(result));
+  if (!result.accepted) {
+    throw new CommandError(
+      ExitCode.Refused,
+      `refused (${result.reason ?? 'no reason'}): ${result.detail ?? ''}`,
+    );
+  }
+  if (!options.json)
+    show(context, options, result, [`${done} at offset ${result.offset}`]);
+}
--- a/packages/plugin-admin/src/admin-server.ts
+++ b/packages/plugin-admin/src/admin-server.ts
@@ -12,8 +12,9 @@
   type MemoryMetrics,
   type Plugin,
 } from '@gentiandoor/kernel';
-import type {SharedState, VmList} from '@gentiandoor/shared-state';
+import type {Member, SharedState, VmList} from '@gentiandoor/shared-state';
 import type {AdminOptions} from './admin-options.js';
+import {BundleRoutes} from './bundle-routes.js';
 
 /** What the admin port needs. */
 export interface AdminServerDependencies {
@@ -26,6 +27,25 @@
   readonly adminOptions: AdminOptions;
 }
 
+/** Answer of GET /status. */
+export interface StatusView {
+  readonly daemon: DaemonIdentity;
+  readonly draining: boolean;
+  readonly logReachable: boolean;
+  /** Offset of the next record this daemon will apply. */
+  readonly offset: number;
+  readonly bundle:
+    | {
+        readonly version: number;
+        readonly digest: string;
+        readonly offset: number;
+      }
+    | undefined;
+  readonly members: readonly Member[];
+  readonly vmCount: number;
+  readonly listedVms: number;
+}
+
 /** Health for the balancer, and status for operators. */
 export class AdminServer implements Plugin {
   private readonly server: http.Server;
@@ -39,6 +59,7 @@
     adminRoutes.add(AdminMethod.Get, '/metrics', async () =>
       ok(metrics.memory.snapshot()),
     );
+    new BundleRoutes(dependencies.sharedState).register(adminRoutes);
   }
 
   /** The port in use. */
@@ -109,7 +130,7 @@
     return timingSafeEqual(digest(header), expected);
   }
 
-  private status() {
+  private status(): StatusView {
     const {identity, drainState, sharedState, vmList} = this.dependencies;
     const {state} = sharedState;
     return {
@@ -123,7 +144,7 @@
         offset: state.inForce.offset,
       },
       members: [...state.members.values()],
-      vms: [...state.vms.values()],
+      vmCount: state.vms.size,
       listedVms: vmList.current().size,
     };
   }
--- /dev/null
+++ b/packages/plugin-admin/src/bundle-routes.ts
@@ -0,0 +1,128 @@
+import {randomUUID} from 'node:crypto';
+import {z} from 'zod';
+import {
+  AdminMethod,
+  BundleError,
+  type AdminAnswer,
+  type AdminRequest,
+  type AdminRoutes,
+} from '@gentiandoor/kernel';
+import {
+  RecordKind,
+  parseBundle,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import {publishAnswer} from './publish-answer.js';
+
+const WRITER = 'operator';
+
+const proposalBody = z.strictObject({text: z.string()});
+const signOffBody = z.strictObject({
+  version: z.number().int(),
+  digest: z.string(),
+  operator: z.string(),
+  signature: z.string(),
+});
+
+/** A bundle waiting for sign-offs, as the admin port shows it. */
+export interface ProposalView {
+  readonly version: number;
+  readonly base: number;
+  readonly digest: string;
+  readonly author: string;
+  readonly signers: readonly string[];
+  readonly signOffsNeeded: number;
+  readonly text: string;
+}
+
+/** The bundle in force, as the admin port shows it. */
+export interface InForceView {
+  readonly version: number;
+  readonly digest: string;
+  readonly offset: number;
+  readonly author: string;
+  readonly text: string;
+}
+
+/** Answer of GET /bundles. */
+export interface BundlesView {
+  readonly inForce: InForceView | undefined;
+  readonly proposals: readonly ProposalView[];
+}
+
+/** Operators' paths for bundles. */
+export class BundleRoutes {
+  constructor(private readonly sharedState: SharedState) {}
+
+  register(routes: AdminRoutes): void {
+    routes.add(AdminMethod.Get, '/bundles', async () => ({
+      status: 200,
+      body: this.view(),
+    }));
+    routes.add(AdminMethod.Post, '/bundles/proposals', request =>
+      this.propose(request),
+    );
+    routes.add(AdminMethod.Post, '/bundles/sign-offs', request =>
+      this.signOff(request),
+    );
+  }
+
+  private view(): BundlesView {
+    const {inForce, proposals} = this.sharedState.state;
+    return {
+      inForce: inForce && {
+        version: inForce.bundle.version,
+        digest: inForce.digest,
+        offset: inForce.offset,
+        author: inForce.bundle.author,
+        text: inForce.text,
+      },
+      proposals: [...proposals.values()].map(
+        ({bundle, digest, signers, text}) => ({
+          version: bundle.version,
+          base: bundle.base,
+          digest,
+          author: bundle.author,
+          signers: [...signers],
+          signOffsNeeded:
+            inForce?.bundle.signOffs ?? Math.max(1, bundle.signOffs),
+          text,
+        }),
+      ),
+    };
+  }
+
+  private async propose(request: AdminRequest): Promise<AdminAnswer> {
+    const body = proposalBody.safeParse(request.body);
+    if (!body.success) return badBody('{"text": "the bundle in INI"}');
+    const {text} = body.data;
+    try {
+      parseBundle(text);
+    } catch (error) {
+      if (!(error instanceof BundleError)) throw error;
+      return {status: 400, body: {error: error.message}};
+    }
+    return publishAnswer(this.sharedState, {
+      kind: RecordKind.BundleProposed,
+      id: randomUUID(),
+      writer: WRITER,
+      text,
+    });
+  }
+
+  private async signOff(request: AdminRequest): Promise<AdminAnswer> {
+    const body = signOffBody.safeParse(request.body);
+    if (!body.success)
+      return badBody('version, digest, operator and signature');
+    return publishAnswer(this.sharedState, {
+      kind: RecordKind.BundleSigned,
+      id: randomUUID(),
+      writer: body.data.operator,
+      ...body.data,
+    });
+  }
+}
+
+function badBody(expected: string): AdminAnswer {
+  return {status: 400, body: {error: `expected a JSON body with ${expected}`}};
+}
--- a/packages/plugin-admin/src/index.ts
+++ b/packages/plugin-admin/src/index.ts
@@ -3,7 +3,9 @@
 import {adminOptions} from './admin-options.js';
 import {AdminServer} from './admin-server.js';
 
-export {AdminServer} from './admin-server.js';
+export {AdminServer, type StatusView} from './admin-server.js';
+export type {BundlesView, InForceView, ProposalView} from './bundle-routes.js';
+export type {PublishResult} from './publish-answer.js';
 
 /** Registers the operators' edge. */
 export function registerAdmin(registry: PluginRegistry): void {
--- /dev/null
+++ b/packages/plugin-admin/src/publish-answer.ts
@@ -0,0 +1,42 @@
+import {PlatformLogError, type AdminAnswer} from '@gentiandoor/kernel';
+import type {FleetRecord, SharedState} from '@gentiandoor/shared-state';
+
+/** Longest wait for the log to take and return a record, in milliseconds. */
+const PUBLISH_MILLISECONDS = 5000;
+
+/** What the fold made of an operator's record. */
+export interface PublishResult {
+  readonly accepted: boolean;
+  readonly offset: number;
+  /** Why it was rejected; undefined when it took effect. */
+  readonly reason?: string;
+  readonly detail?: string;
+}
+
+/** Publishes an operator's record and tells what became of it. */
+export async function publishAnswer(
+  sharedState: SharedState,
+  record: FleetRecord,
+): Promise<AdminAnswer> {
+  try {
+    const signal = AbortSignal.timeout(PUBLISH_MILLISECONDS);
+    const {offset, rejection} = await sharedState.publish(record, signal);
+    const result: PublishResult = {
+      accepted: rejection === undefined,
+      offset,
+      reason: rejection?.reason,
+      detail: rejection?.detail,
+    };
+    return {status: 200, body: result};
+  } catch (error) {
+    if (!(error instanceof PlatformLogError)) throw error;
+    const unknown =
+      'its fate is unknown; look at the status before you send it again';
+    return {
+      status: 503,
+      body: {
+        error: `the platform's log did not return the record (${error.message}): ${unknown}`,
+      },
+    };
+  }
+}
