--- /dev/null
+++ b/packages/documentation/src/index.ts
@@ -0,0 +1,2 @@
+export * from './page-parts.js';
+export * from './reference-pages.js';
