--- /dev/null
+++ b/packages/bench/src/demo/kingston.ts
@@ -0,0 +1,40 @@
+import {readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {parseBundle, type Bundle} from '@gentiandoor/shared-state';
+
+/** Kingston's sample bundle with another key for its operators. */
+export function kingstonBundle(operatorPublicKey: string): string {
+  const url = new URL(
+    '../../../../examples/kingston/bundle.ini',
+    import.meta.url,
+  );
+  const text = readFileSync(fileURLToPath(url), 'utf8');
+  return text.replace(
+    /^public_key = .*$/gm,
+    `public_key = ${operatorPublicKey}`,
+  );
+}
+
+/** The same bundle as the next version, with one key of a section changed. */
+export function nextVersion(
+  text: string,
+  section: string,
+  key: string,
+  value: string,
+): string {
+  const {version} = parseBundle(text);
+  const raised = text
+    .replace(/^version = .*$/m, `version = ${version + 1}`)
+    .replace(/^base = .*$/m, `base = ${version}`);
+  const start = raised.indexOf(`[${section}]`);
+  const line = new RegExp(`^${key} = .*$`, 'm');
+  return (
+    raised.slice(0, start) +
+    raised.slice(start).replace(line, `${key} = ${value}`)
+  );
+}
+
+/** Racks of a bundle with their VMs. */
+export function racksOf(bundle: Bundle) {
+  return Object.entries(bundle.racks).map(([name, rack]) => ({name, ...rack}));
+}
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -31,6 +31,7 @@
 
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
+const DEFAULT_OPERATOR = 'kerry';
 const LOOPBACK = '127.0.0.1:0';
 const WAIT_STEP_MILLISECONDS = 10;
 
@@ -61,7 +62,11 @@
   readonly operator: OperatorKeys = makeOperatorKeys();
   private platformAddress = '';
 
-  constructor(private readonly logger: Logger = new SilentLogger()) {}
+  constructor(
+    private readonly logger: Logger = new SilentLogger(),
+    /** Name under which the operator signs off; the bundle must name it for the next one. */
+    private readonly operatorName = DEFAULT_OPERATOR,
+  ) {}
 
   async startPlatform(): Promise<void> {
     this.platformAddress = await this.platform.start(LOOPBACK);
@@ -118,7 +123,7 @@
       writer,
       version,
       digest,
-      operator: 'kerry',
+      operator: this.operatorName,
       signature: signBundle(this.operator.privateKey, version, digest),
     });
     await this.until(() =>
@@ -158,7 +163,7 @@
 address = ${this.platformAddress}
 poll_milliseconds = 200
 [shared-state]
-trusted_operators = kerry:${this.operator.publicKey}
+trusted_operators = ${this.operatorName}:${this.operator.publicKey}
 [target-http]
 [caller-http]
 listen = ${LOOPBACK}
