--- /dev/null
+++ b/packages/bench/src/capacity/slope.ts
@@ -0,0 +1,60 @@
+/** One measured point. */
+export interface Point {
+  readonly size: number;
+  readonly value: number;
+}
+
+/** A line through measured points. */
+export interface Slope {
+  /** Value at size 0. */
+  readonly intercept: number;
+  /** Value for each unit of size. */
+  readonly perUnit: number;
+  /** Largest distance of a point from the line, as a share of the largest value. */
+  readonly error: number;
+  /** Exponent of growth between the smallest and the largest size: 1 is linear. */
+  readonly exponent: number;
+}
+
+/** Above this exponent growth is called worse than linear. */
+export const LINEAR_EXPONENT = 1.15;
+
+/** Least-squares line through at least two points of different size. */
+export function fitSlope(points: readonly Point[]): Slope {
+  const count = points.length;
+  const meanSize = points.reduce((sum, point) => sum + point.size, 0) / count;
+  const meanValue = points.reduce((sum, point) => sum + point.value, 0) / count;
+  let covariance = 0;
+  let variance = 0;
+  for (const {size, value} of points) {
+    covariance += (size - meanSize) * (value - meanValue);
+    variance += (size - meanSize) ** 2;
+  }
+  const perUnit = covariance / variance;
+  const intercept = meanValue - perUnit * meanSize;
+  const largest = Math.max(...points.map(point => Math.abs(point.value)));
+  const worst = Math.max(
+    ...points.map(({size, value}) =>
+      Math.abs(value - intercept - perUnit * size),
+    ),
+  );
+  return {
+    intercept,
+    perUnit,
+    error: largest === 0 ? 0 : worst / largest,
+    exponent: growthExponent(points),
+  };
+}
+
+/** The line's value at `size`. */
+export function extrapolate(slope: Slope, size: number): number {
+  return slope.intercept + slope.perUnit * size;
+}
+
+function growthExponent(points: readonly Point[]): number {
+  const sorted = [...points].sort((left, right) => left.size - right.size);
+  const first = sorted[0];
+  const last = sorted[sorted.length - 1];
+  if (first.value <= 0 || last.value <= 0) return 0;
+  return Math.log(last.value / first.value) / Math.log(last.size / first.size);
+}
--- /dev/null
+++ b/packages/bench/src/capacity/state-measurements.ts
@@ -0,0 +1,129 @@
+import {
+  ListedState,
+  RecordKind,
+  applyPayload,
+  digestOf,
+  emptyFleetState,
+  encodeRecord,
+  makeOperatorKeys,
+  parseBundle,
+  signBundle,
+  type FleetState,
+} from '@gentiandoor/shared-state';
+import {Unit, fastest, heldBytes, type Measurement} from './measurement.js';
+import {proportionalSize, syntheticBundle} from './synthetic-bundle.js';
+
+const VM_SIZES = [1000, 4000, 16_000, 31_000];
+const RECORDS = 1000;
+const PER_VM = 'VM';
+const keys = makeOperatorKeys();
+
+/** A state with a bundle of that many VMs in force. */
+export function stateWithVms(vms: number): FleetState {
+  const text = syntheticBundle(proportionalSize(vms), keys.publicKey);
+  const digest = digestOf(text);
+  const state = emptyFleetState({kerry: keys.publicKey});
+  const writer = 'capacity';
+  const proposed = encodeRecord({
+    kind: RecordKind.BundleProposed,
+    id: 'p',
+    writer,
+    text,
+  });
+  const signed = encodeRecord({
+    kind: RecordKind.BundleSigned,
+    id: 's',
+    writer,
+    version: 1,
+    digest,
+    operator: 'kerry',
+    signature: signBundle(keys.privateKey, 1, digest),
+  });
+  for (const payload of [proposed, signed]) {
+    const {rejection} = applyPayload(state, payload);
+    if (rejection) throw new Error(`${rejection.reason}: ${rejection.detail}`);
+  }
+  return state;
+}
+
+function drainMicroseconds(vms: number): number {
+  const state = stateWithVms(vms);
+  const [vm] = state.vms.keys();
+  let round = 0;
+  const milliseconds = fastest(() => {
+    round++;
+    for (let index = 0; index < RECORDS; index++) {
+      const head = {id: `${round}-${index}`, writer: 'capacity', vm};
+      const record =
+        index % 2 === 0
+          ? ({...head, kind: RecordKind.DrainStarted, reason: 'x'} as const)
+          : ({...head, kind: RecordKind.DrainEnded} as const);
+      applyPayload(state, encodeRecord(record));
+    }
+  });
+  return (milliseconds * 1000) / RECORDS;
+}
+
+function listBody(vms: number): string {
+  const listed = Array.from({length: vms}, (_, index) => ({
+    id: `r${Math.floor(index / 16)}-${index % 16}`,
+    address: `10.${(index >> 16) & 255}.${(index >> 8) & 255}.${index & 255}:8080`,
+    dataCentre: `dc-${index % 12}`,
+    rack: `r${Math.floor(index / 16)}`,
+    state: ListedState.Live,
+  }));
+  return JSON.stringify({vms: listed});
+}
+
+/** Slopes of what every daemon keeps and reads. */
+export const STATE_MEASUREMENTS: readonly Measurement[] = [
+  {
+    name: 'folded state in memory',
+    unit: Unit.Bytes,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: vms => heldBytes(() => stateWithVms(vms)),
+  },
+  {
+    name: 'bundle text',
+    unit: Unit.Bytes,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: vms =>
+      syntheticBundle(proportionalSize(vms), keys.publicKey).length,
+  },
+  {
+    name: 'bundle parsed and checked',
+    unit: Unit.Milliseconds,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: vms => {
+      const text = syntheticBundle(proportionalSize(vms), keys.publicKey);
+      return fastest(() => parseBundle(text));
+    },
+  },
+  {
+    name: 'one drain record encoded and applied',
+    unit: Unit.Microseconds,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: drainMicroseconds,
+  },
+  {
+    name: 'list of VMs, one answer',
+    unit: Unit.Bytes,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: vms => listBody(vms).length,
+  },
+  {
+    name: 'list of VMs parsed',
+    unit: Unit.Milliseconds,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: vms => {
+      const body = listBody(vms);
+      return fastest(() => JSON.parse(body));
+    },
+  },
+];
