--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
 import type {CommandContext} from './command-context.js';
 import {bundleCommands} from './commands/bundle.js';
 import {keyCommands} from './commands/keys.js';
+import {reportCommands} from './commands/report.js';
 import {statusCommands} from './commands/status.js';
 import type {ExitCode} from './exit-codes.js';
 
@@ -13,6 +14,7 @@
   ...statusCommands,
   ...bundleCommands,
   ...keyCommands,
+  ...reportCommands,
 ];
 
 /** The operators' command line; `argv` as from the process. Resolves with the exit code. */
--- /dev/null
+++ b/packages/cli/src/report/report-page.ts
@@ -0,0 +1,114 @@
+import type {ReportInput, ReportScenario} from './report-input.js';
+
+const STYLE = `
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto; max-width: 70rem; padding: 0 1rem; color: #222; }
+h2 { margin-top: 2.5rem; border-bottom: 1px solid #ccc; }
+table { border-collapse: collapse; font-variant-numeric: tabular-nums; }
+th, td { padding: .2rem .7rem; text-align: right; border-bottom: 1px solid #eee; }
+th:first-child, td:first-child { text-align: left; }
+.charts { display: grid; grid-template-columns: repeat(auto-fill, minmax(20rem, 1fr)); gap: 1rem; margin: 1rem 0; }
+.chart { height: 16rem; }
+.broken { color: #a00; font-weight: bold; }
+`;
+
+const DRAW_CHARTS = `
+for (const canvas of document.querySelectorAll('canvas')) {
+  const {title, labels, values} = JSON.parse(canvas.dataset.chart);
+  new Chart(canvas, {
+    type: 'bar',
+    data: {labels, datasets: [{data: values, backgroundColor: '#4a7ba6'}]},
+    options: {
+      animation: false,
+      maintainAspectRatio: false,
+      plugins: {legend: {display: false}, title: {display: true, text: title}},
+      scales: {y: {beginAtZero: true}},
+    },
+  });
+}
+`;
+
+/** A self-contained HTML page of results; `chartLibrary` is the script text of the plot library. */
+export function reportPage(input: ReportInput, chartLibrary: string): string {
+  const sections = Object.entries(input).map(([name, scenario]) =>
+    section(name, scenario),
+  );
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>gentiandoor report</title>
+<style>${STYLE}</style>
+</head>
+<body>
+<h1>gentiandoor report</h1>
+<p>${Object.keys(input).length} scenarios; ${countBroken(input)} checks broken.</p>
+${sections.join('\n')}
+<script>${chartLibrary.replaceAll('</script', '<\\/script')}</script>
+<script>${DRAW_CHARTS}</script>
+</body>
+</html>
+`;
+}
+
+function countBroken(input: ReportInput): number {
+  return Object.values(input)
+    .flatMap(scenario => scenario.checks)
+    .filter(check => !check.passed).length;
+}
+
+function section(name: string, scenario: ReportScenario): string {
+  const columns = [
+    ...new Set(scenario.rows.flatMap(row => Object.keys(row.values))),
+  ];
+  return `<section>
+<h2>${escapeHtml(name)}</h2>
+<p>seed ${scenario.seed}</p>
+${checkList(scenario)}
+<div class="charts">${columns.map(column => chart(column, scenario)).join('')}</div>
+${table(columns, scenario)}
+</section>`;
+}
+
+function checkList(scenario: ReportScenario): string {
+  const items = scenario.checks.map(check => {
+    const word = check.passed ? 'held' : '<span class="broken">BROKEN</span>';
+    return `<li>${word}: ${escapeHtml(check.name)}: ${escapeHtml(check.detail)}</li>`;
+  });
+  return `<ul>${items.join('')}</ul>`;
+}
+
+function chart(column: string, scenario: ReportScenario): string {
+  const rows = scenario.rows.filter(row => column in row.values);
+  const data = JSON.stringify({
+    title: column,
+    labels: rows.map(row => row.label),
+    values: rows.map(row => row.values[column]),
+  });
+  return `<div class="chart"><canvas data-chart="${escapeHtml(data)}"></canvas></div>`;
+}
+
+function table(columns: readonly string[], scenario: ReportScenario): string {
+  const head = columns.map(column => `<th>${escapeHtml(column)}</th>`).join('');
+  const body = scenario.rows.map(row => {
+    const cells = columns.map(
+      column => `<td>${formatValue(row.values[column])}</td>`,
+    );
+    return `<tr><td>${escapeHtml(row.label)}</td>${cells.join('')}</tr>`;
+  });
+  return `<table><tr><th></th>${head}</tr>${body.join('')}</table>`;
+}
+
+function formatValue(value: number | undefined): string {
+  if (value === undefined) return '';
+  return Number.isInteger(value)
+    ? String(value)
+    : String(Number(value.toPrecision(4)));
+}
+
+function escapeHtml(text: string): string {
+  return text
+    .replaceAll('&', '&amp;')
+    .replaceAll('<', '&lt;')
+    .replaceAll('>', '&gt;')
+    .replaceAll('"', '&quot;');
+}
