Edges of the request path: one place decides what was sent, body limits, keyed requests, retries, graceful stop

Cause: the first version took a request's body object for the library's own, answered every failure by one table and closed idle connections at once on a stop.

--- a/packages/daemon/src/bin/gentiandoor-daemon.ts
+++ b/packages/daemon/src/bin/gentiandoor-daemon.ts
@@ -11,9 +11,13 @@
   const daemon = new Daemon(parseSettings(readFileSync(path, 'utf8'), path));
   let stopping = false;
   const onSignal = () => {
-    if (stopping) process.exit(EXIT_FAILED);
+    if (stopping) {
+      // The server says what is cut as it stops; the log line is flushed at the exit.
+      void daemon.stop().then(() => process.exit(EXIT_FAILED));
+      return;
+    }
     stopping = true;
-    void daemon.drainAndStop().then(() => process.exit(0));
+    void daemon.drainAndStop().then(() => process.exit(0), fail);
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
--- a/packages/kernel/src/target-transport.ts
+++ b/packages/kernel/src/target-transport.ts
@@ -1,21 +1,23 @@
-import type {Readable} from 'node:stream';
-
 /** A target as the transport needs it. */
 export interface TargetAddress {
   /** VM id. */
   readonly id: string;
   /** IP number and port. */
   readonly address: string;
+  /** Connections that this daemon may hold to the target; the setting's value when undefined. */
+  readonly connections?: number;
 }
 
+/** A request's body: whole, or as a stream that can be sent once; null for none. */
+export type OutgoingBody = Uint8Array | AsyncIterable<Uint8Array> | null;
+
 /** A request on its way to a target. */
 export interface OutgoingRequest {
   readonly method: string;
   readonly path: string;
   /** Names and values in turn, hop-by-hop headers already taken out. */
   readonly headers: readonly string[];
-  /** Null for a request without a body. */
-  readonly body: Readable | null;
+  readonly body: OutgoingBody;
   readonly idempotent: boolean;
   /** Longest time from dispatch to the head of the answer, in milliseconds. */
   readonly headMilliseconds: number;
@@ -35,8 +37,10 @@
   Whole = 'whole',
   /** Ended before any byte of the request went out. */
   NotSent = 'not_sent',
-  /** The connection broke, or the answer was malformed, after bytes went out. */
+  /** The connection broke after bytes went out and before a head came. */
   Broken = 'broken',
+  /** The target sent what is no HTTP answer, or one whose end cannot be told. */
+  Malformed = 'malformed',
   /** No head of an answer in time. */
   TimedOut = 'timed_out',
   /** The answer began and broke off. */
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -1,20 +1,35 @@
 import http from 'node:http';
+import net from 'node:net';
 import Koa from 'koa';
 import {
+  ErrorKind,
+  LogEvent,
+  MetricName,
+  RequestError,
   sleep,
   splitAddress,
   type Clock,
   type DrainState,
+  type Logger,
+  type Metrics,
   type Plugin,
 } from '@gentiandoor/kernel';
+import {
+  CallerConnections,
+  type UnfinishedRequests,
+} from './caller-connections.js';
 import type {CallerHttpOptions} from './caller-http-options.js';
-import type {RequestHandler} from './request-handler.js';
+import {answerError} from './error-answer.js';
+import {RequestUnderWay, type RequestHandler} from './request-handler.js';
 
 const DRAIN_POLL_MILLISECONDS = 20;
+const TIMEOUT_CHECK_MILLISECONDS = 1000;
 
 /** What the server needs. */
 export interface CallerHttpServerDependencies {
   readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly drainState: DrainState;
   readonly callerHttpOptions: CallerHttpOptions;
   readonly requestHandler: RequestHandler;
@@ -23,24 +38,24 @@
 /** Takes callers' connections. */
 export class CallerHttpServer implements Plugin {
   private readonly server: http.Server;
-  private inFlight = 0;
+  private readonly connections: CallerConnections;
+  private readonly sockets = new Set<net.Socket>();
 
   constructor(private readonly dependencies: CallerHttpServerDependencies) {
-    const {callerHttpOptions: options} = dependencies;
-    const koa = new Koa();
-    koa.use(async context => {
-      context.respond = false;
-      await this.handle(context.req, context.res);
+    const {callerHttpOptions: options, clock} = dependencies;
+    this.connections = new CallerConnections(clock);
+    this.server = http.createServer({
+      maxHeaderSize: options.head_bytes,
+      headersTimeout: options.head_milliseconds,
+      requestTimeout: options.request_milliseconds,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
+      keepAliveTimeout: options.keep_alive_milliseconds,
+      // Checked with the rest of the head, so that the answer is one of ours.
+      requireHostHeader: false,
+      insecureHTTPParser: false,
     });
-    this.server = http.createServer(
-      {
-        maxHeaderSize: options.head_bytes,
-        headersTimeout: options.head_milliseconds,
-        keepAliveTimeout: options.keep_alive_milliseconds,
-        requireHostHeader: true,
-      },
-      koa.callback(),
-    );
+    this.listenForRequests();
+    this.listenForConnections();
   }
 
   /** The port in use; differs from the settings where those say 0. */
@@ -49,6 +64,11 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
+  /** What an end at this moment would cut. */
+  get unfinished(): UnfinishedRequests {
+    return this.connections.unfinished;
+  }
+
   async start(): Promise<void> {
     const {host, port} = splitAddress(
       this.dependencies.callerHttpOptions.listen,
@@ -59,29 +79,87 @@
     });
   }
 
+  /**
+   * Listens on until the balancer has seen the health answer, then waits for the
+   * connections to end: busy ones with their next answer, which says `Connection: close`;
+   * idle ones by the keep-alive time that their callers were told. Closing an idle
+   * connection earlier would cut a request that is already on its way on it.
+   */
   async drain(): Promise<void> {
     const {clock, callerHttpOptions: options} = this.dependencies;
-    const end = clock.monotonicMilliseconds() + options.drain_milliseconds;
-    this.server.close();
-    while (this.inFlight > 0 && clock.monotonicMilliseconds() < end) {
+    const end =
+      clock.monotonicMilliseconds() +
+      options.drain_grace_milliseconds +
+      options.drain_milliseconds;
+    await sleep(clock, options.drain_grace_milliseconds);
+    this.stopListening();
+    while (this.sockets.size > 0 && clock.monotonicMilliseconds() < end) {
       await sleep(clock, DRAIN_POLL_MILLISECONDS);
     }
   }
 
   async stop(): Promise<void> {
+    this.stopListening();
+    const {requests, nonIdempotent} = this.unfinished;
+    if (requests > 0) {
+      this.dependencies.logger.warn(LogEvent.DaemonStopForced, {
+        requests,
+        nonIdempotent,
+      });
+    }
+    for (const socket of this.sockets) socket.destroy();
     this.server.close();
     this.server.closeAllConnections();
   }
 
-  private async handle(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    this.inFlight++;
+  /** `http.Server.close` would also close idle connections at once, see `drain`. */
+  private stopListening(): void {
+    if (this.server.listening) net.Server.prototype.close.call(this.server);
+  }
+
+  private listenForRequests(): void {
+    const koa = new Koa();
+    koa.use(async context => {
+      context.respond = false;
+      await this.handle(new RequestUnderWay(context.req, context.res, false));
+    });
+    this.server.on('request', koa.callback());
+    this.server.on('checkContinue', (request, response) => {
+      void this.handle(new RequestUnderWay(request, response, true));
+    });
+    this.server.on('checkExpectation', (_request, response) => {
+      this.refuse(ErrorKind.ExpectationRefused, error =>
+        answerError(response, error, true),
+      );
+    });
+  }
+
+  private listenForConnections(): void {
+    this.server.on('connection', (socket: net.Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    this.server.on('clientError', (error, socket) => {
+      this.connections.fail(error, socket as net.Socket);
+    });
+    this.server.on('connect', (_request, socket) => {
+      this.refuse(ErrorKind.UpgradeRefused, error =>
+        this.connections.answerAndClose(socket as net.Socket, error),
+      );
+    });
+  }
+
+  private refuse(kind: ErrorKind, answer: (error: RequestError) => void): void {
+    this.dependencies.metrics.increment(MetricName.Refusals, {reason: kind});
+    answer(new RequestError(kind, 'not supported'));
+  }
+
+  private async handle(item: RequestUnderWay): Promise<void> {
+    this.connections.enter(item);
     try {
-      await this.dependencies.requestHandler.handle(request, response);
+      await this.dependencies.requestHandler.handle(item);
     } finally {
-      this.inFlight--;
+      this.connections.leave(item);
     }
   }
 }
--- /dev/null
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -0,0 +1,108 @@
+import type {ServerResponse} from 'node:http';
+import {
+  RunOutcome,
+  type Clock,
+  type DrainState,
+  type Exchange,
+  type Timer,
+} from '@gentiandoor/kernel';
+import {RUN_HEADER} from './error-answer.js';
+import {endToEndTrailers} from './headers.js';
+
+/** What the caller's side of a request needs. */
+export interface CallerSideDependencies {
+  readonly clock: Clock;
+  readonly drainState: DrainState;
+  /** Longest time a caller may leave an answer unread. */
+  readonly progressMilliseconds: number;
+}
+
+/**
+ * The caller's side of one request: writes the answer at the caller's pace, and knows
+ * whether the caller is still there.
+ */
+export class CallerSide {
+  private exchange: Exchange | undefined;
+  private keepsExchange = false;
+  private unreadTimer: Timer | undefined;
+  private closed = false;
+  private readonly goneListeners: Array<() => void> = [];
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly dependencies: CallerSideDependencies,
+  ) {
+    response.on('close', () => this.onClose());
+    response.on('drain', () => this.onDrain());
+  }
+
+  /** True once the caller has closed the connection before its answer was out. */
+  get isGone(): boolean {
+    return this.closed && !this.response.writableFinished;
+  }
+
+  /** True once part of an answer is out: nothing else can be answered any more. */
+  get hasHead(): boolean {
+    return this.response.headersSent;
+  }
+
+  /** Calls `listener` when the caller goes before its answer is out. */
+  onGone(listener: () => void): void {
+    this.goneListeners.push(listener);
+  }
+
+  /**
+   * Joins an exchange to the caller's pace. When the caller goes, the exchange is given up,
+   * unless `keep` says that the target's work must be seen to its end.
+   */
+  attach(exchange: Exchange, keep: boolean): void {
+    this.exchange = exchange;
+    this.keepsExchange = keep;
+  }
+
+  head(status: number, headers: readonly string[]): void {
+    if (this.isGone) return;
+    const all = [...headers, RUN_HEADER, RunOutcome.Run];
+    if (this.dependencies.drainState.isDraining)
+      all.push('connection', 'close');
+    this.response.writeHead(status, all);
+  }
+
+  /** False asks to wait until the caller has read on. */
+  data(chunk: Buffer): boolean {
+    if (this.isGone) return true;
+    const readOn = this.response.write(chunk);
+    if (!readOn) this.startUnreadTimer();
+    return readOn;
+  }
+
+  end(trailers: readonly string[]): void {
+    if (this.isGone) return;
+    const kept = trailers.length > 0 ? endToEndTrailers(trailers) : [];
+    if (kept.length > 0) this.response.addTrailers(kept);
+    this.response.end();
+  }
+
+  private onDrain(): void {
+    this.unreadTimer?.cancel();
+    this.unreadTimer = undefined;
+    this.exchange?.resume();
+  }
+
+  /** A caller that reads nothing would hold a target's slot for as long as it likes. */
+  private startUnreadTimer(): void {
+    const {clock, progressMilliseconds} = this.dependencies;
+    this.unreadTimer ??= clock.schedule(progressMilliseconds, () =>
+      this.response.destroy(),
+    );
+  }
+
+  private onClose(): void {
+    this.closed = true;
+    this.unreadTimer?.cancel();
+    if (!this.isGone) return;
+    for (const listener of this.goneListeners) listener();
+    if (this.keepsExchange) this.exchange?.resume();
+    else this.exchange?.abort();
+  }
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/error-answer.ts
@@ -0,0 +1,75 @@
+import type {ServerResponse} from 'node:http';
+import {
+  ERROR_ANSWERS,
+  ErrorKind,
+  RequestError,
+  RunOutcome,
+  toError,
+} from '@gentiandoor/kernel';
+
+/** Header that tells the caller whether the request was run: no, unknown or yes. */
+export const RUN_HEADER = 'gentiandoor-run';
+/** Header that gives the error kind. */
+export const REASON_HEADER = 'gentiandoor-reason';
+
+/** Makes a `RequestError` of whatever was thrown. */
+export function toRequestError(thrown: unknown): RequestError {
+  if (thrown instanceof RequestError) return thrown;
+  const error = toError(thrown);
+  return new RequestError(ErrorKind.Internal, error.stack ?? error.message, {
+    cause: error,
+  });
+}
+
+/** Headers and body of the answer to an error, the headers as names and values in turn. */
+export function errorMessage(error: RequestError): {
+  readonly status: number;
+  readonly headers: string[];
+  readonly body: Buffer;
+} {
+  const {status, advice} = ERROR_ANSWERS[error.kind];
+  const detail = error.kind === ErrorKind.Internal ? undefined : error.message;
+  const body = Buffer.from(
+    JSON.stringify({error: error.kind, run: error.run, advice, detail}),
+  );
+  const headers = [
+    'content-type',
+    'application/json',
+    'content-length',
+    String(body.length),
+    RUN_HEADER,
+    error.run,
+    REASON_HEADER,
+    error.kind,
+  ];
+  if (error.run !== RunOutcome.Run && error.retryAfterSeconds !== undefined)
+    headers.push('retry-after', String(error.retryAfterSeconds));
+  return {status, headers, body};
+}
+
+/** Answers an error, or cuts an answer that has begun. */
+export function answerError(
+  response: ServerResponse,
+  error: RequestError,
+  close: boolean,
+): void {
+  if (response.headersSent) {
+    // Part of an answer is out: only a cut connection tells the caller that it is not whole.
+    response.destroy();
+    return;
+  }
+  const {status, headers, body} = errorMessage(error);
+  if (close) headers.push('connection', 'close');
+  response.writeHead(status, headers);
+  response.end(body);
+}
+
+/** The same as bytes, for a connection that has no response object. */
+export function rawErrorAnswer(error: RequestError): Buffer {
+  const {status, headers, body} = errorMessage(error);
+  const lines = [`HTTP/1.1 ${status} ${error.kind}`];
+  for (let index = 0; index < headers.length; index += 2)
+    lines.push(`${headers[index]}: ${headers[index + 1]}`);
+  lines.push('connection: close', '', '');
+  return Buffer.concat([Buffer.from(lines.join('\r\n')), body]);
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/held-answer-recorder.ts
@@ -0,0 +1,29 @@
+import type {HeldAnswer} from '@gentiandoor/shared-state';
+
+/** Keeps a copy of an answer on its way to the caller, as long as it is small enough to hold. */
+export class HeldAnswerRecorder {
+  private status = 0;
+  private headers: readonly string[] = [];
+  private readonly chunks: Buffer[] = [];
+  private size = 0;
+
+  constructor(private readonly limitBytes: number) {}
+
+  head(status: number, headers: readonly string[]): void {
+    this.status = status;
+    this.headers = [...headers];
+  }
+
+  data(chunk: Buffer): void {
+    this.size += chunk.length;
+    if (this.size <= this.limitBytes) this.chunks.push(chunk);
+    else this.chunks.length = 0;
+  }
+
+  /** The answer, whole; undefined where it was too large. Valid after its end. */
+  get answer(): HeldAnswer | undefined {
+    if (this.status === 0 || this.size > this.limitBytes) return undefined;
+    const body = Buffer.concat(this.chunks);
+    return {status: this.status, headers: this.headers, body};
+  }
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/incoming-request.ts
@@ -0,0 +1,191 @@
+import type {IncomingMessage} from 'node:http';
+import {ErrorKind, RequestError, type DrainState} from '@gentiandoor/kernel';
+import {
+  KeyRule,
+  type ServiceEntry,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import type {CallerDirectory, KnownCaller} from './caller-directory.js';
+import type {CallerHttpOptions} from './caller-http-options.js';
+import {addForwarding, endToEndHeaders, valuesOf} from './headers.js';
+import type {ServiceRouter} from './service-router.js';
+
+const IDEMPOTENT_METHODS = new Set([
+  'GET',
+  'HEAD',
+  'OPTIONS',
+  'PUT',
+  'DELETE',
+  'TRACE',
+]);
+const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+const IDEMPOTENCY_KEY = /^[\x21-\x2b\x2d-\x7e]{1,200}$/;
+/** Tells the target which caller of the bundle sent the request. */
+const CALLER_HEADER = 'gentiandoor-caller';
+const DOT_SEGMENT = /(^|\/)(\.|%2e){1,2}(\/|$)/i;
+const ABSOLUTE_FORM = /^https?:\/\/[^/?#]*/i;
+
+/** A request whose head has been checked. */
+export interface IncomingRequest {
+  readonly service: string;
+  readonly entry: ServiceEntry;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn, as they go to the target. */
+  readonly headers: string[];
+  readonly idempotent: boolean;
+  readonly caller: KnownCaller | undefined;
+  /** Undefined without one, and for idempotent methods, which need none. */
+  readonly idempotencyKey: string | undefined;
+}
+
+/** What the check of a head needs. */
+export interface HeadCheckDependencies {
+  readonly callerHttpOptions: CallerHttpOptions;
+  readonly callerDirectory: CallerDirectory;
+  readonly drainState: DrainState;
+  readonly serviceRouter: ServiceRouter;
+  readonly sharedState: SharedState;
+}
+
+/** Checks the head of a request before anything of its body is read. */
+export class HeadCheck {
+  constructor(private readonly dependencies: HeadCheckDependencies) {}
+
+  /** Throws the `RequestError` that turns the request away. */
+  check(request: IncomingMessage): IncomingRequest {
+    checkForm(request);
+    this.checkLength(request);
+    const method = request.method ?? 'GET';
+    const path = pathOf(request.url ?? '/');
+    const service = serviceName(path);
+    const entry = this.entryOf(service);
+    const caller = this.callerOf(request, service, entry);
+    const idempotent = IDEMPOTENT_METHODS.has(method);
+    return {
+      service,
+      entry,
+      method,
+      path,
+      headers: outgoingHeaders(request, caller),
+      idempotent,
+      caller,
+      idempotencyKey: idempotent ? undefined : keyOf(request, entry),
+    };
+  }
+
+  private checkLength(request: IncomingMessage): void {
+    const limit = this.dependencies.callerHttpOptions.body_bytes;
+    const length = request.headers['content-length'];
+    if (length !== undefined && Number(length) > limit) {
+      throw new RequestError(
+        ErrorKind.BodyTooLarge,
+        `${length} bytes announced, ${limit} allowed`,
+      );
+    }
+  }
+
+  private entryOf(service: string): ServiceEntry {
+    const {inForce} = this.dependencies.sharedState.state;
+    // The name comes from the caller: `constructor` must not find what objects inherit.
+    if (inForce && !Object.hasOwn(inForce.bundle.services, service)) {
+      throw new RequestError(
+        ErrorKind.UnknownService,
+        `no service "${service}"`,
+      );
+    }
+    return this.dependencies.serviceRouter.service(service);
+  }
+
+  private callerOf(
+    request: IncomingMessage,
+    service: string,
+    entry: ServiceEntry,
+  ): KnownCaller | undefined {
+    const caller = this.dependencies.callerDirectory.find(
+      request.headers.authorization,
+    );
+    if (caller || !entry.callersOnly) return caller;
+    throw new RequestError(
+      ErrorKind.UnknownCaller,
+      `${service} serves only callers named in the bundle`,
+    );
+  }
+}
+
+/** What the parser lets through and two readers could read in two ways. */
+function checkForm(request: IncomingMessage): void {
+  const hosts = valuesOf(request.rawHeaders, 'host');
+  if (hosts.length > 1) throw badRequest('more than one Host header');
+  if (hosts.length === 0 && request.httpVersion === '1.1')
+    throw badRequest('no Host header');
+  if (request.headers.upgrade !== undefined && !isOnlyH2c(request)) {
+    throw new RequestError(
+      ErrorKind.UpgradeRefused,
+      `no upgrade to ${request.headers.upgrade}`,
+    );
+  }
+}
+
+/** Some clients offer HTTP/2 with every request and go on without: that is no refusal. */
+function isOnlyH2c(request: IncomingMessage): boolean {
+  return request.headers.upgrade?.trim().toLowerCase() === 'h2c';
+}
+
+function pathOf(url: string): string {
+  const path = url.replace(ABSOLUTE_FORM, '');
+  if (path === '') return '/';
+  if (path.startsWith('?')) return `/${path}`;
+  if (!path.startsWith('/')) throw badRequest('the path must start with /');
+  if (DOT_SEGMENT.test(path.split('?', 1)[0])) {
+    // A target that resolves them could serve what this daemon took for another service.
+    throw badRequest('the path must not have . or .. segments');
+  }
+  return path;
+}
+
+/** The first part of the path names the service. */
+function serviceName(path: string): string {
+  return /^\/([^/?#]*)/.exec(path)?.[1] ?? '';
+}
+
+function outgoingHeaders(
+  request: IncomingMessage,
+  caller: KnownCaller | undefined,
+): string[] {
+  const headers = endToEndHeaders(request.rawHeaders);
+  addForwarding(headers, request.socket.remoteAddress);
+  if (!caller) return headers;
+  // The key is for this daemon; a target needs only the name.
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index].toLowerCase() === 'authorization') continue;
+    kept.push(headers[index], headers[index + 1]);
+  }
+  kept.push(CALLER_HEADER, caller.name);
+  return kept;
+}
+
+function keyOf(
+  request: IncomingMessage,
+  entry: ServiceEntry,
+): string | undefined {
+  const values = valuesOf(request.rawHeaders, IDEMPOTENCY_KEY_HEADER);
+  if (values.length === 0) {
+    if (entry.keyRule !== KeyRule.Required) return undefined;
+    throw new RequestError(ErrorKind.KeyRequired, 'no Idempotency-Key header');
+  }
+  if (values.length > 1)
+    throw new RequestError(ErrorKind.KeyInvalid, 'more than one key');
+  if (!IDEMPOTENCY_KEY.test(values[0])) {
+    throw new RequestError(
+      ErrorKind.KeyInvalid,
+      'expected 1 to 200 visible ASCII characters without a comma',
+    );
+  }
+  return values[0];
+}
+
+function badRequest(detail: string): RequestError {
+  return new RequestError(ErrorKind.BadRequest, detail);
+}
--- a/packages/plugin-caller-http/src/index.ts
+++ b/packages/plugin-caller-http/src/index.ts
@@ -1,12 +1,17 @@
 import {asClass, asValue} from 'awilix';
 import type {PluginRegistry} from '@gentiandoor/kernel';
+import {CallerDirectory} from './caller-directory.js';
 import {callerHttpOptions} from './caller-http-options.js';
 import {CallerHttpServer} from './caller-http-server.js';
+import {HeadCheck} from './incoming-request.js';
+import {KeyedRequests} from './keyed-requests.js';
+import {RequestDispatcher} from './request-dispatcher.js';
 import {RequestHandler} from './request-handler.js';
 import {ServiceRouter} from './service-router.js';
 
 export {CallerHttpServer} from './caller-http-server.js';
-export {REASON_HEADER, RUN_HEADER} from './request-handler.js';
+export {REASON_HEADER, RUN_HEADER} from './error-answer.js';
+export {REPLAYED_HEADER} from './keyed-requests.js';
 
 /** Registers the edge to callers. */
 export function registerCallerHttp(registry: PluginRegistry): void {
@@ -18,6 +23,10 @@
       container.register({
         callerHttpOptions: asValue(options),
         serviceRouter: asClass(ServiceRouter).singleton(),
+        callerDirectory: asClass(CallerDirectory).singleton(),
+        headCheck: asClass(HeadCheck).singleton(),
+        requestDispatcher: asClass(RequestDispatcher).singleton(),
+        keyedRequests: asClass(KeyedRequests).singleton(),
         requestHandler: asClass(RequestHandler).singleton(),
         callerHttp: asClass(CallerHttpServer).singleton(),
       });
--- /dev/null
+++ b/packages/plugin-caller-http/src/keyed-requests.ts
@@ -0,0 +1,111 @@
+import {createHash} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
+import {
+  ErrorKind,
+  RequestError,
+  RunOutcome,
+  type DrainState,
+} from '@gentiandoor/kernel';
+import type {HeldAnswer, HeldClaim, OnceOnly} from '@gentiandoor/shared-state';
+import type {CallerHttpOptions} from './caller-http-options.js';
+import type {CallerSide} from './caller-side.js';
+import {RUN_HEADER, toRequestError} from './error-answer.js';
+import {HeldAnswerRecorder} from './held-answer-recorder.js';
+import type {ReadyRequest, RequestDispatcher} from './request-dispatcher.js';
+
+/** Says that the answer is the one that an earlier request with the key got. */
+export const REPLAYED_HEADER = 'gentiandoor-replayed';
+/** Callers without a key of the bundle share this one: they cannot be told apart. */
+const ANONYMOUS = '';
+
+/** What keyed requests need. */
+export interface KeyedRequestsDependencies {
+  readonly callerHttpOptions: CallerHttpOptions;
+  readonly drainState: DrainState;
+  readonly onceOnly: OnceOnly;
+  readonly requestDispatcher: RequestDispatcher;
+}
+
+/** Runs a request under its idempotency key: claim, then slot, then dispatch. */
+export class KeyedRequests {
+  constructor(private readonly dependencies: KeyedRequestsDependencies) {}
+
+  /** Resolves when the caller has a whole answer, of now or of then; throws `RequestError`. */
+  async send(
+    request: ReadyRequest,
+    key: string,
+    caller: CallerSide,
+    response: ServerResponse,
+  ): Promise<void> {
+    const gone = new AbortController();
+    caller.onGone(() => gone.abort());
+    const decision = await this.dependencies.onceOnly.begin(
+      {
+        service: request.service,
+        caller: request.caller?.name ?? ANONYMOUS,
+        key,
+        fingerprint: fingerprintOf(request),
+      },
+      gone.signal,
+    );
+    if (decision.run) await this.run(request, caller, decision.claim);
+    else this.replay(response, decision.answer);
+  }
+
+  private async run(
+    request: ReadyRequest,
+    caller: CallerSide,
+    claim: HeldClaim,
+  ): Promise<void> {
+    const {callerHttpOptions, requestDispatcher} = this.dependencies;
+    const recorder = new HeldAnswerRecorder(
+      callerHttpOptions.held_answer_bytes,
+    );
+    try {
+      await requestDispatcher.send(request, caller, recorder);
+    } catch (error) {
+      settle(claim, toRequestError(error).run, recorder);
+      throw error;
+    }
+    claim.finish(recorder.answer);
+  }
+
+  private replay(response: ServerResponse, answer: HeldAnswer): void {
+    const headers = [
+      ...answer.headers,
+      RUN_HEADER,
+      RunOutcome.Run,
+      REPLAYED_HEADER,
+      'yes',
+    ];
+    if (this.dependencies.drainState.isDraining)
+      headers.push('connection', 'close');
+    response.writeHead(answer.status, headers);
+    response.end(answer.body);
+  }
+}
+
+/** The one place that ends a claim after a failure. */
+function settle(
+  claim: HeldClaim,
+  run: RunOutcome,
+  recorder: HeldAnswerRecorder,
+): void {
+  if (run === RunOutcome.NotRun) claim.release();
+  else if (run === RunOutcome.Run) claim.finish(recorder.answer);
+  else claim.lose();
+}
+
+/** Digest of method, path and body; the lengths keep one from running into the next. */
+function fingerprintOf(request: ReadyRequest): string {
+  const {method, path, body} = request;
+  if (body !== null && !(body instanceof Uint8Array)) {
+    throw new RequestError(
+      ErrorKind.BodyTooLarge,
+      'a request with an idempotency key must fit into keyed_body_bytes',
+    );
+  }
+  const hash = createHash('sha256').update(`${method} ${path}\n`);
+  if (body !== null) hash.update(body);
+  return hash.digest('hex');
+}
--- a/packages/plugin-caller-http/src/request-handler.ts
+++ b/packages/plugin-caller-http/src/request-handler.ts
@@ -1,32 +1,22 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  ERROR_ANSWERS,
   ErrorKind,
-  ExchangeEnd,
   LogEvent,
   MetricName,
   RequestError,
-  RunOutcome,
-  toError,
-  type AnswerSink,
   type Clock,
   type DrainState,
-  type ExchangeResult,
   type Logger,
   type Metrics,
-  type OutgoingRequest,
-  type TargetTransport,
+  type OutgoingBody,
 } from '@gentiandoor/kernel';
-import type {ServiceEntry} from '@gentiandoor/shared-state';
-import {stripHopByHop} from './headers.js';
-import type {HeldSlot, ServiceRouter} from './service-router.js';
-
-/** Header that tells the caller whether the request was run: no, unknown or yes. */
-export const RUN_HEADER = 'gentiandoor-run';
-/** Header that gives the error kind. */
-export const REASON_HEADER = 'gentiandoor-reason';
-
-const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+import {BodyReader} from './body-reader.js';
+import type {CallerHttpOptions} from './caller-http-options.js';
+import {CallerSide} from './caller-side.js';
+import {answerError, toRequestError} from './error-answer.js';
+import type {HeadCheck, IncomingRequest} from './incoming-request.js';
+import type {KeyedRequests} from './keyed-requests.js';
+import type {RequestDispatcher} from './request-dispatcher.js';
 
 /** What a request needs. */
 export interface RequestHandlerDependencies {
@@ -34,8 +24,37 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly drainState: DrainState;
-  readonly serviceRouter: ServiceRouter;
-  readonly targetTransport: TargetTransport;
+  readonly callerHttpOptions: CallerHttpOptions;
+  readonly headCheck: HeadCheck;
+  readonly keyedRequests: KeyedRequests;
+  readonly requestDispatcher: RequestDispatcher;
+}
+
+/** A request under way, for the connection's own errors. */
+export class RequestUnderWay {
+  /** Undefined until the request's body is read, and for one without a body. */
+  reader: BodyReader | undefined;
+  /** Undefined until the head has been checked. */
+  idempotent: boolean | undefined;
+  private failure: RequestError | undefined;
+
+  constructor(
+    readonly request: IncomingMessage,
+    readonly response: ServerResponse,
+    /** Whether the caller waits for `100 Continue` before it sends the body. */
+    readonly expectsContinue: boolean,
+  ) {}
+
+  /** The connection failed within the request's body. */
+  fail(error: RequestError): void {
+    this.failure ??= error;
+    this.reader?.fail(error);
+  }
+
+  /** Throws what `fail` was given. */
+  check(): void {
+    if (this.failure) throw this.failure;
+  }
 }
 
 /** Takes one request from its head to the end of its answer. */
@@ -43,60 +62,74 @@
   constructor(private readonly dependencies: RequestHandlerDependencies) {}
 
   /** Never throws: whatever happens, the caller is answered or cut off. */
-  async handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const {metrics} = this.dependencies;
+  async handle(underWay: RequestUnderWay): Promise<void> {
+    const {clock, metrics} = this.dependencies;
+    const start = clock.monotonicMilliseconds();
     try {
-      await this.serve(request, response);
+      const service = await this.serve(underWay, start);
+      const taken = clock.monotonicMilliseconds() - start;
+      metrics.increment(MetricName.Requests, {service});
+      metrics.timing(MetricName.RequestDuration, taken, {service});
     } catch (error) {
-      const refusal = toRequestError(error);
-      metrics.increment(MetricName.Refusals, {reason: refusal.kind});
-      this.log(refusal);
-      answerError(response, refusal);
+      this.refuse(underWay, toRequestError(error));
     }
   }
 
+  /** Resolves with the service's name when the caller has a whole answer. */
   private async serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const {drainState, serviceRouter, metrics} = this.dependencies;
-    if (drainState.isDraining) response.setHeader('connection', 'close');
-    const name = serviceName(request.url ?? '/');
-    const service = serviceRouter.service(name);
-    const slot = await serviceRouter.acquire(name);
-    try {
-      const result = await this.exchange(request, response, service, slot);
-      if (result.end !== ExchangeEnd.Whole) throw failureOf(result);
-      metrics.increment(MetricName.Requests, {service: name});
-    } finally {
-      slot.release();
-    }
+    underWay: RequestUnderWay,
+    start: number,
+  ): Promise<string> {
+    const {callerHttpOptions, clock, drainState, headCheck} = this.dependencies;
+    const {request, response} = underWay;
+    const incoming = headCheck.check(request);
+    underWay.idempotent = incoming.idempotent;
+    const caller = new CallerSide(response, {
+      clock,
+      drainState,
+      progressMilliseconds: callerHttpOptions.progress_milliseconds,
+    });
+    const body = hasBody(request)
+      ? await this.readBody(underWay, incoming)
+      : null;
+    const deadline = start + incoming.entry.deadlineMilliseconds;
+    const ready = {...incoming, body, deadline};
+    const {keyedRequests, requestDispatcher} = this.dependencies;
+    const key = incoming.idempotencyKey;
+    if (key === undefined) await requestDispatcher.send(ready, caller);
+    else await keyedRequests.send(ready, key, caller, response);
+    return incoming.service;
   }
 
-  private exchange(
-    request: IncomingMessage,
-    response: ServerResponse,
-    service: ServiceEntry,
-    slot: HeldSlot,
-  ): Promise<ExchangeResult> {
-    const sink = new ResponseSink(response);
-    const exchange = this.dependencies.targetTransport.begin(
-      slot,
-      toOutgoing(request, service),
-      sink,
+  private readBody(
+    underWay: RequestUnderWay,
+    incoming: IncomingRequest,
+  ): Promise<OutgoingBody> {
+    const {callerHttpOptions: options, clock} = this.dependencies;
+    const keyed = incoming.idempotencyKey !== undefined;
+    const {request} = underWay;
+    const reader = new BodyReader(
+      request,
+      {
+        bufferedBytes: keyed
+          ? options.keyed_body_bytes
+          : options.buffered_body_bytes,
+        totalBytes: keyed
+          ? Math.min(options.keyed_body_bytes, options.body_bytes)
+          : options.body_bytes,
+        progressMilliseconds: options.progress_milliseconds,
+      },
+      clock,
     );
-    response.on('drain', () => exchange.resume());
-    response.on('close', () => {
-      if (!response.writableFinished) exchange.abort();
-    });
-    return exchange.done;
+    underWay.reader = reader;
+    underWay.check();
+    if (underWay.expectsContinue) underWay.response.writeContinue();
+    return reader.read();
   }
 
-  private log(error: RequestError): void {
-    const {logger} = this.dependencies;
+  private refuse(underWay: RequestUnderWay, error: RequestError): void {
+    const {drainState, logger, metrics} = this.dependencies;
+    metrics.increment(MetricName.Refusals, {reason: error.kind});
     if (error.kind === ErrorKind.Internal) {
       logger.error(LogEvent.RequestInternalError, {error: error.message});
     } else {
@@ -105,98 +138,15 @@
         detail: error.message,
       });
     }
+    // The caller may or may not send the body that it was not asked for: only a new
+    // connection makes clear where the next request begins.
+    const unasked = underWay.expectsContinue && !underWay.reader;
+    answerError(underWay.response, error, drainState.isDraining || unasked);
   }
 }
 
-/** Writes a target's answer to the caller as it comes. */
-class ResponseSink implements AnswerSink {
-  constructor(private readonly response: ServerResponse) {}
-
-  onHead(status: number, headers: readonly string[]): void {
-    const kept = stripHopByHop(headers);
-    kept.push(RUN_HEADER, RunOutcome.Run);
-    this.response.writeHead(status, kept);
-  }
-
-  onData(chunk: Buffer): boolean {
-    return this.response.write(chunk);
-  }
-
-  onEnd(): void {
-    this.response.end();
-  }
-}
-
-function toOutgoing(
-  request: IncomingMessage,
-  service: ServiceEntry,
-): OutgoingRequest {
-  const method = request.method ?? 'GET';
-  return {
-    method,
-    path: request.url ?? '/',
-    headers: stripHopByHop(request.rawHeaders),
-    body: hasBody(request) ? request : null,
-    idempotent: IDEMPOTENT_METHODS.has(method),
-    headMilliseconds: service.deadlineMilliseconds,
-  };
-}
-
 function hasBody(request: IncomingMessage): boolean {
   const length = request.headers['content-length'];
   if (request.headers['transfer-encoding'] !== undefined) return true;
   return length !== undefined && length !== '0';
 }
-
-/** The first part of the path names the service. */
-function serviceName(url: string): string {
-  const [path] = url.split('?', 1);
-  return path.split('/')[1] ?? '';
-}
-
-const KIND_OF_END: Readonly<Record<ExchangeEnd, ErrorKind>> = {
-  [ExchangeEnd.Whole]: ErrorKind.Internal,
-  [ExchangeEnd.NotSent]: ErrorKind.TargetUnreachable,
-  [ExchangeEnd.Broken]: ErrorKind.TargetFailed,
-  [ExchangeEnd.TimedOut]: ErrorKind.TargetTimeout,
-  [ExchangeEnd.Truncated]: ErrorKind.AnswerTruncated,
-  [ExchangeEnd.Aborted]: ErrorKind.CallerGone,
-};
-
-function failureOf(result: ExchangeResult): RequestError {
-  const kind = KIND_OF_END[result.end];
-  return new RequestError(kind, result.error?.message ?? result.end, {
-    cause: result.error,
-  });
-}
-
-function toRequestError(thrown: unknown): RequestError {
-  if (thrown instanceof RequestError) return thrown;
-  const error = toError(thrown);
-  return new RequestError(ErrorKind.Internal, error.stack ?? error.message, {
-    cause: error,
-  });
-}
-
-function answerError(response: ServerResponse, error: RequestError): void {
-  if (response.headersSent) {
-    // Part of an answer is out: only a cut connection tells the caller that it is not whole.
-    response.destroy();
-    return;
-  }
-  const {status, advice} = ERROR_ANSWERS[error.kind];
-  const body = JSON.stringify({
-    error: error.kind,
-    run: error.run,
-    advice,
-    detail: error.message,
-  });
-  response.statusCode = status;
-  response.setHeader('content-type', 'application/json');
-  response.setHeader(RUN_HEADER, error.run);
-  response.setHeader(REASON_HEADER, error.kind);
-  if (error.retryAfterSeconds !== undefined) {
-    response.setHeader('retry-after', String(error.retryAfterSeconds));
-  }
-  response.end(body);
-}
--- a/packages/plugin-target-http/src/http-target-transport.ts
+++ b/packages/plugin-target-http/src/http-target-transport.ts
@@ -1,35 +1,47 @@
 import {
   ExchangeEnd,
+  LogEvent,
   type AnswerSink,
   type Clock,
   type Exchange,
+  type ExchangeResult,
+  type Logger,
   type OutgoingRequest,
   type Plugin,
   type TargetAddress,
   type TargetTransport,
 } from '@gentiandoor/kernel';
-import {TargetConnection} from './target-connection.js';
+import type {TargetConnection} from './target-connection.js';
+import {TargetConnections} from './target-connections.js';
 import type {TargetHttpOptions} from './target-http-options.js';
 
 /** What the transport needs. */
 export interface HttpTargetTransportDependencies {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly targetHttpOptions: TargetHttpOptions;
 }
 
+interface SettledExchange extends ExchangeResult {
+  readonly reusable: boolean;
+}
+
 /** Carries requests to targets over HTTP, and keeps idle connections for the next one. */
 export class HttpTargetTransport implements TargetTransport, Plugin {
-  private readonly idle = new Map<string, TargetConnection[]>();
-  private readonly all = new Set<TargetConnection>();
+  private readonly targets = new Map<string, TargetConnections>();
 
   constructor(private readonly dependencies: HttpTargetTransportDependencies) {}
 
   async start(): Promise<void> {}
 
   async stop(): Promise<void> {
-    for (const connection of this.all) connection.destroy();
-    this.all.clear();
-    this.idle.clear();
+    for (const connections of this.targets.values()) connections.closeAll();
+    this.targets.clear();
+  }
+
+  /** Connections open to a target's address. */
+  openConnections(address: string): number {
+    return this.targets.get(address)?.size ?? 0;
   }
 
   begin(
@@ -37,51 +49,86 @@
     request: OutgoingRequest,
     sink: AnswerSink,
   ): Exchange {
-    const connection =
-      this.takeIdle(target.address) ?? this.open(target.address);
+    const {clock, targetHttpOptions: options} = this.dependencies;
+    const connections = this.connectionsTo(target.address);
+    const connection = connections.take(
+      request.idempotent,
+      target.connections ?? options.connections,
+      clock.monotonicMilliseconds(),
+    );
+    if (!connection) return new RefusedExchange(target);
     const exchange = connection.begin(request, sink);
-    void exchange.done.then(result => {
-      if (result.end === ExchangeEnd.Whole)
-        this.giveBack(target.address, connection);
-      else this.discard(connection);
-    });
+    void exchange.done.then(result =>
+      this.settle(target, connections, connection, {
+        ...result,
+        reusable: exchange.keepsConnection,
+      }),
+    );
     return exchange;
   }
 
-  private takeIdle(address: string): TargetConnection | undefined {
-    const {clock, targetHttpOptions: options} = this.dependencies;
-    const now = clock.monotonicMilliseconds();
-    const list = this.idle.get(address) ?? [];
-    for (let connection = list.pop(); connection; connection = list.pop()) {
-      const fresh = now - connection.idleSince < options.idle_milliseconds;
-      if (fresh && connection.isUsable) return connection;
-      this.discard(connection);
+  private settle(
+    target: TargetAddress,
+    connections: TargetConnections,
+    connection: TargetConnection,
+    result: SettledExchange,
+  ): void {
+    if (result.end === ExchangeEnd.Whole && result.reusable) {
+      const now = this.dependencies.clock.monotonicMilliseconds();
+      connections.giveBack(connection, now);
+    } else {
+      connections.discard(connection);
+      if (isSilence(result)) this.suspectSiblings(target, connections);
     }
-    return undefined;
+    if (connections.size === 0) this.targets.delete(target.address);
   }
 
-  private open(address: string): TargetConnection {
-    const connection = new TargetConnection(
-      address,
-      this.dependencies.targetHttpOptions,
-    );
-    this.all.add(connection);
-    return connection;
+  private suspectSiblings(
+    target: TargetAddress,
+    connections: TargetConnections,
+  ): void {
+    const closed = connections.closeIdle();
+    this.dependencies.logger.warn(LogEvent.TargetSilent, {
+      target: target.id,
+      address: target.address,
+      siblingsClosed: closed,
+    });
   }
 
-  private giveBack(address: string, connection: TargetConnection): void {
-    if (!connection.isUsable) {
-      this.discard(connection);
-      return;
+  private connectionsTo(address: string): TargetConnections {
+    let connections = this.targets.get(address);
+    if (!connections) {
+      connections = new TargetConnections(
+        address,
+        this.dependencies.targetHttpOptions,
+      );
+      this.targets.set(address, connections);
     }
-    connection.idleSince = this.dependencies.clock.monotonicMilliseconds();
-    const list = this.idle.get(address) ?? [];
-    list.push(connection);
-    this.idle.set(address, list);
+    return connections;
   }
+}
 
-  private discard(connection: TargetConnection): void {
-    this.all.delete(connection);
-    connection.destroy();
+/** An exchange that was never begun: the target has all the connections it may have. */
+class RefusedExchange implements Exchange {
+  readonly done: Promise<ExchangeResult>;
+
+  constructor(target: TargetAddress) {
+    this.done = Promise.resolve({
+      end: ExchangeEnd.NotSent,
+      error: new Error(`${target.id} has all its connections in use`),
+    });
   }
+
+  resume(): void {}
+
+  abort(): void {}
+}
+
+const BODY_TIMEOUT_CODE = 'UND_ERR_BODY_TIMEOUT';
+
+function isSilence({end, error}: ExchangeResult): boolean {
+  if (end === ExchangeEnd.TimedOut) return true;
+  return (
+    error !== undefined && 'code' in error && error.code === BODY_TIMEOUT_CODE
+  );
 }
--- /dev/null
+++ b/packages/plugin-target-http/src/target-exchange.ts
@@ -0,0 +1,174 @@
+import type {Dispatcher} from 'undici';
+import {
+  ExchangeEnd,
+  toError,
+  type AnswerSink,
+  type Exchange,
+  type ExchangeResult,
+  type OutgoingBody,
+  type OutgoingRequest,
+} from '@gentiandoor/kernel';
+import {
+  announcesClose,
+  isMalformed,
+  wholenessProblem,
+} from './answer-framing.js';
+
+/** Status codes below are interim answers: the final one follows. */
+const FIRST_FINAL_STATUS = 200;
+
+/** What an exchange asks of its connection. */
+export interface ExchangeConnection {
+  /** Closes the connection; what waits on it ends with an error. */
+  destroy(): void;
+}
+
+/**
+ * Follows one exchange from the events of its connection.
+ * The only place that decides whether a request was sent: it was not, as long as the
+ * library has not announced (`onRequestStart`) that it is about to write the first byte.
+ */
+export class TargetExchange implements Dispatcher.DispatchHandler, Exchange {
+  readonly done: Promise<ExchangeResult>;
+  private finish!: (result: ExchangeResult) => void;
+  private controller: Dispatcher.DispatchController | undefined;
+  private sent = false;
+  private headSeen = false;
+  private bodySent: boolean;
+  private closing = false;
+  private failure: ExchangeResult | undefined;
+  private readonly headTimer: NodeJS.Timeout;
+
+  constructor(
+    private readonly request: OutgoingRequest,
+    private readonly sink: AnswerSink,
+    private readonly connection: ExchangeConnection,
+  ) {
+    this.done = new Promise(resolve => {
+      this.finish = resolve;
+    });
+    this.bodySent = !isStream(request.body);
+    this.headTimer = setTimeout(
+      () => this.giveUp(ExchangeEnd.TimedOut, 'no head of an answer in time'),
+      request.headMilliseconds,
+    );
+  }
+
+  /** The body to hand to the library. */
+  get body(): OutgoingBody {
+    const {body} = this.request;
+    return isStream(body) ? this.follow(body) : body;
+  }
+
+  /** True when both sides may use the connection for another exchange. */
+  get keepsConnection(): boolean {
+    return this.bodySent && !this.closing;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.sent) {
+      // A library that sends again by itself would run the request twice, unseen by all
+      // counters here. This event comes before the first byte, so ending it here is enough.
+      this.giveUp(ExchangeEnd.Broken, 'refused to send the request twice');
+      return;
+    }
+    if (this.failure !== undefined) {
+      controller.abort(this.failure.error ?? new Error(this.failure.end));
+      return;
+    }
+    this.sent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+  ): void {
+    if (status < FIRST_FINAL_STATUS) return;
+    const headers = toStrings(controller.rawHeaders);
+    const problem = wholenessProblem(this.request.method, status, headers);
+    if (problem !== undefined) {
+      this.giveUp(ExchangeEnd.Malformed, problem);
+      return;
+    }
+    this.headSeen = true;
+    // The library closes a connection after HEAD, in case a body follows all the same.
+    this.closing = this.request.method === 'HEAD' || announcesClose(headers);
+    clearTimeout(this.headTimer);
+    this.guard(() => this.sink.onHead(status, headers));
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.guard(() => {
+      if (!this.sink.onData(chunk)) controller.pause();
+    });
+  }
+
+  onResponseEnd(controller: Dispatcher.DispatchController): void {
+    clearTimeout(this.headTimer);
+    this.sink.onEnd(toStrings(controller.rawTrailers));
+    this.finish({end: ExchangeEnd.Whole});
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    clearTimeout(this.headTimer);
+    this.finish(this.resultOf(error));
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  abort(): void {
+    this.giveUp(ExchangeEnd.Aborted, 'given up by the caller\u2019s side');
+  }
+
+  private async *follow(
+    body: AsyncIterable<Uint8Array>,
+  ): AsyncGenerator<Uint8Array> {
+    for await (const chunk of body) yield chunk;
+    this.bodySent = true;
+  }
+
+  private giveUp(end: ExchangeEnd, detail: string): void {
+    const error = new Error(detail);
+    this.failure ??= {end, error};
+    if (this.controller) this.controller.abort(error);
+    // Still connecting: nothing to abort yet, and the caller must not wait for the connect timeout.
+    else this.connection.destroy();
+  }
+
+  /** A sink that throws (a header that cannot be passed on) ends the exchange, not the daemon. */
+  private guard(action: () => void): void {
+    try {
+      action();
+    } catch (error) {
+      this.giveUp(ExchangeEnd.Malformed, toError(error).message);
+    }
+  }
+
+  private resultOf(error: Error): ExchangeResult {
+    if (!this.sent) return {end: ExchangeEnd.NotSent, error};
+    if (this.failure) return this.failure;
+    if (this.headSeen) return {end: ExchangeEnd.Truncated, error};
+    const end = isMalformed(error) ? ExchangeEnd.Malformed : ExchangeEnd.Broken;
+    return {end, error};
+  }
+}
+
+function isStream(body: OutgoingBody): body is AsyncIterable<Uint8Array> {
+  return body !== null && !(body instanceof Uint8Array);
+}
+
+function toStrings(raw: unknown): string[] {
+  if (!Array.isArray(raw)) return [];
+  return raw.map(item =>
+    Buffer.isBuffer(item) ? item.toString('latin1') : String(item),
+  );
+}
