Peer links over ws and msgpackr: sealed, bounded, cut when silent or slow

Cause: daemons had no links; summaries, records and held answers need them. Change: challenge-response by HMAC bound to both hellos, sealed frames, one link a daemon, bounded fan-out with seeds, links opened for one request, queues, frames and handshakes bounded, a reason counted for each end.

--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -64,6 +64,10 @@
   ),
   [MetricName.PeerMessages]: counter('messages on peer links', 'direction'),
   [MetricName.PeerDisconnects]: counter('peer links that ended', 'reason'),
+  [MetricName.PeerMessagesDropped]: counter(
+    'messages to or from peers that were dropped',
+    'reason',
+  ),
   [MetricName.EventLoopDelay]: timing(
     'milliseconds by which the event loop ran late',
   ),
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -21,6 +21,7 @@
   StateHashDifferences = 'state_hash_differences',
   PeerMessages = 'peer_messages',
   PeerDisconnects = 'peer_disconnects',
+  PeerMessagesDropped = 'peer_messages_dropped',
   EventLoopDelay = 'event_loop_delay',
 }
 
--- /dev/null
+++ b/packages/plugin-peers/src/frame-inbox.ts
@@ -0,0 +1,41 @@
+import type {RawData, WebSocket} from 'ws';
+
+/** Frames that may wait to be handled before the connection is paused. */
+const MOST_WAITING = 64;
+
+/** Frames of a connection in order, as something to await; pauses the sender when it falls behind. */
+export class FrameInbox {
+  private readonly frames: Uint8Array[] = [];
+  private ended = false;
+  private wake: () => void = () => undefined;
+
+  constructor(private readonly socket: WebSocket) {
+    socket.on('message', (data: RawData) => {
+      this.frames.push(asBytes(data));
+      if (this.frames.length >= MOST_WAITING) socket.pause();
+      this.wake();
+    });
+    socket.once('close', () => this.end());
+  }
+
+  /** The next frame; undefined when the connection has ended. */
+  async next(): Promise<Uint8Array | undefined> {
+    while (this.frames.length === 0 && !this.ended) {
+      await new Promise<void>(resolve => (this.wake = resolve));
+    }
+    const frame = this.frames.shift();
+    if (this.frames.length < MOST_WAITING / 2 && this.socket.isPaused)
+      this.socket.resume();
+    return frame;
+  }
+
+  private end(): void {
+    this.ended = true;
+    this.wake();
+  }
+}
+
+function asBytes(data: RawData): Uint8Array {
+  if (Array.isArray(data)) return Buffer.concat(data);
+  return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
+}
--- a/packages/plugin-peers/src/index.ts
+++ b/packages/plugin-peers/src/index.ts
@@ -1,13 +1,12 @@
-import {asValue} from 'awilix';
-import type {Plugin, PluginRegistry} from '@gentiandoor/kernel';
-import {NoPeerLinks} from '@gentiandoor/shared-state';
+import {asClass, asValue} from 'awilix';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {PeerDirectory} from '@gentiandoor/shared-state';
 import {peersOptions} from './peers-options.js';
+import {WebSocketPeerLinks} from './web-socket-peer-links.js';
 
-class UnlinkedPeers extends NoPeerLinks implements Plugin {
-  async start(): Promise<void> {}
-
-  async stop(): Promise<void> {}
-}
+export {WebSocketPeerLinks} from './web-socket-peer-links.js';
+export {choosePeers, type PeerCandidate} from './peer-choice.js';
+export {peersOptions, type PeersOptions} from './peers-options.js';
 
 /** Registers the links to other entry daemons. */
 export function registerPeers(registry: PluginRegistry): void {
@@ -15,8 +14,12 @@
     name: 'peers',
     options: peersOptions,
     service: 'peerLinks',
-    register(container) {
-      container.register({peerLinks: asValue(new UnlinkedPeers())});
+    register(container, options) {
+      container.register({
+        peersOptions: asValue(options),
+        peerDirectory: asValue(new PeerDirectory()),
+        peerLinks: asClass(WebSocketPeerLinks).singleton(),
+      });
     },
   });
 }
--- /dev/null
+++ b/packages/plugin-peers/src/peer-frames.ts
@@ -0,0 +1,95 @@
+import {Packr} from 'msgpackr';
+import {z} from 'zod';
+import {PeerTopic} from '@gentiandoor/shared-state';
+
+/** Versions of the link protocol that this program speaks. */
+export const OLDEST_PROTOCOL = 1;
+export const NEWEST_PROTOCOL = 1;
+
+const packr = new Packr({useRecords: false});
+const LONGEST_NAME = 200;
+const CHALLENGE_BYTES = 32;
+
+const name = z.string().min(1).max(LONGEST_NAME);
+const bytes = z.instanceof(Uint8Array);
+
+const helloSchema = z.object({
+  oldest: z.number().int(),
+  newest: z.number().int(),
+  name,
+  incarnation: name,
+  dataCentre: name,
+  challenge: bytes.refine(value => value.length === CHALLENGE_BYTES),
+});
+const proofSchema = z.object({proof: bytes});
+const topic = z.enum(PeerTopic);
+const requestId = z.number().int().min(0);
+
+/** Kinds of frames on a link that is up. */
+export enum FrameKind {
+  Message = 'message',
+  Request = 'request',
+  Answer = 'answer',
+  Failure = 'failure',
+}
+
+const frameSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal(FrameKind.Message), topic, body: z.unknown()}),
+  z.object({
+    kind: z.literal(FrameKind.Request),
+    topic,
+    id: requestId,
+    body: z.unknown(),
+  }),
+  z.object({
+    kind: z.literal(FrameKind.Answer),
+    id: requestId,
+    body: z.unknown(),
+  }),
+  z.object({
+    kind: z.literal(FrameKind.Failure),
+    id: requestId,
+    error: z.string(),
+  }),
+]);
+
+/** First words of each side. */
+export type Hello = z.output<typeof helloSchema>;
+
+/** One frame of a link that is up. */
+export type Frame = z.output<typeof frameSchema>;
+
+/** A frame that breaks the protocol; ends the link. */
+export class MalformedFrameError extends Error {}
+
+/** Encodes a frame of any kind. */
+export function encodeFrame(frame: Frame | Hello | {proof: Uint8Array}) {
+  return packr.pack(frame);
+}
+
+/** Reads a hello; throws `MalformedFrameError`. */
+export function decodeHello(payload: Uint8Array): Hello {
+  return decode(helloSchema, payload);
+}
+
+/** Reads a proof; throws `MalformedFrameError`. */
+export function decodeProof(payload: Uint8Array): Uint8Array {
+  return decode(proofSchema, payload).proof;
+}
+
+/** Reads a frame; throws `MalformedFrameError`. */
+export function decodeFrame(payload: Uint8Array): Frame {
+  return decode(frameSchema, payload);
+}
+
+function decode<Value>(schema: z.ZodType<Value>, payload: Uint8Array): Value {
+  let value: unknown;
+  try {
+    value = packr.unpack(payload);
+  } catch {
+    throw new MalformedFrameError('not MessagePack');
+  }
+  const result = schema.safeParse(value);
+  if (result.success) return result.data;
+  throw new MalformedFrameError(result.error.issues[0].message);
+}
--- /dev/null
+++ b/packages/plugin-peers/src/peer-seal.ts
@@ -0,0 +1,76 @@
+import {createHmac, timingSafeEqual} from 'node:crypto';
+
+const SEAL_BYTES = 16;
+const COUNTER_BYTES = 8;
+const LENGTH_BYTES = 4;
+
+/** Which end of a link speaks. */
+export enum LinkSide {
+  Dialer = 'dialer',
+  Listener = 'listener',
+}
+
+/** Both hellos as sent: what the proofs and the keys of one link are bound to. */
+export function transcriptOf(
+  dialerHello: Uint8Array,
+  listenerHello: Uint8Array,
+): Buffer {
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(dialerHello.length);
+  return Buffer.concat([length, dialerHello, listenerHello]);
+}
+
+/** Proof of the key by one side: fresh challenges of both sides keep an old one from being used again. */
+export function proofOf(
+  key: string,
+  side: LinkSide,
+  transcript: Uint8Array,
+): Buffer {
+  return createHmac('sha256', key)
+    .update(`gentiandoor proof ${side}\n`)
+    .update(transcript)
+    .digest();
+}
+
+/** Compares in constant time, so that a proof cannot be guessed byte by byte. */
+export function proofMatches(expected: Buffer, given: Uint8Array): boolean {
+  return given.length === expected.length && timingSafeEqual(expected, given);
+}
+
+/**
+ * Seals frames of one direction of a link. A link without it could be taken over after its
+ * handshake by whoever can write into the connection; the count keeps frames in order.
+ */
+export class FrameSeal {
+  private readonly key: Buffer;
+  private count = 0n;
+
+  constructor(key: string, sender: LinkSide, transcript: Uint8Array) {
+    this.key = createHmac('sha256', key)
+      .update(`gentiandoor link ${sender}\n`)
+      .update(transcript)
+      .digest();
+  }
+
+  /** The frame with its seal in front. */
+  seal(frame: Uint8Array): Buffer {
+    return Buffer.concat([this.next(frame), frame]);
+  }
+
+  /** The frame without its seal; undefined when the seal is wrong. */
+  open(sealed: Uint8Array): Uint8Array | undefined {
+    const seal = sealed.subarray(0, SEAL_BYTES);
+    const frame = sealed.subarray(SEAL_BYTES);
+    return proofMatches(this.next(frame), seal) ? frame : undefined;
+  }
+
+  private next(frame: Uint8Array): Buffer {
+    const counter = Buffer.alloc(COUNTER_BYTES);
+    counter.writeBigUInt64BE(this.count++);
+    return createHmac('sha256', this.key)
+      .update(counter)
+      .update(frame)
+      .digest()
+      .subarray(0, SEAL_BYTES);
+  }
+}
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -18,3 +18,4 @@
 export * from './record-handlers.js';
 export * from './state-hash.js';
 export * from './parse-memo.js';
+export * from './peer-directory.js';
