--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -49,6 +49,10 @@
     'appends refused or without an answer',
     'stream',
   ),
+  [MetricName.LogAppendRefusals]: counter(
+    'records refused because too many wait for their stream',
+    'stream',
+  ),
   [MetricName.LogReads]: counter(
     'reads sent to the platform\u2019s log',
     'stream',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -14,6 +14,7 @@
   InFlight = 'in_flight',
   LogAppends = 'log_appends',
   LogAppendFailures = 'log_append_failures',
+  LogAppendRefusals = 'log_append_refusals',
   LogReads = 'log_reads',
   LogReadFailures = 'log_read_failures',
   RecordsApplied = 'records_applied',
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -19,3 +19,7 @@
 export * from './state-hash.js';
 export * from './parse-memo.js';
 export * from './peer-directory.js';
+export * from './append-budget.js';
+export * from './log-appender.js';
+export * from './log-reader.js';
+export * from './record-publisher.js';
--- /dev/null
+++ b/packages/shared-state/src/log-appender.ts
@@ -0,0 +1,253 @@
+import {
+  LogFailure,
+  MetricName,
+  PlatformLogError,
+  backoff,
+  sleep,
+  toError,
+  type Clock,
+  type Metrics,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {AppendBudget} from './append-budget.js';
+import {
+  AppendRefusedError,
+  type PlatformLog,
+  type StreamName,
+} from './platform-log.js';
+
+const BACKOFF_BASE_MILLISECONDS = 100;
+const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+
+/** Bounds of an appender. */
+export interface AppenderOptions {
+  /** Appends a second over a longer time, and at once after a quiet one. */
+  readonly appendsPerSecond: number;
+  readonly burst: number;
+  /** Records and bytes of one append. */
+  readonly batchRecords: number;
+  readonly batchBytes: number;
+  /** Records and bytes that may wait; more are refused. */
+  readonly queuedRecords: number;
+  readonly queuedBytes: number;
+  /** A further append may start when the one before has been out for so long. */
+  readonly overlapMilliseconds: number;
+}
+
+/** Bounds that fit the fleet stream of one daemon. */
+export const DEFAULT_APPENDER_OPTIONS: AppenderOptions = {
+  appendsPerSecond: 20,
+  burst: 20,
+  batchRecords: 500,
+  batchBytes: 1_000_000,
+  queuedRecords: 5000,
+  queuedBytes: 32_000_000,
+  overlapMilliseconds: 250,
+};
+
+/** What an appender needs. */
+export interface AppenderDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly platformLog: PlatformLog;
+}
+
+interface QueuedRecord {
+  readonly payload: Uint8Array;
+  readonly signal: AbortSignal | undefined;
+  readonly resolve: () => void;
+  readonly reject: (error: Error) => void;
+}
+
+/**
+ * Appends records of one stream by group commit. Answers many records at once: while an
+ * append is out, or the budget is used up, records gather and go out as one append, so that
+ * the log sees a bounded number of appends however many records there are. Nothing waits
+ * when the daemon is quiet.
+ */
+export class LogAppender {
+  private readonly budget: AppendBudget;
+  private readonly stopping = new AbortController();
+  private readonly tasks = new Set<Promise<void>>();
+  private queue: QueuedRecord[] = [];
+  private queuedBytes = 0;
+  private refusals = 0;
+  private pump: Promise<void> | undefined;
+
+  constructor(
+    private readonly stream: StreamName,
+    private readonly dependencies: AppenderDependencies,
+    private readonly options: AppenderOptions = DEFAULT_APPENDER_OPTIONS,
+  ) {
+    this.budget = new AppendBudget(
+      dependencies.clock,
+      options.appendsPerSecond,
+      options.burst,
+    );
+  }
+
+  /**
+   * Resolves when the log has answered that the record stands. Rejects with
+   * `AppendRefusedError` when it was not appended and will not be, and with
+   * `PlatformLogError` of `NoAnswer` when it may have been: only reading on tells.
+   */
+  append(payload: Uint8Array, signal?: AbortSignal): Promise<void> {
+    const refusal = this.refusalOf(payload);
+    if (refusal) return Promise.reject(refusal);
+    return new Promise((resolve, reject) => {
+      this.queue.push({payload, signal, resolve, reject});
+      this.queuedBytes += payload.length;
+      signal?.addEventListener('abort', () => this.dropAborted(), {once: true});
+      this.wakePump();
+    });
+  }
+
+  /** Refuses what waits; resolves when no append is out. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    for (const record of this.takeAll())
+      record.reject(new AppendRefusedError('the daemon stops', 0));
+    await this.pump;
+    await Promise.all(this.tasks);
+  }
+
+  private refusalOf(payload: Uint8Array): AppendRefusedError | undefined {
+    const {metrics} = this.dependencies;
+    const {queuedRecords, queuedBytes} = this.options;
+    if (this.stopping.signal.aborted)
+      return new AppendRefusedError('the daemon stops', 0);
+    if (
+      this.queue.length < queuedRecords &&
+      this.queuedBytes + payload.length <= queuedBytes
+    )
+      return undefined;
+    metrics.increment(MetricName.LogAppendRefusals, {stream: this.stream});
+    return new AppendRefusedError(
+      `${this.queue.length} records wait for the stream ${this.stream}`,
+      this.clearingMilliseconds(),
+    );
+  }
+
+  /** When the queue will have gone out at the budgeted speed: the time to come again. */
+  private clearingMilliseconds(): number {
+    const {batchRecords, batchBytes, appendsPerSecond} = this.options;
+    const batches = Math.max(
+      this.queue.length / batchRecords,
+      this.queuedBytes / batchBytes,
+    );
+    return Math.ceil((batches * 1000) / appendsPerSecond) + 100;
+  }
+
+  private wakePump(): void {
+    if (this.pump || this.queue.length === 0) return;
+    this.pump = this.run().finally(() => {
+      this.pump = undefined;
+      if (!this.stopping.signal.aborted) this.wakePump();
+    });
+  }
+
+  /** The one task that sends: runs while records wait. */
+  private async run(): Promise<void> {
+    const {clock} = this.dependencies;
+    const {signal} = this.stopping;
+    // The records of one turn of the event loop share an append.
+    await Promise.resolve();
+    while (this.queue.length > 0 && !signal.aborted) {
+      const wait = this.budget.waitMilliseconds();
+      if (wait > 0) {
+        await sleep(clock, wait, signal);
+        continue;
+      }
+      const batch = this.takeBatch();
+      if (batch.length > 0) await this.sendOverlapping(batch);
+    }
+  }
+
+  /** Waits for the append, but lets the next one start when this one hangs. */
+  private async sendOverlapping(batch: QueuedRecord[]): Promise<void> {
+    const {clock} = this.dependencies;
+    const done = new AbortController();
+    const sending = this.send(batch).finally(() => {
+      this.tasks.delete(sending);
+      done.abort();
+    });
+    this.tasks.add(sending);
+    await sleep(clock, this.options.overlapMilliseconds, done.signal);
+    if (this.refusals > 0) await sending;
+  }
+
+  private async send(batch: QueuedRecord[]): Promise<void> {
+    const {metrics, platformLog} = this.dependencies;
+    const tags = {stream: this.stream};
+    this.budget.take();
+    metrics.increment(MetricName.LogAppends, tags);
+    try {
+      await platformLog.append(
+        this.stream,
+        batch.map(record => record.payload),
+      );
+      this.refusals = 0;
+      for (const record of batch) record.resolve();
+    } catch (error) {
+      metrics.increment(MetricName.LogAppendFailures, tags);
+      await this.handleFailure(batch, toError(error));
+    }
+  }
+
+  private async handleFailure(
+    batch: QueuedRecord[],
+    error: Error,
+  ): Promise<void> {
+    const isRefused =
+      error instanceof PlatformLogError && error.failure === LogFailure.Refused;
+    if (!isRefused) {
+      for (const record of batch) record.reject(error);
+      return;
+    }
+    // Nothing was appended: the records go back to the head of the queue, and the pause grows.
+    const {clock, random} = this.dependencies;
+    const pause = backoff(
+      random,
+      this.refusals++,
+      BACKOFF_BASE_MILLISECONDS,
+      BACKOFF_MAXIMUM_MILLISECONDS,
+    );
+    this.queue.unshift(...batch);
+    for (const {payload} of batch) this.queuedBytes += payload.length;
+    this.dropAborted();
+    await sleep(clock, pause, this.stopping.signal);
+    this.wakePump();
+  }
+
+  private takeBatch(): QueuedRecord[] {
+    const {batchRecords, batchBytes} = this.options;
+    let bytes = 0;
+    let count = 0;
+    for (const {payload} of this.queue) {
+      if (count === batchRecords) break;
+      if (count > 0 && bytes + payload.length > batchBytes) break;
+      bytes += payload.length;
+      count++;
+    }
+    this.queuedBytes -= bytes;
+    return this.queue.splice(0, count);
+  }
+
+  private takeAll(): QueuedRecord[] {
+    this.queuedBytes = 0;
+    return this.queue.splice(0);
+  }
+
+  /** A writer that gave up before its record was sent: the record never goes out. */
+  private dropAborted(): void {
+    const isGone = (record: QueuedRecord) => record.signal?.aborted === true;
+    for (const record of this.queue.filter(isGone)) {
+      this.queuedBytes -= record.payload.length;
+      record.reject(
+        new AppendRefusedError('gave up before the record was sent', 0),
+      );
+    }
+    this.queue = this.queue.filter(record => !isGone(record));
+  }
+}
--- /dev/null
+++ b/packages/shared-state/src/log-reader.ts
@@ -0,0 +1,140 @@
+import {
+  LogEvent,
+  MetricName,
+  backoff,
+  sleep,
+  toError,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {
+  LogGapError,
+  type LogBatch,
+  type PlatformLog,
+  type ReadOptions,
+  type StreamName,
+} from './platform-log.js';
+
+const BACKOFF_BASE_MILLISECONDS = 100;
+const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+
+/** Where the records of a stream go. */
+export interface RecordSink {
+  /** Offset to read next. */
+  nextOffset(): number;
+  /** Takes records in order; the next read waits for it. */
+  take(batch: LogBatch): Promise<void>;
+  /** The next offset is no longer kept: must move `nextOffset` on, or throw to try again later. */
+  crossGap(oldest: number): Promise<void>;
+}
+
+/** What a reader needs. */
+export interface ReaderDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly platformLog: PlatformLog;
+}
+
+/**
+ * Follows one stream by long polls: one task. After a failure it pauses with growing,
+ * random lengths, so that a log that returns is not met by all daemons in one moment.
+ */
+export class LogReader {
+  private reachable = false;
+  private failures = 0;
+  private answeredAt: number | undefined;
+  private reading = new AbortController();
+
+  constructor(
+    private readonly stream: StreamName,
+    private readonly dependencies: ReaderDependencies,
+    private readonly sink: RecordSink,
+    private readonly options: ReadOptions,
+  ) {}
+
+  /** True when the last read was answered. */
+  get isReachable(): boolean {
+    return this.reachable;
+  }
+
+  /** Milliseconds since the log last answered; Infinity before the first time. */
+  get silenceMilliseconds(): number {
+    if (this.answeredAt === undefined) return Infinity;
+    return this.dependencies.clock.monotonicMilliseconds() - this.answeredAt;
+  }
+
+  /** Ends the read that is out and reads afresh: for when others have seen newer records. */
+  refresh(): void {
+    this.reading.abort();
+  }
+
+  /** Reads until `stop` aborts. */
+  async run(stop: AbortSignal): Promise<void> {
+    while (!stop.aborted) {
+      try {
+        await this.readOnce(stop);
+      } catch (error) {
+        if (stop.aborted) return;
+        if (!this.reading.signal.aborted)
+          await this.noteFailure(toError(error), stop);
+      }
+    }
+  }
+
+  private async readOnce(stop: AbortSignal): Promise<void> {
+    const {platformLog, metrics} = this.dependencies;
+    metrics.increment(MetricName.LogReads, {stream: this.stream});
+    this.reading = new AbortController();
+    const signal = AbortSignal.any([stop, this.reading.signal]);
+    const from = this.sink.nextOffset();
+    // The first read after a failure does not wait: its answer says that the log is back.
+    const waitMilliseconds = this.reachable ? this.options.waitMilliseconds : 0;
+    try {
+      const options = {...this.options, waitMilliseconds};
+      const batch = await platformLog.read(this.stream, from, options, signal);
+      if (stop.aborted) return;
+      this.noteAnswer();
+      await this.sink.take(batch);
+    } catch (error) {
+      if (!(error instanceof LogGapError)) throw error;
+      this.noteAnswer();
+      this.dependencies.logger.warn(LogEvent.LogGap, {
+        stream: this.stream,
+        from,
+        oldest: error.oldest,
+      });
+      await this.sink.crossGap(error.oldest);
+    }
+  }
+
+  private noteAnswer(): void {
+    const {clock, logger} = this.dependencies;
+    if (!this.reachable)
+      logger.info(LogEvent.LogReturned, {stream: this.stream});
+    this.reachable = true;
+    this.failures = 0;
+    this.answeredAt = clock.monotonicMilliseconds();
+  }
+
+  private async noteFailure(error: Error, stop: AbortSignal): Promise<void> {
+    const {clock, random, logger, metrics} = this.dependencies;
+    metrics.increment(MetricName.LogReadFailures, {stream: this.stream});
+    if (this.reachable || this.failures === 0)
+      logger.warn(LogEvent.LogUnavailable, {
+        stream: this.stream,
+        error: error.message,
+      });
+    this.reachable = false;
+    const delay = backoff(
+      random,
+      this.failures++,
+      BACKOFF_BASE_MILLISECONDS,
+      BACKOFF_MAXIMUM_MILLISECONDS,
+    );
+    await sleep(clock, delay, stop);
+  }
+}
--- a/packages/shared-state/src/platform-log.ts
+++ b/packages/shared-state/src/platform-log.ts
@@ -1,3 +1,5 @@
+import {LogFailure, PlatformLogError} from '@gentiandoor/kernel';
+
 /** Names of the streams that the system keeps in the platform's log. */
 export enum StreamName {
   /** Bundles, members, ownership, drains, waves, jobs: one order for all that is agreed. */
@@ -50,3 +52,24 @@
   /** Longest wait for a first record, in milliseconds. */
   readonly waitMilliseconds: number;
 }
+
+/** The offset asked for is no longer kept. */
+export class LogGapError extends PlatformLogError {
+  constructor(
+    /** The oldest offset still kept. */
+    readonly oldest: number,
+  ) {
+    super(LogFailure.Gap, `the oldest offset still kept is ${oldest}`);
+  }
+}
+
+/** A record that was not appended and will not be; says when to come again. */
+export class AppendRefusedError extends PlatformLogError {
+  constructor(
+    message: string,
+    readonly retryAfterMilliseconds: number,
+    options?: ErrorOptions,
+  ) {
+    super(LogFailure.Refused, message, options);
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './faulty-log.js';
 export * from './http-listener.js';
 export * from './memory-log.js';
 export * from './memory-vm-list.js';
--- a/packages/stand-ins/src/memory-log.ts
+++ b/packages/stand-ins/src/memory-log.ts
@@ -1,10 +1,11 @@
 import {LogFailure, PlatformLogError, type Clock} from '@gentiandoor/kernel';
-import type {
-  AppendPosition,
-  LogBatch,
-  PlatformLog,
-  ReadOptions,
-  StreamName,
+import {
+  LogGapError,
+  type AppendPosition,
+  type LogBatch,
+  type PlatformLog,
+  type ReadOptions,
+  type StreamName,
 } from '@gentiandoor/shared-state';
 
 /** Faults of the log, switched on by name. */
@@ -83,10 +84,7 @@
       this.refuseWhenOut();
     }
     if (from < stream.oldest) {
-      throw new PlatformLogError(
-        LogFailure.Gap,
-        `oldest offset is ${stream.oldest}`,
-      );
+      throw new LogGapError(stream.oldest);
     }
     const start = from - stream.oldest;
     return {
@@ -97,6 +95,20 @@
     };
   }
 
+  /** Drops records from a stream's head, as if their time were up. */
+  expire(name: StreamName, before: number): void {
+    const stream = this.stream(name);
+    const count = Math.min(before, stream.end) - stream.oldest;
+    if (count <= 0) return;
+    stream.records.splice(0, count);
+    stream.oldest += count;
+  }
+
+  /** The offset that the next append to a stream gets. */
+  endOf(name: StreamName): number {
+    return this.stream(name).end;
+  }
+
   private stream(name: string): Stream {
     const stream = this.streams.get(name) ?? new Stream();
     this.streams.set(name, stream);
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -3,9 +3,12 @@
 import Koa from 'koa';
 import {Packr} from 'msgpackr';
 import {LogFailure, PlatformLogError} from '@gentiandoor/kernel';
-import {StreamName} from '@gentiandoor/shared-state';
+import {
+  LogGapError,
+  StreamName,
+  type PlatformLog,
+} from '@gentiandoor/shared-state';
 import {closeServer, listen} from './http-listener.js';
-import type {MemoryLog} from './memory-log.js';
 import type {MemoryVmList} from './memory-vm-list.js';
 
 const packr = new Packr({useRecords: false});
@@ -16,7 +19,7 @@
   private readonly server: http.Server;
 
   constructor(
-    readonly log: MemoryLog,
+    readonly log: PlatformLog,
     readonly list: MemoryVmList,
   ) {
     const koa = new Koa();
@@ -61,7 +64,12 @@
         context.req.destroy();
         return;
       }
-      context.status = error.failure === LogFailure.Gap ? 410 : 503;
+      if (error instanceof LogGapError) {
+        context.status = 410;
+        context.body = packr.pack({oldest: error.oldest});
+        return;
+      }
+      context.status = 503;
       context.body = error.message;
     }
   }
