--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -49,6 +49,10 @@
     'appends refused or without an answer',
     'stream',
   ),
+  [MetricName.LogAppendRefusals]: counter(
+    'records refused because too many wait for their stream',
+    'stream',
+  ),
   [MetricName.LogReads]: counter(
     'reads sent to the platform\u2019s log',
     'stream',
@@ -64,6 +68,10 @@
   ),
   [MetricName.PeerMessages]: counter('messages on peer links', 'direction'),
   [MetricName.PeerDisconnects]: counter('peer links that ended', 'reason'),
+  [MetricName.PeerMessagesDropped]: counter(
+    'messages to or from peers that were dropped',
+    'reason',
+  ),
   [MetricName.EventLoopDelay]: timing(
     'milliseconds by which the event loop ran late',
   ),
