--- a/packages/shared-state/src/drain-records.ts
+++ b/packages/shared-state/src/drain-records.ts
@@ -1,11 +1,12 @@
 import {z} from 'zod';
-import {recordHead, recordText} from './record-head.js';
+import {operatorOrPlannerHead} from './fleet-record-head.js';
+import {recordText} from './record-head.js';
 import {RecordKind} from './record-kind.js';
 
 /** Shape of a `DrainStarted` record. */
 export const drainStartedSchema = z
   .object({
-    ...recordHead,
+    ...operatorOrPlannerHead,
     kind: z.literal(RecordKind.DrainStarted),
     vm: recordText,
     reason: recordText,
@@ -15,7 +16,7 @@
 /** Shape of a `DrainEnded` record. */
 export const drainEndedSchema = z
   .object({
-    ...recordHead,
+    ...operatorOrPlannerHead,
     kind: z.literal(RecordKind.DrainEnded),
     vm: recordText,
   })
--- a/packages/shared-state/src/fleet-state.ts
+++ b/packages/shared-state/src/fleet-state.ts
@@ -1,3 +1,4 @@
+import {emptyFleetDomain, type FleetDomain} from './fleet-domain.js';
 import type {Bundle} from './bundle.js';
 import type {ParsedBundle} from './bundle-text.js';
 import {HashedTable} from './hashed-table.js';
@@ -24,6 +25,23 @@
   AlreadyDraining = 'already_draining',
   NotDraining = 'not_draining',
   BudgetExceeded = 'budget_exceeded',
+  BudgetBroken = 'budget_broken',
+  LeavingLimit = 'leaving_limit',
+  StaleTerm = 'stale_term',
+  EpochMoved = 'epoch_moved',
+  PoolUnknown = 'pool_unknown',
+  WorkUnknown = 'work_unknown',
+  WorkState = 'work_state',
+  DrainOutstanding = 'drain_outstanding',
+  WaveUnknown = 'wave_unknown',
+  WaveState = 'wave_state',
+  WaveOverlap = 'wave_overlap',
+  TeamUnknown = 'team_unknown',
+  QuotaExceeded = 'quota_exceeded',
+  JobUnknown = 'job_unknown',
+  JobDuplicate = 'job_duplicate',
+  JobState = 'job_state',
+  JobImpossible = 'job_impossible',
 }
 
 /** A record that the fold did not accept. */
@@ -83,7 +101,7 @@
  * Everything agreed, as of one offset of the fleet stream. What is agreed stands in
  * `HashedTable`s of plain values: hash and snapshots take in each such field by itself.
  */
-export interface FleetState {
+export interface FleetState extends FleetDomain {
   /** Offset of the next record to apply. */
   nextOffset: number;
   /** Records of a higher format have no effect yet; rises by a record when all members read it. */
@@ -109,6 +127,7 @@
     members: new HashedTable(),
     vms: new HashedTable(),
     recentIds: new HashedTable(),
+    ...emptyFleetDomain(),
     trusted,
     parseMemo: new ParseMemo(),
   };
--- a/packages/shared-state/src/fold-drains.ts
+++ b/packages/shared-state/src/fold-drains.ts
@@ -1,42 +1,84 @@
+import {WorkKind, WorkStep} from './fleet-domain.js';
+import type {DrainAcknowledged} from './fleet-records.js';
 import {
   RejectionReason,
   type FleetState,
   type Rejection,
 } from './fleet-state.js';
+import {checkTerm} from './fold-planner.js';
+import {findVm, isRejection, setWork, startWork} from './planned-work.js';
 import type {DrainEnded, DrainStarted} from './records.js';
 
-/** Takes a VM out of routing. */
+/** Takes a VM out of routing, if its pool's budgets allow it. */
 export function applyDrainStarted(
   state: FleetState,
   record: DrainStarted,
+  offset: number,
 ): Rejection | undefined {
-  const vm = state.vms.get(record.vm);
-  if (!vm)
-    return {reason: RejectionReason.VmUnknown, detail: `no VM ${record.vm}`};
-  if (vm.drainReason !== undefined) {
-    return {
-      reason: RejectionReason.AlreadyDraining,
-      detail: `VM ${vm.id} is draining: ${vm.drainReason}`,
-    };
-  }
-  state.vms.set(vm.id, {...vm, drainReason: record.reason});
-  return undefined;
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const vm = findVm(state, record.vm);
+  if (isRejection(vm)) return vm;
+  return startWork(state, {
+    vm: record.vm,
+    kind: WorkKind.Drain,
+    step: WorkStep.Draining,
+    reason: record.reason,
+    writer: record.writer,
+    startedAt: offset,
+  });
 }
 
-/** Puts a drained VM back into routing. */
+/** Puts a drained VM back into routing; operators so take back what was handed over, too. */
 export function applyDrainEnded(
   state: FleetState,
   record: DrainEnded,
+  offset: number,
 ): Rejection | undefined {
-  const vm = state.vms.get(record.vm);
-  if (!vm)
-    return {reason: RejectionReason.VmUnknown, detail: `no VM ${record.vm}`};
-  if (vm.drainReason === undefined) {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const vm = findVm(state, record.vm);
+  if (isRejection(vm)) return vm;
+  const work = state.work.get(record.vm);
+  if (work && work.kind !== WorkKind.Drain)
+    return otherWork(record.vm, work.kind);
+  const wasHandedOver = state.handedOver.delete(record.vm);
+  if (work) setWork(state, record.vm, undefined);
+  if (work || wasHandedOver) return undefined;
+  return {
+    reason: RejectionReason.NotDraining,
+    detail: `VM ${record.vm} is not draining`,
+  };
+}
+
+/** Notes that a daemon has nothing left on VMs; what has ended meanwhile is passed over. */
+export function applyDrainAcknowledged(
+  state: FleetState,
+  record: DrainAcknowledged,
+): Rejection | undefined {
+  if (!state.members.has(record.incarnation)) {
     return {
-      reason: RejectionReason.NotDraining,
-      detail: `VM ${vm.id} is not draining`,
+      reason: RejectionReason.MemberUnknown,
+      detail: `${record.incarnation} is no member; its acknowledgement is not needed`,
     };
   }
-  state.vms.set(vm.id, {...vm, drainReason: undefined});
+  for (const {vm, startedAt} of record.acknowledgements) {
+    const work = state.work.get(vm);
+    if (!work || work.startedAt !== startedAt) continue;
+    const awaiting = work.awaiting.filter(item => item !== record.incarnation);
+    // Set directly: who is awaited changes neither routing nor counters.
+    state.work.set(vm, {...work, awaiting});
+  }
   return undefined;
 }
+
+function otherWork(vm: string, kind: WorkKind): Rejection {
+  const advice =
+    kind === WorkKind.Move
+      ? 'abort the move'
+      : 'hold or abort its wave, or wait for the repair';
+  return {
+    reason: RejectionReason.NotDraining,
+    detail: `VM ${vm} is out for ${kind}, not for a drain; ${advice}`,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/fold-jobs.ts
@@ -0,0 +1,262 @@
+import {capacityOf} from './capacity-index.js';
+import {JobState, type Job} from './fleet-domain.js';
+import {
+  JobOutcome,
+  type JobPlaced,
+  type JobReport,
+  type JobSetAside,
+  type JobSubmitted,
+  type JobsCancelled,
+  type JobsReported,
+} from './fleet-records.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+} from './fleet-state.js';
+import {checkTerm} from './fold-planner.js';
+import {jobsOf} from './job-index.js';
+
+/** Distinct VMs on which a job may fail before it is set aside: its fault, not theirs. */
+export const FAILURES_BEFORE_SET_ASIDE = 3;
+
+/** Ended jobs kept; the same key again is the same job for that long. */
+export const ENDED_JOBS_KEPT = 50_000;
+
+/** Takes a job in. The same key again changes nothing: the job stands as it is. */
+export function applyJobSubmitted(
+  state: FleetState,
+  record: JobSubmitted,
+): Rejection | undefined {
+  const known = state.jobs.get(record.key);
+  if (known) return sameJob(known, record);
+  const refusal = checkSubmission(state, record);
+  if (refusal) return refusal;
+  const {key, team, pool, jobClass, idempotent, size, payload} = record;
+  jobsOf(state).put({
+    key,
+    team,
+    pool,
+    jobClass,
+    idempotent,
+    size,
+    payload,
+    state: JobState.Queued,
+    attempt: 0,
+    failedOn: [],
+    cancelRequested: false,
+  });
+  return undefined;
+}
+
+/** Cancels jobs; a queued one is not run, a placed one is stopped. One step for each key. */
+export function applyJobsCancelled(
+  state: FleetState,
+  record: JobsCancelled,
+): Rejection | undefined {
+  let changed = 0;
+  for (const key of record.keys) {
+    const job = state.jobs.get(key);
+    if (!job) continue;
+    if (job.state === JobState.Queued) {
+      endJob(state, {...job, state: JobState.Cancelled, reason: 'not run'});
+      changed++;
+    } else if (job.state === JobState.Placed && !job.cancelRequested) {
+      jobsOf(state).put({...job, cancelRequested: true});
+      changed++;
+    }
+  }
+  if (changed > 0) return undefined;
+  return {
+    reason: RejectionReason.JobUnknown,
+    detail: `none of ${record.keys.length} jobs is queued or running`,
+  };
+}
+
+/** Gives an attempt to a VM; quotas and slots are checked here, so that two planners cannot overdraw them. */
+export function applyJobPlaced(
+  state: FleetState,
+  record: JobPlaced,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const job = state.jobs.get(record.key);
+  if (job?.state !== JobState.Queued || record.attempt !== job.attempt + 1) {
+    return {
+      reason: RejectionReason.JobState,
+      detail: `job ${record.key} is ${job?.state ?? 'unknown'} after ${job?.attempt ?? 0} attempts`,
+    };
+  }
+  const refusal = checkPlacement(state, job, record.vm);
+  if (refusal) return refusal;
+  const {attempt, vm} = record;
+  jobsOf(state).put({...job, state: JobState.Placed, attempt, vm});
+  return undefined;
+}
+
+/** Takes over how attempts ended; reports of earlier attempts are passed over. */
+export function applyJobsReported(
+  state: FleetState,
+  record: JobsReported,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  for (const report of record.reports) {
+    const job = state.jobs.get(report.key);
+    if (job?.state !== JobState.Placed || job.attempt !== report.attempt)
+      continue;
+    settle(state, job, report);
+  }
+  return undefined;
+}
+
+/** Sets a job aside that can never run. */
+export function applyJobSetAside(
+  state: FleetState,
+  record: JobSetAside,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const job = state.jobs.get(record.key);
+  if (job?.state !== JobState.Queued) {
+    return {
+      reason: RejectionReason.JobState,
+      detail: `job ${record.key} is ${job?.state ?? 'unknown'}`,
+    };
+  }
+  endJob(state, {...job, state: JobState.SetAside, reason: record.reason});
+  return undefined;
+}
+
+/**
+ * What follows from the end of an attempt. A non-idempotent job whose attempt lapsed or was
+ * stopped may have run: it is never queued again. Only "never started" frees it.
+ */
+function settle(state: FleetState, job: Job, report: JobReport): void {
+  switch (report.outcome) {
+    case JobOutcome.Finished:
+      return endJob(state, {...job, state: JobState.Finished});
+    case JobOutcome.Failed:
+      return settleFailure(state, job);
+    case JobOutcome.NeverStarted:
+      return requeue(state, job);
+    case JobOutcome.Stopped:
+    case JobOutcome.Lapsed:
+      if (job.idempotent || job.cancelRequested) return requeue(state, job);
+      return endJob(state, {
+        ...job,
+        state: JobState.OutcomeUnknown,
+        reason: `attempt ${job.attempt} on VM ${job.vm} ${report.outcome}; it may have run and is not run again`,
+      });
+  }
+}
+
+function settleFailure(state: FleetState, job: Job): void {
+  const failedOn = [...new Set([...job.failedOn, job.vm ?? ''])];
+  const failed = {...job, failedOn};
+  if (!job.idempotent) {
+    const reason = `failed on VM ${job.vm}`;
+    return endJob(state, {...failed, state: JobState.Failed, reason});
+  }
+  if (failedOn.length < FAILURES_BEFORE_SET_ASIDE)
+    return requeue(state, failed);
+  endJob(state, {
+    ...failed,
+    state: JobState.SetAside,
+    reason: `failed on ${failedOn.join(', ')}: the job fails everywhere`,
+  });
+}
+
+function requeue(state: FleetState, job: Job): void {
+  if (job.cancelRequested) {
+    const reason = 'stopped on request';
+    return endJob(state, {...job, state: JobState.Cancelled, reason});
+  }
+  jobsOf(state).put({...job, state: JobState.Queued, vm: undefined});
+}
+
+function endJob(state: FleetState, job: Job): void {
+  const {endedJobs} = state;
+  jobsOf(state).put(job);
+  endedJobs.set(job.key, state.nextOffset);
+  if (endedJobs.size <= ENDED_JOBS_KEPT) return;
+  const [oldest] = endedJobs.keys();
+  endedJobs.delete(oldest);
+  jobsOf(state).forget(oldest);
+}
+
+function sameJob(known: Job, record: JobSubmitted): Rejection | undefined {
+  const same =
+    known.team === record.team &&
+    known.pool === record.pool &&
+    known.payload === record.payload;
+  if (same) return undefined;
+  return {
+    reason: RejectionReason.JobDuplicate,
+    detail: `key ${record.key} belongs to another job of team ${known.team}; use a new key`,
+  };
+}
+
+function checkSubmission(
+  state: FleetState,
+  record: JobSubmitted,
+): Rejection | undefined {
+  const bundle = state.inForce?.bundle;
+  const pool = bundle?.pools[record.pool];
+  if (!pool) {
+    return {
+      reason: RejectionReason.PoolUnknown,
+      detail: `pool ${record.pool} is not in the bundle in force`,
+    };
+  }
+  const team = bundle?.teams[record.team];
+  if (!team) {
+    return {
+      reason: RejectionReason.TeamUnknown,
+      detail: `team ${record.team} is not in the bundle in force`,
+    };
+  }
+  const {size} = record;
+  const fits =
+    size.processors <= pool.processors &&
+    size.memoryGigabytes <= pool.memoryGigabytes &&
+    size.accelerators <= pool.accelerators &&
+    size.slots <= Math.min(pool.slots, team.slots);
+  if (fits) return undefined;
+  return {
+    reason: RejectionReason.JobImpossible,
+    detail: `job ${record.key} asks for ${size.processors} processors, ${size.memoryGigabytes} GB, ${size.accelerators} accelerators and ${size.slots} slots; a VM of pool ${record.pool} has ${pool.processors}, ${pool.memoryGigabytes}, ${pool.accelerators} and ${pool.slots}, team ${record.team} has ${team.slots} slots`,
+  };
+}
+
+function checkPlacement(
+  state: FleetState,
+  job: Job,
+  vm: string,
+): Rejection | undefined {
+  const bundle = state.inForce?.bundle;
+  const owner = state.vms.get(vm);
+  if (owner?.pool !== job.pool || !capacityOf(state).isAvailable(vm)) {
+    return {
+      reason: RejectionReason.VmUnknown,
+      detail: `VM ${vm} is not an available VM of pool ${job.pool}`,
+    };
+  }
+  const index = jobsOf(state);
+  const slots = bundle?.pools[job.pool]?.slots ?? 0;
+  const quota = bundle?.teams[job.team]?.slots ?? 0;
+  if (index.vmSlots(vm) + job.size.slots > slots) {
+    return {
+      reason: RejectionReason.BudgetExceeded,
+      detail: `VM ${vm} has ${slots} slots and ${index.vmSlots(vm)} are taken`,
+    };
+  }
+  if (index.teamSlots(job.team) + job.size.slots <= quota) return undefined;
+  return {
+    reason: RejectionReason.QuotaExceeded,
+    detail: `team ${job.team} holds ${index.teamSlots(job.team)} of its ${quota} slots`,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/fold-maintenance.ts
@@ -0,0 +1,221 @@
+import {
+  WaveState,
+  WaveVmStep,
+  WorkKind,
+  WorkStep,
+  type PlannedWork,
+  type Wave,
+} from './fleet-domain.js';
+import {
+  MaintenanceOutcome,
+  VmCondition,
+  type MaintenanceAsked,
+  type MaintenanceEnded,
+  type MaintenanceReturned,
+  type MaintenanceStarted,
+} from './fleet-records.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+} from './fleet-state.js';
+import {checkTerm} from './fold-planner.js';
+import {
+  checkDrained,
+  findVm,
+  findWork,
+  isRejection,
+  setWork,
+  startWork,
+} from './planned-work.js';
+
+/** Takes a VM out for its wave, or begins the repair of one that is down. */
+export function applyMaintenanceStarted(
+  state: FleetState,
+  record: MaintenanceStarted,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const vm = findVm(state, record.vm);
+  if (isRejection(vm)) return vm;
+  const refusal =
+    record.wave === undefined
+      ? checkRepair(state, record.vm)
+      : checkWave(state, record.wave, record.vm);
+  if (refusal) return refusal;
+  const rejection = startWork(state, {
+    vm: record.vm,
+    kind: record.wave === undefined ? WorkKind.Repair : WorkKind.Maintenance,
+    step: WorkStep.Draining,
+    reason: record.reason,
+    writer: record.writer,
+    startedAt: offset,
+    wave: record.wave,
+  });
+  if (rejection) return rejection;
+  changeWave(state, record.wave, record.vm, WaveVmStep.Active, wave => ({
+    remaining: wave.remaining - 1,
+    active: wave.active + 1,
+  }));
+  return undefined;
+}
+
+/** Notes that the platform is asked; a reboot before the drain is over would cut requests. */
+export function applyMaintenanceAsked(
+  state: FleetState,
+  record: MaintenanceAsked,
+  offset: number,
+): Rejection | undefined {
+  const work = findMaintenance(state, record, offset);
+  if (isRejection(work)) return work;
+  const refusal = checkAsk(state, work, record);
+  if (refusal) return refusal;
+  setWork(state, record.vm, {
+    ...work,
+    step: WorkStep.Asked,
+    attempts: record.attempt,
+    lastAction: record.action,
+  });
+  return undefined;
+}
+
+/** The VM takes work again, on trial. */
+export function applyMaintenanceReturned(
+  state: FleetState,
+  record: MaintenanceReturned,
+  offset: number,
+): Rejection | undefined {
+  const work = findMaintenance(state, record, offset);
+  if (isRejection(work)) return work;
+  if (work.step === WorkStep.Trial)
+    return workState(work, 'is on trial already');
+  setWork(state, record.vm, {...work, step: WorkStep.Trial});
+  return undefined;
+}
+
+/** Closes the maintenance and counts it in its wave. */
+export function applyMaintenanceEnded(
+  state: FleetState,
+  record: MaintenanceEnded,
+  offset: number,
+): Rejection | undefined {
+  const work = findMaintenance(state, record, offset);
+  if (isRejection(work)) return work;
+  if (record.outcome === MaintenanceOutcome.Done) {
+    if (work.step !== WorkStep.Trial)
+      return workState(work, 'is not back in service');
+    state.maintainedAt.set(record.vm, record.at);
+  }
+  if (record.outcome === MaintenanceOutcome.HandedOver)
+    state.handedOver.set(record.vm, work.reason);
+  setWork(state, record.vm, undefined);
+  countInWave(state, work, record.outcome);
+  return undefined;
+}
+
+function countInWave(
+  state: FleetState,
+  work: PlannedWork,
+  outcome: MaintenanceOutcome,
+): void {
+  const step = STEP_AFTER[outcome];
+  changeWave(state, work.wave, work.vm, step, wave => ({
+    active: wave.active - 1,
+    done: wave.done + (step === WaveVmStep.Done ? 1 : 0),
+    failed: wave.failed + (step === WaveVmStep.Failed ? 1 : 0),
+    handedOver: wave.handedOver + (step === WaveVmStep.HandedOver ? 1 : 0),
+    remaining: wave.remaining + (step === WaveVmStep.Remaining ? 1 : 0),
+  }));
+}
+
+const STEP_AFTER: Readonly<Record<MaintenanceOutcome, WaveVmStep>> = {
+  [MaintenanceOutcome.Done]: WaveVmStep.Done,
+  [MaintenanceOutcome.Failed]: WaveVmStep.Failed,
+  [MaintenanceOutcome.HandedOver]: WaveVmStep.HandedOver,
+  [MaintenanceOutcome.Abandoned]: WaveVmStep.Remaining,
+};
+
+/** Counts one VM of a wave; the VM's own entry is gone where the wave has ended. */
+function changeWave(
+  state: FleetState,
+  id: string | undefined,
+  vm: string,
+  step: WaveVmStep,
+  change: (wave: Wave) => Partial<Wave>,
+): void {
+  const wave = state.waves.get(id ?? '');
+  if (!wave) return;
+  state.waves.set(wave.id, {...wave, ...change(wave)});
+  const entry = state.waveVms.get(vm);
+  if (entry?.wave === wave.id) state.waveVms.set(vm, {...entry, step});
+}
+
+function checkRepair(state: FleetState, vm: string): Rejection | undefined {
+  const condition = state.conditions.get(vm);
+  if (condition === VmCondition.Down || condition === VmCondition.Suspected)
+    return undefined;
+  return {
+    reason: RejectionReason.WorkState,
+    detail: `VM ${vm} is ${condition ?? VmCondition.Up}; only a VM that is down or suspected is repaired`,
+  };
+}
+
+function checkWave(
+  state: FleetState,
+  id: string,
+  vm: string,
+): Rejection | undefined {
+  const wave = state.waves.get(id);
+  if (!wave)
+    return {reason: RejectionReason.WaveUnknown, detail: `no wave ${id}`};
+  if (wave.state !== WaveState.Running) {
+    return {
+      reason: RejectionReason.WaveState,
+      detail: `wave ${id} is ${wave.state}: ${wave.stateReason}`,
+    };
+  }
+  const entry = state.waveVms.get(vm);
+  if (entry?.wave === id && entry.step === WaveVmStep.Remaining)
+    return undefined;
+  return {
+    reason: RejectionReason.WaveState,
+    detail: `VM ${vm} is not among those left in wave ${id}`,
+  };
+}
+
+function findMaintenance(
+  state: FleetState,
+  record: {vm: string; startedAt: number; term: number; writer: string},
+  offset: number,
+): PlannedWork | Rejection {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const work = findWork(state, record.vm, record.startedAt);
+  if (isRejection(work)) return work;
+  const {kind} = work;
+  if (kind === WorkKind.Maintenance || kind === WorkKind.Repair) return work;
+  return workState(work, `is a ${kind}`);
+}
+
+function checkAsk(
+  state: FleetState,
+  work: PlannedWork,
+  record: MaintenanceAsked,
+): Rejection | undefined {
+  if (record.attempt !== work.attempts + 1)
+    return workState(work, `has had ${work.attempts} attempts`);
+  if (work.step === WorkStep.Trial) return workState(work, 'is on trial');
+  const wave = state.waves.get(work.wave ?? '');
+  const aborted = wave?.state === WaveState.Aborted;
+  if (aborted && work.step === WorkStep.Draining)
+    return workState(work, `belongs to wave ${wave.id}, which was aborted`);
+  return checkDrained(state, work);
+}
+
+function workState(work: PlannedWork, what: string): Rejection {
+  return {
+    reason: RejectionReason.WorkState,
+    detail: `the ${work.kind} of VM ${work.vm} ${what}`,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/fold-moves.ts
@@ -0,0 +1,152 @@
+import {capacityOf} from './capacity-index.js';
+import {WorkKind, WorkStep, type PlannedWork} from './fleet-domain.js';
+import type {MoveAborted, MoveAssigned, MoveStarted} from './fleet-records.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+  type VmRecord,
+} from './fleet-state.js';
+import {checkTerm} from './fold-planner.js';
+import {
+  checkDrained,
+  findVm,
+  findWork,
+  isRejection,
+  setWork,
+  startWork,
+} from './planned-work.js';
+
+/** The owner releases a VM: it drains, and still belongs to its old pool. */
+export function applyMoveStarted(
+  state: FleetState,
+  record: MoveStarted,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const vm = findVm(state, record.vm);
+  if (isRejection(vm)) return vm;
+  const refusal = checkMove(state, record, vm);
+  if (refusal) return refusal;
+  return startWork(state, {
+    vm: record.vm,
+    kind: WorkKind.Move,
+    step: WorkStep.Draining,
+    reason: record.reason,
+    writer: record.writer,
+    startedAt: offset,
+    toPool: record.toPool,
+    cause: record.cause,
+  });
+}
+
+/**
+ * Gives the VM to the new pool. Only once every daemon that could route to it under the old
+ * owner has acknowledged or is gone: otherwise requests of two pools would meet on one VM.
+ */
+export function applyMoveAssigned(
+  state: FleetState,
+  record: MoveAssigned,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const work = findMove(state, record.vm, record.startedAt);
+  if (isRejection(work)) return work;
+  const vm = state.vms.get(record.vm);
+  if (!vm || vm.epoch !== record.epoch)
+    return epochMoved(record.vm, record.epoch, vm);
+  const refusal = checkDrained(state, work) ?? checkTarget(state, work);
+  if (refusal) return refusal;
+  const pool = work.toPool ?? vm.pool;
+  setWork(state, vm.id, undefined);
+  capacityOf(state).update(vm.id, () => {
+    state.vms.set(vm.id, {id: vm.id, pool, epoch: vm.epoch + 1});
+  });
+  noteDeviation(state, work, pool, offset);
+  return undefined;
+}
+
+/** Ends a move before assignment. After it the move has ended, and the answer says where the VM is. */
+export function applyMoveAborted(
+  state: FleetState,
+  record: MoveAborted,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const work = findMove(state, record.vm, record.startedAt);
+  if (isRejection(work)) return work;
+  setWork(state, record.vm, undefined);
+  return undefined;
+}
+
+function findMove(
+  state: FleetState,
+  vm: string,
+  startedAt: number,
+): PlannedWork | Rejection {
+  const work = findWork(state, vm, startedAt);
+  if (isRejection(work) || work.kind === WorkKind.Move) return work;
+  return {
+    reason: RejectionReason.WorkUnknown,
+    detail: `VM ${vm} is under ${work.kind}, not in a move`,
+  };
+}
+
+function checkMove(
+  state: FleetState,
+  record: MoveStarted,
+  vm: VmRecord,
+): Rejection | undefined {
+  if (vm.epoch !== record.epoch) return epochMoved(vm.id, record.epoch, vm);
+  if (vm.pool === record.toPool) {
+    return {
+      reason: RejectionReason.EpochMoved,
+      detail: `VM ${vm.id} belongs to pool ${vm.pool} already`,
+    };
+  }
+  const pools = state.inForce?.bundle.pools ?? {};
+  if (record.toPool in pools) return undefined;
+  return {
+    reason: RejectionReason.PoolUnknown,
+    detail: `pool ${record.toPool} is not in the bundle in force; VM ${vm.id} stays in ${vm.pool}`,
+  };
+}
+
+/** The pool may have gone with a bundle that came into force during the move. */
+function checkTarget(
+  state: FleetState,
+  work: PlannedWork,
+): Rejection | undefined {
+  if ((work.toPool ?? '') in (state.inForce?.bundle.pools ?? {}))
+    return undefined;
+  return {
+    reason: RejectionReason.PoolUnknown,
+    detail: `pool ${work.toPool} has left the bundle; abort the move of VM ${work.vm}`,
+  };
+}
+
+function noteDeviation(
+  state: FleetState,
+  work: PlannedWork,
+  pool: string,
+  offset: number,
+): void {
+  const desired = state.inForce?.bundle.pools[pool]?.vms ?? [];
+  if (work.cause === undefined || desired.includes(work.vm))
+    state.deviations.delete(work.vm);
+  else state.deviations.set(work.vm, {cause: work.cause, offset});
+}
+
+function epochMoved(
+  vm: string,
+  expected: number,
+  found: VmRecord | undefined,
+): Rejection {
+  return {
+    reason: RejectionReason.EpochMoved,
+    detail: `VM ${vm} is in pool ${found?.pool ?? 'none'} with epoch ${found?.epoch ?? 0}, not ${expected}; look at it again before moving it`,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/fold-planner.ts
@@ -0,0 +1,93 @@
+import {capacityOf} from './capacity-index.js';
+import {PLANNER_KEY, plannerOf} from './fleet-domain.js';
+import {
+  VmCondition,
+  type PlannerRenewed,
+  type PlannerTaken,
+  type VmReported,
+} from './fleet-records.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+} from './fleet-state.js';
+
+/**
+ * Gives the planner's role to one daemon. Two that try at once expect the same term: the
+ * second in the log is rejected, so there is never more than one planner at an offset.
+ */
+export function applyPlannerTaken(
+  state: FleetState,
+  record: PlannerTaken,
+  offset: number,
+): Rejection | undefined {
+  const {term, holder} = plannerOf(state);
+  if (record.expectedTerm !== term) {
+    return {
+      reason: RejectionReason.StaleTerm,
+      detail: `term ${term} is held by ${holder}, not ${record.expectedTerm}; read on before trying again`,
+    };
+  }
+  if (!state.members.has(record.holder)) {
+    return {
+      reason: RejectionReason.MemberUnknown,
+      detail: `${record.holder} is no member and cannot plan`,
+    };
+  }
+  state.planner.set(PLANNER_KEY, {
+    term: term + 1,
+    holder: record.holder,
+    heardAt: offset,
+  });
+  return undefined;
+}
+
+/** Shows that the planner lives. */
+export function applyPlannerRenewed(
+  state: FleetState,
+  record: PlannerRenewed,
+  offset: number,
+): Rejection | undefined {
+  return checkTerm(state, record, offset);
+}
+
+/** Takes over what the planner saw of VMs. */
+export function applyVmReported(
+  state: FleetState,
+  record: VmReported,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const index = capacityOf(state);
+  const {conditions} = state;
+  for (const {vm, condition} of record.reports) {
+    if (!state.vms.has(vm)) continue;
+    index.update(vm, () => {
+      if (condition === VmCondition.Up) conditions.delete(vm);
+      else conditions.set(vm, condition);
+    });
+  }
+  return undefined;
+}
+
+/**
+ * Fences a planner whose term is over: one that was paused and wakes writes with its old
+ * term, and whatever it decided on is out of date. An operator's record carries no term.
+ */
+export function checkTerm(
+  state: FleetState,
+  record: {readonly term?: number; readonly writer: string},
+  offset: number,
+): Rejection | undefined {
+  if (record.term === undefined) return undefined;
+  const planner = plannerOf(state);
+  if (record.term === planner.term && record.writer === planner.holder) {
+    state.planner.set(PLANNER_KEY, {...planner, heardAt: offset});
+    return undefined;
+  }
+  return {
+    reason: RejectionReason.StaleTerm,
+    detail: `${record.writer} planned in term ${record.term}, but ${planner.holder || 'nobody'} plans in term ${planner.term}`,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/fold-waves.ts
@@ -0,0 +1,158 @@
+import {capacityOf} from './capacity-index.js';
+import {WaveState, WaveVmStep, type Wave} from './fleet-domain.js';
+import {
+  WaveChange,
+  type WaveChanged,
+  type WaveScope,
+  type WaveStarted,
+} from './fleet-records.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+} from './fleet-state.js';
+import {checkTerm} from './fold-planner.js';
+
+/** Ended waves kept for operators to look at; the oldest goes first. */
+const ENDED_WAVES_KEPT = 32;
+
+/** Starts a wave over the VMs that its scope covers now. */
+export function applyWaveStarted(
+  state: FleetState,
+  record: WaveStarted,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  if (state.waves.has(record.wave))
+    return waveState(record.wave, 'exists already; choose another name');
+  const covered = coveredVms(state, record.scope);
+  if (covered.length === 0)
+    return waveState(record.wave, 'covers no VM; widen its scope');
+  const overlap = overlapping(state, covered);
+  if (overlap) return overlap;
+  state.waves.set(record.wave, {
+    id: record.wave,
+    reason: record.reason,
+    startedBy: record.writer,
+    startedAt: offset,
+    scope: record.scope,
+    state: WaveState.Running,
+    stateReason: record.reason,
+    heldByPlanner: false,
+    total: covered.length,
+    remaining: covered.length,
+    active: 0,
+    done: 0,
+    failed: 0,
+    handedOver: 0,
+  });
+  for (const vm of covered) {
+    state.waveVms.set(vm, {wave: record.wave, step: WaveVmStep.Remaining});
+  }
+  forgetEndedWaves(state);
+  return undefined;
+}
+
+/** Holds, resumes, aborts or finishes a wave. */
+export function applyWaveChanged(
+  state: FleetState,
+  record: WaveChanged,
+  offset: number,
+): Rejection | undefined {
+  const fenced = checkTerm(state, record, offset);
+  if (fenced) return fenced;
+  const wave = state.waves.get(record.wave);
+  if (!wave) {
+    return {
+      reason: RejectionReason.WaveUnknown,
+      detail: `no wave ${record.wave}; see GET /fleet/waves`,
+    };
+  }
+  const next = nextState(wave, record.change);
+  if (next === undefined)
+    return waveState(wave.id, `is ${wave.state}: ${wave.stateReason}`);
+  const changed: Wave = {
+    ...wave,
+    state: next,
+    stateReason: record.reason,
+    heldByPlanner: next === WaveState.Held && record.term !== undefined,
+  };
+  state.waves.set(wave.id, changed);
+  if (isEnded(changed)) forgetWaveVms(state, wave.id);
+  return undefined;
+}
+
+/** Whether a wave takes no more VMs for good. */
+export function isEnded(wave: Wave): boolean {
+  return wave.state === WaveState.Aborted || wave.state === WaveState.Finished;
+}
+
+function nextState(wave: Wave, change: WaveChange): WaveState | undefined {
+  switch (change) {
+    case WaveChange.Hold:
+      return wave.state === WaveState.Running ? WaveState.Held : undefined;
+    case WaveChange.Resume:
+      return wave.state === WaveState.Held ? WaveState.Running : undefined;
+    case WaveChange.Abort:
+      return isEnded(wave) ? undefined : WaveState.Aborted;
+    case WaveChange.Finish:
+      return isDone(wave) ? WaveState.Finished : undefined;
+    default:
+      return undefined;
+  }
+}
+
+function isDone(wave: Wave): boolean {
+  return !isEnded(wave) && wave.remaining === 0 && wave.active === 0;
+}
+
+function coveredVms(state: FleetState, scope: WaveScope): string[] {
+  const index = capacityOf(state);
+  const pools = scope.pools && new Set(scope.pools);
+  const dataCentres = scope.dataCentres && new Set(scope.dataCentres);
+  const since = scope.notMaintainedSince;
+  const covered: string[] = [];
+  for (const {id, pool} of state.vms.values()) {
+    if (pools && !pools.has(pool)) continue;
+    if (dataCentres && !dataCentres.has(index.place(id).dataCentre)) continue;
+    const last = state.maintainedAt.get(id) ?? 0;
+    if (since !== undefined && last >= since) continue;
+    covered.push(id);
+  }
+  return covered;
+}
+
+/** One VM is in one wave: two operators with the same idea would reboot it twice. */
+function overlapping(
+  state: FleetState,
+  covered: readonly string[],
+): Rejection | undefined {
+  const shared = covered.filter(vm => state.waveVms.has(vm));
+  if (shared.length === 0) return undefined;
+  const other = state.waves.get(state.waveVms.get(shared[0])?.wave ?? '');
+  return {
+    reason: RejectionReason.WaveOverlap,
+    detail: `wave ${other?.id} of ${other?.startedBy} covers ${shared[0]} and maybe more of these VMs (${shared.length} are in waves); narrow the scope or abort that wave`,
+  };
+}
+
+function forgetWaveVms(state: FleetState, wave: string): void {
+  for (const [vm, entry] of state.waveVms) {
+    if (entry.wave === wave) state.waveVms.delete(vm);
+  }
+}
+
+function forgetEndedWaves(state: FleetState): void {
+  const ended = [...state.waves.values()].filter(isEnded);
+  for (const wave of ended.slice(0, -ENDED_WAVES_KEPT)) {
+    if (wave.active === 0) state.waves.delete(wave.id);
+  }
+}
+
+function waveState(wave: string, what: string): Rejection {
+  return {
+    reason: RejectionReason.WaveState,
+    detail: `wave ${wave} ${what}`,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/planned-work.ts
@@ -0,0 +1,106 @@
+import {checkPlannedStop} from './budget-check.js';
+import {capacityOf} from './capacity-index.js';
+import {isOutOfService, type PlannedWork} from './fleet-domain.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+  type VmRecord,
+} from './fleet-state.js';
+
+/** What starts planned work on a VM. */
+export type NewWork = Omit<PlannedWork, 'awaiting' | 'attempts'>;
+
+/** Finds the VM or says that there is none. */
+export function findVm(state: FleetState, id: string): VmRecord | Rejection {
+  return (
+    state.vms.get(id) ?? {
+      reason: RejectionReason.VmUnknown,
+      detail: `no VM ${id} in any pool; check the id against GET /fleet/vms`,
+    }
+  );
+}
+
+/** Tells a rejection from what was looked for. */
+export function isRejection(value: object): value is Rejection {
+  return 'detail' in value && 'reason' in value && !('startedAt' in value);
+}
+
+/** Starts planned work if the VM is free for it and every budget allows it. */
+export function startWork(
+  state: FleetState,
+  work: NewWork,
+): Rejection | undefined {
+  const present = state.work.get(work.vm);
+  if (present) return alreadyAtWork(present);
+  const refusal = checkPlannedStop(state, work.vm, work.toPool);
+  if (refusal) return refusal;
+  const awaiting = [...state.members.keys()];
+  setWork(state, work.vm, {...work, awaiting, attempts: 0});
+  return undefined;
+}
+
+/** Writes or removes planned work; keeps the routing mark and the counters in step with it. */
+export function setWork(
+  state: FleetState,
+  vm: string,
+  work: PlannedWork | undefined,
+): void {
+  capacityOf(state).update(vm, () => {
+    if (work) state.work.set(vm, work);
+    else state.work.delete(vm);
+    const record = state.vms.get(vm);
+    if (!record) return;
+    const drainReason = isOutOfService(work) ? work?.reason : undefined;
+    if (record.drainReason !== drainReason)
+      state.vms.set(vm, {...record, drainReason});
+  });
+}
+
+/** The work that a record names by VM and start, or why it is not there any more. */
+export function findWork(
+  state: FleetState,
+  vm: string,
+  startedAt: number,
+): PlannedWork | Rejection {
+  const work = state.work.get(vm);
+  if (work && work.startedAt === startedAt) return work;
+  const owner = state.vms.get(vm);
+  return {
+    reason: RejectionReason.WorkUnknown,
+    detail: `the work of offset ${startedAt} on VM ${vm} has ended; it belongs to pool ${owner?.pool ?? 'none'}, epoch ${owner?.epoch ?? 0}`,
+  };
+}
+
+/**
+ * Daemons that may still have an exchange on the VM. One that left or was replaced counts
+ * as gone: its own record says so, or that of the incarnation that took its name.
+ */
+export function outstandingDaemons(
+  state: FleetState,
+  work: PlannedWork,
+): string[] {
+  return work.awaiting.filter(incarnation => state.members.has(incarnation));
+}
+
+/** Why the VM is not drained yet; undefined when it is. */
+export function checkDrained(
+  state: FleetState,
+  work: PlannedWork,
+): Rejection | undefined {
+  const names = outstandingDaemons(state, work).map(
+    incarnation => state.members.get(incarnation)?.name ?? incarnation,
+  );
+  if (names.length === 0) return undefined;
+  return {
+    reason: RejectionReason.DrainOutstanding,
+    detail: `VM ${work.vm} waits for ${names.join(', ')} to finish exchanges; look at those daemons if it stays so`,
+  };
+}
+
+function alreadyAtWork(work: PlannedWork): Rejection {
+  return {
+    reason: RejectionReason.AlreadyDraining,
+    detail: `VM ${work.vm} is under ${work.kind} by ${work.writer}: ${work.reason}`,
+  };
+}
--- a/packages/shared-state/src/record-handlers.ts
+++ b/packages/shared-state/src/record-handlers.ts
@@ -1,5 +1,4 @@
-import type {z} from 'zod';
-import type {FleetState, Rejection} from './fleet-state.js';
+import {FLEET_RECORD_HANDLERS} from './fleet-record-handlers.js';
 import {
   applyBundleChanged,
   applyBundleProposed,
@@ -11,6 +10,7 @@
   applyMemberJoined,
   applyMemberLeft,
 } from './fold-members.js';
+import type {RecordHandler} from './record-handler.js';
 import {
   RecordKind,
   bundleChangedSchema,
@@ -24,19 +24,7 @@
   type FleetRecord,
 } from './records.js';
 
-/** How one kind of record is checked and applied. */
-export interface RecordHandler<Entry extends FleetRecord> {
-  /** Format of the encoding that brought the kind; writers use it only when it is in use. */
-  readonly sinceFormat: number;
-  /** Checks every field; what it lets through must not make `apply` throw. */
-  readonly schema: z.ZodType<Entry>;
-  /** Changes `state` or says why not; depends on nothing but its arguments. */
-  apply(
-    state: FleetState,
-    record: Entry,
-    offset: number,
-  ): Rejection | undefined;
-}
+export type {RecordHandler} from './record-handler.js';
 
 type HandlerTable = {
   readonly [Kind in RecordKind]: RecordHandler<
@@ -46,6 +34,7 @@
 
 /** The table from kind to handler: a new kind is one line here and its own files. */
 export const RECORD_HANDLERS: HandlerTable = {
+  ...FLEET_RECORD_HANDLERS,
   [RecordKind.BundleProposed]: {
     sinceFormat: 1,
     schema: bundleProposedSchema,
--- a/packages/shared-state/src/records.ts
+++ b/packages/shared-state/src/records.ts
@@ -4,10 +4,12 @@
   BundleSigned,
 } from './bundle-records.js';
 import type {DrainEnded, DrainStarted} from './drain-records.js';
+import type {FleetDomainRecord} from './fleet-records.js';
 import type {FormatRaised, MemberJoined, MemberLeft} from './member-records.js';
 
 export * from './bundle-records.js';
 export * from './drain-records.js';
+export * from './fleet-records.js';
 export * from './member-records.js';
 export * from './record-head.js';
 export * from './record-kind.js';
@@ -21,4 +23,5 @@
   | MemberLeft
   | FormatRaised
   | DrainStarted
-  | DrainEnded;
+  | DrainEnded
+  | FleetDomainRecord;
