--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -20,6 +20,7 @@
   InFlight = 'in_flight',
   LogAppends = 'log_appends',
   LogAppendFailures = 'log_append_failures',
+  LogAppendRefusals = 'log_append_refusals',
   LogReads = 'log_reads',
   LogReadFailures = 'log_read_failures',
   RecordsApplied = 'records_applied',
@@ -27,6 +28,7 @@
   StateHashDifferences = 'state_hash_differences',
   PeerMessages = 'peer_messages',
   PeerDisconnects = 'peer_disconnects',
+  PeerMessagesDropped = 'peer_messages_dropped',
   EventLoopDelay = 'event_loop_delay',
 }
 
--- a/packages/shared-state/src/fleet-state.ts
+++ b/packages/shared-state/src/fleet-state.ts
@@ -1,9 +1,17 @@
+import {emptyFleetDomain, type FleetDomain} from './fleet-domain.js';
 import type {Bundle} from './bundle.js';
+import type {ParsedBundle} from './bundle-text.js';
+import {HashedTable} from './hashed-table.js';
+import {ParseMemo} from './parse-memo.js';
 
 /** Why a record had no effect. */
 export enum RejectionReason {
   Unreadable = 'unreadable',
   Duplicate = 'duplicate',
+  HandlerFailed = 'handler_failed',
+  FormatNotInUse = 'format_not_in_use',
+  FormatTooOld = 'format_too_old',
+  FormatNotReadByAll = 'format_not_read_by_all',
   BundleInvalid = 'bundle_invalid',
   BundleConflict = 'bundle_conflict',
   BundleUnknown = 'bundle_unknown',
@@ -17,6 +25,23 @@
   AlreadyDraining = 'already_draining',
   NotDraining = 'not_draining',
   BudgetExceeded = 'budget_exceeded',
+  BudgetBroken = 'budget_broken',
+  LeavingLimit = 'leaving_limit',
+  StaleTerm = 'stale_term',
+  EpochMoved = 'epoch_moved',
+  PoolUnknown = 'pool_unknown',
+  WorkUnknown = 'work_unknown',
+  WorkState = 'work_state',
+  DrainOutstanding = 'drain_outstanding',
+  WaveUnknown = 'wave_unknown',
+  WaveState = 'wave_state',
+  WaveOverlap = 'wave_overlap',
+  TeamUnknown = 'team_unknown',
+  QuotaExceeded = 'quota_exceeded',
+  JobUnknown = 'job_unknown',
+  JobDuplicate = 'job_duplicate',
+  JobState = 'job_state',
+  JobImpossible = 'job_impossible',
 }
 
 /** A record that the fold did not accept. */
@@ -31,7 +56,10 @@
   readonly bundle: Bundle;
   readonly text: string;
   readonly digest: string;
-  readonly signers: Set<string>;
+  /** Operators whose sign-off counts, in order. */
+  readonly signers: readonly string[];
+  /** The text section by section, so that a delta on it costs only what it changes. */
+  readonly parsed: ParsedBundle;
 }
 
 /** The bundle that all daemons follow. */
@@ -41,6 +69,8 @@
   readonly digest: string;
   /** Offset of the sign-off that brought it into force. */
   readonly offset: number;
+  /** The text section by section, so that a delta on it costs only what it changes. */
+  readonly parsed: ParsedBundle;
 }
 
 /** An entry daemon that may be routing. */
@@ -49,6 +79,8 @@
   readonly incarnation: string;
   readonly dataCentre: string;
   readonly peerAddress: string;
+  /** Highest record format that it reads. */
+  readonly readsFormat: number;
 }
 
 /** A VM as the log says. */
@@ -65,28 +97,38 @@
 /** Operators trusted before the first bundle: name to Ed25519 public key. */
 export type TrustedOperators = Readonly<Record<string, string>>;
 
-/** Everything agreed, as of one offset of the fleet stream. */
-export interface FleetState {
+/**
+ * Everything agreed, as of one offset of the fleet stream. What is agreed stands in
+ * `HashedTable`s of plain values: hash and snapshots take in each such field by itself.
+ */
+export interface FleetState extends FleetDomain {
   /** Offset of the next record to apply. */
   nextOffset: number;
+  /** Records of a higher format have no effect yet; rises by a record when all members read it. */
+  formatInUse: number;
   inForce: BundleInForce | undefined;
-  readonly proposals: Map<string, ProposedBundle>;
-  readonly members: Map<string, Member>;
-  readonly vms: Map<string, VmRecord>;
+  readonly proposals: HashedTable<ProposedBundle>;
+  readonly members: HashedTable<Member>;
+  readonly vms: HashedTable<VmRecord>;
+  /** Ids of recent records with their offsets, oldest first. */
+  readonly recentIds: HashedTable<number>;
   readonly trusted: TrustedOperators;
-  /** Ids of recent records, oldest first. */
-  readonly recentIds: Set<string>;
+  /** No part of what is agreed. */
+  readonly parseMemo: ParseMemo;
 }
 
 /** The state before the first record. */
 export function emptyFleetState(trusted: TrustedOperators): FleetState {
   return {
     nextOffset: 0,
+    formatInUse: 1,
     inForce: undefined,
-    proposals: new Map(),
-    members: new Map(),
-    vms: new Map(),
+    proposals: new HashedTable(({digest, signers}) => [digest, signers]),
+    members: new HashedTable(),
+    vms: new HashedTable(),
+    recentIds: new HashedTable(),
+    ...emptyFleetDomain(),
     trusted,
-    recentIds: new Set(),
+    parseMemo: new ParseMemo(),
   };
 }
