--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -194,6 +194,8 @@
     return {
       id: slot.target.id,
       address: slot.target.address,
+      // As many as exchanges: eight daemons with eight slots each fill the 64 connections.
+      connections: Math.min(slot.target.slots, slot.target.connections),
       isRoutable: () => slot.isRoutable(),
       report: outcome => slot.report(outcome),
       release: () => {
