--- a/packages/bench/src/model/model-daemon.ts
+++ b/packages/bench/src/model/model-daemon.ts
@@ -47,7 +47,10 @@
   readonly daemons: number;
   readonly policy: Policy;
   readonly targets: ReadonlyMap<string, ModelTarget>;
+  readonly onPressure: () => void;
   readonly onStanding: () => void;
+  /** An answer came in time: milliseconds of its work. */
+  readonly onUseful: (milliseconds: number) => void;
 }
 
 /** One of a request's attempts. */
@@ -76,6 +79,7 @@
       self: name,
       quota: policy.hasQuotas ? this.quota : new NoTeamQuota(),
       onSpill: () => {},
+      onPressure: options.onPressure,
       onStanding: options.onStanding,
       replaced: policy.parts(clock, random, daemons),
     });
@@ -177,6 +181,7 @@
     }
     tally.answered++;
     tally.usefulWork += request.milliseconds;
+    this.options.onUseful(request.milliseconds);
     tally.recordLatency(age);
   }
 
--- a/packages/bench/src/model/model-target.ts
+++ b/packages/bench/src/model/model-target.ts
@@ -23,6 +23,8 @@
   mode = TargetMode.Works;
   /** Multiplies the time of all work begun from now on. */
   slowness = 1;
+  /** Adds this share of a request's time for each other that runs: cold caches contended for. */
+  contention = 0;
   /** Slot-milliseconds of work ended. */
   ran = 0;
   private running = 0;
@@ -50,7 +52,9 @@
     const fails = this.mode === TargetMode.FailsEverything;
     const time = fails
       ? FAST_FAILURE_MILLISECONDS
-      : work.milliseconds * this.slowness;
+      : work.milliseconds *
+        this.slowness *
+        (1 + this.contention * this.running);
     this.running++;
     this.clock.schedule(time, () => {
       this.running--;
--- /dev/null
+++ b/packages/bench/src/scenarios/decisions-faults.ts
@@ -0,0 +1,247 @@
+import {
+  FullWeightAtOnce,
+  LeastCost,
+  NeverEject,
+  RandomChoice,
+  TakeAnySlot,
+} from '@gentiandoor/decisions';
+import type {DeploymentModel} from '../model/deployment-model.js';
+import {TargetMode} from '../model/model-target.js';
+import {play, rowsOf, tallyOf, type ModelRun} from '../model/model-rows.js';
+import {NAIVE, STANDARD, variant} from '../model/policies.js';
+import {fullRate, plan, shortStream} from '../model/streams.js';
+import type {Scenario, ScenarioCheck, ScenarioResult} from '../scenario.js';
+
+const TARGETS = 8;
+const FAULT_AT = 10_000;
+const NO_EJECTION = variant('never eject', () => ({
+  ejection: new NeverEject(),
+}));
+const RANDOM = variant('random choice', (_clock, random) => ({
+  choice: new RandomChoice(random),
+}));
+const LEAST = variant('least cost', () => ({choice: new LeastCost()}));
+const ANY_SLOT = variant('take any slot', () => ({
+  slowTargets: new TakeAnySlot(),
+}));
+const FULL_WEIGHT = variant('full weight at once', () => ({
+  ramp: new FullWeightAtOnce(),
+}));
+
+function setMode(
+  model: DeploymentModel,
+  ids: readonly string[],
+  mode: TargetMode,
+): void {
+  for (const id of ids) {
+    const target = model.targets.get(id);
+    if (target) target.mode = mode;
+  }
+}
+
+/** Share of offered requests that ended in a failure or were turned away. */
+function notAnswered(run: ModelRun): number {
+  const tally = tallyOf(run, 'short');
+  return 1 - tally.answered / tally.offered;
+}
+
+function failedShare(run: ModelRun): number {
+  const tally = tallyOf(run, 'short');
+  return tally.failed / tally.offered;
+}
+
+function below(
+  name: string,
+  value: number,
+  bound: number,
+  inclusive = false,
+): ScenarioCheck {
+  return {
+    name,
+    passed: inclusive ? value <= bound : value < bound,
+    detail: `${value.toFixed(5)} against ${bound.toFixed(5)}`,
+  };
+}
+
+/** One target of eight fails everything in a millisecond. */
+export const failEverything: Scenario = {
+  name: 'decisions-fail-everything',
+  description:
+    'one target of eight fails every request within a millisecond, load 0.7x of all eight',
+  run({seed, scale}): Promise<ScenarioResult> {
+    const stream = shortStream(0.7 * fullRate(TARGETS));
+    const script = (model: DeploymentModel) => {
+      model.clock.schedule(FAULT_AT, () =>
+        setMode(model, ['vm-3'], TargetMode.FailsEverything),
+      );
+    };
+    const runs = [STANDARD, NO_EJECTION, RANDOM, NAIVE].map(policy =>
+      play(plan(seed, scale, [stream], {script}), policy),
+    );
+    const [standard, , , naive] = runs;
+    return Promise.resolve({
+      rows: runs.flatMap(rowsOf),
+      checks: [
+        below(
+          'under 0.1% of idempotent requests fail',
+          failedShare(standard),
+          0.001,
+        ),
+        below(
+          'fewer unanswered than naive',
+          notAnswered(standard),
+          notAnswered(naive),
+        ),
+      ],
+    });
+  },
+};
+
+/** One target of eight takes ten times as long. */
+export const slowTarget: Scenario = {
+  name: 'decisions-slow-target',
+  description:
+    'one target of eight takes ten times as long, load 0.7x of all eight',
+  run({seed, scale}): Promise<ScenarioResult> {
+    const stream = shortStream(0.7 * fullRate(TARGETS));
+    const script = (model: DeploymentModel) => {
+      model.clock.schedule(FAULT_AT, () => {
+        const target = model.targets.get('vm-3');
+        if (target) target.slowness = 10;
+      });
+    };
+    const runs = [STANDARD, ANY_SLOT, RANDOM, LEAST, NAIVE].map(policy =>
+      play(plan(seed, scale, [stream], {script}), policy),
+    );
+    const [standard, anySlot, , , naive] = runs;
+    const p99 = (run: ModelRun) => tallyOf(run, 'short').percentile(99);
+    return Promise.resolve({
+      rows: runs.flatMap(rowsOf),
+      checks: [
+        below('p99 below taking any slot', p99(standard), p99(anySlot)),
+        below(
+          'fewer unanswered than naive',
+          notAnswered(standard),
+          notAnswered(naive),
+        ),
+      ],
+    });
+  },
+};
+
+/** A rack of four of eight goes and comes back. */
+export const rackLoss: Scenario = {
+  name: 'decisions-rack-loss',
+  description:
+    'a rack with four of eight targets refuses connections for 15 s, load 0.35x of all eight',
+  run({seed, scale}): Promise<ScenarioResult> {
+    const stream = shortStream(0.35 * fullRate(TARGETS));
+    const rack = ['vm-0', 'vm-1', 'vm-2', 'vm-3'];
+    const script = (model: DeploymentModel) => {
+      model.clock.schedule(FAULT_AT, () =>
+        setMode(model, rack, TargetMode.Unreachable),
+      );
+      model.clock.schedule(FAULT_AT + 15_000, () =>
+        setMode(model, rack, TargetMode.Works),
+      );
+    };
+    const runs = [STANDARD, NO_EJECTION, NAIVE].map(policy =>
+      play(plan(seed, scale, [stream], {script}), policy),
+    );
+    const [standard, , naive] = runs;
+    return Promise.resolve({
+      rows: runs.flatMap(rowsOf),
+      checks: [
+        below('under 0.1% of requests fail', failedShare(standard), 0.001),
+        below(
+          'fewer unanswered than naive',
+          notAnswered(standard),
+          notAnswered(naive),
+        ),
+      ],
+    });
+  },
+};
+
+/** A fault behind all targets: nothing may be ejected for good. */
+export const sharedFault: Scenario = {
+  name: 'decisions-shared-fault',
+  description:
+    'all targets fail everything for 5 s, then work again; load 0.7x',
+  run({seed, scale}): Promise<ScenarioResult> {
+    const stream = shortStream(0.7 * fullRate(TARGETS));
+    const script = (model: DeploymentModel) => {
+      const all = [...model.targets.keys()];
+      model.clock.schedule(FAULT_AT, () =>
+        setMode(model, all, TargetMode.FailsEverything),
+      );
+      model.clock.schedule(FAULT_AT + 5000, () =>
+        setMode(model, all, TargetMode.Works),
+      );
+    };
+    const runs = [STANDARD, NO_EJECTION, NAIVE].map(policy =>
+      play(plan(seed, scale, [stream], {script}), policy),
+    );
+    const [standard, never] = runs;
+    return Promise.resolve({
+      rows: runs.flatMap(rowsOf),
+      checks: [
+        below(
+          'no more than 2% more unanswered than without ejection',
+          notAnswered(standard) - notAnswered(never),
+          0.02,
+        ),
+      ],
+    });
+  },
+};
+
+const FLAP_MILLISECONDS = 1500;
+const COLD_MILLISECONDS = 6000;
+const COLD_CONTENTION = 1;
+
+/** A list that drops two targets and shows them again, each time cold. */
+export const flappingList: Scenario = {
+  name: 'decisions-flapping-list',
+  description:
+    'two of eight targets leave and return every 1.5 s; for 6 s after each return every request there slows the others down; load 0.6x',
+  run({seed, scale}): Promise<ScenarioResult> {
+    const stream = shortStream(0.6 * fullRate(TARGETS));
+    const runs = [STANDARD, FULL_WEIGHT, RANDOM, NAIVE].map(policy =>
+      play(plan(seed, scale, [stream], {script: flap}), policy),
+    );
+    const [standard, fullWeight, , naive] = runs;
+    const p99 = (run: ModelRun) => tallyOf(run, 'short').percentile(99);
+    return Promise.resolve({
+      rows: runs.flatMap(rowsOf),
+      checks: [
+        below('p99 below full weight at once', p99(standard), p99(fullWeight)),
+        below('p99 below naive', p99(standard), p99(naive)),
+      ],
+    });
+  },
+};
+
+function flap(model: DeploymentModel): void {
+  const all = [...model.targets.keys()];
+  const flapping = ['vm-0', 'vm-1'];
+  const stable = all.filter(id => !flapping.includes(id));
+  let isIn = true;
+  const turn = () => {
+    isIn = !isIn;
+    model.setTargets(isIn ? all : stable);
+    if (isIn) warmUp(model, flapping);
+    model.clock.schedule(FLAP_MILLISECONDS, turn);
+  };
+  model.clock.schedule(FAULT_AT, turn);
+}
+
+/** A returning target is slow while its caches fill with what it is sent. */
+function warmUp(model: DeploymentModel, ids: readonly string[]): void {
+  for (const id of ids) {
+    const target = model.targets.get(id);
+    if (!target) continue;
+    target.contention = COLD_CONTENTION;
+    model.clock.schedule(COLD_MILLISECONDS, () => (target.contention = 0));
+  }
+}
--- a/packages/bench/src/scenarios/decisions.ts
+++ b/packages/bench/src/scenarios/decisions.ts
@@ -1,5 +1,31 @@
 import type {Scenario} from '../scenario.js';
-import {oneSided, saturation} from './decisions-saturation.js';
+import {
+  failEverything,
+  flappingList,
+  rackLoss,
+  sharedFault,
+  slowTarget,
+} from './decisions-faults.js';
+import {oneSided, saturation, targetBacklog} from './decisions-saturation.js';
+import {
+  burst,
+  heavyCallers,
+  longAmongShort,
+  quotas,
+} from './decisions-sharing.js';
 
 /** Measurements of the decisions under load, on a model with a virtual clock. */
-export const DECISION_SCENARIOS: readonly Scenario[] = [saturation, oneSided];
+export const DECISION_SCENARIOS: readonly Scenario[] = [
+  saturation,
+  oneSided,
+  targetBacklog,
+  burst,
+  heavyCallers,
+  quotas,
+  longAmongShort,
+  slowTarget,
+  failEverything,
+  rackLoss,
+  sharedFault,
+  flappingList,
+];
--- a/packages/decisions/src/class-gate.ts
+++ b/packages/decisions/src/class-gate.ts
@@ -27,20 +27,21 @@
 
 const SMALLEST_RESERVE_SHARE = 0.125;
 const LONG_GUARANTEE_SHARE = 0.25;
-const PEAK_MARGIN = 1.5;
-const PEAK_FORGET_MILLISECONDS = 30_000;
+const FORGET_MILLISECONDS = 10_000;
 
 /**
  * Keeps slots free for the short work that is likely to come; long work borrows the rest.
  * Answers projections and reviews that fill all slots in front of a counter preview: a slot taken
  * by long work is gone for its whole time, so room must be there before the short request comes.
- * The reserve is half as much again as the most short work in flight lately (forgotten over 30 s),
- * so it follows the day; an eighth (one slot of 8) stays when no short work was seen at all. Long
- * work is never held under a quarter: below that it goes first, so it does not starve.
+ * The reserve is the mean of short work in flight over ten seconds and its square root, one
+ * standard deviation of random arrivals; the peaks of one daemon find room in what others leave
+ * idle, so more would only lie idle. An eighth (one slot of 8) stays when no short work was seen.
+ * Long work is never held under a quarter: below that it goes first, so it does not starve.
  */
 export class ShortReserve implements ClassGate {
-  private peak = 0;
-  private peakAt = 0;
+  private mean = 0;
+  private lastCount = 0;
+  private lastAt = 0;
 
   /** `capacity` gives the slots that this daemon may use in the pool now. */
   constructor(
@@ -60,19 +61,16 @@
     return long < this.guarantee() ? WorkLength.Long : WorkLength.Short;
   }
 
-  onStart(work: WorkLength): void {
-    if (work === WorkLength.Long) return;
-    const short = this.drain.inFlightOf(WorkLength.Short);
-    if (short < this.currentPeak()) return;
-    this.peak = short;
-    this.peakAt = this.clock.monotonicMilliseconds();
+  onStart(): void {
+    this.observe();
   }
 
   private longLimit(): number {
+    this.observe();
     const capacity = this.capacity();
-    const smallest = Math.ceil(capacity * SMALLEST_RESERVE_SHARE);
-    const wanted = Math.ceil(this.currentPeak() * PEAK_MARGIN);
-    const limit = capacity - Math.max(smallest, wanted);
+    const smallest = capacity * SMALLEST_RESERVE_SHARE;
+    const likely = this.mean + Math.sqrt(this.mean);
+    const limit = capacity - Math.ceil(Math.max(smallest, likely));
     return Math.max(limit, this.guarantee());
   }
 
@@ -80,8 +78,12 @@
     return Math.max(1, Math.floor(this.capacity() * LONG_GUARANTEE_SHARE));
   }
 
-  private currentPeak(): number {
-    const age = this.clock.monotonicMilliseconds() - this.peakAt;
-    return this.peak * Math.exp(-age / PEAK_FORGET_MILLISECONDS);
+  /** Weighs what was in flight since the last look by its time. */
+  private observe(): void {
+    const now = this.clock.monotonicMilliseconds();
+    const share = 1 - Math.exp((this.lastAt - now) / FORGET_MILLISECONDS);
+    this.mean += (this.lastCount - this.mean) * share;
+    this.lastAt = now;
+    this.lastCount = this.drain.inFlightOf(WorkLength.Short);
   }
 }
--- a/packages/decisions/src/drain-rate.ts
+++ b/packages/decisions/src/drain-rate.ts
@@ -32,8 +32,15 @@
     this.inFlight[work]++;
   }
 
-  onEnd(work: WorkLength, heldMilliseconds: number): void {
+  onEnd(work: WorkLength): void {
     this.inFlight[work]--;
+  }
+
+  /**
+   * An exchange that was answered held its slot for so long. Busy answers and failures are left
+   * out: a fault that fails in a millisecond would make every later exchange look slow.
+   */
+  onAnswered(work: WorkLength, heldMilliseconds: number): void {
     this.holds[work].observe(heldMilliseconds);
   }
 
--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -46,6 +46,8 @@
 }
 
 const FAILURES_IN_A_ROW = 5;
+/** A refused connection leaves little doubt: three of them are enough. */
+const UNREACHABLE_WEIGHT = 2;
 const FAILURE_SHARE = 0.5;
 const SHARE_MINIMUM_EXCHANGES = 10;
 /** Exchanges over which the failure share is kept: a mean over about the last twenty. */
@@ -71,9 +73,9 @@
     return this.outUntil !== undefined;
   }
 
-  count(failed: boolean): void {
+  count(failed: boolean, weight: number): void {
     this.exchanges++;
-    this.failuresInARow = failed ? this.failuresInARow + 1 : 0;
+    this.failuresInARow = failed ? this.failuresInARow + weight : 0;
     this.failureShare += ((failed ? 1 : 0) - this.failureShare) * SHARE_STEP;
   }
 
@@ -133,7 +135,10 @@
     const failed = isFailure(kind);
     const record = this.records.get(target) ?? this.recordOf(target, failed);
     if (!record) return;
-    record.count(failed);
+    record.count(
+      failed,
+      kind === OutcomeKind.Unreachable ? UNREACHABLE_WEIGHT : 1,
+    );
     if (record.isOut) this.observeOut(target, record, failed, now);
     else if (record.looksBad) this.eject(target, record, now);
     else if (now - record.backSince > FORGIVE_MILLISECONDS) record.timesOut = 0;
@@ -158,7 +163,7 @@
     if (now < record.outUntil && !this.isSharedFault) return;
     if (failed) {
       record.probationSuccesses = 0;
-      if (now >= record.outUntil) this.eject(target, record, now);
+      if (!this.isSharedFault) this.eject(target, record, now);
       return;
     }
     record.probationSuccesses++;
@@ -188,12 +193,26 @@
       TargetStanding.InUse,
       0,
     );
+    const wasSharedFault = this.isSharedFault;
     record.outUntil = undefined;
     record.backSince = now;
     record.failureShare = 0;
     record.exchanges = 0;
     this.countOut();
     this.onChange(change);
+    if (wasSharedFault && !this.isSharedFault) this.endSharedFault(now);
+  }
+
+  /**
+   * What is still out then was so for the shared fault: it goes on probation at once. Else half of
+   * the pool would fall out just as the fault ends, with times that grew during it.
+   */
+  private endSharedFault(now: number): void {
+    for (const record of this.records.values()) {
+      if (record.outUntil === undefined) continue;
+      record.outUntil = Math.min(record.outUntil, now);
+      record.timesOut = 1;
+    }
   }
 
   private countOut(): void {
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -1,6 +1,6 @@
 import type {ClassGate} from './class-gate.js';
 import type {DrainRate} from './drain-rate.js';
-import {StandingQueue} from './standing-queue.js';
+import {allowedWait} from './standing-queue.js';
 import {TeamLane} from './team-lane.js';
 import {
   TurnAway,
@@ -16,7 +16,6 @@
 class ClassLanes<Item extends Waiter> {
   readonly urgent = new TeamLane<Item>();
   readonly usual = new TeamLane<Item>();
-  readonly standing = new StandingQueue();
 
   get length(): number {
     return this.urgent.length + this.usual.length;
@@ -58,15 +57,13 @@
   }
 
   enter(item: Item, now: number): readonly TurnedAway<Item>[] {
-    const lanes = this.lanes[item.work];
-    if (lanes.length === 0) lanes.standing.onEmpty(now);
     const reason = this.judge(item, now);
     if (reason) return [{item, reason}];
     if (this.lengthOf(item.service) < item.queueLimit) {
-      this.add(item);
+      this.add(item, now);
       return [];
     }
-    return this.makeRoom(item);
+    return this.makeRoom(item, now);
   }
 
   next(now: number, mayRun: (item: Item) => boolean): Item | undefined {
@@ -76,7 +73,7 @@
       const item = this.nextOf(urgent, now, mayRun);
       if (!item) continue;
       this.urgentInARow = urgent ? this.urgentInARow + 1 : 0;
-      this.forget(item, now);
+      this.forget(item);
       return item;
     }
     return undefined;
@@ -85,7 +82,7 @@
   leave(item: Item): boolean {
     if (!this.items.has(item)) return false;
     this.lanes[item.work].of(item).remove(item);
-    this.forget(item, undefined);
+    this.forget(item);
     return true;
   }
 
@@ -119,7 +116,8 @@
     const longest = item.deadline - item.enteredAt;
     if (item.team.urgent) return longest;
     const hold = this.drain.holdMilliseconds(item.work);
-    return this.lanes[item.work].standing.allowedWait(now, longest, hold);
+    const waitingFor = this.lanes[item.work].of(item).waitingFor(item, now);
+    return allowedWait(waitingFor, longest, hold);
   }
 
   private overdue(item: Item, now: number): TurnAway | undefined {
@@ -128,7 +126,7 @@
     return waited > this.allowedWait(item, now) ? TurnAway.Standing : undefined;
   }
 
-  private makeRoom(item: Item): readonly TurnedAway<Item>[] {
+  private makeRoom(item: Item, now: number): readonly TurnedAway<Item>[] {
     const lane = this.lanes[item.work].of(item);
     const longest = lane.longest(item.service);
     const newest = longest?.newest();
@@ -137,7 +135,7 @@
     if (!newest || isOwn || !longest || longest.length < 2)
       return [{item, reason: TurnAway.Full}];
     this.leave(newest);
-    this.add(item);
+    this.add(item, now);
     return [{item: newest, reason: TurnAway.Full}];
   }
 
@@ -160,16 +158,14 @@
     return undefined;
   }
 
-  private add(item: Item): void {
-    this.lanes[item.work].of(item).add(item);
+  private add(item: Item, now: number): void {
+    this.lanes[item.work].of(item).add(item, now);
     this.items.add(item);
     this.lengths.set(item.service, this.lengthOf(item.service) + 1);
   }
 
-  private forget(item: Item, now: number | undefined): void {
+  private forget(item: Item): void {
     this.items.delete(item);
     this.lengths.set(item.service, this.lengthOf(item.service) - 1);
-    const lanes = this.lanes[item.work];
-    if (now !== undefined && lanes.length === 0) lanes.standing.onEmpty(now);
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './routable-targets.js';
 export * from './slot-pool.js';
 export * from './slot-share.js';
+export * from './slow-target.js';
 export * from './standard-pool.js';
 export * from './standing-queue.js';
 export * from './target-choice.js';
--- a/packages/decisions/src/retry-budget.ts
+++ b/packages/decisions/src/retry-budget.ts
@@ -40,7 +40,9 @@
 
 /** Attempts that a request may have in all. */
 export const MAXIMUM_ATTEMPTS = 3;
-/** Attempts of a request that met busy targets only; its wait is bounded by its deadline as well. */
+/** The same when nothing was sent: one more than the targets of a rack. */
+export const MAXIMUM_UNSENT_ATTEMPTS = 5;
+/** Attempts of a request that met busy targets; its wait is bounded by its deadline as well. */
 export const MAXIMUM_BUSY_ATTEMPTS = 8;
 const SHARE_OF_REQUESTS = 0.2;
 const MINIMUM_PER_SECOND = 2;
@@ -73,9 +75,9 @@
     if (question.kind === OutcomeKind.CallerGone)
       return RetryVerdict.NobodyWaits;
     if (!isSafeToRepeat(question)) return RetryVerdict.MayHaveRun;
-    if (question.kind === OutcomeKind.Busy) return judgeBusy(question);
-    if (question.attempts >= MAXIMUM_ATTEMPTS)
+    if (question.attempts >= attemptsFor(question))
       return RetryVerdict.AttemptsSpent;
+    if (question.kind === OutcomeKind.Busy) return RetryVerdict.Retry;
     this.refill();
     if (this.balance < 1) return RetryVerdict.BudgetSpent;
     this.balance -= 1;
@@ -94,10 +96,9 @@
   }
 }
 
-function judgeBusy(question: RetryQuestion): RetryVerdict {
-  return question.attempts < MAXIMUM_BUSY_ATTEMPTS
-    ? RetryVerdict.Retry
-    : RetryVerdict.AttemptsSpent;
+function attemptsFor({kind, sent}: RetryQuestion): number {
+  if (kind === OutcomeKind.Busy) return MAXIMUM_BUSY_ATTEMPTS;
+  return sent ? MAXIMUM_ATTEMPTS : MAXIMUM_UNSENT_ATTEMPTS;
 }
 
 /** Retries whatever is safe to repeat, without a bound on the load: the baseline. */
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -2,6 +2,7 @@
 import type {ClassGate} from './class-gate.js';
 import {retryAfterSeconds, type DrainRate} from './drain-rate.js';
 import type {Ejection} from './ejection.js';
+import type {SlowTargetRule} from './slow-target.js';
 import type {PeerUse, PeerUses, SlotShare} from './slot-share.js';
 import type {ChoiceAsk, TargetChoice} from './target-choice.js';
 import {TargetEntry, type RoutableTarget} from './target-entry.js';
@@ -50,24 +51,27 @@
   readonly ramp: WeightRamp;
   readonly drain: DrainRate;
   readonly gate: ClassGate;
+  readonly slowTargets: SlowTargetRule;
   readonly quota: TeamQuota;
   readonly queue: WaitingQueue<SlotAsk>;
   readonly onSpill: (reason: SpillReason) => void;
+  /** Requests begin to wait: peers that know it leave slots. */
+  readonly onPressure: () => void;
 }
 
 /** A granted slot. */
 export class PoolSlot {
-  private readonly startedAt: number;
+  /** Whether the exchange ended with an answer that is no failure. */
+  wasAnswered = false;
   private isReleased = false;
 
   constructor(
     private readonly pool: SlotPool,
     readonly entry: TargetEntry,
     readonly ask: SlotAsk,
-    now: number,
-  ) {
-    this.startedAt = now;
-  }
+    /** Monotonic milliseconds of the grant. */
+    readonly startedAt: number,
+  ) {}
 
   get target(): RoutableTarget {
     return this.entry.target;
@@ -80,6 +84,7 @@
 
   /** What the exchange showed of the target. */
   report(outcome: TargetOutcome): void {
+    this.wasAnswered = outcome.kind === OutcomeKind.Succeeded;
     this.pool.onOutcome(this, outcome);
   }
 
@@ -87,7 +92,7 @@
   release(): void {
     if (this.isReleased) return;
     this.isReleased = true;
-    this.pool.onReleased(this, this.startedAt);
+    this.pool.onReleased(this);
   }
 }
 
@@ -154,7 +159,9 @@
       this.refuse(ask, undefined);
       return;
     }
+    const isFirst = queue.length === 0;
     this.turnAway(queue.enter(ask, this.now()));
+    if (isFirst && queue.length > 0) this.parts.onPressure();
     this.armSweep();
   }
 
@@ -239,7 +246,7 @@
     if (outcome.kind === OutcomeKind.Busy) {
       share.onBusy(entry.id, entry.inFlight, slots);
     } else if (isFailure(outcome.kind)) {
-      entry.latency.penalise(now);
+      entry.latency.penalise(this.usualMilliseconds(), now);
     } else if (outcome.kind === OutcomeKind.Succeeded) {
       entry.lastAnswerAt = now;
       share.onSuccess(entry.id, entry.inFlight, slots);
@@ -248,9 +255,11 @@
   }
 
   /** For `PoolSlot` only. */
-  onReleased({entry, ask}: PoolSlot, startedAt: number): void {
+  onReleased({entry, ask, startedAt, wasAnswered}: PoolSlot): void {
     entry.inFlight--;
-    this.parts.drain.onEnd(ask.work, this.now() - startedAt);
+    const {drain} = this.parts;
+    drain.onEnd(ask.work);
+    if (wasAnswered) drain.onAnswered(ask.work, this.now() - startedAt);
     this.parts.quota.onEnd(ask.team);
     this.mayHaveRoom = true;
     this.pump();
@@ -269,19 +278,26 @@
     entry.latency.observe(milliseconds * scale, now);
   }
 
+  private usualMilliseconds(): number {
+    return this.parts.drain.holdMilliseconds(WorkLength.Short);
+  }
+
   private put(target: RoutableTarget, isFirst: boolean, now: number): void {
     const known = this.entries.get(target.id);
     if (known) {
       known.target = target;
       return;
     }
-    const {clock, share, ejection, ramp, drain} = this.parts;
+    const {clock, share, ejection, ramp, drain, slowTargets} = this.parts;
     const entry = new TargetEntry(target, {
       now: () => clock.monotonicMilliseconds(),
-      usualMilliseconds: () => drain.holdMilliseconds(WorkLength.Short),
+      usualMilliseconds: () => this.usualMilliseconds(),
+      queueMilliseconds: () =>
+        (this.waiting + 1) / drain.perMillisecond(WorkLength.Short),
       share,
       ejection,
       ramp,
+      slowTargets,
     });
     this.entries.set(target.id, entry);
     if (!isFirst) ramp.onIn(target.id, now);
@@ -332,13 +348,15 @@
     return true;
   }
 
-  /** Near before far, own slots before borrowed ones. */
+  /** Near before far, own slots before borrowed ones, warm targets before cold ones. */
   private pick(ask: ChoiceAsk): TargetEntry | undefined {
     const {idempotent, tried} = ask;
-    const own = {idempotent, tried, mayBorrow: false};
-    const borrowed = {idempotent, tried, mayBorrow: true};
     for (const entries of [this.near, this.far]) {
-      const entry = this.choose(entries, own) ?? this.choose(entries, borrowed);
+      if (entries.length === 0) continue;
+      const entry =
+        this.choose(entries, {idempotent, tried, mayBorrow: false}) ??
+        this.choose(entries, {idempotent, tried}) ??
+        this.choose(entries, {idempotent, tried, mayBeCold: true});
       if (entry) return entry;
     }
     return tried ? this.pick({idempotent}) : undefined;
@@ -348,7 +366,6 @@
     entries: readonly TargetEntry[],
     ask: ChoiceAsk,
   ): TargetEntry | undefined {
-    if (entries.length === 0) return undefined;
     return this.parts.choice.choose(entries, ask);
   }
 
--- a/packages/decisions/src/standard-pool.ts
+++ b/packages/decisions/src/standard-pool.ts
@@ -5,6 +5,7 @@
 import {FairQueue} from './fair-queue.js';
 import {SlotPool, type SlotPoolParts, type SpillReason} from './slot-pool.js';
 import {PeerShare} from './slot-share.js';
+import {WaitRatherThanSlow} from './slow-target.js';
 import {TwoRandomChoices} from './target-choice.js';
 import type {TeamQuota} from './team-quota.js';
 import {SteppedRamp} from './weight-ramp.js';
@@ -17,6 +18,7 @@
   readonly self: string;
   readonly quota: TeamQuota;
   readonly onSpill: (reason: SpillReason) => void;
+  readonly onPressure: () => void;
   readonly onStanding: (change: StandingChange) => void;
   /** Parts that a comparison replaces. */
   readonly replaced?: Partial<SlotPoolParts>;
@@ -24,7 +26,15 @@
 
 /** Puts the decisions of one pool together as the daemon uses them. */
 export function createStandardPool(options: StandardPoolOptions): SlotPool {
-  const {clock, random, self, quota, onSpill, replaced = {}} = options;
+  const {
+    clock,
+    random,
+    self,
+    quota,
+    onSpill,
+    onPressure,
+    replaced = {},
+  } = options;
   const drain = new DrainRate();
   const gate =
     replaced.gate ?? new ShortReserve(clock, drain, () => pool.capacity());
@@ -35,6 +45,8 @@
     gate,
     quota,
     onSpill,
+    onPressure,
+    slowTargets: new WaitRatherThanSlow(),
     share: new PeerShare(clock, self),
     choice: new TwoRandomChoices(random),
     ejection: new BoundedEjection(options.onStanding),
--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -7,6 +7,8 @@
   readonly tried?: ReadonlySet<string>;
   /** Whether slots that peers leave idle may be used as well; only the daemon's own when false. */
   readonly mayBorrow?: boolean;
+  /** Whether a target with a small weight may be used whatever its weight. */
+  readonly mayBeCold?: boolean;
 }
 
 /** What the choice knows of one target. */
@@ -50,18 +52,12 @@
     for (let sample = 0; sample < SAMPLES; sample++) {
       const target = targets[this.random.nextInteger(targets.length)];
       if (!target || target === first || !isOpen(target, ask)) continue;
-      if (!this.isLetThrough(target)) continue;
+      if (!isWarmEnough(this.random, target, ask)) continue;
       if (first) return first.cost() <= target.cost() ? first : target;
       first = target;
     }
     return first ?? lookThrough(this.random, targets, ask);
   }
-
-  /** A target with a small weight is passed over most times: slow start. */
-  private isLetThrough(target: TargetLoad): boolean {
-    const weight = target.weight();
-    return weight >= 1 || this.random.nextFraction() < weight;
-  }
 }
 
 /** Takes any target with room: the baseline. */
@@ -104,7 +100,18 @@
   const start = random.nextInteger(targets.length);
   for (let step = 0; step < targets.length; step++) {
     const target = targets[(start + step) % targets.length];
-    if (isOpen(target, ask)) return target;
+    if (isOpen(target, ask) && isWarmEnough(random, target, ask)) return target;
   }
   return undefined;
 }
+
+/** A target with a small weight is passed over most times: slow start. */
+function isWarmEnough(
+  random: RandomSource,
+  target: TargetLoad,
+  ask: ChoiceAsk,
+): boolean {
+  if (ask.mayBeCold) return true;
+  const weight = target.weight();
+  return weight >= 1 || random.nextFraction() < weight;
+}
--- a/packages/decisions/src/target-entry.ts
+++ b/packages/decisions/src/target-entry.ts
@@ -1,6 +1,7 @@
 import type {Ejection} from './ejection.js';
 import {TargetStanding} from './ejection.js';
 import {LatencyEstimate} from './latency-estimate.js';
+import type {SlowTargetRule} from './slow-target.js';
 import type {SlotShare} from './slot-share.js';
 import type {ChoiceAsk, TargetLoad} from './target-choice.js';
 import type {WeightRamp} from './weight-ramp.js';
@@ -24,9 +25,12 @@
   now(): number;
   /** Milliseconds that a short exchange usually takes in this pool. */
   usualMilliseconds(): number;
+  /** Milliseconds that a request which comes now would wait for another target. */
+  queueMilliseconds(): number;
   readonly share: SlotShare;
   readonly ejection: Ejection;
   readonly ramp: WeightRamp;
+  readonly slowTargets: SlowTargetRule;
 }
 
 const PROBATION_IN_FLIGHT = 1;
@@ -67,7 +71,8 @@
   hasRoom(ask: ChoiceAsk): boolean {
     const bound = ask.mayBorrow === false ? this.own() : this.limit();
     if (this.inFlight >= bound || !this.isOpen()) return false;
-    if (this.standing() === TargetStanding.InUse) return true;
+    if (this.standing() === TargetStanding.InUse)
+      return !this.isWorseThanWaiting();
     // A request that cannot be repeated is not used to find out whether a bad target works again.
     return ask.idempotent && this.inFlight < PROBATION_IN_FLIGHT;
   }
@@ -75,8 +80,10 @@
   cost(): number {
     if (this.standing() === TargetStanding.Probation) return 0;
     const usual = this.parts.usualMilliseconds();
-    const expected = this.latency.expected(usual, this.parts.now());
-    return ((this.inFlight + 1) * expected) / this.target.slots;
+    const now = this.parts.now();
+    const expected = this.latency.expected(usual, now);
+    const each = expected + this.latency.penalty(now);
+    return ((this.inFlight + 1) * each) / this.target.slots;
   }
 
   weight(): number {
@@ -104,6 +111,14 @@
     this.isGone = true;
   }
 
+  private isWorseThanWaiting(): boolean {
+    const {parts} = this;
+    const usual = parts.usualMilliseconds();
+    const expected = this.latency.expected(usual, parts.now());
+    const wait = parts.queueMilliseconds();
+    return parts.slowTargets.isWorseThanWaiting(expected, usual, wait);
+  }
+
   private standing(): TargetStanding {
     return this.parts.ejection.standing(this.id, this.parts.now());
   }
--- a/packages/decisions/src/team-lane.ts
+++ b/packages/decisions/src/team-lane.ts
@@ -30,6 +30,8 @@
   constructor(
     readonly name: string,
     readonly weight: number,
+    /** Monotonic milliseconds since which it has had requests waiting without a break. */
+    readonly since: number,
   ) {}
 
   add(item: Item): void {
@@ -80,11 +82,17 @@
     return this.size;
   }
 
-  add(item: Item): void {
-    this.teamOf(item).add(item);
+  add(item: Item, now: number): void {
+    this.teamOf(item, now).add(item);
     this.size++;
   }
 
+  /** Milliseconds for which the item's team has had requests waiting without a break. */
+  waitingFor(item: Item, now: number): number {
+    const team = this.teams.get(item.team.name);
+    return team ? now - team.since : 0;
+  }
+
   remove(item: Item): boolean {
     const team = this.teams.get(item.team.name);
     if (!team?.remove(item)) return false;
@@ -141,10 +149,10 @@
     return item.team.weight / weights;
   }
 
-  private teamOf(item: Item): TeamFlow<Item> {
+  private teamOf(item: Item, now: number): TeamFlow<Item> {
     const known = this.teams.get(item.team.name);
     if (known) return known;
-    const team = new TeamFlow<Item>(item.team.name, item.team.weight);
+    const team = new TeamFlow<Item>(item.team.name, item.team.weight, now);
     team.pass = this.virtualTime;
     this.teams.set(item.team.name, team);
     return team;
--- a/packages/plugin-caller-http/src/load-summaries.ts
+++ b/packages/plugin-caller-http/src/load-summaries.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Clock} from '@gentiandoor/kernel';
+import type {Clock, Timer} from '@gentiandoor/kernel';
 import type {PeerShare, PeerUse, SharedTeamQuota} from '@gentiandoor/decisions';
 import {PeerTopic, type PeerLinks} from '@gentiandoor/shared-state';
 import type {PoolTable} from './pool-table.js';
@@ -24,6 +24,8 @@
 
 /** Five exchanges of 50 ms: shares follow a change of load within a few of them. */
 const SHORTEST_MILLISECONDS = 250;
+/** Requests that begin to wait are told of at once, but no more often than this. */
+const HURRY_PAUSE_MILLISECONDS = 100;
 /** Bytes a second to all peers; the rest of a node's 7 KB/s is for the log and keyed requests. */
 const BYTES_PER_SECOND = 4000;
 const BYTES_OF_USE = 12;
@@ -36,7 +38,8 @@
  * allows, and only while it has work; takes in what they tell.
  */
 export class LoadSummaries {
-  private isRunning = false;
+  private timer: Timer | undefined;
+  private sentAt = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -54,12 +57,24 @@
 
   /** There is work: summaries go out until it ends. */
   wake(): void {
-    if (this.isRunning) return;
-    this.isRunning = true;
-    this.clock.schedule(SHORTEST_MILLISECONDS, () => this.tick());
+    if (!this.timer) this.tickIn(SHORTEST_MILLISECONDS);
+  }
+
+  /** Requests begin to wait: peers learn it before the next turn. */
+  hurry(): void {
+    const now = this.clock.monotonicMilliseconds();
+    if (now - this.sentAt < HURRY_PAUSE_MILLISECONDS) return;
+    this.timer?.cancel();
+    this.tickIn(0);
+  }
+
+  private tickIn(milliseconds: number): void {
+    this.timer = this.clock.schedule(milliseconds, () => this.tick());
   }
 
   private tick(): void {
+    this.timer = undefined;
+    this.sentAt = this.clock.monotonicMilliseconds();
     this.onTick();
     const peers = this.peerLinks.connected().length;
     const pause = pauseFor(this.countUses(), peers);
@@ -67,8 +82,7 @@
       const message = this.summary(pause * SUMMARIES_UNTIL_EXPIRY);
       this.peerLinks.broadcast(PeerTopic.TargetSummary, message);
     }
-    this.isRunning = this.hasWork();
-    if (this.isRunning) this.clock.schedule(pause, () => this.tick());
+    if (this.hasWork()) this.tickIn(pause);
   }
 
   private hasWork(): boolean {
--- a/packages/plugin-caller-http/src/pool-table.ts
+++ b/packages/plugin-caller-http/src/pool-table.ts
@@ -53,6 +53,7 @@
   constructor(
     private readonly dependencies: PoolTableDependencies,
     private readonly quota: TeamQuota,
+    private readonly onPressure: () => void,
   ) {
     dependencies.sharedState.onChange(() => {
       this.owned = undefined;
@@ -94,6 +95,7 @@
       random,
       self: identity.incarnation,
       quota: this.quota,
+      onPressure: this.onPressure,
       onSpill: reason => events.onSpill(reason),
       onStanding: change => events.onStanding(change),
     });
--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -98,7 +98,9 @@
     const self = identity.incarnation;
     const quotaShare = new PeerShare(clock, self, SMALLEST_QUOTA_PART);
     const quota = new SharedTeamQuota(quotaShare);
-    this.pools = new PoolTable(dependencies, quota);
+    this.pools = new PoolTable(dependencies, quota, () =>
+      this.summaries.hurry(),
+    );
     this.summaries = new LoadSummaries(
       clock,
       peerLinks,
