--- a/packages/bench/src/scenarios/decisions.ts
+++ b/packages/bench/src/scenarios/decisions.ts
@@ -2,6 +2,7 @@
 import {
   failEverything,
   flappingList,
+  mixedSpeeds,
   rackLoss,
   sharedFault,
   slowTarget,
@@ -28,4 +29,5 @@
   rackLoss,
   sharedFault,
   flappingList,
+  mixedSpeeds,
 ];
--- a/packages/decisions/src/standard-pool.ts
+++ b/packages/decisions/src/standard-pool.ts
@@ -6,7 +6,7 @@
 import {SlotPool, type SlotPoolParts, type SpillReason} from './slot-pool.js';
 import {PeerShare} from './slot-share.js';
 import {WaitRatherThanSlow} from './slow-target.js';
-import {TwoRandomChoices} from './target-choice.js';
+import {SampledChoice} from './target-choice.js';
 import type {TeamQuota} from './team-quota.js';
 import {SteppedRamp} from './weight-ramp.js';
 
@@ -48,7 +48,7 @@
     onPressure,
     slowTargets: new WaitRatherThanSlow(),
     share: new PeerShare(clock, self),
-    choice: new TwoRandomChoices(random),
+    choice: new SampledChoice(random),
     ejection: new BoundedEjection(options.onStanding),
     ramp: new SteppedRamp(),
     queue: new FairQueue(drain, gate),
--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -30,33 +30,44 @@
   ): Target | undefined;
 }
 
-/** Random targets looked at before all are looked through. */
-const SAMPLES = 4;
+/** Targets looked at; docs/design/target-choice.md compares two, four, twelve and all. */
+const SAMPLES = 12;
 
 /**
- * Takes the cheaper of two random targets with room.
- * Answers many daemons that each see a part of the load: with "least loaded first" all daemons
- * find the same idle target at once and send it a burst; with a plain random choice a slow target
- * gets as much as a fast one. Four samples find two targets with room in a pool that is half
- * full; a pool fuller than that is looked through from a random start, which happens only where
- * a request would have to wait.
+ * Takes the cheapest with room of up to twelve targets: all of a small pool, random ones of a
+ * large pool.
+ * Answers many daemons that each see a part of the load: with a plain random choice a slow target
+ * gets as much as a fast one. That all daemons find the same idle target at once is prevented by
+ * the slot shares, since each daemon uses its own part of every target first; what is left of that
+ * fault is why a large pool is sampled, besides the time to look at every target. Where no sample
+ * has room the pool is looked through from a random start; that is where a request would wait.
  */
-export class TwoRandomChoices implements TargetChoice {
-  constructor(private readonly random: RandomSource) {}
+export class SampledChoice implements TargetChoice {
+  constructor(
+    private readonly random: RandomSource,
+    private readonly samples = SAMPLES,
+  ) {}
 
   choose<Target extends TargetLoad>(
     targets: readonly Target[],
     ask: ChoiceAsk,
   ): Target | undefined {
-    let first: Target | undefined;
-    for (let sample = 0; sample < SAMPLES; sample++) {
-      const target = targets[this.random.nextInteger(targets.length)];
-      if (!target || target === first || !isOpen(target, ask)) continue;
+    const {length} = targets;
+    if (length === 0) return undefined;
+    const isSmall = length <= this.samples;
+    const start = this.random.nextInteger(length);
+    let best: Target | undefined;
+    for (let step = 0; step < Math.min(length, this.samples); step++) {
+      const index = isSmall
+        ? (start + step) % length
+        : this.random.nextInteger(length);
+      const target = targets[index];
+      if (target === best || !isOpen(target, ask)) continue;
       if (!isWarmEnough(this.random, target, ask)) continue;
-      if (first) return first.cost() <= target.cost() ? first : target;
-      first = target;
+      if (!best || target.cost() < best.cost()) best = target;
     }
-    return first ?? lookThrough(this.random, targets, ask);
+    if (best || isSmall) return best;
+    return lookThrough(this.random, targets, ask);
   }
 }
 
@@ -72,7 +83,7 @@
   }
 }
 
-/** Takes the cheapest of all: what two random choices are weighed against. */
+/** Takes the cheapest of all: what sampling is weighed against. */
 export class LeastCost implements TargetChoice {
   choose<Target extends TargetLoad>(
     targets: readonly Target[],
