List of VMs read as changes since a version

Change: the reader names the version it has and gets what is newer; the whole list only at the start or after a gap. Conclusion: at rest a poll carries an empty answer.

--- a/packages/plugin-platform-list/src/http-vm-list.ts
+++ b/packages/plugin-platform-list/src/http-vm-list.ts
@@ -17,6 +17,8 @@
 import type {PlatformListOptions} from './platform-list-options.js';
 
 const listBody = z.object({
+  version: z.number().int(),
+  whole: z.boolean(),
   vms: z.array(
     z.object({
       id: z.string(),
@@ -26,7 +28,9 @@
       state: z.enum(ListedState),
     }),
   ),
+  removed: z.array(z.string()),
 });
+type ListBody = z.output<typeof listBody>;
 
 /** What the list needs. */
 export interface HttpVmListDependencies {
@@ -39,6 +43,7 @@
 /** Polls the platform's list of VMs; keeps the last one while the platform is gone. */
 export class HttpVmList implements VmList, Plugin {
   private vms: ReadonlyMap<string, ListedVm> = new Map();
+  private version: number | undefined;
   private readAt = -Infinity;
   private readonly listeners: Array<() => void> = [];
   private readonly stopping = new AbortController();
@@ -89,12 +94,11 @@
   private async readOnce(): Promise<void> {
     const {clock, logger} = this.dependencies;
     try {
-      const listed = await this.fetchList();
-      this.vms = new Map(listed.map(vm => [vm.id, vm]));
+      const changed = this.take(await this.fetchList());
       this.readAt = clock.monotonicMilliseconds();
       if (!this.reachable) logger.info(LogEvent.ListReturned);
       this.reachable = true;
-      for (const listener of this.listeners) listener();
+      if (changed) for (const listener of this.listeners) listener();
     } catch (error) {
       if (this.stopping.signal.aborted) return;
       if (this.reachable)
@@ -103,18 +107,34 @@
     }
   }
 
-  private async fetchList(): Promise<ListedVm[]> {
+  /** True when the answer changed something. */
+  private take(body: ListBody): boolean {
+    const vms = new Map(body.whole ? [] : this.vms);
+    for (const vm of body.vms) vms.set(vm.id, vm);
+    for (const id of body.removed) vms.delete(id);
+    const changed =
+      body.whole || body.vms.length > 0 || body.removed.length > 0;
+    if (changed) this.vms = vms;
+    this.version = body.version;
+    return changed;
+  }
+
+  /**
+   * Asks only for what is newer than the version it has: the whole list of 31,000 VMs is
+   * about 3 MB, and read every second by every daemon it would be all that the network carries.
+   */
+  private async fetchList(): Promise<ListBody> {
     const timeout = AbortSignal.timeout(
       this.dependencies.platformListOptions.timeout_milliseconds,
     );
     const answer = await this.pool.request({
-      path: '/vms',
+      path: this.version === undefined ? '/vms' : `/vms?since=${this.version}`,
       method: 'GET',
       signal: AbortSignal.any([timeout, this.stopping.signal]),
     });
     const body = await answer.body.json();
     if (answer.statusCode !== 200)
       throw new Error(`status ${answer.statusCode}`);
-    return listBody.parse(body).vms;
+    return listBody.parse(body);
   }
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,4 @@
 export * from './platform-server.js';
 export * from './target-server.js';
 export * from './memory-peer-network.js';
+export * from './vm-list-history.js';
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -10,6 +10,7 @@
 } from '@gentiandoor/shared-state';
 import {closeServer, listen} from './http-listener.js';
 import type {MemoryVmList} from './memory-vm-list.js';
+import {VmListHistory} from './vm-list-history.js';
 
 const packr = new Packr({useRecords: false});
 const STREAMS: ReadonlySet<string> = new Set(Object.values(StreamName));
@@ -17,6 +18,7 @@
 /** The platform over HTTP: the log and the list of VMs. */
 export class PlatformServer {
   private readonly server: http.Server;
+  private readonly history = new VmListHistory();
 
   constructor(
     readonly log: PlatformLog,
@@ -39,7 +41,12 @@
   private async answer(context: Koa.Context): Promise<void> {
     const stream = /^\/streams\/([^/]+)\/records$/.exec(context.path)?.[1];
     if (context.path === '/vms') {
-      context.body = {vms: this.list.visible()};
+      context.body = this.history.answer(
+        this.list.visible(),
+        context.query.since === undefined
+          ? undefined
+          : numberOf(context.query.since),
+      );
     } else if (stream !== undefined && STREAMS.has(stream)) {
       await this.answerStream(context, stream as StreamName);
     } else {
