--- /dev/null
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -0,0 +1,184 @@
+import {
+  DrainState,
+  MemoryMetrics,
+  SilentLogger,
+  SystemClock,
+} from '@gentiandoor/kernel';
+import {
+  FailureDomain,
+  KeyRule,
+  WorkClass,
+  emptyFleetState,
+  type CallerEntry,
+  type OnceOnly,
+  type ServiceEntry,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import {LocalOnceOnly} from '@gentiandoor/plugin-once-only';
+import {HttpTargetTransport} from '@gentiandoor/plugin-target-http';
+import {CallerDirectory} from '../caller-directory.js';
+import {callerHttpOptions} from '../caller-http-options.js';
+import {CallerHttpServer} from '../caller-http-server.js';
+import {HeadCheck} from '../incoming-request.js';
+import {KeyedRequests} from '../keyed-requests.js';
+import {RequestDispatcher} from '../request-dispatcher.js';
+import {RequestHandler} from '../request-handler.js';
+import type {HeldSlot} from '../service-router.js';
+
+const SERVICE: ServiceEntry = {
+  pool: 'desk',
+  workClass: WorkClass.Short,
+  deadlineMilliseconds: 30_000,
+  waitMilliseconds: 1000,
+  queueLimit: 10,
+  keyRule: KeyRule.Optional,
+  callersOnly: false,
+  budget: {availableVms: 1, survive: FailureDomain.None, leavingAtOnce: 1},
+};
+
+/** Hands the targets out in turn and counts the slots in use. */
+export class TurnRouter {
+  inUse = 0;
+  private turn = 0;
+
+  constructor(
+    private readonly services: Readonly<Record<string, ServiceEntry>>,
+    private readonly addresses: readonly string[],
+  ) {}
+
+  service(name: string): ServiceEntry {
+    return this.services[name];
+  }
+
+  async acquire(): Promise<HeldSlot> {
+    const address = this.addresses[this.turn++ % this.addresses.length];
+    this.inUse++;
+    let held = true;
+    const release = () => {
+      if (held) this.inUse--;
+      held = false;
+    };
+    return {id: address, address, release};
+  }
+}
+
+/** What a test sets of a caller edge. */
+export interface CallerEdgeParts {
+  readonly targets: readonly string[];
+  readonly settings?: Readonly<Record<string, number>>;
+  readonly targetSettings?: Readonly<Record<string, number>>;
+  readonly services?: Readonly<Record<string, Partial<ServiceEntry>>>;
+  readonly callers?: Readonly<Record<string, CallerEntry>>;
+  readonly onceOnly?: OnceOnly;
+}
+
+/** The caller edge with a real transport and given targets, without the rest of a daemon. */
+export class CallerEdge {
+  readonly drainState = new DrainState();
+  readonly metrics = new MemoryMetrics();
+  readonly router: TurnRouter;
+  readonly server: CallerHttpServer;
+  readonly transport: HttpTargetTransport;
+
+  constructor(parts: CallerEdgeParts) {
+    const clock = new SystemClock();
+    const logger = new SilentLogger();
+    const {drainState, metrics} = this;
+    const services = servicesOf(parts.services ?? {desk: {}});
+    const sharedState = stateOf(services, parts.callers ?? {});
+    this.router = new TurnRouter(services, parts.targets);
+    const options = callerHttpOptions.parse({
+      listen: '127.0.0.1:0',
+      ...parts.settings,
+    });
+    this.transport = new HttpTargetTransport({
+      clock,
+      logger,
+      targetHttpOptions: {
+        connect_milliseconds: 1000,
+        idle_milliseconds: 3000,
+        proven_milliseconds: 500,
+        progress_milliseconds: 15_000,
+        connections: 64,
+        head_bytes: 32_768,
+        ...parts.targetSettings,
+      },
+    });
+    const shared = {
+      clock,
+      logger,
+      metrics,
+      drainState,
+      sharedState,
+      callerHttpOptions: options,
+      serviceRouter: this.router,
+      targetTransport: this.transport,
+      callerDirectory: new CallerDirectory({sharedState}),
+      onceOnly:
+        parts.onceOnly ?? new LocalOnceOnly({onceOnlyOptions: {keys: 100}}),
+    };
+    const requestDispatcher = new RequestDispatcher(shared);
+    const requestHandler = new RequestHandler({
+      ...shared,
+      headCheck: new HeadCheck(shared),
+      requestDispatcher,
+      keyedRequests: new KeyedRequests({...shared, requestDispatcher}),
+    });
+    this.server = new CallerHttpServer({...shared, requestHandler});
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.server.port}`;
+  }
+
+  start(): Promise<void> {
+    return this.server.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.server.stop();
+    await this.transport.stop();
+  }
+}
+
+function servicesOf(
+  services: Readonly<Record<string, Partial<ServiceEntry>>>,
+): Record<string, ServiceEntry> {
+  return Object.fromEntries(
+    Object.entries(services).map(([name, entry]) => [
+      name,
+      {...SERVICE, ...entry},
+    ]),
+  );
+}
+
+function stateOf(
+  services: Readonly<Record<string, ServiceEntry>>,
+  callers: Readonly<Record<string, CallerEntry>>,
+): SharedState {
+  const state = emptyFleetState({});
+  state.inForce = {
+    text: '',
+    digest: 'digest-1',
+    offset: 1,
+    bundle: {
+      version: 1,
+      base: 0,
+      author: 'moana',
+      signOffs: 0,
+      weights: {buffer: 1, move: 1},
+      operators: {},
+      racks: {},
+      pools: {},
+      services,
+      teams: {},
+      callers,
+    },
+  };
+  return {
+    state,
+    isLogReachable: true,
+    publish: () => Promise.reject(new Error('not in this test')),
+    onChange() {},
+  };
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
@@ -0,0 +1,184 @@
+import assert from 'node:assert/strict';
+import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {request} from 'undici';
+import type {
+  HeldAnswer,
+  KeyDecision,
+  KeyedRequest,
+  OnceOnly,
+} from '@gentiandoor/shared-state';
+import {RawFault, RawTarget} from '@gentiandoor/stand-ins';
+import {CallerEdge} from './caller-edge.js';
+import {RawCaller} from './raw-caller.js';
+
+/** Lets everything run and notes how each claim ended. */
+class NotingOnceOnly implements OnceOnly {
+  readonly ends: string[] = [];
+  held: HeldAnswer | undefined;
+  began = 0;
+
+  async begin(_request: KeyedRequest): Promise<KeyDecision> {
+    this.began++;
+    return {
+      run: true,
+      claim: {
+        finish: answer => {
+          this.held = answer;
+          this.ends.push(answer ? 'finish' : 'finish without answer');
+        },
+        release: () => this.ends.push('release'),
+        lose: () => this.ends.push('lose'),
+      },
+    };
+  }
+}
+
+describe('a request with an idempotency key', () => {
+  const target = new RawTarget();
+  let edge: CallerEdge;
+
+  before(() => target.start());
+  after(() => target.stop());
+  beforeEach(() => {
+    target.fault = RawFault.None;
+    target.received.length = 0;
+  });
+  afterEach(() => edge.stop());
+
+  async function startEdge(onceOnly?: OnceOnly): Promise<void> {
+    edge = new CallerEdge({
+      targets: [target.address],
+      services: {desk: {deadlineMilliseconds: 200}},
+      settings: {retries: 0, held_answer_bytes: 10},
+      onceOnly,
+    });
+    await edge.start();
+  }
+
+  async function post(key: string, body: string, path = '/desk/x') {
+    const answer = await request(`http://${edge.address}${path}`, {
+      method: 'POST',
+      headers: {'idempotency-key': key},
+      body,
+    });
+    return {
+      status: answer.statusCode,
+      headers: answer.headers,
+      text: await answer.body.text(),
+    };
+  }
+
+  describe('that comes again after its answer', () => {
+    it('gets the held answer, marked, and does not run again', async () => {
+      await startEdge();
+      const first = await post('k1', 'crest');
+      const second = await post('k1', 'crest');
+      assert.equal(first.headers['gentiandoor-replayed'], undefined);
+      assert.equal(second.headers['gentiandoor-replayed'], 'yes');
+      assert.equal(second.headers['gentiandoor-run'], 'yes');
+      assert.deepEqual([second.status, second.text], [200, 'whole']);
+      assert.equal(target.received.length, 1);
+    });
+  });
+
+  describe('that comes again with another body or path', () => {
+    it('is refused and not run', async () => {
+      await startEdge();
+      await post('k1', 'crest');
+      for (const again of [
+        await post('k1', 'logo'),
+        await post('k1', 'crest', '/desk/y'),
+      ]) {
+        assert.equal(again.status, 422);
+        assert.equal(again.headers['gentiandoor-reason'], 'key_reused');
+      }
+      assert.equal(target.received.length, 1);
+    });
+  });
+
+  describe('whose caller left before the answer', () => {
+    // The caller sends, leaves, and asks again with the same key. The first run was seen to
+    // its end, so the second request gets its answer and the target runs once.
+    it('gets the answer of that run when it asks again', async () => {
+      await startEdge();
+      target.fault = RawFault.Silent;
+      const caller = new RawCaller(edge.address);
+      caller.send(
+        'POST /desk/x HTTP/1.1',
+        'host: a',
+        'idempotency-key: k1',
+        'content-length: 5',
+        '',
+        'crest',
+      );
+      await until(() => target.received.length === 1);
+      caller.destroy();
+      target.writeUnasked('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone');
+      await until(() => edge.router.inUse === 0);
+      const again = await post('k1', 'crest');
+      assert.equal(again.text, 'done');
+      assert.equal(target.received.length, 1);
+    });
+  });
+
+  describe('ends its claim exactly once', () => {
+    const ends: ReadonlyArray<readonly [RawFault, string]> = [
+      [RawFault.None, 'finish'],
+      [RawFault.SpoofedHeaders, 'finish'],
+      [RawFault.Busy, 'release'],
+      [RawFault.ResetOnRequest, 'lose'],
+      [RawFault.ResetInBody, 'lose'],
+      [RawFault.NoLength, 'lose'],
+      [RawFault.Silent, 'lose'],
+    ];
+    for (const [fault, end] of ends) {
+      it(`by ${end} when the target does ${fault}`, async () => {
+        const onceOnly = new NotingOnceOnly();
+        await startEdge(onceOnly);
+        target.fault = fault;
+        await post('k1', 'crest').catch(() => undefined);
+        await until(() => edge.server.unfinished.requests === 0);
+        assert.deepEqual(onceOnly.ends, [end]);
+      });
+    }
+
+    it('by release when no target can be reached', async () => {
+      const onceOnly = new NotingOnceOnly();
+      edge = new CallerEdge({targets: ['127.0.0.1:1'], onceOnly});
+      await edge.start();
+      const answer = await post('k1', 'crest');
+      assert.equal(answer.headers['gentiandoor-run'], 'no');
+      assert.deepEqual(onceOnly.ends, ['release']);
+    });
+
+    it('without an answer where that is too large to hold', async () => {
+      const onceOnly = new NotingOnceOnly();
+      await startEdge(onceOnly);
+      target.fault = RawFault.Silent;
+      const answer = post('k1', 'crest');
+      await until(() => target.received.length === 1);
+      target.writeUnasked(
+        'HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\neleven long',
+      );
+      assert.equal((await answer).text, 'eleven long');
+      assert.deepEqual(onceOnly.ends, ['finish without answer']);
+    });
+  });
+
+  describe('on an idempotent method', () => {
+    it('needs no claim', async () => {
+      const onceOnly = new NotingOnceOnly();
+      await startEdge(onceOnly);
+      const answer = await request(`http://${edge.address}/desk/x`, {
+        headers: {'idempotency-key': 'k1'},
+      });
+      await answer.body.dump();
+      assert.equal(answer.statusCode, 200);
+      assert.equal(onceOnly.began, 0);
+    });
+  });
+});
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 2));
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/__tests__/raw-caller.ts
@@ -0,0 +1,85 @@
+import net from 'node:net';
+import {splitAddress} from '@gentiandoor/kernel';
+
+/** An answer as its bytes said. */
+export interface RawAnswer {
+  readonly status: number;
+  readonly head: string;
+  readonly body: string;
+}
+
+/** A caller on bare TCP, which may send anything. */
+export class RawCaller {
+  /** All bytes that came. */
+  received = '';
+  closed = false;
+  private readonly socket: net.Socket;
+  private wake: () => void = () => {};
+
+  constructor(address: string) {
+    const {host, port} = splitAddress(address);
+    this.socket = net.connect({host, port, allowHalfOpen: true});
+    this.socket.on('data', chunk => {
+      this.received += chunk.toString('latin1');
+      this.wake();
+    });
+    this.socket.on('end', () => this.onClose());
+    this.socket.on('close', () => this.onClose());
+    this.socket.on('error', () => {});
+  }
+
+  send(...lines: string[]): void {
+    this.socket.write(lines.join('\r\n'), 'latin1');
+  }
+
+  /** Goes away at once. */
+  destroy(): void {
+    this.socket.destroy();
+  }
+
+  pause(): void {
+    this.socket.pause();
+  }
+
+  /** Resolves when the bytes received are as `condition` says, or the connection closed. */
+  async until(condition: (received: string) => boolean): Promise<void> {
+    while (!condition(this.received) && !this.closed) {
+      await new Promise<void>(resolve => {
+        this.wake = resolve;
+      });
+    }
+  }
+
+  /** The next whole answer with a length; throws when the connection closed without one. */
+  async answer(): Promise<RawAnswer> {
+    await this.until(bytes => takeAnswer(bytes) !== undefined);
+    const taken = takeAnswer(this.received);
+    if (!taken) throw new Error(`closed after: ${this.received}`);
+    this.received = this.received.slice(taken.length);
+    return taken.answer;
+  }
+
+  /** Resolves when the daemon has closed its side. */
+  async end(): Promise<void> {
+    await this.until(() => false);
+  }
+
+  private onClose(): void {
+    this.closed = true;
+    this.wake();
+  }
+}
+
+function takeAnswer(
+  bytes: string,
+): {answer: RawAnswer; length: number} | undefined {
+  const headEnd = bytes.indexOf('\r\n\r\n');
+  if (headEnd < 0) return undefined;
+  const head = bytes.slice(0, headEnd);
+  const start = headEnd + 4;
+  const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1] ?? 0);
+  if (bytes.length < start + length) return undefined;
+  const status = Number(head.split(' ', 2)[1]);
+  const body = bytes.slice(start, start + length);
+  return {answer: {status, head, body}, length: start + length};
+}
--- /dev/null
+++ b/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
@@ -0,0 +1,332 @@
+import assert from 'node:assert/strict';
+import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {request} from 'undici';
+import {MetricName} from '@gentiandoor/kernel';
+import {RawFault, RawTarget} from '@gentiandoor/stand-ins';
+import {CallerEdge, type CallerEdgeParts} from './caller-edge.js';
+import {RawCaller} from './raw-caller.js';
+
+const UNUSED_ADDRESS = '127.0.0.1:1';
+const BUFFERED_BYTES = 100;
+
+interface Outcome {
+  readonly fault: RawFault;
+  readonly method: 'GET' | 'POST';
+  readonly status: number;
+  readonly reason: string | undefined;
+  readonly run: string;
+  /** Requests that reached the target. */
+  readonly received: number;
+}
+
+function outcome(
+  fault: RawFault,
+  method: 'GET' | 'POST',
+  status: number,
+  reason: string | undefined,
+  run: string,
+  received: number,
+): Outcome {
+  return {fault, method, status, reason, run, received};
+}
+
+const OUTCOMES: readonly Outcome[] = [
+  outcome(RawFault.None, 'GET', 200, undefined, 'yes', 1),
+  outcome(RawFault.None, 'POST', 200, undefined, 'yes', 1),
+  outcome(RawFault.Busy, 'GET', 503, 'target_refused', 'no', 2),
+  outcome(RawFault.Busy, 'POST', 503, 'target_refused', 'no', 2),
+  outcome(RawFault.ResetOnRequest, 'GET', 502, 'target_failed', 'unknown', 2),
+  outcome(RawFault.ResetOnRequest, 'POST', 502, 'target_failed', 'unknown', 1),
+  outcome(RawFault.NoLength, 'GET', 502, 'answer_malformed', 'unknown', 2),
+  outcome(RawFault.NoLength, 'POST', 502, 'answer_malformed', 'unknown', 1),
+  outcome(RawFault.Garbage, 'POST', 502, 'answer_malformed', 'unknown', 1),
+  outcome(RawFault.Silent, 'GET', 504, 'target_timeout', 'unknown', 1),
+  outcome(RawFault.Silent, 'POST', 504, 'target_timeout', 'unknown', 1),
+];
+
+describe('what the caller is told', () => {
+  const target = new RawTarget();
+  let edge: CallerEdge | undefined;
+
+  before(() => target.start());
+  after(() => target.stop());
+  beforeEach(() => {
+    target.fault = RawFault.None;
+    target.received.length = 0;
+  });
+  afterEach(async () => {
+    await edge?.stop();
+    edge = undefined;
+  });
+
+  async function startEdge(parts: Partial<CallerEdgeParts> = {}) {
+    edge = new CallerEdge({
+      targets: [target.address],
+      services: {desk: {deadlineMilliseconds: 300}},
+      settings: {
+        retries: 1,
+        buffered_body_bytes: BUFFERED_BYTES,
+        progress_milliseconds: 100,
+      },
+      ...parts,
+    });
+    await edge.start();
+    return edge;
+  }
+
+  for (const {fault, method, status, reason, run, received} of OUTCOMES) {
+    // The target does one thing to every request. What the caller is told must be true of
+    // all attempts together, and a request that must not run twice is sent once.
+    it(`${method} when the target does ${fault}: ${status}, run ${run}`, async () => {
+      const {address} = await startEdge();
+      target.fault = fault;
+      const answer = await request(`http://${address}/desk/x`, {
+        method,
+        body: method === 'POST' ? 'crest' : null,
+      });
+      await answer.body.dump();
+      assert.equal(answer.statusCode, status);
+      assert.equal(answer.headers['gentiandoor-run'], run);
+      assert.equal(answer.headers['gentiandoor-reason'], reason);
+      assert.equal(target.received.length, received);
+    });
+  }
+
+  for (const fault of [
+    RawFault.ResetInBody,
+    RawFault.CloseInBody,
+    RawFault.CloseInChunks,
+    RawFault.SilentInBody,
+  ]) {
+    // The head and a part of the body are out when the target's answer breaks off. Only a
+    // cut connection tells the caller so: no last chunk and no full length may follow.
+    it(`an answer cut by ${fault} is cut for the caller too`, async () => {
+      const {address} = await startEdge({
+        targetSettings: {progress_milliseconds: 100},
+      });
+      target.fault = fault;
+      const caller = new RawCaller(address);
+      caller.send('GET /desk/x HTTP/1.1', 'host: a', '', '');
+      await caller.end();
+      assert.match(caller.received, /part/);
+      assert.doesNotMatch(caller.received, /\r\n0\r\n\r\n$/);
+      assert.equal(edge?.router.inUse, 0);
+    });
+  }
+
+  describe('when one target refuses connections', () => {
+    it('a POST is sent to another one, since nothing was sent', async () => {
+      const {address, metrics} = await startEdge({
+        targets: [UNUSED_ADDRESS, target.address],
+      });
+      const answer = await request(`http://${address}/desk/x`, {
+        method: 'POST',
+        body: 'crest',
+      });
+      assert.equal(answer.statusCode, 200);
+      await answer.body.dump();
+      assert.equal(target.received.length, 1);
+      const reason = 'target_unreachable';
+      assert.equal(metrics.value(MetricName.Retries, {reason}), 1);
+    });
+  });
+
+  describe('when the first attempt may have run and the second was refused', () => {
+    // A GET reaches the first target, whose connection breaks; the second target says "not
+    // run". "Not run" alone would be false: the first may have run it.
+    it('the outcome is unknown', async () => {
+      const busy = new RawTarget();
+      await busy.start();
+      busy.fault = RawFault.Busy;
+      target.fault = RawFault.ResetOnRequest;
+      const {address} = await startEdge({
+        targets: [target.address, busy.address],
+      });
+      const answer = await request(`http://${address}/desk/x`);
+      await answer.body.dump();
+      await busy.stop();
+      assert.equal(busy.received.length, 1);
+      assert.equal(answer.headers['gentiandoor-run'], 'unknown');
+    });
+  });
+
+  describe('when the caller goes after a POST was sent', () => {
+    // The target is working on the POST when the caller leaves. Closing the connection would
+    // not stop the work, and a freed slot would give the target more than its slots: the slot
+    // stays taken until the target answers.
+    it('the slot stays taken until the target answers', async () => {
+      const {address, router, server} = await startEdge({
+        services: {desk: {deadlineMilliseconds: 60_000}},
+      });
+      target.fault = RawFault.Silent;
+      const caller = new RawCaller(address);
+      caller.send(
+        'POST /desk/x HTTP/1.1',
+        'host: a',
+        'content-length: 2',
+        '',
+        'ab',
+      );
+      await until(() => target.received.length === 1);
+      caller.destroy();
+      await turns();
+      assert.equal(router.inUse, 1);
+      assert.deepEqual(server.unfinished, {requests: 1, nonIdempotent: 1});
+      target.writeUnasked('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+      await until(() => router.inUse === 0);
+      assert.equal(server.unfinished.requests, 0);
+    });
+  });
+
+  describe('when the caller goes after a GET was sent', () => {
+    it('the exchange is given up and the slot is free', async () => {
+      const {address, router} = await startEdge();
+      target.fault = RawFault.Silent;
+      const caller = new RawCaller(address);
+      caller.send('GET /desk/x HTTP/1.1', 'host: a', '', '');
+      await until(() => target.received.length === 1);
+      caller.destroy();
+      await until(() => router.inUse === 0);
+      await until(() => target.openConnections === 0);
+    });
+  });
+
+  describe('when a streamed body stops half-way', () => {
+    // The body is over the buffered size, so its first part is already at the target when
+    // the caller stops sending. "Not run" could be false: the target has seen some of it.
+    it('the outcome is unknown', async () => {
+      const {address} = await startEdge();
+      const caller = new RawCaller(address);
+      caller.send(
+        'POST /desk/x HTTP/1.1',
+        'host: a',
+        'content-length: 1000',
+        '',
+        'x'.repeat(BUFFERED_BYTES + 1),
+      );
+      const answer = await caller.answer();
+      assert.equal(answer.status, 408);
+      assert.match(answer.head, /^gentiandoor-run: unknown$/m);
+      assert.match(answer.head, /^gentiandoor-reason: body_timeout$/m);
+      caller.destroy();
+    });
+  });
+
+  describe('when a streamed body becomes malformed', () => {
+    it('the outcome is unknown and the connection closes', async () => {
+      const {address} = await startEdge();
+      const caller = new RawCaller(address);
+      caller.send(
+        'POST /desk/x HTTP/1.1',
+        'host: a',
+        'transfer-encoding: chunked',
+        '',
+        'c8',
+        'x'.repeat(200),
+        '',
+      );
+      await until(() => target.receivedBytes > 200);
+      caller.send('zz', '');
+      const answer = await caller.answer();
+      assert.equal(answer.status, 400);
+      assert.match(answer.head, /^gentiandoor-run: unknown$/m);
+      await caller.end();
+    });
+  });
+
+  describe('when the answer comes before the body has ended', () => {
+    // The target answers on the head alone while the caller is still sending. The caller gets
+    // the whole answer, and its next request on the same connection is read from the right
+    // place: the rest of the first body is not taken for it.
+    it('the caller gets it, and the next request its own', async () => {
+      const {address} = await startEdge();
+      target.fault = RawFault.EarlyAnswer;
+      const caller = new RawCaller(address);
+      caller.send(
+        'POST /desk/early HTTP/1.1',
+        'host: a',
+        'content-length: 300',
+        '',
+        'x'.repeat(BUFFERED_BYTES + 1),
+      );
+      assert.equal((await caller.answer()).status, 200);
+      caller.send('x'.repeat(299 - BUFFERED_BYTES));
+      target.fault = RawFault.None;
+      caller.send('GET /desk/next HTTP/1.1', 'host: a', '', '');
+      assert.equal((await caller.answer()).body, 'whole');
+      const last = target.received.at(-1);
+      assert.match(last?.head ?? '', /^GET \/desk\/next /);
+      caller.destroy();
+    });
+  });
+
+  describe('headers', () => {
+    it('of the system cannot be set by either side', async () => {
+      const {address} = await startEdge();
+      target.fault = RawFault.SpoofedHeaders;
+      const answer = await request(`http://${address}/desk/x`, {
+        headers: {
+          'gentiandoor-caller': 'someone',
+          te: 'trailers',
+          'x-kept': '1',
+        },
+      });
+      await answer.body.dump();
+      assert.equal(answer.headers['gentiandoor-run'], 'yes');
+      assert.equal(answer.headers['gentiandoor-replayed'], undefined);
+      assert.equal(answer.headers['x-hop'], undefined);
+      assert.equal(answer.headers['proxy-authenticate'], undefined);
+      assert.equal(answer.headers['x-kept'], '1');
+      const [{head}] = target.received;
+      assert.doesNotMatch(head, /gentiandoor-caller|^te:/im);
+      assert.match(head, /^x-kept: 1$/m);
+      assert.match(head, /^via: 1\.1 gentiandoor$/m);
+      assert.match(head, /^x-forwarded-for: 127\.0\.0\.1$/m);
+    });
+
+    it('in trailers are passed on, the system\u2019s own left out', async () => {
+      const {address} = await startEdge();
+      target.fault = RawFault.Trailers;
+      const answer = await request(`http://${address}/desk/x`);
+      assert.equal(await answer.body.text(), 'whole');
+      assert.deepEqual({...answer.trailers}, {'x-sum': '17'});
+    });
+  });
+
+  describe('HEAD', () => {
+    it('has the length of the body and no body', async () => {
+      const {address} = await startEdge();
+      const caller = new RawCaller(address);
+      caller.send(
+        'HEAD /desk/x HTTP/1.1',
+        'host: a',
+        'connection: close',
+        '',
+        '',
+      );
+      await caller.end();
+      assert.match(caller.received, /content-length: 5\r\n/i);
+      assert.match(caller.received, /\r\n\r\n$/);
+    });
+  });
+
+  describe('when the target refuses with a time to come back', () => {
+    it('the caller is told that time', async () => {
+      const {address} = await startEdge();
+      target.fault = RawFault.Busy;
+      const answer = await request(`http://${address}/desk/x`);
+      await answer.body.dump();
+      assert.equal(answer.headers['retry-after'], '7');
+    });
+  });
+});
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 2));
+}
+
+/** Lets what is already on its way on sockets arrive. */
+async function turns(): Promise<void> {
+  for (let turn = 0; turn < 10; turn++)
+    await new Promise(resolve => setTimeout(resolve, 2));
+}
--- a/packages/plugin-caller-http/src/incoming-request.ts
+++ b/packages/plugin-caller-http/src/incoming-request.ts
@@ -44,7 +44,7 @@
   readonly callerHttpOptions: CallerHttpOptions;
   readonly callerDirectory: CallerDirectory;
   readonly drainState: DrainState;
-  readonly serviceRouter: ServiceRouter;
+  readonly serviceRouter: Pick<ServiceRouter, 'service'>;
   readonly sharedState: SharedState;
 }
 
--- a/packages/plugin-caller-http/src/request-dispatcher.ts
+++ b/packages/plugin-caller-http/src/request-dispatcher.ts
@@ -29,7 +29,7 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly callerHttpOptions: CallerHttpOptions;
-  readonly serviceRouter: ServiceRouter;
+  readonly serviceRouter: Pick<ServiceRouter, 'acquire'>;
   readonly targetTransport: TargetTransport;
 }
 
--- /dev/null
+++ b/packages/plugin-target-http/src/__tests__/sent-once.test.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {ExchangeEnd, VirtualClock} from '@gentiandoor/kernel';
+import {RawFault, RawTarget} from '@gentiandoor/stand-ins';
+import {POST, TransportFixture, outgoing} from './transport-fixture.js';
+
+const UNUSED_ADDRESS = '127.0.0.1:1';
+
+describe('a request is written to a target at most once', () => {
+  const target = new RawTarget();
+  let fixture: TransportFixture;
+
+  beforeEach(async () => {
+    await target.start();
+    target.received.length = 0;
+    target.fault = RawFault.None;
+    fixture = new TransportFixture();
+  });
+
+  afterEach(async () => {
+    await fixture.stop();
+    await target.stop();
+  });
+
+  describe('when nothing listens', () => {
+    it('is told as not sent', async () => {
+      const {result} = await fixture.send(UNUSED_ADDRESS, POST);
+      assert.equal(result.end, ExchangeEnd.NotSent);
+    });
+  });
+
+  describe('when the connection cannot be opened in time', () => {
+    // The caller gives up while the connection is still opening: it is told at once, and
+    // nothing is written when the connection opens later.
+    it('is told as not sent', async () => {
+      const sink = {onHead() {}, onData: () => true, onEnd() {}};
+      const exchange = fixture.transport.begin(
+        {id: 'a', address: target.address},
+        POST,
+        sink,
+      );
+      exchange.abort();
+      assert.equal((await exchange.done).end, ExchangeEnd.NotSent);
+      await fixture.send(target.address, outgoing());
+      assert.deepEqual(methods(target), ['GET']);
+    });
+  });
+
+  for (const fault of [
+    RawFault.ResetOnRequest,
+    RawFault.CloseOnRequest,
+    RawFault.ResetInHead,
+  ]) {
+    for (const request of [POST, outgoing(), outgoing({method: 'PUT'})]) {
+      describe(`when the target does ${fault} to a ${request.method}`, () => {
+        // The target reads the request and then the connection ends without an answer. It
+        // may have run: a library that sends it again by itself would run it twice.
+        it('reaches the target once and is told as broken', async () => {
+          target.fault = fault;
+          const {result} = await fixture.send(target.address, request);
+          assert.equal(result.end, ExchangeEnd.Broken);
+          target.fault = RawFault.None;
+          await fixture.send(target.address, outgoing({path: '/after'}));
+          const paths = target.received.map(item => item.head.split(' ')[1]);
+          assert.deepEqual(paths, ['/x', '/after']);
+        });
+      });
+    }
+  }
+
+  describe('when the target closes an idle connection as the request is written', () => {
+    // One request has been answered and its connection is kept. The target closes it; before
+    // that is seen here, the next request takes it. The request either goes to a new
+    // connection, unwritten so far, or ends as broken: never on both.
+    for (let round = 0; round < 5; round++) {
+      it(`reaches the target at most once, round ${round}`, async () => {
+        await fixture.send(target.address, outgoing());
+        target.received.length = 0;
+        target.closeConnections();
+        if (round % 2 === 1) await new Promise(setImmediate);
+        const {result, sink} = await fixture.send(target.address, POST);
+        if (result.end === ExchangeEnd.Whole) {
+          assert.equal(sink.body, 'whole');
+          assert.deepEqual(methods(target), ['POST']);
+        } else {
+          assert.ok(target.received.length <= 1);
+          assert.notEqual(result.end, ExchangeEnd.Whole);
+        }
+      });
+    }
+  });
+
+  describe('when a connection was idle for longer than it is proven', () => {
+    it('a non-idempotent request takes a new one, an idempotent one does not', async () => {
+      const clock = new VirtualClock();
+      const timed = new TransportFixture(
+        {idle_milliseconds: 3000, proven_milliseconds: 500},
+        clock,
+      );
+      await timed.send(target.address, outgoing());
+      clock.advance(499);
+      await timed.send(target.address, POST);
+      clock.advance(501);
+      await timed.send(target.address, outgoing());
+      clock.advance(501);
+      await timed.send(target.address, POST);
+      const used = target.received.map(item => item.connection);
+      const first = used[0];
+      assert.deepEqual(used, [first, first, first, first + 1]);
+      await timed.stop();
+    });
+  });
+
+  describe('when the target announced that the connection closes', () => {
+    it('the next request takes a new one', async () => {
+      target.fault = RawFault.AnnouncedClose;
+      await fixture.send(target.address, outgoing());
+      await fixture.send(target.address, POST);
+      const [first, second] = target.received.map(item => item.connection);
+      assert.notEqual(first, second);
+    });
+  });
+
+  describe('when a target gives a keep-alive time', () => {
+    it('its connection is not used after that, less a margin', async () => {
+      const hinted = new TransportFixture({idle_milliseconds: 60_000});
+      target.fault = RawFault.KeepAliveHint;
+      await hinted.send(target.address, outgoing());
+      assert.equal(hinted.transport.openConnections(target.address), 1);
+      while (hinted.transport.openConnections(target.address) > 0)
+        await new Promise(resolve => setTimeout(resolve, 50));
+      await hinted.stop();
+    });
+  });
+
+  describe('when all connections that a target may have are in use', () => {
+    it('is refused as not sent, and an unused one makes room', async () => {
+      target.fault = RawFault.Silent;
+      const first = fixture.send(
+        target.address,
+        outgoing({headMilliseconds: 200}),
+        1,
+      );
+      const second = await fixture.send(target.address, POST, 1);
+      assert.equal(second.result.end, ExchangeEnd.NotSent);
+      assert.equal((await first).result.end, ExchangeEnd.TimedOut);
+      target.fault = RawFault.None;
+      const third = await fixture.send(target.address, POST, 1);
+      assert.equal(third.result.end, ExchangeEnd.Whole);
+      assert.equal(fixture.transport.openConnections(target.address), 1);
+    });
+  });
+});
+
+function methods(target: RawTarget): string[] {
+  return target.received.map(item => item.head.split(' ')[0]);
+}
--- /dev/null
+++ b/packages/plugin-target-http/src/__tests__/transport-fixture.ts
@@ -0,0 +1,94 @@
+import {
+  SilentLogger,
+  SystemClock,
+  type AnswerSink,
+  type Clock,
+  type Exchange,
+  type ExchangeResult,
+  type OutgoingRequest,
+} from '@gentiandoor/kernel';
+import {HttpTargetTransport} from '../http-target-transport.js';
+import {targetHttpOptions} from '../target-http-options.js';
+
+const LONG_MILLISECONDS = 60_000;
+
+/** Keeps an answer as it came. */
+export class CollectingSink implements AnswerSink {
+  status = 0;
+  headers: readonly string[] = [];
+  body = '';
+  trailers: readonly string[] = [];
+  ended = false;
+
+  onHead(status: number, headers: readonly string[]): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  onData(chunk: Buffer): boolean {
+    this.body += chunk.toString('latin1');
+    return true;
+  }
+
+  onEnd(trailers: readonly string[]): void {
+    this.ended = true;
+    this.trailers = trailers;
+  }
+}
+
+/** A request with the parts that matter to a test. */
+export function outgoing(
+  parts: Partial<OutgoingRequest> = {},
+): OutgoingRequest {
+  return {
+    method: 'GET',
+    path: '/x',
+    headers: [],
+    body: null,
+    idempotent: parts.method === undefined,
+    headMilliseconds: LONG_MILLISECONDS,
+    ...parts,
+  };
+}
+
+/** A POST: it must not run twice. */
+export const POST = outgoing({
+  method: 'POST',
+  body: Buffer.from('crest'),
+  idempotent: false,
+});
+
+/** What became of one request. */
+export interface Outcome {
+  readonly exchange: Exchange;
+  readonly result: ExchangeResult;
+  readonly sink: CollectingSink;
+}
+
+/** The transport with settings for tests, and one target's address to send to. */
+export class TransportFixture {
+  readonly transport: HttpTargetTransport;
+
+  constructor(settings: Record<string, number> = {}, clock?: Clock) {
+    this.transport = new HttpTargetTransport({
+      clock: clock ?? new SystemClock(),
+      logger: new SilentLogger(),
+      targetHttpOptions: targetHttpOptions.parse(settings),
+    });
+  }
+
+  async send(
+    address: string,
+    request: OutgoingRequest,
+    connections?: number,
+  ): Promise<Outcome> {
+    const sink = new CollectingSink();
+    const target = {id: 'hall-a-r1-1', address, connections};
+    const exchange = this.transport.begin(target, request, sink);
+    return {exchange, result: await exchange.done, sink};
+  }
+
+  stop(): Promise<void> {
+    return this.transport.stop();
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/forgetful-path.ts
@@ -0,0 +1,60 @@
+import net from 'node:net';
+import {splitAddress} from '@gentiandoor/kernel';
+
+/**
+ * A TCP path that can forget its open connections: from then on nothing passes on those in
+ * either direction and neither end is told, while new ones work.
+ */
+export class ForgetfulPath {
+  address = '';
+  private generation = 0;
+  private readonly sockets = new Set<net.Socket>();
+  private readonly server = net.createServer(socket => this.join(socket));
+
+  constructor(private readonly target: string) {}
+
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    const bound = this.server.address() as net.AddressInfo;
+    this.address = `${bound.address}:${bound.port}`;
+  }
+
+  async stop(): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    for (const socket of this.sockets) socket.destroy();
+    await closed;
+  }
+
+  /** Forgets all connections that are open now. */
+  forget(): void {
+    this.generation++;
+  }
+
+  private join(near: net.Socket): void {
+    const {host, port} = splitAddress(this.target);
+    const far = net.connect(port, host);
+    const generation = this.generation;
+    this.pass(near, far, generation);
+    this.pass(far, near, generation);
+  }
+
+  private pass(from: net.Socket, to: net.Socket, generation: number): void {
+    const isKnown = () => generation === this.generation;
+    this.sockets.add(from);
+    from.on('data', chunk => {
+      if (isKnown()) to.write(chunk);
+    });
+    from.on('end', () => {
+      if (isKnown()) to.end();
+    });
+    from.on('error', () => {});
+    from.on('close', () => {
+      this.sockets.delete(from);
+      if (isKnown()) to.destroy();
+    });
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,3 +4,6 @@
 export * from './platform-server.js';
 export * from './target-server.js';
 export * from './memory-peer-network.js';
+export * from './raw-faults.js';
+export * from './raw-target.js';
+export * from './forgetful-path.js';
