--- a/packages/plugin-caller-http/src/__tests__/caller-edge.ts
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -3,6 +3,8 @@
   MemoryMetrics,
   SilentLogger,
   SystemClock,
+  type LogEvent,
+  type LogFields,
 } from '@gentiandoor/kernel';
 import {
   FailureDomain,
@@ -62,6 +64,22 @@
   }
 }
 
+/** A log line of level warn. */
+export interface Warning {
+  readonly event: LogEvent;
+  readonly fields: LogFields | undefined;
+}
+
+class NotingLogger extends SilentLogger {
+  constructor(private readonly warnings: Warning[]) {
+    super();
+  }
+
+  override warn(event?: LogEvent, fields?: LogFields): void {
+    if (event !== undefined) this.warnings.push({event, fields});
+  }
+}
+
 /** What a test sets of a caller edge. */
 export interface CallerEdgeParts {
   readonly targets: readonly string[];
@@ -76,13 +94,14 @@
 export class CallerEdge {
   readonly drainState = new DrainState();
   readonly metrics = new MemoryMetrics();
+  readonly warnings: Warning[] = [];
   readonly router: TurnRouter;
   readonly server: CallerHttpServer;
   readonly transport: HttpTargetTransport;
 
   constructor(parts: CallerEdgeParts) {
     const clock = new SystemClock();
-    const logger = new SilentLogger();
+    const logger = new NotingLogger(this.warnings);
     const {drainState, metrics} = this;
     const services = servicesOf(parts.services ?? {desk: {}});
     const sharedState = stateOf(services, parts.callers ?? {});
--- a/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
@@ -4,7 +4,6 @@
 import type {
   HeldAnswer,
   KeyDecision,
-  KeyedRequest,
   OnceOnly,
 } from '@gentiandoor/shared-state';
 import {RawFault, RawTarget} from '@gentiandoor/stand-ins';
@@ -17,7 +16,7 @@
   held: HeldAnswer | undefined;
   began = 0;
 
-  async begin(_request: KeyedRequest): Promise<KeyDecision> {
+  async begin(): Promise<KeyDecision> {
     this.began++;
     return {
       run: true,
--- a/packages/plugin-caller-http/src/caller-connections.ts
+++ b/packages/plugin-caller-http/src/caller-connections.ts
@@ -37,6 +37,24 @@
     else this.underWay.set(socket, new Set([item]));
   }
 
+  /** Whether no request came after this one on its connection, so far. */
+  isLast(item: RequestUnderWay): boolean {
+    const items = this.underWay.get(item.request.socket);
+    return items !== undefined && [...items].at(-1) === item;
+  }
+
+  /**
+   * Whether the connection closes behind an earlier answer. A pipelined request that is
+   * read after that could be run and never answered, so it is not begun at all.
+   */
+  comesTooLate(item: RequestUnderWay): boolean {
+    for (const earlier of this.underWay.get(item.request.socket) ?? []) {
+      if (earlier === item) return false;
+      if (earlier.isClosing) return true;
+    }
+    return false;
+  }
+
   leave(item: RequestUnderWay): void {
     const {socket} = item.request;
     const items = this.underWay.get(socket);
@@ -56,6 +74,7 @@
     const refusal = refusalOf(error, items.length > 0);
     const incomplete = items.find(item => !item.request.complete);
     if (incomplete) {
+      incomplete.isClosing = true;
       incomplete.response.shouldKeepAlive = false;
       incomplete.fail(refusal);
       return;
@@ -65,6 +84,7 @@
       this.answerAndClose(socket, refusal);
       return;
     }
+    last.isClosing = true;
     last.response.shouldKeepAlive = false;
     last.response.once('finish', () => this.closeSoon(socket));
   }
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -121,11 +121,11 @@
     const koa = new Koa();
     koa.use(async context => {
       context.respond = false;
-      await this.handle(new RequestUnderWay(context.req, context.res, false));
+      await this.handle(this.underWay(context.req, context.res, false));
     });
     this.server.on('request', koa.callback());
     this.server.on('checkContinue', (request, response) => {
-      void this.handle(new RequestUnderWay(request, response, true));
+      void this.handle(this.underWay(request, response, true));
     });
     this.server.on('checkExpectation', (_request, response) => {
       this.refuse(ErrorKind.ExpectationRefused, error =>
@@ -154,9 +154,24 @@
     answer(new RequestError(kind, 'not supported'));
   }
 
+  private underWay(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    expectsContinue: boolean,
+  ): RequestUnderWay {
+    const {drainState} = this.dependencies;
+    return new RequestUnderWay(
+      request,
+      response,
+      expectsContinue,
+      item => drainState.isDraining && this.connections.isLast(item),
+    );
+  }
+
   private async handle(item: RequestUnderWay): Promise<void> {
     this.connections.enter(item);
     try {
+      if (this.connections.comesTooLate(item)) return;
       await this.dependencies.requestHandler.handle(item);
     } finally {
       this.connections.leave(item);
--- a/packages/plugin-caller-http/src/caller-side.ts
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -2,7 +2,6 @@
 import {
   RunOutcome,
   type Clock,
-  type DrainState,
   type Exchange,
   type Timer,
 } from '@gentiandoor/kernel';
@@ -12,7 +11,8 @@
 /** What the caller's side of a request needs. */
 export interface CallerSideDependencies {
   readonly clock: Clock;
-  readonly drainState: DrainState;
+  /** Asked once, as the head goes out: whether the connection closes behind the answer. */
+  readonly closes: () => boolean;
   /** Longest time a caller may leave an answer unread. */
   readonly progressMilliseconds: number;
 }
@@ -63,8 +63,7 @@
   head(status: number, headers: readonly string[]): void {
     if (this.isGone) return;
     const all = [...headers, RUN_HEADER, RunOutcome.Run];
-    if (this.dependencies.drainState.isDraining)
-      all.push('connection', 'close');
+    if (this.dependencies.closes()) all.push('connection', 'close');
     this.response.writeHead(status, all);
   }
 
--- a/packages/plugin-caller-http/src/keyed-requests.ts
+++ b/packages/plugin-caller-http/src/keyed-requests.ts
@@ -1,15 +1,9 @@
 import {createHash} from 'node:crypto';
-import type {ServerResponse} from 'node:http';
-import {
-  ErrorKind,
-  RequestError,
-  RunOutcome,
-  type DrainState,
-} from '@gentiandoor/kernel';
+import {ErrorKind, RequestError, RunOutcome} from '@gentiandoor/kernel';
 import type {HeldAnswer, HeldClaim, OnceOnly} from '@gentiandoor/shared-state';
 import type {CallerHttpOptions} from './caller-http-options.js';
 import type {CallerSide} from './caller-side.js';
-import {RUN_HEADER, toRequestError} from './error-answer.js';
+import {toRequestError} from './error-answer.js';
 import {HeldAnswerRecorder} from './held-answer-recorder.js';
 import type {ReadyRequest, RequestDispatcher} from './request-dispatcher.js';
 
@@ -21,7 +15,6 @@
 /** What keyed requests need. */
 export interface KeyedRequestsDependencies {
   readonly callerHttpOptions: CallerHttpOptions;
-  readonly drainState: DrainState;
   readonly onceOnly: OnceOnly;
   readonly requestDispatcher: RequestDispatcher;
 }
@@ -35,7 +28,6 @@
     request: ReadyRequest,
     key: string,
     caller: CallerSide,
-    response: ServerResponse,
   ): Promise<void> {
     const gone = new AbortController();
     caller.onGone(() => gone.abort());
@@ -49,7 +41,7 @@
       gone.signal,
     );
     if (decision.run) await this.run(request, caller, decision.claim);
-    else this.replay(response, decision.answer);
+    else this.replay(caller, decision.answer);
   }
 
   private async run(
@@ -70,18 +62,10 @@
     claim.finish(recorder.answer);
   }
 
-  private replay(response: ServerResponse, answer: HeldAnswer): void {
-    const headers = [
-      ...answer.headers,
-      RUN_HEADER,
-      RunOutcome.Run,
-      REPLAYED_HEADER,
-      'yes',
-    ];
-    if (this.dependencies.drainState.isDraining)
-      headers.push('connection', 'close');
-    response.writeHead(answer.status, headers);
-    response.end(answer.body);
+  private replay(caller: CallerSide, answer: HeldAnswer): void {
+    caller.head(answer.status, [...answer.headers, REPLAYED_HEADER, 'yes']);
+    caller.data(Buffer.from(answer.body));
+    caller.end([]);
   }
 }
 
--- a/packages/plugin-caller-http/src/request-handler.ts
+++ b/packages/plugin-caller-http/src/request-handler.ts
@@ -5,7 +5,6 @@
   MetricName,
   RequestError,
   type Clock,
-  type DrainState,
   type Logger,
   type Metrics,
   type OutgoingBody,
@@ -23,7 +22,6 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly drainState: DrainState;
   readonly callerHttpOptions: CallerHttpOptions;
   readonly headCheck: HeadCheck;
   readonly keyedRequests: KeyedRequests;
@@ -36,6 +34,8 @@
   reader: BodyReader | undefined;
   /** Undefined until the head has been checked. */
   idempotent: boolean | undefined;
+  /** True once the caller was told that the connection closes behind this answer. */
+  isClosing = false;
   private failure: RequestError | undefined;
 
   constructor(
@@ -43,8 +43,15 @@
     readonly response: ServerResponse,
     /** Whether the caller waits for `100 Continue` before it sends the body. */
     readonly expectsContinue: boolean,
+    private readonly shouldClose: (item: RequestUnderWay) => boolean,
   ) {}
 
+  /** Decides, as the head of the answer goes out, whether the connection closes behind it. */
+  closes(): boolean {
+    this.isClosing ||= this.shouldClose(this);
+    return this.isClosing;
+  }
+
   /** The connection failed within the request's body. */
   fail(error: RequestError): void {
     this.failure ??= error;
@@ -80,13 +87,13 @@
     underWay: RequestUnderWay,
     start: number,
   ): Promise<string> {
-    const {callerHttpOptions, clock, drainState, headCheck} = this.dependencies;
+    const {callerHttpOptions, clock, headCheck} = this.dependencies;
     const {request, response} = underWay;
     const incoming = headCheck.check(request);
     underWay.idempotent = incoming.idempotent;
     const caller = new CallerSide(response, {
       clock,
-      drainState,
+      closes: () => underWay.closes(),
       progressMilliseconds: callerHttpOptions.progress_milliseconds,
     });
     const body = hasBody(request)
@@ -97,7 +104,7 @@
     const {keyedRequests, requestDispatcher} = this.dependencies;
     const key = incoming.idempotencyKey;
     if (key === undefined) await requestDispatcher.send(ready, caller);
-    else await keyedRequests.send(ready, key, caller, response);
+    else await keyedRequests.send(ready, key, caller);
     return incoming.service;
   }
 
@@ -128,7 +135,7 @@
   }
 
   private refuse(underWay: RequestUnderWay, error: RequestError): void {
-    const {drainState, logger, metrics} = this.dependencies;
+    const {logger, metrics} = this.dependencies;
     metrics.increment(MetricName.Refusals, {reason: error.kind});
     if (error.kind === ErrorKind.Internal) {
       logger.error(LogEvent.RequestInternalError, {error: error.message});
@@ -141,7 +148,8 @@
     // The caller may or may not send the body that it was not asked for: only a new
     // connection makes clear where the next request begins.
     const unasked = underWay.expectsContinue && !underWay.reader;
-    answerError(underWay.response, error, drainState.isDraining || unasked);
+    if (unasked) underWay.isClosing = true;
+    answerError(underWay.response, error, underWay.closes());
   }
 }
 
