--- /dev/null
+++ b/packages/decisions/src/__tests__/ejection.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  BoundedEjection,
+  TargetStanding,
+  type StandingChange,
+} from '../ejection.js';
+import {OutcomeKind} from '../target-outcome.js';
+
+const {InUse, Ejected, Probation} = TargetStanding;
+const {ServerError, Succeeded, Unreachable, CallerGone, Busy} = OutcomeKind;
+
+function racksOf(sizes: readonly number[]): Map<string, string> {
+  const racks = new Map<string, string>();
+  sizes.forEach((size, rack) => {
+    for (let index = 0; index < size; index++)
+      racks.set(`vm-${racks.size}`, `rack-${rack}`);
+  });
+  return racks;
+}
+
+function fail(
+  ejection: BoundedEjection,
+  target: string,
+  times: number,
+  now = 0,
+  kind = ServerError,
+): void {
+  for (let count = 0; count < times; count++)
+    ejection.observe(target, kind, now);
+}
+
+describe('BoundedEjection', () => {
+  function build(sizes: readonly number[]) {
+    const changes: StandingChange[] = [];
+    const ejection = new BoundedEjection(change => changes.push(change));
+    ejection.setTargets(racksOf(sizes));
+    return {ejection, changes};
+  }
+
+  describe('with a target that fails everything', () => {
+    it('ejects it after five failures in a row and says so', () => {
+      const {ejection, changes} = build([4, 4]);
+      fail(ejection, 'vm-0', 4);
+      assert.equal(ejection.standing('vm-0', 0), InUse);
+      fail(ejection, 'vm-0', 1);
+      assert.equal(ejection.standing('vm-0', 0), Ejected);
+      assert.deepEqual(
+        changes.map(({target, to}) => [target, to]),
+        [['vm-0', Ejected]],
+      );
+    });
+
+    it('needs three refused connections only', () => {
+      const {ejection} = build([4, 4]);
+      fail(ejection, 'vm-0', 3, 0, Unreachable);
+      assert.equal(ejection.standing('vm-0', 0), Ejected);
+    });
+
+    it('stays out twice as long after a failed probation', () => {
+      const {ejection} = build([4, 4]);
+      fail(ejection, 'vm-0', 5);
+      assert.equal(ejection.standing('vm-0', 2000), Probation);
+      fail(ejection, 'vm-0', 1, 2000);
+      assert.equal(ejection.standing('vm-0', 5999), Ejected);
+      assert.equal(ejection.standing('vm-0', 6000), Probation);
+    });
+
+    it('comes back after three good answers on probation', () => {
+      const {ejection} = build([4, 4]);
+      fail(ejection, 'vm-0', 5);
+      for (let count = 0; count < 3; count++)
+        ejection.observe('vm-0', Succeeded, 2000);
+      assert.equal(ejection.standing('vm-0', 2000), InUse);
+    });
+  });
+
+  describe('with late failures of exchanges begun before the ejection', () => {
+    it('does not lengthen the time out', () => {
+      const {ejection} = build([4, 4]);
+      fail(ejection, 'vm-0', 20);
+      assert.equal(ejection.standing('vm-0', 2000), Probation);
+    });
+  });
+
+  describe('with a target that fails half of its exchanges', () => {
+    it('ejects it though never five fail in a row', () => {
+      const {ejection} = build([4, 4]);
+      for (let count = 0; count < 100; count++) {
+        const isGood = count % 3 === 0;
+        ejection.observe('vm-0', isGood ? Succeeded : ServerError, 0);
+      }
+      assert.equal(ejection.standing('vm-0', 0), Ejected);
+    });
+  });
+
+  describe('with callers that leave and targets that are busy', () => {
+    it('holds it against no target', () => {
+      const {ejection} = build([4, 4]);
+      fail(ejection, 'vm-0', 50, 0, CallerGone);
+      fail(ejection, 'vm-0', 50, 0, Busy);
+      assert.equal(ejection.standing('vm-0', 0), InUse);
+    });
+  });
+
+  describe('with a rack of four lost in a pool of six', () => {
+    it('ejects all four, which is more than half', () => {
+      const {ejection} = build([4, 2]);
+      for (const id of ['vm-0', 'vm-1', 'vm-2', 'vm-3']) fail(ejection, id, 5);
+      assert.equal(ejection.isSharedFault, false);
+      assert.equal(ejection.standing('vm-3', 0), Ejected);
+    });
+  });
+
+  // A database behind all targets fails, so every target answers errors. Callers get those errors
+  // whatever is ejected; but with seven of eight ejected the whole load would go to the last one
+  // and fell it, and after the fault the callers would still meet one overloaded target. Past the
+  // bound all are used, and as the fault ends none stays out for what was not its fault.
+  describe('with a fault that all targets share', () => {
+    const all = [...racksOf([4, 4]).keys()];
+
+    it('uses every target once more than the bound look bad', () => {
+      const {ejection} = build([4, 4]);
+      for (const id of all) fail(ejection, id, 5);
+      assert.equal(ejection.isSharedFault, true);
+      assert.ok(all.every(id => ejection.standing(id, 0) === InUse));
+    });
+
+    it('leaves none ejected when the fault ends', () => {
+      const {ejection} = build([4, 4]);
+      for (const id of all) fail(ejection, id, 30);
+      for (const id of all.slice(0, 4)) {
+        for (let count = 0; count < 3; count++)
+          ejection.observe(id, Succeeded, 100);
+      }
+      assert.equal(ejection.isSharedFault, false);
+      assert.ok(all.every(id => ejection.standing(id, 100) !== Ejected));
+    });
+  });
+
+  describe('with a pool of one target', () => {
+    it('never ejects it', () => {
+      const {ejection} = build([1]);
+      fail(ejection, 'vm-0', 50);
+      assert.equal(ejection.standing('vm-0', 0), InUse);
+    });
+  });
+
+  describe('with a target that leaves the pool while it is out', () => {
+    it('forgets it, so that the bound counts those that are left', () => {
+      const {ejection} = build([4, 4]);
+      for (const id of ['vm-0', 'vm-1', 'vm-2', 'vm-3']) fail(ejection, id, 5);
+      const rest = new Map([...racksOf([4, 4])].filter(([id]) => id > 'vm-3'));
+      ejection.setTargets(rest);
+      assert.equal(ejection.isSharedFault, false);
+      fail(ejection, 'vm-4', 5);
+      assert.equal(ejection.standing('vm-4', 0), Ejected);
+    });
+  });
+});
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -99,7 +99,13 @@
 /** How often deadlines and the standing queue are looked at while requests wait. */
 const SWEEP_MILLISECONDS = 10;
 /** How long a sum over the pool's targets is good for. */
-const CAPACITY_MILLISECONDS = 50;
+const SUMS_MILLISECONDS = 50;
+
+interface PoolSums {
+  readonly at: number;
+  readonly capacity: number;
+  readonly mayAvoidSlow: boolean;
+}
 
 /**
  * Gives the slots of one pool to requests: at once where there is room, else by the queue's order.
@@ -113,8 +119,7 @@
   /** False once no target had room; spares a look through all targets for each request. */
   private mayHaveRoom = true;
   private sweep: Timer | undefined;
-  private capacityAt = -Infinity;
-  private capacityValue = 0;
+  private sums: PoolSums = {at: -Infinity, capacity: 0, mayAvoidSlow: false};
 
   constructor(private readonly parts: SlotPoolParts) {}
 
@@ -173,21 +178,13 @@
   /** Something outside changed what may run: peers' summaries, a quota, a target's standing. */
   onRoomChanged(): void {
     this.mayHaveRoom = true;
-    this.capacityAt = -Infinity;
+    this.sums = {...this.sums, at: -Infinity};
     this.pump();
   }
 
   /** Slots that this daemon may use now, in all targets. */
   capacity(): number {
-    const now = this.now();
-    if (now - this.capacityAt < CAPACITY_MILLISECONDS)
-      return this.capacityValue;
-    this.capacityAt = now;
-    this.capacityValue = 0;
-    for (const entry of this.entries.values()) {
-      if (entry.isOpen()) this.capacityValue += entry.limit();
-    }
-    return this.capacityValue;
+    return this.sumUp().capacity;
   }
 
   /** Takes in what a peer says that it uses of the targets. */
@@ -278,6 +275,25 @@
     entry.latency.observe(milliseconds * scale, now);
   }
 
+  private sumUp(): PoolSums {
+    const now = this.now();
+    if (now - this.sums.at < SUMS_MILLISECONDS) return this.sums;
+    let capacity = 0;
+    let open = 0;
+    let slow = 0;
+    for (const entry of this.entries.values()) {
+      if (!entry.isOpen()) continue;
+      open++;
+      capacity += entry.limit();
+      if (entry.isSlow()) slow++;
+    }
+    // A fault that slows all targets shows in their estimates before it shows in the mean: without
+    // this bound nothing would be sent to any of them until the estimates fade.
+    const mayAvoidSlow = slow <= open / 2;
+    this.sums = {at: now, capacity, mayAvoidSlow};
+    return this.sums;
+  }
+
   private usualMilliseconds(): number {
     return this.parts.drain.holdMilliseconds(WorkLength.Short);
   }
@@ -292,6 +308,7 @@
     const entry = new TargetEntry(target, {
       now: () => clock.monotonicMilliseconds(),
       usualMilliseconds: () => this.usualMilliseconds(),
+      mayAvoidSlow: () => this.sumUp().mayAvoidSlow,
       queueMilliseconds: () =>
         (this.waiting + 1) / drain.perMillisecond(WorkLength.Short),
       share,
--- a/packages/decisions/src/target-entry.ts
+++ b/packages/decisions/src/target-entry.ts
@@ -25,6 +25,8 @@
   now(): number;
   /** Milliseconds that a short exchange usually takes in this pool. */
   usualMilliseconds(): number;
+  /** Whether few enough targets are slow to leave those alone. */
+  mayAvoidSlow(): boolean;
   /** Milliseconds that a request which comes now would wait for another target. */
   queueMilliseconds(): number;
   readonly share: SlotShare;
@@ -111,12 +113,20 @@
     this.isGone = true;
   }
 
+  /** Whether exchanges here take several times as long as is usual in the pool. */
+  isSlow(): boolean {
+    const {parts} = this;
+    const usual = parts.usualMilliseconds();
+    const expected = this.latency.expected(usual, parts.now());
+    return parts.slowTargets.isSlow(expected, usual);
+  }
+
   private isWorseThanWaiting(): boolean {
     const {parts} = this;
+    if (!this.isSlow() || !parts.mayAvoidSlow()) return false;
     const usual = parts.usualMilliseconds();
     const expected = this.latency.expected(usual, parts.now());
-    const wait = parts.queueMilliseconds();
-    return parts.slowTargets.isWorseThanWaiting(expected, usual, wait);
+    return expected - usual > parts.queueMilliseconds();
   }
 
   private standing(): TargetStanding {
