--- a/packages/plugin-caller-http/src/__tests__/caller-edge.ts
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -6,11 +6,18 @@
   type LogEvent,
   type LogFields,
 } from '@gentiandoor/kernel';
+import {
+  RetryVerdict,
+  isSafeToRepeat,
+  type RetryQuestion,
+  type TargetOutcome,
+} from '@gentiandoor/decisions';
 import {
   FailureDomain,
   KeyRule,
   WorkClass,
   emptyFleetState,
+  type Bundle,
   type CallerEntry,
   type OnceOnly,
   type ServiceEntry,
@@ -41,6 +48,9 @@
 /** Hands the targets out in turn and counts the slots in use. */
 export class TurnRouter {
   inUse = 0;
+  retries = 0;
+  /** What exchanges showed of their targets. */
+  readonly outcomes: TargetOutcome[] = [];
   private turn = 0;
 
   constructor(
@@ -60,7 +70,16 @@
       if (held) this.inUse--;
       held = false;
     };
-    return {id: address, address, release};
+    const report = (outcome: TargetOutcome) => this.outcomes.push(outcome);
+    return {id: address, address, isRoutable: () => true, report, release};
+  }
+
+  /** As the daemon's own policy, with one retry and no budget. */
+  judgeRetry(_service: string, question: RetryQuestion): RetryVerdict {
+    if (!isSafeToRepeat(question)) return RetryVerdict.MayHaveRun;
+    if (question.attempts > 1) return RetryVerdict.AttemptsSpent;
+    this.retries++;
+    return RetryVerdict.Retry;
   }
 }
 
@@ -176,23 +195,25 @@
   callers: Readonly<Record<string, CallerEntry>>,
 ): SharedState {
   const state = emptyFleetState({});
+  const bundle: Bundle = {
+    version: 1,
+    base: 0,
+    author: 'moana',
+    signOffs: 0,
+    weights: {buffer: 1, move: 1},
+    operators: {},
+    racks: {},
+    pools: {},
+    services,
+    teams: {},
+    callers,
+  };
   state.inForce = {
     text: '',
     digest: 'digest-1',
     offset: 1,
-    bundle: {
-      version: 1,
-      base: 0,
-      author: 'moana',
-      signOffs: 0,
-      weights: {buffer: 1, move: 1},
-      operators: {},
-      racks: {},
-      pools: {},
-      services,
-      teams: {},
-      callers,
-    },
+    bundle,
+    parsed: {bundle, sections: []},
   };
   return {
     state,
--- a/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
@@ -48,7 +48,7 @@
     edge = new CallerEdge({
       targets: [target.address],
       services: {desk: {deadlineMilliseconds: 200}},
-      settings: {retries: 0, held_answer_bytes: 10},
+      settings: {held_answer_bytes: 10},
       onceOnly,
     });
     await edge.start();
--- a/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
 import {request} from 'undici';
-import {MetricName} from '@gentiandoor/kernel';
+import {OutcomeKind} from '@gentiandoor/decisions';
 import {RawFault, RawTarget} from '@gentiandoor/stand-ins';
 import {CallerEdge, type CallerEdgeParts} from './caller-edge.js';
 import {RawCaller} from './raw-caller.js';
@@ -64,7 +64,6 @@
       targets: [target.address],
       services: {desk: {deadlineMilliseconds: 300}},
       settings: {
-        retries: 1,
         buffered_body_bytes: BUFFERED_BYTES,
         progress_milliseconds: 100,
       },
@@ -116,7 +115,7 @@
 
   describe('when one target refuses connections', () => {
     it('a POST is sent to another one, since nothing was sent', async () => {
-      const {address, metrics} = await startEdge({
+      const {address, router} = await startEdge({
         targets: [UNUSED_ADDRESS, target.address],
       });
       const answer = await request(`http://${address}/desk/x`, {
@@ -126,8 +125,7 @@
       assert.equal(answer.statusCode, 200);
       await answer.body.dump();
       assert.equal(target.received.length, 1);
-      const reason = 'target_unreachable';
-      assert.equal(metrics.value(MetricName.Retries, {reason}), 1);
+      assert.equal(router.retries, 1);
     });
   });
 
@@ -260,6 +258,35 @@
     });
   });
 
+  describe('what the router is told of the target', () => {
+    const reports: ReadonlyArray<readonly [RawFault, OutcomeKind, boolean]> = [
+      [RawFault.None, OutcomeKind.Succeeded, false],
+      [RawFault.Leaving, OutcomeKind.Succeeded, true],
+      [RawFault.Busy, OutcomeKind.Busy, false],
+      [RawFault.ResetOnRequest, OutcomeKind.Broken, false],
+      [RawFault.ResetInBody, OutcomeKind.Truncated, false],
+      [RawFault.Silent, OutcomeKind.TimedOut, false],
+    ];
+    for (const [fault, kind, leaving] of reports) {
+      it(`is ${kind} when it does ${fault}`, async () => {
+        const {address, router} = await startEdge();
+        target.fault = fault;
+        const caller = new RawCaller(address);
+        caller.send(
+          'POST /desk/x HTTP/1.1',
+          'host: a',
+          'content-length: 0',
+          '',
+          '',
+        );
+        await until(() => router.outcomes.length > 0);
+        const [outcome] = router.outcomes;
+        assert.deepEqual([outcome.kind, outcome.leaving], [kind, leaving]);
+        caller.destroy();
+      });
+    }
+  });
+
   describe('headers', () => {
     it('of the system cannot be set by either side', async () => {
       const {address} = await startEdge();
--- a/packages/plugin-caller-http/src/answer-forwarder.ts
+++ b/packages/plugin-caller-http/src/answer-forwarder.ts
@@ -1,9 +1,11 @@
-import {RunOutcome, type AnswerSink} from '@gentiandoor/kernel';
+import {RunOutcome, type AnswerSink, type Clock} from '@gentiandoor/kernel';
 import type {CallerSide} from './caller-side.js';
 import {RUN_HEADER} from './error-answer.js';
 import {endToEndHeaders, valuesOf} from './headers.js';
 import type {HeldAnswerRecorder} from './held-answer-recorder.js';
 
+/** A target's word that it is leaving: it gets no new work from then on. */
+export const LEAVING_HEADER = 'gentiandoor-leaving';
 const SERVICE_UNAVAILABLE = 503;
 
 /** A target's own word that it did not run the request. */
@@ -16,13 +18,23 @@
 export class AnswerForwarder implements AnswerSink {
   /** Set when the target answered that it did not run the request. */
   refusal: TargetRefusal | undefined;
+  /** Status of the answer; 0 before its head. */
+  status = 0;
+  /** Monotonic milliseconds at which the head came. */
+  headAt: number | undefined;
+  /** Whether the target said that it takes no new work any more. */
+  saysLeaving = false;
 
   constructor(
     private readonly caller: CallerSide,
     private readonly recorder: HeldAnswerRecorder | undefined,
+    private readonly clock: Clock,
   ) {}
 
   onHead(status: number, headers: readonly string[]): void {
+    this.status = status;
+    this.headAt = this.clock.monotonicMilliseconds();
+    this.saysLeaving = valuesOf(headers, LEAVING_HEADER).includes('yes');
     if (status === SERVICE_UNAVAILABLE && saysNotRun(headers)) {
       this.refusal = {retryAfterSeconds: retryAfter(headers)};
       return;
--- a/packages/plugin-caller-http/src/caller-http-options.ts
+++ b/packages/plugin-caller-http/src/caller-http-options.ts
@@ -19,8 +19,6 @@
   /** Longest time for a whole request to arrive. */
   request_milliseconds: integerSetting(100, 86_400_000).default(300_000),
   keep_alive_milliseconds: integerSetting(100, 600_000).default(15_000),
-  /** Attempts after the first one. */
-  retries: integerSetting(0, 10).default(2),
   /** Time in a graceful stop for the balancer to see the health answer, before listening ends. */
   drain_grace_milliseconds: integerSetting(0, 600_000).default(3000),
   /** Longest time for exchanges to finish in a graceful stop. */
--- a/packages/plugin-caller-http/src/caller-side.ts
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -26,7 +26,7 @@
   private keepsExchange = false;
   private unreadTimer: Timer | undefined;
   private closed = false;
-  private readonly goneListeners: Array<() => void> = [];
+  private goneController: AbortController | undefined;
 
   constructor(
     private readonly response: ServerResponse,
@@ -46,9 +46,11 @@
     return this.response.headersSent;
   }
 
-  /** Calls `listener` when the caller goes before its answer is out. */
-  onGone(listener: () => void): void {
-    this.goneListeners.push(listener);
+  /** Aborts when the caller goes before its answer is out. */
+  get goneSignal(): AbortSignal {
+    this.goneController ??= new AbortController();
+    if (this.isGone) this.goneController.abort();
+    return this.goneController.signal;
   }
 
   /**
@@ -100,7 +102,7 @@
     this.closed = true;
     this.unreadTimer?.cancel();
     if (!this.isGone) return;
-    for (const listener of this.goneListeners) listener();
+    this.goneController?.abort();
     if (this.keepsExchange) this.exchange?.resume();
     else this.exchange?.abort();
   }
--- a/packages/plugin-caller-http/src/index.ts
+++ b/packages/plugin-caller-http/src/index.ts
@@ -11,6 +11,7 @@
 
 export {CallerHttpServer} from './caller-http-server.js';
 export {REASON_HEADER, RUN_HEADER} from './error-answer.js';
+export {LEAVING_HEADER} from './answer-forwarder.js';
 export {REPLAYED_HEADER} from './keyed-requests.js';
 
 /** Registers the edge to callers. */
--- a/packages/plugin-caller-http/src/keyed-requests.ts
+++ b/packages/plugin-caller-http/src/keyed-requests.ts
@@ -29,8 +29,6 @@
     key: string,
     caller: CallerSide,
   ): Promise<void> {
-    const gone = new AbortController();
-    caller.onGone(() => gone.abort());
     const decision = await this.dependencies.onceOnly.begin(
       {
         service: request.service,
@@ -38,7 +36,7 @@
         key,
         fingerprint: fingerprintOf(request),
       },
-      gone.signal,
+      caller.goneSignal,
     );
     if (decision.run) await this.run(request, caller, decision.claim);
     else this.replay(caller, decision.answer);
--- a/packages/plugin-caller-http/src/request-dispatcher.ts
+++ b/packages/plugin-caller-http/src/request-dispatcher.ts
@@ -1,21 +1,28 @@
 import {
   ErrorKind,
-  ExchangeEnd,
-  MetricName,
   RequestError,
   RunOutcome,
   type Clock,
-  type ExchangeResult,
-  type Metrics,
   type OutgoingBody,
   type TargetTransport,
 } from '@gentiandoor/kernel';
+import {RetryVerdict} from '@gentiandoor/decisions';
 import {AnswerForwarder} from './answer-forwarder.js';
-import type {CallerHttpOptions} from './caller-http-options.js';
+import {
+  callerGone,
+  notBegun,
+  resultOf,
+  withUnknownOutcome,
+  type AttemptResult,
+} from './attempt-result.js';
 import type {CallerSide} from './caller-side.js';
 import type {HeldAnswerRecorder} from './held-answer-recorder.js';
 import type {IncomingRequest} from './incoming-request.js';
-import type {HeldSlot, ServiceRouter} from './service-router.js';
+import type {
+  AcquireRequest,
+  HeldSlot,
+  ServiceRouter,
+} from './service-router.js';
 
 /** A request that is ready for a target. */
 export interface ReadyRequest extends IncomingRequest {
@@ -27,22 +34,12 @@
 /** What sending a request needs. */
 export interface RequestDispatcherDependencies {
   readonly clock: Clock;
-  readonly metrics: Metrics;
-  readonly callerHttpOptions: CallerHttpOptions;
-  readonly serviceRouter: Pick<ServiceRouter, 'acquire'>;
+  readonly serviceRouter: Pick<ServiceRouter, 'acquire' | 'judgeRetry'>;
   readonly targetTransport: TargetTransport;
 }
 
-/** Kinds after which another target may do better. */
-const RETRIED_WHEN_NOT_RUN: ReadonlySet<ErrorKind> = new Set([
-  ErrorKind.TargetRefused,
-  ErrorKind.TargetUnreachable,
-]);
-const RETRIED_WHEN_IDEMPOTENT: ReadonlySet<ErrorKind> = new Set([
-  ...RETRIED_WHEN_NOT_RUN,
-  ErrorKind.TargetFailed,
-  ErrorKind.AnswerMalformed,
-]);
+/** Slots in a row that stop being routable between choice and dispatch. */
+const MOST_LOST_SLOTS = 8;
 
 /** Sends a request to a target, and to another one where that cannot run it twice. */
 export class RequestDispatcher {
@@ -57,139 +54,139 @@
     caller: CallerSide,
     recorder?: HeldAnswerRecorder,
   ): Promise<void> {
+    const wish = new SlotWish(request, caller);
     let mayHaveRun = false;
-    for (let attempt = 0; ; attempt++) {
-      const failure = await this.attempt(request, caller, recorder);
-      if (!failure) return;
-      const final: RequestError = mayHaveRun
-        ? withUnknownOutcome(failure)
-        : failure;
-      if (!this.mayRetry(request, caller, failure, attempt)) throw final;
-      mayHaveRun = final.run !== RunOutcome.NotRun;
-      this.dependencies.metrics.increment(MetricName.Retries, {
-        reason: failure.kind,
-      });
+    for (let attempts = 1; ; attempts++) {
+      const result = await this.attempt(wish, recorder);
+      if (!result.failure) return;
+      const failure: RequestError = mayHaveRun
+        ? withUnknownOutcome(result.failure)
+        : result.failure;
+      if (!this.mayRetry(wish, result, attempts)) throw failure;
+      mayHaveRun = failure.run !== RunOutcome.NotRun;
     }
   }
 
   private async attempt(
-    request: ReadyRequest,
-    caller: CallerSide,
+    wish: SlotWish,
     recorder: HeldAnswerRecorder | undefined,
-  ): Promise<RequestError | undefined> {
+  ): Promise<AttemptResult> {
     let slot: HeldSlot;
     try {
-      slot = await this.dependencies.serviceRouter.acquire(request.service);
+      slot = await this.acquire(wish);
     } catch (error) {
-      if (error instanceof RequestError) return error;
+      if (error instanceof RequestError) return notBegun(error);
       throw error;
     }
     try {
-      if (caller.isGone) return callerGone(RunOutcome.NotRun);
-      return await this.exchange(request, caller, recorder, slot);
+      return await this.exchange(wish, recorder, slot);
     } finally {
       slot.release();
     }
   }
 
+  /** The list or a drain may have changed since the choice, while the request waited. */
+  private async acquire(wish: SlotWish): Promise<HeldSlot> {
+    for (let lost = 0; lost < MOST_LOST_SLOTS; lost++) {
+      const slot = await this.dependencies.serviceRouter.acquire(wish);
+      if (slot.isRoutable()) return slot;
+      slot.release();
+    }
+    throw new RequestError(ErrorKind.NoTarget, 'every target chosen has left');
+  }
+
   private async exchange(
-    request: ReadyRequest,
-    caller: CallerSide,
+    wish: SlotWish,
     recorder: HeldAnswerRecorder | undefined,
     slot: HeldSlot,
-  ): Promise<RequestError | undefined> {
-    const remaining = this.remaining(request);
-    if (remaining <= 0) {
-      return new RequestError(
-        ErrorKind.QueueTimeout,
-        'the deadline has passed',
-      );
+  ): Promise<AttemptResult> {
+    const {request, side: caller} = wish;
+    const {clock, targetTransport} = this.dependencies;
+    if (caller.isGone) return notBegun(callerGone(RunOutcome.NotRun));
+    const start = clock.monotonicMilliseconds();
+    const headMilliseconds = Math.ceil(request.deadline - start);
+    if (headMilliseconds <= 0) {
+      const detail = 'the deadline has passed';
+      return notBegun(new RequestError(ErrorKind.QueueTimeout, detail));
     }
-    const forwarder = new AnswerForwarder(caller, recorder);
-    const exchange = this.dependencies.targetTransport.begin(
+    wish.tried.add(slot.id);
+    const forwarder = new AnswerForwarder(caller, recorder, clock);
+    const {method, path, headers, body, idempotent} = request;
+    const exchange = targetTransport.begin(
       slot,
-      {...request, headMilliseconds: remaining},
+      {method, path, headers, body, idempotent, headMilliseconds},
       forwarder,
     );
     // A non-idempotent request that a target may be running is not stopped by closing its
     // connection. Freeing the slot while the target still works would give it more than its
     // slots, and the answer, once it comes, serves the caller's retry under the same key.
-    caller.attach(exchange, !request.idempotent);
-    const result = await exchange.done;
-    return failureOf(result, forwarder, caller);
+    caller.attach(exchange, !idempotent);
+    const result = resultOf(await exchange.done, forwarder, caller);
+    const end = forwarder.headAt ?? clock.monotonicMilliseconds();
+    if (result.outcome !== undefined) {
+      slot.report({
+        kind: result.outcome,
+        latencyMilliseconds: end - start,
+        leaving: forwarder.saysLeaving,
+      });
+    }
+    return result;
   }
 
   private mayRetry(
-    request: ReadyRequest,
-    caller: CallerSide,
-    failure: RequestError,
-    attempt: number,
+    {request, side: caller}: SlotWish,
+    {outcome, sent}: AttemptResult,
+    attempts: number,
   ): boolean {
-    if (attempt >= this.dependencies.callerHttpOptions.retries) return false;
-    if (caller.isGone || caller.hasHead) return false;
-    if (!canBeSentAgain(request.body) || this.remaining(request) <= 0)
-      return false;
-    if (request.idempotent) return RETRIED_WHEN_IDEMPOTENT.has(failure.kind);
-    return (
-      failure.run === RunOutcome.NotRun &&
-      RETRIED_WHEN_NOT_RUN.has(failure.kind)
+    if (outcome === undefined || caller.isGone || caller.hasHead) return false;
+    if (!canBeSentAgain(request.body)) return false;
+    const now = this.dependencies.clock.monotonicMilliseconds();
+    if (now >= request.deadline) return false;
+    const {service, idempotent} = request;
+    const question = {kind: outcome, sent, idempotent, attempts};
+    const verdict = this.dependencies.serviceRouter.judgeRetry(
+      service,
+      question,
     );
+    return verdict === RetryVerdict.Retry;
   }
+}
 
-  private remaining(request: ReadyRequest): number {
-    const now = this.dependencies.clock.monotonicMilliseconds();
-    return Math.ceil(request.deadline - now);
+/** A request as the router sees it. */
+class SlotWish implements AcquireRequest {
+  readonly tried = new Set<string>();
+
+  constructor(
+    readonly request: ReadyRequest,
+    readonly side: CallerSide,
+  ) {}
+
+  get service(): string {
+    return this.request.service;
   }
-}
 
-const KIND_OF_END: Readonly<Record<ExchangeEnd, ErrorKind>> = {
-  [ExchangeEnd.Whole]: ErrorKind.Internal,
-  [ExchangeEnd.NotSent]: ErrorKind.TargetUnreachable,
-  [ExchangeEnd.Broken]: ErrorKind.TargetFailed,
-  [ExchangeEnd.Malformed]: ErrorKind.AnswerMalformed,
-  [ExchangeEnd.TimedOut]: ErrorKind.TargetTimeout,
-  [ExchangeEnd.Truncated]: ErrorKind.AnswerTruncated,
-  [ExchangeEnd.Aborted]: ErrorKind.CallerGone,
-};
-
-function failureOf(
-  result: ExchangeResult,
-  forwarder: AnswerForwarder,
-  caller: CallerSide,
-): RequestError | undefined {
-  const {end, error} = result;
-  if (forwarder.refusal) {
-    return new RequestError(ErrorKind.TargetRefused, 'the target is busy', {
-      retryAfterSeconds: forwarder.refusal.retryAfterSeconds,
-    });
+  get caller(): string | undefined {
+    return this.request.caller?.name;
+  }
+
+  get team(): string | undefined {
+    return this.request.caller?.team;
   }
-  if (end === ExchangeEnd.Whole)
-    return caller.isGone ? callerGone(RunOutcome.Run) : undefined;
-  const run =
-    end === ExchangeEnd.NotSent ? RunOutcome.NotRun : RunOutcome.Unknown;
-  // The request's own body failed: its kind tells the caller more than the target's side.
-  const kind = error instanceof RequestError ? error.kind : KIND_OF_END[end];
-  return new RequestError(kind, error?.message ?? end, {run, cause: error});
-}
 
-/** "Not run" must hold over all attempts: an earlier one may have been run. */
-function withUnknownOutcome(error: RequestError): RequestError {
-  if (error.run !== RunOutcome.NotRun) return error;
-  return new RequestError(error.kind, error.message, {
-    run: RunOutcome.Unknown,
-    retryAfterSeconds: error.retryAfterSeconds,
-    cause: error,
-  });
+  get idempotent(): boolean {
+    return this.request.idempotent;
+  }
+
+  get deadline(): number {
+    return this.request.deadline;
+  }
+
+  /** Made only when the router asks, that is, when the request has to wait. */
+  get signal(): AbortSignal {
+    return this.side.goneSignal;
+  }
 }
 
 function canBeSentAgain(body: OutgoingBody): boolean {
   return body === null || body instanceof Uint8Array;
 }
-
-function callerGone(run: RunOutcome): RequestError {
-  return new RequestError(
-    ErrorKind.CallerGone,
-    'the caller closed the connection',
-    {run},
-  );
-}
--- a/packages/stand-ins/src/raw-faults.ts
+++ b/packages/stand-ins/src/raw-faults.ts
@@ -49,6 +49,8 @@
   AnnouncedClose = 'announced_close',
   /** Gives a keep-alive time of two seconds. */
   KeepAliveHint = 'keep_alive_hint',
+  /** Answers, and says that the target is leaving. */
+  Leaving = 'leaving',
   /** Tries to set headers of the system and of the connection. */
   SpoofedHeaders = 'spoofed_headers',
 }
@@ -77,6 +79,8 @@
     'HTTP/1.1 503 Busy\r\ngentiandoor-run: no\r\nretry-after: 7\r\ncontent-length: 4\r\n\r\nbusy',
   [RawFault.KeepAliveHint]:
     'HTTP/1.1 200 OK\r\nkeep-alive: timeout=2\r\ncontent-length: 5\r\n\r\nwhole',
+  [RawFault.Leaving]:
+    'HTTP/1.1 200 OK\r\ngentiandoor-leaving: yes\r\ncontent-length: 5\r\n\r\nwhole',
   [RawFault.SpoofedHeaders]:
     'HTTP/1.1 200 OK\r\ngentiandoor-run: no\r\ngentiandoor-replayed: yes\r\nconnection: x-hop\r\nx-hop: 1\r\nx-kept: 1\r\nproxy-authenticate: basic\r\ncontent-length: 5\r\n\r\nwhole',
 };
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -81,8 +81,10 @@
       return;
     }
     setTimeout(() => {
-      if (this.faults.has(TargetFault.Leaving))
+      if (this.faults.has(TargetFault.Leaving)) {
         response.setHeader('connection', 'close');
+        response.setHeader('gentiandoor-leaving', 'yes');
+      }
       response.setHeader('content-type', 'application/json');
       response.end(JSON.stringify({target: this.id, path: request.url}));
     }, this.latencyMilliseconds);
