--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -150,7 +150,13 @@
     await this.platform.stop();
   }
 
-  private settingsOf(name: string, dataCentre: string): string {
+  /** Settings of a daemon of this deployment, in INI; also for one in another process. */
+  settingsOf(
+    name: string,
+    dataCentre: string,
+    callerListen = LOOPBACK,
+    adminListen = LOOPBACK,
+  ): string {
     return `
 [daemon]
 name = ${name}
@@ -166,9 +172,9 @@
 trusted_operators = ${this.operatorName}:${this.operator.publicKey}
 [target-http]
 [caller-http]
-listen = ${LOOPBACK}
+listen = ${callerListen}
 [admin]
-listen = ${LOOPBACK}
+listen = ${adminListen}
 key = ${ADMIN_KEY}
 `;
   }
--- /dev/null
+++ b/packages/bench/src/processes/back-end.ts
@@ -0,0 +1,64 @@
+import {Deployment} from '../deployment.js';
+import {freeAddress} from './child-process.js';
+
+/** What the back-end process tells its parent. */
+export interface BackEndMessage {
+  /** INI of a daemon that uses this platform and these targets. */
+  readonly settings: string;
+  readonly callerAddress: string;
+  readonly adminAddress: string;
+  readonly targetAddresses: readonly string[];
+}
+
+const VMS = Array.from({length: 8}, (_, index) => `hall-a-r1-${index + 1}`);
+
+function bundleText(publicKey: string): string {
+  return `
+[bundle]
+version = 1
+base = 0
+author = moana
+sign_offs = 1
+[operator.kerry]
+public_key = ${publicKey}
+[rack.hall-a-r1]
+data_centre = hall-a
+vms = hall-a-r1-[1-8]
+[pool.desk]
+vms = hall-a-r1-[1-8]
+[service.desk]
+pool = desk
+`;
+}
+
+/** The platform's stand-in and a rack of targets; runs until it is killed. */
+async function main(): Promise<void> {
+  const deployment = new Deployment();
+  await deployment.startPlatform();
+  await deployment.startRack({
+    name: 'hall-a-r1',
+    dataCentre: 'hall-a',
+    vms: VMS,
+  });
+  for (const target of deployment.targets.values()) target.keepsRuns = false;
+  await deployment.rollOut(bundleText(deployment.operator.publicKey));
+  const callerAddress = await freeAddress();
+  const adminAddress = await freeAddress();
+  const message: BackEndMessage = {
+    settings: deployment.settingsOf(
+      'entry-1',
+      'hall-a',
+      callerAddress,
+      adminAddress,
+    ),
+    callerAddress,
+    adminAddress,
+    targetAddresses: [...deployment.targets.values()].map(
+      target => target.address,
+    ),
+  };
+  process.send?.(message);
+  process.on('disconnect', () => process.exit(0));
+}
+
+await main();
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -29,6 +29,8 @@
 export class TargetServer {
   readonly faults = new Set<TargetFault>();
   readonly ran: RunRequest[] = [];
+  /** False for long loads, whose runs would fill the memory. */
+  keepsRuns = true;
   latencyMilliseconds = 0;
   address = '';
   private readonly server: http.Server;
@@ -60,12 +62,14 @@
       return;
     }
     const key = request.headers['idempotency-key'];
-    this.ran.push({
-      method: request.method ?? '',
-      path: request.url ?? '',
-      key: typeof key === 'string' ? key : undefined,
-      body: Buffer.concat(chunks).toString('utf8'),
-    });
+    if (this.keepsRuns) {
+      this.ran.push({
+        method: request.method ?? '',
+        path: request.url ?? '',
+        key: typeof key === 'string' ? key : undefined,
+        body: Buffer.concat(chunks).toString('utf8'),
+      });
+    }
     if (this.faults.has(TargetFault.Silent)) return;
     if (this.faults.has(TargetFault.FailEverything)) {
       response.writeHead(500).end('failed');
