--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -15,3 +15,4 @@
 export * from './decision-journal.js';
 export * from './log-event-catalogue.js';
 export * from './metric-catalogue.js';
+export * from './resolve-now.js';
--- a/packages/plugin-caller-http/src/caller-directory.ts
+++ b/packages/plugin-caller-http/src/caller-directory.ts
@@ -20,7 +20,11 @@
   /** Saves a SHA-256 for each request of a caller seen lately. */
   private readonly remembered = new Map<string, KnownCaller>();
 
-  constructor(private readonly dependencies: {sharedState: SharedState}) {}
+  private readonly sharedState: SharedState;
+
+  constructor({sharedState}: {sharedState: SharedState}) {
+    this.sharedState = sharedState;
+  }
 
   /** The caller of an `Authorization` header, or undefined. */
   find(authorization: string | undefined): KnownCaller | undefined {
@@ -41,7 +45,7 @@
   }
 
   private followBundle(): void {
-    const {inForce} = this.dependencies.sharedState.state;
+    const {inForce} = this.sharedState.state;
     if (!inForce || inForce.digest === this.digest) return;
     this.digest = inForce.digest;
     this.remembered.clear();
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -6,6 +6,7 @@
   LogEvent,
   MetricName,
   RequestError,
+  resolveNow,
   sleep,
   splitAddress,
   type Clock,
@@ -41,7 +42,18 @@
   private readonly connections: CallerConnections;
   private readonly sockets = new Set<net.Socket>();
 
-  constructor(private readonly dependencies: CallerHttpServerDependencies) {
+  private readonly dependencies: CallerHttpServerDependencies;
+
+  constructor(dependencies: CallerHttpServerDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'clock',
+      'logger',
+      'metrics',
+      'drainState',
+      'callerHttpOptions',
+      'requestHandler',
+    );
     const {callerHttpOptions: options, clock} = dependencies;
     this.connections = new CallerConnections(clock);
     this.server = http.createServer({
--- a/packages/plugin-caller-http/src/caller-side.ts
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -33,7 +33,6 @@
     private readonly dependencies: CallerSideDependencies,
   ) {
     response.on('close', () => this.onClose());
-    response.on('drain', () => this.onDrain());
   }
 
   /** True once the caller has closed the connection before its answer was out. */
@@ -73,7 +72,7 @@
   data(chunk: Buffer): boolean {
     if (this.isGone) return true;
     const readOn = this.response.write(chunk);
-    if (!readOn) this.startUnreadTimer();
+    if (!readOn) this.waitForReader();
     return readOn;
   }
 
@@ -84,18 +83,18 @@
     this.response.end();
   }
 
-  private onDrain(): void {
-    this.unreadTimer?.cancel();
-    this.unreadTimer = undefined;
-    this.exchange?.resume();
-  }
-
   /** A caller that reads nothing would hold a target's slot for as long as it likes. */
-  private startUnreadTimer(): void {
+  private waitForReader(): void {
+    if (this.unreadTimer) return;
     const {clock, progressMilliseconds} = this.dependencies;
-    this.unreadTimer ??= clock.schedule(progressMilliseconds, () =>
+    this.unreadTimer = clock.schedule(progressMilliseconds, () =>
       this.response.destroy(),
     );
+    this.response.once('drain', () => {
+      this.unreadTimer?.cancel();
+      this.unreadTimer = undefined;
+      this.exchange?.resume();
+    });
   }
 
   private onClose(): void {
--- a/packages/plugin-caller-http/src/headers.ts
+++ b/packages/plugin-caller-http/src/headers.ts
@@ -26,18 +26,60 @@
 /** Name of this proxy in `Via`. */
 const VIA = '1.1 gentiandoor';
 
+/** What to do with a header, by its name alone. */
+enum HeaderRule {
+  Keep,
+  Drop,
+  /** `Connection`: dropped, and so is what it names. */
+  Connection,
+}
+
+/** Bound of the remembered names, which callers choose. */
+const REMEMBERED_NAMES = 1000;
+const rules = new Map<string, HeaderRule>();
+
 /**
  * Takes out the headers that belong to one connection, those named in `Connection` included,
  * and all of the system's own. `raw` holds names and values in turn.
  */
 export function endToEndHeaders(raw: readonly string[]): string[] {
-  const named = namedInConnection(raw);
   const kept: string[] = [];
+  let named: string[] | undefined;
   for (let index = 0; index + 1 < raw.length; index += 2) {
-    const name = raw[index].toLowerCase();
-    if (HOP_BY_HOP.has(name) || name.startsWith(OWN_PREFIX)) continue;
-    if (named?.includes(name)) continue;
-    kept.push(raw[index], raw[index + 1]);
+    const rule = ruleOf(raw[index]);
+    if (rule === HeaderRule.Keep) kept.push(raw[index], raw[index + 1]);
+    else if (rule === HeaderRule.Connection)
+      named = [...(named ?? []), ...namesIn(raw[index + 1])];
+  }
+  return named && named.length > 0 ? without(kept, named) : kept;
+}
+
+/** The rule of a name as it was written, remembered: the same few names come all the time. */
+function ruleOf(rawName: string): HeaderRule {
+  const known = rules.get(rawName);
+  if (known !== undefined) return known;
+  const name = rawName.toLowerCase();
+  let rule = HeaderRule.Keep;
+  if (name === 'connection') rule = HeaderRule.Connection;
+  else if (HOP_BY_HOP.has(name) || name.startsWith(OWN_PREFIX))
+    rule = HeaderRule.Drop;
+  if (rules.size < REMEMBERED_NAMES) rules.set(rawName, rule);
+  return rule;
+}
+
+/** Names in a `Connection` header that are not dropped already. */
+function namesIn(connection: string): string[] {
+  return connection
+    .split(',')
+    .map(token => token.trim().toLowerCase())
+    .filter(token => !NEVER_NAMED.has(token));
+}
+
+function without(headers: readonly string[], names: string[]): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    if (names.includes(headers[index].toLowerCase())) continue;
+    kept.push(headers[index], headers[index + 1]);
   }
   return kept;
 }
@@ -74,17 +116,17 @@
   return values;
 }
 
-function namedInConnection(raw: readonly string[]): string[] | undefined {
-  const values = valuesOf(raw, 'connection');
-  if (values.length === 0) return undefined;
-  return values
-    .flatMap(value => value.split(','))
-    .map(token => token.trim().toLowerCase())
-    .filter(token => !PROTECTED.has(token));
-}
-
 /**
  * `Connection: content-length` would make this side drop the length that the other side
- * reads by: two readings of one message. These stay whatever `Connection` says.
+ * reads by: two readings of one message. The first three stay whatever `Connection` says;
+ * the others are dropped already or name no header.
  */
-const PROTECTED = new Set(['host', 'content-length', 'authorization']);
+const NEVER_NAMED = new Set([
+  'host',
+  'content-length',
+  'authorization',
+  'keep-alive',
+  'close',
+  'upgrade',
+  '',
+]);
--- a/packages/plugin-caller-http/src/incoming-request.ts
+++ b/packages/plugin-caller-http/src/incoming-request.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import {ErrorKind, RequestError, type DrainState} from '@gentiandoor/kernel';
+import {ErrorKind, RequestError, resolveNow} from '@gentiandoor/kernel';
 import {
   KeyRule,
   type ServiceEntry,
@@ -43,14 +43,23 @@
 export interface HeadCheckDependencies {
   readonly callerHttpOptions: CallerHttpOptions;
   readonly callerDirectory: CallerDirectory;
-  readonly drainState: DrainState;
   readonly serviceRouter: Pick<ServiceRouter, 'service'>;
   readonly sharedState: SharedState;
 }
 
 /** Checks the head of a request before anything of its body is read. */
 export class HeadCheck {
-  constructor(private readonly dependencies: HeadCheckDependencies) {}
+  private readonly dependencies: HeadCheckDependencies;
+
+  constructor(dependencies: HeadCheckDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'callerHttpOptions',
+      'callerDirectory',
+      'serviceRouter',
+      'sharedState',
+    );
+  }
 
   /** Throws the `RequestError` that turns the request away. */
   check(request: IncomingMessage): IncomingRequest {
--- a/packages/plugin-caller-http/src/keyed-requests.ts
+++ b/packages/plugin-caller-http/src/keyed-requests.ts
@@ -1,5 +1,10 @@
 import {createHash} from 'node:crypto';
-import {ErrorKind, RequestError, RunOutcome} from '@gentiandoor/kernel';
+import {
+  ErrorKind,
+  RequestError,
+  RunOutcome,
+  resolveNow,
+} from '@gentiandoor/kernel';
 import type {HeldAnswer, HeldClaim, OnceOnly} from '@gentiandoor/shared-state';
 import type {CallerHttpOptions} from './caller-http-options.js';
 import type {CallerSide} from './caller-side.js';
@@ -21,7 +26,16 @@
 
 /** Runs a request under its idempotency key: claim, then slot, then dispatch. */
 export class KeyedRequests {
-  constructor(private readonly dependencies: KeyedRequestsDependencies) {}
+  private readonly dependencies: KeyedRequestsDependencies;
+
+  constructor(dependencies: KeyedRequestsDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'callerHttpOptions',
+      'onceOnly',
+      'requestDispatcher',
+    );
+  }
 
   /** Resolves when the caller has a whole answer, of now or of then; throws `RequestError`. */
   async send(
--- a/packages/plugin-caller-http/src/request-dispatcher.ts
+++ b/packages/plugin-caller-http/src/request-dispatcher.ts
@@ -5,6 +5,7 @@
   type Clock,
   type OutgoingBody,
   type TargetTransport,
+  resolveNow,
 } from '@gentiandoor/kernel';
 import {RetryVerdict} from '@gentiandoor/decisions';
 import {AnswerForwarder} from './answer-forwarder.js';
@@ -43,7 +44,16 @@
 
 /** Sends a request to a target, and to another one where that cannot run it twice. */
 export class RequestDispatcher {
-  constructor(private readonly dependencies: RequestDispatcherDependencies) {}
+  private readonly dependencies: RequestDispatcherDependencies;
+
+  constructor(dependencies: RequestDispatcherDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'clock',
+      'serviceRouter',
+      'targetTransport',
+    );
+  }
 
   /**
    * Resolves when the target's whole answer was handed to the caller; throws the
@@ -109,6 +119,7 @@
       const detail = 'the deadline has passed';
       return notBegun(new RequestError(ErrorKind.QueueTimeout, detail));
     }
+    wish.tried ??= new Set();
     wish.tried.add(slot.id);
     const forwarder = new AnswerForwarder(caller, recorder, clock);
     const {method, path, headers, body, idempotent} = request;
@@ -154,7 +165,8 @@
 
 /** A request as the router sees it. */
 class SlotWish implements AcquireRequest {
-  readonly tried = new Set<string>();
+  /** Undefined on the first attempt. */
+  tried: Set<string> | undefined;
 
   constructor(
     readonly request: ReadyRequest,
--- a/packages/plugin-caller-http/src/request-handler.ts
+++ b/packages/plugin-caller-http/src/request-handler.ts
@@ -8,6 +8,7 @@
   type Logger,
   type Metrics,
   type OutgoingBody,
+  resolveNow,
 } from '@gentiandoor/kernel';
 import {BodyReader} from './body-reader.js';
 import type {CallerHttpOptions} from './caller-http-options.js';
@@ -66,7 +67,20 @@
 
 /** Takes one request from its head to the end of its answer. */
 export class RequestHandler {
-  constructor(private readonly dependencies: RequestHandlerDependencies) {}
+  private readonly dependencies: RequestHandlerDependencies;
+
+  constructor(dependencies: RequestHandlerDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'clock',
+      'logger',
+      'metrics',
+      'callerHttpOptions',
+      'headCheck',
+      'keyedRequests',
+      'requestDispatcher',
+    );
+  }
 
   /** Never throws: whatever happens, the caller is answered or cut off. */
   async handle(underWay: RequestUnderWay): Promise<void> {
--- a/packages/plugin-target-http/src/http-target-transport.ts
+++ b/packages/plugin-target-http/src/http-target-transport.ts
@@ -10,6 +10,7 @@
   type Plugin,
   type TargetAddress,
   type TargetTransport,
+  resolveNow,
 } from '@gentiandoor/kernel';
 import type {TargetConnection} from './target-connection.js';
 import {TargetConnections} from './target-connections.js';
@@ -30,7 +31,16 @@
 export class HttpTargetTransport implements TargetTransport, Plugin {
   private readonly targets = new Map<string, TargetConnections>();
 
-  constructor(private readonly dependencies: HttpTargetTransportDependencies) {}
+  private readonly dependencies: HttpTargetTransportDependencies;
+
+  constructor(dependencies: HttpTargetTransportDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'clock',
+      'logger',
+      'targetHttpOptions',
+    );
+  }
 
   async start(): Promise<void> {}
 
