--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -42,6 +42,14 @@
   readonly vms: readonly string[];
 }
 
+/** Settings of a daemon that differ from the usual ones. */
+export interface DaemonPlan {
+  readonly callerListen?: string;
+  readonly adminListen?: string;
+  readonly callerHttp?: Readonly<Record<string, number>>;
+  readonly targetHttp?: Readonly<Record<string, number>>;
+}
+
 /** A daemon of a deployment. */
 export interface RunningDaemon {
   readonly name: string;
@@ -89,9 +97,13 @@
     }
   }
 
-  async startDaemon(name: string, dataCentre: string): Promise<RunningDaemon> {
+  async startDaemon(
+    name: string,
+    dataCentre: string,
+    plan: DaemonPlan = {},
+  ): Promise<RunningDaemon> {
     const settings = parseSettings(
-      this.settingsOf(name, dataCentre),
+      this.settingsOf(name, dataCentre, plan),
       `${name}.ini`,
     );
     const daemon = new Daemon(settings, {logger: this.logger});
@@ -151,12 +163,7 @@
   }
 
   /** Settings of a daemon of this deployment, in INI; also for one in another process. */
-  settingsOf(
-    name: string,
-    dataCentre: string,
-    callerListen = LOOPBACK,
-    adminListen = LOOPBACK,
-  ): string {
+  settingsOf(name: string, dataCentre: string, plan: DaemonPlan = {}): string {
     return `
 [daemon]
 name = ${name}
@@ -171,15 +178,23 @@
 [shared-state]
 trusted_operators = ${this.operatorName}:${this.operator.publicKey}
 [target-http]
+${linesOf(plan.targetHttp)}
 [caller-http]
-listen = ${callerListen}
+listen = ${plan.callerListen ?? LOOPBACK}
+${linesOf(plan.callerHttp)}
 [admin]
-listen = ${adminListen}
+listen = ${plan.adminListen ?? LOOPBACK}
 key = ${ADMIN_KEY}
 `;
   }
 }
 
+function linesOf(keys: Readonly<Record<string, number>> = {}): string {
+  return Object.entries(keys)
+    .map(([key, value]) => `${key} = ${value}`)
+    .join('\n');
+}
+
 function inForceVersion(running: RunningDaemon): number | undefined {
   const {state} = running.daemon.resolve<SharedState>('sharedState');
   return state.inForce?.bundle.version;
--- /dev/null
+++ b/packages/bench/src/load/steady-load.ts
@@ -0,0 +1,64 @@
+import {sleep, type Clock, type RandomSource} from '@gentiandoor/kernel';
+import {PromiseLedger} from '../promise-ledger.js';
+import {KeptCaller, type TimedOutcome} from './kept-caller.js';
+
+const RETRY_CONNECT_MILLISECONDS = 20;
+
+/** A steady load of kept connections. */
+export interface SteadyLoadPlan {
+  readonly service: string;
+  readonly callers: number;
+  /** Longest pause of a caller between two requests; each pause is a random part of it. */
+  readonly pauseMilliseconds: number;
+  readonly pick: () => string | undefined;
+}
+
+/** Callers that send GET and POST in turns, each request with an id of its own, without keys. */
+export class SteadyLoad {
+  readonly ledger = new PromiseLedger();
+  readonly outcomes: TimedOutcome[] = [];
+  private running = true;
+  private sent = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly plan: SteadyLoadPlan,
+  ) {}
+
+  /** Resolves when all callers have ended after `stop`. */
+  async run(): Promise<void> {
+    const callers = Array.from({length: this.plan.callers}, () =>
+      this.keepSending(),
+    );
+    await Promise.all(callers);
+  }
+
+  stop(): void {
+    this.running = false;
+  }
+
+  private async keepSending(): Promise<void> {
+    const caller = new KeptCaller(this.plan.pick);
+    while (this.running) {
+      const outcome = await caller.send(this.next());
+      if (outcome) {
+        this.ledger.record(outcome);
+        this.outcomes.push(outcome);
+      }
+      const pause = outcome
+        ? this.random.nextFraction() * this.plan.pauseMilliseconds
+        : RETRY_CONNECT_MILLISECONDS;
+      await sleep(this.clock, pause);
+    }
+    caller.close();
+  }
+
+  private next() {
+    const id = `r${this.sent++}`;
+    const {service} = this.plan;
+    return this.sent % 2 === 0
+      ? {id, service, method: 'GET' as const}
+      : {id, service, method: 'POST' as const, body: `work ${id}`};
+  }
+}
--- a/packages/bench/src/processes/back-end.ts
+++ b/packages/bench/src/processes/back-end.ts
@@ -45,12 +45,10 @@
   const callerAddress = await freeAddress();
   const adminAddress = await freeAddress();
   const message: BackEndMessage = {
-    settings: deployment.settingsOf(
-      'entry-1',
-      'hall-a',
-      callerAddress,
-      adminAddress,
-    ),
+    settings: deployment.settingsOf('entry-1', 'hall-a', {
+      callerListen: callerAddress,
+      adminListen: adminAddress,
+    }),
     callerAddress,
     adminAddress,
     targetAddresses: [...deployment.targets.values()].map(
--- /dev/null
+++ b/packages/bench/src/scenarios/request-path-deployment.ts
@@ -0,0 +1,143 @@
+import {SeededRandom, sleep} from '@gentiandoor/kernel';
+import {ForgetfulPath} from '@gentiandoor/stand-ins';
+import {Deployment, type DaemonPlan} from '../deployment.js';
+import {Balancer} from '../load/balancer.js';
+import {SteadyLoad} from '../load/steady-load.js';
+import type {BrokenPromises, PromiseLedger} from '../promise-ledger.js';
+import type {ScenarioCheck, ScenarioRow} from '../scenario.js';
+
+/** The one service of these scenarios. */
+export const DESK = 'desk';
+const DATA_CENTRE = 'hall-a';
+const RACK = 'hall-a-r1';
+const TARGETS = 4;
+const TARGET_LATENCY_MILLISECONDS = 5;
+
+/** What a scenario sets. */
+export interface PathPlan {
+  readonly seed: number;
+  readonly daemons: number;
+  readonly callers: number;
+  readonly pauseMilliseconds: number;
+  readonly deadlineMilliseconds: number;
+  /** Time one way between callers and daemons; 0 when undefined. */
+  readonly callerDelayMilliseconds?: number;
+  readonly daemonPlan: DaemonPlan;
+}
+
+/** Daemons, targets, a balancer and a steady load in one process. */
+export class PathUnderLoad {
+  readonly deployment = new Deployment();
+  readonly load: SteadyLoad;
+  private readonly balancer: Balancer;
+  private readonly tasks: Array<Promise<void>> = [];
+  /** Ways to daemons by the daemon's address. */
+  private readonly ways = new Map<string, ForgetfulPath>();
+  private started = 0;
+
+  constructor(private readonly plan: PathPlan) {
+    const {clock} = this.deployment;
+    const random = new SeededRandom(plan.seed);
+    this.balancer = new Balancer(clock, random, () => this.deployment.daemons);
+    this.load = new SteadyLoad(clock, random, {
+      service: DESK,
+      callers: plan.callers,
+      pauseMilliseconds: plan.pauseMilliseconds,
+      pick: () => this.pick(),
+    });
+  }
+
+  /** Starts all but the load. */
+  async start(): Promise<void> {
+    const {deployment, plan} = this;
+    await deployment.startPlatform();
+    await deployment.startRack({
+      name: RACK,
+      dataCentre: DATA_CENTRE,
+      vms: Array.from({length: TARGETS}, (_, index) => `${RACK}-${index + 1}`),
+    });
+    for (const target of deployment.targets.values())
+      target.latencyMilliseconds = TARGET_LATENCY_MILLISECONDS;
+    for (let index = 0; index < plan.daemons; index++) await this.startDaemon();
+    await deployment.rollOut(this.bundleText());
+    this.tasks.push(this.balancer.run());
+  }
+
+  startLoad(): void {
+    this.tasks.push(this.load.run());
+  }
+
+  /** Starts one more daemon; resolves when it has the bundle. */
+  async startDaemon(): Promise<void> {
+    const name = `entry-${++this.started}`;
+    const {callerDelayMilliseconds, daemonPlan} = this.plan;
+    const {callerAddress} = await this.deployment.startDaemon(
+      name,
+      DATA_CENTRE,
+      daemonPlan,
+    );
+    if (callerDelayMilliseconds === undefined) return;
+    const way = new ForgetfulPath(callerAddress, callerDelayMilliseconds);
+    await way.start();
+    this.ways.set(callerAddress, way);
+  }
+
+  /** Ends the load and waits for the last answers. */
+  async stopLoad(): Promise<void> {
+    this.load.stop();
+    this.balancer.stop();
+    await Promise.all(this.tasks);
+  }
+
+  async stop(): Promise<void> {
+    await this.deployment.stop();
+    for (const way of this.ways.values()) await way.stop();
+  }
+
+  pause(milliseconds: number): Promise<void> {
+    return sleep(this.deployment.clock, milliseconds);
+  }
+
+  private pick(): string | undefined {
+    const address = this.balancer.pick();
+    if (address === undefined) return undefined;
+    return this.ways.get(address)?.address ?? address;
+  }
+
+  private bundleText(): string {
+    return `
+[bundle]
+version = 1
+base = 0
+author = moana
+sign_offs = 1
+[operator.kerry]
+public_key = ${this.deployment.operator.publicKey}
+[rack.${RACK}]
+data_centre = ${DATA_CENTRE}
+vms = ${RACK}-[1-${TARGETS}]
+[pool.${DESK}]
+vms = ${RACK}-[1-${TARGETS}]
+[service.${DESK}]
+pool = ${DESK}
+deadline_milliseconds = ${this.plan.deadlineMilliseconds}
+`;
+  }
+}
+
+/** Rows by what callers got. */
+export function rowsOfLedger(ledger: PromiseLedger): ScenarioRow[] {
+  return [...ledger.summary()].map(([label, requests]) => ({
+    label,
+    values: {requests},
+  }));
+}
+
+/** A check for each promise: its count must be 0. */
+export function checksOfPromises(broken: BrokenPromises): ScenarioCheck[] {
+  return Object.entries(broken).map(([name, count]) => ({
+    name: `${name} is 0`,
+    passed: count === 0,
+    detail: String(count),
+  }));
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/request-path-drain.ts
@@ -0,0 +1,99 @@
+import {ListedState} from '@gentiandoor/shared-state';
+import type {TargetServer} from '@gentiandoor/stand-ins';
+import type {Scenario, ScenarioContext, ScenarioResult} from '../scenario.js';
+import {
+  PathUnderLoad,
+  checksOfPromises,
+  rowsOfLedger,
+} from './request-path-deployment.js';
+
+const LEAVING_LIMIT_MILLISECONDS = 3000;
+const BETWEEN_MILLISECONDS = 1000;
+const WATCH_STEP_MILLISECONDS = 5;
+
+async function run({seed, scale}: ScenarioContext): Promise<ScenarioResult> {
+  const path = new PathUnderLoad({
+    seed,
+    daemons: 2,
+    callers: 32,
+    pauseMilliseconds: 30,
+    deadlineMilliseconds: 10_000,
+    daemonPlan: {},
+  });
+  await path.start();
+  path.startLoad();
+  await path.pause(BETWEEN_MILLISECONDS);
+  const targets = [...path.deployment.targets.values()];
+  const drained = targets.slice(
+    0,
+    Math.max(1, Math.round(targets.length * scale)),
+  );
+  const lastNew: number[] = [];
+  for (const target of drained)
+    lastNew.push(await drainAndReturn(path, target));
+  await path.pause(BETWEEN_MILLISECONDS);
+  await path.stopLoad();
+  const {ledger} = path.load;
+  const broken = ledger.broken(targets);
+  await path.stop();
+  const notWhole = ledger.outcomes.filter(outcome => !outcome.whole).length;
+  const latest = Math.max(...lastNew);
+  return {
+    rows: [
+      ...rowsOfLedger(ledger),
+      {
+        label: 'drained targets',
+        values: {targets: drained.length, last_new_request_after_ms: latest},
+      },
+    ],
+    checks: [
+      ...checksOfPromises(broken),
+      {
+        name: 'every request sent got its whole answer',
+        passed: notWhole === 0,
+        detail: `${notWhole} of ${ledger.outcomes.length} did not`,
+      },
+      {
+        name: 'a leaving target gets nothing new after 3 s',
+        passed: latest < LEAVING_LIMIT_MILLISECONDS,
+        detail: `the last new request came ${latest.toFixed(0)} ms after the mark in the list`,
+      },
+    ],
+  };
+}
+
+/** Resolves with the milliseconds from the mark to the last new request. */
+async function drainAndReturn(
+  path: PathUnderLoad,
+  target: TargetServer,
+): Promise<number> {
+  const {list} = path.deployment;
+  const listed = list.visible().find(vm => vm.id === target.id);
+  if (!listed) throw new Error(`${target.id} is not in the list`);
+  list.put({...listed, state: ListedState.Leaving});
+  const start = performance.now();
+  let runs = target.ran.length;
+  let last = 0;
+  while (performance.now() - start < LEAVING_LIMIT_MILLISECONDS) {
+    await path.pause(WATCH_STEP_MILLISECONDS);
+    if (target.ran.length === runs) continue;
+    runs = target.ran.length;
+    last = performance.now() - start;
+  }
+  // The VM reboots: all of its connections close, used or not.
+  const {address} = target;
+  await target.stop();
+  await path.pause(BETWEEN_MILLISECONDS);
+  await target.start(address);
+  list.put({...listed, state: ListedState.Live});
+  await path.pause(BETWEEN_MILLISECONDS);
+  return last;
+}
+
+/** Targets leave one after another under steady load. */
+export const ROLLING_DRAIN: Scenario = {
+  name: 'rolling-drain',
+  description:
+    'each of 4 targets is marked leaving, stopped and returned under 32 kept connections of GET and POST without keys',
+  run,
+};
--- a/packages/bench/src/scenarios/request-path.ts
+++ b/packages/bench/src/scenarios/request-path.ts
@@ -1,5 +1,13 @@
 import type {Scenario} from '../scenario.js';
+import {ROLLING_DRAIN} from './request-path-drain.js';
 import {OVERHEAD} from './request-path-overhead.js';
+import {ROLLING_RESTART} from './request-path-restart.js';
+import {SILENT_CONNECTIONS} from './request-path-silence.js';
 
 /** Measured scenarios of the request path's edges. */
-export const REQUEST_PATH_SCENARIOS: readonly Scenario[] = [OVERHEAD];
+export const REQUEST_PATH_SCENARIOS: readonly Scenario[] = [
+  OVERHEAD,
+  SILENT_CONNECTIONS,
+  ROLLING_RESTART,
+  ROLLING_DRAIN,
+];
--- a/packages/plugin-target-http/src/http-target-transport.ts
+++ b/packages/plugin-target-http/src/http-target-transport.ts
@@ -93,7 +93,7 @@
     if (connections.size === 0) this.targets.delete(target.address);
   }
 
-  private suspectSiblings(
+  protected suspectSiblings(
     target: TargetAddress,
     connections: TargetConnections,
   ): void {
--- a/packages/plugin-target-http/src/index.ts
+++ b/packages/plugin-target-http/src/index.ts
@@ -4,6 +4,7 @@
 import {targetHttpOptions} from './target-http-options.js';
 
 export {HttpTargetTransport} from './http-target-transport.js';
+export {targetHttpOptions} from './target-http-options.js';
 
 /** Registers the edge to targets. */
 export function registerTargetHttp(registry: PluginRegistry): void {
--- a/packages/stand-ins/src/forgetful-path.ts
+++ b/packages/stand-ins/src/forgetful-path.ts
@@ -2,7 +2,7 @@
 import {splitAddress} from '@gentiandoor/kernel';
 
 /**
- * A TCP path that can forget its open connections: from then on nothing passes on those in
+ * A TCP path with a delay, that can forget its open connections: from then on nothing passes on those in
  * either direction and neither end is told, while new ones work.
  */
 export class ForgetfulPath {
@@ -11,7 +11,11 @@
   private readonly sockets = new Set<net.Socket>();
   private readonly server = net.createServer(socket => this.join(socket));
 
-  constructor(private readonly target: string) {}
+  /** `delayMilliseconds` is the time one way. */
+  constructor(
+    private readonly target: string,
+    private readonly delayMilliseconds = 0,
+  ) {}
 
   async start(): Promise<void> {
     await new Promise<void>(resolve =>
@@ -43,18 +47,22 @@
   }
 
   private pass(from: net.Socket, to: net.Socket, generation: number): void {
-    const isKnown = () => generation === this.generation;
+    const deliver = (action: () => void) => {
+      if (generation === this.generation) this.later(action);
+    };
     this.sockets.add(from);
-    from.on('data', chunk => {
-      if (isKnown()) to.write(chunk);
-    });
-    from.on('end', () => {
-      if (isKnown()) to.end();
-    });
+    from.on('data', chunk => deliver(() => to.write(chunk)));
+    from.on('end', () => deliver(() => to.end()));
     from.on('error', () => {});
     from.on('close', () => {
       this.sockets.delete(from);
-      if (isKnown()) to.destroy();
+      deliver(() => to.destroy());
     });
   }
+
+  /** Timers of one length run in the order in which they were set: bytes stay in order. */
+  private later(action: () => void): void {
+    if (this.delayMilliseconds === 0) action();
+    else setTimeout(action, this.delayMilliseconds);
+  }
 }
