--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -9,12 +9,9 @@
   RetryBudget,
   RetryVerdict,
   SharedTeamQuota,
-  TurnAway,
   WorkLength,
   type PoolSlot,
   type RetryQuestion,
-  type SlotAsk,
-  type SlotRefusal,
   type TargetOutcome,
   type TeamTerms,
 } from '@gentiandoor/decisions';
@@ -25,6 +22,7 @@
   type ServiceEntry,
 } from '@gentiandoor/shared-state';
 import {LoadSummaries} from './load-summaries.js';
+import {PendingAsk, RoutedSlot, type AskTerms} from './pending-ask.js';
 import {PoolTable, type PoolTableDependencies} from './pool-table.js';
 
 /** A request that asks for a target. */
@@ -65,11 +63,6 @@
   readonly peerLinks: PeerLinks;
 }
 
-const KIND_OF_TURN_AWAY: Readonly<Record<TurnAway, ErrorKind>> = {
-  [TurnAway.Full]: ErrorKind.QueueFull,
-  [TurnAway.Late]: ErrorKind.QueueTimeout,
-  [TurnAway.Standing]: ErrorKind.QueueDropped,
-};
 const WORK_OF_CLASS: Readonly<Record<WorkClass, WorkLength>> = {
   [WorkClass.Short]: WorkLength.Short,
   [WorkClass.Long]: WorkLength.Long,
@@ -135,39 +128,23 @@
   }
 
   /** Resolves with a slot, or rejects with the `RequestError` that turned the request away. */
-  acquire(wanted: AcquireRequest | string): Promise<HeldSlot> {
-    const request = typeof wanted === 'string' ? {service: wanted} : wanted;
+  acquire(request: AcquireRequest): Promise<HeldSlot> {
     const service = this.service(request.service);
     const pool = this.pools.use(service.pool);
     if (!request.tried) this.retriesOf(request.service).onFirstAttempt();
     this.summaries.wake();
     return new Promise((resolve, reject) => {
-      const {signal} = request;
-      const onAbort = () => {
-        if (pool.cancel(ask)) reject(callerGone());
-      };
-      const settle = () => signal?.removeEventListener('abort', onAbort);
-      const ask: SlotAsk = {
-        ...this.terms(request, service),
-        grant: slot => {
-          settle();
-          resolve(this.hold(request.service, slot));
-        },
-        refuse: refusal => {
-          settle();
-          reject(toError(refusal));
-        },
-      };
-      if (signal?.aborted) {
-        reject(callerGone());
-        return;
-      }
-      signal?.addEventListener('abort', onAbort, {once: true});
+      const ask = new PendingAsk(
+        this.termsOf(request, service),
+        slot => resolve(this.hold(request.service, slot)),
+        reject,
+      );
       pool.acquire(ask);
+      if (ask.isWaiting) ask.cancelOn(request.signal, pool);
     });
   }
 
-  private terms(request: AcquireRequest, service: ServiceEntry) {
+  private termsOf(request: AcquireRequest, service: ServiceEntry): AskTerms {
     const now = this.dependencies.clock.monotonicMilliseconds();
     const latest = now + service.waitMilliseconds;
     return {
@@ -192,21 +169,9 @@
 
   private hold(service: string, slot: PoolSlot): HeldSlot {
     this.inFlight.set(service, (this.inFlight.get(service) ?? 0) + 1);
-    let isReleased = false;
-    return {
-      id: slot.target.id,
-      address: slot.target.address,
-      // As many as exchanges: eight daemons with eight slots each fill the 64 connections.
-      connections: Math.min(slot.target.slots, slot.target.connections),
-      isRoutable: () => slot.isRoutable(),
-      report: outcome => slot.report(outcome),
-      release: () => {
-        if (isReleased) return;
-        isReleased = true;
-        this.inFlight.set(service, (this.inFlight.get(service) ?? 1) - 1);
-        slot.release();
-      },
-    };
+    return new RoutedSlot(slot, () => {
+      this.inFlight.set(service, (this.inFlight.get(service) ?? 1) - 1);
+    });
   }
 
   private retriesOf(service: string): RetryBudget {
@@ -235,17 +200,3 @@
     }
   }
 }
-
-function toError(refusal: SlotRefusal): RequestError {
-  const {reason, quotaHeld, retryAfterSeconds} = refusal;
-  if (reason === undefined)
-    return new RequestError(ErrorKind.NoTarget, 'no VM can take the request', {
-      retryAfterSeconds,
-    });
-  const kind = quotaHeld ? ErrorKind.QuotaExceeded : KIND_OF_TURN_AWAY[reason];
-  return new RequestError(kind, `turned away: ${reason}`, {retryAfterSeconds});
-}
-
-function callerGone(): RequestError {
-  return new RequestError(ErrorKind.CallerGone, 'the caller left the queue');
-}
