Router cost: the time is read once a decision, unchanged pools are passed over, passes are sliced

Cause: reading the clock took more than half of a choice; each change of list or log worked out the targets of every pool in use. Change: TickClock; pools whose records are the same objects are passed over; slices of 500 VMs; scenario decisions-cost.

--- a/packages/bench/src/scenarios/decisions.ts
+++ b/packages/bench/src/scenarios/decisions.ts
@@ -1,4 +1,5 @@
 import type {Scenario} from '../scenario.js';
+import {routerCost} from './decisions-cost.js';
 import {partition, spill} from './decisions-data-centres.js';
 import {
   failEverything,
@@ -33,4 +34,5 @@
   mixedSpeeds,
   spill,
   partition,
+  routerCost,
 ];
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './target-outcome.js';
 export * from './team-lane.js';
 export * from './team-quota.js';
+export * from './tick-clock.js';
 export * from './waiting-queue.js';
 export * from './weight-ramp.js';
 export * from './work-class.js';
--- a/packages/decisions/src/latency-estimate.ts
+++ b/packages/decisions/src/latency-estimate.ts
@@ -27,6 +27,7 @@
 
   /** Milliseconds that recent failures add to the target's cost. */
   penalty(now: number): number {
+    if (this.penaltyValue === 0) return 0;
     return this.penaltyValue * remaining(now - this.penaltyAt);
   }
 
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -1,4 +1,4 @@
-import type {Clock, RandomSource, Timer} from '@gentiandoor/kernel';
+import type {RandomSource, Timer} from '@gentiandoor/kernel';
 import type {ClassGate} from './class-gate.js';
 import {retryAfterSeconds, type DrainRate} from './drain-rate.js';
 import type {Ejection} from './ejection.js';
@@ -14,6 +14,7 @@
   Waiter,
   WaitingQueue,
 } from './waiting-queue.js';
+import type {TickClock} from './tick-clock.js';
 import type {WeightRamp} from './weight-ramp.js';
 import {WorkLength} from './work-class.js';
 
@@ -43,7 +44,7 @@
 
 /** The parts of a pool's decisions. */
 export interface SlotPoolParts {
-  readonly clock: Clock;
+  readonly clock: TickClock;
   readonly random: RandomSource;
   readonly share: SlotShare;
   readonly choice: TargetChoice;
@@ -79,7 +80,7 @@
 
   /** Asked directly before the first byte goes out. */
   isRoutable(): boolean {
-    return this.entry.isOpen();
+    return this.pool.isRoutable(this.entry);
   }
 
   /** What the exchange showed of the target. */
@@ -136,6 +137,7 @@
 
   /** Replaces the routable targets; called on change only. */
   setTargets(targets: readonly RoutableTarget[]): void {
+    this.parts.clock.tick();
     const now = this.now();
     const isFirst = this.entries.size === 0;
     const wanted = new Map(targets.map(target => [target.id, target]));
@@ -153,7 +155,8 @@
 
   /** Grants or refuses now or later. */
   acquire(ask: SlotAsk): void {
-    const {queue} = this.parts;
+    const {queue, clock} = this.parts;
+    clock.tick();
     if (queue.length > 0 && this.mayHaveRoom) this.pump();
     // Room that is left after pumping is room that none of those waiting may use.
     const mayStart = queue.length === 0 || this.mayHaveRoom;
@@ -175,6 +178,7 @@
 
   /** Something outside changed what may run: peers' summaries, a quota, a target's standing. */
   onRoomChanged(): void {
+    this.parts.clock.tick();
     this.mayHaveRoom = true;
     this.sums = {...this.sums, at: -Infinity};
     this.pump();
@@ -187,6 +191,7 @@
 
   /** Takes in what a peer says that it uses of the targets. */
   onPeer(peer: string, uses: PeerUses, expiryMilliseconds: number): void {
+    this.parts.clock.tick();
     this.parts.share.onPeer(peer, uses, expiryMilliseconds);
     this.onRoomChanged();
   }
@@ -207,6 +212,7 @@
 
   /** Targets that said themselves that they are leaving. */
   leaving(): string[] {
+    this.parts.clock.tick();
     const found: string[] = [];
     for (const entry of this.entries.values()) {
       if (entry.isLeaving()) found.push(entry.id);
@@ -216,6 +222,7 @@
 
   /** A sign of leaving from a peer. */
   onLeaving(target: string): void {
+    this.parts.clock.tick();
     this.entries.get(target)?.onLeaving();
   }
 
@@ -234,8 +241,15 @@
     return this.parts.ejection.isSharedFault;
   }
 
+  /** For `PoolSlot` only. */
+  isRoutable(entry: TargetEntry): boolean {
+    this.parts.clock.tick();
+    return entry.isOpen();
+  }
+
   /** For `PoolSlot` only. */
   onOutcome({entry, ask}: PoolSlot, outcome: TargetOutcome): void {
+    this.parts.clock.tick();
     const now = this.now();
     const {share, ejection} = this.parts;
     const {slots} = entry.target;
@@ -255,7 +269,8 @@
   /** For `PoolSlot` only. */
   onReleased({entry, ask, startedAt, wasAnswered}: PoolSlot): void {
     entry.inFlight--;
-    const {drain} = this.parts;
+    const {drain, clock} = this.parts;
+    clock.tick();
     drain.onEnd(ask.work);
     if (wasAnswered) drain.onAnswered(ask.work, this.now() - startedAt);
     this.parts.quota.onEnd(ask.team);
@@ -422,6 +437,7 @@
     if (this.sweep || this.parts.queue.length === 0) return;
     this.sweep = this.parts.clock.schedule(SWEEP_MILLISECONDS, () => {
       this.sweep = undefined;
+      this.parts.clock.tick();
       this.turnAway(this.parts.queue.expire(this.now()));
       // Time alone can make room: an ejection or a peer's summary runs out.
       this.mayHaveRoom = true;
--- a/packages/decisions/src/standard-pool.ts
+++ b/packages/decisions/src/standard-pool.ts
@@ -8,6 +8,7 @@
 import {WaitRatherThanSlow} from './slow-target.js';
 import {SampledChoice} from './target-choice.js';
 import type {TeamQuota} from './team-quota.js';
+import {TickClock} from './tick-clock.js';
 import {SteppedRamp} from './weight-ramp.js';
 
 /** What a pool of the daemon is made of. */
@@ -26,15 +27,8 @@
 
 /** Puts the decisions of one pool together as the daemon uses them. */
 export function createStandardPool(options: StandardPoolOptions): SlotPool {
-  const {
-    clock,
-    random,
-    self,
-    quota,
-    onSpill,
-    onPressure,
-    replaced = {},
-  } = options;
+  const {random, self, quota, onSpill, onPressure, replaced = {}} = options;
+  const clock = new TickClock(options.clock);
   const drain = new DrainRate();
   const gate =
     replaced.gate ?? new ShortReserve(clock, drain, () => pool.capacity());
--- a/packages/plugin-caller-http/src/index.ts
+++ b/packages/plugin-caller-http/src/index.ts
@@ -10,6 +10,10 @@
 import {ServiceRouter} from './service-router.js';
 
 export {CallerHttpServer} from './caller-http-server.js';
+export {
+  ServiceRouter,
+  type ServiceRouterDependencies,
+} from './service-router.js';
 export {REASON_HEADER, RUN_HEADER} from './error-answer.js';
 export {LEAVING_HEADER} from './answer-forwarder.js';
 export {REPLAYED_HEADER} from './keyed-requests.js';
--- a/packages/plugin-caller-http/src/pool-table.ts
+++ b/packages/plugin-caller-http/src/pool-table.ts
@@ -34,10 +34,14 @@
 interface RoutedPool {
   readonly slots: SlotPool;
   readonly routable: RoutableTargets;
+  /** What its targets were worked out from last. */
+  inputs: readonly unknown[];
 }
 
 /** Changes that come together are taken in together. */
 const REFRESH_MILLISECONDS = 20;
+/** VMs looked at before other work gets its turn: well under a millisecond. */
+const VMS_IN_SLICE = 500;
 /** How often a pool is looked at again while it keeps a VM that the list no longer shows. */
 const KEEP_MILLISECONDS = 500;
 
@@ -99,7 +103,11 @@
       onSpill: reason => events.onSpill(reason),
       onStanding: change => events.onStanding(change),
     });
-    return {slots, routable: new RoutableTargets(identity.dataCentre)};
+    return {
+      slots,
+      routable: new RoutableTargets(identity.dataCentre),
+      inputs: [],
+    };
   }
 
   private refreshIn(milliseconds: number): void {
@@ -107,24 +115,63 @@
     this.isRefreshDue = true;
     this.dependencies.clock.schedule(milliseconds, () => {
       this.isRefreshDue = false;
-      for (const [name, pool] of this.pools) this.refresh(name, pool);
+      this.refreshSlice(this.pools.entries());
     });
   }
 
-  private refresh(name: string, {slots, routable}: RoutedPool): void {
+  /**
+   * A pass over 31,000 VMs in one go would hold up every request in flight for its whole time, so
+   * that it is done in slices. A change that comes during a pass starts another one behind it.
+   */
+  private refreshSlice(rest: IterableIterator<[string, RoutedPool]>): void {
+    let looked = 0;
+    for (let next = rest.next(); !next.done; next = rest.next()) {
+      const [name, pool] = next.value;
+      looked += this.refresh(name, pool);
+      if (looked < VMS_IN_SLICE) continue;
+      this.dependencies.clock.schedule(0, () => this.refreshSlice(rest));
+      return;
+    }
+  }
+
+  /** Returns how many VMs it looked at. */
+  private refresh(name: string, pool: RoutedPool): number {
     const {clock, sharedState} = this.dependencies;
+    const {slots, routable} = pool;
     const entry = sharedState.state.inForce?.bundle.pools[name];
-    const facts = entry ? this.factsOf(name, slots) : [];
+    const ids = entry ? this.idsOf(name) : [];
+    const inputs = this.inputsOf(ids, entry);
+    // Most changes are about other pools: their records are the same objects as before.
+    if (!routable.keepsMissing && isSame(inputs, pool.inputs))
+      return ids.length;
+    pool.inputs = inputs;
+    const facts = this.factsOf(ids, slots);
     const now = clock.monotonicMilliseconds();
     slots.setTargets(routable.select(facts, limitsOf(entry), now));
     if (routable.keepsMissing) this.refreshIn(KEEP_MILLISECONDS);
+    return ids.length;
+  }
+
+  private idsOf(name: string): readonly string[] {
+    this.owned ??= ownersOf(this.dependencies.sharedState);
+    return this.owned.get(name) ?? [];
+  }
+
+  private inputsOf(
+    ids: readonly string[],
+    entry: PoolEntry | undefined,
+  ): unknown[] {
+    const {sharedState, vmList} = this.dependencies;
+    const listed = vmList.current();
+    const inputs: unknown[] = [entry?.slots, entry?.connections];
+    for (const id of ids)
+      inputs.push(sharedState.state.vms.get(id), listed.get(id));
+    return inputs;
   }
 
-  private factsOf(name: string, slots: SlotPool): TargetFacts[] {
+  private factsOf(ids: readonly string[], slots: SlotPool): TargetFacts[] {
     const {sharedState, vmList} = this.dependencies;
     const listed = vmList.current();
-    this.owned ??= ownersOf(sharedState);
-    const ids = this.owned.get(name) ?? [];
     return ids.map(id => {
       const vm = listed.get(id);
       return {
@@ -142,6 +189,11 @@
   }
 }
 
+function isSame(left: readonly unknown[], right: readonly unknown[]): boolean {
+  if (left.length !== right.length) return false;
+  return left.every((item, index) => item === right[index]);
+}
+
 function limitsOf(entry: PoolEntry | undefined) {
   return {slots: entry?.slots ?? 0, connections: entry?.connections ?? 0};
 }
