--- a/packages/plugin-caller-http/src/__tests__/caller-edge.ts
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -11,6 +11,7 @@
   KeyRule,
   WorkClass,
   emptyFleetState,
+  type Bundle,
   type CallerEntry,
   type OnceOnly,
   type ServiceEntry,
@@ -60,7 +61,13 @@
       if (held) this.inUse--;
       held = false;
     };
-    return {id: address, address, release};
+    return {
+      id: address,
+      address,
+      release,
+      isRoutable: () => true,
+      report: () => {},
+    };
   }
 }
 
@@ -176,23 +183,25 @@
   callers: Readonly<Record<string, CallerEntry>>,
 ): SharedState {
   const state = emptyFleetState({});
+  const bundle: Bundle = {
+    version: 1,
+    base: 0,
+    author: 'moana',
+    signOffs: 0,
+    weights: {buffer: 1, move: 1},
+    operators: {},
+    racks: {},
+    pools: {},
+    services,
+    teams: {},
+    callers,
+  };
   state.inForce = {
     text: '',
     digest: 'digest-1',
     offset: 1,
-    bundle: {
-      version: 1,
-      base: 0,
-      author: 'moana',
-      signOffs: 0,
-      weights: {buffer: 1, move: 1},
-      operators: {},
-      racks: {},
-      pools: {},
-      services,
-      teams: {},
-      callers,
-    },
+    bundle,
+    parsed: {bundle, sections: []},
   };
   return {
     state,
