--- a/packages/plugin-caller-http/src/__tests__/caller-edge.ts
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -6,6 +6,12 @@
   type LogEvent,
   type LogFields,
 } from '@gentiandoor/kernel';
+import {
+  RetryVerdict,
+  isSafeToRepeat,
+  type RetryQuestion,
+  type TargetOutcome,
+} from '@gentiandoor/decisions';
 import {
   FailureDomain,
   KeyRule,
@@ -42,6 +48,9 @@
 /** Hands the targets out in turn and counts the slots in use. */
 export class TurnRouter {
   inUse = 0;
+  retries = 0;
+  /** What exchanges showed of their targets. */
+  readonly outcomes: TargetOutcome[] = [];
   private turn = 0;
 
   constructor(
@@ -61,13 +70,16 @@
       if (held) this.inUse--;
       held = false;
     };
-    return {
-      id: address,
-      address,
-      release,
-      isRoutable: () => true,
-      report: () => {},
-    };
+    const report = (outcome: TargetOutcome) => this.outcomes.push(outcome);
+    return {id: address, address, isRoutable: () => true, report, release};
+  }
+
+  /** As the daemon's own policy, with one retry and no budget. */
+  judgeRetry(_service: string, question: RetryQuestion): RetryVerdict {
+    if (!isSafeToRepeat(question)) return RetryVerdict.MayHaveRun;
+    if (question.attempts > 1) return RetryVerdict.AttemptsSpent;
+    this.retries++;
+    return RetryVerdict.Retry;
   }
 }
 
--- a/packages/plugin-caller-http/src/caller-side.ts
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -26,14 +26,13 @@
   private keepsExchange = false;
   private unreadTimer: Timer | undefined;
   private closed = false;
-  private readonly goneListeners: Array<() => void> = [];
+  private goneController: AbortController | undefined;
 
   constructor(
     private readonly response: ServerResponse,
     private readonly dependencies: CallerSideDependencies,
   ) {
     response.on('close', () => this.onClose());
-    response.on('drain', () => this.onDrain());
   }
 
   /** True once the caller has closed the connection before its answer was out. */
@@ -46,9 +45,11 @@
     return this.response.headersSent;
   }
 
-  /** Calls `listener` when the caller goes before its answer is out. */
-  onGone(listener: () => void): void {
-    this.goneListeners.push(listener);
+  /** Aborts when the caller goes before its answer is out. */
+  get goneSignal(): AbortSignal {
+    this.goneController ??= new AbortController();
+    if (this.isGone) this.goneController.abort();
+    return this.goneController.signal;
   }
 
   /**
@@ -71,7 +72,7 @@
   data(chunk: Buffer): boolean {
     if (this.isGone) return true;
     const readOn = this.response.write(chunk);
-    if (!readOn) this.startUnreadTimer();
+    if (!readOn) this.waitForReader();
     return readOn;
   }
 
@@ -82,25 +83,25 @@
     this.response.end();
   }
 
-  private onDrain(): void {
-    this.unreadTimer?.cancel();
-    this.unreadTimer = undefined;
-    this.exchange?.resume();
-  }
-
   /** A caller that reads nothing would hold a target's slot for as long as it likes. */
-  private startUnreadTimer(): void {
+  private waitForReader(): void {
+    if (this.unreadTimer) return;
     const {clock, progressMilliseconds} = this.dependencies;
-    this.unreadTimer ??= clock.schedule(progressMilliseconds, () =>
+    this.unreadTimer = clock.schedule(progressMilliseconds, () =>
       this.response.destroy(),
     );
+    this.response.once('drain', () => {
+      this.unreadTimer?.cancel();
+      this.unreadTimer = undefined;
+      this.exchange?.resume();
+    });
   }
 
   private onClose(): void {
     this.closed = true;
     this.unreadTimer?.cancel();
     if (!this.isGone) return;
-    for (const listener of this.goneListeners) listener();
+    this.goneController?.abort();
     if (this.keepsExchange) this.exchange?.resume();
     else this.exchange?.abort();
   }
--- a/packages/plugin-target-http/src/http-target-transport.ts
+++ b/packages/plugin-target-http/src/http-target-transport.ts
@@ -10,6 +10,7 @@
   type Plugin,
   type TargetAddress,
   type TargetTransport,
+  resolveNow,
 } from '@gentiandoor/kernel';
 import type {TargetConnection} from './target-connection.js';
 import {TargetConnections} from './target-connections.js';
@@ -30,7 +31,16 @@
 export class HttpTargetTransport implements TargetTransport, Plugin {
   private readonly targets = new Map<string, TargetConnections>();
 
-  constructor(private readonly dependencies: HttpTargetTransportDependencies) {}
+  private readonly dependencies: HttpTargetTransportDependencies;
+
+  constructor(dependencies: HttpTargetTransportDependencies) {
+    this.dependencies = resolveNow(
+      dependencies,
+      'clock',
+      'logger',
+      'targetHttpOptions',
+    );
+  }
 
   async start(): Promise<void> {}
 
@@ -83,7 +93,7 @@
     if (connections.size === 0) this.targets.delete(target.address);
   }
 
-  private suspectSiblings(
+  protected suspectSiblings(
     target: TargetAddress,
     connections: TargetConnections,
   ): void {
