--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -98,7 +98,9 @@
     const self = identity.incarnation;
     const quotaShare = new PeerShare(clock, self, SMALLEST_QUOTA_PART);
     const quota = new SharedTeamQuota(quotaShare);
-    this.pools = new PoolTable(dependencies, quota);
+    this.pools = new PoolTable(dependencies, quota, () =>
+      this.summaries.hurry(),
+    );
     this.summaries = new LoadSummaries(
       clock,
       peerLinks,
@@ -194,6 +196,8 @@
     return {
       id: slot.target.id,
       address: slot.target.address,
+      // As many as exchanges: eight daemons with eight slots each fill the 64 connections.
+      connections: Math.min(slot.target.slots, slot.target.connections),
       isRoutable: () => slot.isRoutable(),
       report: outcome => slot.report(outcome),
       release: () => {
