Golden sessions of the shared state: bundle race, lost answer, outage, cut-off data centre, restart storm, retention gap

Cause: whole sessions were not held by anything. The first run of them showed three faults: a record with a lost answer went out once a second without end, a gap that could not be crossed was tried 15 times a second, abort listeners piled up. Change: nothing is sent again while the stream cannot be read, and with doubling pauses; an open gap backs off as a failure does; listeners are taken off. Golden files by npm run golden.

--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -77,6 +77,10 @@
     'A damaged or half-written snapshot was left out; an older one is used.',
     'report it if it repeats',
   ),
+  [LogEvent.LogGapOpen]: entry(
+    'Records this daemon needs are gone and no snapshot reaches over the gap; a daemon that runs serves on, a fresh one serves nothing.',
+    'a running daemon writes a new snapshot by itself; if none runs, see docs/operations/platform-log-gone.md',
+  ),
   [LogEvent.BundleInForce]: entry('A bundle came into force at this daemon.'),
   [LogEvent.BundleConflict]: entry(
     'Two bundles carry one version and differ.',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -21,6 +21,7 @@
   SnapshotLoaded = 1308,
   SnapshotFailed = 1309,
   SnapshotSkipped = 1310,
+  LogGapOpen = 1311,
   BundleInForce = 1401,
   BundleConflict = 1402,
   ListUnavailable = 1501,
--- /dev/null
+++ b/packages/plugin-shared-state/src/__tests__/session.ts
@@ -0,0 +1,298 @@
+import {
+  AdminRoutes,
+  LogEvent,
+  MemoryMetrics,
+  SeededRandom,
+  VirtualClock,
+  toError,
+  type LogFields,
+  type Logger,
+} from '@gentiandoor/kernel';
+import {
+  PeerDirectory,
+  RecordKind,
+  digestOf,
+  signBundle,
+  type FleetRecord,
+  type FoldOutcome,
+} from '@gentiandoor/shared-state';
+import {FaultyLog, MemoryLog, MemoryPeerNetwork} from '@gentiandoor/stand-ins';
+import {LogFollower} from '../log-follower.js';
+import {sharedStateOptions} from '../shared-state-options.js';
+import {fixedOperatorKeys} from './operators.js';
+
+const STEP_MILLISECONDS = 10;
+const TURNS_OF_A_STEP = 12;
+/** Fields of log events that make a session readable and are the same at each run. */
+const SHOWN_FIELDS = [
+  'version',
+  'offset',
+  'oldest',
+  'reason',
+  'detail',
+  'peer',
+  'name',
+  'by',
+];
+
+/** Operators of a session by name. */
+export const OPERATORS = {
+  moana: fixedOperatorKeys(1),
+  kerry: fixedOperatorKeys(2),
+  tui: fixedOperatorKeys(3),
+} as const;
+
+/** An operator of a session. */
+export type OperatorName = keyof typeof OPERATORS;
+
+/** What varies between the bundles of a session. */
+export interface BundleChoice {
+  readonly version: number;
+  readonly base: number;
+  readonly author: OperatorName;
+  readonly slots?: number;
+}
+
+/** A small bundle of the Kingston kind. */
+export function bundleOf(choice: BundleChoice): string {
+  const operators = Object.entries(OPERATORS).map(
+    ([name, {publicKey}]) => `[operator.${name}]\npublic_key = ${publicKey}\n`,
+  );
+  return `[bundle]
+version = ${choice.version}
+base = ${choice.base}
+author = ${choice.author}
+sign_offs = 1
+${operators.join('')}[rack.hall-a-r1]
+data_centre = hall-a
+vms = hall-a-r1-[1-4]
+[pool.counter-preview]
+vms = hall-a-r1-[1-4]
+slots = ${choice.slots ?? 8}
+[service.counter-preview]
+pool = counter-preview
+`;
+}
+
+/** One daemon of a session: the real follower over a log path of its own. */
+export class SessionDaemon {
+  readonly path: FaultyLog;
+  readonly metrics = new MemoryMetrics();
+  readonly follower: LogFollower;
+  /** Versions under which it served, in order. */
+  readonly served: number[] = [];
+
+  constructor(
+    session: Session,
+    readonly name: string,
+    readonly dataCentre: string,
+    readonly incarnation: string,
+    settings: Record<string, string>,
+  ) {
+    const {clock, log, network} = session;
+    this.path = new FaultyLog(log, clock);
+    const peerDirectory = new PeerDirectory();
+    peerDirectory.ownAddress = `${name}:7901`;
+    this.follower = new LogFollower({
+      identity: {name, dataCentre, incarnation},
+      clock,
+      random: new SeededRandom(session.nextSeed()),
+      logger: new SessionLogger(session, name),
+      metrics: this.metrics,
+      platformLog: this.path,
+      peerLinks: network.join({name, dataCentre, incarnation}),
+      peerDirectory,
+      adminRoutes: new AdminRoutes(),
+      sharedStateOptions: sharedStateOptions.parse({
+        trusted_operators: Object.entries(OPERATORS)
+          .map(([operator, {publicKey}]) => `${operator}:${publicKey}`)
+          .join(', '),
+        ...settings,
+      }),
+    });
+    this.follower.onChange(() => this.noteServed());
+  }
+
+  /** The version served under; undefined for none. */
+  get version(): number | undefined {
+    return this.follower.state.inForce?.bundle.version;
+  }
+
+  private noteServed(): void {
+    const {version} = this;
+    if (version !== undefined && version !== this.served.at(-1))
+      this.served.push(version);
+  }
+}
+
+/** A whole session of daemons over one log, on a virtual clock, told line by line. */
+export class Session {
+  readonly clock = new VirtualClock();
+  readonly log: MemoryLog;
+  readonly network = new MemoryPeerNetwork();
+  readonly daemons = new Map<string, SessionDaemon>();
+  private readonly lines: string[] = [];
+  private seed = 0;
+  private records = 0;
+  private incarnations = 0;
+
+  constructor(private readonly settings: Record<string, string> = {}) {
+    this.log = new MemoryLog(this.clock);
+  }
+
+  nextSeed(): number {
+    return ++this.seed;
+  }
+
+  /** All lines so far. */
+  get text(): string {
+    return `${this.lines.join('\n')}\n`;
+  }
+
+  /** Adds a line of the teller's own. */
+  tell(line: string): void {
+    this.lines.push(`\n# ${line}`);
+  }
+
+  note(who: string, what: string): void {
+    const seconds = (this.clock.monotonicMilliseconds() / 1000).toFixed(2);
+    this.lines.push(`${seconds.padStart(9)}s ${who.padEnd(8)} ${what}`);
+  }
+
+  daemon(name: string): SessionDaemon {
+    const daemon = this.daemons.get(name);
+    if (!daemon) throw new Error(`no daemon ${name}`);
+    return daemon;
+  }
+
+  async start(name: string, dataCentre: string): Promise<SessionDaemon> {
+    const incarnation = `${name}.${++this.incarnations}`;
+    const daemon = new SessionDaemon(
+      this,
+      name,
+      dataCentre,
+      incarnation,
+      this.settings,
+    );
+    this.daemons.set(name, daemon);
+    await daemon.follower.start();
+    return daemon;
+  }
+
+  /** Ends a daemon without a word, as a lost VM does. */
+  async crash(name: string): Promise<void> {
+    const daemon = this.daemon(name);
+    this.network.leave(daemon.incarnation);
+    this.daemons.delete(name);
+    const stopped = daemon.follower.stop();
+    await this.pass(STEP_MILLISECONDS);
+    await stopped;
+  }
+
+  async stopAll(): Promise<void> {
+    for (const name of [...this.daemons.keys()]) await this.crash(name);
+  }
+
+  /** Lets virtual time pass. */
+  async pass(
+    milliseconds: number,
+    step: number = STEP_MILLISECONDS,
+  ): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += step) {
+      await this.clock.advanceAsync(step);
+      for (let turn = 0; turn < TURNS_OF_A_STEP; turn++)
+        await new Promise(resolve => setImmediate(resolve));
+    }
+  }
+
+  /** Publishes at a daemon and notes the fate when it is known. */
+  publish(
+    at: string,
+    what: string,
+    record: FleetRecord,
+  ): Promise<FoldOutcome | undefined> {
+    return this.daemon(at)
+      .follower.publish(record)
+      .then(
+        outcome => {
+          const {rejection} = outcome;
+          this.note(
+            at,
+            rejection
+              ? `${what}: ${rejection.reason}: ${rejection.detail}`
+              : `${what}: done at offset ${outcome.offset}`,
+          );
+          return outcome;
+        },
+        (error: unknown) => {
+          this.note(at, `${what}: ${toError(error).message}`);
+          return undefined;
+        },
+      );
+  }
+
+  /** Proposes a bundle at a daemon and signs it off as another operator. */
+  async rollOut(
+    at: string,
+    choice: BundleChoice,
+    signer: OperatorName,
+  ): Promise<void> {
+    const text = bundleOf(choice);
+    const digest = digestOf(text);
+    const {version, author} = choice;
+    const proposed = await this.publish(at, `${author} proposes ${version}`, {
+      kind: RecordKind.BundleProposed,
+      id: this.nextId(),
+      writer: author,
+      text,
+    });
+    if (!proposed || proposed.rejection) return;
+    await this.publish(at, `${signer} signs off ${version}`, {
+      kind: RecordKind.BundleSigned,
+      id: this.nextId(),
+      writer: signer,
+      version,
+      digest,
+      operator: signer,
+      signature: signBundle(OPERATORS[signer].privateKey, version, digest),
+    });
+  }
+
+  nextId(): string {
+    return `record-${++this.records}`;
+  }
+
+  /** Notes what each daemon serves under. */
+  show(): void {
+    for (const [name, daemon] of this.daemons)
+      this.note(name, `serves under ${daemon.version ?? 'nothing'}`);
+  }
+}
+
+class SessionLogger implements Logger {
+  constructor(
+    private readonly session: Session,
+    private readonly name: string,
+  ) {}
+
+  debug(): void {}
+
+  info(event: LogEvent, fields: LogFields = {}): void {
+    this.line(event, fields);
+  }
+
+  warn(event: LogEvent, fields: LogFields = {}): void {
+    this.line(event, fields);
+  }
+
+  error(event: LogEvent, fields: LogFields = {}): void {
+    this.line(event, fields);
+  }
+
+  private line(event: LogEvent, fields: LogFields): void {
+    const shown = SHOWN_FIELDS.filter(field => fields[field] !== undefined).map(
+      field => `${field}=${String(fields[field])}`,
+    );
+    this.session.note(this.name, [LogEvent[event], ...shown].join(' '));
+  }
+}
--- a/packages/plugin-shared-state/src/log-follower.ts
+++ b/packages/plugin-shared-state/src/log-follower.ts
@@ -2,6 +2,7 @@
   AdminMethod,
   LogFailure,
   PlatformLogError,
+  sleep,
   type AdminRoutes,
   type Clock,
   type DaemonIdentity,
@@ -35,6 +36,8 @@
 import {SnapshotLoader} from './snapshot-loader.js';
 import {RecordSource, StateKeeper} from './state-keeper.js';
 
+const OUTGROWN_MILLISECONDS = 10_000;
+
 /** What the follower needs. */
 export interface LogFollowerDependencies {
   readonly identity: DaemonIdentity;
@@ -67,8 +70,8 @@
   private readonly duty: SnapshotDuty;
   private readonly stopping = new AbortController();
   private tasks: Array<Promise<void>> = [];
-  /** A snapshot has been looked for since the state was last empty. */
-  private hasLookedForSnapshot = false;
+  /** The empty state for which a snapshot has been looked for. */
+  private lookedFor: FleetState | undefined;
 
   constructor(private readonly dependencies: LogFollowerDependencies) {
     const {
@@ -93,7 +96,11 @@
       dependencies,
       bounds,
     );
-    this.publisher = new RecordPublisher(clock, this.appender);
+    this.publisher = new RecordPublisher(
+      clock,
+      this.appender,
+      () => this.reader.isReachable,
+    );
     this.keeper.onOutcome = outcome => this.settle(outcome);
     this.loader = new SnapshotLoader(platformLog, logger, this.keeper);
     this.exchange = new PeerExchange(
@@ -183,10 +190,17 @@
   async take(batch: LogBatch): Promise<void> {
     this.end = batch.end;
     this.oldest = batch.oldest;
+    const {live, isOutgrown} = this.keeper;
+    if (isOutgrown) {
+      // The state stands still: without a pause the same records would be read without end.
+      const {clock} = this.dependencies;
+      await sleep(clock, OUTGROWN_MILLISECONDS, this.stopping.signal);
+      return;
+    }
     // A daemon that starts behind many records goes by the newest snapshot, if there is one.
-    if (!this.hasLookedForSnapshot && this.keeper.live.nextOffset === 0) {
+    if (live.nextOffset === 0 && this.lookedFor !== live) {
       if (await this.loader.load(0, this.stopping.signal)) return;
-      this.hasLookedForSnapshot = true;
+      this.lookedFor = live;
     }
     await this.keeper.apply(batch.from, batch.payloads, RecordSource.Log);
   }
@@ -205,9 +219,8 @@
   }
 
   private settle(outcome: FoldOutcome): void {
-    const {record, rejection} = outcome;
-    if (!('id' in record)) return;
-    this.publisher.settle(record.id, {...outcome, rejection});
+    const {record} = outcome;
+    if ('id' in record) this.publisher.settle(record.id, outcome);
   }
 
   private rollOut() {
--- a/packages/plugin-shared-state/src/membership.ts
+++ b/packages/plugin-shared-state/src/membership.ts
@@ -42,6 +42,7 @@
 export class Membership {
   private isReplaced = false;
   private hasJoined = false;
+  private listedHash = 0n;
 
   constructor(
     private readonly dependencies: MembershipDependencies,
@@ -135,6 +136,9 @@
 
   private listPeers(): void {
     const {identity, peerDirectory} = this.dependencies;
+    const {hash} = this.keeper.live.members;
+    if (hash === this.listedHash) return;
+    this.listedHash = hash;
     const entries = [...this.keeper.live.members.values()]
       .filter(member => member.name !== identity.name)
       .filter(member => member.peerAddress !== '')
--- a/packages/plugin-shared-state/src/peer-exchange.ts
+++ b/packages/plugin-shared-state/src/peer-exchange.ts
@@ -157,7 +157,11 @@
 
   private hear(peer: Peer, message: unknown): void {
     const result = stateSummarySchema.safeParse(message);
-    if (!result.success) return;
+    if (!result.success) {
+      const tags = {reason: 'malformed'};
+      this.dependencies.metrics.increment(MetricName.PeerMessagesDropped, tags);
+      return;
+    }
     const summary = result.data;
     this.peers.set(peer.incarnation, {
       peer,
--- a/packages/plugin-shared-state/src/snapshot-duty.ts
+++ b/packages/plugin-shared-state/src/snapshot-duty.ts
@@ -104,9 +104,9 @@
     while (!stop.aborted) {
       await sleep(clock, jitter(random, look), stop);
       looksDue = this.isDue() ? looksDue + 1 : 0;
-      if (looksDue <= this.rank() * LOOKS_OF_A_RANK) continue;
-      await this.take(stop);
-      await this.raiseFormat(stop);
+      const rank = this.rank();
+      if (rank === 0) await this.raiseFormat(stop);
+      if (looksDue > rank * LOOKS_OF_A_RANK) await this.take(stop);
     }
   }
 
--- a/packages/plugin-shared-state/src/state-keeper.ts
+++ b/packages/plugin-shared-state/src/state-keeper.ts
@@ -67,6 +67,8 @@
   private readonly unverified = new UnverifiedRecords();
   private readonly listeners: Array<() => void> = [];
   private serving = false;
+  /** The highest version that was served under. */
+  private floor = 0;
   private lane: Promise<void> = Promise.resolve();
 
   constructor(
@@ -97,8 +99,11 @@
 
   /** Shows the state to the daemon. */
   serve(): void {
-    if (this.serving) return;
+    const version = this.live.inForce?.bundle.version ?? 0;
+    // A state built again must not bring back an older version.
+    if (this.serving || version < this.floor) return;
     this.serving = true;
+    this.floor = version;
     this.logInForce();
     this.notify();
   }
@@ -245,7 +250,9 @@
 
   private noteInForce(): void {
     this.inForceSince = this.dependencies.clock.monotonicMilliseconds();
-    if (this.serving) this.logInForce();
+    if (!this.serving) return;
+    this.floor = this.live.inForce?.bundle.version ?? this.floor;
+    this.logInForce();
   }
 
   private logInForce(): void {
--- a/packages/shared-state/src/log-appender.ts
+++ b/packages/shared-state/src/log-appender.ts
@@ -245,7 +245,10 @@
     for (const record of this.queue.filter(isGone)) {
       this.queuedBytes -= record.payload.length;
       record.reject(
-        new AppendRefusedError('gave up before the record was sent', 0),
+        new AppendRefusedError(
+          'the log did not take the record in time; nothing was appended',
+          BACKOFF_MAXIMUM_MILLISECONDS,
+        ),
       );
     }
     this.queue = this.queue.filter(record => !isGone(record));
--- a/packages/shared-state/src/log-reader.ts
+++ b/packages/shared-state/src/log-reader.ts
@@ -98,16 +98,32 @@
       const batch = await platformLog.read(this.stream, from, options, signal);
       if (stop.aborted) return;
       this.noteAnswer();
+      this.failures = 0;
       await this.sink.take(batch);
     } catch (error) {
       if (!(error instanceof LogGapError)) throw error;
       this.noteAnswer();
-      this.dependencies.logger.warn(LogEvent.LogGap, {
-        stream: this.stream,
-        from,
-        oldest: error.oldest,
-      });
-      await this.sink.crossGap(error.oldest);
+      await this.crossGap(from, error.oldest, stop);
+    }
+  }
+
+  /** A gap that cannot be crossed yet is tried again with the pauses of a failure. */
+  private async crossGap(
+    from: number,
+    oldest: number,
+    stop: AbortSignal,
+  ): Promise<void> {
+    const {logger} = this.dependencies;
+    const {stream} = this;
+    try {
+      await this.sink.crossGap(oldest);
+      this.failures = 0;
+      logger.warn(LogEvent.LogGap, {stream, from, oldest});
+    } catch (thrown) {
+      if (stop.aborted) return;
+      const error = toError(thrown).message;
+      logger.error(LogEvent.LogGapOpen, {stream, from, oldest, error});
+      await this.pause(stop);
     }
   }
 
@@ -116,12 +132,11 @@
     if (!this.reachable)
       logger.info(LogEvent.LogReturned, {stream: this.stream});
     this.reachable = true;
-    this.failures = 0;
     this.answeredAt = clock.monotonicMilliseconds();
   }
 
   private async noteFailure(error: Error, stop: AbortSignal): Promise<void> {
-    const {clock, random, logger, metrics} = this.dependencies;
+    const {logger, metrics} = this.dependencies;
     metrics.increment(MetricName.LogReadFailures, {stream: this.stream});
     if (this.reachable || this.failures === 0)
       logger.warn(LogEvent.LogUnavailable, {
@@ -129,6 +144,11 @@
         error: error.message,
       });
     this.reachable = false;
+    await this.pause(stop);
+  }
+
+  private async pause(stop: AbortSignal): Promise<void> {
+    const {clock, random} = this.dependencies;
     const delay = backoff(
       random,
       this.failures++,
--- a/packages/shared-state/src/record-publisher.ts
+++ b/packages/shared-state/src/record-publisher.ts
@@ -10,10 +10,13 @@
 export interface PublisherOptions {
   /** Longest wait for a record's fate where the caller names none. */
   readonly fateMilliseconds: number;
-  /** After a lost answer: the wait for the record to be read before it is appended again. */
+  /** After a lost answer: the wait for the record to be read before it is appended again; doubles each time. */
   readonly settleMilliseconds: number;
 }
 
+/** Whether the stream can be read now: without reading, nothing can be learnt of a record's fate. */
+export type CanRead = () => boolean;
+
 /** Times that fit a log that answers within two seconds. */
 export const DEFAULT_PUBLISHER_OPTIONS: PublisherOptions = {
   fateMilliseconds: 15_000,
@@ -45,6 +48,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly appender: LogAppender,
+    private readonly canRead: CanRead,
     private readonly options: PublisherOptions = DEFAULT_PUBLISHER_OPTIONS,
   ) {}
 
@@ -87,12 +91,20 @@
   ): Promise<Outcome> {
     const read = judged.then((outcome): Judged<Outcome> => ({outcome}));
     let mayStand = false;
+    let settle = this.options.settleMilliseconds;
     while (!signal.aborted) {
+      // Sent again without reading, a record would only stand twice, and its fate stay unknown.
+      if (mayStand && !this.canRead()) {
+        const seen = await this.readWithin(read, settle, signal);
+        if (seen) return seen.outcome;
+        continue;
+      }
       const result = await this.appendOnce(payload, read, signal);
       if ('outcome' in result) return result.outcome;
       if (result.refusal && !mayStand) throw result.refusal;
       mayStand = true;
-      const wait = result.stands ? FOREVER : this.options.settleMilliseconds;
+      const wait = result.stands ? FOREVER : settle;
+      settle *= 2;
       const seen = await this.readWithin(read, wait, signal);
       if (seen) return seen.outcome;
     }
@@ -108,7 +120,7 @@
   }
 
   /** One append; ends early when the record is read before its answer comes. */
-  private appendOnce(
+  private async appendOnce(
     payload: Uint8Array,
     read: Promise<Judged<Outcome>>,
     signal: AbortSignal,
@@ -121,10 +133,16 @@
         return {stands: false, refusal: isRefused ? error : undefined};
       },
     );
-    const gaveUp = sleep(this.clock, FOREVER, signal).then(
+    const done = new AbortController();
+    const either = AbortSignal.any([signal, done.signal]);
+    const gaveUp = sleep(this.clock, FOREVER, either).then(
       (): AppendResult => ({stands: false}),
     );
-    return Promise.race([read, appended, gaveUp]);
+    try {
+      return await Promise.race([read, appended, gaveUp]);
+    } finally {
+      done.abort();
+    }
   }
 
   private async readWithin(
--- a/packages/shared-state/src/snapshot.ts
+++ b/packages/shared-state/src/snapshot.ts
@@ -1,5 +1,5 @@
 import {promisify} from 'node:util';
-import {deflate, inflate} from 'node:zlib';
+import {deflate, deflateSync, inflate, inflateSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
 import {z} from 'zod';
 import {BaseError, toError} from '@gentiandoor/kernel';
@@ -23,8 +23,10 @@
 const PROPOSALS = 'proposals';
 
 const packr = new Packr({useRecords: false});
-const compress = promisify(deflate);
-const expand = promisify(inflate);
+/** Below this, compressing takes less time than a thread's hand-over. */
+const SMALL_BYTES = 32_000;
+const compressLarge = promisify(deflate);
+const expandLarge = promisify(inflate);
 
 /** Gives way to other work on the event loop. */
 export type Rest = () => Promise<void>;
@@ -72,7 +74,10 @@
   };
   for (const [name, entries] of tables)
     content.tables[name] = await packSlices(entries, rest);
-  return compress(packr.pack(content));
+  const packed = packr.pack(content);
+  return packed.length < SMALL_BYTES
+    ? deflateSync(packed)
+    : compressLarge(packed);
 }
 
 async function packSlices(
@@ -103,9 +108,11 @@
 
 async function readContent(snapshot: Uint8Array): Promise<Content> {
   const options = {maxOutputLength: LARGEST_SNAPSHOT_BYTES};
-  const content = contentSchema.parse(
-    packr.unpack(await expand(snapshot, options)),
-  );
+  const packed =
+    snapshot.length < SMALL_BYTES / 8
+      ? inflateSync(snapshot, options)
+      : await expandLarge(snapshot, options);
+  const content = contentSchema.parse(packr.unpack(packed));
   if (content.format > SNAPSHOT_FORMAT || content.formatInUse > RECORD_FORMAT)
     throw new SnapshotError(
       `snapshot of format ${content.format} with records of format ${content.formatInUse}: start a newer version`,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './golden.js';
 export * from './faulty-log.js';
 export * from './http-listener.js';
 export * from './memory-log.js';
