--- a/packages/shared-state/src/fleet-state.ts
+++ b/packages/shared-state/src/fleet-state.ts
@@ -1,3 +1,4 @@
+import {emptyFleetDomain, type FleetDomain} from './fleet-domain.js';
 import type {Bundle} from './bundle.js';
 import type {ParsedBundle} from './bundle-text.js';
 import {HashedTable} from './hashed-table.js';
@@ -25,6 +26,23 @@
   NotDraining = 'not_draining',
   SnapshotOlder = 'snapshot_older',
   BudgetExceeded = 'budget_exceeded',
+  BudgetBroken = 'budget_broken',
+  LeavingLimit = 'leaving_limit',
+  StaleTerm = 'stale_term',
+  EpochMoved = 'epoch_moved',
+  PoolUnknown = 'pool_unknown',
+  WorkUnknown = 'work_unknown',
+  WorkState = 'work_state',
+  DrainOutstanding = 'drain_outstanding',
+  WaveUnknown = 'wave_unknown',
+  WaveState = 'wave_state',
+  WaveOverlap = 'wave_overlap',
+  TeamUnknown = 'team_unknown',
+  QuotaExceeded = 'quota_exceeded',
+  JobUnknown = 'job_unknown',
+  JobDuplicate = 'job_duplicate',
+  JobState = 'job_state',
+  JobImpossible = 'job_impossible',
 }
 
 /** A record that the fold did not accept. */
@@ -98,7 +116,7 @@
  * Everything agreed, as of one offset of the fleet stream. What is agreed stands in
  * `HashedTable`s of plain values: hash and snapshots take in each such field by itself.
  */
-export interface FleetState {
+export interface FleetState extends FleetDomain {
   /** Offset of the next record to apply. */
   nextOffset: number;
   /** Records of a higher format have no effect yet; rises by a record when all members read it. */
@@ -127,6 +145,7 @@
     vms: new HashedTable(),
     snapshots: new HashedTable(),
     recentIds: new HashedTable(),
+    ...emptyFleetDomain(),
     trusted,
     parseMemo: new ParseMemo(),
   };
--- a/packages/shared-state/src/records.ts
+++ b/packages/shared-state/src/records.ts
@@ -4,11 +4,13 @@
   BundleSigned,
 } from './bundle-records.js';
 import type {DrainEnded, DrainStarted} from './drain-records.js';
+import type {FleetDomainRecord} from './fleet-records.js';
 import type {FormatRaised, MemberJoined, MemberLeft} from './member-records.js';
 import type {SnapshotTaken} from './snapshot-records.js';
 
 export * from './bundle-records.js';
 export * from './drain-records.js';
+export * from './fleet-records.js';
 export * from './member-records.js';
 export * from './record-head.js';
 export * from './record-kind.js';
@@ -24,4 +26,5 @@
   | FormatRaised
   | SnapshotTaken
   | DrainStarted
-  | DrainEnded;
+  | DrainEnded
+  | FleetDomainRecord;
