Links that give way end their requests first; the session's budget lets two VMs leave

Cause: two daemons that dial each other at once cut one of the two links, and a request on it failed; seen once in a run of all tests under load.

--- a/packages/plugin-caller-http/src/__tests__/caller-edge.ts
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -60,7 +60,13 @@
       if (held) this.inUse--;
       held = false;
     };
-    return {id: address, address, release};
+    return {
+      id: address,
+      address,
+      isRoutable: () => true,
+      report: () => undefined,
+      release,
+    };
   }
 }
 
@@ -176,23 +182,25 @@
   callers: Readonly<Record<string, CallerEntry>>,
 ): SharedState {
   const state = emptyFleetState({});
+  const bundle = {
+    version: 1,
+    base: 0,
+    author: 'moana',
+    signOffs: 0,
+    weights: {buffer: 1, move: 1},
+    operators: {},
+    racks: {},
+    pools: {},
+    services,
+    teams: {},
+    callers,
+  };
   state.inForce = {
     text: '',
     digest: 'digest-1',
     offset: 1,
-    bundle: {
-      version: 1,
-      base: 0,
-      author: 'moana',
-      signOffs: 0,
-      weights: {buffer: 1, move: 1},
-      operators: {},
-      racks: {},
-      pools: {},
-      services,
-      teams: {},
-      callers,
-    },
+    bundle,
+    parsed: {bundle, sections: []},
   };
   return {
     state,
--- a/packages/plugin-peers/src/link-table.ts
+++ b/packages/plugin-peers/src/link-table.ts
@@ -1,5 +1,4 @@
 import type {DaemonIdentity} from '@gentiandoor/kernel';
-import {PeerEnd} from './peer-end.js';
 import type {PeerLink} from './peer-link.js';
 import {LinkSide} from './peer-seal.js';
 
@@ -23,16 +22,18 @@
   }
 
   /**
-   * Adds a link; false when another to the same daemon stays. Two daemons that dial each
+   * Adds a link; false when another to the same daemon stays in its place. Two daemons that dial each
    * other at one time must cut the same link of the two, or both would be cut: the one
    * dialled by the lesser incarnation stays.
    */
   add(link: PeerLink): boolean {
     const other = this.links.get(link.peer.incarnation);
-    if (other && other.side !== link.side && !this.goesFirst(link))
+    if (other && other.side !== link.side && !this.goesFirst(link)) {
+      link.retire();
       return false;
+    }
     this.links.set(link.peer.incarnation, link);
-    other?.close(PeerEnd.Doubled);
+    other?.retire();
     return true;
   }
 
--- a/packages/plugin-peers/src/peer-link.ts
+++ b/packages/plugin-peers/src/peer-link.ts
@@ -5,6 +5,7 @@
   toError,
   type Clock,
   type Metrics,
+  type Timer,
 } from '@gentiandoor/kernel';
 import type {Peer, PeerHandler, PeerTopic} from '@gentiandoor/shared-state';
 import type {FrameInbox} from './frame-inbox.js';
@@ -48,6 +49,7 @@
   private nextRequest = 0;
   private readonly requests = new Map<number, WaitingRequest>();
   private end: PeerEnd | undefined;
+  private retirement: Timer | undefined;
 
   constructor(
     private readonly socket: WebSocket,
@@ -89,12 +91,24 @@
   /** Cuts the link; the first reason stays. */
   close(reason: PeerEnd): void {
     this.end ??= reason;
+    this.retirement?.cancel();
     this.socket.terminate();
     for (const {reject} of this.requests.values())
       reject(new Error(`the link to ${this.peer.name} ended`));
     this.requests.clear();
   }
 
+  /**
+   * Gives way to another link to the same peer. Requests under way on either side get the
+   * time of a handshake to end: cut at once, each meeting of two dials would fail some.
+   */
+  retire(): void {
+    const {clock, options} = this.dependencies;
+    this.retirement = clock.schedule(options.handshake_milliseconds, () =>
+      this.close(PeerEnd.Doubled),
+    );
+  }
+
   /** Sends without an answer; false when the message was dropped. */
   send(topic: PeerTopic, body: unknown): boolean {
     return this.sendFrame({kind: FrameKind.Message, topic, body});
--- a/packages/plugin-peers/src/web-socket-peer-links.ts
+++ b/packages/plugin-peers/src/web-socket-peer-links.ts
@@ -245,17 +245,15 @@
       this.noteRefusal(toError(error));
       return;
     }
-    if (!this.table.add(link)) {
-      this.count(PeerEnd.Doubled);
-      return;
-    }
     const {logger} = this.dependencies;
-    logger.info(LogEvent.PeerConnected, {...link.peer, side});
-    onUp?.(link);
+    if (this.table.add(link))
+      logger.info(LogEvent.PeerConnected, {...link.peer, side});
+    onUp?.(this.table.get(link.peer.incarnation) ?? link);
     const end = await link.run();
     this.table.remove(link);
     this.count(end);
-    logger.info(LogEvent.PeerLost, {...link.peer, reason: end});
+    if (!this.table.get(link.peer.incarnation))
+      logger.info(LogEvent.PeerLost, {...link.peer, reason: end});
   }
 
   private async makeLink(
--- a/packages/plugin-shared-state/src/__tests__/session.ts
+++ b/packages/plugin-shared-state/src/__tests__/session.ts
@@ -71,6 +71,7 @@
 slots = ${choice.slots ?? 8}
 [service.counter-preview]
 pool = counter-preview
+leaving_at_once = 2
 `;
 }
 
