Measurements of the shared state; a change is checked by what it changes

Cause: a changed quota of a bundle with 31,000 VMs held the event loop for the checks of all VMs. Change: checkBundle leaves out what stands unchanged in the bundle in force; any bundle over 16,000 characters is parsed in slices ahead of the fold; reads shorter than 100 ms are no setting any more.

--- a/packages/bench/src/scenarios/index.ts
+++ b/packages/bench/src/scenarios/index.ts
@@ -1,5 +1,9 @@
 import type {Scenario} from '../scenario.js';
 import {DECISION_SCENARIOS} from './decisions.js';
+import {SHARED_STATE_SCENARIOS} from './shared-state.js';
 
 /** All scenarios; each area adds its own list. */
-export const ALL_SCENARIOS: readonly Scenario[] = [...DECISION_SCENARIOS];
+export const ALL_SCENARIOS: readonly Scenario[] = [
+  ...DECISION_SCENARIOS,
+  ...SHARED_STATE_SCENARIOS,
+];
--- /dev/null
+++ b/packages/bench/src/scenarios/shared-state-deployment.ts
@@ -0,0 +1,161 @@
+import {randomUUID} from 'node:crypto';
+import {
+  AdminRoutes,
+  MemoryMetrics,
+  SeededRandom,
+  SilentLogger,
+  SystemClock,
+  sleep,
+} from '@gentiandoor/kernel';
+import {PeerDirectory, makeOperatorKeys} from '@gentiandoor/shared-state';
+import {WebSocketPeerLinks, peersOptions} from '@gentiandoor/plugin-peers';
+import {HttpPlatformLog} from '@gentiandoor/plugin-platform-log';
+import {
+  LogFollower,
+  sharedStateOptions,
+} from '@gentiandoor/plugin-shared-state';
+import {
+  FaultyLog,
+  MemoryLog,
+  MemoryVmList,
+  PlatformServer,
+} from '@gentiandoor/stand-ins';
+
+const LOOPBACK = '127.0.0.1:0';
+const PEER_KEY = 'peer key for measurements only';
+const WAIT_STEP_MILLISECONDS = 5;
+
+/** A daemon of Swan Coast: name and data centre. */
+export interface EntryPlan {
+  readonly name: string;
+  readonly dataCentre: string;
+}
+
+/** The seven entry VMs of Swan Coast. */
+export const SWAN_COAST: readonly EntryPlan[] = [
+  {name: 'entry-1', dataCentre: 'perth-a'},
+  {name: 'entry-2', dataCentre: 'perth-a'},
+  {name: 'entry-3', dataCentre: 'perth-b'},
+  {name: 'entry-4', dataCentre: 'perth-b'},
+  {name: 'entry-5', dataCentre: 'bunbury'},
+  {name: 'entry-6', dataCentre: 'bunbury'},
+  {name: 'entry-7', dataCentre: 'mandurah'},
+];
+
+/** What varies between deployments that are compared. */
+export interface StateDeploymentOptions {
+  readonly entries: readonly EntryPlan[];
+  readonly seed: number;
+  readonly hasPeers: boolean;
+  /** Milliseconds of one way to the log. */
+  readonly logDelayMilliseconds: number;
+  readonly settings?: Readonly<Record<string, string>>;
+}
+
+/** A daemon's shared state over HTTP and WebSocket on loopback, by its own way to the log. */
+export class MeasuredEntry {
+  readonly path: FaultyLog;
+  readonly metrics = new MemoryMetrics();
+  follower!: LogFollower;
+  platformAddress = '';
+  private readonly platform: PlatformServer;
+  private httpLog!: HttpPlatformLog;
+  private links!: WebSocketPeerLinks;
+  readonly directory = new PeerDirectory();
+
+  constructor(
+    readonly plan: EntryPlan,
+    private readonly deployment: StateDeployment,
+    private readonly seed: number,
+  ) {
+    const {clock, log, options} = deployment;
+    this.path = new FaultyLog(log, clock);
+    this.path.delayMilliseconds = options.logDelayMilliseconds;
+    this.platform = new PlatformServer(this.path, new MemoryVmList(clock));
+  }
+
+  get version(): number {
+    return this.follower.state.inForce?.bundle.version ?? 0;
+  }
+
+  async start(): Promise<void> {
+    const {clock, options, operator} = this.deployment;
+    this.platformAddress = await this.platform.start(LOOPBACK);
+    this.httpLog = new HttpPlatformLog({
+      address: this.platformAddress,
+      timeout_milliseconds: 2000,
+    });
+    const {name, dataCentre} = this.plan;
+    const common = {
+      identity: {name, dataCentre, incarnation: randomUUID()},
+      clock,
+      random: new SeededRandom(this.seed),
+      logger: new SilentLogger(),
+      metrics: this.metrics,
+      peerDirectory: this.directory,
+    };
+    this.links = new WebSocketPeerLinks({
+      ...common,
+      peersOptions: peersOptions.parse(
+        options.hasPeers ? {listen: LOOPBACK, key: PEER_KEY} : {},
+      ),
+    });
+    this.follower = new LogFollower({
+      ...common,
+      platformLog: this.httpLog,
+      peerLinks: this.links,
+      adminRoutes: new AdminRoutes(),
+      sharedStateOptions: sharedStateOptions.parse({
+        trusted_operators: `kerry:${operator.publicKey}`,
+        ...options.settings,
+      }),
+    });
+    await this.links.start();
+    await this.follower.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.follower.stop();
+    await this.links.stop();
+    await this.httpLog.stop();
+    await this.platform.stop();
+  }
+}
+
+/** Daemons' shared states in one process, each with its own way to one log. */
+export class StateDeployment {
+  readonly clock = new SystemClock();
+  readonly log = new MemoryLog(this.clock);
+  readonly operator = makeOperatorKeys();
+  readonly entries: readonly MeasuredEntry[];
+
+  constructor(readonly options: StateDeploymentOptions) {
+    this.entries = options.entries.map(
+      (plan, index) => new MeasuredEntry(plan, this, options.seed + index),
+    );
+  }
+
+  /** Starts all and waits until all are members of each other's fold. */
+  async start(): Promise<void> {
+    for (const entry of this.entries) await entry.start();
+    await this.until(() =>
+      this.entries.every(
+        entry => entry.follower.state.members.size === this.entries.length,
+      ),
+    );
+  }
+
+  /** Waits for a condition; rejects after half a minute. */
+  async until(condition: () => boolean, milliseconds = 30_000): Promise<void> {
+    const deadline = this.clock.monotonicMilliseconds() + milliseconds;
+    while (!condition()) {
+      if (this.clock.monotonicMilliseconds() > deadline)
+        throw new Error('the condition did not come true in time');
+      await sleep(this.clock, WAIT_STEP_MILLISECONDS);
+    }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map(entry => entry.stop()));
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/shared-state-roll-out-large.ts
@@ -0,0 +1,77 @@
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import type {Scenario, ScenarioContext, ScenarioResult} from '../scenario.js';
+import {
+  proportionalSize,
+  syntheticBundle,
+} from '../capacity/synthetic-bundle.js';
+import {StateDeployment} from './shared-state-deployment.js';
+import {BundleRoller} from './shared-state-roller.js';
+
+const VMS = 31_000;
+const BUNDLES = 30;
+const AIM_MILLISECONDS = 6000;
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+
+/** Three daemons: their folds share one thread here, which a deployment's do not. */
+const ENTRIES = [
+  {name: 'entry-1', dataCentre: 'dc-0'},
+  {name: 'entry-2', dataCentre: 'dc-1'},
+  {name: 'entry-3', dataCentre: 'dc-2'},
+];
+
+async function play(byDelta: boolean, context: ScenarioContext) {
+  const deployment = new StateDeployment({
+    entries: ENTRIES,
+    seed: context.seed,
+    hasPeers: true,
+    logDelayMilliseconds: 10,
+  });
+  await deployment.start();
+  const {publicKey} = deployment.operator;
+  const base = syntheticBundle(proportionalSize(VMS), publicKey, 1);
+  const textOf = (version: number) =>
+    base
+      .replace('version = 1\n', `version = ${version}\n`)
+      .replace('base = 0\n', `base = ${version - 1}\n`)
+      .replace('slots = 100\n', `slots = ${100 + version}\n`);
+  const roller = new BundleRoller(deployment, textOf, byDelta);
+  await roller.rollOut(deployment.entries[0]);
+  roller.everywhere.reset();
+  roller.bytes = 0;
+  const delay = monitorEventLoopDelay({resolution: 1});
+  delay.enable();
+  const bundles = Math.max(3, Math.round(BUNDLES * context.scale));
+  for (let index = 0; index < bundles; index++)
+    await roller.rollOut(deployment.entries[index % ENTRIES.length]);
+  delay.disable();
+  await deployment.stop();
+  const row = roller.row(byDelta ? 'deltas' : 'whole texts (baseline)');
+  const stall = delay.max / NANOSECONDS_PER_MILLISECOND;
+  return {
+    row: {...row, values: {...row.values, longest_stall_ms: stall}},
+    p99: roller.p99,
+  };
+}
+
+async function run(context: ScenarioContext): Promise<ScenarioResult> {
+  const deltas = await play(true, context);
+  const whole = await play(false, context);
+  return {
+    rows: [deltas.row, whole.row],
+    checks: [
+      {
+        name: `p99 under ${AIM_MILLISECONDS} ms`,
+        passed: deltas.p99 < AIM_MILLISECONDS,
+        detail: `p99 ${deltas.p99} ms by deltas`,
+      },
+    ],
+  };
+}
+
+/** Time from sign-off to in force at the size to come, and what it does to the event loop. */
+export const rollOutLarge: Scenario = {
+  name: 'roll-out-large',
+  description:
+    'sign-off to in force of small changes to a bundle with 31,000 VMs, by deltas and by whole texts; 3 daemons, operator and log share one event loop',
+  run,
+};
--- /dev/null
+++ b/packages/bench/src/scenarios/shared-state-roll-out.ts
@@ -0,0 +1,122 @@
+import {LogPathFault} from '@gentiandoor/stand-ins';
+import type {
+  Scenario,
+  ScenarioContext,
+  ScenarioResult,
+  ScenarioRow,
+} from '../scenario.js';
+import {
+  proportionalSize,
+  syntheticBundle,
+} from '../capacity/synthetic-bundle.js';
+import {
+  SWAN_COAST,
+  StateDeployment,
+  type StateDeploymentOptions,
+} from './shared-state-deployment.js';
+import {BundleRoller} from './shared-state-roller.js';
+
+const BUNDLES = 300;
+const FEW_BUNDLES = 20;
+const AIM_MILLISECONDS = 2000;
+const TODAY = {...proportionalSize(40), pools: 5, teams: 5};
+
+interface Trial {
+  readonly label: string;
+  readonly bundles: number;
+  readonly options: Partial<StateDeploymentOptions>;
+  /** Cuts the data centre mandurah off from the log. */
+  readonly isCut?: boolean;
+  /** Held against the aim of two seconds. */
+  readonly isAimed?: boolean;
+  readonly limitMilliseconds?: number;
+}
+
+const TRIALS: readonly Trial[] = [
+  {label: 'log healthy', bundles: BUNDLES, options: {}, isAimed: true},
+  {
+    label: 'log healthy, no peers',
+    bundles: FEW_BUNDLES,
+    options: {hasPeers: false},
+  },
+  {
+    label: 'log healthy, polled each second (baseline)',
+    bundles: FEW_BUNDLES,
+    options: {hasPeers: false, settings: {read_wait_milliseconds: '0'}},
+  },
+  {
+    label: 'log slow: 250 ms each way',
+    bundles: BUNDLES / 3,
+    options: {logDelayMilliseconds: 250},
+  },
+  {
+    label: 'one data centre cut off from the log',
+    bundles: BUNDLES / 3,
+    options: {},
+    isCut: true,
+  },
+  {
+    label: 'one data centre cut off, no peers (baseline)',
+    bundles: 3,
+    options: {hasPeers: false},
+    isCut: true,
+    limitMilliseconds: 3000,
+  },
+];
+
+async function play(
+  trial: Trial,
+  context: ScenarioContext,
+): Promise<{row: ScenarioRow; roller: BundleRoller}> {
+  const deployment = new StateDeployment({
+    entries: SWAN_COAST,
+    seed: context.seed,
+    hasPeers: true,
+    logDelayMilliseconds: 1,
+    ...trial.options,
+  });
+  await deployment.start();
+  const {publicKey} = deployment.operator;
+  const roller = new BundleRoller(
+    deployment,
+    version => syntheticBundle(TODAY, publicKey, version),
+    true,
+  );
+  const [first] = deployment.entries;
+  if (trial.isCut) {
+    await roller.rollOut(first);
+    deployment.entries.at(-1)?.path.faults.add(LogPathFault.Cut);
+  }
+  const bundles = Math.max(3, Math.round(trial.bundles * context.scale));
+  for (let index = 0; index < bundles; index++)
+    await roller.rollOut(
+      deployment.entries[index % (deployment.entries.length - 1)],
+      trial.limitMilliseconds,
+    );
+  await deployment.stop();
+  return {row: roller.row(trial.label), roller};
+}
+
+async function run(context: ScenarioContext): Promise<ScenarioResult> {
+  const rows: ScenarioRow[] = [];
+  const checks = [];
+  for (const trial of TRIALS) {
+    const {row, roller} = await play(trial, context);
+    rows.push(row);
+    if (!trial.isAimed) continue;
+    checks.push({
+      name: `${trial.label}: p99 under ${AIM_MILLISECONDS} ms`,
+      passed: roller.p99 < AIM_MILLISECONDS && roller.missed === 0,
+      detail: `p99 ${roller.p99} ms, ${roller.missed} missed`,
+    });
+  }
+  return {rows, checks};
+}
+
+/** Time from sign-off until a bundle is in force at all seven daemons. */
+export const rollOut: Scenario = {
+  name: 'roll-out',
+  description:
+    'sign-off to in force at all 7 daemons of Swan Coast, log healthy, slow, one data centre cut off from it; against polling and against no peers',
+  run,
+};
--- a/packages/plugin-shared-state/src/index.ts
+++ b/packages/plugin-shared-state/src/index.ts
@@ -4,6 +4,10 @@
 import {sharedStateOptions} from './shared-state-options.js';
 
 export {LogFollower} from './log-follower.js';
+export {
+  sharedStateOptions,
+  type SharedStateOptions,
+} from './shared-state-options.js';
 
 /** Registers the shared state that is folded from the log. */
 export function registerSharedState(registry: PluginRegistry): void {
--- a/packages/plugin-shared-state/src/shared-state-options.ts
+++ b/packages/plugin-shared-state/src/shared-state-options.ts
@@ -20,7 +20,7 @@
     ),
   read_limit: integerSetting(1, 100_000).default(1000),
   /** Longest wait of one read for a new record. */
-  read_wait_milliseconds: integerSetting(0, 60_000).default(5000),
+  read_wait_milliseconds: integerSetting(100, 60_000).default(5000),
   /** Appends a second to the fleet stream, over a longer time. */
   appends_per_second: integerSetting(1, 1000).default(20),
   /** Time between summaries to peers when nothing changes. */
--- a/packages/plugin-shared-state/src/state-keeper.ts
+++ b/packages/plugin-shared-state/src/state-keeper.ts
@@ -26,8 +26,8 @@
 
 /** Time that applying records may hold the event loop. */
 const SLICE_MILLISECONDS = 5;
-/** A payload from here on is parsed ahead of the fold, in slices. */
-const LARGE_PAYLOAD_BYTES = 16_000;
+/** A bundle from here on is parsed ahead of the fold, in slices. */
+const LARGE_TEXT_CHARACTERS = 16_000;
 
 /** Where records came from. */
 export enum RecordSource {
@@ -222,7 +222,9 @@
 
   /** Parses a large bundle in slices: a whole one would hold the event loop for a good part of a second. */
   private async prepare(payload: Uint8Array): Promise<void> {
-    if (payload.length < LARGE_PAYLOAD_BYTES) return;
+    const isLargeHere =
+      (this.live.inForce?.text.length ?? 0) >= LARGE_TEXT_CHARACTERS;
+    if (payload.length < LARGE_TEXT_CHARACTERS && !isLargeHere) return;
     const text = this.bundleText(payload);
     if (text === undefined) return;
     const base = this.live.inForce?.parsed;
--- a/packages/shared-state/src/bundle-checks.ts
+++ b/packages/shared-state/src/bundle-checks.ts
@@ -1,12 +1,17 @@
 import {FailureDomain, type Bundle, type ServiceEntry} from './bundle.js';
 
-/** Problems that make a bundle unacceptable; empty when there are none. */
-export function checkBundle(bundle: Bundle): string[] {
+/**
+ * Problems that make a bundle unacceptable; empty when there are none. What stands in `before`,
+ * a bundle that has passed, is not checked again: a changed quota does not walk 31,000 VMs.
+ */
+export function checkBundle(bundle: Bundle, before?: Bundle): string[] {
+  const sameRacks = bundle.racks === before?.racks;
+  const samePools = sameRacks && bundle.pools === before?.pools;
   return [
     ...checkVersion(bundle),
-    ...checkRacks(bundle),
-    ...checkPools(bundle),
-    ...checkServices(bundle),
+    ...(sameRacks ? [] : checkRacks(bundle)),
+    ...(samePools ? [] : checkPools(bundle)),
+    ...checkServices(bundle, sameRacks ? before : undefined),
     ...checkCallers(bundle),
     ...checkOperators(bundle),
   ];
@@ -49,11 +54,14 @@
   return problems;
 }
 
-function checkServices(bundle: Bundle): string[] {
+function checkServices(bundle: Bundle, before: Bundle | undefined): string[] {
   return Object.entries(bundle.services).flatMap(([name, service]) => {
     const pool = bundle.pools[service.pool];
     if (!pool)
       return [`service.${name}: pool ${service.pool} is not in the bundle`];
+    const isSame =
+      before?.services[name] === service && before.pools[service.pool] === pool;
+    if (isSame) return [];
     return checkBudget(name, service, bundle);
   });
 }
--- a/packages/shared-state/src/bundle-parser.ts
+++ b/packages/shared-state/src/bundle-parser.ts
@@ -93,7 +93,7 @@
     this.checkDoubles();
     this.failOnProblems();
     const bundle = assemble(this.sections, this.base);
-    this.problems.push(...checkBundle(bundle));
+    this.problems.push(...checkBundle(bundle, this.base?.bundle));
     this.failOnProblems();
     return {bundle, sections: this.sections};
   }
