--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -27,6 +27,8 @@
 export * from './records.js';
 export * from './shared-state.js';
 export * from './signatures.js';
+export * from './snapshot-chunks.js';
+export * from './snapshot.js';
 export * from './state-hash.js';
 export {ENDED_JOBS_KEPT, FAILURES_BEFORE_SET_ASIDE} from './fold-jobs.js';
 export {MOST_BATCHED} from './fleet-record-head.js';
--- a/packages/shared-state/src/records.ts
+++ b/packages/shared-state/src/records.ts
@@ -6,6 +6,7 @@
 import type {DrainEnded, DrainStarted} from './drain-records.js';
 import type {FleetDomainRecord} from './fleet-records.js';
 import type {FormatRaised, MemberJoined, MemberLeft} from './member-records.js';
+import type {SnapshotTaken} from './snapshot-records.js';
 
 export * from './bundle-records.js';
 export * from './drain-records.js';
@@ -13,6 +14,7 @@
 export * from './member-records.js';
 export * from './record-head.js';
 export * from './record-kind.js';
+export * from './snapshot-records.js';
 
 /** Any record of the fleet stream. */
 export type FleetRecord =
@@ -22,6 +24,7 @@
   | MemberJoined
   | MemberLeft
   | FormatRaised
+  | SnapshotTaken
   | DrainStarted
   | DrainEnded
   | FleetDomainRecord;
