--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -12,3 +12,5 @@
 export * from './signatures.js';
 export * from './once-only.js';
 export * from './peer-links.js';
+export * from './claim-records.js';
+export * from './claim-fold.js';
