Claims over the log in place of claims at one daemon

Change: group commit of claims with a sequence, read-back before a run, answers asked of the holder over the peer links, hand-over before a planned stop, refusal at once while the log is out, keys issued with the offset of their birth. Conclusion: 'not run' is said only where the log has shown that no earlier try ran.

--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -97,4 +97,11 @@
   [LogEvent.FleetDecision]: entry(
     'A decision about the fleet; `gentiandoor explain` shows its reasons.',
   ),
+  [LogEvent.AnswersHandedOver]: entry(
+    'Held answers of keyed requests went to another daemon before this one stopped.',
+  ),
+  [LogEvent.AnswersNotHandedOver]: entry(
+    'This daemon stopped without handing its held answers over; retries are told that the key was run.',
+    'check the links between daemons before the next planned stop',
+  ),
 };
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -29,4 +29,6 @@
   PlannerTermTaken = 1701,
   PlannerTermLost = 1702,
   FleetDecision = 1703,
+  AnswersHandedOver = 1801,
+  AnswersNotHandedOver = 1802,
 }
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -64,6 +64,12 @@
   ),
   [MetricName.PeerMessages]: counter('messages on peer links', 'direction'),
   [MetricName.PeerDisconnects]: counter('peer links that ended', 'reason'),
+  [MetricName.KeyedRequests]: counter(
+    'keyed requests by decision: run, replayed or an error kind',
+    'decision',
+  ),
+  [MetricName.ClaimsKept]: gauge('claims of keys that are remembered'),
+  [MetricName.HeldAnswerBytes]: gauge('bytes of answers held for replay'),
   [MetricName.EventLoopDelay]: timing(
     'milliseconds by which the event loop ran late',
   ),
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -21,6 +21,12 @@
   StateHashDifferences = 'state_hash_differences',
   PeerMessages = 'peer_messages',
   PeerDisconnects = 'peer_disconnects',
+  /** Keyed requests by what was decided: run, replayed or an error kind. */
+  KeyedRequests = 'keyed_requests',
+  /** Claims of keys that are remembered. */
+  ClaimsKept = 'claims_kept',
+  /** Bytes of answers held for replay. */
+  HeldAnswerBytes = 'held_answer_bytes',
   EventLoopDelay = 'event_loop_delay',
 }
 
--- /dev/null
+++ b/packages/plugin-once-only/src/claims-follower.ts
@@ -0,0 +1,184 @@
+import {
+  LogEvent,
+  LogFailure,
+  MetricName,
+  PlatformLogError,
+  backoff,
+  sleep,
+  toError,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {
+  StreamName,
+  decodeClaimBatch,
+  type BatchVerdict,
+  type ClaimBatch,
+  type ClaimTable,
+  type PlatformLog,
+} from '@gentiandoor/shared-state';
+import type {OnceOnlyOptions} from './once-only-options.js';
+
+const BACKOFF_BASE_MILLISECONDS = 100;
+const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+
+/** Beyond any offset: a read there tells where the stream starts and ends, and no record. */
+const BEYOND_END = Number.MAX_SAFE_INTEGER;
+
+/** Batches applied before the event loop gets a turn: 256 claims each, about a millisecond. */
+const BATCHES_A_TURN = 8;
+
+/** What the follower needs. */
+export interface ClaimsFollowerDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly platformLog: PlatformLog;
+  readonly onceOnlyOptions: OnceOnlyOptions;
+}
+
+/** Hears what the fold made of the stream. */
+export interface ClaimsListener {
+  onBatch(batch: ClaimBatch, verdict: BatchVerdict): void;
+  /** Batches between what was read and what is kept are lost to this daemon. */
+  onGap(): void;
+}
+
+/** Follows the claims stream and keeps the table of claims. */
+export class ClaimsFollower {
+  private isPositioned = false;
+  private target = Infinity;
+  private failures = 0;
+  private failingSince: number | undefined;
+  private readAsOf = -Infinity;
+
+  constructor(
+    private readonly dependencies: ClaimsFollowerDependencies,
+    readonly table: ClaimTable,
+    private readonly listener: ClaimsListener,
+  ) {}
+
+  /** True once everything is read that stood in the log when this daemon started. */
+  get isCaughtUp(): boolean {
+    return this.table.nextOffset >= this.target;
+  }
+
+  /** Milliseconds for which reads have failed; 0 when the last one succeeded. */
+  get failingMilliseconds(): number {
+    if (this.failingSince === undefined) return 0;
+    const {clock} = this.dependencies;
+    return clock.monotonicMilliseconds() - this.failingSince;
+  }
+
+  /** True when the log has said after `moment` that nothing is left to read. */
+  isCurrentAsOf(moment: number): boolean {
+    return this.readAsOf >= moment;
+  }
+
+  /** Follows until `signal` aborts. */
+  async follow(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        if (!this.isPositioned) await this.position(signal);
+        await this.readOnce(signal);
+        this.failures = 0;
+        this.failingSince = undefined;
+      } catch (error) {
+        if (signal.aborted) return;
+        await this.noteFailure(toError(error), signal);
+      }
+    }
+  }
+
+  private async position(signal: AbortSignal): Promise<void> {
+    const {platformLog} = this.dependencies;
+    const edge = await platformLog.read(
+      StreamName.Claims,
+      BEYOND_END,
+      {limit: 1, waitMilliseconds: 0},
+      signal,
+    );
+    this.target = edge.end;
+    this.table.skipTo(edge.oldest);
+    this.isPositioned = true;
+  }
+
+  private async readOnce(signal: AbortSignal): Promise<void> {
+    const {clock, metrics, platformLog, onceOnlyOptions} = this.dependencies;
+    const startedAt = clock.monotonicMilliseconds();
+    metrics.increment(MetricName.LogReads, {stream: StreamName.Claims});
+    const read = await platformLog.read(
+      StreamName.Claims,
+      this.table.nextOffset,
+      {
+        limit: onceOnlyOptions.read_limit,
+        waitMilliseconds: onceOnlyOptions.read_wait_milliseconds,
+      },
+      signal,
+    );
+    if (signal.aborted) return;
+    let applied = 0;
+    for (const payload of read.payloads) {
+      this.apply(payload);
+      if (++applied % BATCHES_A_TURN === 0) await nextTurn();
+    }
+    if (this.table.nextOffset >= read.end) this.readAsOf = startedAt;
+  }
+
+  private apply(payload: Uint8Array): void {
+    const {logger, metrics} = this.dependencies;
+    const offset = this.table.nextOffset;
+    const batch = decodeClaimBatch(payload);
+    if ('unreadable' in batch) {
+      this.table.skipUnreadable();
+      logger.warn(LogEvent.RecordUnreadable, {
+        stream: StreamName.Claims,
+        offset,
+        detail: batch.unreadable,
+      });
+      metrics.increment(MetricName.RecordsRejected, {reason: 'unreadable'});
+      return;
+    }
+    const verdict = this.table.apply(batch);
+    if (verdict.stale)
+      metrics.increment(MetricName.RecordsRejected, {reason: 'stale_batch'});
+    this.listener.onBatch(batch, verdict);
+  }
+
+  private async noteFailure(error: Error, signal: AbortSignal): Promise<void> {
+    const {clock, random, logger, metrics} = this.dependencies;
+    metrics.increment(MetricName.LogReadFailures, {stream: StreamName.Claims});
+    if (isGap(error)) {
+      logger.error(LogEvent.LogGap, {
+        stream: StreamName.Claims,
+        from: this.table.nextOffset,
+      });
+      this.isPositioned = false;
+      this.listener.onGap();
+    } else if (this.failingSince === undefined) {
+      this.failingSince = clock.monotonicMilliseconds();
+      logger.warn(LogEvent.LogUnavailable, {
+        stream: StreamName.Claims,
+        error: error.message,
+      });
+    }
+    const delay = backoff(
+      random,
+      this.failures++,
+      BACKOFF_BASE_MILLISECONDS,
+      BACKOFF_MAXIMUM_MILLISECONDS,
+    );
+    await sleep(clock, delay, signal);
+  }
+}
+
+function isGap(error: Error): boolean {
+  return error instanceof PlatformLogError && error.failure === LogFailure.Gap;
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/packages/plugin-once-only/src/index.ts
+++ b/packages/plugin-once-only/src/index.ts
@@ -1,9 +1,14 @@
-import {asClass, asValue} from 'awilix';
+import {aliasTo, asClass, asValue} from 'awilix';
 import type {PluginRegistry} from '@gentiandoor/kernel';
-import {LocalOnceOnly} from './local-once-only.js';
+import {ClaimsOverLog} from './claims-over-log.js';
 import {onceOnlyOptions} from './once-only-options.js';
 
+export {
+  ClaimsOverLog,
+  type ClaimsOverLogDependencies,
+} from './claims-over-log.js';
 export {LocalOnceOnly} from './local-once-only.js';
+export {onceOnlyOptions, type OnceOnlyOptions} from './once-only-options.js';
 
 /** Registers the recognition of keyed requests. */
 export function registerOnceOnly(registry: PluginRegistry): void {
@@ -14,7 +19,8 @@
     register(container, options) {
       container.register({
         onceOnlyOptions: asValue(options),
-        onceOnly: asClass(LocalOnceOnly).singleton(),
+        onceOnly: asClass(ClaimsOverLog).singleton(),
+        keyIssuer: aliasTo('onceOnly'),
       });
     },
   });
--- a/packages/shared-state/src/once-only.ts
+++ b/packages/shared-state/src/once-only.ts
@@ -39,3 +39,9 @@
    */
   begin(request: KeyedRequest, signal?: AbortSignal): Promise<KeyDecision>;
 }
+
+/** Issues keys that tell their age, so that a forgotten one is refused and never run again. */
+export interface KeyIssuer {
+  /** A new key for `caller`; undefined where the settings give no secret to mark it with. */
+  issueKey(caller: string): string | undefined;
+}
