--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -87,6 +87,12 @@
     'messages to or from peers that were dropped',
     'reason',
   ),
+  [MetricName.KeyedRequests]: counter(
+    'keyed requests by decision: run, replayed or an error kind',
+    'decision',
+  ),
+  [MetricName.ClaimsKept]: gauge('claims of keys that are remembered'),
+  [MetricName.HeldAnswerBytes]: gauge('bytes of answers held for replay'),
   [MetricName.EventLoopDelay]: timing(
     'milliseconds by which the event loop ran late',
   ),
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -33,3 +33,7 @@
 export {ENDED_JOBS_KEPT, FAILURES_BEFORE_SET_ASIDE} from './fold-jobs.js';
 export {MOST_BATCHED} from './fleet-record-head.js';
 export {isEnded} from './fold-waves.js';
+export * from './once-only.js';
+export * from './peer-links.js';
+export * from './claim-records.js';
+export * from './claim-fold.js';
