--- /dev/null
+++ b/packages/fleet/src/free-capacity.ts
@@ -0,0 +1,62 @@
+import type {JobSize, PoolEntry} from '@gentiandoor/shared-state';
+
+interface Free {
+  processors: number;
+  memoryGigabytes: number;
+  accelerators: number;
+  slots: number;
+}
+
+/**
+ * What is free on the VMs of a pool during one round. Chooses the fullest VM that still fits,
+ * so that large jobs find whole VMs and drains find empty ones. VMs stand in buckets by free
+ * slots: a choice looks at a few VMs instead of the whole pool.
+ */
+export class FreeCapacity {
+  private readonly free = new Map<string, Free>();
+  private readonly buckets: Array<Set<string>>;
+
+  constructor(private readonly entry: PoolEntry) {
+    this.buckets = Array.from({length: entry.slots + 1}, () => new Set());
+  }
+
+  add(vm: string): void {
+    const {processors, memoryGigabytes, accelerators, slots} = this.entry;
+    this.free.set(vm, {processors, memoryGigabytes, accelerators, slots});
+    this.buckets[slots].add(vm);
+  }
+
+  use(vm: string, size: JobSize): void {
+    const free = this.free.get(vm);
+    if (!free) return;
+    this.buckets[Math.max(0, free.slots)].delete(vm);
+    free.processors -= size.processors;
+    free.memoryGigabytes -= size.memoryGigabytes;
+    free.accelerators -= size.accelerators;
+    free.slots -= size.slots;
+    this.buckets[Math.max(0, free.slots)].add(vm);
+  }
+
+  /** Takes room for a job on the fullest VM that fits; undefined when none does. */
+  take(size: JobSize, barred: ReadonlySet<string>): string | undefined {
+    for (let slots = size.slots; slots < this.buckets.length; slots++) {
+      for (const vm of this.buckets[slots]) {
+        if (barred.has(vm) || !this.fits(vm, size)) continue;
+        this.use(vm, size);
+        return vm;
+      }
+    }
+    return undefined;
+  }
+
+  private fits(vm: string, size: JobSize): boolean {
+    const free = this.free.get(vm);
+    return (
+      free !== undefined &&
+      free.slots >= size.slots &&
+      free.processors >= size.processors &&
+      free.memoryGigabytes >= size.memoryGigabytes &&
+      free.accelerators >= size.accelerators
+    );
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/job-placer.ts
@@ -0,0 +1,164 @@
+import {SubjectKind} from '@gentiandoor/kernel';
+import {
+  RecordKind,
+  capacityOf,
+  jobsOf,
+  type FleetState,
+  type Job,
+  type JobSize,
+  type PoolEntry,
+} from '@gentiandoor/shared-state';
+import {FreeCapacity} from './free-capacity.js';
+import type {PlannerInput, PlannerPart, Proposal} from './planner-input.js';
+import type {SizeLearner} from './size-learner.js';
+import {TeamOrder} from './team-order.js';
+import type {WorkerFailures} from './worker-failures.js';
+
+/** Placements of one round: what the log takes in a second besides all else. */
+export const PLACEMENTS_A_ROUND = 200;
+/** Jobs of one team looked at in a round that do not fit; the rest wait behind them. */
+const LOOK_PAST = 16;
+
+/**
+ * Places queued jobs on VMs of their pool. Answers a queue in which one team or one huge job
+ * is in front: teams take turns by weight and held slots, urgent teams first, and a job that
+ * does not fit now is looked past, a bounded number of times. A job that fits no VM of its
+ * pool, even an empty one, is set aside with the reason instead of waiting for ever.
+ */
+export class JobPlacer implements PlannerPart {
+  constructor(
+    private readonly sizes: SizeLearner,
+    private readonly failures: WorkerFailures,
+  ) {}
+
+  plan(input: PlannerInput): Proposal[] {
+    const proposals: Proposal[] = [];
+    for (const pool of jobsOf(input.state).queues.keys()) {
+      if (proposals.length >= PLACEMENTS_A_ROUND) break;
+      this.planPool(input.state, pool, proposals);
+    }
+    return proposals;
+  }
+
+  private planPool(
+    state: FleetState,
+    pool: string,
+    proposals: Proposal[],
+  ): void {
+    const entry = state.inForce?.bundle.pools[pool];
+    if (!entry || jobsOf(state).queued(pool) === 0) return;
+    const free = this.freeCapacity(state, pool, entry);
+    const teams = new TeamOrder(state, pool);
+    let team = teams.next();
+    while (team !== undefined && proposals.length < PLACEMENTS_A_ROUND) {
+      const proposal = this.placeOne(state, entry, free, teams, team);
+      if (proposal) proposals.push(proposal);
+      else teams.drop(team);
+      team = teams.next();
+    }
+  }
+
+  private placeOne(
+    state: FleetState,
+    entry: PoolEntry,
+    free: FreeCapacity,
+    teams: TeamOrder,
+    team: string,
+  ): Proposal | undefined {
+    let looked = 0;
+    for (const key of teams.keys(team)) {
+      const job = state.jobs.get(key);
+      if (!job) continue;
+      const size = this.sizes.sizeOf(job, entry);
+      const impossible = impossibleReason(state, job, entry);
+      if (impossible !== undefined) {
+        teams.take(team, key, 0);
+        return setAside(job, impossible);
+      }
+      if (!teams.hasRoom(team, job.size.slots)) return undefined;
+      const vm = free.take(size, new Set(job.failedOn));
+      if (vm !== undefined) {
+        teams.take(team, key, job.size.slots);
+        return place(job, vm, size);
+      }
+      if (++looked >= LOOK_PAST) return undefined;
+    }
+    return undefined;
+  }
+
+  private freeCapacity(
+    state: FleetState,
+    pool: string,
+    entry: PoolEntry,
+  ): FreeCapacity {
+    const index = capacityOf(state);
+    const jobs = jobsOf(state);
+    const free = new FreeCapacity(entry);
+    for (const vm of index.pool(pool).vms) {
+      if (!index.isAvailable(vm) || this.failures.isSuspect(pool, vm)) continue;
+      free.add(vm);
+      for (const key of jobs.placedOn.get(vm) ?? []) {
+        const job = state.jobs.get(key);
+        if (job) free.use(vm, this.sizes.sizeOf(job, entry));
+      }
+    }
+    return free;
+  }
+}
+
+function impossibleReason(
+  state: FleetState,
+  job: Job,
+  entry: PoolEntry,
+): string | undefined {
+  const {size} = job;
+  const fits =
+    size.processors <= entry.processors &&
+    size.memoryGigabytes <= entry.memoryGigabytes &&
+    size.accelerators <= entry.accelerators &&
+    size.slots <= entry.slots;
+  if (!fits) return `no VM of pool ${job.pool} is large enough any more`;
+  const team = state.inForce?.bundle.teams[job.team];
+  if (!team) return `team ${job.team} has left the bundle`;
+  if (size.slots > team.slots)
+    return `team ${job.team} has ${team.slots} slots and the job takes ${size.slots}`;
+  return undefined;
+}
+
+function place(job: Job, vm: string, size: JobSize): Proposal {
+  const attempt = job.attempt + 1;
+  return {
+    record: {kind: RecordKind.JobPlaced, key: job.key, attempt, vm},
+    decision: {
+      subject: SubjectKind.Job,
+      id: job.key,
+      decision: `run job ${job.key} on VM ${vm}, attempt ${attempt}`,
+      rule: 'job-placer: urgent teams first, then by weight; fullest VM that fits',
+      cause: 'it is the next of its team and fits',
+      evidence: {
+        team: job.team,
+        processors: size.processors,
+        memoryGigabytes: size.memoryGigabytes,
+        declaredProcessors: job.size.processors,
+      },
+      turnedDown: job.failedOn.map(failed => ({
+        choice: `VM ${failed}`,
+        because: 'the job failed there',
+      })),
+    },
+  };
+}
+
+function setAside(job: Job, reason: string): Proposal {
+  return {
+    record: {kind: RecordKind.JobSetAside, key: job.key, reason},
+    decision: {
+      subject: SubjectKind.Job,
+      id: job.key,
+      decision: `set job ${job.key} aside`,
+      rule: 'job-placer: a job that can never run does not wait',
+      cause: reason,
+      evidence: {pool: job.pool, team: job.team},
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/move-planner.ts
@@ -0,0 +1,188 @@
+import {SubjectKind} from '@gentiandoor/kernel';
+import {
+  MoveCause,
+  RecordKind,
+  WorkKind,
+  checkPlannedStop,
+  isDrained,
+  outstandingDaemons,
+  type FleetState,
+  type PlannedWork,
+  type VmRecord,
+} from '@gentiandoor/shared-state';
+import type {PlannerInput, PlannerPart, Proposal} from './planner-input.js';
+
+/** After this long the decision names the daemons that hold a move up, in milliseconds. */
+const SLOW_MILLISECONDS = 30_000;
+
+/**
+ * Brings ownership towards the bundle's lists and finishes moves. Answers a bundle that
+ * shifts many VMs: moves start only within budgets, at most one of a pool in a round, and
+ * one that waits for a daemon says for which. Operators' own moves are left alone until
+ * another bundle is in force.
+ */
+export class MovePlanner implements PlannerPart {
+  private readonly misplaced = new Map<string, string>();
+  private computedFor: unknown;
+  private vmsHash = 0n;
+  private readonly waitingSince = new Map<number, number>();
+
+  plan(input: PlannerInput): Proposal[] {
+    this.refresh(input.state);
+    return [...this.finishMoves(input), ...this.startMoves(input.state)];
+  }
+
+  /** VMs that the bundle lists in another pool than the one that owns them. */
+  private refresh(state: FleetState): void {
+    const isSame =
+      this.computedFor === state.inForce && this.vmsHash === state.vms.hash;
+    if (isSame) return;
+    this.computedFor = state.inForce;
+    this.vmsHash = state.vms.hash;
+    this.misplaced.clear();
+    const pools = state.inForce?.bundle.pools ?? {};
+    for (const [pool, entry] of Object.entries(pools)) {
+      for (const vm of entry.vms) {
+        const owner = state.vms.get(vm)?.pool;
+        if (owner === undefined || owner === pool) continue;
+        if (isKept(state, vm)) continue;
+        this.misplaced.set(vm, pool);
+      }
+    }
+  }
+
+  private startMoves(state: FleetState): Proposal[] {
+    const taken = new Set<string>();
+    const proposals: Proposal[] = [];
+    for (const [id, toPool] of this.misplaced) {
+      const vm = state.vms.get(id);
+      if (!vm || state.work.has(id) || taken.has(vm.pool)) continue;
+      if (checkPlannedStop(state, id, toPool)) continue;
+      taken.add(vm.pool);
+      proposals.push(startMove(vm, toPool));
+    }
+    return proposals;
+  }
+
+  private finishMoves(input: PlannerInput): Proposal[] {
+    const proposals: Proposal[] = [];
+    const seen = new Set<number>();
+    for (const work of input.state.work.values()) {
+      if (work.kind !== WorkKind.Move) continue;
+      seen.add(work.startedAt);
+      const proposal = this.finishMove(input, work);
+      if (proposal) proposals.push(proposal);
+    }
+    for (const startedAt of this.waitingSince.keys())
+      if (!seen.has(startedAt)) this.waitingSince.delete(startedAt);
+    return proposals;
+  }
+
+  private finishMove(
+    input: PlannerInput,
+    work: PlannedWork,
+  ): Proposal | undefined {
+    const {state} = input;
+    const obsolete = obsoleteReason(state, work);
+    if (obsolete !== undefined) return abortMove(work, obsolete);
+    if (!isDrained(state, work)) {
+      const since = this.waitingSince.get(work.startedAt) ?? input.now;
+      this.waitingSince.set(work.startedAt, since);
+      return undefined;
+    }
+    const vm = state.vms.get(work.vm);
+    return vm && assignMove(work, vm);
+  }
+
+  /** Moves that daemons hold up, with the daemons' names. */
+  slowMoves(input: PlannerInput): SlowMove[] {
+    return [...input.state.work.values()].flatMap(work => {
+      const since = this.waitingSince.get(work.startedAt);
+      if (since === undefined || input.now - since < SLOW_MILLISECONDS)
+        return [];
+      const daemons = outstandingDaemons(input.state, work).map(
+        incarnation =>
+          input.state.members.get(incarnation)?.name ?? incarnation,
+      );
+      return [{vm: work.vm, waitedMilliseconds: input.now - since, daemons}];
+    });
+  }
+}
+
+/** A move that waits for daemons. */
+export interface SlowMove {
+  readonly vm: string;
+  readonly waitedMilliseconds: number;
+  readonly daemons: readonly string[];
+}
+
+/** An operator's or a lending move stands until a later bundle is in force. */
+function isKept(state: FleetState, vm: string): boolean {
+  const deviation = state.deviations.get(vm);
+  if (!deviation || deviation.cause === MoveCause.Desired) return false;
+  return deviation.offset > (state.inForce?.offset ?? -1);
+}
+
+function obsoleteReason(
+  state: FleetState,
+  work: PlannedWork,
+): string | undefined {
+  const pool = state.inForce?.bundle.pools[work.toPool ?? ''];
+  if (!pool) return `pool ${work.toPool} has left the bundle`;
+  if (work.cause !== MoveCause.Desired || pool.vms.includes(work.vm))
+    return undefined;
+  return `the bundle no longer lists VM ${work.vm} in pool ${work.toPool}`;
+}
+
+function startMove(vm: VmRecord, toPool: string): Proposal {
+  const reason = `the bundle lists it in pool ${toPool}`;
+  return {
+    record: {
+      kind: RecordKind.MoveStarted,
+      vm: vm.id,
+      epoch: vm.epoch,
+      toPool,
+      cause: MoveCause.Desired,
+      reason,
+    },
+    decision: {
+      subject: SubjectKind.Vm,
+      id: vm.id,
+      decision: `release VM ${vm.id} from pool ${vm.pool} towards ${toPool}`,
+      rule: 'move-planner: ownership follows the bundle within budgets',
+      cause: reason,
+      evidence: {pool: vm.pool, epoch: vm.epoch},
+    },
+  };
+}
+
+function assignMove(work: PlannedWork, vm: VmRecord): Proposal {
+  const {epoch} = vm;
+  const {startedAt} = work;
+  return {
+    record: {kind: RecordKind.MoveAssigned, vm: vm.id, startedAt, epoch},
+    decision: {
+      subject: SubjectKind.Vm,
+      id: vm.id,
+      decision: `give VM ${vm.id} to pool ${work.toPool}`,
+      rule: 'move-planner: assignment after every daemon has acknowledged',
+      cause: work.reason,
+      evidence: {epoch: epoch + 1, startedAt},
+    },
+  };
+}
+
+function abortMove(work: PlannedWork, reason: string): Proposal {
+  const {vm, startedAt} = work;
+  return {
+    record: {kind: RecordKind.MoveAborted, vm, startedAt, reason},
+    decision: {
+      subject: SubjectKind.Vm,
+      id: vm,
+      decision: `leave VM ${vm} where it is`,
+      rule: 'move-planner: a move whose aim has gone is aborted',
+      cause: reason,
+      evidence: {startedAt},
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/planner-election.ts
@@ -0,0 +1,78 @@
+import {jitter, type RandomSource} from '@gentiandoor/kernel';
+import {plannerOf, type FleetState} from '@gentiandoor/shared-state';
+
+/** Bounds of the election, in milliseconds. */
+export interface PlannerElectionOptions {
+  /** The planner writes at least this often. */
+  readonly renewMilliseconds: number;
+  /** A planner that wrote nothing for this long is replaced. */
+  readonly silenceMilliseconds: number;
+  /** Wait before taking an empty role; jittered, so that daemons do not all append at once. */
+  readonly vacancyMilliseconds: number;
+}
+
+/** Four renewals may be lost before a planner is replaced; nothing is lost by a slow change. */
+export const PLANNER_ELECTION_DEFAULTS: PlannerElectionOptions = {
+  renewMilliseconds: 15_000,
+  silenceMilliseconds: 60_000,
+  vacancyMilliseconds: 2000,
+};
+
+/** What a daemon does about the planner's role now. */
+export enum ElectionStep {
+  Wait = 'wait',
+  Take = 'take',
+  Plan = 'plan',
+}
+
+/**
+ * Decides when a daemon tries to become the planner. Answers a planner that stops, hangs or
+ * is cut off: without it planned work would end with its daemon. Times only decide when to
+ * try: who plans is decided by the log, so a wrong clock costs a change of planner and
+ * nothing else. Silence is what this daemon saw on its own monotonic clock, and does not
+ * count while the log is out, when nobody can be heard.
+ */
+export class PlannerElection {
+  private heardAt = -1;
+  private heardTerm = -1;
+  private quietSince = 0;
+  private patience: number;
+
+  constructor(
+    private readonly incarnation: string,
+    private readonly random: RandomSource,
+    private readonly options = PLANNER_ELECTION_DEFAULTS,
+  ) {
+    this.patience = jitter(random, 2 * options.vacancyMilliseconds);
+  }
+
+  next(state: FleetState, now: number, isLogReachable: boolean): ElectionStep {
+    const planner = plannerOf(state);
+    const wasHeard =
+      planner.heardAt !== this.heardAt || planner.term !== this.heardTerm;
+    if (wasHeard || !isLogReachable) this.restart(planner, now);
+    if (!state.members.has(this.incarnation)) return ElectionStep.Wait;
+    if (planner.holder === this.incarnation) return ElectionStep.Plan;
+    const limit = state.members.has(planner.holder)
+      ? this.options.silenceMilliseconds + this.patience
+      : this.patience;
+    if (now - this.quietSince < limit) return ElectionStep.Wait;
+    this.restart(planner, now);
+    return ElectionStep.Take;
+  }
+
+  /** Whether the planner should write only to show that it lives. */
+  shouldRenew(now: number): boolean {
+    return now - this.quietSince >= this.options.renewMilliseconds;
+  }
+
+  private restart(
+    planner: {readonly heardAt: number; readonly term: number},
+    now: number,
+  ): void {
+    this.heardAt = planner.heardAt;
+    this.heardTerm = planner.term;
+    this.quietSince = now;
+    this.patience = jitter(this.random, 2 * this.options.vacancyMilliseconds);
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/wave-pace.ts
@@ -0,0 +1,53 @@
+import {WorkKind, type PlannedWork, type Wave} from '@gentiandoor/shared-state';
+
+/** Failures after which a wave stops, if they are also a large share. */
+const FAILURES_TO_STOP = 3;
+const SHARE_TO_STOP = 0.2;
+/** Failures that stop a wave before its first success: the change itself is at fault. */
+const FAILURES_BEFORE_SUCCESS = 2;
+
+/** What the pace rule says of a wave now. */
+export interface PaceVerdict {
+  /** VMs that may be under maintenance at one time. */
+  readonly limit: number;
+  readonly done: number;
+  readonly failures: number;
+  /** Why the wave must stop; undefined when it may go on. */
+  readonly stop?: string;
+}
+
+/**
+ * How fast a wave may go, from what was seen since it was started or resumed. Answers a
+ * fault that comes with the reboot itself: a wave at full speed would take every pool to
+ * its budget's edge with VMs that do not work. It starts with one VM, gains a place with
+ * each success (so it doubles with each generation until budgets bind) and halves with each
+ * failure. Two failures before any success, or three that are a fifth of all, stop it: at
+ * the fleet's ordinary rate (210 of 31,000 VMs a day) three chance failures among fifteen
+ * reboots of half an hour are less likely than one in ten million.
+ */
+export function wavePace(
+  wave: Wave,
+  active: readonly PlannedWork[],
+): PaceVerdict {
+  const {resumedAt} = wave;
+  const done = wave.done - resumedAt.done;
+  const ended = wave.failed + wave.handedOver - resumedAt.failures;
+  const failures = ended + active.filter(isRetrying(wave)).length;
+  const limit = Math.max(1, Math.floor((1 + done) / 2 ** failures));
+  return {limit, done, failures, stop: stopReason(done, failures)};
+}
+
+function isRetrying(wave: Wave): (work: PlannedWork) => boolean {
+  return work =>
+    work.kind === WorkKind.Maintenance &&
+    work.attempts > 1 &&
+    work.startedAt > wave.resumedAt.offset;
+}
+
+function stopReason(done: number, failures: number): string | undefined {
+  const isEarly = done === 0 && failures >= FAILURES_BEFORE_SUCCESS;
+  const share = failures / Math.max(1, done + failures);
+  const isMany = failures >= FAILURES_TO_STOP && share >= SHARE_TO_STOP;
+  if (!isEarly && !isMany) return undefined;
+  return `${failures} of ${done + failures} VMs did not come back healthy: look for a shared fault, then resume or abort`;
+}
--- /dev/null
+++ b/packages/fleet/src/wave-planner.ts
@@ -0,0 +1,209 @@
+import {SubjectKind, type TurnedDown} from '@gentiandoor/kernel';
+import {
+  RecordKind,
+  WaveChange,
+  WaveState,
+  WaveVmStep,
+  WorkKind,
+  capacityOf,
+  checkPlannedStop,
+  isEnded,
+  type FleetState,
+  type PlannedWork,
+  type Wave,
+} from '@gentiandoor/shared-state';
+import type {PlannerInput, PlannerPart, Proposal} from './planner-input.js';
+import {WaveOrder, type WaveStretch} from './wave-order.js';
+import {wavePace, type PaceVerdict} from './wave-pace.js';
+
+/** Alternatives named in one decision; more say nothing new. */
+const MOST_TURNED_DOWN = 5;
+
+/**
+ * Takes VMs of running waves out, one data centre after the other, within budgets and pace.
+ * Answers a maintenance of every VM: without an order by failure domain a bad reboot reaches
+ * all data centres at once; without the pace a shared fault eats each pool to its budget.
+ * In one round it takes at most one VM of a pool: the budget counts only what was folded.
+ */
+export class WavePlanner implements PlannerPart {
+  private readonly order = new WaveOrder();
+
+  plan(input: PlannerInput): Proposal[] {
+    const waves = [...input.state.waves.values()].filter(
+      wave => !isEnded(wave),
+    );
+    this.order.keepOnly(waves);
+    const active = activeWork(input.state);
+    const taken = new Set<string>();
+    return waves.flatMap(wave =>
+      this.planWave(input.state, wave, active.get(wave.id) ?? [], taken),
+    );
+  }
+
+  private planWave(
+    state: FleetState,
+    wave: Wave,
+    active: readonly PlannedWork[],
+    taken: Set<string>,
+  ): Proposal[] {
+    if (wave.state !== WaveState.Running) return [];
+    const pace = wavePace(wave, active);
+    if (pace.stop !== undefined) return [hold(wave, pace, pace.stop)];
+    if (active.length === 0 && this.isDone(state, wave)) return [finish(wave)];
+    const room = pace.limit - active.length;
+    if (room <= 0) return [];
+    return this.take(state, wave, active, pace, room, taken);
+  }
+
+  private take(
+    state: FleetState,
+    wave: Wave,
+    active: readonly PlannedWork[],
+    pace: PaceVerdict,
+    room: number,
+    taken: Set<string>,
+  ): Proposal[] {
+    const index = capacityOf(state);
+    const present =
+      active.length > 0 ? index.place(active[0].vm).dataCentre : undefined;
+    const turnedDown: TurnedDown[] = [];
+    for (const stretch of this.order.stretches(state, wave)) {
+      if (present !== undefined && stretch.dataCentre !== present) continue;
+      const vms = choose(state, wave, stretch, room, taken, turnedDown);
+      if (vms.length === 0) continue;
+      return vms.map(vm => start(wave, vm, stretch, pace, turnedDown));
+    }
+    return [];
+  }
+
+  private isDone(state: FleetState, wave: Wave): boolean {
+    return this.order
+      .stretches(state, wave)
+      .every(({vms}) => vms.every(vm => !isLeft(state, wave, vm)));
+  }
+}
+
+function activeWork(state: FleetState): Map<string, PlannedWork[]> {
+  const byWave = new Map<string, PlannedWork[]>();
+  for (const work of state.work.values()) {
+    if (work.kind !== WorkKind.Maintenance || work.wave === undefined) continue;
+    const list = byWave.get(work.wave) ?? [];
+    list.push(work);
+    byWave.set(work.wave, list);
+  }
+  return byWave;
+}
+
+/** Whether the wave still has to take the VM: not yet taken, still owned, not in operators' hands. */
+function isLeft(state: FleetState, wave: Wave, vm: string): boolean {
+  const entry = state.waveVms.get(vm);
+  return (
+    entry?.wave === wave.id &&
+    entry.step === WaveVmStep.Remaining &&
+    state.vms.has(vm) &&
+    !state.handedOver.has(vm)
+  );
+}
+
+function choose(
+  state: FleetState,
+  wave: Wave,
+  stretch: WaveStretch,
+  room: number,
+  taken: Set<string>,
+  turnedDown: TurnedDown[],
+): string[] {
+  const chosen: string[] = [];
+  const index = capacityOf(state);
+  for (const vm of stretch.vms) {
+    if (chosen.length >= room) break;
+    const pool = state.vms.get(vm)?.pool ?? '';
+    if (!isLeft(state, wave, vm) || taken.has(pool)) continue;
+    // A VM that is down is left to repair: a reboot of it would count as the wave's failure.
+    if (!index.isAvailable(vm)) continue;
+    const refusal = checkPlannedStop(state, vm);
+    if (refusal) {
+      taken.add(pool);
+      if (turnedDown.length < MOST_TURNED_DOWN)
+        turnedDown.push({choice: `take ${vm}`, because: refusal.detail});
+      continue;
+    }
+    taken.add(pool);
+    chosen.push(vm);
+  }
+  return chosen;
+}
+
+function start(
+  wave: Wave,
+  vm: string,
+  stretch: WaveStretch,
+  pace: PaceVerdict,
+  turnedDown: readonly TurnedDown[],
+): Proposal {
+  return {
+    record: {
+      kind: RecordKind.MaintenanceStarted,
+      vm,
+      wave: wave.id,
+      reason: `wave ${wave.id}: ${wave.reason}`,
+    },
+    decision: {
+      subject: SubjectKind.Vm,
+      id: vm,
+      decision: `take VM ${vm} out for wave ${wave.id}`,
+      rule: 'wave-planner: one data centre after the other, within budgets and pace',
+      cause: `wave ${wave.id} by ${wave.startedBy}: ${wave.reason}`,
+      evidence: {
+        dataCentre: stretch.dataCentre,
+        limit: pace.limit,
+        active: wave.active,
+        done: wave.done,
+        total: wave.total,
+      },
+      turnedDown,
+    },
+  };
+}
+
+function hold(wave: Wave, pace: PaceVerdict, reason: string): Proposal {
+  return {
+    record: {
+      kind: RecordKind.WaveChanged,
+      wave: wave.id,
+      change: WaveChange.Hold,
+      reason,
+    },
+    decision: {
+      subject: SubjectKind.Wave,
+      id: wave.id,
+      decision: `hold wave ${wave.id}`,
+      rule: 'wave-pace: failures after reboot stop the wave',
+      cause: reason,
+      evidence: {done: pace.done, failures: pace.failures, total: wave.total},
+      turnedDown: [
+        {choice: 'go on slower', because: 'the failures share the reboot'},
+      ],
+    },
+  };
+}
+
+function finish(wave: Wave): Proposal {
+  const reason = `${wave.done} done, ${wave.failed} failed, ${wave.handedOver} handed over of ${wave.total}`;
+  return {
+    record: {
+      kind: RecordKind.WaveChanged,
+      wave: wave.id,
+      change: WaveChange.Finish,
+      reason,
+    },
+    decision: {
+      subject: SubjectKind.Wave,
+      id: wave.id,
+      decision: `finish wave ${wave.id}`,
+      rule: 'wave-planner: no VM is left',
+      cause: reason,
+      evidence: {done: wave.done, total: wave.total},
+    },
+  };
+}
--- /dev/null
+++ b/packages/plugin-fleet/src/admin-shapes.ts
@@ -0,0 +1,190 @@
+import type {JournalEntry} from '@gentiandoor/kernel';
+import type {
+  BudgetStanding,
+  JobSize,
+  JobState,
+  RejectionReason,
+  VmCondition,
+  WaveScope,
+  WaveState,
+  WorkKind,
+  WorkStep,
+} from '@gentiandoor/shared-state';
+
+/**
+ * JSON of the fleet's admin paths. POST answers 200 with `AcceptedBody`, 409 with
+ * `RefusedBody` where the fold rejected the record, 400 with `BadInputBody`, 503 with
+ * `RefusedBody` while the log cannot be reached: then the record may still take effect, and
+ * the same `requestId` again is safe.
+ */
+export enum FleetPath {
+  Drains = '/fleet/drains',
+  Returns = '/fleet/returns',
+  Moves = '/fleet/moves',
+  Waves = '/fleet/waves',
+  Vms = '/fleet/vms',
+  Pools = '/fleet/pools',
+  Budgets = '/fleet/budgets',
+  Jobs = '/jobs',
+  JobsCancel = '/jobs/cancel',
+  Explain = '/explain',
+}
+
+/** Fields of every POST. */
+export interface OperatorRequest {
+  /** Name that the record carries. */
+  readonly operator?: string;
+  /** Names the request; the same again is the same request. */
+  readonly requestId?: string;
+}
+
+/** POST /fleet/drains */
+export interface DrainRequest extends OperatorRequest {
+  readonly vm: string;
+  readonly reason: string;
+}
+
+/** POST /fleet/returns: ends a drain, or takes back a VM that was handed over. */
+export interface ReturnRequest extends OperatorRequest {
+  readonly vm: string;
+}
+
+/** POST /fleet/moves */
+export interface MoveRequest extends OperatorRequest {
+  readonly action: 'start' | 'abort';
+  readonly vm: string;
+  /** Needed to start. */
+  readonly toPool?: string;
+  readonly reason: string;
+}
+
+/** POST /fleet/waves */
+export interface WaveRequest extends OperatorRequest {
+  readonly action: 'start' | 'hold' | 'resume' | 'abort';
+  readonly wave: string;
+  readonly reason: string;
+  /** For a start; all VMs where it is missing. */
+  readonly scope?: WaveScope;
+}
+
+/** POST /jobs */
+export interface JobRequest extends OperatorRequest {
+  readonly key: string;
+  readonly team: string;
+  readonly pool: string;
+  readonly jobClass?: string;
+  readonly idempotent: boolean;
+  readonly size: JobSize;
+  readonly payload: string;
+}
+
+/** POST /jobs/cancel */
+export interface CancelRequest extends OperatorRequest {
+  readonly keys: readonly string[];
+}
+
+/** Answer to a POST that took effect. */
+export interface AcceptedBody {
+  readonly accepted: true;
+  /** Offset of the record. */
+  readonly offset: number;
+}
+
+/** Answer to a POST that had no effect, or whose effect is not known yet. */
+export interface RefusedBody {
+  readonly accepted: false;
+  readonly reason: RejectionReason | 'log_unavailable';
+  /** One sentence that operators can act on. */
+  readonly error: string;
+}
+
+/** Answer to a malformed request. */
+export interface BadInputBody {
+  readonly error: string;
+}
+
+/** Planned work as shown. */
+export interface WorkBody {
+  readonly kind: WorkKind;
+  readonly step: WorkStep;
+  readonly reason: string;
+  readonly writer: string;
+  readonly startedAt: number;
+  readonly attempts: number;
+  /** Names of daemons that have not acknowledged. */
+  readonly waitsFor: readonly string[];
+  readonly toPool?: string;
+  readonly wave?: string;
+}
+
+/** GET /fleet/vms?pool=...&id=...: an array of these. */
+export interface VmBody {
+  readonly id: string;
+  readonly pool: string;
+  readonly epoch: number;
+  readonly rack: string;
+  readonly dataCentre: string;
+  readonly condition: VmCondition;
+  readonly available: boolean;
+  readonly work?: WorkBody;
+  /** Why operators have to look after it. */
+  readonly handedOver?: string;
+  /** Milliseconds since the Unix epoch. */
+  readonly maintainedAt?: number;
+}
+
+/** GET /fleet/pools: an array of these. */
+export interface PoolBody {
+  readonly pool: string;
+  readonly owned: number;
+  /** VMs that the bundle lists. */
+  readonly desired: number;
+  readonly available: number;
+  readonly planned: number;
+  readonly services: readonly string[];
+  readonly queuedJobs: number;
+}
+
+/** GET /fleet/budgets */
+export interface BudgetsBody {
+  /** Services whose budget is not met: planned work is stopped while there is one. */
+  readonly broken: readonly string[];
+  readonly services: readonly BudgetStanding[];
+}
+
+/** GET /fleet/waves: an array of these. */
+export interface WaveBody {
+  readonly id: string;
+  readonly reason: string;
+  readonly startedBy: string;
+  readonly state: WaveState;
+  readonly stateReason: string;
+  readonly total: number;
+  readonly remaining: number;
+  readonly active: number;
+  readonly done: number;
+  readonly failed: number;
+  readonly handedOver: number;
+  /** Milliseconds to the end at the pace seen by this daemon; missing until it has seen any. */
+  readonly forecastMilliseconds?: number;
+}
+
+/** GET /jobs?key=...&state=...&limit=...: an array of these. */
+export interface JobBody {
+  readonly key: string;
+  readonly team: string;
+  readonly pool: string;
+  readonly state: JobState;
+  readonly attempt: number;
+  readonly vm?: string;
+  readonly reason?: string;
+}
+
+/** GET /explain?subject=vm&id=...: decisions that this daemon took, oldest first. */
+export interface ExplainBody {
+  readonly subject: string;
+  readonly id: string;
+  /** The daemon that plans now and so holds most decisions; empty when none does. */
+  readonly planner: string;
+  readonly decisions: readonly JournalEntry[];
+}
--- /dev/null
+++ b/packages/plugin-fleet/src/fleet-service.ts
@@ -0,0 +1,44 @@
+import type {Plugin} from '@gentiandoor/kernel';
+import type {DrainAcknowledger} from './drain-acknowledger.js';
+import type {FleetRoutes} from './fleet-routes.js';
+import type {JobRoutes} from './job-routes.js';
+import type {PlannerLoop} from './planner-loop.js';
+
+/** What the service needs. */
+export interface FleetServiceDependencies {
+  readonly plannerLoop: PlannerLoop;
+  readonly drainAcknowledger: DrainAcknowledger;
+  readonly fleetRoutes: FleetRoutes;
+  readonly jobRoutes: JobRoutes;
+}
+
+/** The fleet's part of a daemon: planner, acknowledgements, operators' paths. */
+export class FleetService implements Plugin {
+  private readonly dependencies: FleetServiceDependencies;
+
+  constructor(dependencies: FleetServiceDependencies) {
+    const {plannerLoop, drainAcknowledger, fleetRoutes, jobRoutes} =
+      dependencies;
+    this.dependencies = {
+      plannerLoop,
+      drainAcknowledger,
+      fleetRoutes,
+      jobRoutes,
+    };
+  }
+
+  async start(): Promise<void> {
+    this.dependencies.plannerLoop.start();
+    this.dependencies.drainAcknowledger.start();
+  }
+
+  /** Plans no more; acknowledgements go on while exchanges finish. */
+  async drain(): Promise<void> {
+    await this.dependencies.plannerLoop.stop();
+  }
+
+  async stop(): Promise<void> {
+    await this.dependencies.plannerLoop.stop();
+    await this.dependencies.drainAcknowledger.stop();
+  }
+}
--- a/packages/plugin-fleet/src/index.ts
+++ b/packages/plugin-fleet/src/index.ts
@@ -1,1 +1,64 @@
-export {};
+import {asClass, asValue, type AwilixContainer} from 'awilix';
+import {FleetPlanner} from '@gentiandoor/fleet';
+import type {PluginRegistry} from '@gentiandoor/kernel';
+import {DrainAcknowledger} from './drain-acknowledger.js';
+import {
+  NoLeases,
+  NoVmActions,
+  NoVmHealth,
+  UnansweredRoutingDrain,
+} from './fallbacks.js';
+import {fleetOptions} from './fleet-options.js';
+import {FleetRoutes} from './fleet-routes.js';
+import {FleetService} from './fleet-service.js';
+import {JobRoutes} from './job-routes.js';
+import {JobRunner} from './job-runner.js';
+import {PlannerLoop} from './planner-loop.js';
+import {RecordPublisher} from './record-publisher.js';
+import {WaveForecasts} from './wave-forecasts.js';
+
+export * from './admin-shapes.js';
+export {DrainAcknowledger} from './drain-acknowledger.js';
+export * from './fallbacks.js';
+export {JobRunner, taskId} from './job-runner.js';
+export {PlannerLoop} from './planner-loop.js';
+export {RecordPublisher} from './record-publisher.js';
+export {WaveForecasts} from './wave-forecasts.js';
+
+/** Registers the fleet: planner, moves, waves, repair, jobs and their admin paths. */
+export function registerFleet(registry: PluginRegistry): void {
+  registry.add({
+    name: 'fleet',
+    options: fleetOptions,
+    service: 'fleet',
+    register(container, options) {
+      container.register({
+        fleetOptions: asValue(options),
+        fleetPlanner: asClass(FleetPlanner).singleton(),
+        recordPublisher: asClass(RecordPublisher).singleton(),
+        waveForecasts: asClass(WaveForecasts).singleton(),
+        jobRunner: asClass(JobRunner).singleton(),
+        plannerLoop: asClass(PlannerLoop).singleton(),
+        drainAcknowledger: asClass(DrainAcknowledger).singleton(),
+        fleetRoutes: asClass(FleetRoutes).singleton(),
+        jobRoutes: asClass(JobRoutes).singleton(),
+        fleet: asClass(FleetService).singleton(),
+      });
+      registerFallbacks(container);
+    },
+  });
+}
+
+/** Edges that another plug-in registered before this one stand. */
+function registerFallbacks(container: AwilixContainer): void {
+  const fallbacks = {
+    routingDrain: UnansweredRoutingDrain,
+    vmHealth: NoVmHealth,
+    vmActions: NoVmActions,
+    leaseClient: NoLeases,
+  };
+  for (const [name, Fallback] of Object.entries(fallbacks)) {
+    if (container.hasRegistration(name)) continue;
+    container.register(name, asClass(Fallback as new () => object).singleton());
+  }
+}
--- /dev/null
+++ b/packages/plugin-fleet/src/job-routes.ts
@@ -0,0 +1,102 @@
+import {
+  AdminMethod,
+  PlatformLogError,
+  type AdminAnswer,
+  type AdminRoutes,
+} from '@gentiandoor/kernel';
+import {
+  MOST_BATCHED,
+  RecordKind,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import type {z} from 'zod';
+import {answerOf, reading, writing} from './admin-answers.js';
+import {cancelRequest, jobRequest} from './admin-schemas.js';
+import {FleetPath} from './admin-shapes.js';
+import {jobBodies} from './fleet-views.js';
+import type {RecordPublisher, UnnamedRecord} from './record-publisher.js';
+
+/** What the routes need. */
+export interface JobRoutesDependencies {
+  readonly adminRoutes: AdminRoutes;
+  readonly sharedState: SharedState;
+  readonly recordPublisher: RecordPublisher;
+}
+
+/** The paths to submit, look at and cancel jobs. */
+export class JobRoutes {
+  constructor(private readonly dependencies: JobRoutesDependencies) {
+    const {adminRoutes, recordPublisher, sharedState} = dependencies;
+    adminRoutes.add(
+      AdminMethod.Post,
+      FleetPath.Jobs,
+      writing(recordPublisher, jobRequest, jobRecord),
+    );
+    adminRoutes.add(
+      AdminMethod.Get,
+      FleetPath.Jobs,
+      reading(query => jobBodies(sharedState.state, query)),
+    );
+    adminRoutes.add(AdminMethod.Post, FleetPath.JobsCancel, request =>
+      this.cancel(request.body),
+    );
+  }
+
+  /** One record for each `MOST_BATCHED` keys; the answer is that of the last one refused, if any. */
+  private async cancel(body: unknown): Promise<AdminAnswer> {
+    const parsed = cancelRequest.safeParse(body);
+    if (!parsed.success)
+      return {status: 400, body: {error: parsed.error.message}};
+    const {keys, operator: writer, requestId} = parsed.data;
+    let answer: AdminAnswer = {status: 200, body: {}};
+    for (let from = 0; from < keys.length; from += MOST_BATCHED) {
+      const batch = keys.slice(from, from + MOST_BATCHED);
+      const id = requestId && `${requestId}/${from}`;
+      answer = await this.cancelBatch(batch, writer, id);
+      if (answer.status === 503) return answer;
+    }
+    return answer;
+  }
+
+  private async cancelBatch(
+    keys: readonly string[],
+    writer: string,
+    id: string | undefined,
+  ): Promise<AdminAnswer> {
+    const record: UnnamedRecord = {
+      kind: RecordKind.JobsCancelled,
+      writer,
+      keys,
+    };
+    try {
+      return answerOf(
+        await this.dependencies.recordPublisher.publish(record, id),
+      );
+    } catch (error) {
+      if (!(error instanceof PlatformLogError)) throw error;
+      return {
+        status: 503,
+        body: {
+          accepted: false,
+          reason: 'log_unavailable',
+          error: `${error.message}; cancel again, what is cancelled stays so`,
+        },
+      };
+    }
+  }
+}
+
+function jobRecord(body: z.output<typeof jobRequest>): UnnamedRecord {
+  const {key, team, pool, jobClass, idempotent, size, payload} = body;
+  return {
+    kind: RecordKind.JobSubmitted,
+    writer: body.operator,
+    key,
+    team,
+    pool,
+    jobClass,
+    idempotent,
+    size,
+    payload,
+  };
+}
--- /dev/null
+++ b/packages/plugin-fleet/src/planner-loop.ts
@@ -0,0 +1,213 @@
+import {
+  FleetPlanner,
+  ElectionStep,
+  PlannerElection,
+  type PlannerInput,
+  type Proposal,
+} from '@gentiandoor/fleet';
+import {
+  LogEvent,
+  jitter,
+  sleep,
+  type Clock,
+  type DaemonIdentity,
+  type DecisionJournal,
+  type Logger,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {
+  RecordKind,
+  RejectionReason,
+  plannerOf,
+  type SharedState,
+  type VmActions,
+  type VmHealth,
+  type VmList,
+} from '@gentiandoor/shared-state';
+import type {FleetOptions} from './fleet-options.js';
+import type {JobRunner} from './job-runner.js';
+import {PlatformActions} from './platform-actions.js';
+import type {RecordPublisher, UnnamedRecord} from './record-publisher.js';
+import type {WaveForecasts} from './wave-forecasts.js';
+
+/** Records of one part that are published at one time; they share appends by group commit. */
+const PUBLISHED_AT_ONCE = 50;
+
+/** What the loop needs. */
+export interface PlannerLoopDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly identity: DaemonIdentity;
+  readonly sharedState: SharedState;
+  readonly vmList: VmList;
+  readonly vmHealth: VmHealth;
+  readonly vmActions: VmActions;
+  readonly decisionJournal: DecisionJournal;
+  readonly recordPublisher: RecordPublisher;
+  readonly jobRunner: JobRunner;
+  readonly waveForecasts: WaveForecasts;
+  readonly fleetPlanner: FleetPlanner;
+  readonly fleetOptions: FleetOptions;
+}
+
+/** Plans for the fleet while this daemon holds the term, and takes the term when nobody does. */
+export class PlannerLoop {
+  private readonly election: PlannerElection;
+  private readonly actions: PlatformActions;
+  private readonly stopping = new AbortController();
+  private running: Promise<void> = Promise.resolve();
+  private heldTerm: number | undefined;
+
+  constructor(private readonly dependencies: PlannerLoopDependencies) {
+    const {identity, random, vmActions} = dependencies;
+    this.election = new PlannerElection(identity.incarnation, random);
+    this.actions = new PlatformActions(vmActions);
+  }
+
+  start(): void {
+    this.running = this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.running;
+  }
+
+  private async run(): Promise<void> {
+    const {clock, random, fleetOptions, logger} = this.dependencies;
+    while (!this.stopping.signal.aborted) {
+      await sleep(
+        clock,
+        jitter(random, 2 * fleetOptions.round_milliseconds),
+        this.stopping.signal,
+      );
+      if (this.stopping.signal.aborted) return;
+      try {
+        await this.round();
+      } catch (error) {
+        // The log or the platform is out: what was planned is planned anew from the folded state.
+        logger.debug(LogEvent.FleetDecision, {failedRound: String(error)});
+      }
+    }
+  }
+
+  /** One round: whatever this daemon's role asks for now. */
+  async round(): Promise<void> {
+    const {clock, sharedState, waveForecasts} = this.dependencies;
+    waveForecasts.observe(sharedState.state);
+    const step = this.election.next(
+      sharedState.state,
+      clock.monotonicMilliseconds(),
+      sharedState.isLogReachable,
+    );
+    this.noteTerm(step);
+    if (step === ElectionStep.Take) await this.takeTerm();
+    if (step === ElectionStep.Plan) await this.plan();
+  }
+
+  private noteTerm(step: ElectionStep): void {
+    const {logger, sharedState} = this.dependencies;
+    const {term} = plannerOf(sharedState.state);
+    if (step === ElectionStep.Plan) {
+      if (this.heldTerm !== term)
+        logger.info(LogEvent.PlannerTermTaken, {term});
+      this.heldTerm = term;
+    } else if (this.heldTerm !== undefined) {
+      logger.info(LogEvent.PlannerTermLost, {term: this.heldTerm});
+      this.heldTerm = undefined;
+    }
+  }
+
+  private async takeTerm(): Promise<void> {
+    const {sharedState, recordPublisher, identity} = this.dependencies;
+    const {incarnation} = identity;
+    await recordPublisher.publish({
+      kind: RecordKind.PlannerTaken,
+      writer: incarnation,
+      expectedTerm: plannerOf(sharedState.state).term,
+      holder: incarnation,
+    });
+  }
+
+  private async plan(): Promise<void> {
+    const {clock, sharedState, fleetPlanner, jobRunner} = this.dependencies;
+    const {term} = plannerOf(sharedState.state);
+    const {signal} = this.stopping;
+    await this.actions.refresh(sharedState.state, signal);
+    await jobRunner.round(sharedState.state, term, signal);
+    for (const part of fleetPlanner.parts) {
+      const proposals = part.plan(this.input());
+      if (!(await this.publishAll(proposals, term))) return;
+    }
+    if (this.election.shouldRenew(clock.monotonicMilliseconds()))
+      await this.write({kind: RecordKind.PlannerRenewed}, term);
+  }
+
+  private input(): PlannerInput {
+    const {clock, sharedState, vmList, vmHealth, jobRunner} = this.dependencies;
+    return {
+      state: sharedState.state,
+      now: clock.monotonicMilliseconds(),
+      wallNow: clock.wallMilliseconds(),
+      list: vmList.current(),
+      listAgeMilliseconds: vmList.ageMilliseconds(),
+      suspected: new Set([...vmHealth.suspected(), ...jobRunner.suspects()]),
+      actions: this.actions.states,
+    };
+  }
+
+  /** Publishes in bounded groups; false when this daemon's term is over. */
+  private async publishAll(
+    proposals: readonly Proposal[],
+    term: number,
+  ): Promise<boolean> {
+    for (let from = 0; from < proposals.length; from += PUBLISHED_AT_ONCE) {
+      const group = proposals.slice(from, from + PUBLISHED_AT_ONCE);
+      const results = await Promise.all(
+        group.map(proposal => this.publish(proposal, term)),
+      );
+      if (results.includes(RejectionReason.StaleTerm)) return false;
+    }
+    return true;
+  }
+
+  private async publish(
+    proposal: Proposal,
+    term: number,
+  ): Promise<RejectionReason | undefined> {
+    const {decisionJournal, logger} = this.dependencies;
+    const {decision} = proposal;
+    const rejection = await this.write(proposal.record, term);
+    const turnedDown = rejection && [
+      ...(decision.turnedDown ?? []),
+      {choice: decision.decision, because: rejection.detail},
+    ];
+    decisionJournal.record(
+      rejection
+        ? {...decision, decision: `not done: ${decision.decision}`, turnedDown}
+        : decision,
+    );
+    logger.debug(LogEvent.FleetDecision, {
+      subject: decision.subject,
+      id: decision.id,
+      decision: decision.decision,
+      rejected: rejection?.reason,
+    });
+    return rejection?.reason;
+  }
+
+  private async write(
+    record: Proposal['record'] | {readonly kind: RecordKind.PlannerRenewed},
+    term: number,
+  ) {
+    const {recordPublisher, identity} = this.dependencies;
+    const writer = identity.incarnation;
+    const {rejection} = await recordPublisher.publish({
+      ...record,
+      writer,
+      term,
+    } as UnnamedRecord);
+    return rejection;
+  }
+}
--- /dev/null
+++ b/packages/plugin-platform-leases/src/platform-calls.ts
@@ -0,0 +1,69 @@
+import {Pool} from 'undici';
+import type {z} from 'zod';
+import type {PlatformLeasesOptions} from './platform-leases-options.js';
+
+const STATUS_OK = 200;
+
+/** A call that the platform refused or did not answer; it may have taken effect. */
+export class PlatformCallError extends Error {}
+
+/** Calls to the platform with a time limit and checked answers. Nothing is sent twice. */
+export class PlatformCalls {
+  private readonly pool: Pool | undefined;
+  private readonly options: PlatformLeasesOptions;
+
+  constructor(dependencies: {
+    readonly platformLeasesOptions: PlatformLeasesOptions;
+  }) {
+    this.options = dependencies.platformLeasesOptions;
+    const {address, connections} = this.options;
+    this.pool =
+      address === undefined
+        ? undefined
+        : new Pool(`http://${address}`, {connections, pipelining: 1});
+  }
+
+  async get<Schema extends z.ZodType>(
+    path: string,
+    schema: Schema,
+    signal?: AbortSignal,
+  ): Promise<z.output<Schema>> {
+    return this.call('GET', path, undefined, schema, signal);
+  }
+
+  async post<Schema extends z.ZodType>(
+    path: string,
+    body: unknown,
+    schema: Schema,
+    signal?: AbortSignal,
+  ): Promise<z.output<Schema>> {
+    return this.call('POST', path, JSON.stringify(body), schema, signal);
+  }
+
+  async stop(): Promise<void> {
+    await this.pool?.destroy();
+  }
+
+  private async call<Schema extends z.ZodType>(
+    method: 'GET' | 'POST',
+    path: string,
+    body: string | undefined,
+    schema: Schema,
+    signal: AbortSignal | undefined,
+  ): Promise<z.output<Schema>> {
+    if (!this.pool)
+      throw new PlatformCallError('[platform-leases] has no address');
+    const limit = AbortSignal.timeout(this.options.timeout_milliseconds);
+    const answer = await this.pool.request({
+      method,
+      path,
+      body,
+      headers: {'content-type': 'application/json'},
+      signal: signal ? AbortSignal.any([limit, signal]) : limit,
+    });
+    const value = await answer.body.json();
+    if (answer.statusCode !== STATUS_OK)
+      throw new PlatformCallError(`${path}: status ${answer.statusCode}`);
+    return schema.parse(value);
+  }
+}
--- /dev/null
+++ b/packages/plugin-platform-leases/src/platform-leases-options.ts
@@ -0,0 +1,13 @@
+import {z} from 'zod';
+import {addressSetting, integerSetting} from '@gentiandoor/kernel';
+
+/** Settings section [platform-leases]. */
+export const platformLeasesOptions = z.strictObject({
+  /** IP number and port; without it no job runs and no VM is rebooted. */
+  address: addressSetting().optional(),
+  timeout_milliseconds: integerSetting(50, 60_000).default(2000),
+  connections: integerSetting(1, 256).default(8),
+});
+
+/** Checked settings of the leases plug-in. */
+export type PlatformLeasesOptions = z.output<typeof platformLeasesOptions>;
--- a/packages/shared-state/src/capacity-index.ts
+++ b/packages/shared-state/src/capacity-index.ts
@@ -4,6 +4,8 @@
 
 /** Counts of one pool, kept as its VMs change. */
 export interface PoolCapacity {
+  /** VMs that the pool owns. */
+  readonly vms: Set<string>;
   owned: number;
   /** Owned, up and in service. */
   available: number;
@@ -31,6 +33,7 @@
   /** Services whose `availableVms` is not met now. */
   readonly broken = new Set<string>();
   private readonly places = new Map<string, VmPlace>();
+  private readonly dataCentreSizes = new Map<string, number>();
   private readonly servicesOfPool = new Map<string, string[]>();
   private readonly bundle: Bundle | undefined;
   private seen: readonly unknown[];
@@ -47,10 +50,24 @@
     return this.places.get(vm) ?? NOWHERE;
   }
 
+  /** VMs that the bundle places in a data centre. */
+  dataCentreSize(name: string): number {
+    return this.dataCentreSizes.get(name) ?? 0;
+  }
+
+  /** Domains of a kind that the bundle has. */
+  domainsOf(domain: FailureDomain): number {
+    if (domain === FailureDomain.DataCentre) return this.dataCentreSizes.size;
+    if (domain === FailureDomain.Rack)
+      return Object.keys(this.bundle?.racks ?? {}).length;
+    return this.places.size;
+  }
+
   pool(name: string): PoolCapacity {
     const known = this.pools.get(name);
     if (known) return known;
     const fresh: PoolCapacity = {
+      vms: new Set(),
       owned: 0,
       available: 0,
       planned: 0,
@@ -99,6 +116,7 @@
     for (const [rack, entry] of Object.entries(this.bundle.racks)) {
       const place = {rack, dataCentre: entry.dataCentre};
       for (const vm of entry.vms) this.places.set(vm, place);
+      add(this.dataCentreSizes, entry.dataCentre, entry.vms.length);
     }
     for (const [name, service] of Object.entries(this.bundle.services)) {
       const names = this.servicesOfPool.get(service.pool) ?? [];
@@ -113,6 +131,8 @@
     const pool = this.pool(record.pool);
     const work = this.state.work.get(vm);
     pool.owned += by;
+    if (by > 0) pool.vms.add(vm);
+    else pool.vms.delete(vm);
     if (isOutOfService(work) && work?.kind !== WorkKind.Repair)
       pool.planned += by;
     if (!this.isAvailable(vm)) return;
--- a/packages/shared-state/src/fleet-domain.ts
+++ b/packages/shared-state/src/fleet-domain.ts
@@ -81,6 +81,16 @@
   readonly done: number;
   readonly failed: number;
   readonly handedOver: number;
+  /** Counts when it was started or last resumed: pace and stop rules look at what came after. */
+  readonly resumedAt: WaveBaseline;
+}
+
+/** What a wave had behind it when it was started or resumed. */
+export interface WaveBaseline {
+  readonly offset: number;
+  readonly done: number;
+  /** VMs that failed or were handed over. */
+  readonly failures: number;
 }
 
 /** How far one VM of a wave has come. */
@@ -156,6 +166,8 @@
   readonly maintainedAt: HashedTable<number>;
   /** VMs that operators have to look after, with the reason. */
   readonly handedOver: HashedTable<string>;
+  /** Attempts used up on VMs that failed again after them; the next repair goes on from there. */
+  readonly failedAttempts: HashedTable<number>;
   /** VMs that a move took away from the bundle's lists. */
   readonly deviations: HashedTable<Deviation>;
   readonly jobs: HashedTable<Job>;
@@ -183,6 +195,7 @@
     waveVms: new HashedTable(),
     maintainedAt: new HashedTable(),
     handedOver: new HashedTable(),
+    failedAttempts: new HashedTable(),
     deviations: new HashedTable(),
     jobs: new HashedTable(),
     endedJobs: new HashedTable(),
--- a/packages/shared-state/src/fold-drains.ts
+++ b/packages/shared-state/src/fold-drains.ts
@@ -43,6 +43,7 @@
   if (work && work.kind !== WorkKind.Drain)
     return otherWork(record.vm, work.kind);
   const wasHandedOver = state.handedOver.delete(record.vm);
+  state.failedAttempts.delete(record.vm);
   if (work) setWork(state, record.vm, undefined);
   if (work || wasHandedOver) return undefined;
   return {
--- a/packages/shared-state/src/fold-maintenance.ts
+++ b/packages/shared-state/src/fold-maintenance.ts
@@ -109,6 +109,9 @@
   }
   if (record.outcome === MaintenanceOutcome.HandedOver)
     state.handedOver.set(record.vm, work.reason);
+  if (record.outcome === MaintenanceOutcome.Failed)
+    state.failedAttempts.set(record.vm, work.attempts);
+  else state.failedAttempts.delete(record.vm);
   setWork(state, record.vm, undefined);
   countInWave(state, work, record.outcome);
   return undefined;
--- a/packages/shared-state/src/fold-waves.ts
+++ b/packages/shared-state/src/fold-waves.ts
@@ -46,6 +46,7 @@
     done: 0,
     failed: 0,
     handedOver: 0,
+    resumedAt: {offset, done: 0, failures: 0},
   });
   for (const vm of covered) {
     state.waveVms.set(vm, {wave: record.wave, step: WaveVmStep.Remaining});
@@ -69,11 +70,15 @@
       detail: `no wave ${record.wave}; see GET /fleet/waves`,
     };
   }
-  const next = nextState(wave, record.change);
+  const next = nextState(state, wave, record.change);
   if (next === undefined)
     return waveState(wave.id, `is ${wave.state}: ${wave.stateReason}`);
   const changed: Wave = {
     ...wave,
+    resumedAt:
+      record.change === WaveChange.Resume
+        ? {offset, done: wave.done, failures: wave.failed + wave.handedOver}
+        : wave.resumedAt,
     state: next,
     stateReason: record.reason,
     heldByPlanner: next === WaveState.Held && record.term !== undefined,
@@ -88,7 +93,11 @@
   return wave.state === WaveState.Aborted || wave.state === WaveState.Finished;
 }
 
-function nextState(wave: Wave, change: WaveChange): WaveState | undefined {
+function nextState(
+  state: FleetState,
+  wave: Wave,
+  change: WaveChange,
+): WaveState | undefined {
   switch (change) {
     case WaveChange.Hold:
       return wave.state === WaveState.Running ? WaveState.Held : undefined;
@@ -97,14 +106,21 @@
     case WaveChange.Abort:
       return isEnded(wave) ? undefined : WaveState.Aborted;
     case WaveChange.Finish:
-      return isDone(wave) ? WaveState.Finished : undefined;
+      return isDone(state, wave) ? WaveState.Finished : undefined;
     default:
       return undefined;
   }
 }
 
-function isDone(wave: Wave): boolean {
-  return !isEnded(wave) && wave.remaining === 0 && wave.active === 0;
+/** Done when nothing is left but VMs that operators have, or that no pool owns any more. */
+function isDone(state: FleetState, wave: Wave): boolean {
+  if (isEnded(wave) || wave.active > 0) return false;
+  if (wave.remaining === 0) return true;
+  for (const [vm, entry] of state.waveVms) {
+    if (entry.wave !== wave.id || entry.step !== WaveVmStep.Remaining) continue;
+    if (state.vms.has(vm) && !state.handedOver.has(vm)) return false;
+  }
+  return true;
 }
 
 function coveredVms(state: FleetState, scope: WaveScope): string[] {
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -26,3 +26,5 @@
 export {ENDED_JOBS_KEPT, FAILURES_BEFORE_SET_ASIDE} from './fold-jobs.js';
 export {isEnded} from './fold-waves.js';
 export {MOST_BATCHED} from './fleet-record-head.js';
+export * from './routing-drain.js';
+export * from './vm-actions.js';
--- a/packages/shared-state/src/planned-work.ts
+++ b/packages/shared-state/src/planned-work.ts
@@ -1,6 +1,7 @@
 import {checkPlannedStop} from './budget-check.js';
 import {capacityOf} from './capacity-index.js';
-import {isOutOfService, type PlannedWork} from './fleet-domain.js';
+import {WorkKind, isOutOfService, type PlannedWork} from './fleet-domain.js';
+import {jobsOf} from './job-index.js';
 import {
   RejectionReason,
   type FleetState,
@@ -36,7 +37,11 @@
   const refusal = checkPlannedStop(state, work.vm, work.toPool);
   if (refusal) return refusal;
   const awaiting = [...state.members.keys()];
-  setWork(state, work.vm, {...work, awaiting, attempts: 0});
+  const attempts =
+    work.kind === WorkKind.Repair
+      ? (state.failedAttempts.get(work.vm) ?? 0)
+      : 0;
+  setWork(state, work.vm, {...work, awaiting, attempts});
   return undefined;
 }
 
@@ -91,13 +96,42 @@
   const names = outstandingDaemons(state, work).map(
     incarnation => state.members.get(incarnation)?.name ?? incarnation,
   );
-  if (names.length === 0) return undefined;
+  if (names.length === 0) return checkJobs(state, work);
   return {
     reason: RejectionReason.DrainOutstanding,
     detail: `VM ${work.vm} waits for ${names.join(', ')} to finish exchanges; look at those daemons if it stays so`,
   };
 }
 
+/** Keys of jobs that a planned stop waits for; a VM under repair is down, its leases lapse. */
+export function outstandingJobs(
+  state: FleetState,
+  work: PlannedWork,
+): ReadonlySet<string> {
+  if (work.kind === WorkKind.Repair) return NO_JOBS;
+  return jobsOf(state).placedOn.get(work.vm) ?? NO_JOBS;
+}
+
+/** Whether neither a daemon nor a job holds the planned work up. */
+export function isDrained(state: FleetState, work: PlannedWork): boolean {
+  return checkDrained(state, work) === undefined;
+}
+
+const NO_JOBS: ReadonlySet<string> = new Set();
+
+function checkJobs(
+  state: FleetState,
+  work: PlannedWork,
+): Rejection | undefined {
+  const jobs = outstandingJobs(state, work);
+  if (jobs.size === 0) return undefined;
+  const [first] = jobs;
+  return {
+    reason: RejectionReason.DrainOutstanding,
+    detail: `VM ${work.vm} waits for ${jobs.size} jobs, the first is ${first}; cancel those that need not finish`,
+  };
+}
+
 function alreadyAtWork(work: PlannedWork): Rejection {
   return {
     reason: RejectionReason.AlreadyDraining,
--- a/packages/shared-state/src/platform-leases.ts
+++ b/packages/shared-state/src/platform-leases.ts
@@ -6,6 +6,8 @@
   Stopped = 'stopped',
   /** The lease lapsed; the task may still run on a worker that cannot be reached. */
   Lapsed = 'lapsed',
+  /** For certain: it was stopped before any start, and a later start of its id does nothing. */
+  NeverStarted = 'never_started',
 }
 
 /** What a task may use. */
@@ -44,6 +46,7 @@
     leaseMilliseconds: number,
     signal?: AbortSignal,
   ): Promise<TaskReport>;
+  /** Stops a task; one that was never started is barred from starting and says so. */
   stop(taskId: string, signal?: AbortSignal): Promise<TaskReport>;
   checkpoint(taskId: string, signal?: AbortSignal): Promise<TaskReport>;
   throttle(
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,3 +4,7 @@
 export * from './platform-server.js';
 export * from './target-server.js';
 export * from './memory-peer-network.js';
+export * from './fleet-example.js';
+export * from './memory-leases.js';
+export * from './memory-vm-actions.js';
+export * from './platform-lease-paths.js';
--- a/packages/stand-ins/src/memory-vm-list.ts
+++ b/packages/stand-ins/src/memory-vm-list.ts
@@ -11,6 +11,8 @@
 export class MemoryVmList {
   /** Milliseconds until a change shows. */
   lagMilliseconds = 0;
+  /** While true the list shows what it showed before: it lags without end. */
+  isFrozen = false;
   private readonly shown = new Map<string, ListedVm>();
   private pending: Change[] = [];
 
@@ -33,6 +35,7 @@
 
   /** What a reader sees now. */
   visible(): ListedVm[] {
+    if (this.isFrozen) return [...this.shown.values()];
     const now = this.clock.monotonicMilliseconds();
     const due = this.pending.filter(change => change.visibleAt <= now);
     this.pending = this.pending.filter(change => change.visibleAt > now);
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -7,6 +7,7 @@
 import {closeServer, listen} from './http-listener.js';
 import type {MemoryLog} from './memory-log.js';
 import type {MemoryVmList} from './memory-vm-list.js';
+import type {PlatformLeasePaths} from './platform-lease-paths.js';
 
 const packr = new Packr({useRecords: false});
 const STREAMS: ReadonlySet<string> = new Set(Object.values(StreamName));
@@ -18,6 +19,7 @@
   constructor(
     readonly log: MemoryLog,
     readonly list: MemoryVmList,
+    private readonly leasePaths?: PlatformLeasePaths,
   ) {
     const koa = new Koa();
     koa.use(context => this.answer(context));
@@ -34,6 +36,7 @@
   }
 
   private async answer(context: Koa.Context): Promise<void> {
+    if (await this.leasePaths?.answer(context)) return;
     const stream = /^\/streams\/([^/]+)\/records$/.exec(context.path)?.[1];
     if (context.path === '/vms') {
       context.body = {vms: this.list.visible()};
