--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -6,6 +6,12 @@
   Refusals = 'refusals',
   /** Retries by reason. */
   Retries = 'retries',
+  /** Failed attempts that were not sent again, by the verdict. */
+  RetriesDenied = 'retries_denied',
+  /** Exchanges sent to another data centre, by reason. */
+  Spills = 'spills',
+  /** VMs ejected or brought back, by new standing. */
+  StandingChanges = 'standing_changes',
   /** Milliseconds from a request's head to the end of its answer. */
   RequestDuration = 'request_duration',
   /** Requests that wait, by service. */
@@ -14,6 +20,7 @@
   InFlight = 'in_flight',
   LogAppends = 'log_appends',
   LogAppendFailures = 'log_append_failures',
+  LogAppendRefusals = 'log_append_refusals',
   LogReads = 'log_reads',
   LogReadFailures = 'log_read_failures',
   RecordsApplied = 'records_applied',
@@ -21,6 +28,7 @@
   StateHashDifferences = 'state_hash_differences',
   PeerMessages = 'peer_messages',
   PeerDisconnects = 'peer_disconnects',
+  PeerMessagesDropped = 'peer_messages_dropped',
   EventLoopDelay = 'event_loop_delay',
 }
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './faulty-log.js';
 export * from './http-listener.js';
 export * from './memory-log.js';
 export * from './memory-vm-list.js';
@@ -8,3 +9,7 @@
 export * from './memory-leases.js';
 export * from './memory-vm-actions.js';
 export * from './platform-lease-paths.js';
+export * from './vm-list-history.js';
+export * from './raw-faults.js';
+export * from './raw-target.js';
+export * from './forgetful-path.js';
