--- /dev/null
+++ b/packages/fleet/src/__tests__/fold-helpers.ts
@@ -0,0 +1,90 @@
+import {
+  RecordKind,
+  VmCondition,
+  capacityOf,
+  largestLoss,
+  type FleetRecord,
+  type FleetState,
+  type FoldOutcome,
+} from '@gentiandoor/shared-state';
+import {
+  exampleState,
+  fold,
+  type ExampleDeployment,
+} from '@gentiandoor/stand-ins';
+
+type DraftOf<Entry extends FleetRecord> = Entry extends FleetRecord
+  ? Omit<Entry, 'id' | 'writer'>
+  : never;
+
+/** A record without id and writer. */
+export type Draft = DraftOf<FleetRecord>;
+
+/** The planner in tests that need only one. */
+export const PLANNER = 'incarnation-1';
+
+/** A state with short ways to write records into it. */
+export class FoldedFleet {
+  readonly state: FleetState;
+  private written = 0;
+
+  constructor(deployment: ExampleDeployment) {
+    this.state = exampleState(deployment);
+  }
+
+  /** Writes a record as a named writer. */
+  write(writer: string, draft: Draft): FoldOutcome {
+    const id = `${writer}-${this.written++}`;
+    return fold(this.state, {...draft, id, writer} as FleetRecord);
+  }
+
+  /** Gives the term to an incarnation; returns the term. */
+  takeTerm(holder: string, expectedTerm: number): FoldOutcome {
+    return this.write(holder, {
+      kind: RecordKind.PlannerTaken,
+      expectedTerm,
+      holder,
+    });
+  }
+
+  /** Reports one VM in a term. */
+  report(term: number, vm: string, condition: VmCondition): FoldOutcome {
+    const reports = [{vm, condition}];
+    return this.write(PLANNER, {kind: RecordKind.VmReported, term, reports});
+  }
+
+  /** Acknowledges the work on a VM for every daemon of the example. */
+  acknowledgeAll(vm: string): void {
+    const startedAt = this.state.work.get(vm)?.startedAt ?? -1;
+    for (const incarnation of this.state.members.keys()) {
+      this.write(incarnation, {
+        kind: RecordKind.DrainAcknowledged,
+        incarnation,
+        acknowledgements: [{vm, startedAt}],
+      });
+    }
+  }
+}
+
+/** VMs available in a pool, counted without the index. */
+export function countAvailable(state: FleetState, pool: string): number {
+  let count = 0;
+  for (const vm of state.vms.values()) {
+    if (vm.pool !== pool || state.conditions.has(vm.id)) continue;
+    if (vm.drainReason === undefined) count++;
+  }
+  return count;
+}
+
+/** VMs that each service keeps above its need after the named failure; negative when exposed. */
+export function budgetMargins(state: FleetState): Map<string, number> {
+  const index = capacityOf(state);
+  const services = Object.entries(state.inForce?.bundle.services ?? {});
+  return new Map(
+    services.map(([name, {pool, budget}]) => {
+      const counts = index.pool(pool);
+      const left = counts.available - largestLoss(counts, budget.survive);
+      return [name, left - budget.availableVms];
+    }),
+  );
+}
--- a/packages/plugin-fleet/src/admin-answers.ts
+++ b/packages/plugin-fleet/src/admin-answers.ts
@@ -8,9 +8,9 @@
 import type {AcceptedBody, BadInputBody, RefusedBody} from './admin-shapes.js';
 import type {
   PublishResult,
-  RecordPublisher,
+  FleetPublisher,
   UnnamedRecord,
-} from './record-publisher.js';
+} from './fleet-publisher.js';
 
 const STATUS_OK = 200;
 const STATUS_BAD_INPUT = 400;
@@ -35,7 +35,7 @@
 
 /** A handler that checks a body, makes a record of it and says what became of the record. */
 export function writing<Schema extends z.ZodType<{requestId?: string}>>(
-  publisher: RecordPublisher,
+  publisher: FleetPublisher,
   schema: Schema,
   toRecord: (body: z.output<Schema>) => UnnamedRecord,
 ): AdminHandler {
--- a/packages/plugin-fleet/src/drain-acknowledger.ts
+++ b/packages/plugin-fleet/src/drain-acknowledger.ts
@@ -8,7 +8,7 @@
   type SharedState,
 } from '@gentiandoor/shared-state';
 import type {FleetOptions} from './fleet-options.js';
-import type {RecordPublisher} from './record-publisher.js';
+import type {FleetPublisher} from './fleet-publisher.js';
 
 /** What the acknowledger needs. */
 export interface DrainAcknowledgerDependencies {
@@ -16,7 +16,7 @@
   readonly identity: DaemonIdentity;
   readonly sharedState: SharedState;
   readonly routingDrain: RoutingDrain;
-  readonly recordPublisher: RecordPublisher;
+  readonly fleetPublisher: FleetPublisher;
   readonly fleetOptions: FleetOptions;
 }
 
@@ -100,12 +100,12 @@
   }
 
   private async acknowledgeReady(): Promise<void> {
-    const {recordPublisher, identity} = this.dependencies;
+    const {fleetPublisher, identity} = this.dependencies;
     const acknowledgements = this.ready();
     if (acknowledgements.length === 0) return;
     const {incarnation} = identity;
     try {
-      await recordPublisher.publish({
+      await fleetPublisher.publish({
         kind: RecordKind.DrainAcknowledged,
         writer: incarnation,
         incarnation,
--- a/packages/plugin-fleet/src/record-publisher.ts
+++ b/packages/plugin-fleet/src/fleet-publisher.ts
@@ -28,7 +28,7 @@
 export type UnnamedRecord = UnnamedOf<FleetRecord>;
 
 /** What the publisher needs. */
-export interface RecordPublisherDependencies {
+export interface FleetPublisherDependencies {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly sharedState: SharedState;
@@ -36,8 +36,8 @@
 }
 
 /** Publishes the fleet's records with a time limit on the passed clock. */
-export class RecordPublisher {
-  constructor(private readonly dependencies: RecordPublisherDependencies) {}
+export class FleetPublisher {
+  constructor(private readonly dependencies: FleetPublisherDependencies) {}
 
   /**
    * Resolves when the fold has judged the record. Throws `PlatformLogError` when that is not
--- a/packages/plugin-fleet/src/fleet-routes.ts
+++ b/packages/plugin-fleet/src/fleet-routes.ts
@@ -22,7 +22,7 @@
 } from './admin-schemas.js';
 import {FleetPath, type ExplainBody} from './admin-shapes.js';
 import {budgetsBody, poolBodies, vmBodies, waveBodies} from './fleet-views.js';
-import type {RecordPublisher, UnnamedRecord} from './record-publisher.js';
+import type {FleetPublisher, UnnamedRecord} from './fleet-publisher.js';
 import type {WaveForecasts} from './wave-forecasts.js';
 
 const SUBJECTS: ReadonlySet<string> = new Set(Object.values(SubjectKind));
@@ -37,7 +37,7 @@
   readonly adminRoutes: AdminRoutes;
   readonly decisionJournal: DecisionJournal;
   readonly sharedState: SharedState;
-  readonly recordPublisher: RecordPublisher;
+  readonly fleetPublisher: FleetPublisher;
   readonly waveForecasts: WaveForecasts;
 }
 
@@ -49,7 +49,7 @@
       adminRoutes.add(AdminMethod.Get, path, handler);
     const post = (path: FleetPath, handler: AdminHandler) =>
       adminRoutes.add(AdminMethod.Post, path, handler);
-    const {recordPublisher: publisher, waveForecasts} = dependencies;
+    const {fleetPublisher: publisher, waveForecasts} = dependencies;
     post(FleetPath.Drains, writing(publisher, drainRequest, drainRecord));
     post(FleetPath.Returns, writing(publisher, returnRequest, returnRecord));
     post(
--- a/packages/plugin-fleet/src/index.ts
+++ b/packages/plugin-fleet/src/index.ts
@@ -14,7 +14,7 @@
 import {JobRoutes} from './job-routes.js';
 import {JobRunner} from './job-runner.js';
 import {PlannerLoop} from './planner-loop.js';
-import {RecordPublisher} from './record-publisher.js';
+import {FleetPublisher} from './fleet-publisher.js';
 import {WaveForecasts} from './wave-forecasts.js';
 
 export * from './admin-shapes.js';
@@ -22,7 +22,7 @@
 export * from './fallbacks.js';
 export {JobRunner, taskId} from './job-runner.js';
 export {PlannerLoop} from './planner-loop.js';
-export {RecordPublisher} from './record-publisher.js';
+export {FleetPublisher} from './fleet-publisher.js';
 export {WaveForecasts} from './wave-forecasts.js';
 
 /** Registers the fleet: planner, moves, waves, repair, jobs and their admin paths. */
@@ -35,7 +35,7 @@
       container.register({
         fleetOptions: asValue(options),
         fleetPlanner: asClass(FleetPlanner).singleton(),
-        recordPublisher: asClass(RecordPublisher).singleton(),
+        fleetPublisher: asClass(FleetPublisher).singleton(),
         waveForecasts: asClass(WaveForecasts).singleton(),
         jobRunner: asClass(JobRunner).singleton(),
         plannerLoop: asClass(PlannerLoop).singleton(),
--- a/packages/plugin-fleet/src/job-routes.ts
+++ b/packages/plugin-fleet/src/job-routes.ts
@@ -14,23 +14,23 @@
 import {cancelRequest, jobRequest} from './admin-schemas.js';
 import {FleetPath} from './admin-shapes.js';
 import {jobBodies} from './fleet-views.js';
-import type {RecordPublisher, UnnamedRecord} from './record-publisher.js';
+import type {FleetPublisher, UnnamedRecord} from './fleet-publisher.js';
 
 /** What the routes need. */
 export interface JobRoutesDependencies {
   readonly adminRoutes: AdminRoutes;
   readonly sharedState: SharedState;
-  readonly recordPublisher: RecordPublisher;
+  readonly fleetPublisher: FleetPublisher;
 }
 
 /** The paths to submit, look at and cancel jobs. */
 export class JobRoutes {
   constructor(private readonly dependencies: JobRoutesDependencies) {
-    const {adminRoutes, recordPublisher, sharedState} = dependencies;
+    const {adminRoutes, fleetPublisher, sharedState} = dependencies;
     adminRoutes.add(
       AdminMethod.Post,
       FleetPath.Jobs,
-      writing(recordPublisher, jobRequest, jobRecord),
+      writing(fleetPublisher, jobRequest, jobRecord),
     );
     adminRoutes.add(
       AdminMethod.Get,
@@ -70,7 +70,7 @@
     };
     try {
       return answerOf(
-        await this.dependencies.recordPublisher.publish(record, id),
+        await this.dependencies.fleetPublisher.publish(record, id),
       );
     } catch (error) {
       if (!(error instanceof PlatformLogError)) throw error;
--- a/packages/plugin-fleet/src/job-runner.ts
+++ b/packages/plugin-fleet/src/job-runner.ts
@@ -16,7 +16,7 @@
   type TaskReport,
 } from '@gentiandoor/shared-state';
 import type {FleetOptions} from './fleet-options.js';
-import type {RecordPublisher} from './record-publisher.js';
+import type {FleetPublisher} from './fleet-publisher.js';
 
 /** Calls to the platform at one time. */
 const CALLS_AT_ONCE = 32;
@@ -40,7 +40,7 @@
   readonly identity: DaemonIdentity;
   readonly sharedState: SharedState;
   readonly leaseClient: LeaseClient;
-  readonly recordPublisher: RecordPublisher;
+  readonly fleetPublisher: FleetPublisher;
   readonly fleetPlanner: FleetPlanner;
   readonly fleetOptions: FleetOptions;
 }
@@ -129,9 +129,9 @@
     reports: readonly JobReport[],
     term: number,
   ): Promise<void> {
-    const {recordPublisher, identity} = this.dependencies;
+    const {fleetPublisher, identity} = this.dependencies;
     for (let from = 0; from < reports.length; from += MOST_BATCHED) {
-      await recordPublisher.publish({
+      await fleetPublisher.publish({
         kind: RecordKind.JobsReported,
         writer: identity.incarnation,
         term,
--- a/packages/plugin-fleet/src/planner-loop.ts
+++ b/packages/plugin-fleet/src/planner-loop.ts
@@ -27,7 +27,7 @@
 import type {FleetOptions} from './fleet-options.js';
 import type {JobRunner} from './job-runner.js';
 import {PlatformActions} from './platform-actions.js';
-import type {RecordPublisher, UnnamedRecord} from './record-publisher.js';
+import type {FleetPublisher, UnnamedRecord} from './fleet-publisher.js';
 import type {WaveForecasts} from './wave-forecasts.js';
 
 /** Records of one part that are published at one time; they share appends by group commit. */
@@ -44,7 +44,7 @@
   readonly vmHealth: VmHealth;
   readonly vmActions: VmActions;
   readonly decisionJournal: DecisionJournal;
-  readonly recordPublisher: RecordPublisher;
+  readonly fleetPublisher: FleetPublisher;
   readonly jobRunner: JobRunner;
   readonly waveForecasts: WaveForecasts;
   readonly fleetPlanner: FleetPlanner;
@@ -120,9 +120,9 @@
   }
 
   private async takeTerm(): Promise<void> {
-    const {sharedState, recordPublisher, identity} = this.dependencies;
+    const {sharedState, fleetPublisher, identity} = this.dependencies;
     const {incarnation} = identity;
-    await recordPublisher.publish({
+    await fleetPublisher.publish({
       kind: RecordKind.PlannerTaken,
       writer: incarnation,
       expectedTerm: plannerOf(sharedState.state).term,
@@ -201,9 +201,9 @@
     record: Proposal['record'] | {readonly kind: RecordKind.PlannerRenewed},
     term: number,
   ) {
-    const {recordPublisher, identity} = this.dependencies;
+    const {fleetPublisher, identity} = this.dependencies;
     const writer = identity.incarnation;
-    const {rejection} = await recordPublisher.publish({
+    const {rejection} = await fleetPublisher.publish({
       ...record,
       writer,
       term,
