--- /dev/null
+++ b/packages/plugin-fleet/src/__tests__/jobs.test.ts
@@ -0,0 +1,261 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {JobState, RecordKind, jobsOf} from '@gentiandoor/shared-state';
+import {KINGSTON, LeaseFault} from '@gentiandoor/stand-ins';
+import {FleetHarness} from './fleet-harness.js';
+
+const MINUTE = 60_000;
+const SMALL = {processors: 1, memoryGigabytes: 1, accelerators: 0, slots: 1};
+
+interface JobPlan {
+  readonly team?: string;
+  readonly pool?: string;
+  readonly idempotent?: boolean;
+  readonly size?: typeof SMALL;
+  readonly jobClass?: string;
+}
+
+async function submit(
+  fleet: FleetHarness,
+  key: string,
+  plan: JobPlan = {},
+): Promise<void> {
+  await fleet.operator({
+    kind: RecordKind.JobSubmitted,
+    key,
+    team: plan.team ?? 'cooperatives',
+    pool: plan.pool ?? 'crest-works',
+    jobClass: plan.jobClass ?? 'badge-run',
+    idempotent: plan.idempotent ?? true,
+    size: plan.size ?? SMALL,
+    payload: key,
+  });
+}
+
+function job(fleet: FleetHarness, key: string) {
+  return fleet.state.jobs.get(key);
+}
+
+describe('jobs', () => {
+  it('run under a lease and finish', async () => {
+    const fleet = await FleetHarness.start(KINGSTON);
+    await submit(fleet, 'badge-1');
+    await fleet.until(() => job(fleet, 'badge-1')?.state === JobState.Finished);
+    assert.equal(fleet.leases.runs.get('badge-1/1'), 1);
+  });
+
+  it('are the same job under the same key', async () => {
+    const fleet = await FleetHarness.start(KINGSTON);
+    await submit(fleet, 'badge-1');
+    await fleet.until(() => job(fleet, 'badge-1')?.state === JobState.Finished);
+    await submit(fleet, 'badge-1');
+    await fleet.run(5 * MINUTE);
+    assert.deepEqual([...fleet.leases.runs], [['badge-1/1', 1]]);
+  });
+
+  it('that can never run are refused with the reason', async () => {
+    const fleet = await FleetHarness.start(KINGSTON);
+    const {publisher} = fleet.daemons[0];
+    const published = publisher.publish({
+      kind: RecordKind.JobSubmitted,
+      writer: 'moana',
+      key: 'huge',
+      team: 'cooperatives',
+      pool: 'crest-works',
+      jobClass: 'badge-run',
+      idempotent: true,
+      size: {...SMALL, memoryGigabytes: 4000},
+      payload: '',
+    });
+    await fleet.run(5000);
+    const {rejection} = await published;
+    assert.equal(rejection?.reason, 'job_impossible');
+    assert.match(rejection?.detail ?? '', /4000 GB.*128/);
+  });
+
+  describe('of an urgent team behind a night of others', () => {
+    it('go first once there is room', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      for (let n = 0; n < 150; n++) await submit(fleet, `night-${n}`);
+      await submit(fleet, 'preview', {team: 'counter'});
+      await fleet.until(
+        () => job(fleet, 'preview')?.state === JobState.Finished,
+      );
+      const waiting = jobsOf(fleet.state).queued('crest-works');
+      assert.ok(waiting > 0, 'the night was over before the preview');
+    });
+  });
+
+  describe('that are not idempotent', () => {
+    // The holder of the lease is cut off from the platform for longer than the lease. The task
+    // may have run on. When the platform answers again it says "lapsed": nobody knows, so the
+    // job ends as unknown and is never started again.
+    it('are not run again when the lease lapsed', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      fleet.behaviour = () => ({
+        runMilliseconds: 10 * MINUTE,
+        fails: false,
+        usage: SMALL,
+      });
+      await submit(fleet, 'billing-1', {idempotent: false});
+      await fleet.until(() => fleet.leases.runs.size === 1);
+      fleet.leases.faults.add(LeaseFault.Outage);
+      await fleet.run(5 * MINUTE);
+      fleet.leases.faults.delete(LeaseFault.Outage);
+      await fleet.run(30 * MINUTE);
+      assert.equal(job(fleet, 'billing-1')?.state, JobState.OutcomeUnknown);
+      assert.deepEqual([...fleet.leases.runs], [['billing-1/1', 1]]);
+    });
+
+    // Each answer of the platform is lost: the start took effect. The same id again is the same
+    // task, and it runs once.
+    it('run once when every answer of the platform is lost', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      fleet.leases.faults.add(LeaseFault.LostAnswers);
+      await submit(fleet, 'billing-1', {idempotent: false});
+      await fleet.until(
+        () => job(fleet, 'billing-1')?.state !== JobState.Placed,
+        30 * MINUTE,
+      );
+      await fleet.run(5 * MINUTE);
+      assert.deepEqual([...fleet.leases.runs], [['billing-1/1', 1]]);
+    });
+
+    // The planner stops between placing and starting, another takes over and starts the task;
+    // the first wakes and starts it too. Both name the same attempt.
+    it('run once when the planner was paused between placing and starting', async () => {
+      const fleet = await FleetHarness.start(KINGSTON, 3);
+      const paused = fleet.planning;
+      assert.ok(paused);
+      fleet.leases.faults.add(LeaseFault.Outage);
+      await submit(fleet, 'billing-1', {idempotent: false});
+      await fleet.run(5000);
+      paused.shared.isCutOff = true;
+      await fleet.run(3 * MINUTE);
+      fleet.leases.faults.delete(LeaseFault.Outage);
+      await fleet.run(MINUTE);
+      paused.shared.isCutOff = false;
+      await fleet.run(10 * MINUTE);
+      const [, ...more] = [...fleet.leases.runs.values()];
+      assert.deepEqual(more, []);
+      assert.equal(fleet.leases.runs.get('billing-1/1'), 1);
+    });
+
+    it('hold a drain up instead of being stopped', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      await submit(fleet, 'billing-1', {idempotent: false});
+      await fleet.until(() => fleet.leases.runs.size === 1);
+      const vm = job(fleet, 'billing-1')?.vm;
+      await fleet.operator({
+        kind: RecordKind.DrainStarted,
+        vm,
+        reason: 'disk',
+      });
+      await fleet.run(10_000);
+      assert.equal(job(fleet, 'billing-1')?.state, JobState.Placed);
+      await fleet.until(
+        () => job(fleet, 'billing-1')?.state === JobState.Finished,
+      );
+    });
+  });
+
+  describe('on a VM that drains', () => {
+    it('are checkpointed, stopped and run elsewhere when they may be', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      await submit(fleet, 'badge-1');
+      await fleet.until(() => fleet.leases.runs.size === 1);
+      const vm = job(fleet, 'badge-1')?.vm;
+      await fleet.operator({
+        kind: RecordKind.DrainStarted,
+        vm,
+        reason: 'disk',
+      });
+      await fleet.until(
+        () => job(fleet, 'badge-1')?.state === JobState.Finished,
+      );
+      assert.ok(fleet.leases.wasCheckpointed('badge-1/1'));
+      assert.equal(job(fleet, 'badge-1')?.attempt, 2);
+      assert.notEqual(job(fleet, 'badge-1')?.vm, vm);
+    });
+  });
+
+  describe('that fail', () => {
+    it('everywhere are set aside after three VMs, and no VM is blamed', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      fleet.behaviour = ({payload}) => ({
+        runMilliseconds: 1000,
+        fails: payload.startsWith('bad'),
+        usage: SMALL,
+      });
+      for (let n = 0; n < 10; n++) await submit(fleet, `good-${n}`);
+      await submit(fleet, 'bad-1');
+      await fleet.until(() => job(fleet, 'bad-1')?.state === JobState.SetAside);
+      assert.match(job(fleet, 'bad-1')?.reason ?? '', /fails everywhere/);
+      assert.equal(fleet.state.conditions.size, 0);
+    });
+
+    // One VM fails each task within a second and so always looks free. Distinct jobs fail on it
+    // while they succeed elsewhere: it is suspected, gets no more jobs and is repaired.
+    it('all on one VM lead to the repair of that VM', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      const broken = 'crest-works-1';
+      fleet.behaviour = ({vm}) => ({
+        runMilliseconds: 1000,
+        fails: vm === broken,
+        usage: SMALL,
+      });
+      for (let n = 0; n < 60; n++) await submit(fleet, `badge-${n}`);
+      await fleet.until(
+        () => fleet.actions.done.some(action => action.vm === broken),
+        30 * MINUTE,
+      );
+      const jobs = [...fleet.state.jobs.values()];
+      assert.ok(jobs.every(entry => entry.state === JobState.Finished));
+    });
+  });
+
+  describe('cancelled in a wave of 10,000', () => {
+    // A cooperative withdraws a whole order. One record holds up to 2,000 keys and each key is
+    // one step of the fold; queued jobs are not run, the few that run are stopped.
+    it('end at once, and none of them starts later', async () => {
+      const fleet = await FleetHarness.start(KINGSTON);
+      fleet.behaviour = () => ({
+        runMilliseconds: 60 * MINUTE,
+        fails: false,
+        usage: SMALL,
+      });
+      const keys = Array.from({length: 10_000}, (_, n) => `badge-${n}`);
+      const state = fleet.daemons[0].publisher;
+      for (let from = 0; from < keys.length; from += 400) {
+        const group = keys.slice(from, from + 400).map(key =>
+          state.publish({
+            kind: RecordKind.JobSubmitted,
+            writer: 'moana',
+            key,
+            team: 'cooperatives',
+            pool: 'crest-works',
+            jobClass: 'badge-run',
+            idempotent: true,
+            size: SMALL,
+            payload: '',
+          }),
+        );
+        await fleet.run(2000);
+        await Promise.all(group);
+      }
+      const started = fleet.leases.runs.size;
+      assert.ok(started > 0);
+      for (let from = 0; from < keys.length; from += 2000) {
+        const batch = keys.slice(from, from + 2000);
+        await fleet.operator({kind: RecordKind.JobsCancelled, keys: batch});
+      }
+      await fleet.run(MINUTE);
+      const states = new Set(
+        [...fleet.state.jobs.values()].map(entry => entry.state),
+      );
+      assert.deepEqual([...states], [JobState.Cancelled]);
+      assert.ok(fleet.leases.runs.size <= started + 48);
+      assert.equal(jobsOf(fleet.state).queued('crest-works'), 0);
+    });
+  });
+});
