--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -32,6 +32,8 @@
 export * from './state-hash.js';
 export {ENDED_JOBS_KEPT, FAILURES_BEFORE_SET_ASIDE} from './fold-jobs.js';
 export {MOST_BATCHED} from './fleet-record-head.js';
+export * from './routing-drain.js';
+export * from './vm-actions.js';
 export {isEnded} from './fold-waves.js';
 export * from './once-only.js';
 export * from './peer-links.js';
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -10,6 +10,7 @@
 } from '@gentiandoor/shared-state';
 import {closeServer, listen} from './http-listener.js';
 import type {MemoryVmList} from './memory-vm-list.js';
+import type {PlatformLeasePaths} from './platform-lease-paths.js';
 import {VmListHistory} from './vm-list-history.js';
 
 const packr = new Packr({useRecords: false});
@@ -23,6 +24,7 @@
   constructor(
     readonly log: PlatformLog,
     readonly list: MemoryVmList,
+    private readonly leasePaths?: PlatformLeasePaths,
   ) {
     const koa = new Koa();
     koa.use(context => this.answer(context));
@@ -39,6 +41,7 @@
   }
 
   private async answer(context: Koa.Context): Promise<void> {
+    if (await this.leasePaths?.answer(context)) return;
     const stream = /^\/streams\/([^/]+)\/records$/.exec(context.path)?.[1];
     if (context.path === '/vms') {
       context.body = this.history.answer(
