--- a/packages/specification/src/__tests__/claims-fleet.ts
+++ b/packages/specification/src/__tests__/claims-fleet.ts
@@ -11,6 +11,7 @@
   type OnceOnlyOptions,
 } from '@gentiandoor/plugin-once-only';
 import {
+  RECORD_FORMAT,
   emptyFleetState,
   type FleetState,
   type HeldAnswer,
@@ -88,7 +89,11 @@
     for (const member of this.state.members.values()) {
       if (member.name === name) this.state.members.delete(member.incarnation);
     }
-    this.state.members.set(incarnation, {...identity, peerAddress: ''});
+    this.state.members.set(incarnation, {
+      ...identity,
+      peerAddress: '',
+      readsFormat: RECORD_FORMAT,
+    });
     const daemon = {...identity, claims, log, metrics};
     this.daemons.set(name, daemon);
     await claims.start();
