--- a/packages/plugin-shared-state/src/peer-exchange.ts
+++ b/packages/plugin-shared-state/src/peer-exchange.ts
@@ -34,8 +34,9 @@
 const SNAPSHOT_KEPT_MILLISECONDS = 10_000;
 /** A log that said nothing for so long while a peer went ahead is helped out by the peer. */
 const HINT_MILLISECONDS = 300;
-/** Tick while the daemon is not serving or is cut off: it looks for help more often. */
-const NEEDY_MILLISECONDS = 250;
+/** Ticks while the daemon does not serve yet, and while it is cut off: peers tell it of news besides. */
+const STARTING_MILLISECONDS = 250;
+const CUT_OFF_MILLISECONDS = 1000;
 /** Offsets of peers ahead of this daemon, kept to compare their hashes when it gets there. */
 const MOST_PENDING = 64;
 
@@ -127,13 +128,17 @@
       }
       if (isNeedy) await this.askStrangers();
       this.helpYourself();
-      const pause = isNeedy
-        ? NEEDY_MILLISECONDS
-        : this.options.summary_milliseconds;
-      await sleep(clock, jitter(random, pause), stop);
+      await sleep(clock, jitter(random, this.tickMilliseconds()), stop);
     }
   }
 
+  private tickMilliseconds(): number {
+    if (!this.keeper.isServing) return STARTING_MILLISECONDS;
+    return this.log.isReachable
+      ? this.options.summary_milliseconds
+      : CUT_OFF_MILLISECONDS;
+  }
+
   /** Asks linked peers that have not said anything yet. */
   private async askStrangers(): Promise<void> {
     const {peerLinks} = this.dependencies;
