--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -29,6 +29,8 @@
 export class TargetServer {
   readonly faults = new Set<TargetFault>();
   readonly ran: RunRequest[] = [];
+  /** False for long loads, whose runs would fill the memory. */
+  keepsRuns = true;
   latencyMilliseconds = 0;
   address = '';
   private readonly server: http.Server;
@@ -60,12 +62,14 @@
       return;
     }
     const key = request.headers['idempotency-key'];
-    this.ran.push({
-      method: request.method ?? '',
-      path: request.url ?? '',
-      key: typeof key === 'string' ? key : undefined,
-      body: Buffer.concat(chunks).toString('utf8'),
-    });
+    if (this.keepsRuns) {
+      this.ran.push({
+        method: request.method ?? '',
+        path: request.url ?? '',
+        key: typeof key === 'string' ? key : undefined,
+        body: Buffer.concat(chunks).toString('utf8'),
+      });
+    }
     if (this.faults.has(TargetFault.Silent)) return;
     if (this.faults.has(TargetFault.FailEverything)) {
       response.writeHead(500).end('failed');
@@ -80,11 +84,25 @@
       );
       return;
     }
-    setTimeout(() => {
-      if (this.faults.has(TargetFault.Leaving))
-        response.setHeader('connection', 'close');
-      response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify({target: this.id, path: request.url}));
-    }, this.latencyMilliseconds);
+    // A timer of 0 ms takes 1 ms, which would hide what the path itself costs.
+    if (this.latencyMilliseconds === 0) this.answerWhole(request, response);
+    else {
+      setTimeout(
+        () => this.answerWhole(request, response),
+        this.latencyMilliseconds,
+      );
+    }
+  }
+
+  private answerWhole(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    if (this.faults.has(TargetFault.Leaving)) {
+      response.setHeader('connection', 'close');
+      response.setHeader('gentiandoor-leaving', 'yes');
+    }
+    response.setHeader('content-type', 'application/json');
+    response.end(JSON.stringify({target: this.id, path: request.url}));
   }
 }
