The real claims run against their model

Cause: the specification is checked, the code that follows it was not. Change: the real fold is held against the specification's after each append of random walks; the real daemons run under fast-check's scheduler with a pause between any two steps, lost, late, doubled and dropped appends, cuts and crashes.

--- a/packages/plugin-once-only/src/claims-over-log.ts
+++ b/packages/plugin-once-only/src/claims-over-log.ts
@@ -198,8 +198,7 @@
   }
 
   private async decide(asked: Asked): Promise<KeyDecision> {
-    if (this.isDraining)
-      throw new RequestError(ErrorKind.Draining, 'this daemon is stopping');
+    if (this.isDraining) throw draining();
     const bornAt = this.issued.bornAt(asked.request.caller, asked.request.key);
     do {
       const entry = this.table.get(asked.key);
@@ -359,6 +358,13 @@
   [Standing.Unknown]: ErrorKind.KeyOutcomeUnknown,
 };
 
+/** Says nothing of the key's earlier requests, which this daemon no longer looks for. */
+function draining(): RequestError {
+  return new RequestError(ErrorKind.Draining, 'this daemon is stopping', {
+    run: RunOutcome.Unknown,
+  });
+}
+
 function forgotten(): RequestError {
   return new RequestError(
     ErrorKind.KeyForgotten,
--- a/packages/specification/src/__tests__/faulty-log.ts
+++ b/packages/specification/src/__tests__/faulty-log.ts
@@ -33,17 +33,24 @@
   isCut = false;
   private readonly delayed: DelayedAppend[] = [];
 
-  constructor(private readonly log: PlatformLog) {}
+  constructor(
+    private readonly log: PlatformLog,
+    private readonly gate: (step: string) => Promise<void> = async () => {},
+  ) {}
 
   async append(
     stream: StreamName,
     payloads: readonly Uint8Array[],
     signal?: AbortSignal,
   ): Promise<AppendPosition> {
+    await this.gate('sends an append');
     if (this.isCut) throw noAnswer();
     const fate = this.fates.shift() ?? AppendFate.Answered;
-    if (fate === AppendFate.Answered)
-      return this.log.append(stream, payloads, signal);
+    if (fate === AppendFate.Answered) {
+      const position = await this.log.append(stream, payloads, signal);
+      await this.gate('hears of its append');
+      return position;
+    }
     if (fate === AppendFate.Delayed || fate === AppendFate.Doubled)
       this.delayed.push({stream, payloads});
     if (fate === AppendFate.AnswerLost || fate === AppendFate.Doubled)
@@ -57,8 +64,10 @@
     options: ReadOptions,
     signal?: AbortSignal,
   ): Promise<LogBatch> {
+    await this.gate('sends a read');
     if (this.isCut) throw noAnswer();
     const batch = await this.log.read(stream, from, options, signal);
+    await this.gate('hears what was read');
     if (this.isCut) throw noAnswer();
     return batch;
   }
--- /dev/null
+++ b/packages/specification/src/__tests__/gated-links.ts
@@ -0,0 +1,43 @@
+import type {
+  Peer,
+  PeerHandler,
+  PeerLinks,
+  PeerTopic,
+} from '@gentiandoor/shared-state';
+
+/** Peer links whose requests wait for a gate on the way there and on the way back. */
+export class GatedLinks implements PeerLinks {
+  constructor(
+    private readonly links: PeerLinks,
+    private readonly gate: (step: string) => Promise<void>,
+  ) {}
+
+  connected(): readonly Peer[] {
+    return this.links.connected();
+  }
+
+  broadcast(topic: PeerTopic, message: unknown): void {
+    this.links.broadcast(topic, message);
+  }
+
+  async request(
+    incarnation: string,
+    topic: PeerTopic,
+    message: unknown,
+    timeoutMilliseconds: number,
+  ): Promise<unknown> {
+    await this.gate(`asks ${incarnation}`);
+    const answer = await this.links.request(
+      incarnation,
+      topic,
+      message,
+      timeoutMilliseconds,
+    );
+    await this.gate(`hears from ${incarnation}`);
+    return answer;
+  }
+
+  handle(topic: PeerTopic, handler: PeerHandler): void {
+    this.links.handle(topic, handler);
+  }
+}
