--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -31,6 +31,7 @@
 
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
+const DEFAULT_OPERATOR = 'kerry';
 const LOOPBACK = '127.0.0.1:0';
 const WAIT_STEP_MILLISECONDS = 10;
 
@@ -41,6 +42,14 @@
   readonly vms: readonly string[];
 }
 
+/** Settings of a daemon that differ from the usual ones. */
+export interface DaemonPlan {
+  readonly callerListen?: string;
+  readonly adminListen?: string;
+  readonly callerHttp?: Readonly<Record<string, number>>;
+  readonly targetHttp?: Readonly<Record<string, number>>;
+}
+
 /** A daemon of a deployment. */
 export interface RunningDaemon {
   readonly name: string;
@@ -61,7 +70,11 @@
   readonly operator: OperatorKeys = makeOperatorKeys();
   private platformAddress = '';
 
-  constructor(private readonly logger: Logger = new SilentLogger()) {}
+  constructor(
+    private readonly logger: Logger = new SilentLogger(),
+    /** Name under which the operator signs off; the bundle must name it for the next one. */
+    private readonly operatorName = DEFAULT_OPERATOR,
+  ) {}
 
   async startPlatform(): Promise<void> {
     this.platformAddress = await this.platform.start(LOOPBACK);
@@ -84,9 +97,13 @@
     }
   }
 
-  async startDaemon(name: string, dataCentre: string): Promise<RunningDaemon> {
+  async startDaemon(
+    name: string,
+    dataCentre: string,
+    plan: DaemonPlan = {},
+  ): Promise<RunningDaemon> {
     const settings = parseSettings(
-      this.settingsOf(name, dataCentre),
+      this.settingsOf(name, dataCentre, plan),
       `${name}.ini`,
     );
     const daemon = new Daemon(settings, {logger: this.logger});
@@ -118,7 +135,7 @@
       writer,
       version,
       digest,
-      operator: 'kerry',
+      operator: this.operatorName,
       signature: signBundle(this.operator.privateKey, version, digest),
     });
     await this.until(() =>
@@ -145,7 +162,8 @@
     await this.platform.stop();
   }
 
-  private settingsOf(name: string, dataCentre: string): string {
+  /** Settings of a daemon of this deployment, in INI; also for one in another process. */
+  settingsOf(name: string, dataCentre: string, plan: DaemonPlan = {}): string {
     return `
 [daemon]
 name = ${name}
@@ -158,17 +176,25 @@
 address = ${this.platformAddress}
 poll_milliseconds = 200
 [shared-state]
-trusted_operators = kerry:${this.operator.publicKey}
+trusted_operators = ${this.operatorName}:${this.operator.publicKey}
 [target-http]
+${linesOf(plan.targetHttp)}
 [caller-http]
-listen = ${LOOPBACK}
+listen = ${plan.callerListen ?? LOOPBACK}
+${linesOf(plan.callerHttp)}
 [admin]
-listen = ${LOOPBACK}
+listen = ${plan.adminListen ?? LOOPBACK}
 key = ${ADMIN_KEY}
 `;
   }
 }
 
+function linesOf(keys: Readonly<Record<string, number>> = {}): string {
+  return Object.entries(keys)
+    .map(([key, value]) => `${key} = ${value}`)
+    .join('\n');
+}
+
 function inForceVersion(running: RunningDaemon): number | undefined {
   const {state} = running.daemon.resolve<SharedState>('sharedState');
   return state.inForce?.bundle.version;
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -35,6 +35,18 @@
     'reason',
   ),
   [MetricName.Retries]: counter('requests sent to a second target', 'reason'),
+  [MetricName.RetriesDenied]: counter(
+    'failed attempts that were not sent again',
+    'reason',
+  ),
+  [MetricName.Spills]: counter(
+    'exchanges sent to another data centre because the own had no room',
+    'reason',
+  ),
+  [MetricName.StandingChanges]: counter(
+    'VMs that were ejected or brought back',
+    'standing',
+  ),
   [MetricName.RequestDuration]: timing(
     'milliseconds from a request\u2019s head to the end of its answer',
     'service',
@@ -49,6 +61,10 @@
     'appends refused or without an answer',
     'stream',
   ),
+  [MetricName.LogAppendRefusals]: counter(
+    'records refused because too many wait for their stream',
+    'stream',
+  ),
   [MetricName.LogReads]: counter(
     'reads sent to the platform\u2019s log',
     'stream',
@@ -62,8 +78,15 @@
   [MetricName.StateHashDifferences]: counter(
     'offsets at which a peer folded another state; must stay 0',
   ),
+  [MetricName.BundleAlarms]: counter(
+    'peers with the same version and another digest in force; must stay 0',
+  ),
   [MetricName.PeerMessages]: counter('messages on peer links', 'direction'),
   [MetricName.PeerDisconnects]: counter('peer links that ended', 'reason'),
+  [MetricName.PeerMessagesDropped]: counter(
+    'messages to or from peers that were dropped',
+    'reason',
+  ),
   [MetricName.KeyedRequests]: counter(
     'keyed requests by decision: run, replayed or an error kind',
     'decision',
--- a/packages/plugin-caller-http/src/headers.ts
+++ b/packages/plugin-caller-http/src/headers.ts
@@ -1,3 +1,6 @@
+/** Headers of the system itself; a caller or target cannot set them for the other side. */
+const OWN_PREFIX = 'gentiandoor-';
+
 const HOP_BY_HOP = new Set([
   'connection',
   'keep-alive',
@@ -11,25 +14,119 @@
   'expect',
 ]);
 
+/** Headers that would change how a message is read, were they to come after it. */
+const NEVER_IN_TRAILERS = new Set([
+  'content-length',
+  'content-encoding',
+  'content-type',
+  'host',
+  'set-cookie',
+]);
+
+/** Name of this proxy in `Via`. */
+const VIA = '1.1 gentiandoor';
+
+/** What to do with a header, by its name alone. */
+enum HeaderRule {
+  Keep,
+  Drop,
+  /** `Connection`: dropped, and so is what it names. */
+  Connection,
+}
+
+/** Bound of the remembered names, which callers choose. */
+const REMEMBERED_NAMES = 1000;
+const rules = new Map<string, HeaderRule>();
+
 /**
- * Takes out the headers that belong to one connection, those named in `Connection` included.
- * `raw` holds names and values in turn.
+ * Takes out the headers that belong to one connection, those named in `Connection` included,
+ * and all of the system's own. `raw` holds names and values in turn.
  */
-export function stripHopByHop(raw: readonly string[]): string[] {
-  const dropped = new Set(HOP_BY_HOP);
-  for (const [name, value] of pairs(raw)) {
-    if (name.toLowerCase() !== 'connection') continue;
-    for (const token of value.split(','))
-      dropped.add(token.trim().toLowerCase());
+export function endToEndHeaders(raw: readonly string[]): string[] {
+  const kept: string[] = [];
+  let named: string[] | undefined;
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const rule = ruleOf(raw[index]);
+    if (rule === HeaderRule.Keep) kept.push(raw[index], raw[index + 1]);
+    else if (rule === HeaderRule.Connection)
+      named = [...(named ?? []), ...namesIn(raw[index + 1])];
   }
+  return named && named.length > 0 ? without(kept, named) : kept;
+}
+
+/** The rule of a name as it was written, remembered: the same few names come all the time. */
+function ruleOf(rawName: string): HeaderRule {
+  const known = rules.get(rawName);
+  if (known !== undefined) return known;
+  const name = rawName.toLowerCase();
+  let rule = HeaderRule.Keep;
+  if (name === 'connection') rule = HeaderRule.Connection;
+  else if (HOP_BY_HOP.has(name) || name.startsWith(OWN_PREFIX))
+    rule = HeaderRule.Drop;
+  if (rules.size < REMEMBERED_NAMES) rules.set(rawName, rule);
+  return rule;
+}
+
+/** Names in a `Connection` header that are not dropped already. */
+function namesIn(connection: string): string[] {
+  return connection
+    .split(',')
+    .map(token => token.trim().toLowerCase())
+    .filter(token => !NEVER_NAMED.has(token));
+}
+
+function without(headers: readonly string[], names: string[]): string[] {
   const kept: string[] = [];
-  for (const [name, value] of pairs(raw)) {
-    if (!dropped.has(name.toLowerCase())) kept.push(name, value);
+  for (let index = 0; index < headers.length; index += 2) {
+    if (names.includes(headers[index].toLowerCase())) continue;
+    kept.push(headers[index], headers[index + 1]);
   }
   return kept;
 }
 
-function* pairs(raw: readonly string[]): Generator<[string, string]> {
-  for (let index = 0; index + 1 < raw.length; index += 2)
-    yield [raw[index], raw[index + 1]];
+/** Trailers that may be passed on. */
+export function endToEndTrailers(raw: readonly string[]): [string, string][] {
+  const kept = endToEndHeaders(raw);
+  const pairs: [string, string][] = [];
+  for (let index = 0; index + 1 < kept.length; index += 2) {
+    if (NEVER_IN_TRAILERS.has(kept[index].toLowerCase())) continue;
+    pairs.push([kept[index], kept[index + 1]]);
+  }
+  return pairs;
+}
+
+/** Appends what a target may want to know about the way the request came. */
+export function addForwarding(
+  headers: string[],
+  callerAddress: string | undefined,
+): void {
+  headers.push('via', VIA);
+  if (callerAddress !== undefined)
+    headers.push('x-forwarded-for', callerAddress);
+}
+
+/** The values of a header, one for each time it stands. */
+export function valuesOf(raw: readonly string[], name: string): string[] {
+  const values: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const candidate = raw[index];
+    if (candidate.length !== name.length) continue;
+    if (candidate.toLowerCase() === name) values.push(raw[index + 1]);
+  }
+  return values;
 }
+
+/**
+ * `Connection: content-length` would make this side drop the length that the other side
+ * reads by: two readings of one message. The first three stay whatever `Connection` says;
+ * the others are dropped already or name no header.
+ */
+const NEVER_NAMED = new Set([
+  'host',
+  'content-length',
+  'authorization',
+  'keep-alive',
+  'close',
+  'upgrade',
+  '',
+]);
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -3,10 +3,15 @@
 import Koa from 'koa';
 import {Packr} from 'msgpackr';
 import {LogFailure, PlatformLogError} from '@gentiandoor/kernel';
-import {StreamName} from '@gentiandoor/shared-state';
+import {
+  LogGapError,
+  StreamName,
+  type PlatformLog,
+} from '@gentiandoor/shared-state';
 import {closeServer, listen} from './http-listener.js';
-import type {MemoryLog} from './memory-log.js';
 import type {MemoryVmList} from './memory-vm-list.js';
+import type {PlatformLeasePaths} from './platform-lease-paths.js';
+import {VmListHistory} from './vm-list-history.js';
 
 const packr = new Packr({useRecords: false});
 const STREAMS: ReadonlySet<string> = new Set(Object.values(StreamName));
@@ -14,10 +19,12 @@
 /** The platform over HTTP: the log and the list of VMs. */
 export class PlatformServer {
   private readonly server: http.Server;
+  private readonly history = new VmListHistory();
 
   constructor(
-    readonly log: MemoryLog,
+    readonly log: PlatformLog,
     readonly list: MemoryVmList,
+    private readonly leasePaths?: PlatformLeasePaths,
   ) {
     const koa = new Koa();
     koa.use(context => this.answer(context));
@@ -34,9 +41,15 @@
   }
 
   private async answer(context: Koa.Context): Promise<void> {
+    if (await this.leasePaths?.answer(context)) return;
     const stream = /^\/streams\/([^/]+)\/records$/.exec(context.path)?.[1];
     if (context.path === '/vms') {
-      context.body = {vms: this.list.visible()};
+      context.body = this.history.answer(
+        this.list.visible(),
+        context.query.since === undefined
+          ? undefined
+          : numberOf(context.query.since),
+      );
     } else if (stream !== undefined && STREAMS.has(stream)) {
       await this.answerStream(context, stream as StreamName);
     } else {
@@ -61,7 +74,12 @@
         context.req.destroy();
         return;
       }
-      context.status = error.failure === LogFailure.Gap ? 410 : 503;
+      if (error instanceof LogGapError) {
+        context.status = 410;
+        context.body = packr.pack({oldest: error.oldest});
+        return;
+      }
+      context.status = 503;
       context.body = error.message;
     }
   }
