--- a/packages/specification/src/__tests__/claims-fleet.ts
+++ b/packages/specification/src/__tests__/claims-fleet.ts
@@ -11,7 +11,6 @@
   type OnceOnlyOptions,
 } from '@gentiandoor/plugin-once-only';
 import {
-  RECORD_FORMAT,
   emptyFleetState,
   type FleetState,
   type HeldAnswer,
@@ -24,7 +23,6 @@
   type MemoryLogOptions,
 } from '@gentiandoor/stand-ins';
 import {FaultyLog} from './faulty-log.js';
-import {GatedLinks} from './gated-links.js';
 
 const STEP_MILLISECONDS = 5;
 const CALLER = 'crest-shop';
@@ -53,8 +51,6 @@
 export interface FleetSettings {
   readonly log?: MemoryLogOptions;
   readonly onceOnly?: Readonly<Record<string, string>>;
-  /** Decides when each step of a call to the log or a peer goes on. */
-  readonly gate?: (label: string) => Promise<void>;
 }
 
 /** Several daemons' claims over one log in memory, on a virtual clock. */
@@ -65,12 +61,10 @@
   readonly daemons = new Map<string, FleetDaemon>();
   private readonly state: FleetState = emptyFleetState({});
   private readonly options: OnceOnlyOptions;
-  private readonly gate: (label: string) => Promise<void>;
   private starts = 0;
 
   constructor(settings: FleetSettings = {}) {
     this.log = new MemoryLog(this.clock, settings.log);
-    this.gate = settings.gate ?? (async () => {});
     this.options = onceOnlyOptions.parse(settings.onceOnly ?? {});
   }
 
@@ -78,8 +72,7 @@
   async start(name: string, dataCentre = 'hall-a'): Promise<FleetDaemon> {
     const incarnation = `${name}.${++this.starts}`;
     const identity = {name, dataCentre, incarnation};
-    const gate = (step: string) => this.gate(`${incarnation} ${step}`);
-    const log = new FaultyLog(this.log, gate);
+    const log = new FaultyLog(this.log);
     const metrics = new MemoryMetrics();
     const claims = new ClaimsOverLog({
       clock: this.clock,
@@ -88,7 +81,7 @@
       metrics,
       identity,
       platformLog: log,
-      peerLinks: new GatedLinks(this.network.join(identity), gate),
+      peerLinks: this.network.join(identity),
       sharedState: {state: this.state},
       onceOnlyOptions: this.options,
     });
@@ -98,7 +91,7 @@
     this.state.members.set(incarnation, {
       ...identity,
       peerAddress: '',
-      readsFormat: RECORD_FORMAT,
+      readsFormat: 1,
     });
     const daemon = {...identity, claims, log, metrics};
     this.daemons.set(name, daemon);
