Router lets go of drained VMs for moves and reboots; CLI for VMs, pools, budgets, maintenance, jobs and explain; peers in the embedded deployment

Cause: the fleet's acknowledgements had no router behind them, so no move could end; operators had no commands for the fleet; the demo's daemons had no links, so a retry through another daemon got 'outcome unknown'. Change: RouterDrain answers from the folded state, the pools' targets and exchanges in flight.

--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -2,7 +2,7 @@
 import {SilentLogger, sleep} from '@gentiandoor/kernel';
 import {RecordKind, parseBundle} from '@gentiandoor/shared-state';
 import {Caller, type CallerRequest} from '../caller.js';
-import {Deployment} from '../deployment.js';
+import {Deployment, type DaemonPlan} from '../deployment.js';
 import {PromiseLedger} from '../promise-ledger.js';
 import {kingstonBundle, nextVersion, racksOf} from './kingston.js';
 
@@ -11,6 +11,10 @@
 const CALLERS_PER_SERVICE = 4;
 const PAUSE_MILLISECONDS = 10;
 const PHASE_MILLISECONDS = 1500;
+/** Shorter than in service, so that the demo's restart takes seconds. */
+const PLAN: DaemonPlan = {
+  callerHttp: {keep_alive_milliseconds: 1500, drain_grace_milliseconds: 300},
+};
 const DATA_CENTRES = ['hall-a', 'hall-b', 'hall-c'];
 
 interface Workload {
@@ -85,8 +89,8 @@
       target.latencyMilliseconds = TARGET_LATENCY_MILLISECONDS;
     }
     for (const dataCentre of DATA_CENTRES) {
-      await deployment.startDaemon(`entry-${dataCentre}-1`, dataCentre);
-      await deployment.startDaemon(`entry-${dataCentre}-2`, dataCentre);
+      await deployment.startDaemon(`entry-${dataCentre}-1`, dataCentre, PLAN);
+      await deployment.startDaemon(`entry-${dataCentre}-2`, dataCentre, PLAN);
     }
     this.print(
       `started: ${deployment.targets.size} targets in ${DATA_CENTRES.length} data centres, ${deployment.daemons.length} entry daemons`,
@@ -175,7 +179,7 @@
     const {daemons} = this.deployment;
     const [leaving] = daemons.splice(0, 1);
     await leaving.daemon.drainAndStop();
-    await this.deployment.startDaemon(leaving.name, 'hall-a');
+    await this.deployment.startDaemon(leaving.name, 'hall-a', PLAN);
     await sleep(this.deployment.clock, PHASE_MILLISECONDS);
     this.print(`restart: ${leaving.name} stopped gracefully and came back`);
   }
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -32,6 +32,7 @@
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
 const DEFAULT_OPERATOR = 'kerry';
+const PEER_KEY = 'peer-key-for-tests-only';
 const LOOPBACK = '127.0.0.1:0';
 const WAIT_STEP_MILLISECONDS = 10;
 
@@ -69,6 +70,7 @@
   /** The operator whose key the daemons trust before the first bundle. */
   readonly operator: OperatorKeys = makeOperatorKeys();
   private platformAddress = '';
+  private isRolledOut = false;
 
   constructor(
     private readonly logger: Logger = new SilentLogger(),
@@ -114,6 +116,9 @@
       callerAddress: `127.0.0.1:${daemon.resolve<CallerHttpServer>('callerHttp').port}`,
       adminAddress: `127.0.0.1:${daemon.resolve<AdminServer>('admin').port}`,
     };
+    // As the balancer does: nothing is sent to a daemon before it is ready.
+    if (this.isRolledOut)
+      await this.until(() => inForceVersion(running) !== undefined);
     this.daemons.push(running);
     return running;
   }
@@ -138,6 +143,7 @@
       operator: this.operatorName,
       signature: signBundle(this.operator.privateKey, version, digest),
     });
+    this.isRolledOut = true;
     await this.until(() =>
       this.daemons.every(running => inForceVersion(running) === version),
     );
@@ -177,6 +183,9 @@
 poll_milliseconds = 200
 [shared-state]
 trusted_operators = ${this.operatorName}:${this.operator.publicKey}
+[peers]
+listen = ${LOOPBACK}
+key = ${PEER_KEY}
 [target-http]
 ${linesOf(plan.targetHttp)}
 [caller-http]
--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -58,13 +58,18 @@
 
 function exitCodeOf(status: number): ExitCode {
   if (status === 400 || status === 401) return ExitCode.BadInput;
+  if (status === 409) return ExitCode.Refused;
   return status === 503 ? ExitCode.Unreachable : ExitCode.Failed;
 }
 
 function errorText(text: string, status: number): string {
   try {
-    const {error} = JSON.parse(text) as {error?: string};
-    return error ?? `the daemon answered ${status}`;
+    const {error, reason} = JSON.parse(text) as {
+      error?: string;
+      reason?: string;
+    };
+    if (error === undefined) return `the daemon answered ${status}`;
+    return reason === undefined ? error : `refused (${reason}): ${error}`;
   } catch {
     return `the daemon answered ${status}: ${text}`;
   }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -2,6 +2,9 @@
 import {addCommands, type CommandDefinition} from './command-registry.js';
 import type {CommandContext} from './command-context.js';
 import {bundleCommands} from './commands/bundle.js';
+import {explainCommands} from './commands/explain.js';
+import {maintenanceCommands, vmCommands} from './commands/fleet.js';
+import {jobCommands} from './commands/jobs.js';
 import {keyCommands} from './commands/keys.js';
 import {reportCommands} from './commands/report.js';
 import {statusCommands} from './commands/status.js';
@@ -13,6 +16,10 @@
 export const ALL_COMMANDS: readonly CommandDefinition[] = [
   ...statusCommands,
   ...bundleCommands,
+  ...vmCommands,
+  ...maintenanceCommands,
+  ...jobCommands,
+  ...explainCommands,
   ...keyCommands,
   ...reportCommands,
 ];
--- /dev/null
+++ b/packages/cli/src/send-record.ts
@@ -0,0 +1,27 @@
+import type {AcceptedBody} from '@gentiandoor/plugin-fleet';
+import {
+  adminClient,
+  show,
+  type CommandContext,
+  type CommonOptions,
+} from './command-context.js';
+import {withProgress} from './with-progress.js';
+
+const OPERATOR_VARIABLE = 'USER';
+
+/** Sends an operator's record and prints what became of it; throws `CommandError` when refused. */
+export async function sendRecord(
+  context: CommandContext,
+  options: CommonOptions,
+  path: string,
+  body: object,
+  done: string,
+): Promise<void> {
+  const operator = context.environment[OPERATOR_VARIABLE];
+  const answer = (await withProgress(
+    context,
+    'waiting for the platform\u2019s log',
+    adminClient(context, options).post(path, {...body, operator}),
+  )) as AcceptedBody;
+  show(context, options, answer, [`${done} at offset ${answer.offset}`]);
+}
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -214,6 +214,18 @@
     return found;
   }
 
+  /** Whether the target is among the routable ones. */
+  has(target: string): boolean {
+    return this.entries.has(target);
+  }
+
+  /** Targets that get no work because of their failures. */
+  ejected(): string[] {
+    return [...this.entries.values()]
+      .filter(entry => entry.isEjected())
+      .map(({id}) => id);
+  }
+
   /** A sign of leaving from a peer. */
   onLeaving(target: string): void {
     this.entries.get(target)?.onLeaving();
--- a/packages/decisions/src/target-entry.ts
+++ b/packages/decisions/src/target-entry.ts
@@ -95,7 +95,12 @@
   /** Whether new work may go there at all: neither gone, leaving nor ejected. */
   isOpen(): boolean {
     if (this.isGone || this.isLeaving()) return false;
-    return this.standing() !== TargetStanding.Ejected;
+    return !this.isEjected();
+  }
+
+  /** Whether it gets no work because of its failures. */
+  isEjected(): boolean {
+    return this.standing() === TargetStanding.Ejected;
   }
 
   /** Whether the target or a peer said lately that it is leaving. */
--- a/packages/plugin-caller-http/src/index.ts
+++ b/packages/plugin-caller-http/src/index.ts
@@ -1,4 +1,4 @@
-import {asClass, asValue} from 'awilix';
+import {aliasTo, asClass, asValue} from 'awilix';
 import type {PluginRegistry} from '@gentiandoor/kernel';
 import {CallerDirectory} from './caller-directory.js';
 import {callerHttpOptions} from './caller-http-options.js';
@@ -7,6 +7,7 @@
 import {KeyedRequests} from './keyed-requests.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {RequestHandler} from './request-handler.js';
+import {RouterDrain} from './router-drain.js';
 import {ServiceRouter} from './service-router.js';
 
 export {CallerHttpServer} from './caller-http-server.js';
@@ -24,6 +25,9 @@
       container.register({
         callerHttpOptions: asValue(options),
         serviceRouter: asClass(ServiceRouter).singleton(),
+        routerDrain: asClass(RouterDrain).singleton(),
+        routingDrain: aliasTo('routerDrain'),
+        vmHealth: aliasTo('routerDrain'),
         callerDirectory: asClass(CallerDirectory).singleton(),
         headCheck: asClass(HeadCheck).singleton(),
         requestDispatcher: asClass(RequestDispatcher).singleton(),
--- /dev/null
+++ b/packages/plugin-caller-http/src/router-drain.ts
@@ -0,0 +1,42 @@
+import {sleep, type Clock} from '@gentiandoor/kernel';
+import type {
+  RoutingDrain,
+  SharedState,
+  VmHealth,
+} from '@gentiandoor/shared-state';
+import type {ServiceRouter} from './service-router.js';
+
+const LOOK_MILLISECONDS = 20;
+
+/** What the drain needs. */
+export interface RouterDrainDependencies {
+  readonly clock: Clock;
+  readonly sharedState: SharedState;
+  readonly serviceRouter: Pick<ServiceRouter, 'isRouting' | 'ejectedVms'>;
+}
+
+/**
+ * Says when this daemon has let go of a VM. A move or reboot that went on earlier would cut
+ * exchanges, or let two pools use one VM. Three things must hold together: the folded state
+ * drains the VM, no pool of the router has it among its targets, and no exchange is in flight.
+ */
+export class RouterDrain implements RoutingDrain, VmHealth {
+  constructor(private readonly dependencies: RouterDrainDependencies) {}
+
+  async stopRouting(vm: string, signal: AbortSignal): Promise<void> {
+    while (!this.hasLetGo(vm)) {
+      if (signal.aborted) throw new Error(`the drain of ${vm} has ended`);
+      await sleep(this.dependencies.clock, LOOK_MILLISECONDS, signal);
+    }
+  }
+
+  suspected(): ReadonlySet<string> {
+    return new Set(this.dependencies.serviceRouter.ejectedVms());
+  }
+
+  private hasLetGo(vm: string): boolean {
+    const {sharedState, serviceRouter} = this.dependencies;
+    const isDrained = sharedState.state.vms.get(vm)?.drainReason !== undefined;
+    return isDrained && !serviceRouter.isRouting(vm);
+  }
+}
--- a/packages/plugin-caller-http/src/service-router.ts
+++ b/packages/plugin-caller-http/src/service-router.ts
@@ -23,6 +23,7 @@
 } from '@gentiandoor/shared-state';
 import {LoadSummaries} from './load-summaries.js';
 import {PendingAsk, RoutedSlot, type AskTerms} from './pending-ask.js';
+import {VmExchanges} from './vm-exchanges.js';
 import {PoolTable, type PoolTableDependencies} from './pool-table.js';
 
 /** A request that asks for a target. */
@@ -83,6 +84,7 @@
   private readonly pools: PoolTable;
   private readonly summaries: LoadSummaries;
   private readonly retries = new Map<string, RetryBudget>();
+  private readonly exchanges = new VmExchanges();
   /** Exchanges in flight by service. */
   private readonly inFlight = new Map<string, number>();
 
@@ -168,12 +170,26 @@
   }
 
   private hold(service: string, slot: PoolSlot): HeldSlot {
+    const vm = slot.target.id;
     this.inFlight.set(service, (this.inFlight.get(service) ?? 0) + 1);
+    this.exchanges.begin(vm);
     return new RoutedSlot(slot, () => {
       this.inFlight.set(service, (this.inFlight.get(service) ?? 1) - 1);
+      this.exchanges.end(vm);
     });
   }
 
+  /** Whether a pool has the VM among its targets, or an exchange is in flight there. */
+  isRouting(vm: string): boolean {
+    if (this.exchanges.of(vm) > 0) return true;
+    return [...this.pools.all()].some(([, pool]) => pool.has(vm));
+  }
+
+  /** VMs that get no work because of their failures. */
+  ejectedVms(): string[] {
+    return [...this.pools.all()].flatMap(([, pool]) => pool.ejected());
+  }
+
   private retriesOf(service: string): RetryBudget {
     const known = this.retries.get(service);
     if (known) return known;
--- a/packages/specification/src/__tests__/claims-fleet.ts
+++ b/packages/specification/src/__tests__/claims-fleet.ts
@@ -23,6 +23,7 @@
   type MemoryLogOptions,
 } from '@gentiandoor/stand-ins';
 import {FaultyLog} from './faulty-log.js';
+import {GatedLinks} from './gated-links.js';
 
 const STEP_MILLISECONDS = 5;
 const CALLER = 'crest-shop';
@@ -51,6 +52,8 @@
 export interface FleetSettings {
   readonly log?: MemoryLogOptions;
   readonly onceOnly?: Readonly<Record<string, string>>;
+  /** Decides when each step of a call to the log or a peer goes on. */
+  readonly gate?: (label: string) => Promise<void>;
 }
 
 /** Several daemons' claims over one log in memory, on a virtual clock. */
@@ -61,10 +64,12 @@
   readonly daemons = new Map<string, FleetDaemon>();
   private readonly state: FleetState = emptyFleetState({});
   private readonly options: OnceOnlyOptions;
+  private readonly gate: (label: string) => Promise<void>;
   private starts = 0;
 
   constructor(settings: FleetSettings = {}) {
     this.log = new MemoryLog(this.clock, settings.log);
+    this.gate = settings.gate ?? (async () => {});
     this.options = onceOnlyOptions.parse(settings.onceOnly ?? {});
   }
 
@@ -72,7 +77,8 @@
   async start(name: string, dataCentre = 'hall-a'): Promise<FleetDaemon> {
     const incarnation = `${name}.${++this.starts}`;
     const identity = {name, dataCentre, incarnation};
-    const log = new FaultyLog(this.log);
+    const gate = (step: string) => this.gate(`${incarnation} ${step}`);
+    const log = new FaultyLog(this.log, gate);
     const metrics = new MemoryMetrics();
     const claims = new ClaimsOverLog({
       clock: this.clock,
@@ -81,7 +87,7 @@
       metrics,
       identity,
       platformLog: log,
-      peerLinks: this.network.join(identity),
+      peerLinks: new GatedLinks(this.network.join(identity), gate),
       sharedState: {state: this.state},
       onceOnlyOptions: this.options,
     });
