--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -149,6 +149,18 @@
     );
   }
 
+  /** Waits until every daemon serves the folded state, with all daemons as members. */
+  async untilMembers(): Promise<void> {
+    const count = this.daemons.length;
+    await this.until(() =>
+      this.daemons.every(
+        ({daemon}) =>
+          daemon.resolve<SharedState>('sharedState').state.members.size ===
+          count,
+      ),
+    );
+  }
+
   async append(record: FleetRecord): Promise<void> {
     await this.log.append(StreamName.Fleet, [encodeRecord(record)]);
   }
