--- a/packages/cli/src/commands/bundle.ts
+++ b/packages/cli/src/commands/bundle.ts
@@ -12,6 +12,7 @@
 } from '../command-context.js';
 import {CommandError} from '../command-error.js';
 import {ExitCode} from '../exit-codes.js';
+import {formatColumns} from '../format-columns.js';
 import {showPublished} from '../publish-result.js';
 import {withProgress} from '../with-progress.js';
 
@@ -165,6 +166,47 @@
   show(context, options, view, lines);
 }
 
+interface RollOutView {
+  readonly daemon: {readonly name: string};
+  readonly version: number;
+  readonly offset: number;
+  readonly isLogReachable: boolean;
+  readonly peers: ReadonlyArray<{
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly version: number;
+    readonly offset: number;
+    readonly isLogReachable: boolean;
+    /** Milliseconds after this daemon; undefined while it has another version. */
+    readonly tookMilliseconds?: number;
+  }>;
+}
+
+async function rollOut(
+  context: CommandContext,
+  options: CommonOptions,
+): Promise<void> {
+  const view = (await adminClient(context, options).get(
+    '/roll-out',
+  )) as RollOutView;
+  const self = [view.daemon.name, '', String(view.version), '', logWord(view)];
+  const peers = view.peers.map(peer => [
+    peer.name,
+    peer.dataCentre,
+    String(peer.version),
+    peer.tookMilliseconds === undefined
+      ? 'not known'
+      : `${Math.round(peer.tookMilliseconds)} ms`,
+    logWord(peer),
+  ]);
+  const headings = ['daemon', 'data centre', 'version', 'after', 'log'];
+  show(context, options, view, formatColumns(headings, [self, ...peers]));
+}
+
+function logWord({isLogReachable}: {readonly isLogReachable: boolean}): string {
+  return isLogReachable ? 'reachable' : 'NOT reachable';
+}
+
 async function readBundles(
   context: CommandContext,
   options: CommonOptions,
@@ -233,4 +275,11 @@
     examples: ['bundle status --json'],
     run: status,
   },
+  {
+    usage: 'bundle roll-out',
+    description:
+      'Shows which version each linked daemon has in force, and how long after this one.',
+    examples: ['bundle roll-out'],
+    run: rollOut,
+  },
 ];
--- /dev/null
+++ b/packages/cli/src/commands/top.ts
@@ -0,0 +1,94 @@
+import {sleep} from '@gentiandoor/kernel';
+import type {AdminClient} from '../admin-client.js';
+import type {CommandDefinition} from '../command-registry.js';
+import {
+  adminClient,
+  type CommandContext,
+  type CommonOptions,
+} from '../command-context.js';
+import {formatColumns} from '../format-columns.js';
+
+const CLEAR_SCREEN = '\u001b[2J\u001b[H';
+const DEFAULT_SECONDS = 1;
+const MILLISECONDS = 1000;
+
+interface TopOptions extends CommonOptions {
+  readonly seconds: number;
+  readonly rounds?: number;
+}
+
+type Values = Readonly<Record<string, number>>;
+
+async function top(
+  context: CommandContext,
+  options: TopOptions,
+): Promise<void> {
+  const client = adminClient(context, options);
+  let before = await readMetrics(client);
+  const rounds = Number(options.rounds ?? Infinity);
+  for (let round = 0; round < rounds; round++) {
+    await sleep(context.clock, Number(options.seconds) * MILLISECONDS);
+    const after = await readMetrics(client);
+    showRound(context, options, before, after);
+    before = after;
+  }
+}
+
+async function readMetrics(client: AdminClient): Promise<Values> {
+  return (await client.get('/metrics')) as Values;
+}
+
+function showRound(
+  context: CommandContext,
+  options: TopOptions,
+  before: Values,
+  after: Values,
+): void {
+  const rates = ratesOf(before, after, Number(options.seconds));
+  if (options.json) {
+    context.print(JSON.stringify(rates));
+    return;
+  }
+  if (options.rounds === undefined) context.print(CLEAR_SCREEN);
+  const rows = Object.entries(rates).map(([name, rate]) => [
+    name,
+    rate.toFixed(1),
+  ]);
+  for (const line of formatColumns(
+    ['counter or gauge', 'a second, or now'],
+    rows,
+  )) {
+    context.print(line);
+  }
+}
+
+const GAUGES = /^(queue_length|in_flight|claims_kept|held_answer_bytes)/;
+
+/** Counters as a rate, gauges as they are; what did not move and is 0 is left out. */
+function ratesOf(
+  before: Values,
+  after: Values,
+  seconds: number,
+): Record<string, number> {
+  const entries = Object.entries(after).map(
+    ([name, value]): [string, number] =>
+      GAUGES.test(name)
+        ? [name, value]
+        : [name, (value - (before[name] ?? 0)) / seconds],
+  );
+  return Object.fromEntries(entries.filter(([, value]) => value !== 0));
+}
+
+/** The live view. */
+export const topCommands: readonly CommandDefinition[] = [
+  {
+    usage: 'top',
+    description: 'Shows a daemon\u2019s counters as rates, again and again.',
+    examples: ['top', 'top --seconds 5', 'top --rounds 1 --json'],
+    options: [
+      ['--seconds', 'Seconds between two looks', DEFAULT_SECONDS],
+      ['--rounds', 'Ends after so many looks'],
+    ],
+    run: top,
+  },
+];
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -6,6 +6,7 @@
 import {maintenanceCommands, vmCommands} from './commands/fleet.js';
 import {jobCommands} from './commands/jobs.js';
 import {keyCommands} from './commands/keys.js';
+import {topCommands} from './commands/top.js';
 import {reportCommands} from './commands/report.js';
 import {statusCommands} from './commands/status.js';
 import type {ExitCode} from './exit-codes.js';
@@ -15,6 +16,7 @@
 /** All commands, in the order of the help page. */
 export const ALL_COMMANDS: readonly CommandDefinition[] = [
   ...statusCommands,
+  ...topCommands,
   ...bundleCommands,
   ...vmCommands,
   ...maintenanceCommands,
