Faults of the shared state played: lagging reads, made-up records, silent connections, duty, parted states

Cause: a test with a read that lags behind its own end ran the process out of memory in 214 s: a read that is answered at once and empty was repeated without a pause. Change: LogReader keeps a pace of 200 ms when a read brings nothing at once.

--- /dev/null
+++ b/packages/plugin-peers/src/__tests__/peer-choice.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {choosePeers, type PeerCandidate} from '../peer-choice.js';
+
+const BOUNDS = {local: 8, remote: 8};
+
+function daemons(dataCentres: number, each: number): PeerCandidate[] {
+  return Array.from({length: dataCentres * each}, (_, index) => ({
+    name: `entry-${String(index).padStart(5, '0')}`,
+    dataCentre: `dc-${index % dataCentres}`,
+    address: `10.0.${index >> 8}.${index & 255}:7901`,
+  }));
+}
+
+/** Daemons reached from the first by links in either direction. */
+function reached(all: readonly PeerCandidate[]): number {
+  const links = new Map<string, Set<string>>(
+    all.map(({name}) => [name, new Set<string>()]),
+  );
+  all.forEach((self, index) => {
+    const fraction = ((index * 7919) % 1000) / 1000;
+    for (const peer of choosePeers(self, all, BOUNDS, fraction)) {
+      links.get(self.name)?.add(peer.name);
+      links.get(peer.name)?.add(self.name);
+    }
+  });
+  const seen = new Set([all[0].name]);
+  const next = [all[0].name];
+  for (let name = next.pop(); name !== undefined; name = next.pop()) {
+    for (const other of links.get(name) ?? []) {
+      if (!seen.has(other)) next.push(other);
+      seen.add(other);
+    }
+  }
+  return seen.size;
+}
+
+describe('choosePeers', () => {
+  it('links a deployment of today to everyone', () => {
+    const all = daemons(4, 2);
+    assert.equal(choosePeers(all[0], all, BOUNDS, 0.5).length, 7);
+  });
+
+  it('keeps to its bounds with thousands of daemons, and leaves none out', () => {
+    const all = daemons(12, 100);
+    for (const self of all.slice(0, 50)) {
+      const chosen = choosePeers(self, all, BOUNDS, 0.5);
+      assert.equal(chosen.length, 16);
+      assert.equal(new Set(chosen.map(peer => peer.name)).size, 16);
+    }
+    assert.equal(reached(all), all.length);
+  });
+
+  it('deals its remote links out over data centres', () => {
+    const all = daemons(5, 50);
+    const remote = choosePeers(all[0], all, BOUNDS, 0.5).filter(
+      peer => peer.dataCentre !== 'dc-0',
+    );
+    assert.equal(new Set(remote.map(peer => peer.dataCentre)).size, 4);
+  });
+});
--- /dev/null
+++ b/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
@@ -0,0 +1,294 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {MetricName} from '@gentiandoor/kernel';
+import {
+  PeerTopic,
+  RecordKind,
+  StreamName,
+  cutSnapshot,
+  encodeRecord,
+  stateHash,
+} from '@gentiandoor/shared-state';
+import {
+  LogFault,
+  LogPathFault,
+  type MemoryPeerLinks,
+} from '@gentiandoor/stand-ins';
+import {dutyOrder} from '../snapshot-duty.js';
+import {Session} from './session.js';
+
+const SECOND = 1000;
+const FIRST = {version: 1, base: 0, author: 'moana'} as const;
+
+async function started(
+  entries: ReadonlyArray<readonly [string, string]>,
+  settings: Record<string, string> = {},
+): Promise<Session> {
+  const session = new Session(settings);
+  for (const [name, dataCentre] of entries)
+    await session.start(name, dataCentre);
+  await session.pass(3 * SECOND);
+  const rolled = session.rollOut('entry-1', FIRST, 'kerry');
+  await session.pass(SECOND);
+  await rolled;
+  return session;
+}
+
+const KINGSTON = [
+  ['entry-1', 'hall-a'],
+  ['entry-2', 'hall-b'],
+  ['entry-3', 'hall-c'],
+] as const;
+
+describe('the shared state under faults', {timeout: 120_000}, () => {
+  describe('a daemon that starts', () => {
+    // The log answers with a lagging read: it shows version 1 only, while a peer already
+    // serves under version 2. The fresh daemon must not serve under 1; callers get "no
+    // bundle yet" until the peer's records bring it to 2.
+    it('serves nothing under a lower version than a peer shows', async () => {
+      const session = await started(KINGSTON.slice(0, 2));
+      const second = {version: 2, base: 1, author: 'moana'} as const;
+      const rolled = session.rollOut('entry-1', second, 'kerry');
+      await session.pass(SECOND);
+      await rolled;
+      const end = session.log.endOf(StreamName.Fleet);
+      const fresh = await session.start('entry-3', 'hall-c');
+      const read = fresh.path.read.bind(fresh.path);
+      fresh.path.read = async (stream, from, options, signal) => {
+        const batch = await read(stream, from, options, signal);
+        if (stream !== StreamName.Fleet) return batch;
+        const lag = end - 2;
+        const payloads = batch.payloads.slice(0, Math.max(0, lag - from));
+        return {...batch, payloads, end: lag};
+      };
+      await session.pass(10 * SECOND);
+      assert.deepEqual(fresh.served, [2]);
+      await session.stopAll();
+    });
+
+    it('serves nothing while neither log nor peer says what is in force', async () => {
+      const session = await started(KINGSTON);
+      session.log.faults.add(LogFault.Outage);
+      for (const [name] of KINGSTON) await session.crash(name);
+      for (const [name, dataCentre] of KINGSTON)
+        await session.start(name, dataCentre);
+      await session.pass(60 * SECOND);
+      for (const daemon of session.daemons.values())
+        assert.equal(daemon.version, undefined);
+      await session.stopAll();
+    });
+  });
+
+  describe('a peer that makes records up', () => {
+    // entry-2 is cut off from the log and takes a made-up drain from a peer that claims to be
+    // ahead. When the log returns, the same offset holds another record: the state is given
+    // up, read again from the log, and the callers' versions never went back.
+    it('is found when the log returns', async () => {
+      const session = await started(KINGSTON.slice(0, 2));
+      const victim = session.daemon('entry-2');
+      victim.path.faults.add(LogPathFault.Cut);
+      session.network.cut('hall-a', 'hall-b');
+      await session.pass(20 * SECOND);
+      const liar = session.network.join({
+        name: 'entry-9',
+        incarnation: 'entry-9.1',
+        dataCentre: 'hall-b',
+      });
+      const offset = session.log.endOf(StreamName.Fleet);
+      answerFalsely(liar, offset);
+      await liar.request('entry-2.2', PeerTopic.StateSummary, {
+        offset: offset + 1,
+        hash: 'made up',
+        readsFormat: 1,
+        version: 1,
+        digest: 'made up',
+        isLogReachable: true,
+        isServing: true,
+      });
+      await session.pass(5 * SECOND);
+      const {vms} = victim.follower.state;
+      assert.equal(vms.get('hall-a-r1-1')?.drainReason, 'made up');
+      assert.ok(victim.metrics.value(MetricName.BundleAlarms) > 0);
+      session.network.leave('entry-9.1');
+      const drained = session.publish('entry-1', 'drains another', {
+        kind: RecordKind.DrainStarted,
+        id: session.nextId(),
+        writer: 'moana',
+        vm: 'hall-a-r1-2',
+        reason: 'true',
+      });
+      await session.pass(SECOND);
+      await drained;
+      victim.path.faults.clear();
+      session.network.heal('hall-a', 'hall-b');
+      await session.pass(20 * SECOND);
+      assert.ok(victim.metrics.value(MetricName.StateHashDifferences) > 0);
+      assert.equal(
+        stateHash(victim.follower.state),
+        stateHash(session.daemon('entry-1').follower.state),
+      );
+      assert.equal(
+        victim.follower.state.vms.get('hall-a-r1-1')?.drainReason,
+        undefined,
+      );
+      assert.deepEqual([...new Set(victim.served)], [1]);
+      await session.stopAll();
+    });
+  });
+
+  describe('a connection to the log that goes silent', () => {
+    // entry-2's long poll hangs on a connection that something has forgotten. Its peers have
+    // version 2 and tell it; it reads afresh and takes their records instead of waiting for
+    // the poll's end, so the roll-out stays within the aim.
+    it('does not hold up a roll-out', async () => {
+      const session = await started(KINGSTON);
+      const victim = session.daemon('entry-2');
+      victim.path.silenceMilliseconds = 60_000;
+      victim.path.faults.add(LogPathFault.Silent);
+      victim.follower.onChange(() => undefined);
+      await session.pass(6 * SECOND);
+      const second = {version: 2, base: 1, author: 'moana'} as const;
+      const rolled = session.rollOut('entry-1', second, 'kerry');
+      await session.pass(2 * SECOND);
+      await rolled;
+      assert.equal(victim.version, 2);
+      await session.stopAll();
+    });
+  });
+
+  describe('membership', () => {
+    it('ends with a graceful stop, and not with a crash', async () => {
+      const session = await started(KINGSTON);
+      const {follower} = session.daemon('entry-1');
+      const left = session.daemon('entry-2').follower.drain();
+      await session.pass(SECOND);
+      await left;
+      assert.equal(follower.state.members.has('entry-2.2'), false);
+      await session.crash('entry-3');
+      await session.pass(10 * SECOND);
+      assert.equal(follower.state.members.has('entry-3.3'), true);
+      await session.stopAll();
+    });
+
+    // entry-2 is paused, and a new process of its name joins. The old one wakes up and sees
+    // that it is no member any more: it must not push its successor out again, or the two
+    // would replace each other without end.
+    it('passes to a new incarnation and does not go back', async () => {
+      const session = await started(KINGSTON);
+      const old = session.daemon('entry-2');
+      await session.start('entry-2', 'hall-b');
+      await session.pass(30 * SECOND);
+      const {members} = session.daemon('entry-1').follower.state;
+      assert.deepEqual([...members.keys()].sort(), [
+        'entry-1.1',
+        'entry-2.4',
+        'entry-3.3',
+      ]);
+      const stopped = old.follower.stop();
+      await session.pass(SECOND);
+      await stopped;
+      await session.stopAll();
+    });
+  });
+
+  describe('snapshot duty', () => {
+    const settings = {
+      snapshot_records: '10',
+      snapshot_check_milliseconds: '1000',
+    };
+
+    async function takeRecords(session: Session, count: number): Promise<void> {
+      for (let index = 0; index < count; index++)
+        await session.log.append(StreamName.Fleet, [
+          encodeRecord({
+            kind: RecordKind.DrainEnded,
+            id: session.nextId(),
+            writer: 'moana',
+            vm: 'hall-a-r1-1',
+          }),
+        ]);
+    }
+
+    it('is done by one daemon of three', async () => {
+      const session = await started(KINGSTON, settings);
+      await takeRecords(session, 20);
+      await session.pass(20 * SECOND);
+      assert.equal(session.log.endOf(StreamName.Snapshots), 1);
+      await session.stopAll();
+    });
+
+    it('passes to the next in line when the first is gone', async () => {
+      const session = await started(KINGSTON, settings);
+      const {state} = session.daemon('entry-1').follower;
+      const [first] = dutyOrder(state.members.values(), 'snapshot after 0');
+      const name = [...state.members.values()].find(
+        member => member.incarnation === first,
+      )?.name;
+      await session.crash(name ?? '');
+      await takeRecords(session, 20);
+      await session.pass(30 * SECOND);
+      assert.equal(session.log.endOf(StreamName.Snapshots), 1);
+      await session.stopAll();
+    });
+
+    it('leaves out a half-written snapshot and goes by the last whole one', async () => {
+      const session = await started(KINGSTON, settings);
+      await takeRecords(session, 20);
+      await session.pass(20 * SECOND);
+      const end = session.log.endOf(StreamName.Fleet);
+      const [half] = cutSnapshot(end + 100, new Uint8Array(300_000));
+      await session.log.append(StreamName.Snapshots, [half]);
+      const fresh = await session.start('entry-4', 'hall-a');
+      await session.pass(5 * SECOND);
+      assert.deepEqual(fresh.served, [1]);
+      assert.match(session.text, /entry-4\s+SnapshotSkipped .*half written/);
+      assert.match(session.text, /entry-4\s+SnapshotLoaded/);
+      await session.stopAll();
+    });
+  });
+
+  describe('states that part', () => {
+    it('are counted at equal offsets', async () => {
+      const session = await started(KINGSTON);
+      const {state} = session.daemon('entry-2').follower;
+      state.vms.set('hall-a-r1-1', {
+        id: 'hall-a-r1-1',
+        pool: 'another',
+        epoch: 9,
+      });
+      const drained = session.publish('entry-1', 'drains', {
+        kind: RecordKind.DrainStarted,
+        id: session.nextId(),
+        writer: 'moana',
+        vm: 'hall-a-r1-2',
+        reason: 'true',
+      });
+      await session.pass(20 * SECOND);
+      await drained;
+      const differences = [...session.daemons.values()].map(({metrics}) =>
+        metrics.value(MetricName.StateHashDifferences),
+      );
+      assert.ok(
+        differences.every(count => count > 0),
+        String(differences),
+      );
+      await session.stopAll();
+    });
+  });
+});
+
+/** A peer that gives one made-up record for the offset. */
+function answerFalsely(liar: MemoryPeerLinks, offset: number): void {
+  const madeUp = encodeRecord({
+    kind: RecordKind.DrainStarted,
+    id: 'made up',
+    writer: 'nobody',
+    vm: 'hall-a-r1-1',
+    reason: 'made up',
+  });
+  liar.handle(PeerTopic.Records, async () => ({
+    from: offset,
+    payloads: [madeUp],
+  }));
+  liar.handle(PeerTopic.StateSummary, async () => undefined);
+}
--- a/packages/shared-state/src/__tests__/log-client.test.ts
+++ b/packages/shared-state/src/__tests__/log-client.test.ts
@@ -293,6 +293,32 @@
     stop.abort();
   });
 
+  // The log answers each long poll at once with nothing, as a read that lags behind does. The
+  // daemon must neither take its own event loop up with reads nor flood the log.
+  it('keeps a pace when reads bring nothing at once', async () => {
+    const {clock, platformLog, dependencies} = setUp();
+    let reads = 0;
+    platformLog.onRead = async () => {
+      reads++;
+      return {from: 0, payloads: [], end: 5, oldest: 0};
+    };
+    const stop = new AbortController();
+    const reader = new LogReader(
+      StreamName.Fleet,
+      dependencies,
+      {
+        nextOffset: () => 0,
+        take: async () => undefined,
+        crossGap: async () => undefined,
+      },
+      {limit: 1, waitMilliseconds: 1000},
+    );
+    void reader.run(stop.signal);
+    await clock.advanceAsync(10_000);
+    assert.ok(reads >= 50 && reads <= 110, `${reads} reads`);
+    stop.abort();
+  });
+
   it('tries an open gap with growing pauses', async () => {
     const {clock, platformLog, dependencies} = setUp();
     let tries = 0;
--- a/packages/shared-state/src/log-reader.ts
+++ b/packages/shared-state/src/log-reader.ts
@@ -2,6 +2,7 @@
   LogEvent,
   MetricName,
   backoff,
+  jitter,
   sleep,
   toError,
   type Clock,
@@ -19,6 +20,8 @@
 
 const BACKOFF_BASE_MILLISECONDS = 100;
 const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+/** Milliseconds of a read that brought nothing, at the least. */
+const SHORTEST_ROUND = 200;
 
 /** Where the records of a stream go. */
 export interface RecordSink {
@@ -91,6 +94,7 @@
     this.reading = new AbortController();
     const signal = AbortSignal.any([stop, this.reading.signal]);
     const from = this.sink.nextOffset();
+    const asked = this.dependencies.clock.monotonicMilliseconds();
     // The first read after a failure does not wait: its answer says that the log is back.
     const waitMilliseconds = this.reachable ? this.options.waitMilliseconds : 0;
     try {
@@ -100,6 +104,8 @@
       this.noteAnswer();
       this.failures = 0;
       await this.sink.take(batch);
+      if (waitMilliseconds > 0)
+        await this.pauseWithoutProgress(from, asked, signal);
     } catch (error) {
       if (!(error instanceof LogGapError)) throw error;
       this.noteAnswer();
@@ -107,6 +113,21 @@
     }
   }
 
+  /**
+   * A log that answers at once and empty, as one that lags behind its own end may, would be
+   * asked again without end.
+   */
+  private async pauseWithoutProgress(
+    from: number,
+    asked: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, random} = this.dependencies;
+    const took = clock.monotonicMilliseconds() - asked;
+    if (this.sink.nextOffset() !== from || took >= SHORTEST_ROUND) return;
+    await sleep(clock, jitter(random, SHORTEST_ROUND), signal);
+  }
+
   /** A gap that cannot be crossed yet is tried again with the pauses of a failure. */
   private async crossGap(
     from: number,
