--- a/packages/plugin-once-only/src/claims-over-log.ts
+++ b/packages/plugin-once-only/src/claims-over-log.ts
@@ -3,6 +3,7 @@
   MetricName,
   RequestError,
   RunOutcome,
+  resolveNow,
   type Clock,
   type DaemonIdentity,
   type Logger,
@@ -90,7 +91,22 @@
   private tasks: Promise<unknown> = Promise.resolve();
   private isDraining = false;
 
-  constructor(private readonly dependencies: ClaimsOverLogDependencies) {
+  private readonly dependencies: ClaimsOverLogDependencies;
+
+  constructor(given: ClaimsOverLogDependencies) {
+    const dependencies = resolveNow(
+      given,
+      'clock',
+      'random',
+      'logger',
+      'metrics',
+      'identity',
+      'platformLog',
+      'peerLinks',
+      'sharedState',
+      'onceOnlyOptions',
+    );
+    this.dependencies = dependencies;
     const {clock, identity, peerLinks, onceOnlyOptions} = dependencies;
     const holder = identity.incarnation;
     this.table = new ClaimTable(onceOnlyOptions.keys);
--- a/packages/plugin-once-only/src/local-once-only.ts
+++ b/packages/plugin-once-only/src/local-once-only.ts
@@ -25,7 +25,9 @@
   private readonly claims = new Map<string, Claim>();
 
   constructor(
-    private readonly dependencies: {readonly onceOnlyOptions: OnceOnlyOptions},
+    private readonly dependencies: {
+      readonly onceOnlyOptions: Pick<OnceOnlyOptions, 'keys'>;
+    },
   ) {}
 
   async start(): Promise<void> {}
--- a/packages/specification/src/__tests__/claims-fleet.ts
+++ b/packages/specification/src/__tests__/claims-fleet.ts
@@ -94,7 +94,11 @@
     for (const member of this.state.members.values()) {
       if (member.name === name) this.state.members.delete(member.incarnation);
     }
-    this.state.members.set(incarnation, {...identity, peerAddress: ''});
+    this.state.members.set(incarnation, {
+      ...identity,
+      peerAddress: '',
+      readsFormat: 1,
+    });
     const daemon = {...identity, claims, log, metrics};
     this.daemons.set(name, daemon);
     await claims.start();
