Rebalancing against noise, calendar of maintenance, the buffer checked against every size

Cause: hysteresis and the smallest buffer were not shown; nobody started waves by themselves. Change: tests of the rebalancer; MaintenanceCalendar behind automatic_waves (off by default).

--- /dev/null
+++ b/packages/fleet/src/__tests__/rebalancer.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  FailureDomain,
+  MoveCause,
+  RecordKind,
+  VmCondition,
+} from '@gentiandoor/shared-state';
+import {SWAN_COAST, type ExampleDeployment} from '@gentiandoor/stand-ins';
+import {smallestSize, worthwhileSpares} from '../buffer-plan.js';
+import type {PlannerInput, Proposal} from '../planner-input.js';
+import {REBALANCE_DEFAULTS} from '../rebalance-options.js';
+import {Rebalancer} from '../rebalancer.js';
+import {FoldedFleet, PLANNER} from './fold-helpers.js';
+
+const MINUTE = 60_000;
+
+function inputAt(fleet: FoldedFleet, now: number): PlannerInput {
+  return {
+    state: fleet.state,
+    now,
+    wallNow: now,
+    list: new Map(),
+    listAgeMilliseconds: 0,
+    suspected: new Set(),
+    actions: new Map(),
+  };
+}
+
+/** Plans each second of a stretch and gives the moves that were proposed. */
+function planFor(
+  rebalancer: Rebalancer,
+  fleet: FoldedFleet,
+  from: number,
+  until: number,
+): Proposal[] {
+  const proposals: Proposal[] = [];
+  for (let now = from; now < until; now += 1000)
+    proposals.push(...rebalancer.plan(inputAt(fleet, now)));
+  return proposals;
+}
+
+function planned(deployment: ExampleDeployment): FoldedFleet {
+  const fleet = new FoldedFleet(deployment);
+  fleet.takeTerm(PLANNER, 0);
+  return fleet;
+}
+
+function weighted(buffer: number, move: number): ExampleDeployment {
+  return {...SWAN_COAST, bufferWeight: buffer, moveWeight: move};
+}
+
+/** Two VMs of eligibility in one data centre and one in another: it lacks one to survive. */
+function shorten(fleet: FoldedFleet): void {
+  for (const n of [1, 2]) fleet.report(1, `eligibility-${n}`, VmCondition.Down);
+}
+
+describe('Rebalancer', () => {
+  describe('with restarts that end within minutes', () => {
+    it('moves nothing', () => {
+      const fleet = planned(weighted(1, 1));
+      const rebalancer = new Rebalancer();
+      const proposals: Proposal[] = [];
+      for (let n = 0; n < 20; n++) {
+        shorten(fleet);
+        const from = n * 6 * MINUTE;
+        proposals.push(...planFor(rebalancer, fleet, from, from + 4 * MINUTE));
+        for (const vm of [1, 2])
+          fleet.report(1, `eligibility-${vm}`, VmCondition.Up);
+        const later = from + 4 * MINUTE;
+        proposals.push(...planFor(rebalancer, fleet, later, later + MINUTE));
+      }
+      assert.equal(proposals.length, 0);
+    });
+  });
+
+  describe('with a shortage that lasts', () => {
+    it('lends a VM of the pool that can spare most', () => {
+      const fleet = planned(weighted(1, 1));
+      shorten(fleet);
+      const proposals = planFor(new Rebalancer(), fleet, 0, 6 * MINUTE);
+      const [first] = proposals;
+      assert.equal(first.record.kind, RecordKind.MoveStarted);
+      assert.match(first.decision.decision, /(statements|admin).* eligibility/);
+    });
+
+    it('waits longer where moves weigh more', () => {
+      const first = (deployment: ExampleDeployment): number => {
+        const fleet = planned(deployment);
+        shorten(fleet);
+        const rebalancer = new Rebalancer();
+        for (let now = 0; now < 120 * MINUTE; now += 1000)
+          if (rebalancer.plan(inputAt(fleet, now)).length > 0) return now;
+        return Infinity;
+      };
+      const bufferFirst = first(weighted(4, 1));
+      const movesFirst = first(weighted(1, 4));
+      assert.ok(movesFirst >= 8 * bufferFirst);
+    });
+
+    it('lends nothing that a donor needs itself', () => {
+      const fleet = planned(weighted(1, 1));
+      shorten(fleet);
+      for (const pool of ['valuation', 'repayment', 'statements', 'admin'])
+        for (const n of [1, 2])
+          fleet.report(1, `${pool}-${n}`, VmCondition.Down);
+      assert.deepEqual(planFor(new Rebalancer(), fleet, 0, 20 * MINUTE), []);
+    });
+  });
+
+  describe('with the shortage over', () => {
+    // A VM was lent; then the failed ones came back. It goes home once the pool has been able
+    // to do without it for a while, and only once.
+    it('gives the lent VM back', () => {
+      const fleet = planned(weighted(1, 1));
+      fleet.write('moana', {
+        kind: RecordKind.MoveStarted,
+        vm: 'admin-1',
+        epoch: 1,
+        toPool: 'eligibility',
+        cause: MoveCause.Lend,
+        reason: 'short',
+      });
+      const startedAt = fleet.state.work.get('admin-1')?.startedAt ?? 0;
+      fleet.acknowledgeAll('admin-1');
+      fleet.write(PLANNER, {
+        kind: RecordKind.MoveAssigned,
+        term: 1,
+        vm: 'admin-1',
+        startedAt,
+        epoch: 1,
+      });
+      const proposals = planFor(new Rebalancer(), fleet, 0, 31 * MINUTE);
+      assert.match(proposals[0].decision.decision, /eligibility to admin/);
+    });
+  });
+});
+
+describe('the buffer', () => {
+  it('is the fewest VMs that survive the named failure', () => {
+    assert.equal(smallestSize(5, FailureDomain.DataCentre, 4), 7);
+    assert.equal(smallestSize(3, FailureDomain.DataCentre, 3), 5);
+    assert.equal(smallestSize(5, FailureDomain.Vm, 4), 6);
+    assert.equal(smallestSize(5, FailureDomain.None, 4), 5);
+    assert.equal(smallestSize(5, FailureDomain.DataCentre, 1), Infinity);
+  });
+
+  it('agrees with trying every size', () => {
+    for (let needed = 1; needed < 60; needed++) {
+      for (let domains = 2; domains < 13; domains++) {
+        let size = needed;
+        while (size - Math.ceil(size / domains) < needed) size++;
+        const found = smallestSize(needed, FailureDomain.DataCentre, domains);
+        assert.equal(found, size, `${needed} over ${domains}`);
+      }
+    }
+  });
+
+  it('holds more spares where moves weigh more and pools are larger', () => {
+    const spares = (size: number, buffer: number, move: number) =>
+      worthwhileSpares(size, {buffer, move}, REBALANCE_DEFAULTS);
+    assert.equal(spares(8, 4, 1), 0);
+    assert.ok(spares(130, 1, 4) > spares(130, 4, 1));
+  });
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -18,3 +18,4 @@
 export * from './team-order.js';
 export * from './worker-failures.js';
 export * from './baselines.js';
+export * from './maintenance-calendar.js';
--- a/packages/plugin-fleet/src/__tests__/fleet-harness.ts
+++ b/packages/plugin-fleet/src/__tests__/fleet-harness.ts
@@ -48,6 +48,7 @@
   round_milliseconds: 1000,
   acknowledge_milliseconds: 1000,
   publish_timeout_milliseconds: 5000,
+  automatic_waves: false,
   maintenance_period_days: 35,
   lease_milliseconds: 60_000,
 };
--- a/packages/plugin-fleet/src/index.ts
+++ b/packages/plugin-fleet/src/index.ts
@@ -1,4 +1,4 @@
-import {asClass, asValue, type AwilixContainer} from 'awilix';
+import {asClass, asFunction, asValue, type AwilixContainer} from 'awilix';
 import {FleetPlanner} from '@gentiandoor/fleet';
 import type {PluginRegistry} from '@gentiandoor/kernel';
 import {DrainAcknowledger} from './drain-acknowledger.js';
@@ -8,7 +8,7 @@
   NoVmHealth,
   UnansweredRoutingDrain,
 } from './fallbacks.js';
-import {fleetOptions} from './fleet-options.js';
+import {fleetOptions, type FleetOptions} from './fleet-options.js';
 import {FleetRoutes} from './fleet-routes.js';
 import {FleetService} from './fleet-service.js';
 import {JobRoutes} from './job-routes.js';
@@ -34,7 +34,7 @@
     register(container, options) {
       container.register({
         fleetOptions: asValue(options),
-        fleetPlanner: asClass(FleetPlanner).singleton(),
+        fleetPlanner: asFunction(makePlanner).singleton(),
         fleetPublisher: asClass(FleetPublisher).singleton(),
         waveForecasts: asClass(WaveForecasts).singleton(),
         jobRunner: asClass(JobRunner).singleton(),
@@ -49,6 +49,14 @@
   });
 }
 
+function makePlanner(dependencies: {
+  readonly fleetOptions: FleetOptions;
+}): FleetPlanner {
+  const {automatic_waves: isOn, maintenance_period_days: days} =
+    dependencies.fleetOptions;
+  return new FleetPlanner({calendarDays: isOn ? days : undefined});
+}
+
 /** Edges that another plug-in registered before this one stand. */
 function registerFallbacks(container: AwilixContainer): void {
   const fallbacks = {
