--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -32,6 +32,7 @@
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
 const DEFAULT_OPERATOR = 'kerry';
+const PEER_KEY = 'peer-key-for-tests-only';
 const LOOPBACK = '127.0.0.1:0';
 const WAIT_STEP_MILLISECONDS = 10;
 
@@ -42,6 +43,14 @@
   readonly vms: readonly string[];
 }
 
+/** Settings of a daemon that differ from the usual ones. */
+export interface DaemonPlan {
+  readonly callerListen?: string;
+  readonly adminListen?: string;
+  readonly callerHttp?: Readonly<Record<string, number>>;
+  readonly targetHttp?: Readonly<Record<string, number>>;
+}
+
 /** A daemon of a deployment. */
 export interface RunningDaemon {
   readonly name: string;
@@ -61,6 +70,7 @@
   /** The operator whose key the daemons trust before the first bundle. */
   readonly operator: OperatorKeys = makeOperatorKeys();
   private platformAddress = '';
+  private isRolledOut = false;
 
   constructor(
     private readonly logger: Logger = new SilentLogger(),
@@ -89,9 +99,13 @@
     }
   }
 
-  async startDaemon(name: string, dataCentre: string): Promise<RunningDaemon> {
+  async startDaemon(
+    name: string,
+    dataCentre: string,
+    plan: DaemonPlan = {},
+  ): Promise<RunningDaemon> {
     const settings = parseSettings(
-      this.settingsOf(name, dataCentre),
+      this.settingsOf(name, dataCentre, plan),
       `${name}.ini`,
     );
     const daemon = new Daemon(settings, {logger: this.logger});
@@ -102,6 +116,9 @@
       callerAddress: `127.0.0.1:${daemon.resolve<CallerHttpServer>('callerHttp').port}`,
       adminAddress: `127.0.0.1:${daemon.resolve<AdminServer>('admin').port}`,
     };
+    // As the balancer does: nothing is sent to a daemon before it is ready.
+    if (this.isRolledOut)
+      await this.until(() => inForceVersion(running) !== undefined);
     this.daemons.push(running);
     return running;
   }
@@ -126,11 +143,24 @@
       operator: this.operatorName,
       signature: signBundle(this.operator.privateKey, version, digest),
     });
+    this.isRolledOut = true;
     await this.until(() =>
       this.daemons.every(running => inForceVersion(running) === version),
     );
   }
 
+  /** Waits until every daemon serves the folded state, with all daemons as members. */
+  async untilMembers(): Promise<void> {
+    const count = this.daemons.length;
+    await this.until(() =>
+      this.daemons.every(
+        ({daemon}) =>
+          daemon.resolve<SharedState>('sharedState').state.members.size ===
+          count,
+      ),
+    );
+  }
+
   async append(record: FleetRecord): Promise<void> {
     await this.log.append(StreamName.Fleet, [encodeRecord(record)]);
   }
@@ -150,7 +180,8 @@
     await this.platform.stop();
   }
 
-  private settingsOf(name: string, dataCentre: string): string {
+  /** Settings of a daemon of this deployment, in INI; also for one in another process. */
+  settingsOf(name: string, dataCentre: string, plan: DaemonPlan = {}): string {
     return `
 [daemon]
 name = ${name}
@@ -164,16 +195,27 @@
 poll_milliseconds = 200
 [shared-state]
 trusted_operators = ${this.operatorName}:${this.operator.publicKey}
+[peers]
+listen = ${LOOPBACK}
+key = ${PEER_KEY}
 [target-http]
+${linesOf(plan.targetHttp)}
 [caller-http]
-listen = ${LOOPBACK}
+listen = ${plan.callerListen ?? LOOPBACK}
+${linesOf(plan.callerHttp)}
 [admin]
-listen = ${LOOPBACK}
+listen = ${plan.adminListen ?? LOOPBACK}
 key = ${ADMIN_KEY}
 `;
   }
 }
 
+function linesOf(keys: Readonly<Record<string, number>> = {}): string {
+  return Object.entries(keys)
+    .map(([key, value]) => `${key} = ${value}`)
+    .join('\n');
+}
+
 function inForceVersion(running: RunningDaemon): number | undefined {
   const {state} = running.daemon.resolve<SharedState>('sharedState');
   return state.inForce?.bundle.version;
--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -21,13 +21,21 @@
   readonly outMilliseconds: number;
 }
 
+/** What the bound needs to know of a target. */
+export interface EjectionTarget {
+  readonly id: string;
+  readonly rack: string;
+  /** Whether it is in this daemon's data centre. */
+  readonly isNear: boolean;
+}
+
 /** Judges the targets of one pool by what exchanges show. */
 export interface Ejection {
   /** Where a target stands now. */
   standing(target: string, now: number): TargetStanding;
   observe(target: string, kind: OutcomeKind, now: number): void;
-  /** The targets of the pool with the rack of each; the bound follows from them. */
-  setTargets(racks: ReadonlyMap<string, string>): void;
+  /** The targets of the pool; the bound follows from them. */
+  setTargets(targets: readonly EjectionTarget[]): void;
   /** True while so many look bad that none is treated as ejected. */
   readonly isSharedFault: boolean;
 }
@@ -46,6 +54,8 @@
 }
 
 const FAILURES_IN_A_ROW = 5;
+/** A refused connection leaves little doubt: three of them are enough. */
+const UNREACHABLE_WEIGHT = 2;
 const FAILURE_SHARE = 0.5;
 const SHARE_MINIMUM_EXCHANGES = 10;
 /** Exchanges over which the failure share is kept: a mean over about the last twenty. */
@@ -71,9 +81,9 @@
     return this.outUntil !== undefined;
   }
 
-  count(failed: boolean): void {
+  count(failed: boolean, weight: number): void {
     this.exchanges++;
-    this.failuresInARow = failed ? this.failuresInARow + 1 : 0;
+    this.failuresInARow = failed ? this.failuresInARow + weight : 0;
     this.failureShare += ((failed ? 1 : 0) - this.failureShare) * SHARE_STEP;
   }
 
@@ -95,25 +105,28 @@
  * The bound is half of the pool, or its largest rack where that is more, and never all: a rack
  * fails most days and its targets must go. What takes more than a rack is a shared fault, such as
  * a database behind all targets; to eject would send the whole load to the few that are left and
- * fell those. So past the bound all are used as if none were ejected, and the records stay.
+ * fell those. So past the bound all are used as if none were ejected, and the records stay. The
+ * bound must be passed near by as well: a data centre that is cut off goes on with its own.
  */
 export class BoundedEjection implements Ejection {
   private readonly records = new Map<string, TargetRecord>();
-  private racks: ReadonlyMap<string, string> = new Map();
+  private targets: ReadonlyMap<string, EjectionTarget> = new Map();
   private bound = 0;
-  private out = 0;
+  private nearBound = 0;
+  private isPastBound = false;
 
   constructor(private readonly onChange: (change: StandingChange) => void) {}
 
   get isSharedFault(): boolean {
-    return this.out > this.bound;
+    return this.isPastBound;
   }
 
-  setTargets(racks: ReadonlyMap<string, string>): void {
-    this.racks = racks;
-    this.bound = boundOf(racks);
+  setTargets(targets: readonly EjectionTarget[]): void {
+    this.targets = new Map(targets.map(target => [target.id, target]));
+    this.bound = boundOf(targets);
+    this.nearBound = boundOf(targets.filter(target => target.isNear));
     for (const id of this.records.keys()) {
-      if (!racks.has(id)) this.records.delete(id);
+      if (!this.targets.has(id)) this.records.delete(id);
     }
     this.countOut();
   }
@@ -129,11 +142,14 @@
 
   observe(target: string, kind: OutcomeKind, now: number): void {
     if (kind === OutcomeKind.CallerGone || kind === OutcomeKind.Busy) return;
-    if (!this.racks.has(target)) return;
+    if (!this.targets.has(target)) return;
     const failed = isFailure(kind);
     const record = this.records.get(target) ?? this.recordOf(target, failed);
     if (!record) return;
-    record.count(failed);
+    record.count(
+      failed,
+      kind === OutcomeKind.Unreachable ? UNREACHABLE_WEIGHT : 1,
+    );
     if (record.isOut) this.observeOut(target, record, failed, now);
     else if (record.looksBad) this.eject(target, record, now);
     else if (now - record.backSince > FORGIVE_MILLISECONDS) record.timesOut = 0;
@@ -158,7 +174,7 @@
     if (now < record.outUntil && !this.isSharedFault) return;
     if (failed) {
       record.probationSuccesses = 0;
-      if (now >= record.outUntil) this.eject(target, record, now);
+      if (!this.isSharedFault) this.eject(target, record, now);
       return;
     }
     record.probationSuccesses++;
@@ -188,28 +204,49 @@
       TargetStanding.InUse,
       0,
     );
+    const wasSharedFault = this.isSharedFault;
     record.outUntil = undefined;
     record.backSince = now;
     record.failureShare = 0;
     record.exchanges = 0;
     this.countOut();
     this.onChange(change);
+    if (wasSharedFault && !this.isSharedFault) this.endSharedFault(now);
+  }
+
+  /**
+   * What is still out then was so for the shared fault: it goes on probation at once. Else half of
+   * the pool would fall out just as the fault ends, with times that grew during it.
+   */
+  private endSharedFault(now: number): void {
+    for (const record of this.records.values()) {
+      if (record.outUntil === undefined) continue;
+      record.outUntil = Math.min(record.outUntil, now);
+      record.timesOut = 1;
+    }
   }
 
   private countOut(): void {
-    this.out = 0;
-    for (const record of this.records.values()) if (record.isOut) this.out++;
+    let out = 0;
+    let nearOut = 0;
+    for (const [id, record] of this.records) {
+      if (!record.isOut) continue;
+      out++;
+      if (this.targets.get(id)?.isNear) nearOut++;
+    }
+    // Targets of this data centre that work while all others fail show a partition, not a fault
+    // that all share: the far ones stay out.
+    this.isPastBound = out > this.bound && nearOut > this.nearBound;
   }
 }
 
-function boundOf(racks: ReadonlyMap<string, string>): number {
+/** Targets that may be out; -1 for none at all, so that an empty group bounds nothing. */
+function boundOf(targets: readonly EjectionTarget[]): number {
   const sizes = new Map<string, number>();
-  for (const rack of racks.values()) {
-    sizes.set(rack, (sizes.get(rack) ?? 0) + 1);
-  }
-  const half = Math.floor(racks.size * LARGEST_SHARE_OUT);
+  for (const {rack} of targets) sizes.set(rack, (sizes.get(rack) ?? 0) + 1);
+  const half = Math.floor(targets.length * LARGEST_SHARE_OUT);
   const largestRack = Math.max(0, ...sizes.values());
-  return Math.min(racks.size - 1, Math.max(half, largestRack));
+  return Math.min(targets.length - 1, Math.max(half, largestRack));
 }
 
 function describe(
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -26,9 +26,16 @@
   RecordsApplied = 'records_applied',
   RecordsRejected = 'records_rejected',
   StateHashDifferences = 'state_hash_differences',
+  BundleAlarms = 'bundle_alarms',
   PeerMessages = 'peer_messages',
   PeerDisconnects = 'peer_disconnects',
   PeerMessagesDropped = 'peer_messages_dropped',
+  /** Keyed requests by what was decided: run, replayed or an error kind. */
+  KeyedRequests = 'keyed_requests',
+  /** Claims of keys that are remembered. */
+  ClaimsKept = 'claims_kept',
+  /** Bytes of answers held for replay. */
+  HeldAnswerBytes = 'held_answer_bytes',
   EventLoopDelay = 'event_loop_delay',
 }
 
