--- /dev/null
+++ b/packages/bench/src/scenarios/shared-state-roller.ts
@@ -0,0 +1,166 @@
+import {randomUUID} from 'node:crypto';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {
+  RecordKind,
+  digestOf,
+  encodeRecord,
+  makeDelta,
+  signBundle,
+  splitSections,
+  type FleetRecord,
+} from '@gentiandoor/shared-state';
+import type {ScenarioRow} from '../scenario.js';
+import type {
+  MeasuredEntry,
+  StateDeployment,
+} from './shared-state-deployment.js';
+
+const TENTHS = 10;
+
+/** The records of one change, made before anything is timed. */
+interface Change {
+  readonly version: number;
+  readonly proposed: FleetRecord;
+  readonly signed: FleetRecord;
+}
+
+/** Changes of a deployment's configuration, each timed from sign-off to in force everywhere. */
+export class BundleRoller {
+  /** Tenths of a millisecond from sign-off to in force at the last daemon. */
+  private readonly everywhere: Histogram = build();
+  /** Tenths of a millisecond from proposal to judged at the daemon that published it. */
+  private readonly proposals: Histogram = build();
+  private readonly changes: Change[] = [];
+  private bytes = 0;
+  private missed = 0;
+  private done = 0;
+
+  /** `textOf` makes the text of a version; its `base` is the version before. */
+  constructor(
+    private readonly deployment: StateDeployment,
+    private readonly textOf: (version: number) => string,
+    private readonly byDelta: boolean,
+  ) {}
+
+  /** Makes the records of the next changes, so that this work is not measured. */
+  prepare(count: number): void {
+    for (let made = 0; made < count; made++) {
+      const version = this.changes.length + 1;
+      this.changes.push(this.makeChange(version));
+    }
+  }
+
+  /** Rolls out the next version through one daemon; counts it as missed when it takes over `limitMilliseconds`. */
+  async rollOut(at: MeasuredEntry, limitMilliseconds = 10_000): Promise<void> {
+    if (this.done === this.changes.length) this.prepare(1);
+    const {version, proposed, signed} = this.changes[this.done++];
+    const {clock, entries} = this.deployment;
+    const proposedAt = clock.monotonicMilliseconds();
+    await this.publish(at, proposed);
+    const signedAt = clock.monotonicMilliseconds();
+    this.proposals.recordValue(Math.round((signedAt - proposedAt) * TENTHS));
+    const times = this.watch(version, entries);
+    await this.publish(at, signed);
+    const arrived = () => times.size === entries.length;
+    await this.deployment
+      .until(arrived, limitMilliseconds)
+      .catch(() => undefined);
+    for (const entry of entries) entry.onChange = () => undefined;
+    if (arrived())
+      this.everywhere.recordValue(
+        Math.round((Math.max(...times.values()) - signedAt) * TENTHS),
+      );
+    else this.missed++;
+  }
+
+  /** Forgets what was measured so far. */
+  reset(): void {
+    this.everywhere.reset();
+    this.proposals.reset();
+    this.bytes = 0;
+  }
+
+  row(label: string): ScenarioRow {
+    const count = this.everywhere.totalCount + this.missed;
+    return {
+      label,
+      values: {
+        bundles: count,
+        missed: this.missed,
+        p50_ms: percentile(this.everywhere, 50),
+        p99_ms: percentile(this.everywhere, 99),
+        max_ms: this.everywhere.maxValue / TENTHS,
+        proposal_p50_ms: percentile(this.proposals, 50),
+        bytes_a_bundle: Math.round(this.bytes / count),
+      },
+    };
+  }
+
+  get p99(): number {
+    return percentile(this.everywhere, 99);
+  }
+
+  get missedCount(): number {
+    return this.missed;
+  }
+
+  private watch(
+    version: number,
+    entries: readonly MeasuredEntry[],
+  ): Map<MeasuredEntry, number> {
+    const times = new Map<MeasuredEntry, number>();
+    const {clock} = this.deployment;
+    for (const entry of entries) {
+      entry.onChange = () => {
+        if (entry.version >= version && !times.has(entry))
+          times.set(entry, clock.monotonicMilliseconds());
+      };
+    }
+    return times;
+  }
+
+  private makeChange(version: number): Change {
+    const text = this.textOf(version);
+    const digest = digestOf(text);
+    const {privateKey} = this.deployment.operator;
+    return {
+      version,
+      proposed: this.proposal(version, text, digest),
+      signed: {
+        ...head(),
+        kind: RecordKind.BundleSigned,
+        version,
+        digest,
+        operator: 'kerry',
+        signature: signBundle(privateKey, version, digest),
+      },
+    };
+  }
+
+  private proposal(version: number, text: string, digest: string): FleetRecord {
+    if (!this.byDelta || version === 1)
+      return {...head(), kind: RecordKind.BundleProposed, text};
+    const base = this.textOf(version - 1);
+    return {
+      ...head(),
+      kind: RecordKind.BundleChanged,
+      baseDigest: digestOf(base),
+      digest,
+      steps: makeDelta(splitSections(base), text),
+    };
+  }
+
+  private async publish(at: MeasuredEntry, record: FleetRecord): Promise<void> {
+    this.bytes += encodeRecord(record).length;
+    const {rejection} = await at.follower.publish(record);
+    if (rejection) throw new Error(`${rejection.reason}: ${rejection.detail}`);
+  }
+}
+
+function head() {
+  return {id: randomUUID(), writer: 'moana'};
+}
+
+function percentile(histogram: Histogram, at: number): number {
+  return histogram.getValueAtPercentile(at) / TENTHS;
+}
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -78,12 +78,21 @@
   [MetricName.StateHashDifferences]: counter(
     'offsets at which a peer folded another state; must stay 0',
   ),
+  [MetricName.BundleAlarms]: counter(
+    'peers with the same version and another digest in force; must stay 0',
+  ),
   [MetricName.PeerMessages]: counter('messages on peer links', 'direction'),
   [MetricName.PeerDisconnects]: counter('peer links that ended', 'reason'),
   [MetricName.PeerMessagesDropped]: counter(
     'messages to or from peers that were dropped',
     'reason',
   ),
+  [MetricName.KeyedRequests]: counter(
+    'keyed requests by decision: run, replayed or an error kind',
+    'decision',
+  ),
+  [MetricName.ClaimsKept]: gauge('claims of keys that are remembered'),
+  [MetricName.HeldAnswerBytes]: gauge('bytes of answers held for replay'),
   [MetricName.EventLoopDelay]: timing(
     'milliseconds by which the event loop ran late',
   ),
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './golden.js';
 export * from './faulty-log.js';
 export * from './http-listener.js';
 export * from './memory-log.js';
@@ -5,6 +6,10 @@
 export * from './platform-server.js';
 export * from './target-server.js';
 export * from './memory-peer-network.js';
+export * from './fleet-example.js';
+export * from './memory-leases.js';
+export * from './memory-vm-actions.js';
+export * from './platform-lease-paths.js';
 export * from './vm-list-history.js';
 export * from './raw-faults.js';
 export * from './raw-target.js';
