--- a/packages/bench/src/scenarios/shared-state-deployment.ts
+++ b/packages/bench/src/scenarios/shared-state-deployment.ts
@@ -149,6 +149,11 @@
           ? this.httpLog
           : new PolledLog(this.httpLog, clock, options.pollMilliseconds),
       peerLinks: this.links,
+      vmList: {
+        current: () => new Map(),
+        ageMilliseconds: () => Infinity,
+        onChange: () => undefined,
+      },
       adminRoutes: new AdminRoutes(),
       sharedStateOptions: sharedStateOptions.parse({
         trusted_operators: `kerry:${operator.publicKey}`,
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -104,6 +104,9 @@
     'A newer incarnation of this daemon\u2019s name is the member; this one agrees to nothing any more.',
     'stop this process, or give the two daemons two names',
   ),
+  [LogEvent.MemberGone]: entry(
+    'A daemon whose VM the platform no longer lists was taken out of the members.',
+  ),
   [LogEvent.PlannerTermTaken]: entry(
     'This daemon plans for the fleet from here on.',
   ),
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -30,6 +30,7 @@
   PeerLost = 1602,
   PeerRefused = 1603,
   MemberReplaced = 1604,
+  MemberGone = 1605,
   PlannerTermTaken = 1701,
   PlannerTermLost = 1702,
   FleetDecision = 1703,
--- a/packages/plugin-admin/src/bundle-routes.ts
+++ b/packages/plugin-admin/src/bundle-routes.ts
@@ -9,6 +9,7 @@
 } from '@gentiandoor/kernel';
 import {
   RecordKind,
+  makeProposal,
   parseBundle,
   type SharedState,
 } from '@gentiandoor/shared-state';
@@ -102,12 +103,11 @@
       if (!(error instanceof BundleError)) throw error;
       return {status: 400, body: {error: error.message}};
     }
-    return publishAnswer(this.sharedState, {
-      kind: RecordKind.BundleProposed,
-      id: randomUUID(),
-      writer: WRITER,
-      text,
-    });
+    const head = {id: randomUUID(), writer: WRITER};
+    return publishAnswer(
+      this.sharedState,
+      makeProposal(this.sharedState.state, head, text),
+    );
   }
 
   private async signOff(request: AdminRequest): Promise<AdminAnswer> {
--- a/packages/plugin-shared-state/src/__tests__/session.ts
+++ b/packages/plugin-shared-state/src/__tests__/session.ts
@@ -16,7 +16,12 @@
   type FleetRecord,
   type FoldOutcome,
 } from '@gentiandoor/shared-state';
-import {FaultyLog, MemoryLog, MemoryPeerNetwork} from '@gentiandoor/stand-ins';
+import {
+  FaultyLog,
+  MemoryLog,
+  MemoryPeerNetwork,
+  MemoryVmList,
+} from '@gentiandoor/stand-ins';
 import {LogFollower} from '../log-follower.js';
 import {sharedStateOptions} from '../shared-state-options.js';
 import {fixedOperatorKeys} from './operators.js';
@@ -103,6 +108,11 @@
       platformLog: this.path,
       peerLinks: network.join({name, dataCentre, incarnation}),
       peerDirectory,
+      vmList: {
+        current: () => new Map(session.list.visible().map(vm => [vm.id, vm])),
+        ageMilliseconds: () => 0,
+        onChange: () => undefined,
+      },
       adminRoutes: new AdminRoutes(),
       sharedStateOptions: sharedStateOptions.parse({
         trusted_operators: Object.entries(OPERATORS)
@@ -131,6 +141,7 @@
   readonly clock = new VirtualClock();
   readonly log: MemoryLog;
   readonly network = new MemoryPeerNetwork();
+  readonly list: MemoryVmList;
   readonly daemons = new Map<string, SessionDaemon>();
   private readonly lines: string[] = [];
   private seed = 0;
@@ -139,6 +150,7 @@
 
   constructor(private readonly settings: Record<string, string> = {}) {
     this.log = new MemoryLog(this.clock);
+    this.list = new MemoryVmList(this.clock);
   }
 
   nextSeed(): number {
--- a/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
+++ b/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {MetricName} from '@gentiandoor/kernel';
 import {
+  ListedState,
   PeerTopic,
   RecordKind,
   StreamName,
@@ -14,7 +15,7 @@
   LogPathFault,
   type MemoryPeerLinks,
 } from '@gentiandoor/stand-ins';
-import {dutyOrder} from '../snapshot-duty.js';
+import {dutyOrder} from '../duty-order.js';
 import {Session} from './session.js';
 
 const SECOND = 1000;
@@ -170,6 +171,31 @@
       await session.stopAll();
     });
 
+    // entry-3 crashes for good and the platform drops its VM from the list. A move would wait
+    // for its acknowledgement without end; one of the others takes it out through the log.
+    it('ends for a daemon whose VM the list has dropped', async () => {
+      const session = await started(KINGSTON);
+      for (const [id, dataCentre] of KINGSTON)
+        session.list.put({
+          id,
+          dataCentre,
+          address: '127.0.0.1:1',
+          rack: 'r1',
+          state: ListedState.Live,
+        });
+      await session.pass(10 * SECOND);
+      await session.crash('entry-3');
+      session.list.remove('entry-3');
+      const {follower} = session.daemon('entry-1');
+      await session.pass(50 * SECOND);
+      assert.equal(follower.state.members.has('entry-3.3'), true);
+      const before = session.log.endOf(StreamName.Fleet);
+      await session.pass(60 * SECOND);
+      assert.equal(follower.state.members.has('entry-3.3'), false);
+      assert.equal(session.log.endOf(StreamName.Fleet), before + 1);
+      await session.stopAll();
+    });
+
     // entry-2 is paused, and a new process of its name joins. The old one wakes up and sees
     // that it is no member any more: it must not push its successor out again, or the two
     // would replace each other without end.
--- a/packages/plugin-shared-state/src/log-follower.ts
+++ b/packages/plugin-shared-state/src/log-follower.ts
@@ -27,7 +27,9 @@
   type PlatformLog,
   type RecordSink,
   type SharedState,
+  type VmList,
 } from '@gentiandoor/shared-state';
+import {MemberWatch} from './member-watch.js';
 import {Membership} from './membership.js';
 import {PeerExchange} from './peer-exchange.js';
 import {ServingGate} from './serving-gate.js';
@@ -48,6 +50,7 @@
   readonly platformLog: PlatformLog;
   readonly peerLinks: PeerLinks;
   readonly peerDirectory: PeerDirectory;
+  readonly vmList: VmList;
   readonly adminRoutes: AdminRoutes;
   readonly sharedStateOptions: SharedStateOptions;
 }
@@ -66,6 +69,7 @@
   private readonly loader: SnapshotLoader;
   private readonly exchange: PeerExchange;
   private readonly membership: Membership;
+  private readonly watch: MemberWatch;
   private readonly gate: ServingGate;
   private readonly duty: SnapshotDuty;
   private readonly stopping = new AbortController();
@@ -112,6 +116,7 @@
     const publish = (record: FleetRecord, signal?: AbortSignal) =>
       this.publish(record, signal);
     this.membership = new Membership(dependencies, this.keeper, publish);
+    this.watch = new MemberWatch(dependencies, options, this.keeper, publish);
     this.gate = new ServingGate(
       dependencies,
       options,
@@ -157,6 +162,7 @@
       this.exchange.run(signal),
       this.gate.run(signal),
       this.membership.run(signal),
+      this.watch.run(signal),
       this.duty.run(signal),
     ];
   }
--- /dev/null
+++ b/packages/plugin-shared-state/src/member-watch.ts
@@ -0,0 +1,105 @@
+import {randomUUID} from 'node:crypto';
+import {
+  LogEvent,
+  jitter,
+  sleep,
+  type Clock,
+  type DaemonIdentity,
+  type Logger,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {RecordKind, type Member, type VmList} from '@gentiandoor/shared-state';
+import {dutyOrder} from './duty-order.js';
+import type {Publish} from './membership.js';
+import type {SharedStateOptions} from './shared-state-options.js';
+import type {StateKeeper} from './state-keeper.js';
+
+const LOOK_MILLISECONDS = 5000;
+/** Looks that the next in line waits for the one before it. */
+const LOOKS_OF_A_RANK = 2;
+/** A list that was not read for so long says nothing about who is gone. */
+const STALE_LIST_MILLISECONDS = 30_000;
+
+/** What the watch needs. */
+export interface MemberWatchDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly identity: DaemonIdentity;
+  readonly vmList: VmList;
+}
+
+/**
+ * Takes out members whose VM the platform no longer lists. Without it a crashed daemon that is
+ * not replaced under its name holds up each move that waits for its acknowledgement, for good.
+ * Only absence after presence counts: a platform that does not list entry VMs says nothing.
+ * Rests on one assumption: a VM that the list has dropped can no longer reach a target.
+ */
+export class MemberWatch {
+  private readonly listed = new Set<string>();
+  private readonly absentSince = new Map<string, number>();
+
+  constructor(
+    private readonly dependencies: MemberWatchDependencies,
+    private readonly options: SharedStateOptions,
+    private readonly keeper: StateKeeper,
+    private readonly publish: Publish,
+  ) {}
+
+  async run(stop: AbortSignal): Promise<void> {
+    const {clock, random} = this.dependencies;
+    while (!stop.aborted) {
+      await sleep(clock, jitter(random, LOOK_MILLISECONDS), stop);
+      for (const member of this.goneMembers()) await this.takeOut(member, stop);
+    }
+  }
+
+  /** Members that have been gone long enough for this daemon, by its place in line, to act. */
+  private goneMembers(): Member[] {
+    const {clock, identity, vmList} = this.dependencies;
+    if (vmList.ageMilliseconds() > STALE_LIST_MILLISECONDS) {
+      this.absentSince.clear();
+      return [];
+    }
+    const now = clock.monotonicMilliseconds();
+    const members = [...this.keeper.live.members.values()];
+    for (const {name} of members) this.note(name, now);
+    const patience = (member: Member) => {
+      const others = members.filter(({name}) => name !== member.name);
+      const order = dutyOrder(others, `left ${member.incarnation}`);
+      const place = order.indexOf(identity.incarnation);
+      if (place < 0) return Infinity;
+      return (
+        this.options.gone_milliseconds +
+        place * LOOKS_OF_A_RANK * LOOK_MILLISECONDS
+      );
+    };
+    return members.filter(member => {
+      const since = this.absentSince.get(member.name);
+      return since !== undefined && now - since > patience(member);
+    });
+  }
+
+  private note(name: string, now: number): void {
+    if (this.dependencies.vmList.current().has(name)) {
+      this.listed.add(name);
+      this.absentSince.delete(name);
+    } else if (this.listed.has(name) && !this.absentSince.has(name)) {
+      this.absentSince.set(name, now);
+    }
+  }
+
+  private async takeOut(member: Member, stop: AbortSignal): Promise<void> {
+    const {identity, logger} = this.dependencies;
+    const {name, incarnation} = member;
+    const record = {
+      kind: RecordKind.MemberLeft,
+      id: randomUUID(),
+      writer: identity.incarnation,
+      incarnation,
+    } as const;
+    const outcome = await this.publish(record, stop).catch(() => undefined);
+    if (!outcome || outcome.rejection) return;
+    logger.warn(LogEvent.MemberGone, {name, incarnation});
+  }
+}
--- a/packages/plugin-shared-state/src/shared-state-options.ts
+++ b/packages/plugin-shared-state/src/shared-state-options.ts
@@ -27,6 +27,8 @@
   summary_milliseconds: integerSetting(100, 60_000).default(5000),
   /** A daemon that starts waits so long for the peers it knows of before it serves. */
   gather_milliseconds: integerSetting(0, 60_000).default(1500),
+  /** A member that the platform's list has dropped is taken out after so long. */
+  gone_milliseconds: integerSetting(1000, HOUR).default(60_000),
   /** Records after which a snapshot is due. */
   snapshot_records: integerSetting(10, 10_000_000).default(5000),
   /** Time after which a snapshot is due: well below the time for which the log keeps records. */
--- a/packages/plugin-shared-state/src/snapshot-duty.ts
+++ b/packages/plugin-shared-state/src/snapshot-duty.ts
@@ -1,4 +1,4 @@
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {
   LogEvent,
   jitter,
@@ -20,6 +20,7 @@
   type LogAppender,
   type TakenSnapshot,
 } from '@gentiandoor/shared-state';
+import {dutyOrder} from './duty-order.js';
 import type {Publish} from './membership.js';
 import type {SharedStateOptions} from './shared-state-options.js';
 import {restOfLoop, type StateKeeper} from './state-keeper.js';
@@ -41,22 +42,6 @@
   readonly end: number | undefined;
 }
 
-/**
- * Members in the order in which they are to do a duty: the same at all daemons, another one
- * for each `duty`, so that one daemon does it and not seven, and not always the same.
- */
-export function dutyOrder(
-  members: Iterable<{readonly incarnation: string}>,
-  duty: string,
-): string[] {
-  const order = (incarnation: string) =>
-    createHash('sha256').update(`${duty} ${incarnation}`).digest('hex');
-  return [...members]
-    .map(({incarnation}) => ({incarnation, key: order(incarnation)}))
-    .sort((left, right) => (left.key < right.key ? -1 : 1))
-    .map(({incarnation}) => incarnation);
-}
-
 /**
  * Whether a snapshot is due: by records since the last, by time, or because the last one has
  * come into the older half of what the log keeps. Either alone would fail: few records a day
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -14,6 +14,7 @@
 export * from './job-index.js';
 export * from './log-appender.js';
 export * from './log-reader.js';
+export * from './make-proposal.js';
 export * from './once-only.js';
 export * from './parse-memo.js';
 export * from './peer-directory.js';
--- a/packages/shared-state/src/record-head.ts
+++ b/packages/shared-state/src/record-head.ts
@@ -16,3 +16,9 @@
   /** Incarnation of the daemon, or name of the operator, that wrote it. */
   writer: recordText,
 };
+
+/** What every record carries. */
+export interface RecordHead {
+  readonly id: string;
+  readonly writer: string;
+}
