--- /dev/null
+++ b/packages/plugin-platform-leases/src/__tests__/http-leases.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {VirtualClock} from '@gentiandoor/kernel';
+import {
+  ListedState,
+  TaskState,
+  VmAction,
+  VmActionState,
+} from '@gentiandoor/shared-state';
+import {
+  LeaseFault,
+  MemoryLeases,
+  MemoryLog,
+  MemoryVmActions,
+  MemoryVmList,
+  PlatformLeasePaths,
+  PlatformServer,
+} from '@gentiandoor/stand-ins';
+import {HttpLeases} from '../http-leases.js';
+import {HttpVmActions} from '../http-vm-actions.js';
+import {PlatformCallError, PlatformCalls} from '../platform-calls.js';
+
+const SIZE = {processors: 1, memoryGigabytes: 1, accelerators: 0};
+const TASK = {
+  id: 'badge-1/1',
+  vm: 'crest-works-1',
+  size: SIZE,
+  leaseMilliseconds: 60_000,
+  payload: 'badge-1',
+};
+
+describe('the platform\u2019s leases over HTTP', () => {
+  const clock = new VirtualClock();
+  const list = new MemoryVmList(clock);
+  const leases = new MemoryLeases(clock, () => ({
+    runMilliseconds: 30_000,
+    fails: false,
+    usage: SIZE,
+  }));
+  const actions = new MemoryVmActions(clock, list);
+  const platform = new PlatformServer(
+    new MemoryLog(clock),
+    list,
+    new PlatformLeasePaths(leases, actions),
+  );
+  let platformCalls: PlatformCalls;
+
+  before(async () => {
+    const address = await platform.start('127.0.0.1:0');
+    const options = {address, timeout_milliseconds: 5000, connections: 2};
+    platformCalls = new PlatformCalls({platformLeasesOptions: options});
+  });
+
+  after(async () => {
+    await platformCalls.stop();
+    await platform.stop();
+  });
+
+  it('carry a task from its start to its end', async () => {
+    const client = new HttpLeases({platformCalls});
+    assert.equal((await client.start(TASK)).state, TaskState.Running);
+    await client.start(TASK);
+    await client.renew(TASK.id, 60_000);
+    clock.advance(31_000);
+    const [report] = await client.report();
+    assert.equal(report.state, TaskState.Finished);
+    assert.equal(leases.runs.get(TASK.id), 1);
+  });
+
+  it('bar a task that never started', async () => {
+    const client = new HttpLeases({platformCalls});
+    const {state} = await client.stop('badge-2/1');
+    assert.equal(state, TaskState.NeverStarted);
+    const later = await client.start({...TASK, id: 'badge-2/1'});
+    assert.equal(later.state, TaskState.NeverStarted);
+    assert.equal(leases.runs.has('badge-2/1'), false);
+  });
+
+  it('report a refusal as a failed call, sent once', async () => {
+    const client = new HttpLeases({platformCalls});
+    leases.faults.add(LeaseFault.Outage);
+    await assert.rejects(client.report(), PlatformCallError);
+    leases.faults.delete(LeaseFault.Outage);
+  });
+
+  it('do a VM action of one id once', async () => {
+    const id = 'admin-1';
+    const place = {address: '127.0.0.1:1', dataCentre: 'hall-a', rack: 'r1'};
+    list.put({id, ...place, state: ListedState.Live});
+    const client = new HttpVmActions({platformCalls});
+    const request = {id: 'admin-1/7/1', vm: id, action: VmAction.Reboot};
+    assert.equal(await client.ask(request), VmActionState.Running);
+    clock.advance(121_000);
+    assert.equal(await client.ask(request), VmActionState.Done);
+    assert.equal(actions.done.length, 1);
+  });
+
+  it('fail clearly without an address', async () => {
+    const options = {timeout_milliseconds: 100, connections: 1};
+    const calls = new PlatformCalls({platformLeasesOptions: options});
+    const client = new HttpLeases({platformCalls: calls});
+    await assert.rejects(client.report(), /has no address/);
+  });
+});
