Demo drives the fleet by the operators' commands: rack drained, a wave's first reboot, a job under a lease

Cause: the demo appended drain records by hand and knew no budgets, reboots or jobs. Change: commands of the command line; a reboot closes the target's server and connections at once, so a stop that is not graceful shows.

--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -1,8 +1,14 @@
-import {randomUUID} from 'node:crypto';
 import {SilentLogger, sleep} from '@gentiandoor/kernel';
-import {RecordKind, parseBundle} from '@gentiandoor/shared-state';
+import {
+  JobState,
+  WorkStep,
+  parseBundle,
+  type FleetState,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import {ExitCode, processContext, runProgram} from '@gentiandoor/cli';
 import {Caller, type CallerRequest} from '../caller.js';
-import {Deployment, type DaemonPlan} from '../deployment.js';
+import {ADMIN_KEY, Deployment, type DaemonPlan} from '../deployment.js';
 import {PromiseLedger} from '../promise-ledger.js';
 import {kingstonBundle, nextVersion, racksOf} from './kingston.js';
 
@@ -15,6 +21,10 @@
 const PLAN: DaemonPlan = {
   callerHttp: {keep_alive_milliseconds: 1500, drain_grace_milliseconds: 300},
 };
+const WAVE = 'december';
+const WAVE_POOL = 'counter-preview';
+const WAVE_MILLISECONDS = 30_000;
+const JOB = 'badge-run-1';
 const DATA_CENTRES = ['hall-a', 'hall-b', 'hall-c'];
 
 interface Workload {
@@ -67,6 +77,8 @@
       await this.startAll();
       const callers = this.startCallers();
       await this.drainRack();
+      await this.beginWave();
+      await this.runJob();
       await this.rollOutAgain();
       await this.restartDaemon();
       this.running = false;
@@ -140,25 +152,77 @@
     const vms = [...deployment.targets.keys()].filter(id =>
       id.startsWith(DRAINED_RACK),
     );
-    for (const vm of vms) await this.changeDrain(vm, true);
+    for (const vm of vms)
+      await this.operator('vm', 'drain', vm, '--reason', 'rack maintenance');
     await sleep(deployment.clock, PHASE_MILLISECONDS);
     const before = this.runsOf(vms);
     await sleep(deployment.clock, PHASE_MILLISECONDS);
     this.print(
       `drain: rack ${DRAINED_RACK} (${vms.length} VMs) got ${this.runsOf(vms) - before} new requests in the last ${PHASE_MILLISECONDS} ms of its drain`,
     );
-    for (const vm of vms) await this.changeDrain(vm, false);
-    await sleep(deployment.clock, PHASE_MILLISECONDS);
+    for (const vm of vms) await this.operator('vm', 'return', vm);
     this.print(`drain: rack ${DRAINED_RACK} takes work again`);
   }
 
-  private async changeDrain(vm: string, drain: boolean): Promise<void> {
-    const head = {id: randomUUID(), writer: 'operator', vm};
-    await this.deployment.append(
-      drain
-        ? {...head, kind: RecordKind.DrainStarted, reason: 'rack maintenance'}
-        : {...head, kind: RecordKind.DrainEnded},
+  /** A wave watches each VM for a minute after its reboot; the demo shows the first and holds it. */
+  private async beginWave(): Promise<void> {
+    const from = performance.now();
+    await this.operator(
+      ...['maintenance', 'start', WAVE, '--reason', 'kernel update'],
+      ...['--pools', WAVE_POOL],
+    );
+    let rebooted: string | undefined;
+    await this.deployment.until(() => {
+      rebooted = this.vmOnTrial();
+      return rebooted !== undefined;
+    }, WAVE_MILLISECONDS);
+    const seconds = ((performance.now() - from) / 1000).toFixed(1);
+    await this.operator('maintenance', 'hold', WAVE, '--reason', 'end of demo');
+    this.print(
+      `wave: ${rebooted} drained, acknowledged by every daemon, rebooted and under watch after ${seconds} s; wave held`,
+    );
+  }
+
+  private vmOnTrial(): string | undefined {
+    const {work} = this.state();
+    return [...work].find(([, {step}]) => step === WorkStep.Trial)?.[0];
+  }
+
+  private state(): FleetState {
+    const [{daemon}] = this.deployment.daemons;
+    return daemon.resolve<SharedState>('sharedState').state;
+  }
+
+  private async runJob(): Promise<void> {
+    const {deployment} = this;
+    await this.operator(
+      ...['job', 'submit', JOB, '--pool', 'school-emblems'],
+      ...['--team', 'cooperatives', '--processors', '4', '--memory', '8'],
+    );
+    await deployment.until(() => this.isJobDone(), WAVE_MILLISECONDS);
+    this.print(`job: ${JOB} ran on a VM of school-emblems under a lease`);
+  }
+
+  private isJobDone(): boolean {
+    return this.state().jobs.get(JOB)?.state === JobState.Finished;
+  }
+
+  /** Runs a command of the operators' command line; throws when it fails. */
+  private async operator(...words: string[]): Promise<void> {
+    const [{adminAddress}] = this.deployment.daemons;
+    const notes: string[] = [];
+    const context = {
+      ...processContext(),
+      print: () => undefined,
+      note: (line: string) => notes.push(line),
+    };
+    const common = ['--admin', adminAddress, '--key', ADMIN_KEY];
+    const code = await runProgram(
+      ['node', 'gentiandoor', ...words, ...common],
+      context,
     );
+    if (code !== ExitCode.Done)
+      throw new Error(`${words.join(' ')}: ${notes.join(' ')}`);
   }
 
   private runsOf(vms: readonly string[]): number {
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -23,17 +23,29 @@
 import type {AdminServer} from '@gentiandoor/plugin-admin';
 import type {CallerHttpServer} from '@gentiandoor/plugin-caller-http';
 import {
+  MemoryLeases,
   MemoryLog,
+  MemoryVmActions,
   MemoryVmList,
+  PlatformLeasePaths,
   PlatformServer,
   TargetServer,
+  type TaskBehaviour,
 } from '@gentiandoor/stand-ins';
+import {RebootingVms} from './rebooting-vms.js';
 
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
 const DEFAULT_OPERATOR = 'kerry';
+const TASK_BEHAVIOUR: TaskBehaviour = {
+  runMilliseconds: 500,
+  fails: false,
+  usage: {processors: 1, memoryGigabytes: 1, accelerators: 0},
+};
+const BOOT_MILLISECONDS = 400;
 const PEER_KEY = 'peer-key-for-tests-only';
 const LOOPBACK = '127.0.0.1:0';
+const LONGEST_WAIT_MILLISECONDS = 10_000;
 const WAIT_STEP_MILLISECONDS = 10;
 
 /** A rack and its VMs. */
@@ -64,8 +76,17 @@
   readonly clock = new SystemClock();
   readonly log = new MemoryLog(this.clock);
   readonly list = new MemoryVmList(this.clock);
-  readonly platform = new PlatformServer(this.log, this.list);
   readonly targets = new Map<string, TargetServer>();
+  readonly vmActions = new MemoryVmActions(this.clock, this.list);
+  readonly leases = new MemoryLeases(this.clock, () => TASK_BEHAVIOUR);
+  readonly platform = new PlatformServer(
+    this.log,
+    this.list,
+    new PlatformLeasePaths(
+      this.leases,
+      new RebootingVms(this.clock, this.vmActions, this.targets),
+    ),
+  );
   readonly daemons: RunningDaemon[] = [];
   /** The operator whose key the daemons trust before the first bundle. */
   readonly operator: OperatorKeys = makeOperatorKeys();
@@ -79,6 +100,7 @@
   ) {}
 
   async startPlatform(): Promise<void> {
+    this.vmActions.bootMilliseconds = BOOT_MILLISECONDS;
     this.platformAddress = await this.platform.start(LOOPBACK);
   }
 
@@ -165,13 +187,22 @@
     await this.log.append(StreamName.Fleet, [encodeRecord(record)]);
   }
 
-  /** Waits for a condition; rejects after ten seconds. */
-  async until(condition: () => boolean): Promise<void> {
-    for (let waited = 0; waited < 10_000; waited += WAIT_STEP_MILLISECONDS) {
+  /** Waits for a condition; rejects when it does not come true in time. */
+  async until(
+    condition: () => boolean,
+    longestMilliseconds = LONGEST_WAIT_MILLISECONDS,
+  ): Promise<void> {
+    for (
+      let waited = 0;
+      waited < longestMilliseconds;
+      waited += WAIT_STEP_MILLISECONDS
+    ) {
       if (condition()) return;
       await sleep(this.clock, WAIT_STEP_MILLISECONDS);
     }
-    throw new Error('the condition did not come true within ten seconds');
+    throw new Error(
+      `the condition did not come true within ${longestMilliseconds} ms`,
+    );
   }
 
   async stop(): Promise<void> {
@@ -190,6 +221,8 @@
 [metrics]
 [platform-log]
 address = ${this.platformAddress}
+[platform-leases]
+address = ${this.platformAddress}
 [platform-list]
 address = ${this.platformAddress}
 poll_milliseconds = 200
--- /dev/null
+++ b/packages/bench/src/rebooting-vms.ts
@@ -0,0 +1,40 @@
+import {sleep, type Clock} from '@gentiandoor/kernel';
+import type {
+  VmActionRequest,
+  VmActionState,
+  VmActions,
+} from '@gentiandoor/shared-state';
+import type {MemoryVmActions, TargetServer} from '@gentiandoor/stand-ins';
+
+/**
+ * Reboots that really end the target's process side: its server and all of its connections close
+ * at once, as a reboot does, so that a stop which was not graceful shows as cut answers.
+ */
+export class RebootingVms implements VmActions {
+  private readonly seen = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly actions: MemoryVmActions,
+    private readonly targets: ReadonlyMap<string, TargetServer>,
+  ) {}
+
+  async ask(request: VmActionRequest): Promise<VmActionState> {
+    const state = await this.actions.ask(request);
+    if (!this.seen.has(request.id)) {
+      this.seen.add(request.id);
+      void this.reboot(request.vm);
+    }
+    return state;
+  }
+
+  private async reboot(vm: string): Promise<void> {
+    const target = this.targets.get(vm);
+    if (!target) return;
+    const {address} = target;
+    await target.stop();
+    // Up a little before the list shows it again, as a VM is.
+    await sleep(this.clock, this.actions.bootMilliseconds / 2);
+    if (!this.actions.neverReturn.has(vm)) await target.start(address);
+  }
+}
