Readiness names what a daemon waits for; a daemon is not ready before it has read the claims

Cause: after a restart a daemon refused every keyed request for about a second ('the claims are still being read'): 24 to 26 of about 3,700 requests in the demo. Ruled out: the log's cap and lost appends (the detail of each refusal says so). Change: parts add checks to the health answer; with the log out a daemon is ready all the same.

--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -139,8 +139,7 @@
       adminAddress: `127.0.0.1:${daemon.resolve<AdminServer>('admin').port}`,
     };
     // As the balancer does: nothing is sent to a daemon before it is ready.
-    if (this.isRolledOut)
-      await this.until(() => inForceVersion(running) !== undefined);
+    if (this.isRolledOut) await this.until(() => isReady(running));
     this.daemons.push(running);
     return running;
   }
@@ -249,6 +248,11 @@
     .join('\n');
 }
 
+function isReady({daemon}: RunningDaemon): boolean {
+  const {waitingFor} = daemon.resolve<AdminServer>('admin');
+  return waitingFor.length === 0;
+}
+
 function inForceVersion(running: RunningDaemon): number | undefined {
   const {state} = running.daemon.resolve<SharedState>('sharedState');
   return state.inForce?.bundle.version;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -16,3 +16,4 @@
 export * from './log-event-catalogue.js';
 export * from './metric-catalogue.js';
 export * from './resolve-now.js';
+export * from './readiness.js';
--- a/packages/plugin-admin/src/admin-server.ts
+++ b/packages/plugin-admin/src/admin-server.ts
@@ -11,6 +11,7 @@
   type DrainState,
   type MemoryMetrics,
   type Plugin,
+  type Readiness,
 } from '@gentiandoor/kernel';
 import type {Member, SharedState, VmList} from '@gentiandoor/shared-state';
 import type {AdminOptions} from './admin-options.js';
@@ -20,6 +21,7 @@
 export interface AdminServerDependencies {
   readonly identity: DaemonIdentity;
   readonly drainState: DrainState;
+  readonly readiness: Readiness;
   readonly adminRoutes: AdminRoutes;
   readonly sharedState: SharedState;
   readonly vmList: VmList;
@@ -87,9 +89,10 @@
       return;
     }
     if (context.path === '/health/ready') {
-      const ready = this.isReady();
+      const waitingFor = this.waitingFor;
+      const ready = waitingFor.length === 0;
       context.status = ready ? 200 : 503;
-      context.body = {ready, draining: this.dependencies.drainState.isDraining};
+      context.body = {ready, waitingFor};
       return;
     }
     if (!this.isAuthorized(context.get('authorization'))) {
@@ -120,9 +123,13 @@
     context.body = body;
   }
 
-  private isReady(): boolean {
-    const {drainState, sharedState} = this.dependencies;
-    return !drainState.isDraining && sharedState.state.inForce !== undefined;
+  /** What keeps the balancer away. */
+  get waitingFor(): string[] {
+    const {drainState, readiness, sharedState} = this.dependencies;
+    const found = readiness.waitingFor();
+    if (drainState.isDraining) found.push('end of the graceful stop');
+    if (sharedState.state.inForce === undefined) found.push('bundle in force');
+    return found;
   }
 
   private isAuthorized(header: string): boolean {
--- a/packages/plugin-once-only/src/claims-over-log.ts
+++ b/packages/plugin-once-only/src/claims-over-log.ts
@@ -145,6 +145,14 @@
     ]);
   }
 
+  /**
+   * Whether keyed requests may be sent here. A daemon that has just started refuses every key
+   * until it has read the claims; while the log is out it is ready for all other requests.
+   */
+  get isReady(): boolean {
+    return this.follower.isCaughtUp || this.follower.failingMilliseconds > 0;
+  }
+
   async drain(): Promise<void> {
     this.isDraining = true;
     const {writer, own, held} = this;
--- a/packages/plugin-once-only/src/index.ts
+++ b/packages/plugin-once-only/src/index.ts
@@ -1,5 +1,5 @@
 import {aliasTo, asClass, asValue} from 'awilix';
-import type {PluginRegistry} from '@gentiandoor/kernel';
+import type {PluginRegistry, Readiness} from '@gentiandoor/kernel';
 import {ClaimsOverLog} from './claims-over-log.js';
 import {onceOnlyOptions} from './once-only-options.js';
 
@@ -22,6 +22,12 @@
         onceOnly: asClass(ClaimsOverLog).singleton(),
         keyIssuer: aliasTo('onceOnly'),
       });
+      container
+        .resolve<Readiness>('readiness')
+        .add(
+          'claims of keys',
+          () => container.resolve<ClaimsOverLog>('onceOnly').isReady,
+        );
     },
   });
 }
