Cut answers to HTTP/1.0 by a reset, tell pipelined requests that their caller is gone, no header dropped without a word

Found by tests: an answer without a length to HTTP/1.0 that breaks off ended cleanly; a response object queued behind another never says that its connection closed, so its exchange went on; a replayed answer larger than the buffer left a timer that would cut the next request; node drops headers after the 2000th. Each has a test.

--- a/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
@@ -289,6 +289,25 @@
     });
   });
 
+  describe('more headers than node keeps by default', () => {
+    // The parser's own limit drops headers after the 2000th without a word: the target would
+    // get another request than the caller sent.
+    it('all reach the target', async () => {
+      const wide = new CallerEdge({
+        targets: [target.address],
+        settings: {head_bytes: 65_536},
+      });
+      await wide.start();
+      const caller = new RawCaller(wide.address);
+      const short = Array.from({length: 2500}, () => 'a:b');
+      caller.send(...get('/desk/x', ...short, 'x-last: 1'));
+      assert.equal((await caller.answer()).status, 200);
+      assert.match(target.received[0].head, /^x-last: 1$/m);
+      caller.destroy();
+      await wide.stop();
+    });
+  });
+
   describe('an offer of HTTP/2 in clear text', () => {
     it('is passed over and the request is served', async () => {
       const caller = new RawCaller(edge.address);
--- a/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
@@ -80,6 +80,39 @@
     });
   });
 
+  describe('whose held answer is larger than the caller\u2019s buffer', () => {
+    // The replayed answer is written at once and ended. The wait for a slow reader must end with
+    // it: it would cut the connection under the caller's next request.
+    it('leaves the connection in use', async () => {
+      const body = Buffer.alloc(1_000_000, 'x');
+      edge = new CallerEdge({
+        targets: [target.address],
+        settings: {progress_milliseconds: 100},
+        onceOnly: {
+          begin: async () => ({
+            run: false,
+            answer: {
+              status: 200,
+              headers: ['content-length', String(body.length)],
+              body,
+            },
+          }),
+        },
+      });
+      await edge.start();
+      const caller = new RawCaller(edge.address);
+      const head = ['POST /desk/x HTTP/1.1', 'host: a', 'idempotency-key: k'];
+      caller.send(...head, 'content-length: 0', '', '');
+      assert.equal((await caller.answer()).body.length, body.length);
+      target.fault = RawFault.Silent;
+      caller.send('GET /desk/y HTTP/1.1', 'host: a', '', '');
+      await until(() => target.received.length === 1);
+      await new Promise(resolve => setTimeout(resolve, 150));
+      assert.equal(caller.closed, false);
+      caller.destroy();
+    });
+  });
+
   describe('that comes again with another body or path', () => {
     it('is refused and not run', async () => {
       await startEdge();
--- a/packages/plugin-caller-http/src/__tests__/raw-caller.ts
+++ b/packages/plugin-caller-http/src/__tests__/raw-caller.ts
@@ -13,19 +13,23 @@
   /** All bytes that came. */
   received = '';
   closed = false;
+  /** True when the daemon reset the connection in place of a clean end. */
+  wasReset = false;
   private readonly socket: net.Socket;
   private wake: () => void = () => {};
 
   constructor(address: string) {
     const {host, port} = splitAddress(address);
-    this.socket = net.connect({host, port, allowHalfOpen: true});
+    this.socket = net.connect({host, port});
     this.socket.on('data', chunk => {
       this.received += chunk.toString('latin1');
       this.wake();
     });
     this.socket.on('end', () => this.onClose());
     this.socket.on('close', () => this.onClose());
-    this.socket.on('error', () => {});
+    this.socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.wasReset = error.code === 'ECONNRESET';
+    });
   }
 
   send(...lines: string[]): void {
--- a/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
@@ -113,6 +113,34 @@
     });
   }
 
+  describe('when an answer to HTTP/1.0 is cut', () => {
+    // An answer without a length to a caller of HTTP/1.0 ends with its connection. Were that
+    // end clean, the caller would take the part for the whole.
+    it('the connection is reset', async () => {
+      const {address} = await startEdge();
+      target.fault = RawFault.CloseInChunks;
+      const caller = new RawCaller(address);
+      caller.send('GET /desk/x HTTP/1.0', '', '');
+      await caller.end();
+      assert.equal(caller.wasReset, true);
+    });
+
+    it('by a stop by force, the connection is reset too', async () => {
+      const {address, server} = await startEdge();
+      target.fault = RawFault.Silent;
+      const caller = new RawCaller(address);
+      caller.send('GET /desk/x HTTP/1.0', '', '');
+      await until(() => target.received.length === 1);
+      target.writeUnasked(
+        'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n',
+      );
+      await caller.until(bytes => bytes.includes('part'));
+      await server.stop();
+      await caller.end();
+      assert.equal(caller.wasReset, true);
+    });
+  });
+
   describe('when one target refuses connections', () => {
     it('a POST is sent to another one, since nothing was sent', async () => {
       const {address, router} = await startEdge({
--- a/packages/plugin-caller-http/src/caller-connections.ts
+++ b/packages/plugin-caller-http/src/caller-connections.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import {ErrorKind, RequestError, type Clock} from '@gentiandoor/kernel';
-import {rawErrorAnswer} from './error-answer.js';
+import {cutAnswer, rawErrorAnswer} from './error-answer.js';
 import type {RequestUnderWay} from './request-handler.js';
 
 /** Time for a caller to read its answer while the rest of its request is thrown away. */
@@ -37,12 +37,26 @@
     else this.underWay.set(socket, new Set([item]));
   }
 
+  /** Cuts all answers that are under way. */
+  cutAll(): void {
+    for (const {response} of this.all()) cutAnswer(response);
+  }
+
   /** Whether no request came after this one on its connection, so far. */
   isLast(item: RequestUnderWay): boolean {
     const items = this.underWay.get(item.request.socket);
     return items !== undefined && [...items].at(-1) === item;
   }
 
+  /**
+   * Tells all requests under way on a connection that it has closed. A response object
+   * says so only when it is the next to go out: pipelined requests behind it would go on.
+   */
+  closed(socket: Socket): void {
+    for (const item of this.underWay.get(socket) ?? [])
+      item.caller?.connectionClosed();
+  }
+
   /**
    * Whether the connection closes behind an earlier answer. A pipelined request that is
    * read after that could be run and never answered, so it is not begun at all.
@@ -110,7 +124,9 @@
   }
 
   /** An answer came before its request had ended, as for a body over the limit. */
-  private throwAwayRest({request}: RequestUnderWay): void {
+  private throwAwayRest({request, reader}: RequestUnderWay): void {
+    const detail = 'the request has its answer';
+    reader?.fail(new RequestError(ErrorKind.CallerGone, detail));
     request.removeAllListeners('readable');
     request.resume();
     const timer = this.clock.schedule(LINGER_MILLISECONDS, () =>
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -66,6 +66,8 @@
       requireHostHeader: false,
       insecureHTTPParser: false,
     });
+    // The default drops headers after the 2000th without a word; `head_bytes` is the bound.
+    this.server.maxHeadersCount = 0;
     this.listenForRequests();
     this.listenForConnections();
   }
@@ -119,6 +121,7 @@
         nonIdempotent,
       });
     }
+    this.connections.cutAll();
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
     this.server.closeAllConnections();
@@ -149,7 +152,10 @@
   private listenForConnections(): void {
     this.server.on('connection', (socket: net.Socket) => {
       this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      socket.once('close', () => {
+        this.sockets.delete(socket);
+        this.connections.closed(socket);
+      });
     });
     this.server.on('clientError', (error, socket) => {
       this.connections.fail(error, socket as net.Socket);
--- a/packages/plugin-caller-http/src/caller-side.ts
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -5,7 +5,7 @@
   type Exchange,
   type Timer,
 } from '@gentiandoor/kernel';
-import {RUN_HEADER} from './error-answer.js';
+import {RUN_HEADER, cutAnswer} from './error-answer.js';
 import {endToEndTrailers} from './headers.js';
 
 /** What the caller's side of a request needs. */
@@ -31,9 +31,7 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly dependencies: CallerSideDependencies,
-  ) {
-    response.on('close', () => this.onClose());
-  }
+  ) {}
 
   /** True once the caller has closed the connection before its answer was out. */
   get isGone(): boolean {
@@ -88,18 +86,26 @@
     if (this.unreadTimer) return;
     const {clock, progressMilliseconds} = this.dependencies;
     this.unreadTimer = clock.schedule(progressMilliseconds, () =>
-      this.response.destroy(),
+      cutAnswer(this.response),
     );
     this.response.once('drain', () => {
-      this.unreadTimer?.cancel();
-      this.unreadTimer = undefined;
+      this.stopUnreadTimer();
       this.exchange?.resume();
     });
+    // An answer that ended while its last part was unread says `finish` and never `drain`.
+    // Left running, the timer would cut the connection under the caller's next request.
+    this.response.once('finish', () => this.stopUnreadTimer());
   }
 
-  private onClose(): void {
-    this.closed = true;
+  private stopUnreadTimer(): void {
     this.unreadTimer?.cancel();
+    this.unreadTimer = undefined;
+  }
+
+  /** The caller's connection has closed. */
+  connectionClosed(): void {
+    this.closed = true;
+    this.stopUnreadTimer();
     if (!this.isGone) return;
     this.goneController?.abort();
     if (this.keepsExchange) this.exchange?.resume();
--- a/packages/plugin-caller-http/src/error-answer.ts
+++ b/packages/plugin-caller-http/src/error-answer.ts
@@ -47,6 +47,19 @@
   return {status, headers, body};
 }
 
+/**
+ * Ends an answer of which a part is out, so that the caller can tell that it is not whole.
+ *
+ * A missing last chunk or a length not reached tells it by itself. An answer to HTTP/1.0 may
+ * have neither: its end is the end of the connection, and a clean one would make half an answer
+ * look whole. A reset does not. It is kept to that case, since it also throws away bytes
+ * of earlier answers that are still on their way.
+ */
+export function cutAnswer(response: ServerResponse): void {
+  if (response.req.httpVersion === '1.0') response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
 /** Answers an error, or cuts an answer that has begun. */
 export function answerError(
   response: ServerResponse,
@@ -54,8 +67,7 @@
   close: boolean,
 ): void {
   if (response.headersSent) {
-    // Part of an answer is out: only a cut connection tells the caller that it is not whole.
-    response.destroy();
+    cutAnswer(response);
     return;
   }
   const {status, headers, body} = errorMessage(error);
--- a/packages/plugin-caller-http/src/request-handler.ts
+++ b/packages/plugin-caller-http/src/request-handler.ts
@@ -34,6 +34,8 @@
   /** Undefined until the request's body is read, and for one without a body. */
   reader: BodyReader | undefined;
   /** Undefined until the head has been checked. */
+  caller: CallerSide | undefined;
+  /** Undefined until the head has been checked. */
   idempotent: boolean | undefined;
   /** True once the caller was told that the connection closes behind this answer. */
   isClosing = false;
@@ -110,6 +112,7 @@
       closes: () => underWay.closes(),
       progressMilliseconds: callerHttpOptions.progress_milliseconds,
     });
+    underWay.caller = caller;
     const body = hasBody(request)
       ? await this.readBody(underWay, incoming)
       : null;
