--- a/packages/shared-state/src/fleet-state.ts
+++ b/packages/shared-state/src/fleet-state.ts
@@ -24,6 +24,7 @@
   VmUnknown = 'vm_unknown',
   AlreadyDraining = 'already_draining',
   NotDraining = 'not_draining',
+  SnapshotOlder = 'snapshot_older',
   BudgetExceeded = 'budget_exceeded',
   BudgetBroken = 'budget_broken',
   LeavingLimit = 'leaving_limit',
@@ -94,6 +95,20 @@
   readonly drainReason?: string;
 }
 
+/** A snapshot that stands whole in the log. */
+export interface TakenSnapshot {
+  /** Offset of the fleet stream that it was folded to. */
+  readonly offset: number;
+  /** SHA-256 of it, in hexadecimal. */
+  readonly digest: string;
+  readonly bytes: number;
+  /** Wall clock of its writer, in milliseconds since the Unix epoch: paces the next, no more. */
+  readonly at: number;
+}
+
+/** Key of the newest entry of `FleetState.snapshots`. */
+export const NEWEST_SNAPSHOT = 'newest';
+
 /** Operators trusted before the first bundle: name to Ed25519 public key. */
 export type TrustedOperators = Readonly<Record<string, string>>;
 
@@ -110,6 +125,8 @@
   readonly proposals: HashedTable<ProposedBundle>;
   readonly members: HashedTable<Member>;
   readonly vms: HashedTable<VmRecord>;
+  /** The newest snapshot, under `NEWEST_SNAPSHOT`. */
+  readonly snapshots: HashedTable<TakenSnapshot>;
   /** Ids of recent records with their offsets, oldest first. */
   readonly recentIds: HashedTable<number>;
   readonly trusted: TrustedOperators;
@@ -126,6 +143,7 @@
     proposals: new HashedTable(({digest, signers}) => [digest, signers]),
     members: new HashedTable(),
     vms: new HashedTable(),
+    snapshots: new HashedTable(),
     recentIds: new HashedTable(),
     ...emptyFleetDomain(),
     trusted,
--- a/packages/shared-state/src/log-reader.ts
+++ b/packages/shared-state/src/log-reader.ts
@@ -2,6 +2,7 @@
   LogEvent,
   MetricName,
   backoff,
+  jitter,
   sleep,
   toError,
   type Clock,
@@ -19,6 +20,8 @@
 
 const BACKOFF_BASE_MILLISECONDS = 100;
 const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+/** Milliseconds of a read that brought nothing, at the least. */
+const SHORTEST_ROUND = 200;
 
 /** Where the records of a stream go. */
 export interface RecordSink {
@@ -91,6 +94,7 @@
     this.reading = new AbortController();
     const signal = AbortSignal.any([stop, this.reading.signal]);
     const from = this.sink.nextOffset();
+    const asked = this.dependencies.clock.monotonicMilliseconds();
     // The first read after a failure does not wait: its answer says that the log is back.
     const waitMilliseconds = this.reachable ? this.options.waitMilliseconds : 0;
     try {
@@ -98,16 +102,49 @@
       const batch = await platformLog.read(this.stream, from, options, signal);
       if (stop.aborted) return;
       this.noteAnswer();
+      this.failures = 0;
       await this.sink.take(batch);
+      if (waitMilliseconds > 0)
+        await this.pauseWithoutProgress(from, asked, signal);
     } catch (error) {
       if (!(error instanceof LogGapError)) throw error;
       this.noteAnswer();
-      this.dependencies.logger.warn(LogEvent.LogGap, {
-        stream: this.stream,
-        from,
-        oldest: error.oldest,
-      });
-      await this.sink.crossGap(error.oldest);
+      await this.crossGap(from, error.oldest, stop);
+    }
+  }
+
+  /**
+   * A log that answers at once and empty, as one that lags behind its own end may, would be
+   * asked again without end.
+   */
+  private async pauseWithoutProgress(
+    from: number,
+    asked: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, random} = this.dependencies;
+    const took = clock.monotonicMilliseconds() - asked;
+    if (this.sink.nextOffset() !== from || took >= SHORTEST_ROUND) return;
+    await sleep(clock, jitter(random, SHORTEST_ROUND), signal);
+  }
+
+  /** A gap that cannot be crossed yet is tried again with the pauses of a failure. */
+  private async crossGap(
+    from: number,
+    oldest: number,
+    stop: AbortSignal,
+  ): Promise<void> {
+    const {logger} = this.dependencies;
+    const {stream} = this;
+    try {
+      await this.sink.crossGap(oldest);
+      this.failures = 0;
+      logger.warn(LogEvent.LogGap, {stream, from, oldest});
+    } catch (thrown) {
+      if (stop.aborted) return;
+      const error = toError(thrown).message;
+      logger.error(LogEvent.LogGapOpen, {stream, from, oldest, error});
+      await this.pause(stop);
     }
   }
 
@@ -116,12 +153,11 @@
     if (!this.reachable)
       logger.info(LogEvent.LogReturned, {stream: this.stream});
     this.reachable = true;
-    this.failures = 0;
     this.answeredAt = clock.monotonicMilliseconds();
   }
 
   private async noteFailure(error: Error, stop: AbortSignal): Promise<void> {
-    const {clock, random, logger, metrics} = this.dependencies;
+    const {logger, metrics} = this.dependencies;
     metrics.increment(MetricName.LogReadFailures, {stream: this.stream});
     if (this.reachable || this.failures === 0)
       logger.warn(LogEvent.LogUnavailable, {
@@ -129,6 +165,11 @@
         error: error.message,
       });
     this.reachable = false;
+    await this.pause(stop);
+  }
+
+  private async pause(stop: AbortSignal): Promise<void> {
+    const {clock, random} = this.dependencies;
     const delay = backoff(
       random,
       this.failures++,
