Only a read that has been out for two seconds is ended on a peer's word; whole states from peers and old daemons tested

Cause: with a slow log and a steady stream of records somebody is always ahead, and each such word ended the others' reads: by reasoning on the code, not seen in a run. Change: LogReader.refresh leaves younger reads alone.

--- a/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
+++ b/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
@@ -80,6 +80,77 @@
     });
   });
 
+  describe('a daemon that starts while the log is down', () => {
+    // The peers themselves started from a snapshot and no longer keep the first records. The
+    // fresh daemon asks for records from the first on, is told there are none, and takes a
+    // peer's whole state instead; it serves the same version with the same state.
+    it('takes the whole state of a peer that keeps no old records', async () => {
+      const session = await started(KINGSTON, {
+        snapshot_records: '10',
+        snapshot_check_milliseconds: '1000',
+      });
+      for (let index = 0; index < 20; index++)
+        await session.log.append(StreamName.Fleet, [
+          encodeRecord({
+            kind: RecordKind.DrainEnded,
+            id: session.nextId(),
+            writer: 'moana',
+            vm: 'hall-a-r1-1',
+          }),
+        ]);
+      await session.pass(20 * SECOND);
+      for (const [name, dataCentre] of KINGSTON) {
+        await session.crash(name);
+        await session.start(name, dataCentre);
+        await session.pass(3 * SECOND);
+      }
+      session.log.faults.add(LogFault.Outage);
+      await session.pass(20 * SECOND);
+      const fresh = await session.start('entry-4', 'hall-a');
+      await session.pass(5 * SECOND);
+      assert.deepEqual(fresh.served, [1]);
+      assert.match(session.text, /entry-4\s+SnapshotLoaded/);
+      assert.equal(
+        stateHash(fresh.follower.state),
+        stateHash(session.daemon('entry-1').follower.state),
+      );
+      await session.stopAll();
+    });
+  });
+
+  describe('a daemon that is older than the records in use', () => {
+    // Newer daemons raised the format and went; an old one starts. It must not fold what it
+    // cannot read, says so, publishes nothing, and does not spin on the records.
+    it('stands still and publishes nothing', async () => {
+      const session = new Session();
+      const raised = {
+        kind: RecordKind.FormatRaised,
+        id: session.nextId(),
+        writer: 'entry-7.1',
+        format: 2,
+      } as const;
+      const later = new Uint8Array([0x92, 0x02, 0x80]);
+      await session.log.append(StreamName.Fleet, [encodeRecord(raised), later]);
+      const old = await session.start('entry-1', 'hall-a');
+      await session.pass(30 * SECOND);
+      assert.equal(old.version, undefined);
+      const reads = old.metrics.value(MetricName.LogReads, {
+        stream: StreamName.Fleet,
+      });
+      assert.ok(reads < 20, `${reads} reads`);
+      await session.publish('entry-1', 'drains', {
+        kind: RecordKind.DrainStarted,
+        id: session.nextId(),
+        writer: 'moana',
+        vm: 'hall-a-r1-1',
+        reason: 'a bad fan',
+      });
+      assert.match(session.text, /drains: this version is older/);
+      assert.equal(session.log.endOf(StreamName.Fleet), 2);
+      await session.stopAll();
+    });
+  });
+
   describe('a peer that makes records up', () => {
     // entry-2 is cut off from the log and takes a made-up drain from a peer that claims to be
     // ahead. When the log returns, the same offset holds another record: the state is given
--- a/packages/shared-state/src/log-reader.ts
+++ b/packages/shared-state/src/log-reader.ts
@@ -20,6 +20,8 @@
 
 const BACKOFF_BASE_MILLISECONDS = 100;
 const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+/** Age of a read, in milliseconds, from which on it may have hung. */
+const REFRESH_AFTER = 2000;
 /** Milliseconds of a read that brought nothing, at the least. */
 const SHORTEST_ROUND = 200;
 
@@ -50,6 +52,7 @@
   private reachable = false;
   private failures = 0;
   private answeredAt: number | undefined;
+  private askedAt = 0;
   private reading = new AbortController();
 
   constructor(
@@ -70,9 +73,14 @@
     return this.dependencies.clock.monotonicMilliseconds() - this.answeredAt;
   }
 
-  /** Ends the read that is out and reads afresh: for when others have seen newer records. */
+  /**
+   * Ends a read that has been out for long and reads afresh: for when others have seen newer
+   * records. A younger read is left alone: with a slow log under a steady stream of records
+   * somebody is always ahead, and nobody's read would ever come to its end.
+   */
   refresh(): void {
-    this.reading.abort();
+    const now = this.dependencies.clock.monotonicMilliseconds();
+    if (now - this.askedAt >= REFRESH_AFTER) this.reading.abort();
   }
 
   /** Reads until `stop` aborts. */
@@ -95,6 +103,7 @@
     const signal = AbortSignal.any([stop, this.reading.signal]);
     const from = this.sink.nextOffset();
     const asked = this.dependencies.clock.monotonicMilliseconds();
+    this.askedAt = asked;
     // The first read after a failure does not wait: its answer says that the log is back.
     const waitMilliseconds = this.reachable ? this.options.waitMilliseconds : 0;
     try {
