Specification of bundles, ownership, budgets and the claims' window

Cause: P1, P2 and P8 were argued, not checked. Change: four more transition systems, each with mutations that take one safeguard out.

--- a/packages/specification/src/subjects.ts
+++ b/packages/specification/src/subjects.ts
@@ -1,7 +1,11 @@
 import type {EventObject} from 'xstate';
+import {budgetWithin} from './budget-model.js';
+import {BUNDLES} from './bundle-model.js';
 import {claimsWithin} from './claims-model.js';
 import {explore, type Exploration} from './explore.js';
+import {ownershipWithin} from './ownership-model.js';
 import type {Mutation, Subject} from './specification.js';
+import {WINDOW} from './window-model.js';
 
 /** A specification with the ways to explore it, its types closed over. */
 export interface Checkable {
@@ -30,6 +34,12 @@
   checkable(
     claimsWithin({attempts: 2, losses: 0, doubles: 0, crashes: 1, refusals: 1}),
   ),
+  checkable(WINDOW),
+  checkable(BUNDLES),
+  checkable(ownershipWithin({starts: 2, aborts: 1, crashes: 0})),
+  checkable(ownershipWithin({starts: 1, aborts: 0, crashes: 1})),
+  checkable(budgetWithin({planners: 1, drains: 3, copies: 1})),
+  checkable(budgetWithin({planners: 2, drains: 2, copies: 0})),
 ];
 
 /** Larger bounds, for the run by command. */
