--- /dev/null
+++ b/packages/fleet/src/__tests__/jobs-in-the-fold.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  JobOutcome,
+  JobState,
+  MOST_QUEUED_OF_TEAM,
+  RecordKind,
+  RejectionReason,
+  jobsOf,
+} from '@gentiandoor/shared-state';
+import {KINGSTON} from '@gentiandoor/stand-ins';
+import {SizeLearner} from '../size-learner.js';
+import {TeamOrder} from '../team-order.js';
+import {WorkerFailures} from '../worker-failures.js';
+import {FoldedFleet, PLANNER} from './fold-helpers.js';
+
+const SIZE = {processors: 2, memoryGigabytes: 4, accelerators: 0, slots: 1};
+
+function submit(fleet: FoldedFleet, key: string, more: object = {}) {
+  return fleet.write('moana', {
+    kind: RecordKind.JobSubmitted,
+    key,
+    team: 'cooperatives',
+    pool: 'crest-works',
+    jobClass: 'badge-run',
+    idempotent: true,
+    size: SIZE,
+    payload: 'badges',
+    ...more,
+  });
+}
+
+function place(fleet: FoldedFleet, key: string, attempt: number, vm: string) {
+  return fleet.write(PLANNER, {
+    kind: RecordKind.JobPlaced,
+    term: 1,
+    key,
+    attempt,
+    vm,
+  });
+}
+
+function report(fleet: FoldedFleet, key: string, outcome: JobOutcome) {
+  const attempt = fleet.state.jobs.get(key)?.attempt ?? 0;
+  const reports = [{key, attempt, outcome}];
+  return fleet.write(PLANNER, {
+    kind: RecordKind.JobsReported,
+    term: 1,
+    reports,
+  });
+}
+
+function planned(): FoldedFleet {
+  const fleet = new FoldedFleet(KINGSTON);
+  fleet.takeTerm(PLANNER, 0);
+  return fleet;
+}
+
+describe('jobs in the fold', () => {
+  it('refuse another job under a key that is taken, also after its end', () => {
+    const fleet = planned();
+    submit(fleet, 'badge-1');
+    const {rejection} = submit(fleet, 'badge-1', {payload: 'other'});
+    assert.equal(rejection?.reason, RejectionReason.JobDuplicate);
+    place(fleet, 'badge-1', 1, 'crest-works-1');
+    report(fleet, 'badge-1', JobOutcome.Finished);
+    assert.equal(submit(fleet, 'badge-1').rejection, undefined);
+    const late = submit(fleet, 'badge-1', {payload: 'other'});
+    assert.equal(late.rejection?.reason, RejectionReason.JobDuplicate);
+    assert.equal(fleet.state.jobs.get('badge-1')?.state, JobState.Finished);
+  });
+
+  // Two planners placed the same job in turn; the second one's record names an attempt that the
+  // first has used.
+  it('take one attempt once', () => {
+    const fleet = planned();
+    submit(fleet, 'badge-1');
+    assert.equal(
+      place(fleet, 'badge-1', 1, 'crest-works-1').rejection,
+      undefined,
+    );
+    const again = place(fleet, 'badge-1', 1, 'crest-works-2');
+    assert.equal(again.rejection?.reason, RejectionReason.JobState);
+  });
+
+  it('go back to the queue only when nobody can have run them', () => {
+    const after = (idempotent: boolean, outcome: JobOutcome) => {
+      const fleet = planned();
+      submit(fleet, 'job', {idempotent});
+      place(fleet, 'job', 1, 'crest-works-1');
+      report(fleet, 'job', outcome);
+      return fleet.state.jobs.get('job')?.state;
+    };
+    assert.equal(after(false, JobOutcome.NeverStarted), JobState.Queued);
+    assert.equal(after(false, JobOutcome.Lapsed), JobState.OutcomeUnknown);
+    assert.equal(after(false, JobOutcome.Stopped), JobState.OutcomeUnknown);
+    assert.equal(after(false, JobOutcome.Failed), JobState.Failed);
+    assert.equal(after(true, JobOutcome.Lapsed), JobState.Queued);
+  });
+
+  it('keep the quota of a team and the slots of a VM', () => {
+    const fleet = planned();
+    for (let n = 0; n < 9; n++) submit(fleet, `job-${n}`, {team: 'ledger'});
+    for (let n = 0; n < 8; n++)
+      assert.equal(
+        place(fleet, `job-${n}`, 1, 'crest-works-1').rejection,
+        undefined,
+      );
+    const {rejection} = place(fleet, 'job-8', 1, 'crest-works-1');
+    assert.match(rejection?.detail ?? '', /8 slots and 8 are taken/);
+  });
+
+  it('are refused beyond what may wait of one team', () => {
+    const fleet = planned();
+    for (let n = 0; n < MOST_QUEUED_OF_TEAM; n++) submit(fleet, `job-${n}`);
+    const {rejection} = submit(fleet, 'one-more');
+    assert.equal(rejection?.reason, RejectionReason.QuotaExceeded);
+    const other = submit(fleet, 'preview', {team: 'counter'});
+    assert.equal(other.rejection, undefined);
+    assert.equal(
+      jobsOf(fleet.state).queuedOfTeam('cooperatives'),
+      MOST_QUEUED_OF_TEAM,
+    );
+  });
+});
+
+describe('TeamOrder', () => {
+  it('puts urgent teams first and shares the rest by weight', () => {
+    const fleet = planned();
+    for (const team of ['cooperatives', 'ledger', 'counter'])
+      for (let n = 0; n < 30; n++) submit(fleet, `${team}-${n}`, {team});
+    const order = new TeamOrder(fleet.state, 'crest-works');
+    const taken: string[] = [];
+    for (let n = 0; n < 10; n++) {
+      const team = order.next() ?? '';
+      const [key] = order.keys(team);
+      order.take(team, key, 1);
+      taken.push(team);
+    }
+    assert.deepEqual(new Set(taken), new Set(['counter']));
+    order.drop('counter');
+    const rest = Array.from({length: 10}, () => {
+      const team = order.next() ?? '';
+      order.take(team, `${team}-x`, 1);
+      return team;
+    });
+    const ledger = rest.filter(team => team === 'ledger').length;
+    assert.equal(ledger, 5);
+  });
+});
+
+describe('SizeLearner', () => {
+  const limit = {processors: 32, memoryGigabytes: 128, accelerators: 0};
+
+  it('believes the declared size until it has seen some of the class', () => {
+    const fleet = planned();
+    submit(fleet, 'badge-1');
+    const job = fleet.state.jobs.get('badge-1');
+    assert.ok(job);
+    const sizes = new SizeLearner();
+    assert.equal(sizes.sizeOf(job, limit).memoryGigabytes, 4);
+    for (let n = 0; n < 5; n++)
+      sizes.observe('badge-run', {
+        ...limit,
+        memoryGigabytes: 40,
+        processors: 1,
+      });
+    const learned = sizes.sizeOf(job, limit);
+    assert.ok(learned.memoryGigabytes > 40);
+    assert.ok(learned.processors < 2);
+  });
+});
+
+describe('WorkerFailures', () => {
+  it('blames a VM on which distinct jobs fail while the pool succeeds', () => {
+    const failures = new WorkerFailures();
+    for (let n = 0; n < 20; n++)
+      failures.observe('p', `vm-${n % 4}`, `j${n}`, false);
+    for (let n = 0; n < 3; n++) failures.observe('p', 'bad', `k${n}`, true);
+    assert.deepEqual([...failures.suspects(() => 'p')], ['bad']);
+  });
+
+  it('blames no VM for one job that fails everywhere', () => {
+    const failures = new WorkerFailures();
+    for (let n = 0; n < 9; n++)
+      failures.observe('p', `vm-${n % 3}`, 'same', true);
+    assert.equal(failures.suspects(() => 'p').size, 0);
+  });
+
+  // A shared dependency is down and every VM fails every job. Suspecting all of them would
+  // leave no VM and reboot the pool for nothing.
+  it('blames no VM when the whole pool fails', () => {
+    const failures = new WorkerFailures();
+    for (let n = 0; n < 200; n++)
+      failures.observe('p', `vm-${n % 8}`, `j${n}`, true);
+    assert.equal(failures.suspects(() => 'p').size, 0);
+  });
+});
--- a/packages/shared-state/src/fleet-domain.ts
+++ b/packages/shared-state/src/fleet-domain.ts
@@ -131,7 +131,10 @@
   readonly jobClass: string;
   readonly idempotent: boolean;
   readonly size: JobSize;
+  /** Empty once the job has ended. */
   readonly payload: string;
+  /** Tells another job under the same key, also after the payload was let go. */
+  readonly payloadDigest: string;
   readonly state: JobState;
   /** Attempts given to a VM so far. */
   readonly attempt: number;
--- a/packages/shared-state/src/fold-jobs.ts
+++ b/packages/shared-state/src/fold-jobs.ts
@@ -16,6 +16,7 @@
 } from './fleet-state.js';
 import {checkTerm} from './fold-planner.js';
 import {jobsOf} from './job-index.js';
+import {digestOf} from './signatures.js';
 
 /** Distinct VMs on which a job may fail before it is set aside: its fault, not theirs. */
 export const FAILURES_BEFORE_SET_ASIDE = 3;
@@ -23,6 +24,12 @@
 /** Ended jobs kept; the same key again is the same job for that long. */
 export const ENDED_JOBS_KEPT = 50_000;
 
+/** Jobs that may wait or run at one time: about 50 MB of the state with short payloads. */
+export const MOST_ACTIVE_JOBS = 50_000;
+
+/** Jobs of one team that may wait, so that one cannot fill the queue of all. */
+export const MOST_QUEUED_OF_TEAM = 12_500;
+
 /** Takes a job in. The same key again changes nothing: the job stands as it is. */
 export function applyJobSubmitted(
   state: FleetState,
@@ -41,6 +48,7 @@
     idempotent,
     size,
     payload,
+    payloadDigest: digestOf(payload),
     state: JobState.Queued,
     attempt: 0,
     failedOn: [],
@@ -180,7 +188,8 @@
 
 function endJob(state: FleetState, job: Job): void {
   const {endedJobs} = state;
-  jobsOf(state).put(job);
+  // 50,000 payloads of ended jobs would take most of a node's memory.
+  jobsOf(state).put({...job, payload: ''});
   endedJobs.set(job.key, state.nextOffset);
   if (endedJobs.size <= ENDED_JOBS_KEPT) return;
   const [oldest] = endedJobs.keys();
@@ -192,7 +201,7 @@
   const same =
     known.team === record.team &&
     known.pool === record.pool &&
-    known.payload === record.payload;
+    known.payloadDigest === digestOf(record.payload);
   if (same) return undefined;
   return {
     reason: RejectionReason.JobDuplicate,
@@ -219,6 +228,8 @@
       detail: `team ${record.team} is not in the bundle in force`,
     };
   }
+  const full = checkRoom(state, record.team);
+  if (full) return full;
   const {size} = record;
   const fits =
     size.processors <= pool.processors &&
@@ -232,6 +243,17 @@
   };
 }
 
+function checkRoom(state: FleetState, team: string): Rejection | undefined {
+  const active = state.jobs.size - state.endedJobs.size;
+  const queued = jobsOf(state).queuedOfTeam(team);
+  if (active < MOST_ACTIVE_JOBS && queued < MOST_QUEUED_OF_TEAM)
+    return undefined;
+  return {
+    reason: RejectionReason.QuotaExceeded,
+    detail: `${queued} jobs of team ${team} wait (at most ${MOST_QUEUED_OF_TEAM}) and ${active} jobs in all are not done (at most ${MOST_ACTIVE_JOBS}); submit again when some have ended`,
+  };
+}
+
 function checkPlacement(
   state: FleetState,
   job: Job,
--- a/packages/shared-state/src/job-index.ts
+++ b/packages/shared-state/src/job-index.ts
@@ -14,6 +14,7 @@
   readonly queues = new Map<string, PoolQueue>();
   /** Placed keys by VM. */
   readonly placedOn = new Map<string, Set<string>>();
+  private readonly queuedTeams = new Map<string, number>();
   private readonly slotsOfTeam = new Map<string, number>();
   private readonly slotsOfVm = new Map<string, number>();
   /** Placed jobs that somebody cancelled. */
@@ -37,6 +38,11 @@
     return this.slotsOfVm.get(vm) ?? 0;
   }
 
+  /** Jobs of a team that wait, in all pools. */
+  queuedOfTeam(team: string): number {
+    return this.queuedTeams.get(team) ?? 0;
+  }
+
   queued(pool: string): number {
     let count = 0;
     for (const keys of this.queues.get(pool)?.values() ?? [])
@@ -77,8 +83,10 @@
   }
 
   private remove(job: Job): void {
-    if (job.state === JobState.Queued)
+    if (job.state === JobState.Queued) {
       this.queues.get(job.pool)?.get(job.team)?.delete(job.key);
+      this.queuedTeams.set(job.team, this.queuedOfTeam(job.team) - 1);
+    }
     if (job.state !== JobState.Placed || job.vm === undefined) return;
     const keys = this.placedOn.get(job.vm);
     keys?.delete(job.key);
@@ -91,6 +99,7 @@
     const teams = this.queues.get(job.pool) ?? new Map<string, Set<string>>();
     const keys = teams.get(job.team) ?? new Set();
     this.queues.set(job.pool, teams.set(job.team, keys.add(job.key)));
+    this.queuedTeams.set(job.team, this.queuedOfTeam(job.team) + 1);
     this.enqueued++;
   }
 
