--- a/packages/plugin-caller-http/src/index.ts
+++ b/packages/plugin-caller-http/src/index.ts
@@ -11,6 +11,10 @@
 import {ServiceRouter} from './service-router.js';
 
 export {CallerHttpServer} from './caller-http-server.js';
+export {
+  ServiceRouter,
+  type ServiceRouterDependencies,
+} from './service-router.js';
 export {REASON_HEADER, RUN_HEADER} from './error-answer.js';
 export {LEAVING_HEADER} from './answer-forwarder.js';
 export {REPLAYED_HEADER} from './keyed-requests.js';
