Settings page written from the options, every key described beside its check

Cause: keys were described in comments that no page showed. Change: descriptions are part of the options; the page is held against them by a test. Before: no settings page. After: every key has its default and meaning.

--- a/packages/documentation/src/describe-option.ts
+++ b/packages/documentation/src/describe-option.ts
@@ -32,6 +32,6 @@
 
 function defaultOf(schema: z.ZodType): string {
   const {type, defaultValue} = definitionOf(schema);
-  if (type === 'default') return String(defaultValue);
+  if (type === 'default') return String(defaultValue) || 'none';
   return type === 'optional' ? 'none' : 'required';
 }
--- a/packages/documentation/src/reference-pages.ts
+++ b/packages/documentation/src/reference-pages.ts
@@ -29,6 +29,7 @@
     {page: 'errors.md', name: 'rejections', text: rejectionList()},
     {page: 'log-events.md', name: 'log-events', text: logEventTable()},
     {page: 'metrics.md', name: 'metrics', text: metricTable()},
+    {page: 'settings.md', name: 'settings', text: settingsSections()},
     {page: 'command-line.md', name: 'commands', text: commandSections()},
     {page: 'command-line.md', name: 'exit-codes', text: exitCodeTable()},
   ];
@@ -79,15 +80,14 @@
   return markdownTable(['metric', 'type', 'tags', 'meaning'], rows);
 }
 
-/** One table of keys for each section of the settings file. */
-export function settingsSections(): string {
+function settingsSections(): string {
   const sections = [
     {name: 'daemon', options: daemonOptions as z.ZodType},
     ...allPlugins().all(),
   ];
   return sections
     .map(({name, options}) => {
-      const shape = (options as z.ZodObject).shape as Record<string, z.ZodType>;
+      const shape = objectOf(options).shape as Record<string, z.ZodType>;
       const rows = Object.entries(shape).map(([key, schema]) =>
         describeOption(key, schema),
       );
@@ -99,6 +99,14 @@
     .join('\n\n');
 }
 
+/** The object schema below refinements. */
+function objectOf(schema: z.ZodType): z.ZodObject {
+  if ('shape' in schema) return schema as z.ZodObject;
+  const {in: inner} = schema.def as unknown as {in?: z.ZodType};
+  if (!inner) throw new Error('options of a plug-in must be an object');
+  return objectOf(inner);
+}
+
 function commandSections(): string {
   return ALL_COMMANDS.map(({usage, description, examples, options}) =>
     [
--- a/packages/plugin-admin/src/admin-options.ts
+++ b/packages/plugin-admin/src/admin-options.ts
@@ -3,11 +3,15 @@
 
 /** Settings section [admin]. */
 export const adminOptions = z.strictObject({
-  listen: addressSetting(),
-  /** Operators' shared key; sent as `Authorization: Bearer KEY`. */
-  key: z.string({error: 'expected the key that operators send'}).min(16, {
-    error: 'expected at least 16 characters',
-  }),
+  listen: addressSetting().describe(
+    'IP number and port for health checks and operators.',
+  ),
+  key: z
+    .string({error: 'expected the key that operators send'})
+    .min(16, {
+      error: 'expected at least 16 characters',
+    })
+    .describe("Operators' shared key; sent as `Authorization: Bearer KEY`."),
 });
 
 /** Checked settings of the admin edge. */
--- a/packages/plugin-metrics/src/metrics-options.ts
+++ b/packages/plugin-metrics/src/metrics-options.ts
@@ -3,8 +3,9 @@
 
 /** Settings section [metrics]. */
 export const metricsOptions = z.strictObject({
-  /** Where StatsD datagrams go; nothing is sent when it is missing. */
-  statsd_address: addressSetting().optional(),
+  statsd_address: addressSetting()
+    .optional()
+    .describe('Where StatsD datagrams go; nothing is sent when it is missing.'),
 });
 
 /** Checked settings of the metrics plug-in. */
--- a/packages/plugin-target-http/src/target-http-options.ts
+++ b/packages/plugin-target-http/src/target-http-options.ts
@@ -3,17 +3,30 @@
 
 /** Settings section [target-http]. */
 export const targetHttpOptions = z.strictObject({
-  connect_milliseconds: integerSetting(10, 60_000).default(1000),
-  /** Longest time a connection stays open unused; below the targets' own keep-alive time. */
-  idle_milliseconds: integerSetting(0, 600_000).default(3000),
-  /** Longest time unused after which a non-idempotent request still takes the connection. */
-  proven_milliseconds: integerSetting(0, 600_000).default(500),
-  /** Longest silence within an answer. */
-  progress_milliseconds: integerSetting(100, 600_000).default(15_000),
-  /** Connections of this daemon to one target, where the bundle says nothing. */
-  connections: integerSetting(1, 10_000).default(64),
-  /** Longest head of an answer. */
-  head_bytes: integerSetting(1024, 1_048_576).default(32_768),
+  connect_milliseconds: integerSetting(10, 60_000)
+    .default(1000)
+    .describe('Longest time to open a connection to a target.'),
+  idle_milliseconds: integerSetting(0, 600_000)
+    .default(3000)
+    .describe(
+      "Longest time a connection stays open unused; below the targets' own keep-alive time.",
+    ),
+  proven_milliseconds: integerSetting(0, 600_000)
+    .default(500)
+    .describe(
+      'Longest time unused after which a non-idempotent request still takes the connection.',
+    ),
+  progress_milliseconds: integerSetting(100, 600_000)
+    .default(15_000)
+    .describe('Longest silence within an answer.'),
+  connections: integerSetting(1, 10_000)
+    .default(64)
+    .describe(
+      'Connections of this daemon to one target, where the bundle says nothing.',
+    ),
+  head_bytes: integerSetting(1024, 1_048_576)
+    .default(32_768)
+    .describe('Longest head of an answer.'),
 });
 
 /** Checked settings of the target edge. */
