--- a/packages/decisions/src/__tests__/slot-pool.test.ts
+++ b/packages/decisions/src/__tests__/slot-pool.test.ts
@@ -1,12 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {SeededRandom, VirtualClock} from '@gentiandoor/kernel';
-import {
-  SpillReason,
-  type PoolSlot,
-  type SlotAsk,
-  type SlotRefusal,
-} from '../slot-pool.js';
+import type {PoolSlot, SlotAsk, SlotRefusal} from '../pool-slot.js';
+import {SpillReason} from '../slot-pool.js';
 import {createStandardPool} from '../standard-pool.js';
 import type {RoutableTarget} from '../target-entry.js';
 import {OutcomeKind} from '../target-outcome.js';
@@ -175,6 +171,22 @@
     });
   });
 
+  // The list drops a VM and shows it again while exchanges run there. Counted from none, the daemon
+  // would send it its slots once more, and the target would answer busy or run too much.
+  describe('with a target that goes and returns with exchanges in flight', () => {
+    it('still counts them', () => {
+      const {ask, pool} = build([target('a')]);
+      const slots = [ask().got.slot, ask().got.slot];
+      pool.setTargets([]);
+      pool.setTargets([target('a')]);
+      const third = ask().got;
+      assert.ok(!('slot' in third));
+      slots[0]?.release();
+      assert.equal(third.slot?.target.id, 'a');
+      assert.equal(slots[1]?.isRoutable(), true);
+    });
+  });
+
   describe('with targets in two data centres', () => {
     it('uses the near ones until they are full, and says why it spills', () => {
       const {ask, spills} = build([
--- /dev/null
+++ b/packages/decisions/src/pool-slot.ts
@@ -0,0 +1,64 @@
+import type {ChoiceAsk} from './target-choice.js';
+import type {RoutableTarget, TargetEntry} from './target-entry.js';
+import {OutcomeKind, type TargetOutcome} from './target-outcome.js';
+import type {TurnAway, Waiter} from './waiting-queue.js';
+
+/** A request that wants a slot of the pool. Exactly one of `grant` and `refuse` is called, once. */
+export interface SlotAsk extends Waiter, ChoiceAsk {
+  grant(slot: PoolSlot): void;
+  refuse(refusal: SlotRefusal): void;
+}
+
+/** Why a request got no slot. */
+export interface SlotRefusal {
+  /** Undefined when the pool has no target that could ever take it now. */
+  readonly reason: TurnAway | undefined;
+  /** Whether the team's quota kept it waiting. */
+  readonly quotaHeld: boolean;
+  /** Whole seconds after which to come again. */
+  readonly retryAfterSeconds: number;
+}
+
+/** What a granted slot tells its pool. */
+export interface SlotHolder {
+  isRoutable(entry: TargetEntry): boolean;
+  onOutcome(slot: PoolSlot, outcome: TargetOutcome): void;
+  onReleased(slot: PoolSlot): void;
+}
+
+/** A granted slot. */
+export class PoolSlot {
+  /** Whether the exchange ended with an answer that is no failure. */
+  wasAnswered = false;
+  private isReleased = false;
+
+  constructor(
+    private readonly pool: SlotHolder,
+    readonly entry: TargetEntry,
+    readonly ask: SlotAsk,
+    /** Monotonic milliseconds of the grant. */
+    readonly startedAt: number,
+  ) {}
+
+  get target(): RoutableTarget {
+    return this.entry.target;
+  }
+
+  /** Asked directly before the first byte goes out. */
+  isRoutable(): boolean {
+    return this.pool.isRoutable(this.entry);
+  }
+
+  /** What the exchange showed of the target. */
+  report(outcome: TargetOutcome): void {
+    this.wasAnswered = outcome.kind === OutcomeKind.Succeeded;
+    this.pool.onOutcome(this, outcome);
+  }
+
+  /** Gives the slot back; a second call does nothing. */
+  release(): void {
+    if (this.isReleased) return;
+    this.isReleased = true;
+    this.pool.onReleased(this);
+  }
+}
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -2,38 +2,19 @@
 import type {ClassGate} from './class-gate.js';
 import {retryAfterSeconds, type DrainRate} from './drain-rate.js';
 import type {Ejection} from './ejection.js';
+import {PoolSlot, type SlotAsk, type SlotHolder} from './pool-slot.js';
 import type {SlowTargetRule} from './slow-target.js';
 import type {PeerUse, PeerUses, SlotShare} from './slot-share.js';
-import type {ChoiceAsk, TargetChoice} from './target-choice.js';
-import {TargetEntry, type RoutableTarget} from './target-entry.js';
+import type {TargetChoice} from './target-choice.js';
+import type {RoutableTarget, TargetEntry} from './target-entry.js';
+import {TargetSet} from './target-set.js';
 import {OutcomeKind, isFailure, type TargetOutcome} from './target-outcome.js';
 import type {TeamQuota} from './team-quota.js';
-import type {
-  TurnAway,
-  TurnedAway,
-  Waiter,
-  WaitingQueue,
-} from './waiting-queue.js';
+import type {TurnAway, TurnedAway, WaitingQueue} from './waiting-queue.js';
 import type {TickClock} from './tick-clock.js';
 import type {WeightRamp} from './weight-ramp.js';
 import {WorkLength} from './work-class.js';
 
-/** A request that wants a slot of the pool. Exactly one of `grant` and `refuse` is called, once. */
-export interface SlotAsk extends Waiter, ChoiceAsk {
-  grant(slot: PoolSlot): void;
-  refuse(refusal: SlotRefusal): void;
-}
-
-/** Why a request got no slot. */
-export interface SlotRefusal {
-  /** Undefined when the pool has no target that could ever take it now. */
-  readonly reason: TurnAway | undefined;
-  /** Whether the team's quota kept it waiting. */
-  readonly quotaHeld: boolean;
-  /** Whole seconds after which to come again. */
-  readonly retryAfterSeconds: number;
-}
-
 /** Why work went to another data centre. */
 export enum SpillReason {
   /** Every slot near by that this daemon may use is taken. */
@@ -60,69 +41,29 @@
   readonly onPressure: () => void;
 }
 
-/** A granted slot. */
-export class PoolSlot {
-  /** Whether the exchange ended with an answer that is no failure. */
-  wasAnswered = false;
-  private isReleased = false;
-
-  constructor(
-    private readonly pool: SlotPool,
-    readonly entry: TargetEntry,
-    readonly ask: SlotAsk,
-    /** Monotonic milliseconds of the grant. */
-    readonly startedAt: number,
-  ) {}
-
-  get target(): RoutableTarget {
-    return this.entry.target;
-  }
-
-  /** Asked directly before the first byte goes out. */
-  isRoutable(): boolean {
-    return this.pool.isRoutable(this.entry);
-  }
-
-  /** What the exchange showed of the target. */
-  report(outcome: TargetOutcome): void {
-    this.wasAnswered = outcome.kind === OutcomeKind.Succeeded;
-    this.pool.onOutcome(this, outcome);
-  }
-
-  /** Gives the slot back; a second call does nothing. */
-  release(): void {
-    if (this.isReleased) return;
-    this.isReleased = true;
-    this.pool.onReleased(this);
-  }
-}
-
 /** How often deadlines and the standing queue are looked at while requests wait. */
 const SWEEP_MILLISECONDS = 10;
-/** How long a sum over the pool's targets is good for. */
-const SUMS_MILLISECONDS = 50;
-
-interface PoolSums {
-  readonly at: number;
-  readonly capacity: number;
-  readonly mayAvoidSlow: boolean;
-}
-
 /**
  * Gives the slots of one pool to requests: at once where there is room, else by the queue's order.
  * Dispatch and giving up are one choice: an ask leaves the queue in the same step that grants or
  * refuses it, and nothing else runs in between.
  */
-export class SlotPool {
-  private readonly entries = new Map<string, TargetEntry>();
-  private near: TargetEntry[] = [];
-  private far: TargetEntry[] = [];
+export class SlotPool implements SlotHolder {
+  private readonly targets: TargetSet;
   /** False once no target had room; spares a look through all targets for each request. */
   private mayHaveRoom = true;
   private sweep: Timer | undefined;
-  private sums: PoolSums = {at: -Infinity, capacity: 0, mayAvoidSlow: false};
 
-  constructor(private readonly parts: SlotPoolParts) {}
+  constructor(private readonly parts: SlotPoolParts) {
+    const {clock, drain} = parts;
+    this.targets = new TargetSet({
+      ...parts,
+      now: () => clock.monotonicMilliseconds(),
+      usualMilliseconds: () => drain.holdMilliseconds(WorkLength.Short),
+      queueMilliseconds: () =>
+        (this.waiting + 1) / drain.perMillisecond(WorkLength.Short),
+    });
+  }
 
   get waiting(): number {
     return this.parts.queue.length;
@@ -138,18 +79,7 @@
   /** Replaces the routable targets; called on change only. */
   setTargets(targets: readonly RoutableTarget[]): void {
     this.parts.clock.tick();
-    const now = this.now();
-    const isFirst = this.entries.size === 0;
-    const wanted = new Map(targets.map(target => [target.id, target]));
-    for (const [id, entry] of this.entries) {
-      if (wanted.get(id)?.address === entry.target.address) continue;
-      this.remove(entry, now);
-    }
-    for (const target of targets) this.put(target, isFirst, now);
-    const all = [...this.entries.values()];
-    this.near = all.filter(entry => entry.target.isNear);
-    this.far = all.filter(entry => !entry.target.isNear);
-    this.parts.ejection.setTargets(targets);
+    this.targets.set(targets);
     this.onRoomChanged();
   }
 
@@ -180,13 +110,13 @@
   onRoomChanged(): void {
     this.parts.clock.tick();
     this.mayHaveRoom = true;
-    this.sums = {...this.sums, at: -Infinity};
+    this.targets.onChanged();
     this.pump();
   }
 
   /** Slots that this daemon may use now, in all targets. */
   capacity(): number {
-    return this.sumUp().capacity;
+    return this.targets.capacity();
   }
 
   /** Takes in what a peer says that it uses of the targets. */
@@ -199,48 +129,36 @@
   /** This daemon's use of each target, for its peers; empty while it has no work. */
   uses(): Map<string, PeerUse> {
     const waiting = this.waiting > 0;
-    const uses = new Map<string, PeerUse>();
-    if (!waiting && this.inFlight === 0) return uses;
-    for (const {id, inFlight, target} of this.entries.values()) {
-      // Far targets not in use are left out: room kept there for this daemon would be room that
-      // the daemons next to them miss.
-      if (target.isNear || inFlight > 0 || waiting)
-        uses.set(id, {inFlight, waiting});
-    }
-    return uses;
+    if (!waiting && this.inFlight === 0) return new Map();
+    return this.targets.uses(waiting);
   }
 
   /** Targets that said themselves that they are leaving. */
   leaving(): string[] {
     this.parts.clock.tick();
-    const found: string[] = [];
-    for (const entry of this.entries.values()) {
-      if (entry.isLeaving()) found.push(entry.id);
-    }
-    return found;
+    return this.idsOf(entry => entry.isLeaving());
   }
 
   /** Whether the target is among the routable ones. */
   has(target: string): boolean {
-    return this.entries.has(target);
+    return this.targets.get(target) !== undefined;
   }
 
   /** Targets that get no work because of their failures. */
   ejected(): string[] {
-    return [...this.entries.values()]
-      .filter(entry => entry.isEjected())
-      .map(({id}) => id);
+    this.parts.clock.tick();
+    return this.idsOf(entry => entry.isEjected());
   }
 
   /** A sign of leaving from a peer. */
   onLeaving(target: string): void {
     this.parts.clock.tick();
-    this.entries.get(target)?.onLeaving();
+    this.targets.get(target)?.onLeaving();
   }
 
   /** Monotonic milliseconds of the last whole answer from a target. */
   lastAnswerAt(target: string): number | undefined {
-    return this.entries.get(target)?.lastAnswerAt;
+    return this.targets.get(target)?.lastAnswerAt;
   }
 
   /** Requests of one service that wait. */
@@ -270,7 +188,8 @@
     if (outcome.kind === OutcomeKind.Busy) {
       share.onBusy(entry.id, entry.inFlight, slots);
     } else if (isFailure(outcome.kind)) {
-      entry.latency.penalise(this.usualMilliseconds(), now);
+      const usual = this.parts.drain.holdMilliseconds(WorkLength.Short);
+      entry.latency.penalise(usual, now);
     } else if (outcome.kind === OutcomeKind.Succeeded) {
       entry.lastAnswerAt = now;
       share.onSuccess(entry.id, entry.inFlight, slots);
@@ -280,7 +199,7 @@
 
   /** For `PoolSlot` only. */
   onReleased({entry, ask, startedAt, wasAnswered}: PoolSlot): void {
-    entry.inFlight--;
+    this.targets.onEnded(entry);
     const {drain, clock} = this.parts;
     clock.tick();
     drain.onEnd(ask.work);
@@ -303,60 +222,13 @@
     entry.latency.observe(milliseconds * scale, now);
   }
 
-  private sumUp(): PoolSums {
-    const now = this.now();
-    if (now - this.sums.at < SUMS_MILLISECONDS) return this.sums;
-    let capacity = 0;
-    let open = 0;
-    let slow = 0;
-    for (const entry of this.entries.values()) {
-      if (!entry.isOpen()) continue;
-      open++;
-      capacity += entry.limit();
-      if (entry.isSlow()) slow++;
-    }
-    // A fault that slows all targets shows in their estimates before it shows in the mean: without
-    // this bound nothing would be sent to any of them until the estimates fade.
-    const mayAvoidSlow = slow <= open / 2;
-    this.sums = {at: now, capacity, mayAvoidSlow};
-    return this.sums;
-  }
-
-  private usualMilliseconds(): number {
-    return this.parts.drain.holdMilliseconds(WorkLength.Short);
-  }
-
-  private put(target: RoutableTarget, isFirst: boolean, now: number): void {
-    const known = this.entries.get(target.id);
-    if (known) {
-      known.target = target;
-      return;
-    }
-    const {clock, share, ejection, ramp, drain, slowTargets} = this.parts;
-    const entry = new TargetEntry(target, {
-      now: () => clock.monotonicMilliseconds(),
-      usualMilliseconds: () => this.usualMilliseconds(),
-      mayAvoidSlow: () => this.sumUp().mayAvoidSlow,
-      queueMilliseconds: () =>
-        (this.waiting + 1) / drain.perMillisecond(WorkLength.Short),
-      share,
-      ejection,
-      ramp,
-      slowTargets,
-    });
-    this.entries.set(target.id, entry);
-    if (!isFirst) ramp.onIn(target.id, now);
-  }
-
-  private remove(entry: TargetEntry, now: number): void {
-    entry.onGone();
-    this.entries.delete(entry.id);
-    this.parts.ramp.onOut(entry.id, now);
+  private idsOf(matches: (entry: TargetEntry) => boolean): string[] {
+    return [...this.targets.all()].filter(matches).map(({id}) => id);
   }
 
   private startNow(ask: SlotAsk): boolean {
     if (!this.mayRun(ask)) return false;
-    const entry = this.pick(ask);
+    const entry = this.targets.pick(ask);
     if (entry) this.start(ask, entry);
     else this.mayHaveRoom = false;
     return entry !== undefined;
@@ -378,7 +250,7 @@
 
   /** Finds a target first: an ask that leaves the queue must have one. */
   private startNext(idempotent: boolean): boolean {
-    const entry = this.pick({idempotent});
+    const entry = this.targets.pick({idempotent});
     if (!entry) {
       if (!idempotent) this.mayHaveRoom = false;
       return false;
@@ -388,32 +260,11 @@
       waiting => this.mayRun(waiting) && entry.hasRoom(waiting),
     );
     if (!ask) return false;
-    const other = ask.tried?.has(entry.id) ? this.pick(ask) : undefined;
+    const other = ask.tried?.has(entry.id) ? this.targets.pick(ask) : undefined;
     this.start(ask, other ?? entry);
     return true;
   }
 
-  /** Near before far, own slots before borrowed ones, warm targets before cold ones. */
-  private pick(ask: ChoiceAsk): TargetEntry | undefined {
-    const {idempotent, tried} = ask;
-    for (const entries of [this.near, this.far]) {
-      if (entries.length === 0) continue;
-      const entry =
-        this.choose(entries, {idempotent, tried, mayBorrow: false}) ??
-        this.choose(entries, {idempotent, tried}) ??
-        this.choose(entries, {idempotent, tried, mayBeCold: true});
-      if (entry) return entry;
-    }
-    return tried ? this.pick({idempotent}) : undefined;
-  }
-
-  private choose(
-    entries: readonly TargetEntry[],
-    ask: ChoiceAsk,
-  ): TargetEntry | undefined {
-    return this.parts.choice.choose(entries, ask);
-  }
-
   private start(ask: SlotAsk, entry: TargetEntry): void {
     const {drain, gate, quota} = this.parts;
     entry.inFlight++;
@@ -425,9 +276,8 @@
   }
 
   private countSpill(): void {
-    const nearIsOpen = this.near.some(entry => entry.isOpen());
     this.parts.onSpill(
-      nearIsOpen ? SpillReason.NearFull : SpillReason.NearGone,
+      this.targets.hasNear() ? SpillReason.NearFull : SpillReason.NearGone,
     );
   }
 
--- a/packages/decisions/src/target-entry.ts
+++ b/packages/decisions/src/target-entry.ts
@@ -134,6 +134,12 @@
     return expected - usual > parts.queueMilliseconds();
   }
 
+  /** The target is routable again. */
+  onReturned(target: RoutableTarget): void {
+    this.target = target;
+    this.isGone = false;
+  }
+
   private standing(): TargetStanding {
     return this.parts.ejection.standing(this.id, this.parts.now());
   }
