--- a/packages/decisions/src/retry-budget.ts
+++ b/packages/decisions/src/retry-budget.ts
@@ -57,7 +57,7 @@
  * and adds at most a fifth to the load in a fault of everything. Two a second let a service with
  * little traffic retry at all; savings are bounded so that a quiet night does not pay for a storm.
  * A busy answer costs no budget: it cost the target nothing, the answer has cut this daemon's
- * share, and the request goes back to waiting under its first deadline.
+ * share, and the request goes back to waiting, bounded by its attempts and its deadline.
  */
 export class RetryBudget implements RetryPolicy {
   private balance = MINIMUM_PER_SECOND;
