--- a/packages/fleet/src/__tests__/fleet-properties.test.ts
+++ b/packages/fleet/src/__tests__/fleet-properties.test.ts
@@ -11,13 +11,15 @@
   VmCondition,
   WaveChange,
   capacityOf,
+  decodeSnapshot,
+  encodeSnapshot,
   jobsOf,
   plannerOf,
   stateHash,
   tablesOf,
   type FleetState,
 } from '@gentiandoor/shared-state';
-import {KINGSTON, exampleVms} from '@gentiandoor/stand-ins';
+import {EXAMPLE_TRUST, KINGSTON, exampleVms} from '@gentiandoor/stand-ins';
 import {
   FoldedFleet,
   countAvailable,
@@ -26,6 +28,7 @@
 } from './fold-helpers.js';
 
 const RUNS = 150;
+const SNAPSHOT_RUNS = 40;
 const SEED = 20_261_202;
 const VMS = exampleVms(KINGSTON).map(vm => vm.id);
 const POOLS = KINGSTON.pools.map(pool => pool.name);
@@ -192,6 +195,23 @@
   }
 }
 
+function submitJobs(fleet: FoldedFleet): void {
+  const size = {processors: 1, memoryGigabytes: 1, accelerators: 0, slots: 1};
+  for (let n = 0; n < 10; n++) {
+    fleet.write('moana', {
+      kind: RecordKind.JobSubmitted,
+      key: `job-${n}`,
+      team: 'counter',
+      pool: 'logo-desk',
+      jobClass: 'logo',
+      idempotent: n % 2 === 0,
+      size,
+      payload: 'x',
+    });
+  }
+  fleet.write('moana', {kind: RecordKind.JobsCancelled, keys: ['job-3']});
+}
+
 describe('random records of several writers', () => {
   it('never let planned work pass a budget; a VM is in exactly one pool', () => {
     let accepted = 0;
@@ -247,4 +267,30 @@
       {numRuns: RUNS, seed: SEED},
     );
   });
+
+  // A daemon that starts reads a snapshot taken in the midst of moves, waves and jobs, and goes
+  // on from there. It must judge every later record as those do that folded from the start.
+  it('are judged alike after a snapshot', async () => {
+    const rest = () => Promise.resolve();
+    await fc.assert(
+      fc.asyncProperty(moves, moves, async (first, second) => {
+        const left = new FoldedFleet(KINGSTON);
+        for (const move of first)
+          left.write(move.writer, draftOf(left.state, move));
+        submitJobs(left);
+        const bytes = await encodeSnapshot(left.state, rest);
+        const right = left.continuedFrom(
+          await decodeSnapshot(bytes, EXAMPLE_TRUST, rest),
+        );
+        for (const move of second) {
+          const draft = draftOf(left.state, move);
+          const expected = left.write(move.writer, draft);
+          const found = right.write(move.writer, draft);
+          assert.deepEqual(found.rejection, expected.rejection);
+        }
+        assert.equal(stateHash(right.state), stateHash(left.state));
+      }),
+      {numRuns: SNAPSHOT_RUNS, seed: SEED},
+    );
+  });
 });
--- a/packages/fleet/src/__tests__/fold-helpers.ts
+++ b/packages/fleet/src/__tests__/fold-helpers.ts
@@ -28,8 +28,15 @@
   readonly state: FleetState;
   private written = 0;
 
-  constructor(deployment: ExampleDeployment) {
-    this.state = exampleState(deployment);
+  constructor(from: ExampleDeployment | FleetState) {
+    this.state = 'nextOffset' in from ? from : exampleState(from);
+  }
+
+  /** A second daemon that goes on from another copy of the state, with the same record ids. */
+  continuedFrom(state: FleetState): FoldedFleet {
+    const other = new FoldedFleet(state);
+    other.written = this.written;
+    return other;
   }
 
   /** Writes a record as a named writer. */
