--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -31,12 +31,8 @@
 export * from './snapshot-chunks.js';
 export * from './snapshot.js';
 export * from './state-hash.js';
-export {
-  ENDED_JOBS_KEPT,
-  FAILURES_BEFORE_SET_ASIDE,
-  MOST_ACTIVE_JOBS,
-  MOST_QUEUED_OF_TEAM,
-} from './fold-jobs.js';
+export {ENDED_JOBS_KEPT, FAILURES_BEFORE_SET_ASIDE} from './fold-jobs.js';
+export {MOST_ACTIVE_JOBS, MOST_QUEUED_OF_TEAM} from './job-checks.js';
 export {MOST_BATCHED} from './fleet-record-head.js';
 export * from './routing-drain.js';
 export * from './vm-actions.js';
--- /dev/null
+++ b/packages/shared-state/src/job-checks.ts
@@ -0,0 +1,108 @@
+import {capacityOf} from './capacity-index.js';
+import type {Job} from './fleet-domain.js';
+import {
+  RejectionReason,
+  type FleetState,
+  type Rejection,
+} from './fleet-state.js';
+import {jobsOf} from './job-index.js';
+import type {JobSubmitted} from './job-records.js';
+import {digestOf} from './signatures.js';
+
+/** Jobs that may wait or run at one time: about 50 MB of the state with short payloads. */
+export const MOST_ACTIVE_JOBS = 50_000;
+
+/** Jobs of one team that may wait, so that one cannot fill the queue of all. */
+export const MOST_QUEUED_OF_TEAM = 12_500;
+
+/** Whether a key that is taken names the same job. */
+export function sameJob(
+  known: Job,
+  record: JobSubmitted,
+): Rejection | undefined {
+  const same =
+    known.team === record.team &&
+    known.pool === record.pool &&
+    known.payloadDigest === digestOf(record.payload);
+  if (same) return undefined;
+  return {
+    reason: RejectionReason.JobDuplicate,
+    detail: `key ${record.key} belongs to another job of team ${known.team}; use a new key`,
+  };
+}
+
+/** Why a job is not taken in. */
+export function checkSubmission(
+  state: FleetState,
+  record: JobSubmitted,
+): Rejection | undefined {
+  const bundle = state.inForce?.bundle;
+  const pool = bundle?.pools[record.pool];
+  if (!pool) {
+    return {
+      reason: RejectionReason.PoolUnknown,
+      detail: `pool ${record.pool} is not in the bundle in force`,
+    };
+  }
+  const team = bundle?.teams[record.team];
+  if (!team) {
+    return {
+      reason: RejectionReason.TeamUnknown,
+      detail: `team ${record.team} is not in the bundle in force`,
+    };
+  }
+  const full = checkRoom(state, record.team);
+  if (full) return full;
+  const {size} = record;
+  const fits =
+    size.processors <= pool.processors &&
+    size.memoryGigabytes <= pool.memoryGigabytes &&
+    size.accelerators <= pool.accelerators &&
+    size.slots <= Math.min(pool.slots, team.slots);
+  if (fits) return undefined;
+  return {
+    reason: RejectionReason.JobImpossible,
+    detail: `job ${record.key} asks for ${size.processors} processors, ${size.memoryGigabytes} GB, ${size.accelerators} accelerators and ${size.slots} slots; a VM of pool ${record.pool} has ${pool.processors}, ${pool.memoryGigabytes}, ${pool.accelerators} and ${pool.slots}, team ${record.team} has ${team.slots} slots`,
+  };
+}
+
+function checkRoom(state: FleetState, team: string): Rejection | undefined {
+  const active = state.jobs.size - state.endedJobs.size;
+  const queued = jobsOf(state).queuedOfTeam(team);
+  if (active < MOST_ACTIVE_JOBS && queued < MOST_QUEUED_OF_TEAM)
+    return undefined;
+  return {
+    reason: RejectionReason.QuotaExceeded,
+    detail: `${queued} jobs of team ${team} wait (at most ${MOST_QUEUED_OF_TEAM}) and ${active} jobs in all are not done (at most ${MOST_ACTIVE_JOBS}); submit again when some have ended`,
+  };
+}
+
+/** Why an attempt cannot go to a VM. */
+export function checkPlacement(
+  state: FleetState,
+  job: Job,
+  vm: string,
+): Rejection | undefined {
+  const bundle = state.inForce?.bundle;
+  const owner = state.vms.get(vm);
+  if (owner?.pool !== job.pool || !capacityOf(state).isAvailable(vm)) {
+    return {
+      reason: RejectionReason.VmUnknown,
+      detail: `VM ${vm} is not an available VM of pool ${job.pool}`,
+    };
+  }
+  const index = jobsOf(state);
+  const slots = bundle?.pools[job.pool]?.slots ?? 0;
+  const quota = bundle?.teams[job.team]?.slots ?? 0;
+  if (index.vmSlots(vm) + job.size.slots > slots) {
+    return {
+      reason: RejectionReason.BudgetExceeded,
+      detail: `VM ${vm} has ${slots} slots and ${index.vmSlots(vm)} are taken`,
+    };
+  }
+  if (index.teamSlots(job.team) + job.size.slots <= quota) return undefined;
+  return {
+    reason: RejectionReason.QuotaExceeded,
+    detail: `team ${job.team} holds ${index.teamSlots(job.team)} of its ${quota} slots`,
+  };
+}
