--- /dev/null
+++ b/packages/bench/src/__tests__/daemon-signals.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import {fork, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, beforeEach, describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {LogEvent} from '@gentiandoor/kernel';
+import {TargetFault, type TargetServer} from '@gentiandoor/stand-ins';
+import {Deployment} from '../deployment.js';
+import {freeAddress} from '../processes/child-process.js';
+
+const PROGRAM = fileURLToPath(
+  new URL('../../../daemon/lib/bin/gentiandoor-daemon.js', import.meta.url),
+);
+const VM = 'hall-a-r1-1';
+
+describe('the daemon program', () => {
+  const deployment = new Deployment();
+  const directory = mkdtempSync(join(tmpdir(), 'signals-'));
+  let target: TargetServer;
+  let started = 0;
+
+  before(async () => {
+    await deployment.startPlatform();
+    await deployment.startRack({
+      name: 'hall-a-r1',
+      dataCentre: 'hall-a',
+      vms: [VM],
+    });
+    target = deployment.targets.get(VM) as TargetServer;
+    await deployment.rollOut(bundleText(deployment.operator.publicKey));
+  });
+  after(async () => {
+    await deployment.stop();
+    rmSync(directory, {recursive: true});
+  });
+  beforeEach(() => {
+    target.faults.clear();
+    target.ran.length = 0;
+  });
+
+  async function startDaemon() {
+    const callerAddress = await freeAddress();
+    const adminAddress = await freeAddress();
+    const name = `entry-${++started}`;
+    const settings = join(directory, `${name}.ini`);
+    writeFileSync(
+      settings,
+      deployment.settingsOf(name, 'hall-a', {
+        callerListen: callerAddress,
+        adminListen: adminAddress,
+        callerHttp: {drain_grace_milliseconds: 50},
+      }),
+    );
+    const child = fork(PROGRAM, ['--settings', settings], {silent: true});
+    const output = collect(child);
+    await untilStatus(adminAddress, 200);
+    return {child, output, callerAddress, adminAddress};
+  }
+
+  describe('on one SIGTERM', () => {
+    it('ends with 0 when nothing is left', async () => {
+      const {child} = await startDaemon();
+      child.kill('SIGTERM');
+      assert.equal(await exitCode(child), 0);
+    });
+  });
+
+  describe('on a second SIGTERM', () => {
+    // A POST is at a target that does not answer when the stop begins. The daemon waits for
+    // it, not ready any more, until a second signal ends it. Its log says what was cut.
+    it('ends with 1 and says what it cut', async () => {
+      target.faults.add(TargetFault.Silent);
+      const {child, output, callerAddress, adminAddress} = await startDaemon();
+      const answer = request(`http://${callerAddress}/desk/x`, {
+        method: 'POST',
+        body: 'crest',
+      });
+      const cut = assert.rejects(answer);
+      await until(() => target.ran.length === 1);
+      child.kill('SIGTERM');
+      await untilStatus(adminAddress, 503);
+      child.kill('SIGTERM');
+      assert.equal(await exitCode(child), 1);
+      await cut;
+      const line = output
+        .join('')
+        .split('\n')
+        .find(text => text.includes(`"event":${LogEvent.DaemonStopForced}`));
+      const fields = JSON.parse(line ?? '{}') as Record<string, unknown>;
+      assert.deepEqual([fields.requests, fields.nonIdempotent], [1, 1]);
+    });
+  });
+});
+
+function bundleText(publicKey: string): string {
+  return `
+[bundle]
+version = 1
+base = 0
+author = moana
+sign_offs = 1
+[operator.kerry]
+public_key = ${publicKey}
+[rack.hall-a-r1]
+data_centre = hall-a
+vms = ${VM}
+[pool.desk]
+vms = ${VM}
+[service.desk]
+pool = desk
+`;
+}
+
+function collect(child: ChildProcess): string[] {
+  const output: string[] = [];
+  child.stdout?.on('data', (chunk: Buffer) => output.push(chunk.toString()));
+  child.stderr?.on('data', (chunk: Buffer) => output.push(chunk.toString()));
+  return output;
+}
+
+function exitCode(child: ChildProcess): Promise<number | null> {
+  return new Promise(resolve => child.once('close', resolve));
+}
+
+async function untilStatus(address: string, status: number): Promise<void> {
+  for (;;) {
+    try {
+      const answer = await request(`http://${address}/health/ready`);
+      await answer.body.dump();
+      if (answer.statusCode === status) return;
+    } catch {
+      // Not listening yet.
+    }
+    await pause();
+  }
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await pause();
+}
+
+function pause(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, 10));
+}
