--- a/packages/plugin-caller-http/src/caller-side.ts
+++ b/packages/plugin-caller-http/src/caller-side.ts
@@ -93,7 +93,7 @@
       this.exchange?.resume();
     });
     // An answer that ended while its last part was unread says `finish` and never `drain`.
-    // Left running, the timer would cut the connection under the caller's next request.
+    // Left running, the timer would hold the answer in memory for its whole length.
     this.response.once('finish', () => this.stopUnreadTimer());
   }
 
