--- a/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {createHash} from 'node:crypto';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {MetricName} from '@gentiandoor/kernel';
 import {KeyRule} from '@gentiandoor/shared-state';
 import {RawTarget} from '@gentiandoor/stand-ins';
 import {CallerEdge} from './caller-edge.js';
@@ -232,6 +233,7 @@
       assert.equal(headerOf(answer, 'gentiandoor-reason'), reason);
       assert.equal(headerOf(answer, 'gentiandoor-run'), 'no');
       assert.equal(target.receivedBytes, 0);
+      assert.equal(edge.metrics.value(MetricName.Refusals, {reason}), 1);
     });
   }
 
--- a/packages/plugin-caller-http/src/caller-connections.ts
+++ b/packages/plugin-caller-http/src/caller-connections.ts
@@ -81,9 +81,11 @@
    * A connection that can be read no further: malformed input, or a request that came too
    * slowly. The error belongs to the request that is not complete. A raw answer while
    * another request is under way would be taken for that request's answer, so it is
-   * written only to a connection that has none.
+   * written only to a connection that has none. Returns what was answered that way.
    */
-  fail(error: Error, socket: Socket): void {
+  fail(error: Error, socket: Socket): RequestError | undefined {
+    // The caller reset the connection: nobody is left to answer, and its close says the rest.
+    if (socket.destroyed) return undefined;
     const items = [...(this.underWay.get(socket) ?? [])];
     const refusal = refusalOf(error, items.length > 0);
     const incomplete = items.find(item => !item.request.complete);
@@ -91,16 +93,17 @@
       incomplete.isClosing = true;
       incomplete.response.shouldKeepAlive = false;
       incomplete.fail(refusal);
-      return;
+      return undefined;
     }
     const last = items.at(-1);
     if (!last) {
       this.answerAndClose(socket, refusal);
-      return;
+      return refusal;
     }
     last.isClosing = true;
     last.response.shouldKeepAlive = false;
     last.response.once('finish', () => this.closeSoon(socket));
+    return undefined;
   }
 
   /** Answers on a connection without a response object, and closes it. */
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -158,7 +158,8 @@
       });
     });
     this.server.on('clientError', (error, socket) => {
-      this.connections.fail(error, socket as net.Socket);
+      const refusal = this.connections.fail(error, socket as net.Socket);
+      if (refusal) this.count(refusal.kind);
     });
     this.server.on('connect', (_request, socket) => {
       this.refuse(ErrorKind.UpgradeRefused, error =>
@@ -168,10 +169,14 @@
   }
 
   private refuse(kind: ErrorKind, answer: (error: RequestError) => void): void {
-    this.dependencies.metrics.increment(MetricName.Refusals, {reason: kind});
+    this.count(kind);
     answer(new RequestError(kind, 'not supported'));
   }
 
+  private count(reason: ErrorKind): void {
+    this.dependencies.metrics.increment(MetricName.Refusals, {reason});
+  }
+
   private underWay(
     request: http.IncomingMessage,
     response: http.ServerResponse,
