Peer exchange, state keeper and peer links taken apart by job

Comparison of states, passing records on, parsing ahead and extra links have files of their own; an unused reading of the log's silence is gone.

--- a/packages/plugin-peers/src/web-socket-peer-links.ts
+++ b/packages/plugin-peers/src/web-socket-peer-links.ts
@@ -20,6 +20,7 @@
   PeerLinks,
   PeerTopic,
 } from '@gentiandoor/shared-state';
+import {ExtraLinks} from './extra-links.js';
 import {FrameInbox} from './frame-inbox.js';
 import {LinkTable} from './link-table.js';
 import {choosePeers, type PeerCandidate} from './peer-choice.js';
@@ -31,7 +32,6 @@
 
 const BACKOFF_BASE_MILLISECONDS = 200;
 const BACKOFF_MAXIMUM_MILLISECONDS = 10_000;
-const EXTRA_IDLE_MILLISECONDS = 30_000;
 /** Connections that may be in their handshake; more are closed at once. */
 const MOST_HANDSHAKES = 64;
 
@@ -50,6 +50,7 @@
 export class WebSocketPeerLinks implements PeerLinks, Plugin {
   private readonly handlers = new Map<PeerTopic, PeerHandler>();
   private readonly table: LinkTable;
+  private readonly extras: ExtraLinks;
   private readonly dialled = new Map<string, AbortController>();
   private readonly tasks = new Set<Promise<void>>();
   private readonly stopping = new AbortController();
@@ -58,11 +59,17 @@
   private readonly nameAt = new Map<string, string>();
   private server: WebSocketServer | undefined;
   private handshakes = 0;
-  private extras = 0;
 
   constructor(private readonly dependencies: PeerLinksDependencies) {
     this.table = new LinkTable(dependencies.identity);
     this.fraction = dependencies.random.nextFraction();
+    this.extras = new ExtraLinks({
+      clock: dependencies.clock,
+      peerDirectory: dependencies.peerDirectory,
+      limit: dependencies.peersOptions.extra_links,
+      dial: (address, signal, onUp) => this.dial(address, signal, onUp),
+      spawn: task => this.spawn(task),
+    });
     dependencies.peerDirectory.onChange(() => this.choose());
   }
 
@@ -123,6 +130,11 @@
     this.handlers.set(topic, handler);
   }
 
+  private openExtra(incarnation: string): Promise<PeerLink> {
+    if (this.server) return this.extras.openTo(incarnation);
+    return Promise.reject(new Error(`no link to ${incarnation}`));
+  }
+
   /** Starts a task for each peer that is chosen now, and ends those of the others. */
   private choose(): void {
     if (!this.server || this.stopping.signal.aborted) return;
@@ -287,45 +299,6 @@
     }
   }
 
-  /** A link for requests to a daemon outside the fan-out; closes by itself when idle. */
-  private async openExtra(incarnation: string): Promise<PeerLink> {
-    const {peerDirectory, peersOptions: options} = this.dependencies;
-    const entry = peerDirectory
-      .entries()
-      .find(known => known.incarnation === incarnation);
-    if (!entry || !this.server) throw new Error(`no link to ${incarnation}`);
-    if (this.extras >= options.extra_links)
-      throw new Error(`no link to ${entry.name}: too many extra links`);
-    this.extras++;
-    const done = new AbortController();
-    const link = new Promise<PeerLink>((resolve, reject) => {
-      const dialling = this.dial(entry.address, done.signal, up => {
-        resolve(up);
-        this.spawn(this.closeWhenIdle(up, done.signal));
-      }).finally(() => {
-        done.abort();
-        this.extras--;
-        reject(new Error(`no link to ${entry.name}`));
-      });
-      this.spawn(dialling);
-    });
-    const opened = await link;
-    if (opened.peer.incarnation === incarnation) return opened;
-    throw new Error(`${entry.name} is a newer incarnation`);
-  }
-
-  private async closeWhenIdle(
-    link: PeerLink,
-    done: AbortSignal,
-  ): Promise<void> {
-    const {clock} = this.dependencies;
-    while (!done.aborted && !this.stopping.signal.aborted) {
-      await sleep(clock, EXTRA_IDLE_MILLISECONDS / 2, done);
-      const idle = clock.monotonicMilliseconds() - link.lastUsedAt;
-      if (idle > EXTRA_IDLE_MILLISECONDS) link.close(PeerEnd.NotNeeded);
-    }
-  }
-
   private noteRefusal(error: Error): void {
     const reason =
       error instanceof PeerEndError ? error.end : PeerEnd.Malformed;
--- a/packages/plugin-shared-state/src/peer-exchange.ts
+++ b/packages/plugin-shared-state/src/peer-exchange.ts
@@ -12,39 +12,26 @@
 import {
   PeerTopic,
   RECORD_FORMAT,
-  decodeSnapshot,
-  encodeSnapshot,
   stateHash,
   type Peer,
   type PeerLinks,
 } from '@gentiandoor/shared-state';
+import {PeerRecords} from './peer-records.js';
 import type {SharedStateOptions} from './shared-state-options.js';
-import {RecordSource, restOfLoop, type StateKeeper} from './state-keeper.js';
-import {
-  recordsAnswerSchema,
-  recordsRequestSchema,
-  stateSummarySchema,
-  type RecordsAnswer,
-  type StateSummary,
-} from './state-summary.js';
+import {StateComparison} from './state-comparison.js';
+import type {StateKeeper} from './state-keeper.js';
+import {stateSummarySchema, type StateSummary} from './state-summary.js';
 
-const ANSWER_BYTES = 2_000_000;
 const REQUEST_MILLISECONDS = 5000;
-/** A peer's snapshot is made at most so often, however many ask for it. */
-const SNAPSHOT_KEPT_MILLISECONDS = 10_000;
 /** A log that said nothing for so long while a peer went ahead is helped out by the peer. */
 const HINT_MILLISECONDS = 300;
 /** Ticks while the daemon does not serve yet, and while it is cut off: peers tell it of news besides. */
 const STARTING_MILLISECONDS = 250;
 const CUT_OFF_MILLISECONDS = 1000;
-/** Offsets of peers ahead of this daemon, kept to compare their hashes when it gets there. */
-const MOST_PENDING = 64;
 
 /** The log as the exchange sees it. */
 export interface LogView {
   readonly isReachable: boolean;
-  /** Milliseconds since the log last answered. */
-  readonly silenceMilliseconds: number;
   /** Ends the read that is out and reads afresh. */
   refresh(): void;
 }
@@ -62,7 +49,7 @@
 export interface PeerState {
   readonly peer: Peer;
   readonly summary: StateSummary;
-  /** Milliseconds from this daemon having its version in force to hearing that the peer has; negative when the peer was first. */
+  /** Milliseconds from this daemon having its version in force to hearing that the peer has; undefined when the peer was first. */
   readonly tookMilliseconds: number | undefined;
 }
 
@@ -73,10 +60,10 @@
  */
 export class PeerExchange {
   private readonly peers = new Map<string, PeerState>();
-  private readonly pending = new Map<number, {hash: string; peer: string}>();
+  private readonly records: PeerRecords;
+  private readonly comparison: StateComparison;
   private pulling = false;
   private told = '';
-  private snapshot: {at: number; bytes: Promise<Uint8Array>} | undefined;
 
   constructor(
     private readonly dependencies: PeerExchangeDependencies,
@@ -89,9 +76,8 @@
       this.hear(from, message);
       return this.summary();
     });
-    peerLinks.handle(PeerTopic.Records, async (_from, message) =>
-      this.answerRecords(message),
-    );
+    this.records = new PeerRecords(dependencies, keeper);
+    this.comparison = new StateComparison(dependencies, keeper);
     keeper.onChange(() => this.onChange());
   }
 
@@ -174,8 +160,7 @@
       tookMilliseconds: this.tookOf(peer, summary),
     });
     this.forgetUnlinked();
-    this.compare(peer, summary);
-    this.compareVersions(peer, summary);
+    this.comparison.compare(peer, summary);
     if (summary.offset > this.keeper.live.nextOffset) this.helpYourself();
   }
 
@@ -197,48 +182,7 @@
       if (!linked.has(incarnation)) this.peers.delete(incarnation);
   }
 
-  /** Compares the states at the peer's offset, now or when this daemon gets there. */
-  private compare(peer: Peer, summary: StateSummary): void {
-    if (summary.readsFormat !== RECORD_FORMAT) return;
-    const own = this.keeper.hashes.at(summary.offset);
-    if (own !== undefined) {
-      this.judge(own, summary.hash, summary.offset, peer.name);
-      return;
-    }
-    if (summary.offset <= this.keeper.live.nextOffset) return;
-    this.pending.set(summary.offset, {hash: summary.hash, peer: peer.name});
-    if (this.pending.size <= MOST_PENDING) return;
-    const [oldest] = this.pending.keys();
-    this.pending.delete(oldest);
-  }
-
-  private judge(own: string, theirs: string, offset: number, peer: string) {
-    if (own === theirs) return;
-    const {logger, metrics} = this.dependencies;
-    metrics.increment(MetricName.StateHashDifferences);
-    logger.error(LogEvent.StateHashDiffers, {offset, peer, own, theirs});
-  }
-
-  /** Equal versions, unequal bundles: identity is version and digest. */
-  private compareVersions(peer: Peer, summary: StateSummary): void {
-    const own = this.keeper.live.inForce;
-    if (!own || own.bundle.version !== summary.version) return;
-    if (own.digest === summary.digest) return;
-    this.dependencies.metrics.increment(MetricName.BundleAlarms);
-    this.dependencies.logger.error(LogEvent.BundleConflict, {
-      version: summary.version,
-      own: own.digest,
-      theirs: summary.digest,
-      peer: peer.name,
-    });
-  }
-
   private onChange(): void {
-    for (const [offset, {hash, peer}] of this.pending) {
-      const own = this.keeper.hashes.at(offset);
-      if (own !== undefined) this.judge(own, hash, offset, peer);
-      if (offset <= this.keeper.live.nextOffset) this.pending.delete(offset);
-    }
     const summary = this.summary();
     const isCutOff = this.states().some(state => !state.summary.isLogReachable);
     const key = `${summary.digest} ${summary.isServing}`;
@@ -283,52 +227,8 @@
     }
     while (this.keeper.live.nextOffset < target) {
       const before = this.keeper.live.nextOffset;
-      await this.pullFrom(ahead.peer);
+      await this.records.pullFrom(ahead.peer);
       if (this.keeper.live.nextOffset === before) return;
     }
   }
-
-  private async pullFrom(peer: Peer): Promise<void> {
-    const from = this.keeper.live.nextOffset;
-    const answer = await this.ask(peer, from, false);
-    if (answer.payloads) {
-      await this.keeper.apply(answer.from, answer.payloads, RecordSource.Peer);
-      return;
-    }
-    const {snapshot} = await this.ask(peer, from, true);
-    if (!snapshot) return;
-    const {trusted} = this.keeper.live;
-    await this.keeper.restore(
-      await decodeSnapshot(snapshot, trusted, restOfLoop),
-    );
-  }
-
-  private async ask(
-    peer: Peer,
-    from: number,
-    snapshot: boolean,
-  ): Promise<RecordsAnswer> {
-    const answer = await this.dependencies.peerLinks.request(
-      peer.incarnation,
-      PeerTopic.Records,
-      {from, snapshot},
-      REQUEST_MILLISECONDS,
-    );
-    return recordsAnswerSchema.parse(answer);
-  }
-
-  private async answerRecords(message: unknown): Promise<RecordsAnswer> {
-    const {from, snapshot} = recordsRequestSchema.parse(message);
-    if (snapshot) return {from, snapshot: await this.ownSnapshot()};
-    return {from, payloads: this.keeper.recent.from(from, ANSWER_BYTES)};
-  }
-
-  private ownSnapshot(): Promise<Uint8Array> {
-    const now = this.dependencies.clock.monotonicMilliseconds();
-    if (!this.snapshot || now - this.snapshot.at > SNAPSHOT_KEPT_MILLISECONDS) {
-      const bytes = encodeSnapshot(this.keeper.live, restOfLoop);
-      this.snapshot = {at: now, bytes};
-    }
-    return this.snapshot.bytes;
-  }
 }
--- a/packages/plugin-shared-state/src/state-keeper.ts
+++ b/packages/plugin-shared-state/src/state-keeper.ts
@@ -8,26 +8,20 @@
 import {
   RECORD_FORMAT,
   RejectionReason,
-  applyDelta,
   applyPayload,
-  decodeRecord,
-  digestOf,
   emptyFleetState,
-  parseInSlices,
   stateHash,
-  RecordKind,
   type FleetState,
   type FoldOutcome,
   type TrustedOperators,
 } from '@gentiandoor/shared-state';
+import {parseBundleAhead} from './bundle-ahead.js';
 import {HashHistory} from './hash-history.js';
 import {RecentRecords} from './recent-records.js';
 import {UnverifiedRecords} from './unverified-records.js';
 
 /** Time that applying records may hold the event loop. */
 const SLICE_MILLISECONDS = 5;
-/** A bundle from here on is parsed ahead of the fold, in slices. */
-const LARGE_TEXT_CHARACTERS = 16_000;
 
 /** Where records came from. */
 export enum RecordSource {
@@ -151,7 +145,7 @@
       const offset = from + index;
       if (offset > this.live.nextOffset || this.isOutgrown) break;
       if (offset === this.live.nextOffset) {
-        await this.prepare(payload);
+        await parseBundleAhead(this.live, payload, restOfLoop);
         this.applyOne(payload, source);
         applied++;
       } else if (source === RecordSource.Log && !this.verify(offset, payload)) {
@@ -220,36 +214,6 @@
     logger.warn(event, {offset, ...rejection});
   }
 
-  /** Parses a large bundle in slices: a whole one would hold the event loop for a good part of a second. */
-  private async prepare(payload: Uint8Array): Promise<void> {
-    const isLargeHere =
-      (this.live.inForce?.text.length ?? 0) >= LARGE_TEXT_CHARACTERS;
-    if (payload.length < LARGE_TEXT_CHARACTERS && !isLargeHere) return;
-    const text = this.bundleText(payload);
-    if (text === undefined) return;
-    const base = this.live.inForce?.parsed;
-    try {
-      const parsed = await parseInSlices(text, restOfLoop, base);
-      this.live.parseMemo.put(digestOf(text), parsed);
-    } catch {
-      // The fold comes to the same result and says what is wrong.
-    }
-  }
-
-  private bundleText(payload: Uint8Array): string | undefined {
-    const record = decodeRecord(payload);
-    if ('unreadable' in record) return undefined;
-    if (record.kind === RecordKind.BundleProposed) return record.text;
-    const {inForce} = this.live;
-    if (record.kind !== RecordKind.BundleChanged || !inForce) return undefined;
-    if (record.baseDigest !== inForce.digest) return undefined;
-    try {
-      return applyDelta(inForce.parsed.sections, record.steps);
-    } catch {
-      return undefined;
-    }
-  }
-
   private noteInForce(): void {
     this.inForceSince = this.dependencies.clock.monotonicMilliseconds();
     if (!this.serving) return;
--- a/packages/shared-state/src/log-reader.ts
+++ b/packages/shared-state/src/log-reader.ts
@@ -51,7 +51,6 @@
 export class LogReader {
   private reachable = false;
   private failures = 0;
-  private answeredAt: number | undefined;
   private askedAt = 0;
   private reading = new AbortController();
 
@@ -67,12 +66,6 @@
     return this.reachable;
   }
 
-  /** Milliseconds since the log last answered; Infinity before the first time. */
-  get silenceMilliseconds(): number {
-    if (this.answeredAt === undefined) return Infinity;
-    return this.dependencies.clock.monotonicMilliseconds() - this.answeredAt;
-  }
-
   /**
    * Ends a read that has been out for long and reads afresh: for when others have seen newer
    * records. A younger read is left alone: with a slow log under a steady stream of records
@@ -158,11 +151,10 @@
   }
 
   private noteAnswer(): void {
-    const {clock, logger} = this.dependencies;
+    const {logger} = this.dependencies;
     if (!this.reachable)
       logger.info(LogEvent.LogReturned, {stream: this.stream});
     this.reachable = true;
-    this.answeredAt = clock.monotonicMilliseconds();
   }
 
   private async noteFailure(error: Error, stop: AbortSignal): Promise<void> {
