--- a/packages/plugin-once-only/src/claims-over-log.ts
+++ b/packages/plugin-once-only/src/claims-over-log.ts
@@ -3,6 +3,7 @@
   MetricName,
   RequestError,
   RunOutcome,
+  resolveNow,
   type Clock,
   type DaemonIdentity,
   type Logger,
@@ -90,7 +91,22 @@
   private tasks: Promise<unknown> = Promise.resolve();
   private isDraining = false;
 
-  constructor(private readonly dependencies: ClaimsOverLogDependencies) {
+  private readonly dependencies: ClaimsOverLogDependencies;
+
+  constructor(given: ClaimsOverLogDependencies) {
+    const dependencies = resolveNow(
+      given,
+      'clock',
+      'random',
+      'logger',
+      'metrics',
+      'identity',
+      'platformLog',
+      'peerLinks',
+      'sharedState',
+      'onceOnlyOptions',
+    );
+    this.dependencies = dependencies;
     const {clock, identity, peerLinks, onceOnlyOptions} = dependencies;
     const holder = identity.incarnation;
     this.table = new ClaimTable(onceOnlyOptions.keys);
@@ -129,6 +145,14 @@
     ]);
   }
 
+  /**
+   * Whether keyed requests may be sent here. A daemon that has just started refuses every key
+   * until it has read the claims; while the log is out it is ready for all other requests.
+   */
+  get isReady(): boolean {
+    return this.follower.isCaughtUp || this.follower.failingMilliseconds > 0;
+  }
+
   async drain(): Promise<void> {
     this.isDraining = true;
     const {writer, own, held} = this;
