--- /dev/null
+++ b/packages/bench/src/scenarios/once-only-fleet.ts
@@ -0,0 +1,114 @@
+import {
+  MemoryMetrics,
+  MetricName,
+  SeededRandom,
+  SilentLogger,
+  sleep,
+  type Clock,
+} from '@gentiandoor/kernel';
+import {ClaimsOverLog, onceOnlyOptions} from '@gentiandoor/plugin-once-only';
+import {
+  emptyFleetState,
+  type AppendPosition,
+  type LogBatch,
+  type OnceOnly,
+  type PlatformLog,
+  type ReadOptions,
+  type StreamName,
+} from '@gentiandoor/shared-state';
+import {MemoryLog, MemoryPeerNetwork} from '@gentiandoor/stand-ins';
+
+/** A log whose calls take their time; half of an append's goes by before it takes effect. */
+export class SlowLog implements PlatformLog {
+  constructor(
+    private readonly log: PlatformLog,
+    private readonly clock: Clock,
+    private readonly appendMilliseconds: number,
+  ) {}
+
+  async append(
+    stream: StreamName,
+    payloads: readonly Uint8Array[],
+    signal?: AbortSignal,
+  ): Promise<AppendPosition> {
+    await sleep(this.clock, this.appendMilliseconds / 2, signal);
+    const position = await this.log.append(stream, payloads, signal);
+    await sleep(this.clock, this.appendMilliseconds / 2, signal);
+    return position;
+  }
+
+  read(
+    stream: StreamName,
+    from: number,
+    options: ReadOptions,
+    signal?: AbortSignal,
+  ): Promise<LogBatch> {
+    return this.log.read(stream, from, options, signal);
+  }
+}
+
+/** Claims of several daemons over one slow log. */
+export class ClaimsFleet {
+  readonly log: MemoryLog;
+  readonly daemons: ClaimsOverLog[] = [];
+  private readonly network = new MemoryPeerNetwork();
+  private readonly metrics = new MemoryMetrics();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly appendMilliseconds: number,
+    appendsPerSecond: number,
+    private readonly settings: Readonly<Record<string, string>> = {},
+  ) {
+    this.log = new MemoryLog(clock, {
+      appendsPerSecond,
+      retainedRecords: 10_000_000,
+    });
+  }
+
+  async start(daemons: number): Promise<void> {
+    for (let index = 0; index < daemons; index++) await this.startOne(index);
+  }
+
+  async startOne(index: number): Promise<ClaimsOverLog> {
+    const identity = {
+      name: `entry-${index}`,
+      dataCentre: 'hall-a',
+      incarnation: `entry-${index}.1`,
+    };
+    const daemon = new ClaimsOverLog({
+      clock: this.clock,
+      random: new SeededRandom(index),
+      logger: new SilentLogger(),
+      metrics: this.metrics,
+      identity,
+      platformLog: new SlowLog(this.log, this.clock, this.appendMilliseconds),
+      peerLinks: this.network.join(identity),
+      sharedState: {state: emptyFleetState({})},
+      onceOnlyOptions: onceOnlyOptions.parse(this.settings),
+    });
+    await daemon.start();
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Claims that the daemon started last remembers. */
+  get claimsKept(): number {
+    return this.metrics.value(MetricName.ClaimsKept);
+  }
+
+  async stop(): Promise<void> {
+    for (const daemon of this.daemons) await daemon.stop();
+  }
+}
+
+/** One decision: run it and finish at once. */
+export async function runOne(claims: OnceOnly, key: string): Promise<void> {
+  const decision = await claims.begin({
+    service: 'crest-works',
+    caller: 'crest-shop',
+    key,
+    fingerprint: 'POST /crest-works',
+  });
+  if (decision.run) decision.claim.finish(undefined);
+}
