The real folds of ownership and bundles against their specification

Cause: only the claims were run against their model. Change: random walks of the specification are written as real records; pool, epoch, members and who is awaited, version and text in force are compared after each.

--- /dev/null
+++ b/packages/specification/src/__tests__/real-fleet-fold.test.ts
@@ -0,0 +1,211 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  MoveCause,
+  RecordKind,
+  applyPayload,
+  emptyFleetState,
+  encodeRecord,
+  type FleetRecord,
+  type FleetState,
+} from '@gentiandoor/shared-state';
+import {
+  EXAMPLE_TRUST,
+  KINGSTON,
+  exampleBundle,
+  rollOutRecords,
+} from '@gentiandoor/stand-ins';
+import {BUNDLES, foldBundles, type SignedBundle} from '../bundle-model.js';
+import {
+  OwnershipRecordKind,
+  foldOwnership,
+  ownershipWithin,
+  type OwnershipRecord,
+} from '../ownership-model.js';
+import type {Specification} from '../specification.js';
+
+const RUNS = Number(process.env.GENTIANDOOR_MODEL_RUNS ?? 100);
+const SEED = Number(process.env.GENTIANDOOR_MODEL_SEED ?? 20_261);
+const MOST_STEPS = 50;
+const POOLS: Readonly<Record<string, string>> = {
+  p: 'logo-desk',
+  q: 'counter-preview',
+};
+const VM = 'logo-desk-1';
+const PLANNER = 'a1';
+
+type Draft = FleetRecord extends infer Entry
+  ? Entry extends FleetRecord
+    ? Omit<Entry, 'id' | 'writer'>
+    : never
+  : never;
+
+/** The real fold, fed with records as the log would. */
+class RealFold {
+  readonly state: FleetState = emptyFleetState(EXAMPLE_TRUST);
+  private written = 0;
+
+  /** Returns the offset of the record. */
+  write(record: FleetRecord): number {
+    return applyPayload(this.state, encodeRecord(record)).offset;
+  }
+
+  draft(writer: string, draft: Draft): number {
+    const id = `record-${this.written++}`;
+    return this.write({...draft, id, writer} as FleetRecord);
+  }
+
+  join(incarnation: string): number {
+    return this.draft(incarnation, {
+      kind: RecordKind.MemberJoined,
+      name: incarnation[0],
+      incarnation,
+      dataCentre: 'hall-a',
+      peerAddress: '127.0.0.1:1',
+    });
+  }
+}
+
+/** Walks a specification at random; `look` sees each state. */
+function walk<State, Event extends {type: string}>(
+  specification: Specification<State, Event>,
+  choices: readonly number[],
+  look: (state: State) => void,
+): void {
+  let state = specification.initial;
+  for (const choice of choices) {
+    const events = specification.events(state);
+    if (events.length === 0) return;
+    state = specification.step(state, events[choice % events.length]);
+    look(state);
+  }
+}
+
+const CHOICES = fc.array(fc.nat(), {
+  minLength: 10,
+  maxLength: MOST_STEPS,
+  size: 'max',
+});
+
+/** Writes a record of the specification; `offsets` maps its offsets to the real ones. */
+function writeOwnership(
+  real: RealFold,
+  record: OwnershipRecord,
+  offsets: readonly number[],
+): number {
+  const of = record.of ?? '';
+  const startedAt = offsets[record.startedAt ?? -1] ?? -1;
+  const term = 1;
+  switch (record.kind) {
+    case OwnershipRecordKind.Joined:
+      return real.join(of);
+    case OwnershipRecordKind.Left:
+      return real.draft(of, {kind: RecordKind.MemberLeft, incarnation: of});
+    case OwnershipRecordKind.MoveStarted:
+      return real.draft(PLANNER, {
+        kind: RecordKind.MoveStarted,
+        term,
+        vm: VM,
+        epoch: record.epoch!,
+        toPool: POOLS[record.pool!],
+        cause: MoveCause.Operator,
+        reason: 'the specification moves it',
+      });
+    case OwnershipRecordKind.Acknowledged:
+      return real.draft(of, {
+        kind: RecordKind.DrainAcknowledged,
+        incarnation: of,
+        acknowledgements: [{vm: VM, startedAt}],
+      });
+    case OwnershipRecordKind.MoveAssigned: {
+      const epoch = real.state.vms.get(VM)!.epoch;
+      const kind = RecordKind.MoveAssigned;
+      return real.draft(PLANNER, {kind, term, vm: VM, startedAt, epoch});
+    }
+    case OwnershipRecordKind.MoveAborted: {
+      const kind = RecordKind.MoveAborted;
+      const reason = 'the specification aborts it';
+      return real.draft(PLANNER, {kind, term, vm: VM, startedAt, reason});
+    }
+  }
+}
+
+function startOwnership(): {real: RealFold; offsets: number[]} {
+  const real = new RealFold();
+  for (const record of rollOutRecords(exampleBundle(KINGSTON)))
+    real.write(record);
+  const offsets = [real.join('a1'), real.join('b1')];
+  real.draft(PLANNER, {
+    kind: RecordKind.PlannerTaken,
+    expectedTerm: 0,
+    holder: PLANNER,
+  });
+  return {real, offsets};
+}
+
+function compareOwnership(real: RealFold, log: readonly OwnershipRecord[]) {
+  const {pool, epoch, move, members} = foldOwnership(log);
+  const vm = real.state.vms.get(VM)!;
+  const work = real.state.work.get(VM);
+  assert.deepEqual(
+    {
+      pool: vm.pool,
+      epoch: vm.epoch,
+      members: [...real.state.members.keys()].sort(),
+      isMoving: work !== undefined,
+      awaiting: work ? [...work.awaiting].sort() : [],
+    },
+    {
+      pool: POOLS[pool],
+      epoch,
+      members: [...members],
+      isMoving: move !== null,
+      awaiting: move ? [...move.awaiting] : [],
+    },
+  );
+}
+
+describe('the real fold of the fleet', () => {
+  it('agrees with the specification of ownership on random walks', () => {
+    const bounds = {starts: 4, aborts: 3, crashes: 2};
+    const specification = ownershipWithin(bounds).make();
+    let assigned = 0;
+    fc.assert(
+      fc.property(CHOICES, choices => {
+        const {real, offsets} = startOwnership();
+        walk(specification, choices, ({log}) => {
+          for (const record of log.slice(offsets.length))
+            offsets.push(writeOwnership(real, record, offsets));
+          compareOwnership(real, log);
+        });
+        assigned = Math.max(assigned, real.state.vms.get(VM)!.epoch - 1);
+      }),
+      {numRuns: RUNS, seed: SEED},
+    );
+    assert.ok(assigned >= 2, `only ${assigned} moves came to their end`);
+  });
+
+  it('agrees with the specification of bundles on random walks', () => {
+    const specification = BUNDLES.make();
+    const write = (real: RealFold, {version, digest}: SignedBundle) => {
+      const text = `${exampleBundle(KINGSTON, version)}; ${digest}\n`;
+      for (const record of rollOutRecords(text)) real.write(record);
+    };
+    fc.assert(
+      fc.property(CHOICES, choices => {
+        const real = new RealFold();
+        let seen = 0;
+        walk(specification, choices, ({log}) => {
+          for (const bundle of log.slice(seen)) write(real, bundle);
+          seen = log.length;
+          const {version, digest} = foldBundles(log, {version: 0, digest: ''});
+          const {inForce} = real.state;
+          assert.equal(inForce?.bundle.version ?? 0, version);
+          if (inForce) assert.ok(inForce.text.endsWith(`; ${digest}\n`));
+        });
+      }),
+      {numRuns: RUNS, seed: SEED},
+    );
+  });
+});
