A keyed request over the whole path, retried through another daemon

Cause: once only was tested at its own seam only. Change: two real daemons with peer links, a real target that counts; the bench deployment takes settings of the peer links. Figures: the retry gets the same whole answer, the targets ran one. Conclusion: none new.

--- /dev/null
+++ b/packages/bench/src/__tests__/once-only-path.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {request} from 'undici';
+import type {PeerLinks} from '@gentiandoor/shared-state';
+import {Deployment} from '../deployment.js';
+
+const PEERS = {listen: '127.0.0.1:0', key: 'a key of the peer links'};
+
+function bundleText(publicKey: string): string {
+  return `
+[bundle]
+version = 1
+base = 0
+author = moana
+sign_offs = 1
+[operator.kerry]
+public_key = ${publicKey}
+[rack.hall-a-r1]
+data_centre = hall-a
+vms = hall-a-r1-[1-2]
+[pool.ledger-room]
+vms = hall-a-r1-[1-2]
+[service.ledger-room]
+pool = ledger-room
+`;
+}
+
+describe('keyed requests over the whole path', () => {
+  const deployment = new Deployment();
+
+  before(async () => {
+    await deployment.startPlatform();
+    await deployment.startRack({
+      name: 'hall-a-r1',
+      dataCentre: 'hall-a',
+      vms: ['hall-a-r1-1', 'hall-a-r1-2'],
+    });
+    for (const name of ['entry-1', 'entry-2'])
+      await deployment.startDaemon(name, 'hall-a', {peers: PEERS});
+    await deployment.rollOut(bundleText(deployment.operator.publicKey));
+    await deployment.until(() =>
+      deployment.daemons.every(
+        ({daemon}) =>
+          daemon.resolve<PeerLinks>('peerLinks').connected().length > 0,
+      ),
+    );
+  });
+
+  after(() => deployment.stop());
+
+  // The caller sends a billing entry, loses the answer and sends it again through the other
+  // daemon. It gets the same whole answer; the targets have run it once, counted there.
+  it('answers a retry through another daemon with the first answer', async () => {
+    const send = async (place: number) => {
+      const {callerAddress} = deployment.daemons[place];
+      const answer = await request(`http://${callerAddress}/ledger-room/bill`, {
+        method: 'POST',
+        headers: {'idempotency-key': 'bill-2026-12'},
+        body: 'a billing entry',
+      });
+      return {status: answer.statusCode, body: await answer.body.text()};
+    };
+    const first = await send(0);
+    const second = await send(1);
+    assert.equal(first.status, 200);
+    assert.deepEqual(second, first);
+    const ran = [...deployment.targets.values()].flatMap(target => target.ran);
+    assert.equal(ran.filter(({body}) => body === 'a billing entry').length, 1);
+  });
+});
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -48,6 +48,8 @@
   readonly adminListen?: string;
   readonly callerHttp?: Readonly<Record<string, number>>;
   readonly targetHttp?: Readonly<Record<string, number>>;
+  /** Without it the daemon has no peers. */
+  readonly peers?: Readonly<Record<string, string>>;
 }
 
 /** A daemon of a deployment. */
@@ -177,6 +179,8 @@
 poll_milliseconds = 200
 [shared-state]
 trusted_operators = ${this.operatorName}:${this.operator.publicKey}
+[peers]
+${linesOf(plan.peers)}
 [target-http]
 ${linesOf(plan.targetHttp)}
 [caller-http]
@@ -189,7 +193,7 @@
   }
 }
 
-function linesOf(keys: Readonly<Record<string, number>> = {}): string {
+function linesOf(keys: Readonly<Record<string, number | string>> = {}): string {
   return Object.entries(keys)
     .map(([key, value]) => `${key} = ${value}`)
     .join('\n');
