--- a/packages/bench/src/__tests__/once-only-path.test.ts
+++ b/packages/bench/src/__tests__/once-only-path.test.ts
@@ -4,8 +4,6 @@
 import type {PeerLinks} from '@gentiandoor/shared-state';
 import {Deployment} from '../deployment.js';
 
-const PEERS = {listen: '127.0.0.1:0', key: 'a key of the peer links'};
-
 function bundleText(publicKey: string): string {
   return `
 [bundle]
@@ -36,7 +34,7 @@
       vms: ['hall-a-r1-1', 'hall-a-r1-2'],
     });
     for (const name of ['entry-1', 'entry-2'])
-      await deployment.startDaemon(name, 'hall-a', {peers: PEERS});
+      await deployment.startDaemon(name, 'hall-a');
     await deployment.rollOut(bundleText(deployment.operator.publicKey));
     await deployment.until(() =>
       deployment.daemons.every(
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -23,16 +23,29 @@
 import type {AdminServer} from '@gentiandoor/plugin-admin';
 import type {CallerHttpServer} from '@gentiandoor/plugin-caller-http';
 import {
+  MemoryLeases,
   MemoryLog,
+  MemoryVmActions,
   MemoryVmList,
+  PlatformLeasePaths,
   PlatformServer,
   TargetServer,
+  type TaskBehaviour,
 } from '@gentiandoor/stand-ins';
+import {RebootingVms} from './rebooting-vms.js';
 
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
 const DEFAULT_OPERATOR = 'kerry';
+const TASK_BEHAVIOUR: TaskBehaviour = {
+  runMilliseconds: 500,
+  fails: false,
+  usage: {processors: 1, memoryGigabytes: 1, accelerators: 0},
+};
+const BOOT_MILLISECONDS = 400;
+const PEER_KEY = 'peer-key-for-tests-only';
 const LOOPBACK = '127.0.0.1:0';
+const LONGEST_WAIT_MILLISECONDS = 10_000;
 const WAIT_STEP_MILLISECONDS = 10;
 
 /** A rack and its VMs. */
@@ -48,8 +61,6 @@
   readonly adminListen?: string;
   readonly callerHttp?: Readonly<Record<string, number>>;
   readonly targetHttp?: Readonly<Record<string, number>>;
-  /** Without it the daemon has no peers. */
-  readonly peers?: Readonly<Record<string, string>>;
 }
 
 /** A daemon of a deployment. */
@@ -65,12 +76,22 @@
   readonly clock = new SystemClock();
   readonly log = new MemoryLog(this.clock);
   readonly list = new MemoryVmList(this.clock);
-  readonly platform = new PlatformServer(this.log, this.list);
   readonly targets = new Map<string, TargetServer>();
+  readonly vmActions = new MemoryVmActions(this.clock, this.list);
+  readonly leases = new MemoryLeases(this.clock, () => TASK_BEHAVIOUR);
+  readonly platform = new PlatformServer(
+    this.log,
+    this.list,
+    new PlatformLeasePaths(
+      this.leases,
+      new RebootingVms(this.clock, this.vmActions, this.targets),
+    ),
+  );
   readonly daemons: RunningDaemon[] = [];
   /** The operator whose key the daemons trust before the first bundle. */
   readonly operator: OperatorKeys = makeOperatorKeys();
   private platformAddress = '';
+  private isRolledOut = false;
 
   constructor(
     private readonly logger: Logger = new SilentLogger(),
@@ -79,6 +100,7 @@
   ) {}
 
   async startPlatform(): Promise<void> {
+    this.vmActions.bootMilliseconds = BOOT_MILLISECONDS;
     this.platformAddress = await this.platform.start(LOOPBACK);
   }
 
@@ -116,6 +138,8 @@
       callerAddress: `127.0.0.1:${daemon.resolve<CallerHttpServer>('callerHttp').port}`,
       adminAddress: `127.0.0.1:${daemon.resolve<AdminServer>('admin').port}`,
     };
+    // As the balancer does: nothing is sent to a daemon before it is ready.
+    if (this.isRolledOut) await this.until(() => isReady(running));
     this.daemons.push(running);
     return running;
   }
@@ -140,22 +164,44 @@
       operator: this.operatorName,
       signature: signBundle(this.operator.privateKey, version, digest),
     });
+    this.isRolledOut = true;
     await this.until(() =>
       this.daemons.every(running => inForceVersion(running) === version),
     );
   }
 
+  /** Waits until every daemon serves the folded state, with all daemons as members. */
+  async untilMembers(): Promise<void> {
+    const count = this.daemons.length;
+    await this.until(() =>
+      this.daemons.every(
+        ({daemon}) =>
+          daemon.resolve<SharedState>('sharedState').state.members.size ===
+          count,
+      ),
+    );
+  }
+
   async append(record: FleetRecord): Promise<void> {
     await this.log.append(StreamName.Fleet, [encodeRecord(record)]);
   }
 
-  /** Waits for a condition; rejects after ten seconds. */
-  async until(condition: () => boolean): Promise<void> {
-    for (let waited = 0; waited < 10_000; waited += WAIT_STEP_MILLISECONDS) {
+  /** Waits for a condition; rejects when it does not come true in time. */
+  async until(
+    condition: () => boolean,
+    longestMilliseconds = LONGEST_WAIT_MILLISECONDS,
+  ): Promise<void> {
+    for (
+      let waited = 0;
+      waited < longestMilliseconds;
+      waited += WAIT_STEP_MILLISECONDS
+    ) {
       if (condition()) return;
       await sleep(this.clock, WAIT_STEP_MILLISECONDS);
     }
-    throw new Error('the condition did not come true within ten seconds');
+    throw new Error(
+      `the condition did not come true within ${longestMilliseconds} ms`,
+    );
   }
 
   async stop(): Promise<void> {
@@ -174,13 +220,16 @@
 [metrics]
 [platform-log]
 address = ${this.platformAddress}
+[platform-leases]
+address = ${this.platformAddress}
 [platform-list]
 address = ${this.platformAddress}
 poll_milliseconds = 200
 [shared-state]
 trusted_operators = ${this.operatorName}:${this.operator.publicKey}
 [peers]
-${linesOf(plan.peers)}
+listen = ${LOOPBACK}
+key = ${PEER_KEY}
 [target-http]
 ${linesOf(plan.targetHttp)}
 [caller-http]
@@ -193,12 +242,17 @@
   }
 }
 
-function linesOf(keys: Readonly<Record<string, number | string>> = {}): string {
+function linesOf(keys: Readonly<Record<string, number>> = {}): string {
   return Object.entries(keys)
     .map(([key, value]) => `${key} = ${value}`)
     .join('\n');
 }
 
+function isReady({daemon}: RunningDaemon): boolean {
+  const {waitingFor} = daemon.resolve<AdminServer>('admin');
+  return waitingFor.length === 0;
+}
+
 function inForceVersion(running: RunningDaemon): number | undefined {
   const {state} = running.daemon.resolve<SharedState>('sharedState');
   return state.inForce?.bundle.version;
--- a/packages/bench/src/scenarios/decisions.ts
+++ b/packages/bench/src/scenarios/decisions.ts
@@ -1,4 +1,6 @@
 import type {Scenario} from '../scenario.js';
+import {routerCost} from './decisions-cost.js';
+import {partition, spill} from './decisions-data-centres.js';
 import {
   failEverything,
   flappingList,
@@ -30,4 +32,7 @@
   sharedFault,
   flappingList,
   mixedSpeeds,
+  spill,
+  partition,
+  routerCost,
 ];
--- a/packages/decisions/src/target-entry.ts
+++ b/packages/decisions/src/target-entry.ts
@@ -95,7 +95,12 @@
   /** Whether new work may go there at all: neither gone, leaving nor ejected. */
   isOpen(): boolean {
     if (this.isGone || this.isLeaving()) return false;
-    return this.standing() !== TargetStanding.Ejected;
+    return !this.isEjected();
+  }
+
+  /** Whether it gets no work because of its failures. */
+  isEjected(): boolean {
+    return this.standing() === TargetStanding.Ejected;
   }
 
   /** Whether the target or a peer said lately that it is leaving. */
@@ -129,6 +134,12 @@
     return expected - usual > parts.queueMilliseconds();
   }
 
+  /** The target is routable again. */
+  onReturned(target: RoutableTarget): void {
+    this.target = target;
+    this.isGone = false;
+  }
+
   private standing(): TargetStanding {
     return this.parts.ejection.standing(this.id, this.parts.now());
   }
--- a/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {createHash} from 'node:crypto';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {MetricName} from '@gentiandoor/kernel';
 import {KeyRule} from '@gentiandoor/shared-state';
 import {RawTarget} from '@gentiandoor/stand-ins';
 import {CallerEdge} from './caller-edge.js';
@@ -232,6 +233,7 @@
       assert.equal(headerOf(answer, 'gentiandoor-reason'), reason);
       assert.equal(headerOf(answer, 'gentiandoor-run'), 'no');
       assert.equal(target.receivedBytes, 0);
+      assert.equal(edge.metrics.value(MetricName.Refusals, {reason}), 1);
     });
   }
 
@@ -289,6 +291,25 @@
     });
   });
 
+  describe('more headers than node keeps by default', () => {
+    // The parser's own limit drops headers after the 2000th without a word: the target would
+    // get another request than the caller sent.
+    it('all reach the target', async () => {
+      const wide = new CallerEdge({
+        targets: [target.address],
+        settings: {head_bytes: 65_536},
+      });
+      await wide.start();
+      const caller = new RawCaller(wide.address);
+      const short = Array.from({length: 2500}, () => 'a:b');
+      caller.send(...get('/desk/x', ...short, 'x-last: 1'));
+      assert.equal((await caller.answer()).status, 200);
+      assert.match(target.received[0].head, /^x-last: 1$/m);
+      caller.destroy();
+      await wide.stop();
+    });
+  });
+
   describe('an offer of HTTP/2 in clear text', () => {
     it('is passed over and the request is served', async () => {
       const caller = new RawCaller(edge.address);
--- a/packages/plugin-caller-http/src/caller-connections.ts
+++ b/packages/plugin-caller-http/src/caller-connections.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import {ErrorKind, RequestError, type Clock} from '@gentiandoor/kernel';
-import {rawErrorAnswer} from './error-answer.js';
+import {cutAnswer, rawErrorAnswer} from './error-answer.js';
 import type {RequestUnderWay} from './request-handler.js';
 
 /** Time for a caller to read its answer while the rest of its request is thrown away. */
@@ -37,12 +37,26 @@
     else this.underWay.set(socket, new Set([item]));
   }
 
+  /** Cuts all answers that are under way. */
+  cutAll(): void {
+    for (const {response} of this.all()) cutAnswer(response);
+  }
+
   /** Whether no request came after this one on its connection, so far. */
   isLast(item: RequestUnderWay): boolean {
     const items = this.underWay.get(item.request.socket);
     return items !== undefined && [...items].at(-1) === item;
   }
 
+  /**
+   * Tells all requests under way on a connection that it has closed. A response object
+   * says so only when it is the next to go out: pipelined requests behind it would go on.
+   */
+  closed(socket: Socket): void {
+    for (const item of this.underWay.get(socket) ?? [])
+      item.caller?.connectionClosed();
+  }
+
   /**
    * Whether the connection closes behind an earlier answer. A pipelined request that is
    * read after that could be run and never answered, so it is not begun at all.
@@ -67,9 +81,11 @@
    * A connection that can be read no further: malformed input, or a request that came too
    * slowly. The error belongs to the request that is not complete. A raw answer while
    * another request is under way would be taken for that request's answer, so it is
-   * written only to a connection that has none.
+   * written only to a connection that has none. Returns what was answered that way.
    */
-  fail(error: Error, socket: Socket): void {
+  fail(error: Error, socket: Socket): RequestError | undefined {
+    // The caller reset the connection: nobody is left to answer, and its close says the rest.
+    if (socket.destroyed) return undefined;
     const items = [...(this.underWay.get(socket) ?? [])];
     const refusal = refusalOf(error, items.length > 0);
     const incomplete = items.find(item => !item.request.complete);
@@ -77,16 +93,17 @@
       incomplete.isClosing = true;
       incomplete.response.shouldKeepAlive = false;
       incomplete.fail(refusal);
-      return;
+      return undefined;
     }
     const last = items.at(-1);
     if (!last) {
       this.answerAndClose(socket, refusal);
-      return;
+      return refusal;
     }
     last.isClosing = true;
     last.response.shouldKeepAlive = false;
     last.response.once('finish', () => this.closeSoon(socket));
+    return undefined;
   }
 
   /** Answers on a connection without a response object, and closes it. */
@@ -110,7 +127,9 @@
   }
 
   /** An answer came before its request had ended, as for a body over the limit. */
-  private throwAwayRest({request}: RequestUnderWay): void {
+  private throwAwayRest({request, reader}: RequestUnderWay): void {
+    const detail = 'the request has its answer';
+    reader?.fail(new RequestError(ErrorKind.CallerGone, detail));
     request.removeAllListeners('readable');
     request.resume();
     const timer = this.clock.schedule(LINGER_MILLISECONDS, () =>
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -66,6 +66,8 @@
       requireHostHeader: false,
       insecureHTTPParser: false,
     });
+    // The default drops headers after the 2000th without a word; `head_bytes` is the bound.
+    this.server.maxHeadersCount = 0;
     this.listenForRequests();
     this.listenForConnections();
   }
@@ -119,6 +121,7 @@
         nonIdempotent,
       });
     }
+    this.connections.cutAll();
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
     this.server.closeAllConnections();
@@ -149,10 +152,14 @@
   private listenForConnections(): void {
     this.server.on('connection', (socket: net.Socket) => {
       this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      socket.once('close', () => {
+        this.sockets.delete(socket);
+        this.connections.closed(socket);
+      });
     });
     this.server.on('clientError', (error, socket) => {
-      this.connections.fail(error, socket as net.Socket);
+      const refusal = this.connections.fail(error, socket as net.Socket);
+      if (refusal) this.count(refusal.kind);
     });
     this.server.on('connect', (_request, socket) => {
       this.refuse(ErrorKind.UpgradeRefused, error =>
@@ -162,10 +169,14 @@
   }
 
   private refuse(kind: ErrorKind, answer: (error: RequestError) => void): void {
-    this.dependencies.metrics.increment(MetricName.Refusals, {reason: kind});
+    this.count(kind);
     answer(new RequestError(kind, 'not supported'));
   }
 
+  private count(reason: ErrorKind): void {
+    this.dependencies.metrics.increment(MetricName.Refusals, {reason});
+  }
+
   private underWay(
     request: http.IncomingMessage,
     response: http.ServerResponse,
--- a/packages/shared-state/src/fold-jobs.ts
+++ b/packages/shared-state/src/fold-jobs.ts
@@ -1,4 +1,3 @@
-import {capacityOf} from './capacity-index.js';
 import {JobState, type Job} from './fleet-domain.js';
 import {
   JobOutcome,
@@ -15,7 +14,9 @@
   type Rejection,
 } from './fleet-state.js';
 import {checkTerm} from './fold-planner.js';
+import {checkPlacement, checkSubmission, sameJob} from './job-checks.js';
 import {jobsOf} from './job-index.js';
+import {digestOf} from './signatures.js';
 
 /** Distinct VMs on which a job may fail before it is set aside: its fault, not theirs. */
 export const FAILURES_BEFORE_SET_ASIDE = 3;
@@ -41,6 +42,7 @@
     idempotent,
     size,
     payload,
+    payloadDigest: digestOf(payload),
     state: JobState.Queued,
     attempt: 0,
     failedOn: [],
@@ -180,83 +182,11 @@
 
 function endJob(state: FleetState, job: Job): void {
   const {endedJobs} = state;
-  jobsOf(state).put(job);
+  // 50,000 payloads of ended jobs would take most of a node's memory.
+  jobsOf(state).put({...job, payload: ''});
   endedJobs.set(job.key, state.nextOffset);
   if (endedJobs.size <= ENDED_JOBS_KEPT) return;
   const [oldest] = endedJobs.keys();
   endedJobs.delete(oldest);
   jobsOf(state).forget(oldest);
 }
-
-function sameJob(known: Job, record: JobSubmitted): Rejection | undefined {
-  const same =
-    known.team === record.team &&
-    known.pool === record.pool &&
-    known.payload === record.payload;
-  if (same) return undefined;
-  return {
-    reason: RejectionReason.JobDuplicate,
-    detail: `key ${record.key} belongs to another job of team ${known.team}; use a new key`,
-  };
-}
-
-function checkSubmission(
-  state: FleetState,
-  record: JobSubmitted,
-): Rejection | undefined {
-  const bundle = state.inForce?.bundle;
-  const pool = bundle?.pools[record.pool];
-  if (!pool) {
-    return {
-      reason: RejectionReason.PoolUnknown,
-      detail: `pool ${record.pool} is not in the bundle in force`,
-    };
-  }
-  const team = bundle?.teams[record.team];
-  if (!team) {
-    return {
-      reason: RejectionReason.TeamUnknown,
-      detail: `team ${record.team} is not in the bundle in force`,
-    };
-  }
-  const {size} = record;
-  const fits =
-    size.processors <= pool.processors &&
-    size.memoryGigabytes <= pool.memoryGigabytes &&
-    size.accelerators <= pool.accelerators &&
-    size.slots <= Math.min(pool.slots, team.slots);
-  if (fits) return undefined;
-  return {
-    reason: RejectionReason.JobImpossible,
-    detail: `job ${record.key} asks for ${size.processors} processors, ${size.memoryGigabytes} GB, ${size.accelerators} accelerators and ${size.slots} slots; a VM of pool ${record.pool} has ${pool.processors}, ${pool.memoryGigabytes}, ${pool.accelerators} and ${pool.slots}, team ${record.team} has ${team.slots} slots`,
-  };
-}
-
-function checkPlacement(
-  state: FleetState,
-  job: Job,
-  vm: string,
-): Rejection | undefined {
-  const bundle = state.inForce?.bundle;
-  const owner = state.vms.get(vm);
-  if (owner?.pool !== job.pool || !capacityOf(state).isAvailable(vm)) {
-    return {
-      reason: RejectionReason.VmUnknown,
-      detail: `VM ${vm} is not an available VM of pool ${job.pool}`,
-    };
-  }
-  const index = jobsOf(state);
-  const slots = bundle?.pools[job.pool]?.slots ?? 0;
-  const quota = bundle?.teams[job.team]?.slots ?? 0;
-  if (index.vmSlots(vm) + job.size.slots > slots) {
-    return {
-      reason: RejectionReason.BudgetExceeded,
-      detail: `VM ${vm} has ${slots} slots and ${index.vmSlots(vm)} are taken`,
-    };
-  }
-  if (index.teamSlots(job.team) + job.size.slots <= quota) return undefined;
-  return {
-    reason: RejectionReason.QuotaExceeded,
-    detail: `team ${job.team} holds ${index.teamSlots(job.team)} of its ${quota} slots`,
-  };
-}
--- a/packages/shared-state/src/log-reader.ts
+++ b/packages/shared-state/src/log-reader.ts
@@ -2,6 +2,7 @@
   LogEvent,
   MetricName,
   backoff,
+  jitter,
   sleep,
   toError,
   type Clock,
@@ -19,6 +20,10 @@
 
 const BACKOFF_BASE_MILLISECONDS = 100;
 const BACKOFF_MAXIMUM_MILLISECONDS = 5000;
+/** Age of a read, in milliseconds, from which on it may have hung. */
+const REFRESH_AFTER = 2000;
+/** Milliseconds of a read that brought nothing, at the least. */
+const SHORTEST_ROUND = 200;
 
 /** Where the records of a stream go. */
 export interface RecordSink {
@@ -46,7 +51,7 @@
 export class LogReader {
   private reachable = false;
   private failures = 0;
-  private answeredAt: number | undefined;
+  private askedAt = 0;
   private reading = new AbortController();
 
   constructor(
@@ -61,15 +66,14 @@
     return this.reachable;
   }
 
-  /** Milliseconds since the log last answered; Infinity before the first time. */
-  get silenceMilliseconds(): number {
-    if (this.answeredAt === undefined) return Infinity;
-    return this.dependencies.clock.monotonicMilliseconds() - this.answeredAt;
-  }
-
-  /** Ends the read that is out and reads afresh: for when others have seen newer records. */
+  /**
+   * Ends a read that has been out for long and reads afresh: for when others have seen newer
+   * records. A younger read is left alone: with a slow log under a steady stream of records
+   * somebody is always ahead, and nobody's read would ever come to its end.
+   */
   refresh(): void {
-    this.reading.abort();
+    const now = this.dependencies.clock.monotonicMilliseconds();
+    if (now - this.askedAt >= REFRESH_AFTER) this.reading.abort();
   }
 
   /** Reads until `stop` aborts. */
@@ -91,6 +95,8 @@
     this.reading = new AbortController();
     const signal = AbortSignal.any([stop, this.reading.signal]);
     const from = this.sink.nextOffset();
+    const asked = this.dependencies.clock.monotonicMilliseconds();
+    this.askedAt = asked;
     // The first read after a failure does not wait: its answer says that the log is back.
     const waitMilliseconds = this.reachable ? this.options.waitMilliseconds : 0;
     try {
@@ -100,6 +106,8 @@
       this.noteAnswer();
       this.failures = 0;
       await this.sink.take(batch);
+      if (waitMilliseconds > 0)
+        await this.pauseWithoutProgress(from, asked, signal);
     } catch (error) {
       if (!(error instanceof LogGapError)) throw error;
       this.noteAnswer();
@@ -107,6 +115,21 @@
     }
   }
 
+  /**
+   * A log that answers at once and empty, as one that lags behind its own end may, would be
+   * asked again without end.
+   */
+  private async pauseWithoutProgress(
+    from: number,
+    asked: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, random} = this.dependencies;
+    const took = clock.monotonicMilliseconds() - asked;
+    if (this.sink.nextOffset() !== from || took >= SHORTEST_ROUND) return;
+    await sleep(clock, jitter(random, SHORTEST_ROUND), signal);
+  }
+
   /** A gap that cannot be crossed yet is tried again with the pauses of a failure. */
   private async crossGap(
     from: number,
@@ -128,11 +151,10 @@
   }
 
   private noteAnswer(): void {
-    const {clock, logger} = this.dependencies;
+    const {logger} = this.dependencies;
     if (!this.reachable)
       logger.info(LogEvent.LogReturned, {stream: this.stream});
     this.reachable = true;
-    this.answeredAt = clock.monotonicMilliseconds();
   }
 
   private async noteFailure(error: Error, stop: AbortSignal): Promise<void> {
