Sample settings for every entry VM of both deployments, each passed through the daemon's own checks

Cause: settings had a page but no file to start from. Change: 13 files; a test wires a daemon from each.

--- a/packages/documentation/src/__tests__/examples.test.ts
+++ b/packages/documentation/src/__tests__/examples.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
-import {readFileSync} from 'node:fs';
+import {readFileSync, readdirSync} from 'node:fs';
 import {describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
+import {Daemon} from '@gentiandoor/daemon';
+import {SilentLogger, parseSettings} from '@gentiandoor/kernel';
 import {parseBundle, type Bundle} from '@gentiandoor/shared-state';
 
 function readExample(path: string): string {
@@ -47,3 +49,31 @@
     assert.ok(bundle.weights.buffer > bundle.weights.move);
   });
 });
+
+describe('the sample settings', () => {
+  for (const [deployment, count] of [
+    ['kingston', 7],
+    ['swan-coast', 6],
+  ] as const) {
+    const directory = fileURLToPath(
+      new URL(`../../../../examples/${deployment}`, import.meta.url),
+    );
+    const files = readdirSync(directory).filter(name =>
+      name.startsWith('entry-'),
+    );
+
+    it(`${deployment} has ${count} entry VMs`, () => {
+      assert.equal(files.length, count);
+    });
+
+    for (const file of files) {
+      it(`${deployment}/${file} passes the daemon's checks`, () => {
+        const text = readExample(`${deployment}/${file}`);
+        const daemon = new Daemon(parseSettings(text, file), {
+          logger: new SilentLogger(),
+        });
+        assert.ok(daemon);
+      });
+    }
+  }
+});
