A daemon serves only once its own join was read back; an end of a drain names the drain it ends

A daemon served before its join was folded, so a move begun in between did not wait for it: two pools could use one VM. A late or second end of a drain ended the next drain. Change: the gate opens when the state has caught up and the join was read back, or while the log cannot be reached, with the state of a peer that is a member; DrainEnded carries the offset at which its drain began. Open: a planner that pauses between its decision and its call to the platform is fenced only by the platform's action id.

--- a/packages/fleet/src/__tests__/budgets.test.ts
+++ b/packages/fleet/src/__tests__/budgets.test.ts
@@ -28,6 +28,27 @@
     });
   });
 
+  describe('with two operators who end one drain', () => {
+    // moana drains a VM and both operators end that drain. Before tom's record is appended,
+    // moana drains the VM again for repair. Ended by name alone, the repair's drain would end
+    // and callers would be sent to a VM that is being taken apart.
+    it('does not end the drain that began in between', () => {
+      const fleet = new FoldedFleet(SWAN_COAST);
+      const first = fleet.write('moana', drain('eligibility-1'));
+      const end = {
+        kind: RecordKind.DrainEnded,
+        vm: 'eligibility-1',
+        startedAt: first.offset,
+      } as const;
+      assert.equal(fleet.write('moana', end).rejection, undefined);
+      fleet.write('moana', drain('eligibility-1'));
+      const late = fleet.write('tom', end);
+      assert.equal(late.rejection?.reason, RejectionReason.NotDraining);
+      const vm = fleet.state.vms.get('eligibility-1');
+      assert.equal(vm?.drainReason, 'disk');
+    });
+  });
+
   describe('with a VM down', () => {
     it('counts it before a planned stop', () => {
       const fleet = new FoldedFleet(SWAN_COAST);
--- a/packages/plugin-fleet/src/fleet-routes.ts
+++ b/packages/plugin-fleet/src/fleet-routes.ts
@@ -51,7 +51,10 @@
       adminRoutes.add(AdminMethod.Post, path, handler);
     const {fleetPublisher: publisher, waveForecasts} = dependencies;
     post(FleetPath.Drains, writing(publisher, drainRequest, drainRecord));
-    post(FleetPath.Returns, writing(publisher, returnRequest, returnRecord));
+    post(
+      FleetPath.Returns,
+      writing(publisher, returnRequest, body => this.returnRecord(body)),
+    );
     post(
       FleetPath.Moves,
       writing(publisher, moveRequest, body => this.moveRecord(body)),
@@ -104,6 +107,12 @@
     };
   }
 
+  private returnRecord(body: z.output<typeof returnRequest>): UnnamedRecord {
+    const {vm, operator: writer} = body;
+    const startedAt = this.state.work.get(vm)?.startedAt;
+    return {kind: RecordKind.DrainEnded, writer, vm, startedAt};
+  }
+
   private explain(query: Readonly<Record<string, string>>): ExplainBody {
     const {subject = '', id = ''} = query;
     if (!SUBJECTS.has(subject) || id === '') {
@@ -129,10 +138,6 @@
   return {kind: RecordKind.DrainStarted, writer, vm, reason};
 }
 
-function returnRecord(body: z.output<typeof returnRequest>): UnnamedRecord {
-  return {kind: RecordKind.DrainEnded, writer: body.operator, vm: body.vm};
-}
-
 function waveRecord(body: z.output<typeof waveRequest>): UnnamedRecord {
   const {wave, reason, operator: writer, scope} = body;
   if (body.action === 'start')
--- a/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
+++ b/packages/plugin-shared-state/src/__tests__/shared-state-faults.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {MetricName} from '@gentiandoor/kernel';
+import {MetricName, sleep} from '@gentiandoor/kernel';
 import {
   ListedState,
   PeerTopic,
@@ -67,6 +67,28 @@
       await session.stopAll();
     });
 
+    // A move starts while entry-3 starts. A move waits for the members of its offset: had entry-3
+    // served before its own join was read back, the move would not wait for it, the VM would go
+    // to its new pool, and entry-3 would send it work of the old one: two pools on one VM.
+    it('serves nothing before it has read its own join', async () => {
+      const session = await started(KINGSTON.slice(0, 2));
+      const fresh = await session.start('entry-3', 'hall-c');
+      const append = fresh.path.append.bind(fresh.path);
+      fresh.path.append = async (stream, payloads, signal) => {
+        await sleep(session.clock, 3 * SECOND);
+        return append(stream, payloads, signal);
+      };
+      let servedAsStranger = false;
+      fresh.follower.onChange(() => {
+        const {inForce, members} = fresh.follower.state;
+        if (inForce && !members.has('entry-3.3')) servedAsStranger = true;
+      });
+      await session.pass(10 * SECOND);
+      assert.equal(servedAsStranger, false);
+      assert.equal(fresh.version, 1);
+      await session.stopAll();
+    });
+
     it('serves nothing while neither log nor peer says what is in force', async () => {
       const session = await started(KINGSTON);
       session.log.faults.add(LogFault.Outage);
--- a/packages/plugin-shared-state/src/log-follower.ts
+++ b/packages/plugin-shared-state/src/log-follower.ts
@@ -115,7 +115,12 @@
     );
     const publish = (record: FleetRecord, signal?: AbortSignal) =>
       this.publish(record, signal);
-    this.membership = new Membership(dependencies, this.keeper, publish);
+    this.membership = new Membership(
+      dependencies,
+      this.keeper,
+      publish,
+      () => this.gate.isCaughtUp,
+    );
     this.watch = new MemberWatch(dependencies, options, this.keeper, publish);
     this.gate = new ServingGate(
       dependencies,
--- a/packages/plugin-shared-state/src/membership.ts
+++ b/packages/plugin-shared-state/src/membership.ts
@@ -20,7 +20,7 @@
 
 const BACKOFF_BASE_MILLISECONDS = 500;
 const BACKOFF_MAXIMUM_MILLISECONDS = 10_000;
-const LOOK_MILLISECONDS = 1000;
+const LOOK_MILLISECONDS = 50;
 const LEAVE_MILLISECONDS = 1000;
 
 /** What membership needs. */
@@ -48,6 +48,8 @@
     private readonly dependencies: MembershipDependencies,
     private readonly keeper: StateKeeper,
     private readonly publish: Publish,
+    /** Whether the state is far enough; a join before that would be waited for in vain. */
+    private readonly mayJoin: () => boolean,
   ) {
     keeper.onChange(() => this.listPeers());
   }
@@ -57,7 +59,7 @@
     const {clock, random} = this.dependencies;
     let attempt = 0;
     while (!stop.aborted && !this.isReplaced) {
-      if (!this.keeper.isServing || this.isMember()) {
+      if (!this.mayJoin() || this.isMember()) {
         await sleep(clock, LOOK_MILLISECONDS, stop);
         continue;
       }
--- a/packages/plugin-shared-state/src/serving-gate.ts
+++ b/packages/plugin-shared-state/src/serving-gate.ts
@@ -1,4 +1,4 @@
-import {sleep, type Clock} from '@gentiandoor/kernel';
+import {sleep, type Clock, type DaemonIdentity} from '@gentiandoor/kernel';
 import type {PeerDirectory} from '@gentiandoor/shared-state';
 import type {PeerExchange} from './peer-exchange.js';
 import type {SharedStateOptions} from './shared-state-options.js';
@@ -11,6 +11,7 @@
 /** What the gate needs. */
 export interface ServingGateDependencies {
   readonly clock: Clock;
+  readonly identity: DaemonIdentity;
   readonly peerDirectory: PeerDirectory;
 }
 
@@ -27,6 +28,9 @@
  * state of the peer that is furthest; with neither it serves nothing.
  */
 export class ServingGate {
+  /** Whether the state is far enough to join the members. */
+  isCaughtUp = false;
+
   constructor(
     private readonly dependencies: ServingGateDependencies,
     private readonly options: SharedStateOptions,
@@ -35,13 +39,15 @@
     private readonly progress: LogProgress,
   ) {}
 
-  /** Opens whenever the state has caught up; runs on, for the state may be given up later. */
+  /** Opens whenever the state has caught up and the join was read back; runs on, for the state may be given up later. */
   async run(stop: AbortSignal): Promise<void> {
     const {clock} = this.dependencies;
     const startedAt = clock.monotonicMilliseconds();
     while (!stop.aborted) {
       const waited = clock.monotonicMilliseconds() - startedAt;
-      if (!this.keeper.isServing && this.mayServe(waited)) this.keeper.serve();
+      this.isCaughtUp = this.keeper.isServing || this.mayServe(waited);
+      if (!this.keeper.isServing && this.isCaughtUp && this.isAwaited())
+        this.keeper.serve();
       const pause = this.keeper.isServing
         ? this.options.summary_milliseconds
         : LOOK_MILLISECONDS;
@@ -49,6 +55,18 @@
     }
   }
 
+  /**
+   * Moves and reboots wait for the members of their offset. A daemon that routed before its own
+   * join was read back would not be waited for, and two pools would use one VM. While the log
+   * cannot be reached it serves with the state of a peer, which is a member and holds up what
+   * this one would have to.
+   */
+  private isAwaited(): boolean {
+    const {identity} = this.dependencies;
+    if (!this.progress.isReachable) return true;
+    return this.keeper.live.members.has(identity.incarnation);
+  }
+
   /** `waitedMilliseconds` since the start. */
   mayServe(waitedMilliseconds: number): boolean {
     if (this.isBehindPeers()) return false;
--- a/packages/shared-state/src/drain-records.ts
+++ b/packages/shared-state/src/drain-records.ts
@@ -19,6 +19,8 @@
     ...operatorOrPlannerHead,
     kind: z.literal(RecordKind.DrainEnded),
     vm: recordText,
+    /** Offset at which the drain began that shall end; any drain where it is missing. */
+    startedAt: z.number().int().min(0).optional(),
   })
   .readonly();
 
--- a/packages/shared-state/src/fold-drains.ts
+++ b/packages/shared-state/src/fold-drains.ts
@@ -1,4 +1,4 @@
-import {WorkKind, WorkStep} from './fleet-domain.js';
+import {WorkKind, WorkStep, type PlannedWork} from './fleet-domain.js';
 import type {DrainAcknowledged} from './fleet-records.js';
 import {
   RejectionReason,
@@ -42,6 +42,12 @@
   const work = state.work.get(record.vm);
   if (work && work.kind !== WorkKind.Drain)
     return otherWork(record.vm, work.kind);
+  if (isOfAnotherDrain(record, work)) {
+    return {
+      reason: RejectionReason.NotDraining,
+      detail: `the drain of VM ${record.vm} that was to end is over; look at it again`,
+    };
+  }
   const wasHandedOver = state.handedOver.delete(record.vm);
   state.failedAttempts.delete(record.vm);
   if (work) setWork(state, record.vm, undefined);
@@ -52,6 +58,18 @@
   };
 }
 
+/**
+ * Two operators end one drain, or a late record comes in after the next drain began: without the
+ * offset the second record would end a drain that nobody meant, and a VM under repair would get work.
+ */
+function isOfAnotherDrain(
+  record: DrainEnded,
+  work: PlannedWork | undefined,
+): boolean {
+  if (record.startedAt === undefined) return false;
+  return work?.startedAt !== record.startedAt;
+}
+
 /** Notes that a daemon has nothing left on VMs; what has ended meanwhile is passed over. */
 export function applyDrainAcknowledged(
   state: FleetState,
