Bound what a bundle or settings text can cost, and refuse names that the INI library changes

Cause: the records of a bundle already have no prototype and sign-offs use own entries only, so names such as `constructor` find nothing; no test held that. The INI library drops `__proto__` sections and keys, reads `listen;a` as `listen`, and cuts lines at a lone carriage return, all without a word: a setting in the file had no effect. A list of ranges could name 100,000 VMs for each range with no bound on the list; problems of 100,000 VMs were spread into one call; each malformed section was searched for from the start of the text; each service walked its pool. Change: one check of names and line ends in `rejectDoubles`, which both parsers use; up to 100,000 VMs a list and 100 characters a range; problems pushed one by one; the malformed line is searched for once; the largest failure domain is found once a pool.

--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -56,11 +56,20 @@
   return new SettingsFile(path, sections);
 }
 
+/** Line ends at which the INI library cuts or drops lines that an editor shows as one. */
+const STRAY_LINE_END = /\r(?!\n)|\u2028|\u2029/;
+/** Quotes, escapes and comment marks, which the INI library takes out of names. */
+const MARKS_IN_NAME = /["';#\\]/;
+const PROTOTYPE = '__proto__';
+
 /**
- * Finds what the INI library would merge without a word: a section or a key that stands twice.
- * Throws `SettingsError` with the line number.
+ * Finds what the INI library would merge or leave out without a word: a section or a key that
+ * stands twice, lacks a name or has one that the library changes. Throws `SettingsError` with
+ * the line number.
  */
 export function rejectDoubles(text: string, path: string): void {
+  if (STRAY_LINE_END.test(text))
+    throw new SettingsError(`${path}: expected lines to end with a newline`);
   const sections = new Set<string>();
   let keys = new Set<string>();
   let section = '';
@@ -70,6 +79,7 @@
     const header = /^\[([^\]]*)\]$/.exec(line);
     if (header) {
       section = header[1].trim();
+      rejectName(section, `${path}:${index + 1}`);
       if (sections.has(section)) {
         throw new SettingsError(
           `${path}:${index + 1}: section [${section}] stands twice`,
@@ -85,6 +95,7 @@
         `${path}:${index + 1}: expected "key = value", found "${line}"`,
       );
     }
+    rejectName(key, `${path}:${index + 1}`);
     if (!key.endsWith('[]') && keys.has(key)) {
       throw new SettingsError(
         `${path}:${index + 1}: [${section}] key ${key} stands twice`,
@@ -94,6 +105,19 @@
   });
 }
 
+/**
+ * The INI library drops `__proto__` and reads `listen;a` as `listen`: the operator would see
+ * a setting in the file that has no effect, or one that a later line replaced.
+ */
+function rejectName(name: string, place: string): void {
+  const parts = name.replace(/\[\]$/, '').split('.');
+  const isPlain = name !== '' && !MARKS_IN_NAME.test(name);
+  if (isPlain && !parts.some(part => part.trim() === PROTOTYPE)) return;
+  throw new SettingsError(
+    `${place}: expected a plain name, found "${name.slice(0, 100)}"`,
+  );
+}
+
 /** A whole number within bounds, from INI text. */
 export function integerSetting(minimum: number, maximum: number) {
   return z
--- a/packages/shared-state/src/__tests__/fold-total.test.ts
+++ b/packages/shared-state/src/__tests__/fold-total.test.ts
@@ -27,7 +27,10 @@
 } from './fold-harness.js';
 
 const packr = new Packr({useRecords: false});
-const RUNS = {seed: 20_261, numRuns: 300};
+const RUNS = {
+  seed: 20_261,
+  numRuns: Number(process.env.GENTIANDOOR_FUZZ_RUNS ?? 300),
+};
 
 const vm = fc.constantFrom('hall-a-r1-1', 'hall-a-r1-2', 'hall-z-r9-9');
 const version = fc.integer({min: 1, max: 4});
--- a/packages/shared-state/src/bundle-checks.ts
+++ b/packages/shared-state/src/bundle-checks.ts
@@ -55,6 +55,7 @@
 }
 
 function checkServices(bundle: Bundle, before: Bundle | undefined): string[] {
+  const losses = new Map<string, number>();
   return Object.entries(bundle.services).flatMap(([name, service]) => {
     const pool = bundle.pools[service.pool];
     if (!pool)
@@ -62,7 +63,7 @@
     const isSame =
       before?.services[name] === service && before.pools[service.pool] === pool;
     if (isSame) return [];
-    return checkBudget(name, service, bundle);
+    return checkBudget(name, service, bundle, losses);
   });
 }
 
@@ -70,9 +71,14 @@
   name: string,
   service: ServiceEntry,
   bundle: Bundle,
+  losses: Map<string, number>,
 ): string[] {
-  const vms = bundle.pools[service.pool].vms;
-  const lost = largestDomain(bundle, vms, service.budget.survive);
+  const {vms} = bundle.pools[service.pool];
+  const {survive} = service.budget;
+  // Once for a pool: thousands of services that each walked its VMs would hold the event loop.
+  const key = `${survive} ${service.pool}`;
+  const lost = losses.get(key) ?? largestDomain(bundle, vms, survive);
+  losses.set(key, lost);
   const left = vms.length - lost;
   if (left >= service.budget.availableVms) return [];
   return [
--- a/packages/shared-state/src/bundle-parser.ts
+++ b/packages/shared-state/src/bundle-parser.ts
@@ -65,6 +65,7 @@
   private readonly known: ReadonlyMap<string, ParsedSection>;
   private readonly sections: ParsedSection[] = [];
   private readonly problems: string[] = [];
+  private hasReportedDouble = false;
 
   constructor(
     private readonly text: string,
@@ -93,7 +94,9 @@
     this.checkDoubles();
     this.failOnProblems();
     const bundle = assemble(this.sections, this.base);
-    this.problems.push(...checkBundle(bundle, this.base?.bundle));
+    // Not spread into one call: a problem for each of 100,000 VMs would overflow the stack.
+    for (const problem of checkBundle(bundle, this.base?.bundle))
+      this.problems.push(problem);
     this.failOnProblems();
     return {bundle, sections: this.sections};
   }
@@ -129,7 +132,7 @@
     try {
       rejectDoubles(piece.text, 'bundle');
     } catch {
-      this.problems.push(this.doubleInWholeText());
+      this.reportDouble();
       return {};
     }
     if (piece.header === '') return this.rejectLooseKeys(piece.text);
@@ -144,14 +147,19 @@
     return {};
   }
 
-  /** The line number of a doubled key counts from the start of the whole text. */
-  private doubleInWholeText(): string {
+  /**
+   * Once a bundle, with the line number counted from the start of the whole text: a text of
+   * bad sections only, each searched for from the start, would hold the event loop for minutes.
+   */
+  private reportDouble(): void {
+    if (this.hasReportedDouble) return;
+    this.hasReportedDouble = true;
     try {
       rejectDoubles(this.text, 'bundle');
+      this.problems.push('bundle: a section is malformed');
     } catch (error) {
-      return toError(error).message;
+      this.problems.push(toError(error).message);
     }
-    return 'bundle: a section is malformed';
   }
 
   private check(
--- a/packages/shared-state/src/bundle-sections.ts
+++ b/packages/shared-state/src/bundle-sections.ts
@@ -17,18 +17,28 @@
 const MAXIMUM_COUNT = 1_000_000;
 /** Names of sections and VMs. */
 export const NAME = /^[a-z0-9][a-z0-9_-]{0,62}$/;
-const LARGEST_RANGE = 100_000;
+/** VMs of one list: three times the fleet to come; a few bytes of ranges cannot name more. */
+const MOST_VMS = 100_000;
+/** A range with its numbers; each name that it gives is shorter. */
+const LONGEST_RANGE = 100;
 
 const yesNo = z
   .union([z.boolean(), z.enum(['yes', 'no'])], {error: 'expected yes or no'})
   .transform(value => value === true || value === 'yes');
 const vmNames = listSetting().transform((names, context) => {
-  const expanded = names.flatMap(name => expandRange(name));
+  const expanded = expandAll(names);
+  if (expanded === undefined) {
+    context.addIssue({
+      code: 'custom',
+      message: `expected up to ${MOST_VMS} VM names`,
+    });
+    return [];
+  }
   const bad = expanded.find(name => !NAME.test(name));
   if (bad !== undefined) {
     context.addIssue({
       code: 'custom',
-      message: `expected VM names, found "${bad}"`,
+      message: `expected VM names, found "${bad.slice(0, LONGEST_RANGE)}"`,
     });
   }
   return expanded;
@@ -157,13 +167,24 @@
 
 /** Expands `hall-a-r1-[1-4]` into four names; another name stands for itself. */
 export function expandRange(name: string): string[] {
+  if (name.length > LONGEST_RANGE) return [name];
   const range = /^(.*)\[(\d+)-(\d+)\](.*)$/.exec(name);
   if (!range) return [name];
   const [, before, from, to, after] = range;
   const count = Number(to) - Number(from) + 1;
-  if (count < 1 || count > LARGEST_RANGE) return [name];
+  if (count < 1 || count > MOST_VMS) return [name];
   return Array.from({length: count}, (_, index) => {
     const digits = String(Number(from) + index).padStart(from.length, '0');
     return `${before}${digits}${after}`;
   });
 }
+
+/** All names of a list, or undefined when there are too many: at most one range beyond the bound is made. */
+function expandAll(names: readonly string[]): string[] | undefined {
+  const expanded: string[] = [];
+  for (const name of names) {
+    for (const one of expandRange(name)) expanded.push(one);
+    if (expanded.length > MOST_VMS) return undefined;
+  }
+  return expanded;
+}
