Bound the admin port's bodies and the connections of both ports

Cause: the admin port read a body of any length into memory, answered malformed JSON with 500, and neither port bounded its connections. A sign-off with a negative version or a digest of another shape went to the log though no fold can read it: the operator waited 5 s and was told that its fate is unknown; so with a request id of 200 characters on /jobs/cancel. Change: [admin] body_bytes (413 beyond), connections, request_milliseconds; [caller-http] connections; counter connections_refused by port; malformed JSON is 400; a record that its own decoder refuses is 400 and not sent; request ids up to 180 characters.

--- /dev/null
+++ b/packages/bench/src/__tests__/admin-input.test.ts
@@ -0,0 +1,209 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import {after, before, describe, it} from 'node:test';
+import fc from 'fast-check';
+import {AdminRoutes, MetricName, splitAddress} from '@gentiandoor/kernel';
+import {request} from 'undici';
+import {ADMIN_KEY, Deployment, type RunningDaemon} from '../deployment.js';
+
+const RUNS = {
+  seed: 20_264,
+  numRuns: Math.min(Number(process.env.GENTIANDOOR_FUZZ_RUNS ?? 60), 2000),
+};
+const BODY_BYTES = 8_388_608;
+const AUTHORIZED = {authorization: `Bearer ${ADMIN_KEY}`};
+
+const anyName = fc.oneof(
+  fc.constantFrom('constructor', '__proto__', 'start', 'abort', 'hold', ''),
+  fc.string({maxLength: 5}),
+);
+/** Bodies with the fields that the paths expect, each with a value that often fits. */
+const nearBody = fc.record(
+  {
+    operator: anyName,
+    requestId: anyName,
+    vm: anyName,
+    reason: anyName,
+    action: fc.constantFrom('start', 'abort', 'hold', 'resume'),
+    wave: anyName,
+    toPool: anyName,
+    scope: fc.constant({}),
+    keys: fc.array(anyName, {maxLength: 3}),
+    text: anyName,
+    version: fc.integer(),
+    digest: anyName,
+    signature: anyName,
+  },
+  {requiredKeys: []},
+);
+/** What each path expects; further fields make a body malformed. */
+const FIELDS: ReadonlyMap<string, readonly string[]> = new Map([
+  ['/fleet/drains', ['vm', 'reason']],
+  ['/fleet/returns', ['vm']],
+  ['/fleet/moves', ['vm', 'reason', 'action', 'toPool']],
+  ['/fleet/waves', ['wave', 'reason', 'action', 'scope']],
+  ['/jobs/cancel', ['keys']],
+  ['/bundles/sign-offs', ['version', 'digest', 'operator', 'signature']],
+  ['/bundles/proposals', ['text']],
+]);
+
+describe('the admin port', {timeout: 60_000}, () => {
+  const deployment = new Deployment();
+  let daemon: RunningDaemon;
+  let posts: string[];
+
+  before(async () => {
+    await deployment.startPlatform();
+    daemon = await deployment.startDaemon('entry-1', 'hall-a');
+    posts = daemon.daemon
+      .resolve<AdminRoutes>('adminRoutes')
+      .list()
+      .filter(route => route.startsWith('POST '))
+      .map(route => route.slice('POST '.length));
+  });
+
+  after(() => deployment.stop());
+
+  async function post(
+    path: string,
+    body: string | Buffer,
+    headers: Record<string, string> = AUTHORIZED,
+  ): Promise<{status: number; text: string}> {
+    const answer = await request(`http://${daemon.adminAddress}${path}`, {
+      method: 'POST',
+      body,
+      headers,
+    });
+    return {status: answer.statusCode, text: await answer.body.text()};
+  }
+
+  async function get(address: string, path: string): Promise<number> {
+    const answer = await request(`http://${address}${path}`, {
+      headers: AUTHORIZED,
+    });
+    await answer.body.dump();
+    return answer.statusCode;
+  }
+
+  it('answers a body that is no JSON with 400 on each path', async () => {
+    assert.ok(posts.length >= 8);
+    for (const path of posts) {
+      for (const body of ['{', '', '{"text": "a', '\u0000']) {
+        const {status, text} = await post(path, body);
+        assert.equal(status, 400, path);
+        assert.match(text, /expected a JSON body/);
+      }
+    }
+  });
+
+  it('answers any JSON that no record can be made of with 400', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.jsonValue({maxDepth: 3}),
+        async (place, value) => {
+          const path = posts[place % posts.length];
+          const {status, text} = await post(path, JSON.stringify(value));
+          assert.equal(status, 400, text);
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('judges any body of the shape that a path expects', async () => {
+    const seen = new Set<number>();
+    await fc.assert(
+      fc.asyncProperty(
+        fc.constantFrom(...FIELDS),
+        nearBody,
+        async ([path, fields], near) => {
+          const picked = Object.entries(near).filter(([name]) =>
+            fields.includes(name),
+          );
+          const body = JSON.stringify(Object.fromEntries(picked));
+          const {status, text} = await post(path, body);
+          assert.ok([200, 400, 409].includes(status), `${status} ${text}`);
+          seen.add(status);
+        },
+      ),
+      RUNS,
+    );
+    assert.ok(seen.has(400) && seen.has(409));
+  });
+
+  // Found by the search above: such a record went to the log, no fold could read it, and the
+  // operator waited five seconds to be told that its fate is unknown.
+  for (const [path, body] of [
+    [
+      '/bundles/sign-offs',
+      {version: -1, digest: '', operator: 'kerry', signature: ''},
+    ],
+    ['/jobs/cancel', {keys: ['a'], requestId: 'x'.repeat(200)}],
+  ] as const) {
+    it(`refuses at once what no fold can read: ${path}`, async () => {
+      const {status} = await post(path, JSON.stringify(body));
+      assert.equal(status, 400);
+    });
+  }
+
+  it('answers a body over the bound with 413 and goes on', async () => {
+    const {status, text} = await post(
+      '/bundles/proposals',
+      Buffer.alloc(BODY_BYTES + 1, 'x'),
+    );
+    assert.equal(status, 413);
+    assert.match(text, /up to 8388608 bytes/);
+    assert.equal(await get(daemon.adminAddress, '/status'), 200);
+  });
+
+  it('tells who lacks the key nothing of its paths, and reads no body', async () => {
+    for (const path of [...posts, '/nothing']) {
+      for (const key of ['', 'Bearer ', `Bearer ${ADMIN_KEY}x`, ADMIN_KEY]) {
+        const answer = await post(path, '{', {authorization: key});
+        assert.equal(answer.status, 401, path);
+        assert.doesNotMatch(answer.text, new RegExp(ADMIN_KEY));
+      }
+    }
+    assert.equal(await get(daemon.adminAddress, '/nothing'), 404);
+  });
+
+  it('is not reached through the callers\u2019 port', async () => {
+    for (const path of ['/status', '/metrics', '/health/live', '/fleet/vms']) {
+      const status = await get(daemon.callerAddress, path);
+      assert.ok([404, 503].includes(status), `${path}: ${status}`);
+    }
+  });
+});
+
+describe('a port that has its bound of connections', {timeout: 60_000}, () => {
+  // A caller opens connections without end. Up to the bound they are taken; the next one is
+  // closed at once and counted, and when one of the first ends, a new one is taken again.
+  for (const port of ['admin', 'caller'] as const) {
+    it(`closes the next one at once and counts it: ${port}`, async () => {
+      const deployment = new Deployment();
+      await deployment.startPlatform();
+      const bound = {connections: 2};
+      const plan = port === 'admin' ? {admin: bound} : {callerHttp: bound};
+      const {daemon, adminAddress, callerAddress} =
+        await deployment.startDaemon('entry-1', 'hall-a', plan);
+      const address = port === 'admin' ? adminAddress : callerAddress;
+      const open = () => net.connect(splitAddress(address));
+      const kept = [open(), open()];
+      for (const socket of kept) await once(socket, 'connect');
+      const refused = open();
+      refused.on('error', () => undefined);
+      await once(refused, 'close');
+      const metrics = daemon.resolve<{
+        memory: {value(name: MetricName, tags: object): number};
+      }>('metrics').memory;
+      assert.ok(metrics.value(MetricName.ConnectionsRefused, {port}) >= 1);
+      for (const socket of kept) socket.destroy();
+      await deployment.stop();
+    });
+  }
+});
+
+function once(socket: net.Socket, event: string): Promise<void> {
+  return new Promise(resolve => socket.once(event, () => resolve()));
+}
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -61,6 +61,7 @@
   readonly adminListen?: string;
   readonly callerHttp?: Readonly<Record<string, number>>;
   readonly targetHttp?: Readonly<Record<string, number>>;
+  readonly admin?: Readonly<Record<string, number>>;
 }
 
 /** A daemon of a deployment. */
@@ -238,6 +239,7 @@
 [admin]
 listen = ${plan.adminListen ?? LOOPBACK}
 key = ${ADMIN_KEY}
+${linesOf(plan.admin)}
 `;
   }
 }
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -34,6 +34,10 @@
     'requests that ended in an error kind of docs/errors.md',
     'reason',
   ),
+  [MetricName.ConnectionsRefused]: counter(
+    'connections closed at once because the port, caller or admin, had too many',
+    'port',
+  ),
   [MetricName.Retries]: counter('requests sent to a second target', 'reason'),
   [MetricName.RetriesDenied]: counter(
     'failed attempts that were not sent again',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -4,6 +4,8 @@
   Requests = 'requests',
   /** Refusals by error kind. */
   Refusals = 'refusals',
+  /** Connections closed at once because the port had too many, by port. */
+  ConnectionsRefused = 'connections_refused',
   /** Retries by reason. */
   Retries = 'retries',
   /** Failed attempts that were not sent again, by the verdict. */
--- a/packages/plugin-admin/src/admin-options.ts
+++ b/packages/plugin-admin/src/admin-options.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {addressSetting} from '@gentiandoor/kernel';
+import {addressSetting, integerSetting} from '@gentiandoor/kernel';
 
 /** Settings section [admin]. */
 export const adminOptions = z.strictObject({
@@ -12,6 +12,19 @@
       error: 'expected at least 16 characters',
     })
     .describe("Operators' shared key; sent as `Authorization: Bearer KEY`."),
+  body_bytes: integerSetting(1024, 67_108_864)
+    .default(8_388_608)
+    .describe(
+      'Longest body of a POST; a bundle of 31,000 VMs takes about 400,000 bytes.',
+    ),
+  connections: integerSetting(1, 10_000)
+    .default(64)
+    .describe(
+      'Connections of operators and health checks at one time; more are closed at once and counted.',
+    ),
+  request_milliseconds: integerSetting(100, 600_000)
+    .default(30_000)
+    .describe('Longest time for a whole request to arrive.'),
 });
 
 /** Checked settings of the admin edge. */
--- a/packages/plugin-admin/src/admin-server.ts
+++ b/packages/plugin-admin/src/admin-server.ts
@@ -1,21 +1,24 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import http from 'node:http';
-import {json} from 'node:stream/consumers';
 import Koa from 'koa';
 import {
   AdminMethod,
+  MetricName,
   splitAddress,
   type AdminAnswer,
+  type AdminHandler,
   type AdminRoutes,
   type DaemonIdentity,
   type DrainState,
   type MemoryMetrics,
+  type Metrics,
   type Plugin,
   type Readiness,
 } from '@gentiandoor/kernel';
 import type {Member, SharedState, VmList} from '@gentiandoor/shared-state';
 import type {AdminOptions} from './admin-options.js';
 import {BundleRoutes} from './bundle-routes.js';
+import {BodyRefused, readJsonBody} from './json-body.js';
 
 /** What the admin port needs. */
 export interface AdminServerDependencies {
@@ -25,7 +28,7 @@
   readonly adminRoutes: AdminRoutes;
   readonly sharedState: SharedState;
   readonly vmList: VmList;
-  readonly metrics: {readonly memory: MemoryMetrics};
+  readonly metrics: Metrics & {readonly memory: MemoryMetrics};
   readonly adminOptions: AdminOptions;
 }
 
@@ -55,8 +58,15 @@
   constructor(private readonly dependencies: AdminServerDependencies) {
     const koa = new Koa();
     koa.use(context => this.answer(context));
-    this.server = http.createServer(koa.callback());
-    const {adminRoutes, metrics} = dependencies;
+    const {adminRoutes, adminOptions: options, metrics} = dependencies;
+    this.server = http.createServer(
+      {requestTimeout: options.request_milliseconds},
+      koa.callback(),
+    );
+    this.server.maxConnections = options.connections;
+    this.server.on('drop', () =>
+      metrics.increment(MetricName.ConnectionsRefused, {port: 'admin'}),
+    );
     adminRoutes.add(AdminMethod.Get, '/status', async () => ok(this.status()));
     adminRoutes.add(AdminMethod.Get, '/metrics', async () =>
       ok(metrics.memory.snapshot()),
@@ -111,18 +121,31 @@
       context.body = {error: `no admin path ${context.method} ${context.path}`};
       return;
     }
-    const {status, body} = await handler({
-      path: context.path,
-      query: firstValues(context.query),
-      body:
-        context.method === AdminMethod.Post
-          ? await json(context.req)
-          : undefined,
-    });
+    const {status, body} = await this.handle(handler, context);
     context.status = status;
     context.body = body;
   }
 
+  private async handle(
+    handler: AdminHandler,
+    context: Koa.Context,
+  ): Promise<AdminAnswer> {
+    const {path, query, req: request} = context;
+    const limit = this.dependencies.adminOptions.body_bytes;
+    try {
+      const body =
+        context.method === AdminMethod.Post
+          ? await readJsonBody(request, limit)
+          : undefined;
+      return await handler({path, query: firstValues(query), body});
+    } catch (error) {
+      if (!(error instanceof BodyRefused)) throw error;
+      // The rest of a refused body is not read: the connection ends with the answer.
+      context.set('connection', 'close');
+      return {status: error.status, body: {error: error.message}};
+    }
+  }
+
   /** What keeps the balancer away. */
   get waitingFor(): string[] {
     const {drainState, readiness, sharedState} = this.dependencies;
--- a/packages/plugin-admin/src/publish-answer.ts
+++ b/packages/plugin-admin/src/publish-answer.ts
@@ -1,5 +1,10 @@
 import {PlatformLogError, type AdminAnswer} from '@gentiandoor/kernel';
-import type {FleetRecord, SharedState} from '@gentiandoor/shared-state';
+import {
+  decodeRecord,
+  encodeRecord,
+  type FleetRecord,
+  type SharedState,
+} from '@gentiandoor/shared-state';
 
 /** Longest wait for the log to take and return a record, in milliseconds. */
 const PUBLISH_MILLISECONDS = 5000;
@@ -18,6 +23,11 @@
   sharedState: SharedState,
   record: FleetRecord,
 ): Promise<AdminAnswer> {
+  // A record that no fold can read would go to the log and never come back with a verdict:
+  // the operator would wait in vain and be told that its fate is unknown.
+  const decoded = decodeRecord(encodeRecord(record));
+  if ('unreadable' in decoded)
+    return {status: 400, body: {error: decoded.unreadable}};
   try {
     const signal = AbortSignal.timeout(PUBLISH_MILLISECONDS);
     const {offset, rejection} = await sharedState.publish(record, signal);
--- a/packages/plugin-caller-http/src/caller-http-options.ts
+++ b/packages/plugin-caller-http/src/caller-http-options.ts
@@ -4,6 +4,11 @@
 /** Settings section [caller-http]. */
 export const callerHttpOptions = z.strictObject({
   listen: addressSetting().describe('IP number and port for callers.'),
+  connections: integerSetting(1, 100_000)
+    .default(10_000)
+    .describe(
+      'Connections of callers at one time; more are closed at once and counted.',
+    ),
   head_bytes: integerSetting(1024, 1_048_576)
     .default(16_384)
     .describe('Longest head of a request.'),
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -150,6 +150,13 @@
   }
 
   private listenForConnections(): void {
+    const {callerHttpOptions: options, metrics} = this.dependencies;
+    // Each connection holds buffers and a file descriptor: without a bound, one caller that
+    // opens them without end takes those of the targets' connections, and all requests fail.
+    this.server.maxConnections = options.connections;
+    this.server.on('drop', () =>
+      metrics.increment(MetricName.ConnectionsRefused, {port: 'caller'}),
+    );
     this.server.on('connection', (socket: net.Socket) => {
       this.sockets.add(socket);
       socket.once('close', () => {
--- a/packages/plugin-fleet/src/admin-schemas.ts
+++ b/packages/plugin-fleet/src/admin-schemas.ts
@@ -1,9 +1,12 @@
 import {z} from 'zod';
 import {recordText, jobFields, MOST_BATCHED} from '@gentiandoor/shared-state';
 
+/** Shorter than an id of a record: `/jobs/cancel` adds the place of each batch. */
+const LONGEST_REQUEST_ID = 180;
+
 const operatorFields = {
   operator: recordText.min(1).default('operator'),
-  requestId: recordText.min(1).optional(),
+  requestId: recordText.min(1).max(LONGEST_REQUEST_ID).optional(),
 };
 const scope = z.strictObject({
   pools: z.array(recordText).max(MOST_BATCHED).optional(),
