daemon: end a stop that was cut short with 1, always

Cause: a whole test run showed daemon-signals "ends with 1 and says what it cut" end with 0. The second signal closes the connections; that also ends the drain of the first signal, whose end called exit(0) in a race with exit(1). Change: the end of the drain no longer exits once a second signal came. Conclusion: the second exit is gone from that path by construction; the test is unchanged.

--- a/packages/daemon/src/bin/gentiandoor-daemon.ts
+++ b/packages/daemon/src/bin/gentiandoor-daemon.ts
@@ -10,14 +10,19 @@
 async function run(path: string): Promise<void> {
   const daemon = new Daemon(parseSettings(readFileSync(path, 'utf8'), path));
   let stopping = false;
+  let isForced = false;
   const onSignal = () => {
     if (stopping) {
+      isForced = true;
       // The server says what is cut as it stops; the log line is flushed at the exit.
       void daemon.stop().then(() => process.exit(EXIT_FAILED));
       return;
     }
     stopping = true;
-    void daemon.drainAndStop().then(() => process.exit(0), fail);
+    void daemon.drainAndStop().then(() => {
+      // A forced stop ends the drain as well: without this a cut stop could end with 0.
+      if (!isForced) process.exit(0);
+    }, fail);
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
