bench: the complete path as separate processes, and bad settings

Cause: every test of the whole path ran in one process; nothing showed that the programs themselves work together, that a SIGKILL of one daemon leaves the other serving, or that wrong settings end the program with 2. Change: a test runs the stand-ins, two daemons and the command line as processes on port 0: keys make, bundle check/propose/sign-off/status, requests through both, vm drain, SIGKILL of one, the keyed request again at the other, SIGTERM. DaemonStarted names the addresses in use by plug-in. A doubled section or key now also says what was expected.

--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -29,10 +29,10 @@
   MemoryVmList,
   PlatformLeasePaths,
   PlatformServer,
+  RebootingVms,
   TargetServer,
   type TaskBehaviour,
 } from '@gentiandoor/stand-ins';
-import {RebootingVms} from './rebooting-vms.js';
 
 /** Key of the admin ports of a deployment under test. */
 export const ADMIN_KEY = 'admin-key-for-tests-only';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -19,7 +19,8 @@
   async start(): Promise<void> {
     const {identity, lifeCycle, logger} = this.wired;
     await lifeCycle.start();
-    logger.info(LogEvent.DaemonStarted, {...identity});
+    const addresses = lifeCycle.boundAddresses();
+    logger.info(LogEvent.DaemonStarted, {...identity, addresses});
   }
 
   /** The graceful stop: takes nothing new, lets exchanges finish, then ends. */
--- a/packages/kernel/src/life-cycle.ts
+++ b/packages/kernel/src/life-cycle.ts
@@ -35,6 +35,16 @@
     }
   }
 
+  /** Addresses on which started plug-ins listen, by the plug-in's name. */
+  boundAddresses(): Record<string, string> {
+    const found: Record<string, string> = {};
+    for (const {name, plugin} of this.started) {
+      const {boundAddress} = plugin;
+      if (boundAddress !== undefined) found[name] = boundAddress;
+    }
+    return found;
+  }
+
   /** Lets every plug-in finish what runs, the caller's side first. */
   async drain(): Promise<void> {
     for (const entry of [...this.started].reverse()) {
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -14,7 +14,9 @@
 
 /** The catalogue behind docs/log-events.md. */
 export const LOG_EVENT_CATALOGUE: Readonly<Record<LogEvent, LogEventEntry>> = {
-  [LogEvent.DaemonStarted]: entry('The daemon has started all plug-ins.'),
+  [LogEvent.DaemonStarted]: entry(
+    'The daemon has started all plug-ins; `addresses` names the ones in use by plug-in.',
+  ),
   [LogEvent.DaemonDraining]: entry('A graceful stop has begun.'),
   [LogEvent.DaemonStopped]: entry(
     'The daemon has stopped with nothing in flight.',
--- a/packages/kernel/src/plugin.ts
+++ b/packages/kernel/src/plugin.ts
@@ -3,6 +3,8 @@
 
 /** A running part of the daemon. */
 export interface Plugin {
+  /** Address in use after the start, IP number and port; undefined where it listens on none. */
+  readonly boundAddress?: string;
   /** Opens ports, starts tasks; resolves when the plug-in can do its work. */
   start(): Promise<void>;
   /** Takes nothing new and lets what runs finish; resolves when nothing is left. */
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -72,7 +72,7 @@
       section = header[1].trim();
       if (sections.has(section)) {
         throw new SettingsError(
-          `${path}:${index + 1}: section [${section}] stands twice`,
+          `${path}:${index + 1}: section [${section}] stands twice: expected it once`,
         );
       }
       sections.add(section);
@@ -87,7 +87,7 @@
     }
     if (!key.endsWith('[]') && keys.has(key)) {
       throw new SettingsError(
-        `${path}:${index + 1}: [${section}] key ${key} stands twice`,
+        `${path}:${index + 1}: [${section}] key ${key} stands twice: expected it once`,
       );
     }
     keys.add(key);
--- a/packages/plugin-admin/src/admin-server.ts
+++ b/packages/plugin-admin/src/admin-server.ts
@@ -70,6 +70,11 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
+  get boundAddress(): string {
+    const {host} = splitAddress(this.dependencies.adminOptions.listen);
+    return `${host}:${this.port}`;
+  }
+
   async start(): Promise<void> {
     const {host, port} = splitAddress(this.dependencies.adminOptions.listen);
     await new Promise<void>((resolve, reject) => {
--- a/packages/plugin-caller-http/src/caller-http-server.ts
+++ b/packages/plugin-caller-http/src/caller-http-server.ts
@@ -78,6 +78,11 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
+  get boundAddress(): string {
+    const {host} = splitAddress(this.dependencies.callerHttpOptions.listen);
+    return `${host}:${this.port}`;
+  }
+
   /** What an end at this moment would cut. */
   get unfinished(): UnfinishedRequests {
     return this.connections.unfinished;
--- a/packages/plugin-peers/src/web-socket-peer-links.ts
+++ b/packages/plugin-peers/src/web-socket-peer-links.ts
@@ -73,6 +73,12 @@
     dependencies.peerDirectory.onChange(() => this.choose());
   }
 
+  get boundAddress(): string | undefined {
+    const bound = this.server?.address();
+    if (typeof bound !== 'object' || bound === null) return undefined;
+    return `${bound.address}:${bound.port}`;
+  }
+
   async start(): Promise<void> {
     const {peersOptions: options, peerDirectory} = this.dependencies;
     if (!options.listen) return;
@@ -88,9 +94,7 @@
       server.once('error', reject);
     });
     this.server = server;
-    const bound = server.address();
-    if (typeof bound === 'object' && bound !== null)
-      peerDirectory.ownAddress = `${bound.address}:${bound.port}`;
+    peerDirectory.ownAddress = this.boundAddress;
     server.on('connection', socket => this.spawn(this.serve(socket)));
     this.choose();
   }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,6 +9,7 @@
 export * from './fleet-example.js';
 export * from './memory-leases.js';
 export * from './memory-vm-actions.js';
+export * from './rebooting-vms.js';
 export * from './platform-lease-paths.js';
 export * from './vm-list-history.js';
 export * from './raw-faults.js';
--- a/packages/bench/src/rebooting-vms.ts
+++ b/packages/stand-ins/src/rebooting-vms.ts
@@ -4,7 +4,8 @@
   VmActionState,
   VmActions,
 } from '@gentiandoor/shared-state';
-import type {MemoryVmActions, TargetServer} from '@gentiandoor/stand-ins';
+import type {MemoryVmActions} from './memory-vm-actions.js';
+import type {TargetServer} from './target-server.js';
 
 /**
  * Reboots that really end the target's process side: its server and all of its connections close
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -31,6 +31,8 @@
   readonly ran: RunRequest[] = [];
   /** False for long loads, whose runs would fill the memory. */
   keepsRuns = true;
+  /** Told of each request that this target runs. */
+  onRun: (run: RunRequest) => void = () => undefined;
   latencyMilliseconds = 0;
   address = '';
   private readonly server: http.Server;
@@ -62,14 +64,14 @@
       return;
     }
     const key = request.headers['idempotency-key'];
-    if (this.keepsRuns) {
-      this.ran.push({
-        method: request.method ?? '',
-        path: request.url ?? '',
-        key: typeof key === 'string' ? key : undefined,
-        body: Buffer.concat(chunks).toString('utf8'),
-      });
-    }
+    const run = {
+      method: request.method ?? '',
+      path: request.url ?? '',
+      key: typeof key === 'string' ? key : undefined,
+      body: Buffer.concat(chunks).toString('utf8'),
+    };
+    this.onRun(run);
+    if (this.keepsRuns) this.ran.push(run);
     if (this.faults.has(TargetFault.Silent)) return;
     if (this.faults.has(TargetFault.FailEverything)) {
       response.writeHead(500).end('failed');
