--- a/packages/fleet/src/maintenance-calendar.ts
+++ b/packages/fleet/src/maintenance-calendar.ts
@@ -2,11 +2,18 @@
 import {RecordKind, isEnded, type FleetState} from '@gentiandoor/shared-state';
 import type {PlannerInput, PlannerPart, Proposal} from './planner-input.js';
 
+const NAME_PREFIX = 'calendar-';
 const DAY_MILLISECONDS = 86_400_000;
 /** A wave starts when some VM has used up this share of the period. */
 const SHARE_TO_START = 0.8;
 /** It covers all VMs past this share, so that waves are few and large. */
 const SHARE_TO_COVER = 0.5;
+/**
+ * Least time between two starts. Without it a wave that an operator aborts, or one that ends
+ * with VMs that failed, is followed by the next within a second, since the oldest maintenance
+ * is as old as before. A day is what an operator needs to look, and little of a fifth of a period.
+ */
+const REST_MILLISECONDS = DAY_MILLISECONDS;
 
 /**
  * Starts waves by itself, so that every VM is maintained once a period. Answers a fleet in
@@ -20,6 +27,7 @@
   plan(input: PlannerInput): Proposal[] {
     const {state, wallNow} = input;
     for (const wave of state.waves.values()) if (!isEnded(wave)) return [];
+    if (wallNow - lastStart(state) < REST_MILLISECONDS) return [];
     const period = this.periodDays * DAY_MILLISECONDS;
     const oldest = oldestMaintenance(state);
     if (oldest === undefined) return [];
@@ -40,8 +48,19 @@
   return oldest;
 }
 
+/** Wall time of the last start that is remembered; its name tells it. */
+function lastStart(state: FleetState): number {
+  let last = -Infinity;
+  for (const id of state.waves.keys()) {
+    if (!id.startsWith(NAME_PREFIX)) continue;
+    const at = Number(id.slice(NAME_PREFIX.length));
+    if (Number.isFinite(at)) last = Math.max(last, at);
+  }
+  return last;
+}
+
 function start(since: number, wallNow: number, oldest: number): Proposal {
-  const wave = `calendar-${wallNow}`;
+  const wave = `${NAME_PREFIX}${wallNow}`;
   const reason = 'every VM is maintained once a period';
   return {
     record: {
