cli: maintenance plan, member list and member remove

Cause: an operator could not see what a wave would do before starting it, nor take out a crashed daemon whose VM the platform still lists; such a daemon holds up every move that waits for its acknowledgement, for good. Change: GET /fleet/waves/preview computes a dry run with the planner's own order, pace, choice and budget check (the choice moved to wave-choice.ts, used by both). GET /fleet/members names what each daemon holds up; POST /fleet/members/removals writes MemberLeft with a reason, refused while the daemon that answers is it or is linked to it.

--- a/packages/bench/src/__tests__/operations-pages.test.ts
+++ b/packages/bench/src/__tests__/operations-pages.test.ts
@@ -2,7 +2,7 @@
 import {readFileSync, readdirSync} from 'node:fs';
 import {after, before, describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
-import {parseBundle} from '@gentiandoor/shared-state';
+import {RecordKind, parseBundle} from '@gentiandoor/shared-state';
 import {ExitCode, processContext, runProgram} from '@gentiandoor/cli';
 import {kingstonBundle, nextVersion, racksOf} from '../demo/kingston.js';
 import {ADMIN_KEY, Deployment} from '../deployment.js';
@@ -65,6 +65,16 @@
     await deployment.startDaemon('entry-hall-a-1', 'hall-a');
     await deployment.startDaemon('entry-hall-b-1', 'hall-b');
     await deployment.untilMembers();
+    // A daemon that crashed: nobody runs it and nobody takes it out but an operator.
+    await deployment.append({
+      kind: RecordKind.MemberJoined,
+      id: 'joined-and-crashed',
+      writer: 'crashed',
+      name: 'entry-hall-b-2',
+      incarnation: 'crashed',
+      dataCentre: 'hall-b',
+      peerAddress: '127.0.0.1:1',
+    });
   });
 
   after(() => deployment.stop());
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -20,7 +20,8 @@
 import {formatColumns} from '../format-columns.js';
 import {sendRecord} from '../send-record.js';
 
-interface ReasonOptions extends CommonOptions {
+/** Options of a command that needs a reason. */
+export interface ReasonOptions extends CommonOptions {
   readonly reason?: string;
 }
 
@@ -35,7 +36,8 @@
 
 type WaveAction = WaveRequest['action'];
 
-function needReason(options: ReasonOptions): string {
+/** The reason that was given; throws `CommandError` without one. */
+export function needReason(options: ReasonOptions): string {
   if (options.reason) return options.reason;
   throw new CommandError(
     ExitCode.BadInput,
@@ -251,7 +253,11 @@
   return `${Math.round(forecastMilliseconds / 60_000)} min`;
 }
 
-const REASON_OPTION = ['--reason', 'Why; kept and shown by explain'] as const;
+/** The option of `needReason`. */
+export const REASON_OPTION = [
+  '--reason',
+  'Why; kept and shown by explain',
+] as const;
 
 /** Commands for VMs, pools and budgets. */
 export const vmCommands: readonly CommandDefinition[] = [
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -8,6 +8,8 @@
 import {keyCommands} from './commands/keys.js';
 import {topCommands} from './commands/top.js';
 import {reportCommands} from './commands/report.js';
+import {memberCommands} from './commands/members.js';
+import {wavePlanCommands} from './commands/wave-plan.js';
 import {statusCommands} from './commands/status.js';
 import type {ExitCode} from './exit-codes.js';
 
@@ -20,6 +22,8 @@
   ...bundleCommands,
   ...vmCommands,
   ...maintenanceCommands,
+  ...wavePlanCommands,
+  ...memberCommands,
   ...jobCommands,
   ...explainCommands,
   ...keyCommands,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,7 @@
 export * from './vm-observer.js';
 export * from './wave-order.js';
 export * from './wave-pace.js';
+export * from './wave-preview.js';
 export * from './wave-planner.js';
 export * from './buffer-plan.js';
 export * from './fleet-planner.js';
--- a/packages/fleet/src/wave-order.ts
+++ b/packages/fleet/src/wave-order.ts
@@ -34,12 +34,22 @@
 }
 
 function orderVms(state: FleetState, wave: Wave): WaveStretch[] {
-  const index = capacityOf(state);
-  const stretches = new Map<string, string[]>();
   const vms = [...state.waveVms]
     .filter(([, entry]) => entry.wave === wave.id)
     .filter(([, entry]) => entry.step === WaveVmStep.Remaining)
-    .map(([vm]) => ({vm, place: index.place(vm)}))
+    .map(([vm]) => vm);
+  return orderByDomain(state, vms);
+}
+
+/** VMs by data centre, rack and name. */
+export function orderByDomain(
+  state: FleetState,
+  ids: readonly string[],
+): WaveStretch[] {
+  const index = capacityOf(state);
+  const stretches = new Map<string, string[]>();
+  const vms = ids
+    .map(vm => ({vm, place: index.place(vm)}))
     .sort(
       (left, right) =>
         compare(left.place.dataCentre, right.place.dataCentre) ||
--- a/packages/fleet/src/wave-planner.ts
+++ b/packages/fleet/src/wave-planner.ts
@@ -5,20 +5,16 @@
   WaveState,
   WaveVmStep,
   WorkKind,
-  capacityOf,
-  checkPlannedStop,
   isEnded,
   type FleetState,
   type PlannedWork,
   type Wave,
 } from '@gentiandoor/shared-state';
 import type {PlannerInput, PlannerPart, Proposal} from './planner-input.js';
+import {chooseVms, presentDataCentre} from './wave-choice.js';
 import {WaveOrder, type WaveStretch} from './wave-order.js';
 import {wavePace, type PaceVerdict} from './wave-pace.js';
 
-/** Alternatives named in one decision; more say nothing new. */
-const MOST_TURNED_DOWN = 5;
-
 /**
  * Takes VMs of running waves out, one data centre after the other, within budgets and pace.
  * Answers a maintenance of every VM: without an order by failure domain a bad reboot reaches
@@ -63,17 +59,15 @@
     room: number,
     taken: Set<string>,
   ): Proposal[] {
-    const index = capacityOf(state);
-    const present =
-      active.length > 0 ? index.place(active[0].vm).dataCentre : undefined;
-    const turnedDown: TurnedDown[] = [];
-    for (const stretch of this.order.stretches(state, wave)) {
-      if (present !== undefined && stretch.dataCentre !== present) continue;
-      const vms = choose(state, wave, stretch, room, taken, turnedDown);
-      if (vms.length === 0) continue;
-      return vms.map(vm => start(wave, vm, stretch, pace, turnedDown));
-    }
-    return [];
+    const {stretch, vms, turnedDown} = chooseVms(state, {
+      stretches: this.order.stretches(state, wave),
+      present: presentDataCentre(state, active),
+      room,
+      taken,
+      isLeft: vm => isLeft(state, wave, vm),
+    });
+    if (!stretch) return [];
+    return vms.map(vm => start(wave, vm, stretch, pace, turnedDown));
   }
 
   private isDone(state: FleetState, wave: Wave): boolean {
@@ -83,7 +77,8 @@
   }
 }
 
-function activeWork(state: FleetState): Map<string, PlannedWork[]> {
+/** Work of waves that is under way, by wave. */
+export function activeWork(state: FleetState): Map<string, PlannedWork[]> {
   const byWave = new Map<string, PlannedWork[]>();
   for (const work of state.work.values()) {
     if (work.kind !== WorkKind.Maintenance || work.wave === undefined) continue;
@@ -95,7 +90,7 @@
 }
 
 /** Whether the wave still has to take the VM: not yet taken, still owned, not in operators' hands. */
-function isLeft(state: FleetState, wave: Wave, vm: string): boolean {
+export function isLeft(state: FleetState, wave: Wave, vm: string): boolean {
   const entry = state.waveVms.get(vm);
   return (
     entry?.wave === wave.id &&
@@ -105,35 +100,6 @@
   );
 }
 
-function choose(
-  state: FleetState,
-  wave: Wave,
-  stretch: WaveStretch,
-  room: number,
-  taken: Set<string>,
-  turnedDown: TurnedDown[],
-): string[] {
-  const chosen: string[] = [];
-  const index = capacityOf(state);
-  for (const vm of stretch.vms) {
-    if (chosen.length >= room) break;
-    const pool = state.vms.get(vm)?.pool ?? '';
-    if (!isLeft(state, wave, vm) || taken.has(pool)) continue;
-    // A VM that is down is left to repair: a reboot of it would count as the wave's failure.
-    if (!index.isAvailable(vm)) continue;
-    const refusal = checkPlannedStop(state, vm);
-    if (refusal) {
-      taken.add(pool);
-      if (turnedDown.length < MOST_TURNED_DOWN)
-        turnedDown.push({choice: `take ${vm}`, because: refusal.detail});
-      continue;
-    }
-    taken.add(pool);
-    chosen.push(vm);
-  }
-  return chosen;
-}
-
 function start(
   wave: Wave,
   vm: string,
--- /dev/null
+++ b/packages/fleet/src/wave-preview.ts
@@ -0,0 +1,144 @@
+import type {TurnedDown} from '@gentiandoor/kernel';
+import {
+  WaveState,
+  WaveVmStep,
+  capacityOf,
+  coveredVms,
+  waveOverlap,
+  type FleetState,
+  type PlannedWork,
+  type Wave,
+  type WaveScope,
+} from '@gentiandoor/shared-state';
+import {chooseVms, presentDataCentre} from './wave-choice.js';
+import {orderByDomain, type WaveStretch} from './wave-order.js';
+import {wavePace} from './wave-pace.js';
+import {activeWork, isLeft} from './wave-planner.js';
+
+/** A rack's share of a wave. */
+export interface PreviewedRack {
+  readonly dataCentre: string;
+  readonly rack: string;
+  /** VMs that the wave still has to take there. */
+  readonly vms: number;
+}
+
+/** What a wave would do in the next planning round; nothing is written. */
+export interface WavePreview {
+  /** VMs that it still has to take. */
+  readonly left: number;
+  /** VMs under way now. */
+  readonly active: number;
+  /** VMs that its pace allows at one time now. */
+  readonly limit: number;
+  /** Racks in the order in which it takes them. */
+  readonly order: readonly PreviewedRack[];
+  /** VMs that it would take now. */
+  readonly next: readonly string[];
+  /** Why it would take nothing, or not more; one sentence each. */
+  readonly heldBack: readonly string[];
+  readonly turnedDown: readonly TurnedDown[];
+}
+
+/** What a wave that runs or is held would do now. */
+export function previewWave(state: FleetState, wave: Wave): WavePreview {
+  const vms = [...state.waveVms]
+    .filter(([, entry]) => entry.wave === wave.id)
+    .filter(([, entry]) => entry.step === WaveVmStep.Remaining)
+    .map(([vm]) => vm)
+    .filter(vm => isLeft(state, wave, vm));
+  const active = activeWork(state).get(wave.id) ?? [];
+  return preview(state, wave, vms, active);
+}
+
+/** What a wave over these VMs would do if it were started now. */
+export function previewScope(state: FleetState, scope: WaveScope): WavePreview {
+  const covered = coveredVms(state, scope);
+  const vms = covered.filter(vm => !state.handedOver.has(vm));
+  const shown = preview(state, unstarted(vms.length), vms, []);
+  const refusal = startRefusal(state, covered);
+  if (refusal === undefined) return shown;
+  return {...shown, next: [], heldBack: [refusal], turnedDown: []};
+}
+
+/** Why the fold would refuse to start a wave over these VMs. */
+function startRefusal(
+  state: FleetState,
+  covered: readonly string[],
+): string | undefined {
+  if (covered.length === 0) return 'the scope covers no VM; widen it';
+  return waveOverlap(state, covered)?.detail;
+}
+
+function preview(
+  state: FleetState,
+  wave: Wave,
+  vms: readonly string[],
+  active: readonly PlannedWork[],
+): WavePreview {
+  const pace = wavePace(wave, active);
+  const stretches = orderByDomain(state, vms);
+  const isMoving = wave.state === WaveState.Running && !pace.stop;
+  const room = isMoving ? Math.max(0, pace.limit - active.length) : 0;
+  const {vms: next, turnedDown} = chooseVms(state, {
+    stretches: room > 0 ? stretches : [],
+    present: presentDataCentre(state, active),
+    room,
+    taken: new Set(),
+    isLeft: () => true,
+  });
+  const heldBack = [...reasons(wave, pace.stop, pace.limit, active.length)];
+  if (heldBack.length === 0 && next.length === 0 && vms.length > 0)
+    heldBack.push('no VM that is left can be taken now');
+  const order = racksOf(state, stretches);
+  const counts = {left: vms.length, active: active.length, limit: pace.limit};
+  return {...counts, order, next, heldBack, turnedDown};
+}
+
+function* reasons(
+  wave: Wave,
+  stop: string | undefined,
+  limit: number,
+  active: number,
+): Generator<string> {
+  if (wave.state !== WaveState.Running)
+    yield `the wave is ${wave.state}: ${wave.stateReason}`;
+  else if (stop !== undefined) yield stop;
+  else if (active >= limit)
+    yield `${active} VMs are under way and the pace allows ${limit}; it grows with each VM that returns healthy`;
+}
+
+function racksOf(
+  state: FleetState,
+  stretches: readonly WaveStretch[],
+): PreviewedRack[] {
+  const index = capacityOf(state);
+  return stretches.flatMap(({dataCentre, vms}) => {
+    const counts = new Map<string, number>();
+    for (const vm of vms) {
+      const {rack} = index.place(vm);
+      counts.set(rack, (counts.get(rack) ?? 0) + 1);
+    }
+    return [...counts].map(([rack, count]) => ({dataCentre, rack, vms: count}));
+  });
+}
+
+function unstarted(total: number): Wave {
+  return {
+    id: '',
+    reason: '',
+    startedBy: '',
+    startedAt: 0,
+    scope: {},
+    state: WaveState.Running,
+    stateReason: '',
+    heldByPlanner: false,
+    total,
+    remaining: total,
+    active: 0,
+    done: 0,
+    failed: 0,
+    handedOver: 0,
+    resumedAt: {offset: 0, done: 0, failures: 0},
+  };
+}
--- a/packages/plugin-fleet/src/__tests__/admin-paths.test.ts
+++ b/packages/plugin-fleet/src/__tests__/admin-paths.test.ts
@@ -1,41 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {AdminMethod, type AdminAnswer} from '@gentiandoor/kernel';
+import {AdminMethod} from '@gentiandoor/kernel';
 import {LogFault, SWAN_COAST} from '@gentiandoor/stand-ins';
 import {FleetPath, type ExplainBody, type VmBody} from '../admin-shapes.js';
 import {FleetHarness} from './fleet-harness.js';
-
-/** Calls a path of one daemon and lets virtual time pass until it answers. */
-async function call(
-  fleet: FleetHarness,
-  method: AdminMethod,
-  path: FleetPath,
-  input: {readonly query?: Record<string, string>; readonly body?: unknown},
-  daemon = 0,
-): Promise<AdminAnswer> {
-  const handler = fleet.daemons[daemon].routes.find(method, path);
-  assert.ok(handler);
-  const {query = {}, body} = input;
-  const answered = handler({path, query, body});
-  await fleet.run(6000);
-  return answered;
-}
-
-function post(
-  fleet: FleetHarness,
-  path: FleetPath,
-  body: unknown,
-): Promise<AdminAnswer> {
-  return call(fleet, AdminMethod.Post, path, {body});
-}
-
-function get(
-  fleet: FleetHarness,
-  path: FleetPath,
-  query: Record<string, string> = {},
-): Promise<AdminAnswer> {
-  return call(fleet, AdminMethod.Get, path, {query});
-}
+import {call, get, post} from './path-calls.js';
 
 const DRAIN = {vm: 'admin-1', reason: 'disk', operator: 'moana'};
 
--- a/packages/plugin-fleet/src/__tests__/fleet-harness.ts
+++ b/packages/plugin-fleet/src/__tests__/fleet-harness.ts
@@ -17,6 +17,7 @@
   type FleetRecord,
   type FoldOutcome,
   type ListedVm,
+  type Peer,
   type RoutingDrain,
   type SharedState,
   type TaskRequest,
@@ -39,6 +40,7 @@
 import {DrainAcknowledger} from '../drain-acknowledger.js';
 import {FleetPublisher} from '../fleet-publisher.js';
 import {FleetRoutes} from '../fleet-routes.js';
+import {MemberRoutes} from '../member-routes.js';
 import {JobRoutes} from '../job-routes.js';
 import {JobRunner} from '../job-runner.js';
 import {PlannerLoop} from '../planner-loop.js';
@@ -143,6 +145,8 @@
   readonly journal: DecisionJournal;
   readonly routes = new AdminRoutes();
   readonly suspected = new Set<string>();
+  /** Daemons to which this one has a link. */
+  readonly linked: Peer[] = [];
   readonly planner: PlannerLoop;
   readonly publisher: FleetPublisher;
   /** While true the daemon's process makes no step. */
@@ -183,6 +187,10 @@
     this.acknowledger = new DrainAcknowledger(withPublisher);
     new FleetRoutes(withPublisher);
     new JobRoutes(withPublisher);
+    new MemberRoutes({
+      ...withPublisher,
+      peerLinks: {connected: () => this.linked},
+    });
   }
 
   get state() {
--- /dev/null
+++ b/packages/plugin-fleet/src/__tests__/path-calls.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import {AdminMethod, type AdminAnswer} from '@gentiandoor/kernel';
+import type {FleetPath} from '../admin-shapes.js';
+import type {FleetHarness} from './fleet-harness.js';
+
+/** Calls a path of one daemon and lets virtual time pass until it answers. */
+export async function call(
+  fleet: FleetHarness,
+  method: AdminMethod,
+  path: FleetPath,
+  input: {readonly query?: Record<string, string>; readonly body?: unknown},
+  daemon = 0,
+): Promise<AdminAnswer> {
+  const handler = fleet.daemons[daemon].routes.find(method, path);
+  assert.ok(handler);
+  const {query = {}, body} = input;
+  const answered = handler({path, query, body});
+  await fleet.run(6000);
+  return answered;
+}
+
+/** Posts a body to a path of the first daemon. */
+export function post(
+  fleet: FleetHarness,
+  path: FleetPath,
+  body: unknown,
+): Promise<AdminAnswer> {
+  return call(fleet, AdminMethod.Post, path, {body});
+}
+
+/** Reads a path of the first daemon. */
+export function get(
+  fleet: FleetHarness,
+  path: FleetPath,
+  query: Record<string, string> = {},
+): Promise<AdminAnswer> {
+  return call(fleet, AdminMethod.Get, path, {query});
+}
--- a/packages/plugin-fleet/src/admin-schemas.ts
+++ b/packages/plugin-fleet/src/admin-schemas.ts
@@ -42,6 +42,13 @@
   scope: scope.default({}),
 });
 
+/** Body of POST /fleet/members/removals. */
+export const memberRemovalRequest = z.strictObject({
+  ...operatorFields,
+  name: recordText.min(1),
+  reason: recordText.min(1),
+});
+
 /** Body of POST /jobs. */
 export const jobRequest = z.strictObject({
   ...operatorFields,
--- a/packages/plugin-fleet/src/admin-shapes.ts
+++ b/packages/plugin-fleet/src/admin-shapes.ts
@@ -1,3 +1,4 @@
+import type {WavePreview} from '@gentiandoor/fleet';
 import type {JournalEntry} from '@gentiandoor/kernel';
 import type {
   BudgetStanding,
@@ -22,6 +23,9 @@
   Returns = '/fleet/returns',
   Moves = '/fleet/moves',
   Waves = '/fleet/waves',
+  WavePreview = '/fleet/waves/preview',
+  Members = '/fleet/members',
+  MemberRemovals = '/fleet/members/removals',
   Vms = '/fleet/vms',
   Pools = '/fleet/pools',
   Budgets = '/fleet/budgets',
@@ -67,6 +71,13 @@
   readonly scope?: WaveScope;
 }
 
+/** POST /fleet/members/removals: the daemon must really be stopped. */
+export interface MemberRemovalRequest extends OperatorRequest {
+  /** Name of the daemon. */
+  readonly name: string;
+  readonly reason: string;
+}
+
 /** POST /jobs */
 export interface JobRequest extends OperatorRequest {
   readonly key: string;
@@ -169,6 +180,26 @@
   readonly forecastMilliseconds?: number;
 }
 
+/**
+ * GET /fleet/waves/preview?wave=... for one that was started, else ?pools=...&dataCentres=...,
+ * comma-separated, for one that was not: what it would do now. Nothing is written.
+ */
+export type WavePreviewBody = WavePreview;
+
+/** GET /fleet/members: an array of these. */
+export interface MemberBody {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  readonly peerAddress: string;
+  /** Whether the daemon that answers has a link to it, or is it. */
+  readonly linked: boolean;
+  /** Whether it plans for the fleet. */
+  readonly plans: boolean;
+  /** VMs whose drain waits for its acknowledgement. */
+  readonly holdsUp: readonly string[];
+}
+
 /** GET /jobs?key=...&state=...&limit=...: an array of these. */
 export interface JobBody {
   readonly key: string;
--- a/packages/plugin-fleet/src/fleet-routes.ts
+++ b/packages/plugin-fleet/src/fleet-routes.ts
@@ -1,3 +1,4 @@
+import {previewScope, previewWave} from '@gentiandoor/fleet';
 import {
   AdminMethod,
   SubjectKind,
@@ -20,7 +21,11 @@
   returnRequest,
   waveRequest,
 } from './admin-schemas.js';
-import {FleetPath, type ExplainBody} from './admin-shapes.js';
+import {
+  FleetPath,
+  type ExplainBody,
+  type WavePreviewBody,
+} from './admin-shapes.js';
 import {budgetsBody, poolBodies, vmBodies, waveBodies} from './fleet-views.js';
 import type {FleetPublisher, UnnamedRecord} from './fleet-publisher.js';
 import type {WaveForecasts} from './wave-forecasts.js';
@@ -75,6 +80,10 @@
         waveBodies(this.state, wave => waveForecasts.remaining(wave)),
       ),
     );
+    get(
+      FleetPath.WavePreview,
+      reading(query => this.previewWave(query)),
+    );
     get(
       FleetPath.Explain,
       reading(query => this.explain(query)),
@@ -104,6 +113,21 @@
     };
   }
 
+  private previewWave(
+    query: Readonly<Record<string, string>>,
+  ): WavePreviewBody {
+    const {wave: id, pools, dataCentres} = query;
+    if (id === undefined) {
+      return previewScope(this.state, {
+        pools: pools?.split(','),
+        dataCentres: dataCentres?.split(','),
+      });
+    }
+    const wave = this.state.waves.get(id);
+    if (!wave) throw new BadInput(`no wave ${id}; see ${FleetPath.Waves}`);
+    return previewWave(this.state, wave);
+  }
+
   private explain(query: Readonly<Record<string, string>>): ExplainBody {
     const {subject = '', id = ''} = query;
     if (!SUBJECTS.has(subject) || id === '') {
--- a/packages/plugin-fleet/src/fleet-service.ts
+++ b/packages/plugin-fleet/src/fleet-service.ts
@@ -2,6 +2,7 @@
 import type {DrainAcknowledger} from './drain-acknowledger.js';
 import type {FleetRoutes} from './fleet-routes.js';
 import type {JobRoutes} from './job-routes.js';
+import type {MemberRoutes} from './member-routes.js';
 import type {PlannerLoop} from './planner-loop.js';
 
 /** What the service needs. */
@@ -10,6 +11,7 @@
   readonly drainAcknowledger: DrainAcknowledger;
   readonly fleetRoutes: FleetRoutes;
   readonly jobRoutes: JobRoutes;
+  readonly memberRoutes: MemberRoutes;
 }
 
 /** The fleet's part of a daemon: planner, acknowledgements, operators' paths. */
@@ -17,13 +19,19 @@
   private readonly dependencies: FleetServiceDependencies;
 
   constructor(dependencies: FleetServiceDependencies) {
-    const {plannerLoop, drainAcknowledger, fleetRoutes, jobRoutes} =
-      dependencies;
+    const {
+      plannerLoop,
+      drainAcknowledger,
+      fleetRoutes,
+      jobRoutes,
+      memberRoutes,
+    } = dependencies;
     this.dependencies = {
       plannerLoop,
       drainAcknowledger,
       fleetRoutes,
       jobRoutes,
+      memberRoutes,
     };
   }
 
--- a/packages/plugin-fleet/src/index.ts
+++ b/packages/plugin-fleet/src/index.ts
@@ -13,6 +13,7 @@
 import {FleetService} from './fleet-service.js';
 import {JobRoutes} from './job-routes.js';
 import {JobRunner} from './job-runner.js';
+import {MemberRoutes} from './member-routes.js';
 import {PlannerLoop} from './planner-loop.js';
 import {FleetPublisher} from './fleet-publisher.js';
 import {WaveForecasts} from './wave-forecasts.js';
@@ -42,6 +43,7 @@
         drainAcknowledger: asClass(DrainAcknowledger).singleton(),
         fleetRoutes: asClass(FleetRoutes).singleton(),
         jobRoutes: asClass(JobRoutes).singleton(),
+        memberRoutes: asClass(MemberRoutes).singleton(),
         fleet: asClass(FleetService).singleton(),
       });
       registerFallbacks(container);
--- /dev/null
+++ b/packages/plugin-fleet/src/member-routes.ts
@@ -0,0 +1,105 @@
+import {
+  AdminMethod,
+  type AdminRoutes,
+  type DaemonIdentity,
+} from '@gentiandoor/kernel';
+import {
+  RecordKind,
+  outstandingDaemons,
+  plannerOf,
+  type FleetState,
+  type PeerLinks,
+  type SharedState,
+} from '@gentiandoor/shared-state';
+import type {z} from 'zod';
+import {BadInput, reading, writing} from './admin-answers.js';
+import {memberRemovalRequest} from './admin-schemas.js';
+import {FleetPath, type MemberBody} from './admin-shapes.js';
+import type {FleetPublisher, UnnamedRecord} from './fleet-publisher.js';
+
+/** What the routes need. */
+export interface MemberRoutesDependencies {
+  readonly adminRoutes: AdminRoutes;
+  readonly identity: DaemonIdentity;
+  readonly sharedState: SharedState;
+  readonly fleetPublisher: FleetPublisher;
+  readonly peerLinks: Pick<PeerLinks, 'connected'>;
+}
+
+/**
+ * The operators' paths to the daemons themselves. A crashed daemon whose VM the platform still
+ * lists holds up every move that waits for its acknowledgement; only an operator can know that
+ * it is really stopped. Rests on that one assumption: a daemon that still runs could send a
+ * request to a VM that has been given away.
+ */
+export class MemberRoutes {
+  constructor(private readonly dependencies: MemberRoutesDependencies) {
+    const {adminRoutes, fleetPublisher} = dependencies;
+    adminRoutes.add(
+      AdminMethod.Get,
+      FleetPath.Members,
+      reading(() => this.members()),
+    );
+    adminRoutes.add(
+      AdminMethod.Post,
+      FleetPath.MemberRemovals,
+      writing(fleetPublisher, memberRemovalRequest, body => this.removal(body)),
+    );
+  }
+
+  private members(): MemberBody[] {
+    const {state} = this.dependencies.sharedState;
+    const held = heldUp(state);
+    const {holder} = plannerOf(state);
+    return [...state.members.values()].map(member => ({
+      name: member.name,
+      incarnation: member.incarnation,
+      dataCentre: member.dataCentre,
+      peerAddress: member.peerAddress,
+      linked: this.isLinked(member.incarnation),
+      plans: member.incarnation === holder,
+      holdsUp: held.get(member.incarnation) ?? [],
+    }));
+  }
+
+  private removal(body: z.output<typeof memberRemovalRequest>): UnnamedRecord {
+    const {name, reason, operator: writer} = body;
+    const {state} = this.dependencies.sharedState;
+    const member = [...state.members.values()].find(
+      entry => entry.name === name,
+    );
+    if (!member) {
+      const names = [...state.members.values()].map(entry => entry.name);
+      throw new BadInput(`name: no member ${name}; members: ${names.join()}`);
+    }
+    const {incarnation} = member;
+    // The only evidence at hand that the operator is wrong: a daemon that answers is not stopped.
+    if (this.isLinked(incarnation)) {
+      throw new BadInput(
+        `${name} runs: the daemon that answers is it or is linked to it; stop it first, then it leaves by itself`,
+      );
+    }
+    return {kind: RecordKind.MemberLeft, writer, incarnation, reason};
+  }
+
+  private isLinked(incarnation: string): boolean {
+    const {identity, peerLinks} = this.dependencies;
+    if (incarnation === identity.incarnation) return true;
+    return peerLinks
+      .connected()
+      .some(({incarnation: peer}) => peer === incarnation);
+  }
+}
+
+/** VMs whose planned work waits for a daemon, by incarnation. */
+function heldUp(state: FleetState): Map<string, string[]> {
+  const held = new Map<string, string[]>();
+  for (const work of state.work.values()) {
+    for (const incarnation of outstandingDaemons(state, work)) {
+      const vms = held.get(incarnation) ?? [];
+      vms.push(work.vm);
+      held.set(incarnation, vms);
+    }
+  }
+  return held;
+}
--- a/packages/shared-state/src/fold-waves.ts
+++ b/packages/shared-state/src/fold-waves.ts
@@ -29,7 +29,7 @@
   const covered = coveredVms(state, record.scope);
   if (covered.length === 0)
     return waveState(record.wave, 'covers no VM; widen its scope');
-  const overlap = overlapping(state, covered);
+  const overlap = waveOverlap(state, covered);
   if (overlap) return overlap;
   state.waves.set(record.wave, {
     id: record.wave,
@@ -123,7 +123,8 @@
   return true;
 }
 
-function coveredVms(state: FleetState, scope: WaveScope): string[] {
+/** VMs that a scope covers now. */
+export function coveredVms(state: FleetState, scope: WaveScope): string[] {
   const index = capacityOf(state);
   const pools = scope.pools && new Set(scope.pools);
   const dataCentres = scope.dataCentres && new Set(scope.dataCentres);
@@ -140,7 +141,7 @@
 }
 
 /** One VM is in one wave: two operators with the same idea would reboot it twice. */
-function overlapping(
+export function waveOverlap(
   state: FleetState,
   covered: readonly string[],
 ): Rejection | undefined {
--- a/packages/shared-state/src/index.ts
+++ b/packages/shared-state/src/index.ts
@@ -36,7 +36,7 @@
 export {MOST_BATCHED} from './fleet-record-head.js';
 export * from './routing-drain.js';
 export * from './vm-actions.js';
-export {isEnded} from './fold-waves.js';
+export {coveredVms, isEnded, waveOverlap} from './fold-waves.js';
 export * from './once-only.js';
 export * from './peer-links.js';
 export * from './claim-records.js';
--- a/packages/shared-state/src/member-records.ts
+++ b/packages/shared-state/src/member-records.ts
@@ -23,6 +23,8 @@
     ...recordHead,
     kind: z.literal(RecordKind.MemberLeft),
     incarnation: recordText,
+    /** Why an operator took it out; missing where the daemon left by itself. */
+    reason: recordText.optional(),
   })
   .readonly();
 
