--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -82,7 +82,7 @@
       rejectName(section, `${path}:${index + 1}`);
       if (sections.has(section)) {
         throw new SettingsError(
-          `${path}:${index + 1}: section [${section}] stands twice`,
+          `${path}:${index + 1}: section [${section}] stands twice: expected it once`,
         );
       }
       sections.add(section);
@@ -98,7 +98,7 @@
     rejectName(key, `${path}:${index + 1}`);
     if (!key.endsWith('[]') && keys.has(key)) {
       throw new SettingsError(
-        `${path}:${index + 1}: [${section}] key ${key} stands twice`,
+        `${path}:${index + 1}: [${section}] key ${key} stands twice: expected it once`,
       );
     }
     keys.add(key);
