Measure the slopes of capacity and lay out its page

The fit also gives growth between the two largest sizes: acknowledgements of a drain hide their square behind a constant part at small sizes.

--- a/packages/bench/src/__tests__/slope.test.ts
+++ b/packages/bench/src/__tests__/slope.test.ts
@@ -24,4 +24,14 @@
       assert.ok(slope.error > 0.05);
     });
   });
+
+  describe('with quadratic growth behind a constant part', () => {
+    it('says so by the largest sizes', () => {
+      const slope = fitSlope(
+        SIZES.map(size => ({size, value: 1e8 + size * size})),
+      );
+      assert.ok(slope.exponent < LINEAR_EXPONENT);
+      assert.ok(slope.endExponent > LINEAR_EXPONENT);
+    });
+  });
 });
--- /dev/null
+++ b/packages/bench/src/capacity/all-measurements.ts
@@ -0,0 +1,51 @@
+import {CLAIMS_MEASUREMENTS} from './claims-measurements.js';
+import {LIST_MEASUREMENTS} from './list-measurements.js';
+import type {MeasuredLine} from './measured-line.js';
+import {measurePoints, type Measurement} from './measurement.js';
+import {MEMBER_MEASUREMENTS} from './member-measurements.js';
+import {PEER_MEASUREMENTS} from './peer-measurements.js';
+import {PLANNER_MEASUREMENTS} from './planner-measurements.js';
+import {RECORD_MEASUREMENTS} from './record-measurements.js';
+import {ROUTER_MEASUREMENTS} from './router-measurements.js';
+import {fitSlope, type Point, type Slope} from './slope.js';
+import {SNAPSHOT_MEASUREMENTS} from './snapshot-measurements.js';
+import {STATE_MEASUREMENTS} from './state-measurements.js';
+import {WIRE_MEASUREMENTS} from './wire-measurements.js';
+
+/** Everything that is measured by size, in the order of the page. */
+export const ALL_MEASUREMENTS: readonly Measurement[] = [
+  ...STATE_MEASUREMENTS,
+  ...LIST_MEASUREMENTS,
+  ...RECORD_MEASUREMENTS,
+  ...SNAPSHOT_MEASUREMENTS,
+  ...PLANNER_MEASUREMENTS,
+  ...ROUTER_MEASUREMENTS,
+  ...CLAIMS_MEASUREMENTS,
+  ...PEER_MEASUREMENTS,
+  ...MEMBER_MEASUREMENTS,
+  ...WIRE_MEASUREMENTS,
+];
+
+/** A line with its points and their fit. */
+export interface MeasuredSlope {
+  readonly measurement: Measurement;
+  readonly points: readonly Point[];
+  readonly slope: Slope;
+}
+
+/** Slopes by line. */
+export type MeasuredSlopes = ReadonlyMap<MeasuredLine, MeasuredSlope>;
+
+/** Measures every line; `onLine` hears of each as it is done. */
+export async function measureAll(
+  onLine: (measured: MeasuredSlope) => void,
+): Promise<MeasuredSlopes> {
+  const slopes = new Map<MeasuredLine, MeasuredSlope>();
+  for (const measurement of ALL_MEASUREMENTS) {
+    const points = await measurePoints(measurement);
+    const measured = {measurement, points, slope: fitSlope(points)};
+    slopes.set(measurement.name, measured);
+    onLine(measured);
+  }
+  return slopes;
+}
--- /dev/null
+++ b/packages/bench/src/capacity/entry-daemon-flow.ts
@@ -0,0 +1,154 @@
+import {
+  ENTRY_COUNTS,
+  LINKS_OF_A_DAEMON,
+  MAINTAINED_A_DAY,
+  NODE_BOUNDS,
+  SECONDS_A_DAY,
+  TO_COME,
+} from './deployment-to-come.js';
+import {figure, quantity, type Estimates} from './estimates.js';
+import {DRAINS_A_DAY, flowOf} from './fleet-stream.js';
+import {MeasuredLine} from './measured-line.js';
+import {Unit} from './measurement.js';
+import {Standing, standingOf, type RoleLine} from './role-line.js';
+
+/** Bytes a second that summaries of targets may take in all (load-summaries.ts). */
+const TARGET_SUMMARY_BYTES = 4000;
+/** The router gathers changes for so long (pool-table.ts). */
+const REFRESHES_A_SECOND = 50;
+const MILLISECONDS = 1000;
+const MICROSECONDS = 1e6;
+
+/** Changes of the platform's list a second: each VM that goes also comes back. */
+function listChangesPerSecond(): number {
+  const {restartsADay, failuresADay} = TO_COME;
+  return (2 * (restartsADay + failuresADay + MAINTAINED_A_DAY)) / SECONDS_A_DAY;
+}
+
+/** Bytes a second of one entry daemon without requests, by who they are for. */
+function bytesOf(estimates: Estimates, daemons: number) {
+  const {wirePerSecond} = flowOf(estimates, daemons);
+  const links = Math.min(LINKS_OF_A_DAEMON, daemons - 1);
+  const linkBytes = estimates.at(MeasuredLine.LinkTraffic, links).value;
+  const listBytes =
+    estimates.intercept(MeasuredLine.ListDelta) +
+    listChangesPerSecond() * estimates.perUnit(MeasuredLine.ListDelta);
+  return {stream: wirePerSecond, links: linkBytes, list: listBytes};
+}
+
+/** Share of a core of one entry daemon without requests, by what it goes to. */
+function coreOf(estimates: Estimates, daemons: number) {
+  const {recordsPerSecond} = flowOf(estimates, daemons);
+  const links = Math.min(LINKS_OF_A_DAEMON, daemons - 1);
+  const plainRecords =
+    recordsPerSecond - (DRAINS_A_DAY * daemons) / SECONDS_A_DAY;
+  const changeMilliseconds = estimates.at(
+    MeasuredLine.BundleChangeFolded,
+    TO_COME.vms,
+  ).value;
+  const refreshes = Math.min(
+    recordsPerSecond + listChangesPerSecond(),
+    REFRESHES_A_SECOND,
+  );
+  return {
+    links: estimates.at(MeasuredLine.LinkProcessor, links).value,
+    records:
+      (plainRecords *
+        estimates.at(MeasuredLine.RecordFolded, TO_COME.vms).value) /
+      MICROSECONDS,
+    acknowledgements:
+      (DRAINS_A_DAY * acknowledgementMicroseconds(estimates, daemons)) /
+      SECONDS_A_DAY /
+      MICROSECONDS,
+    changes:
+      ((TO_COME.changesADay / SECONDS_A_DAY) * changeMilliseconds) /
+      MILLISECONDS,
+    router:
+      (refreshes *
+        estimates.at(MeasuredLine.RouterChange, TO_COME.pools).value) /
+      MILLISECONDS,
+  };
+}
+
+/** Growth is worse than linear: scaled by the measured exponent from the largest size. */
+function acknowledgementMicroseconds(
+  estimates: Estimates,
+  daemons: number,
+): number {
+  return estimates.byExponent(MeasuredLine.AcknowledgementTime, daemons);
+}
+
+function sumOf(parts: Readonly<Record<string, number>>): number {
+  return Object.values(parts).reduce((sum, value) => sum + value, 0);
+}
+
+function textOf(parts: Readonly<Record<string, number>>, unit: Unit): string {
+  return Object.entries(parts)
+    .map(([name, value]) => `${name} ${quantity(value, unit)}`)
+    .join(' + ');
+}
+
+/** Bytes a second and processor time of one entry daemon by the number of daemons. */
+export function entryFlowLines(estimates: Estimates): RoleLine[] {
+  return ENTRY_COUNTS.flatMap(({daemons}) => {
+    const bytes = bytesOf(estimates, daemons);
+    const core = coreOf(estimates, daemons);
+    const label = `${figure(daemons)} daemons`;
+    return [
+      {
+        what: `bytes a second, ${label}`,
+        arithmetic: textOf(bytes, Unit.BytesPerSecond),
+        result: quantity(sumOf(bytes), Unit.BytesPerSecond),
+        standing: standingOf(sumOf(bytes), NODE_BOUNDS.bytesPerSecond),
+        mechanism:
+          'long polls, deltas, fixed number of links; every daemon reads the whole stream',
+      },
+      {
+        what: `processor time, ${label}`,
+        arithmetic: textOf(core, Unit.CoreShare),
+        result: quantity(sumOf(core), Unit.CoreShare),
+        standing: standingOf(sumOf(core), NODE_BOUNDS.coreShare),
+        mechanism:
+          'incremental hash and delta fold; router rebuilt whole after each change, at most 50 times a second',
+      },
+    ];
+  });
+}
+
+/** What summaries of targets take, and how old they get. */
+export function targetSummaryLines(estimates: Estimates): RoleLine[] {
+  const perDataCentre = Math.round(TO_COME.vms / TO_COME.dataCentres);
+  return [160, perDataCentre, TO_COME.vms].map(targets => {
+    const line = MeasuredLine.TargetSummaryExpiry;
+    const expiry = estimates.at(line, targets);
+    return {
+      what: `target summaries, ${figure(targets)} targets in use, 32 links: good for`,
+      arithmetic: expiry.text,
+      result: `${figure(expiry.value / MILLISECONDS)} s`,
+      standing: standingOf(expiry.value, 60_000),
+      mechanism: `the pace falls so that all summaries take ${TARGET_SUMMARY_BYTES} bytes a second; receivers drop a summary that says it is good for more than 60 s`,
+    };
+  });
+}
+
+/** Claims: what one keyed request a second costs every daemon. */
+export function claimLines(estimates: Estimates): RoleLine[] {
+  const bytes = estimates.perUnit(MeasuredLine.ClaimBatch);
+  const memory = 200_000;
+  return [
+    {
+      what: 'keyed requests a second in all at which claims alone take the bound',
+      arithmetic: `7,000 / ${figure(bytes)} bytes a claim, without heads of reads and outcomes`,
+      result: `${figure(NODE_BOUNDS.bytesPerSecond / bytes)} a second`,
+      standing: Standing.NoBound,
+      mechanism: 'every daemon reads every claim (ClaimsFollower)',
+    },
+    {
+      what: 'time for which 200,000 remembered claims last at that pace',
+      arithmetic: `200,000 / ${figure(NODE_BOUNDS.bytesPerSecond / bytes)}`,
+      result: `${figure(memory / (NODE_BOUNDS.bytesPerSecond / bytes))} s`,
+      standing: Standing.NoBound,
+      mechanism: 'setting keys of [once-only]',
+    },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/capacity/entry-daemon-memory.ts
@@ -0,0 +1,88 @@
+import {NODE_BOUNDS, TO_COME} from './deployment-to-come.js';
+import {quantity, type Estimate, type Estimates} from './estimates.js';
+import {MeasuredLine} from './measured-line.js';
+import {Unit} from './measurement.js';
+import {Standing, standingOf, type RoleLine} from './role-line.js';
+
+/** Defaults of the settings of once only. */
+const CLAIMS_KEPT = 200_000;
+const HELD_BYTES = 16e6;
+
+interface MemoryPart extends Estimate {
+  readonly what: string;
+  readonly mechanism: string;
+}
+
+function partsOf(
+  estimates: Estimates,
+  daemons: number,
+  processBytes: number,
+): MemoryPart[] {
+  const {vms, pools} = TO_COME;
+  const at = (line: MeasuredLine, size: number) => estimates.at(line, size);
+  return [
+    {
+      what: 'process with all packages loaded',
+      value: processBytes,
+      text: 'resident size at the start of this run',
+      mechanism: 'Node.js 20 and libraries',
+    },
+    {
+      what: 'folded state',
+      ...at(MeasuredLine.StateMemory, vms),
+      mechanism: 'fold over the fleet stream (shared-state)',
+    },
+    {
+      what: 'list of VMs',
+      ...at(MeasuredLine.ListMemory, vms),
+      mechanism: 'one whole answer, then changes (plugin-platform-list)',
+    },
+    {
+      what: `members, ${daemons} daemons`,
+      ...at(MeasuredLine.MemberMemory, daemons),
+      mechanism: 'fold of joins and leaves',
+    },
+    {
+      what: 'router with every pool in use',
+      ...at(MeasuredLine.RouterMemory, pools),
+      mechanism: 'a pool is made at its first request (PoolTable)',
+    },
+    {
+      what: 'claims remembered',
+      ...at(MeasuredLine.ClaimMemory, CLAIMS_KEPT),
+      mechanism: 'setting keys of [once-only], oldest forgotten first',
+    },
+    {
+      what: 'answers held for replay, at most',
+      value: HELD_BYTES,
+      text: 'setting held_bytes of [once-only]',
+      mechanism: 'oldest dropped first',
+    },
+  ];
+}
+
+/** Memory of one entry daemon. */
+export function entryMemoryLines(
+  estimates: Estimates,
+  daemons: number,
+  processBytes: number,
+): RoleLine[] {
+  const parts = partsOf(estimates, daemons, processBytes);
+  const sum = parts.reduce((total, {value}) => total + value, 0);
+  return [
+    ...parts.map(({what, text, value, mechanism}) => ({
+      what: `memory: ${what}`,
+      arithmetic: text,
+      result: quantity(value, Unit.Bytes),
+      standing: Standing.NoBound,
+      mechanism,
+    })),
+    {
+      what: `memory: sum, ${daemons} daemons`,
+      arithmetic: 'sum of the lines above',
+      result: quantity(sum, Unit.Bytes),
+      standing: standingOf(sum, NODE_BOUNDS.bytes),
+      mechanism: 'no pool or VM is left out of the fold: see open work',
+    },
+  ];
+}
--- a/packages/bench/src/capacity/measurement.ts
+++ b/packages/bench/src/capacity/measurement.ts
@@ -1,15 +1,18 @@
+import type {MeasuredLine} from './measured-line.js';
 import type {Point} from './slope.js';
 
 /** Units of a measured slope. */
 export enum Unit {
   Bytes = 'bytes',
+  BytesPerSecond = 'bytes/s',
   Milliseconds = 'ms',
   Microseconds = 'us',
+  CoreShare = 'core',
 }
 
 /** Something whose growth with the size of a deployment is measured. */
 export interface Measurement {
-  readonly name: string;
+  readonly name: MeasuredLine;
   readonly unit: Unit;
   /** What the size counts. */
   readonly per: string;
@@ -32,6 +35,30 @@
   return best;
 }
 
+/** Milliseconds of the fastest of several runs of a task. */
+export async function fastestTask(
+  action: () => Promise<unknown>,
+): Promise<number> {
+  let best = Infinity;
+  for (let repeat = 0; repeat < REPEATS; repeat++) {
+    const from = performance.now();
+    await action();
+    best = Math.min(best, performance.now() - from);
+  }
+  return best;
+}
+
+/** Keeps what was measured at a size, for several lines from one run. */
+export function onceASize<Result>(
+  make: (size: number) => Result,
+): (size: number) => Result {
+  const made = new Map<number, Result>();
+  return size => {
+    if (!made.has(size)) made.set(size, make(size));
+    return made.get(size)!;
+  };
+}
+
 /** Bytes of heap that `make`'s result holds; needs `--expose-gc`. */
 export function heldBytes<Result>(make: () => Result): number {
   collect();
--- /dev/null
+++ b/packages/bench/src/capacity/peer-measurements.ts
@@ -0,0 +1,153 @@
+import {randomBytes} from 'node:crypto';
+import {
+  FrameKind,
+  FrameSeal,
+  LinkSide,
+  decodeFrame,
+  encodeFrame,
+} from '@gentiandoor/plugin-peers';
+import {
+  PeerTopic,
+  digestOf,
+  type Peer,
+  type PeerLinks,
+} from '@gentiandoor/shared-state';
+import {sleep} from '@gentiandoor/kernel';
+import {buildRouter} from '../scenarios/decisions-cost.js';
+import {LINKS_OF_A_DAEMON} from './deployment-to-come.js';
+import {MeasuredLine} from './measured-line.js';
+import {Unit, fastest, onceASize, type Measurement} from './measurement.js';
+
+const LINKS = [2, 8, 16, 32];
+const TARGETS = [10, 40, 160, 640];
+/** So many a target that two random choices leave none without. */
+const REQUESTS_OF_A_TARGET = 5;
+const SUMMARY_MILLISECONDS = 300;
+const KEY = 'peer key for measurements only';
+const PEER: Peer = {name: 'entry-2', incarnation: 'two', dataCentre: 'hall-b'};
+
+/** Keeps what is said to peers. */
+class RecordingLinks implements PeerLinks {
+  last: unknown;
+
+  constructor(private readonly links: number) {}
+
+  connected(): readonly Peer[] {
+    return Array.from({length: this.links}, () => PEER);
+  }
+
+  broadcast(_topic: PeerTopic, message: unknown): void {
+    this.last = message;
+  }
+
+  request(): Promise<unknown> {
+    return Promise.reject(new Error('not in this run'));
+  }
+
+  handle(): void {}
+}
+
+const STATE_SUMMARY = {
+  offset: 1_000_000,
+  hash: randomBytes(8).toString('hex'),
+  readsFormat: 1,
+  version: 10_000,
+  digest: digestOf('bundle'),
+  isLogReachable: true,
+  isServing: true,
+};
+
+function sealedFrame(topic: PeerTopic, body: unknown, seal: FrameSeal): Buffer {
+  return seal.seal(encodeFrame({kind: FrameKind.Message, topic, body}));
+}
+
+function freshSeal(): FrameSeal {
+  return new FrameSeal(KEY, LinkSide.Dialer, new Uint8Array(8));
+}
+
+function sealedBytes(topic: PeerTopic, body: unknown): number {
+  return sealedFrame(topic, body, freshSeal()).length;
+}
+
+/** Microseconds to pack, seal, open and read one frame on each of `links` links. */
+function frameMicroseconds(topic: PeerTopic, body: unknown, links: number) {
+  const milliseconds = fastest(() => {
+    for (let link = 0; link < links; link++) {
+      const opened = freshSeal().open(sealedFrame(topic, body, freshSeal()));
+      if (!opened) throw new Error('the seal does not fit');
+      decodeFrame(opened);
+    }
+  });
+  return milliseconds * 1000;
+}
+
+/** The summary that a router really sends with that many targets in use. */
+async function summaryTo(links: RecordingLinks, targets: number) {
+  const {clock, router} = buildRouter({pools: 1, vms: targets}, links);
+  const slots = await Promise.all(
+    Array.from({length: targets * REQUESTS_OF_A_TARGET}, () =>
+      router.acquire({service: 'pool-0', idempotent: true}),
+    ),
+  );
+  await sleep(clock, SUMMARY_MILLISECONDS);
+  for (const slot of slots) slot.release();
+  if (!links.last) throw new Error('the router told its peers nothing');
+  return links.last as {readonly expiryMilliseconds: number};
+}
+
+const targetSummary = onceASize((targets: number) =>
+  summaryTo(new RecordingLinks(1), targets),
+);
+
+/** Milliseconds that a summary to the links of a large deployment says that it is good for. */
+async function expiryMilliseconds(targets: number): Promise<number> {
+  const links = new RecordingLinks(LINKS_OF_A_DAEMON);
+  return (await summaryTo(links, targets)).expiryMilliseconds;
+}
+
+/** Slopes of what daemons tell each other. */
+export const PEER_MEASUREMENTS: readonly Measurement[] = [
+  {
+    name: MeasuredLine.StateSummaryBytes,
+    unit: Unit.Bytes,
+    per: 'link',
+    sizes: LINKS,
+    measure: links =>
+      links * sealedBytes(PeerTopic.StateSummary, STATE_SUMMARY),
+  },
+  {
+    name: MeasuredLine.StateSummaryTime,
+    unit: Unit.Microseconds,
+    per: 'link',
+    sizes: LINKS,
+    measure: links =>
+      frameMicroseconds(PeerTopic.StateSummary, STATE_SUMMARY, links),
+  },
+  {
+    name: MeasuredLine.TargetSummaryBytes,
+    unit: Unit.Bytes,
+    per: 'target in use',
+    sizes: TARGETS,
+    measure: async targets =>
+      sealedBytes(PeerTopic.TargetSummary, await targetSummary(targets)),
+  },
+  {
+    name: MeasuredLine.TargetSummaryExpiry,
+    unit: Unit.Milliseconds,
+    per: 'target in use',
+    sizes: TARGETS,
+    measure: expiryMilliseconds,
+  },
+  {
+    name: MeasuredLine.TargetSummaryTime,
+    unit: Unit.Microseconds,
+    per: 'target in use',
+    sizes: TARGETS,
+    measure: async targets =>
+      frameMicroseconds(
+        PeerTopic.TargetSummary,
+        await targetSummary(targets),
+        1,
+      ),
+  },
+];
--- a/packages/bench/src/capacity/slope.ts
+++ b/packages/bench/src/capacity/slope.ts
@@ -14,6 +14,8 @@
   readonly error: number;
   /** Exponent of growth between the smallest and the largest size: 1 is linear. */
   readonly exponent: number;
+  /** The same between the two largest sizes: a constant part hides growth in the other. */
+  readonly endExponent: number;
 }
 
 /** Above this exponent growth is called worse than linear. */
@@ -43,6 +45,7 @@
     perUnit,
     error: largest === 0 ? 0 : worst / largest,
     exponent: growthExponent(points),
+    endExponent: growthExponent(largestTwo(points)),
   };
 }
 
@@ -51,6 +54,10 @@
   return slope.intercept + slope.perUnit * size;
 }
 
+function largestTwo(points: readonly Point[]): Point[] {
+  return [...points].sort((left, right) => left.size - right.size).slice(-2);
+}
+
 function growthExponent(points: readonly Point[]): number {
   const sorted = [...points].sort((left, right) => left.size - right.size);
   const first = sorted[0];
--- /dev/null
+++ b/packages/bench/src/capacity/snapshot-measurements.ts
@@ -0,0 +1,43 @@
+import {decodeSnapshot, encodeSnapshot} from '@gentiandoor/shared-state';
+import {MeasuredLine} from './measured-line.js';
+import {Unit, fastestTask, onceASize, type Measurement} from './measurement.js';
+import {PER_VM, VM_SIZES, stateWithVms} from './state-measurements.js';
+
+function rest(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+const snapshotOf = onceASize(async (vms: number) => {
+  const state = stateWithVms(vms);
+  const bytes = await encodeSnapshot(state, rest);
+  const written = await fastestTask(() => encodeSnapshot(state, rest));
+  const recovered = await fastestTask(() =>
+    decodeSnapshot(bytes, state.trusted, rest),
+  );
+  return {bytes: bytes.length, written, recovered};
+});
+
+/** Slopes of what a daemon writes for those that start, and reads when it starts. */
+export const SNAPSHOT_MEASUREMENTS: readonly Measurement[] = [
+  {
+    name: MeasuredLine.SnapshotBytes,
+    unit: Unit.Bytes,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: async vms => (await snapshotOf(vms)).bytes,
+  },
+  {
+    name: MeasuredLine.SnapshotWritten,
+    unit: Unit.Milliseconds,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: async vms => (await snapshotOf(vms)).written,
+  },
+  {
+    name: MeasuredLine.SnapshotRecovered,
+    unit: Unit.Milliseconds,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: async vms => (await snapshotOf(vms)).recovered,
+  },
+];
--- a/packages/bench/src/capacity/state-measurements.ts
+++ b/packages/bench/src/capacity/state-measurements.ts
@@ -9,13 +9,17 @@
   parseBundle,
   signBundle,
   type FleetState,
+  type ListedVm,
 } from '@gentiandoor/shared-state';
+import {MeasuredLine} from './measured-line.js';
 import {Unit, fastest, heldBytes, type Measurement} from './measurement.js';
 import {proportionalSize, syntheticBundle} from './synthetic-bundle.js';
 
-const VM_SIZES = [1000, 4000, 16_000, 31_000];
+/** Numbers of VMs at which lines are measured. */
+export const VM_SIZES = [1000, 4000, 16_000, 31_000];
 const RECORDS = 1000;
-const PER_VM = 'VM';
+/** What these sizes count. */
+export const PER_VM = 'VM';
 const keys = makeOperatorKeys();
 
 /** A state with a bundle of that many VMs in force. */
@@ -75,17 +79,22 @@
   return JSON.stringify({vms: listed});
 }
 
+function listFrom(body: string): ReadonlyMap<string, ListedVm> {
+  const {vms} = JSON.parse(body) as {readonly vms: readonly ListedVm[]};
+  return new Map(vms.map(vm => [vm.id, vm]));
+}
+
 /** Slopes of what every daemon keeps and reads. */
 export const STATE_MEASUREMENTS: readonly Measurement[] = [
   {
-    name: 'folded state in memory',
+    name: MeasuredLine.StateMemory,
     unit: Unit.Bytes,
     per: PER_VM,
     sizes: VM_SIZES,
     measure: vms => heldBytes(() => stateWithVms(vms)),
   },
   {
-    name: 'bundle text',
+    name: MeasuredLine.BundleText,
     unit: Unit.Bytes,
     per: PER_VM,
     sizes: VM_SIZES,
@@ -93,7 +102,7 @@
       syntheticBundle(proportionalSize(vms), keys.publicKey).length,
   },
   {
-    name: 'bundle parsed and checked',
+    name: MeasuredLine.BundleParsed,
     unit: Unit.Milliseconds,
     per: PER_VM,
     sizes: VM_SIZES,
@@ -103,21 +112,21 @@
     },
   },
   {
-    name: 'one drain record encoded and applied',
+    name: MeasuredLine.RecordFolded,
     unit: Unit.Microseconds,
     per: PER_VM,
     sizes: VM_SIZES,
     measure: drainMicroseconds,
   },
   {
-    name: 'list of VMs, one answer',
+    name: MeasuredLine.ListAnswer,
     unit: Unit.Bytes,
     per: PER_VM,
     sizes: VM_SIZES,
     measure: vms => listBody(vms).length,
   },
   {
-    name: 'list of VMs parsed',
+    name: MeasuredLine.ListParsed,
     unit: Unit.Milliseconds,
     per: PER_VM,
     sizes: VM_SIZES,
@@ -126,4 +135,19 @@
       return fastest(() => JSON.parse(body));
     },
   },
+  {
+    name: MeasuredLine.ListMemory,
+    unit: Unit.Bytes,
+    per: PER_VM,
+    sizes: VM_SIZES,
+    measure: vms => {
+      const body = listBody(vms);
+      return heldBytes(() => listFrom(body));
+    },
+  },
 ];
+
+/** Private key of the operator whose sign-off these states ask for. */
+export function operatorKey(): typeof keys.privateKey {
+  return keys.privateKey;
+}
--- a/packages/bench/src/scenarios/decisions-cost.ts
+++ b/packages/bench/src/scenarios/decisions-cost.ts
@@ -16,6 +16,7 @@
   emptyFleetState,
   parseSections,
   type ListedVm,
+  type PeerLinks,
   type PoolEntry,
   type ServiceEntry,
 } from '@gentiandoor/shared-state';
@@ -37,7 +38,8 @@
 const MICROSECONDS_IN_MILLISECOND = 1000;
 const BYTES_IN_MEGABYTE = 2 ** 20;
 
-interface Size {
+/** Pools and the VMs that they share. */
+export interface RouterSize {
   readonly pools: number;
   readonly vms: number;
 }
@@ -67,7 +69,10 @@
 }
 
 /** A router over `pools` pools that share `vms` VMs, with every pool in use. */
-function build({pools, vms}: Size) {
+export function buildRouter(
+  {pools, vms}: RouterSize,
+  peerLinks: PeerLinks = new NoPeerLinks(),
+) {
   const clock = new SystemClock();
   const state = emptyFleetState({});
   const parsed = parseSections(SMALLEST_BUNDLE);
@@ -96,7 +101,7 @@
     clock,
     metrics: new MemoryMetrics(),
     decisionJournal: new DecisionJournal(clock),
-    peerLinks: new NoPeerLinks(),
+    peerLinks,
     random: new SeededRandom(1),
     identity: {name: 'entry-1', dataCentre: 'hall-a', incarnation: 'one'},
     sharedState: {
@@ -145,9 +150,10 @@
   return (milliseconds / ROUNDS) * MICROSECONDS_IN_MILLISECOND;
 }
 
-async function measure(size: Size): Promise<ScenarioRow> {
+/** One request, memory and a change at one size. */
+export async function measureRouter(size: RouterSize): Promise<ScenarioRow> {
   const before = heapMegabytes();
-  const {clock, router, change} = build(size);
+  const {clock, router, change} = buildRouter(size);
   const built = heapMegabytes();
   for (let index = 0; index < size.pools; index++) {
     const slot = await router.acquire({service: `pool-${index}`});
@@ -192,7 +198,7 @@
       {pools: 60, vms: 7800},
       {pools: 239, vms: 31_000},
     ]) {
-      rows.push(await measure(size));
+      rows.push(await measureRouter(size));
     }
     const largest = rows[rows.length - 1].values['router_megabytes'];
     return {
--- a/packages/bench/src/scenarios/once-only.ts
+++ b/packages/bench/src/scenarios/once-only.ts
@@ -233,7 +233,8 @@
   return bytes;
 }
 
-function batchAt(first: number, count: number) {
+/** A record of `count` claims from number `first` on. */
+export function batchAt(first: number, count: number) {
   const claims = Array.from({length: count}, (_, index) => {
     const request = {
       service: 'crest-works',
@@ -259,7 +260,7 @@
 }
 
 /** Heap that a full table takes; needs `--expose-gc` to be exact. */
-function measureTable(kept: number): number {
+export function measureTable(kept: number): number {
   globalThis.gc?.();
   const before = process.memoryUsage().heapUsed;
   const table = new ClaimTable(kept);
--- a/packages/plugin-peers/src/index.ts
+++ b/packages/plugin-peers/src/index.ts
@@ -5,6 +5,8 @@
 import {WebSocketPeerLinks} from './web-socket-peer-links.js';
 
 export {WebSocketPeerLinks} from './web-socket-peer-links.js';
+export {FrameKind, decodeFrame, encodeFrame} from './peer-frames.js';
+export {FrameSeal, LinkSide} from './peer-seal.js';
 export {choosePeers, type PeerCandidate} from './peer-choice.js';
 export {peersOptions, type PeersOptions} from './peers-options.js';
 
