--- a/packages/bench/src/capacity/capacity-page.ts
+++ b/packages/bench/src/capacity/capacity-page.ts
@@ -101,7 +101,7 @@
     'daily-records': recordsTable(estimates),
     'entry-memory': roleTable(entryMemoryLines(estimates, most, processBytes)),
     'entry-memory-fewest': roleTable(
-      entryMemoryLines(estimates, fewest, processBytes).slice(-1),
+      entryMemoryLines(estimates, fewest, processBytes).slice(-2),
     ),
     'entry-flow': roleTable([
       ...entryFlowLines(estimates),
--- a/packages/bench/src/capacity/entry-daemon-flow.ts
+++ b/packages/bench/src/capacity/entry-daemon-flow.ts
@@ -25,7 +25,7 @@
   return (2 * (restartsADay + failuresADay + MAINTAINED_A_DAY)) / SECONDS_A_DAY;
 }
 
-/** Bytes a second of one entry daemon without requests, by who they are for. */
+/** Bytes a second of one entry daemon without keyed requests, by who they are for. */
 function bytesOf(estimates: Estimates, daemons: number) {
   const {wirePerSecond} = flowOf(estimates, daemons);
   const links = Math.min(LINKS_OF_A_DAEMON, daemons - 1);
@@ -33,7 +33,12 @@
   const listBytes =
     estimates.intercept(MeasuredLine.ListDelta) +
     listChangesPerSecond() * estimates.perUnit(MeasuredLine.ListDelta);
-  return {stream: wirePerSecond, links: linkBytes, list: listBytes};
+  return {
+    stream: wirePerSecond,
+    links: linkBytes,
+    list: listBytes,
+    'target summaries at most': TARGET_SUMMARY_BYTES,
+  };
 }
 
 /** Share of a core of one entry daemon without requests, by what it goes to. */
--- a/packages/bench/src/capacity/entry-daemon-memory.ts
+++ b/packages/bench/src/capacity/entry-daemon-memory.ts
@@ -77,6 +77,13 @@
       standing: Standing.NoBound,
       mechanism,
     })),
+    {
+      what: `memory: sum without the process, ${daemons} daemons`,
+      arithmetic: 'sum of the lines above but for the first',
+      result: quantity(sum - processBytes, Unit.Bytes),
+      standing: standingOf(sum - processBytes, NODE_BOUNDS.bytes),
+      mechanism: 'bounds of claims and answers are settings',
+    },
     {
       what: `memory: sum, ${daemons} daemons`,
       arithmetic: 'sum of the lines above',
--- a/packages/bench/src/capacity/estimates.ts
+++ b/packages/bench/src/capacity/estimates.ts
@@ -46,13 +46,16 @@
     return {value, text: `${intercept} + ${perUnit} x ${figure(size)}`};
   }
 
-  /** A line that grows worse than linearly: from its largest size on by its last two points' exponent. */
+  /** A line that grows worse than linearly: along the exponent between the two measured sizes around `size`, or the last two. */
   byExponent(line: MeasuredLine, size: number): number {
     const {points} = this.measured(line);
-    const [before, last] = points.slice(-2);
+    const above = points.findIndex(point => point.size >= size);
+    const upper = above < 0 ? points.length - 1 : Math.max(1, above);
+    const from = points[upper - 1];
+    const to = points[upper];
     const exponent =
-      Math.log(last.value / before.value) / Math.log(last.size / before.size);
-    return last.value * (size / last.size) ** exponent;
+      Math.log(to.value / from.value) / Math.log(to.size / from.size);
+    return to.value * (size / to.size) ** exponent;
   }
 
   /** Value for one unit of size. */
