Router works its targets out only after records that change a VM or the bundle

Cause: docs/CAPACITY.md has the router over the bound of a core at every number of daemons: it rebuilt its owner index and all pools after each record, and most records are acknowledgements, jobs and renewals. Change: the incremental hash of the VMs and the bundle in force are compared first. Conclusion: acknowledgements no longer cost a refresh; a change of an owner still refreshes all pools.

--- a/packages/plugin-caller-http/src/pool-table.ts
+++ b/packages/plugin-caller-http/src/pool-table.ts
@@ -14,6 +14,7 @@
 } from '@gentiandoor/decisions';
 import {
   ListedState,
+  type BundleInForce,
   type PoolEntry,
   type SharedState,
   type VmList,
@@ -53,19 +54,31 @@
   private readonly pools = new Map<string, RoutedPool>();
   private owned: ReadonlyMap<string, readonly string[]> | undefined;
   private isRefreshDue = false;
+  private vmsHash: bigint | undefined;
+  private inForce: BundleInForce | undefined;
 
   constructor(
     private readonly dependencies: PoolTableDependencies,
     private readonly quota: TeamQuota,
     private readonly onPressure: () => void,
   ) {
-    dependencies.sharedState.onChange(() => {
-      this.owned = undefined;
-      this.refreshIn(REFRESH_MILLISECONDS);
-    });
+    dependencies.sharedState.onChange(() => this.onRecords());
     dependencies.vmList.onChange(() => this.refreshIn(REFRESH_MILLISECONDS));
   }
 
+  /**
+   * Most records change no VM's owner or drain: acknowledgements, jobs, members, the planner's
+   * renewals. Working all targets out for each of them took more of a core than all else.
+   */
+  private onRecords(): void {
+    const {vms, inForce} = this.dependencies.sharedState.state;
+    if (vms.hash === this.vmsHash && inForce === this.inForce) return;
+    this.vmsHash = vms.hash;
+    this.inForce = inForce;
+    this.owned = undefined;
+    this.refreshIn(REFRESH_MILLISECONDS);
+  }
+
   /** Pools in use by name. */
   all(): IterableIterator<[string, SlotPool]> {
     return this.slotPools();
