Keep exit code 1 of a forced stop from being overtaken by the graceful one

Cause: on a second SIGTERM the forced stop cuts the connections that the graceful one waits for; the graceful one then ends too, and whichever came first set the exit code. Under load the program ended with 0 and the supervisor saw a clean stop though a request was cut. Change: the graceful stop does not exit once a stop was forced. The test is as it was.

--- a/packages/daemon/src/bin/gentiandoor-daemon.ts
+++ b/packages/daemon/src/bin/gentiandoor-daemon.ts
@@ -10,14 +10,21 @@
 async function run(path: string): Promise<void> {
   const daemon = new Daemon(parseSettings(readFileSync(path, 'utf8'), path));
   let stopping = false;
+  let forced = false;
   const onSignal = () => {
     if (stopping) {
+      forced = true;
       // The server says what is cut as it stops; the log line is flushed at the exit.
       void daemon.stop().then(() => process.exit(EXIT_FAILED));
       return;
     }
     stopping = true;
-    void daemon.drainAndStop().then(() => process.exit(0), fail);
+    // A forced stop cuts what the graceful one waits for, so that this one ends as well: its
+    // exit with 0 would hide from the supervisor that requests were cut.
+    const endWell = () => {
+      if (!forced) process.exit(0);
+    };
+    void daemon.drainAndStop().then(endWell, fail);
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
