--- a/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/bad-input.test.ts
@@ -204,7 +204,7 @@
         head_bytes: 4096,
         body_bytes: 4096,
         keyed_body_bytes: 512,
-        progress_milliseconds: 100,
+        progress_milliseconds: 500,
         head_milliseconds: 1000,
       },
       services: {
--- a/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
@@ -47,7 +47,7 @@
   async function startEdge(onceOnly?: OnceOnly): Promise<void> {
     edge = new CallerEdge({
       targets: [target.address],
-      services: {desk: {deadlineMilliseconds: 200}},
+      services: {desk: {deadlineMilliseconds: 1000}},
       settings: {held_answer_bytes: 10},
       onceOnly,
     });
@@ -87,7 +87,7 @@
       const body = Buffer.alloc(1_000_000, 'x');
       edge = new CallerEdge({
         targets: [target.address],
-        settings: {progress_milliseconds: 100},
+        settings: {progress_milliseconds: 500},
         onceOnly: {
           begin: async () => ({
             run: false,
--- a/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/request-outcomes.test.ts
@@ -62,10 +62,10 @@
   async function startEdge(parts: Partial<CallerEdgeParts> = {}) {
     edge = new CallerEdge({
       targets: [target.address],
-      services: {desk: {deadlineMilliseconds: 300}},
+      services: {desk: {deadlineMilliseconds: 1500}},
       settings: {
         buffered_body_bytes: BUFFERED_BYTES,
-        progress_milliseconds: 100,
+        progress_milliseconds: 500,
       },
       ...parts,
     });
@@ -101,7 +101,7 @@
     // cut connection tells the caller so: no last chunk and no full length may follow.
     it(`an answer cut by ${fault} is cut for the caller too`, async () => {
       const {address} = await startEdge({
-        targetSettings: {progress_milliseconds: 100},
+        targetSettings: {progress_milliseconds: 500},
       });
       target.fault = fault;
       const caller = new RawCaller(address);
--- a/packages/plugin-target-http/src/__tests__/whole-answers.test.ts
+++ b/packages/plugin-target-http/src/__tests__/whole-answers.test.ts
@@ -13,7 +13,7 @@
   beforeEach(() => {
     target.fault = RawFault.None;
     target.received.length = 0;
-    fixture = new TransportFixture({progress_milliseconds: 100});
+    fixture = new TransportFixture({progress_milliseconds: 500});
   });
   afterEach(() => fixture.stop());
 
