Load summaries tell of the busiest targets when there are too many, so that peers believe them

Cause: docs/CAPACITY.md: from about 151 targets in use at 32 links a summary said that it holds for over 60 s, and receivers drop that unseen; leaving signs went with it. Change: a summary tells of at most as many targets as its bytes allow within 60 s, the busiest first. Test: 2,000 targets at 32 links, every summary believed, within bytes. Conclusion: idle targets fall back on busy answers.

--- /dev/null
+++ b/packages/plugin-caller-http/src/__tests__/load-summaries.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {VirtualClock} from '@gentiandoor/kernel';
+import {PeerShare, SharedTeamQuota, type PeerUse} from '@gentiandoor/decisions';
+import {
+  NoPeerLinks,
+  type Peer,
+  type PeerTopic,
+} from '@gentiandoor/shared-state';
+import {LoadSummaries} from '../load-summaries.js';
+import type {PoolTable} from '../pool-table.js';
+
+const PEERS = 32;
+const TARGETS = 2000;
+const LONGEST_EXPIRY_MILLISECONDS = 60_000;
+const BYTES_PER_SECOND = 4000;
+
+interface Summary {
+  readonly pools: Readonly<
+    Record<string, {readonly uses: ReadonlyArray<[string, number]>}>
+  >;
+  readonly expiryMilliseconds: number;
+}
+
+class ManyPeers extends NoPeerLinks {
+  readonly sent: Summary[] = [];
+
+  override connected(): readonly Peer[] {
+    return Array.from({length: PEERS}, (_, index) => ({
+      name: `entry-${index}`,
+      incarnation: String(index),
+      dataCentre: 'hall-a',
+    }));
+  }
+
+  override broadcast(_topic?: PeerTopic, message?: unknown): void {
+    this.sent.push(message as Summary);
+  }
+}
+
+function poolsOf(uses: ReadonlyMap<string, PeerUse>): PoolTable {
+  const pool = {
+    inFlight: uses.size,
+    waiting: 0,
+    uses: () => uses,
+    leaving: () => [],
+  };
+  return {
+    all: () => new Map([['previews', pool]]).entries(),
+  } as unknown as PoolTable;
+}
+
+describe('LoadSummaries', () => {
+  describe('with far more targets in use than a summary may tell of', () => {
+    // Peers would drop a summary that says that it holds for more than a minute, and go on with
+    // what targets answer, without the signs of leaving either. So the busiest targets are told.
+    it('tells of the busiest, within its bytes, in a summary that peers believe', () => {
+      const clock = new VirtualClock();
+      const peers = new ManyPeers();
+      const quotaShare = new PeerShare(clock, 'self', 0);
+      const uses = new Map(
+        Array.from({length: TARGETS}, (_, index) => [
+          `vm-${index}`,
+          {inFlight: index === 7 ? 5 : 1, waiting: false},
+        ]),
+      );
+      const quota = new SharedTeamQuota(quotaShare);
+      const tick = () => undefined;
+      new LoadSummaries(
+        clock,
+        peers,
+        poolsOf(uses),
+        quota,
+        quotaShare,
+        tick,
+      ).wake();
+      clock.advance(LONGEST_EXPIRY_MILLISECONDS);
+      assert.ok(peers.sent.length > 0);
+      for (const {pools, expiryMilliseconds} of peers.sent) {
+        assert.ok(expiryMilliseconds <= LONGEST_EXPIRY_MILLISECONDS);
+        assert.deepEqual(pools.previews.uses[0], ['vm-7', 5]);
+        assert.ok(pools.previews.uses.length > 100);
+      }
+      const bytes = peers.sent
+        .map(({pools}) => (60 + 12 * pools.previews.uses.length) * PEERS)
+        .reduce((sum, each) => sum + each, 0);
+      const seconds = LONGEST_EXPIRY_MILLISECONDS / 1000;
+      assert.ok(bytes <= BYTES_PER_SECOND * (seconds + 15));
+    });
+  });
+});
--- a/packages/plugin-caller-http/src/load-summaries.ts
+++ b/packages/plugin-caller-http/src/load-summaries.ts
@@ -4,6 +4,8 @@
 import {PeerTopic, type PeerLinks} from '@gentiandoor/shared-state';
 import type {PoolTable} from './pool-table.js';
 
+/** Receivers drop what says that it holds for longer. */
+const LONGEST_EXPIRY_MILLISECONDS = 60_000;
 const count = z.number().int().nonnegative();
 
 /** One pool in a summary: whether requests wait, uses by VM, and VMs that said they are leaving. */
@@ -18,10 +20,16 @@
   pools: z.record(z.string(), poolSummary),
   teams: z.array(z.tuple([z.string(), count])),
   /** Milliseconds after which the summary says nothing any more. */
-  expiryMilliseconds: z.number().positive().max(60_000),
+  expiryMilliseconds: z.number().positive().max(LONGEST_EXPIRY_MILLISECONDS),
 });
 type LoadSummary = z.output<typeof loadSummary>;
 
+interface ToldUse {
+  readonly pool: string;
+  readonly id: string;
+  readonly inFlight: number;
+}
+
 /** Five exchanges of 50 ms: shares follow a change of load within a few of them. */
 const SHORTEST_MILLISECONDS = 250;
 /** Requests that begin to wait are told of at once, but no more often than this. */
@@ -77,9 +85,10 @@
     this.sentAt = this.clock.monotonicMilliseconds();
     this.onTick();
     const peers = this.peerLinks.connected().length;
-    const pause = pauseFor(this.countUses(), peers);
+    const mostUses = mostUsesFor(peers);
+    const pause = pauseFor(Math.min(this.countUses(), mostUses), peers);
     if (peers > 0) {
-      const message = this.summary(pause * SUMMARIES_UNTIL_EXPIRY);
+      const message = this.summary(pause * SUMMARIES_UNTIL_EXPIRY, mostUses);
       this.peerLinks.broadcast(PeerTopic.TargetSummary, message);
     }
     if (this.hasWork()) this.tickIn(pause);
@@ -98,21 +107,43 @@
     return uses;
   }
 
-  private summary(expiryMilliseconds: number): LoadSummary {
+  /**
+   * Of more uses than may be told, the busiest targets are told. A summary of all of them would
+   * have to hold for minutes to keep to its bytes, and receivers drop what is that old.
+   */
+  private summary(expiryMilliseconds: number, mostUses: number): LoadSummary {
     const pools: LoadSummary['pools'] = {};
+    const told = this.told(mostUses);
     for (const [name, pool] of this.pools.all()) {
-      const uses = [...pool.uses()].map(([id, {inFlight}]) => [id, inFlight]);
+      const uses = told.get(name) ?? [];
       const leaving = pool.leaving();
       if (uses.length === 0 && leaving.length === 0) continue;
       pools[name] = {
         waiting: pool.waiting > 0,
-        uses: uses as Array<[string, number]>,
+        uses,
         leaving,
       };
     }
     return {pools, teams: [...this.quota.uses()], expiryMilliseconds};
   }
 
+  /** Uses by pool, of the busiest targets where there are more than may be told. */
+  private told(mostUses: number): Map<string, Array<[string, number]>> {
+    const all: ToldUse[] = [];
+    for (const [pool, slots] of this.pools.all())
+      for (const [id, {inFlight}] of slots.uses())
+        all.push({pool, id, inFlight});
+    if (all.length > mostUses)
+      all.sort((left, right) => right.inFlight - left.inFlight);
+    const told = new Map<string, Array<[string, number]>>();
+    for (const {pool, id, inFlight} of all.slice(0, mostUses)) {
+      const uses = told.get(pool) ?? [];
+      uses.push([id, inFlight]);
+      told.set(pool, uses);
+    }
+    return told;
+  }
+
   /** A malformed summary is dropped: shares go on by what targets answer. */
   private take(peer: string, message: unknown): void {
     const parsed = loadSummary.safeParse(message);
@@ -135,6 +166,14 @@
   return new Map(uses.map(([key, inFlight]) => [key, {inFlight, waiting}]));
 }
 
+/** Uses in a summary so that it need not hold for longer than receivers believe. */
+function mostUsesFor(peers: number): number {
+  const pause = LONGEST_EXPIRY_MILLISECONDS / SUMMARIES_UNTIL_EXPIRY;
+  const bytes = (BYTES_PER_SECOND * pause) / MILLISECONDS_PER_SECOND;
+  const each = bytes / Math.max(1, peers) - BYTES_OF_HEAD;
+  return Math.max(1, Math.floor(each / BYTES_OF_USE));
+}
+
 /** Milliseconds between summaries: longer where there is more to tell, or more peers. */
 function pauseFor(uses: number, peers: number): number {
   const bytes = (BYTES_OF_HEAD + uses * BYTES_OF_USE) * peers;
