Newcomer's read-through: key files as printed, the daemon's answer before the command line gives up, explain shows what is planned

Cause: by hand on separate processes: 'sign-off' refused the file that 'keys make' had written; with the log gone the command line said that it could not reach the daemon, since both waited 5 s; explain knew nothing of an operator's drain. Change: the key's line is found in the file; the command line waits 10 s; explain of a VM begins with its state now.

--- a/packages/bench/src/__tests__/operations-pages.test.ts
+++ b/packages/bench/src/__tests__/operations-pages.test.ts
@@ -58,7 +58,12 @@
       'rollback.ini',
       nextVersion(next, 'service.counter-preview', 'queue_limit', '64'),
     );
-    files.set('keisha.key', `private_key = ${deployment.operator.privateKey}`);
+    // The file as `gentiandoor keys make > keisha.key` writes it.
+    const {publicKey, privateKey} = deployment.operator;
+    files.set(
+      'keisha.key',
+      `public_key = ${publicKey}\nprivate_key = ${privateKey}\n`,
+    );
     await deployment.startPlatform();
     for (const rack of racksOf(parseBundle(first)))
       await deployment.startRack(rack);
--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -3,7 +3,8 @@
 import {CommandError} from './command-error.js';
 import {ExitCode} from './exit-codes.js';
 
-const TIMEOUT_MILLISECONDS = 5000;
+/** Above the 5 s for which a daemon waits for the log: its answer says what became of a record. */
+const TIMEOUT_MILLISECONDS = 10_000;
 
 /** Asks a daemon's admin port. */
 export class AdminClient {
--- a/packages/cli/src/commands/bundle.ts
+++ b/packages/cli/src/commands/bundle.ts
@@ -94,9 +94,7 @@
     );
   }
   const {digest} = await findProposal(context, options, Number(version));
-  const privateKey = readInput(context, keyFile)
-    .trim()
-    .replace(/^private_key\s*=\s*/, '');
+  const privateKey = privateKeyOf(readInput(context, keyFile));
   const signature = sign(privateKey, Number(version), digest, keyFile);
   const result = await withProgress(
     context,
@@ -116,6 +114,12 @@
   );
 }
 
+/** The key in a file as `keys make` printed it, or the bare key. */
+function privateKeyOf(text: string): string {
+  const line = /^private_key\s*=\s*(\S+)$/m.exec(text);
+  return line ? line[1] : text.trim();
+}
+
 function sign(
   privateKey: string,
   version: number,
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,6 +1,7 @@
-import type {ExplainBody} from '@gentiandoor/plugin-fleet';
-import type {JournalEntry} from '@gentiandoor/kernel';
+import type {ExplainBody, VmBody} from '@gentiandoor/plugin-fleet';
+import {SubjectKind, type JournalEntry} from '@gentiandoor/kernel';
 import type {CommandDefinition} from '../command-registry.js';
+import {vmState} from '../vm-state.js';
 import {
   adminClient,
   show,
@@ -18,11 +19,26 @@
   const body = (await adminClient(context, options).get(
     `/explain?${query}`,
   )) as ExplainBody;
-  const lines = body.decisions.flatMap(describe);
+  const now =
+    subject === SubjectKind.Vm ? await vmNow(context, options, id) : [];
+  const lines = [...now, ...body.decisions.flatMap(describe)];
   const nothing = `this daemon took no decision about ${subject} ${id}; the planner is ${body.planner || 'not known'}, ask its admin port`;
   show(context, options, body, lines.length > 0 ? lines : [nothing]);
 }
 
+/** What is planned on the VM, which may be an operator's doing and no decision of a daemon. */
+async function vmNow(
+  context: CommandContext,
+  options: CommonOptions,
+  id: string,
+): Promise<string[]> {
+  const client = adminClient(context, options);
+  const vms = (await client.get(
+    `/fleet/vms?id=${encodeURIComponent(id)}`,
+  )) as VmBody[];
+  return vms.map(vm => `now: pool ${vm.pool}, ${vm.condition}, ${vmState(vm)}`);
+}
+
 function describe(entry: JournalEntry): string[] {
   const evidence = Object.entries(entry.evidence).map(
     ([name, value]) => `${name}=${value}`,
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -19,6 +19,7 @@
 import {ExitCode} from '../exit-codes.js';
 import {formatColumns} from '../format-columns.js';
 import {sendRecord} from '../send-record.js';
+import {vmState} from '../vm-state.js';
 
 /** Options of a command that needs a reason. */
 export interface ReasonOptions extends CommonOptions {
@@ -59,22 +60,12 @@
     vm.rack,
     vm.dataCentre,
     vm.condition,
-    stateOf(vm),
+    vmState(vm),
   ]);
   const headings = ['VM', 'pool', 'rack', 'data centre', 'condition', 'state'];
   show(context, options, vms, formatColumns(headings, rows));
 }
 
-function stateOf(vm: VmBody): string {
-  if (vm.handedOver !== undefined) return `handed over: ${vm.handedOver}`;
-  if (!vm.work) return vm.available ? 'available' : 'not available';
-  const waits =
-    vm.work.waitsFor.length > 0
-      ? `, waits for ${vm.work.waitsFor.join(', ')}`
-      : '';
-  return `${vm.work.kind} ${vm.work.step}: ${vm.work.reason}${waits}`;
-}
-
 async function listPools(
   context: CommandContext,
   options: CommonOptions,
--- a/packages/shared-state/src/planned-work.ts
+++ b/packages/shared-state/src/planned-work.ts
@@ -17,7 +17,7 @@
   return (
     state.vms.get(id) ?? {
       reason: RejectionReason.VmUnknown,
-      detail: `no VM ${id} in any pool; check the id against GET /fleet/vms`,
+      detail: `no VM ${id} in any pool; see \`gentiandoor vm list\``,
     }
   );
 }
