--- a/packages/bench/src/__tests__/daemon-signals.test.ts
+++ b/packages/bench/src/__tests__/daemon-signals.test.ts
@@ -10,6 +10,7 @@
 import {TargetFault, type TargetServer} from '@gentiandoor/stand-ins';
 import {Deployment} from '../deployment.js';
 import {freeAddress} from '../processes/child-process.js';
+import {oneRackBundle} from '../one-rack-bundle.js';
 
 const PROGRAM = fileURLToPath(
   new URL('../../../daemon/lib/bin/gentiandoor-daemon.js', import.meta.url),
@@ -30,7 +31,13 @@
       vms: [VM],
     });
     target = deployment.targets.get(VM) as TargetServer;
-    await deployment.rollOut(bundleText(deployment.operator.publicKey));
+    await deployment.rollOut(
+      oneRackBundle({
+        publicKey: deployment.operator.publicKey,
+        service: 'desk',
+        vms: VM,
+      }),
+    );
   });
   after(async () => {
     await deployment.stop();
@@ -95,25 +102,6 @@
   });
 });
 
-function bundleText(publicKey: string): string {
-  return `
-[bundle]
-version = 1
-base = 0
-author = moana
-sign_offs = 1
-[operator.kerry]
-public_key = ${publicKey}
-[rack.hall-a-r1]
-data_centre = hall-a
-vms = ${VM}
-[pool.desk]
-vms = ${VM}
-[service.desk]
-pool = desk
-`;
-}
-
 function collect(child: ChildProcess): string[] {
   const output: string[] = [];
   child.stdout?.on('data', (chunk: Buffer) => output.push(chunk.toString()));
--- a/packages/bench/src/__tests__/once-only-path.test.ts
+++ b/packages/bench/src/__tests__/once-only-path.test.ts
@@ -3,25 +3,7 @@
 import {request} from 'undici';
 import type {PeerLinks} from '@gentiandoor/shared-state';
 import {Deployment} from '../deployment.js';
-
-function bundleText(publicKey: string): string {
-  return `
-[bundle]
-version = 1
-base = 0
-author = moana
-sign_offs = 1
-[operator.kerry]
-public_key = ${publicKey}
-[rack.hall-a-r1]
-data_centre = hall-a
-vms = hall-a-r1-[1-2]
-[pool.ledger-room]
-vms = hall-a-r1-[1-2]
-[service.ledger-room]
-pool = ledger-room
-`;
-}
+import {oneRackBundle} from '../one-rack-bundle.js';
 
 describe('keyed requests over the whole path', () => {
   const deployment = new Deployment();
@@ -35,7 +17,13 @@
     });
     for (const name of ['entry-1', 'entry-2'])
       await deployment.startDaemon(name, 'hall-a');
-    await deployment.rollOut(bundleText(deployment.operator.publicKey));
+    await deployment.rollOut(
+      oneRackBundle({
+        publicKey: deployment.operator.publicKey,
+        service: 'ledger-room',
+        vms: 'hall-a-r1-[1-2]',
+      }),
+    );
     await deployment.until(() =>
       deployment.daemons.every(
         ({daemon}) =>
--- a/packages/bench/src/__tests__/separate-processes.test.ts
+++ b/packages/bench/src/__tests__/separate-processes.test.ts
@@ -7,6 +7,7 @@
 import {request} from 'undici';
 import {LogEvent} from '@gentiandoor/kernel';
 import {ProgramPath, ProgramRun} from '../processes/program-run.js';
+import {oneRackBundle} from '../one-rack-bundle.js';
 
 const ADMIN_KEY = 'admin-key-for-tests-only';
 const VMS = ['hall-a-r1-1', 'hall-a-r1-2'];
@@ -90,7 +91,14 @@
     const first = await startDaemon('entry-1', platform, keys.publicKey);
     const second = await startDaemon('entry-2', platform, keys.publicKey);
 
-    const bundle = write('first.ini', bundleText(keys.publicKey));
+    const bundle = write(
+      'first.ini',
+      oneRackBundle({
+        publicKey: keys.publicKey,
+        service: 'desk',
+        vms: 'hall-a-r1-[1-2]',
+      }),
+    );
     const keyFile = write('kerry.key', `private_key = ${keys.privateKey}\n`);
     const {admin} = first;
     assert.match(
@@ -204,24 +212,6 @@
 `;
 }
 
-function bundleText(publicKey: string): string {
-  return `[bundle]
-version = 1
-base = 0
-author = moana
-sign_offs = 1
-[operator.kerry]
-public_key = ${publicKey}
-[rack.hall-a-r1]
-data_centre = hall-a
-vms = hall-a-r1-[1-2]
-[pool.desk]
-vms = hall-a-r1-[1-2]
-[service.desk]
-pool = desk
-`;
-}
-
 async function ask(
   daemon: RunningDaemon,
   method: 'GET' | 'POST',
--- a/packages/bench/src/__tests__/whole-path.test.ts
+++ b/packages/bench/src/__tests__/whole-path.test.ts
@@ -3,25 +3,7 @@
 import {request} from 'undici';
 import {processContext, runProgram} from '@gentiandoor/cli';
 import {ADMIN_KEY, Deployment} from '../deployment.js';
-
-function bundleText(publicKey: string): string {
-  return `
-[bundle]
-version = 1
-base = 0
-author = moana
-sign_offs = 1
-[operator.kerry]
-public_key = ${publicKey}
-[rack.hall-a-r1]
-data_centre = hall-a
-vms = hall-a-r1-[1-2]
-[pool.counter-preview]
-vms = hall-a-r1-[1-2]
-[service.counter-preview]
-pool = counter-preview
-`;
-}
+import {oneRackBundle} from '../one-rack-bundle.js';
 
 describe('the whole path', () => {
   const deployment = new Deployment();
@@ -52,7 +34,15 @@
   });
 
   describe('after a roll-out', () => {
-    before(() => deployment.rollOut(bundleText(deployment.operator.publicKey)));
+    before(() =>
+      deployment.rollOut(
+        oneRackBundle({
+          publicKey: deployment.operator.publicKey,
+          service: 'counter-preview',
+          vms: 'hall-a-r1-[1-2]',
+        }),
+      ),
+    );
 
     it('carries a request to a target and its whole answer back', async () => {
       const answer = await request(
--- a/packages/bench/src/capacity/estimates.ts
+++ b/packages/bench/src/capacity/estimates.ts
@@ -37,9 +37,17 @@
 export class Estimates {
   constructor(private readonly slopes: MeasuredSlopes) {}
 
-  /** Intercept and slope of a line at `size`; never below 0. */
+  /**
+   * Intercept and slope of a line at `size`. A line that falls has not been seen to grow: drawn
+   * on it would promise nothing at all, so its largest measured value stands.
+   */
   at(line: MeasuredLine, size: number): Estimate {
-    const {slope, measurement} = this.measured(line);
+    const {slope, measurement, points} = this.measured(line);
+    if (slope.perUnit < 0) {
+      const value = Math.max(...points.map(point => point.value));
+      const text = `largest measured ${quantity(value, measurement.unit)}, no growth seen`;
+      return {value, text};
+    }
     const value = Math.max(0, extrapolate(slope, size));
     const intercept = quantity(slope.intercept, measurement.unit);
     const perUnit = quantity(slope.perUnit, measurement.unit);
--- a/packages/bench/src/processes/back-end.ts
+++ b/packages/bench/src/processes/back-end.ts
@@ -1,5 +1,6 @@
 import {Deployment} from '../deployment.js';
 import {freeAddress} from './child-process.js';
+import {oneRackBundle} from '../one-rack-bundle.js';
 
 /** What the back-end process tells its parent. */
 export interface BackEndMessage {
@@ -12,25 +13,6 @@
 
 const VMS = Array.from({length: 8}, (_, index) => `hall-a-r1-${index + 1}`);
 
-function bundleText(publicKey: string): string {
-  return `
-[bundle]
-version = 1
-base = 0
-author = moana
-sign_offs = 1
-[operator.kerry]
-public_key = ${publicKey}
-[rack.hall-a-r1]
-data_centre = hall-a
-vms = hall-a-r1-[1-8]
-[pool.desk]
-vms = hall-a-r1-[1-8]
-[service.desk]
-pool = desk
-`;
-}
-
 /** The platform's stand-in and a rack of targets; runs until it is killed. */
 async function main(): Promise<void> {
   const deployment = new Deployment();
@@ -41,7 +23,13 @@
     vms: VMS,
   });
   for (const target of deployment.targets.values()) target.keepsRuns = false;
-  await deployment.rollOut(bundleText(deployment.operator.publicKey));
+  await deployment.rollOut(
+    oneRackBundle({
+      publicKey: deployment.operator.publicKey,
+      service: 'desk',
+      vms: 'hall-a-r1-[1-8]',
+    }),
+  );
   const callerAddress = await freeAddress();
   const adminAddress = await freeAddress();
   const message: BackEndMessage = {
--- a/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
+++ b/packages/plugin-caller-http/src/__tests__/keyed-requests.test.ts
@@ -195,6 +195,27 @@
     });
   });
 
+  describe('that is refused before its key is looked up', () => {
+    // The first try was run; then the bundle lost the service, or the retry met a daemon that
+    // has no bundle yet. Told "not run", the caller would send the work under a new key.
+    it('is not said to be not run', async () => {
+      await startEdge();
+      const {headers} = await post('k1', 'crest', '/gone/x');
+      assert.equal(headers['gentiandoor-reason'], 'unknown_service');
+      assert.equal(headers['gentiandoor-run'], 'unknown');
+    });
+
+    it('is said to be not run where it has no key', async () => {
+      await startEdge();
+      const {headers, body} = await request(`http://${edge.address}/gone/x`, {
+        method: 'POST',
+        body: 'crest',
+      });
+      await body.dump();
+      assert.equal(headers['gentiandoor-run'], 'no');
+    });
+  });
+
   describe('on an idempotent method', () => {
     it('needs no claim', async () => {
       const onceOnly = new NotingOnceOnly();
--- a/packages/plugin-caller-http/src/incoming-request.ts
+++ b/packages/plugin-caller-http/src/incoming-request.ts
@@ -198,3 +198,9 @@
 function badRequest(detail: string): RequestError {
   return new RequestError(ErrorKind.BadRequest, detail);
 }
+
+/** Whether the request asks to be run at most once under its key. */
+export function isKeyed(request: IncomingMessage): boolean {
+  if (IDEMPOTENT_METHODS.has(request.method ?? '')) return false;
+  return request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+}
--- a/packages/plugin-caller-http/src/request-handler.ts
+++ b/packages/plugin-caller-http/src/request-handler.ts
@@ -4,6 +4,7 @@
   LogEvent,
   MetricName,
   RequestError,
+  RunOutcome,
   type Clock,
   type Logger,
   type Metrics,
@@ -14,7 +15,11 @@
 import type {CallerHttpOptions} from './caller-http-options.js';
 import {CallerSide} from './caller-side.js';
 import {answerError, toRequestError} from './error-answer.js';
-import type {HeadCheck, IncomingRequest} from './incoming-request.js';
+import {
+  isKeyed,
+  type HeadCheck,
+  type IncomingRequest,
+} from './incoming-request.js';
 import type {KeyedRequests} from './keyed-requests.js';
 import type {RequestDispatcher} from './request-dispatcher.js';
 
@@ -37,6 +42,8 @@
   caller: CallerSide | undefined;
   /** Undefined until the head has been checked. */
   idempotent: boolean | undefined;
+  /** True once it was asked what became of earlier requests with the same key. */
+  isKeyLookedUp = false;
   /** True once the caller was told that the connection closes behind this answer. */
   isClosing = false;
   private failure: RequestError | undefined;
@@ -94,7 +101,7 @@
       metrics.increment(MetricName.Requests, {service});
       metrics.timing(MetricName.RequestDuration, taken, {service});
     } catch (error) {
-      this.refuse(underWay, toRequestError(error));
+      this.refuse(underWay, withDoubt(toRequestError(error), underWay));
     }
   }
 
@@ -120,6 +127,7 @@
     const ready = {...incoming, body, deadline};
     const {keyedRequests, requestDispatcher} = this.dependencies;
     const key = incoming.idempotencyKey;
+    underWay.isKeyLookedUp = true;
     if (key === undefined) await requestDispatcher.send(ready, caller);
     else await keyedRequests.send(ready, key, caller);
     return incoming.service;
@@ -170,6 +178,33 @@
   }
 }
 
+/** Refusals that an earlier, well-formed try of the same request need not have met. */
+const MET_BY_CHANCE: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.NoBundle,
+  ErrorKind.UnknownService,
+  ErrorKind.UnknownCaller,
+  ErrorKind.BodyTimeout,
+]);
+
+/**
+ * A caller that hears "not run" of a key may send the work under a new key. A daemon that has
+ * just started refuses a retry before it knows the key, while the first try was run elsewhere:
+ * the work would run twice. So it says "unknown" of a key that it has not looked up.
+ */
+function withDoubt(
+  error: RequestError,
+  underWay: RequestUnderWay,
+): RequestError {
+  const isCertain = error.run !== RunOutcome.NotRun || underWay.isKeyLookedUp;
+  if (isCertain || !MET_BY_CHANCE.has(error.kind)) return error;
+  if (!isKeyed(underWay.request)) return error;
+  return new RequestError(error.kind, error.message, {
+    run: RunOutcome.Unknown,
+    retryAfterSeconds: error.retryAfterSeconds,
+    cause: error,
+  });
+}
+
 function hasBody(request: IncomingMessage): boolean {
   const length = request.headers['content-length'];
   if (request.headers['transfer-encoding'] !== undefined) return true;
--- a/packages/specification/src/budget-model.ts
+++ b/packages/specification/src/budget-model.ts
@@ -5,6 +5,7 @@
   type Specification,
   type Subject,
 } from './specification.js';
+import {changeAt} from './change-at.js';
 
 /** Kinds of records about drains and the planner's term. */
 export enum BudgetRecordKind {
@@ -403,9 +404,7 @@
   planner: number,
   change: Partial<BudgetPlanner>,
 ): BudgetState {
-  const planners = state.planners.map((item, place) =>
-    place === planner ? {...item, ...change} : item,
-  );
+  const planners = changeAt(state.planners, planner, change);
   return {...state, planners};
 }
 
--- a/packages/specification/src/claims-model.ts
+++ b/packages/specification/src/claims-model.ts
@@ -14,6 +14,7 @@
   type Specification,
   type Subject,
 } from './specification.js';
+import {changeAt} from './change-at.js';
 
 /** What may happen to claims. */
 export enum ClaimsEventType {
@@ -426,9 +427,7 @@
   of: number,
   change: Partial<ClaimsDaemon>,
 ): ClaimsState {
-  const daemons = state.daemons.map((daemon, place) =>
-    place === of ? {...daemon, ...change} : daemon,
-  );
+  const daemons = changeAt(state.daemons, of, change);
   return {...state, daemons};
 }
 
@@ -437,9 +436,7 @@
   index: number,
   change: Partial<Attempt>,
 ): ClaimsState {
-  const attempts = state.attempts.map((attempt, place) =>
-    place === index ? {...attempt, ...change} : attempt,
-  );
+  const attempts = changeAt(state.attempts, index, change);
   return {...state, attempts};
 }
 
--- a/packages/specification/src/ownership-model.ts
+++ b/packages/specification/src/ownership-model.ts
@@ -5,6 +5,7 @@
   type Specification,
   type Subject,
 } from './specification.js';
+import {changeAt} from './change-at.js';
 
 /** Kinds of records about the one VM and the daemons. */
 export enum OwnershipRecordKind {
@@ -357,9 +358,7 @@
   of: number,
   change: Partial<OwnershipDaemon>,
 ): OwnershipState {
-  const daemons = state.daemons.map((daemon, place) =>
-    place === of ? {...daemon, ...change} : daemon,
-  );
+  const daemons = changeAt(state.daemons, of, change);
   return {...state, daemons};
 }
 
