--- a/packages/cli/src/commands/bundle.ts
+++ b/packages/cli/src/commands/bundle.ts
@@ -1,6 +1,11 @@
 import type {BundlesView, PublishResult} from '@gentiandoor/plugin-admin';
 import {BundleError} from '@gentiandoor/kernel';
-import {parseBundle, signBundle, type Bundle} from '@gentiandoor/shared-state';
+import {
+  parseBundle,
+  signBundle,
+  type Bundle,
+  type PastBundle,
+} from '@gentiandoor/shared-state';
 import {bundleDifference, describeChange} from '../bundle-difference.js';
 import type {CommandDefinition} from '../command-registry.js';
 import {
@@ -170,6 +175,24 @@
   show(context, options, view, lines);
 }
 
+async function history(
+  context: CommandContext,
+  options: CommonOptions,
+): Promise<void> {
+  const past = (await adminClient(context, options).get(
+    '/bundles/history',
+  )) as PastBundle[];
+  const rows = past.map(bundle => [
+    String(bundle.version),
+    bundle.author,
+    bundle.signers.join(', '),
+    String(bundle.offset),
+    bundle.digest,
+  ]);
+  const headings = ['version', 'author', 'signed off by', 'offset', 'digest'];
+  show(context, options, past, formatColumns(headings, rows));
+}
+
 interface RollOutView {
   readonly daemon: {readonly name: string};
   readonly version: number;
@@ -279,6 +302,12 @@
     examples: ['bundle status --json'],
     run: status,
   },
+  {
+    usage: 'bundle history',
+    description: 'Lists the bundles that came into force, newest first.',
+    examples: ['bundle history', 'bundle history --json'],
+    run: history,
+  },
   {
     usage: 'bundle roll-out',
     description:
--- a/packages/plugin-admin/src/bundle-routes.ts
+++ b/packages/plugin-admin/src/bundle-routes.ts
@@ -11,6 +11,7 @@
   RecordKind,
   makeProposal,
   parseBundle,
+  type PastBundle,
   type SharedState,
 } from '@gentiandoor/shared-state';
 import {publishAnswer} from './publish-answer.js';
@@ -60,6 +61,10 @@
       status: 200,
       body: this.view(),
     }));
+    routes.add(AdminMethod.Get, '/bundles/history', async () => ({
+      status: 200,
+      body: this.history(),
+    }));
     routes.add(AdminMethod.Post, '/bundles/proposals', request =>
       this.propose(request),
     );
@@ -93,6 +98,14 @@
     };
   }
 
+  /** Newest first. */
+  private history(): PastBundle[] {
+    const {history} = this.sharedState.state;
+    return [...history.values()].sort(
+      (left, right) => right.version - left.version,
+    );
+  }
+
   private async propose(request: AdminRequest): Promise<AdminAnswer> {
     const body = proposalBody.safeParse(request.body);
     if (!body.success) return badBody('{"text": "the bundle in INI"}');
--- a/packages/shared-state/src/__tests__/fold-bundles.test.ts
+++ b/packages/shared-state/src/__tests__/fold-bundles.test.ts
@@ -8,6 +8,7 @@
   parseBundle,
   parseSections,
   splitSections,
+  tablesOf,
   type BundleChanged,
   type FleetState,
 } from '../index.js';
@@ -137,6 +138,40 @@
     });
   });
 
+  describe('the history', () => {
+    it('keeps who brought what into force, without proposals that did not', () => {
+      const state = stateWithFirst();
+      apply(state, proposalOf(bundleText({version: 2, base: 1, slots: 4})));
+      const text = bundleText({version: 2, base: 1});
+      apply(state, proposalOf(text));
+      apply(state, signOff(text, 2, 'kerry'));
+      const past = [...state.history.values()];
+      assert.deepEqual(
+        past.map(({version, author, signers}) => [version, author, signers]),
+        [
+          [1, 'moana', ['kerry']],
+          [2, 'moana', ['kerry']],
+        ],
+      );
+      assert.equal(past[1].digest, digestOf(text));
+      assert.equal(past[1].offset, state.inForce?.offset);
+    });
+
+    it('forgets the oldest versions', () => {
+      const state = stateWithFirst();
+      for (let base = 1; base < 60; base++)
+        rollOut(state, {version: base + 1, base});
+      assert.equal(state.history.size, 50);
+      assert.equal(state.history.has('10'), false);
+      assert.equal(state.history.has('60'), true);
+    });
+
+    it('is part of the hash and of snapshots', () => {
+      const names = tablesOf(stateWithFirst()).map(([name]) => name);
+      assert.ok(names.includes('history'));
+    });
+  });
+
   describe('a delta', () => {
     it('makes the whole text of its digest and needs sign-offs as any bundle', () => {
       const state = stateWithFirst();
--- a/packages/shared-state/src/fleet-state.ts
+++ b/packages/shared-state/src/fleet-state.ts
@@ -109,6 +109,16 @@
 /** Key of the newest entry of `FleetState.snapshots`. */
 export const NEWEST_SNAPSHOT = 'newest';
 
+/** A bundle that came into force, as the history keeps it. */
+export interface PastBundle {
+  readonly version: number;
+  readonly author: string;
+  readonly digest: string;
+  readonly signers: readonly string[];
+  /** Offset of the sign-off that brought it into force. */
+  readonly offset: number;
+}
+
 /** Operators trusted before the first bundle: name to Ed25519 public key. */
 export type TrustedOperators = Readonly<Record<string, string>>;
 
@@ -123,6 +133,8 @@
   formatInUse: number;
   inForce: BundleInForce | undefined;
   readonly proposals: HashedTable<ProposedBundle>;
+  /** Bundles that came into force lately, by version, oldest first; the one in force included. */
+  readonly history: HashedTable<PastBundle>;
   readonly members: HashedTable<Member>;
   readonly vms: HashedTable<VmRecord>;
   /** The newest snapshot, under `NEWEST_SNAPSHOT`. */
@@ -141,6 +153,7 @@
     formatInUse: 1,
     inForce: undefined,
     proposals: new HashedTable(({digest, signers}) => [digest, signers]),
+    history: new HashedTable(),
     members: new HashedTable(),
     vms: new HashedTable(),
     snapshots: new HashedTable(),
--- a/packages/shared-state/src/fold-bundles.ts
+++ b/packages/shared-state/src/fold-bundles.ts
@@ -11,6 +11,9 @@
 import type {BundleChanged, BundleProposed, BundleSigned} from './records.js';
 import {digestOf, verifyBundle} from './signatures.js';
 
+/** Bundles kept in the history: several days of an ordinary deployment. */
+const HISTORY_KEPT = 50;
+
 /** Proposals kept at one time; the oldest goes first. */
 const PROPOSALS_KEPT = 64;
 const LONGEST_DETAIL = 5000;
@@ -187,11 +190,24 @@
     return undefined;
   const {bundle, text, parsed} = proposal;
   state.inForce = {bundle, text, digest, offset, parsed};
+  remember(state, proposal, offset);
   state.proposals.clear();
   takeNewVms(state, bundle);
   return undefined;
 }
 
+function remember(
+  {history}: FleetState,
+  {bundle, digest, signers}: ProposedBundle,
+  offset: number,
+): void {
+  const {version, author} = bundle;
+  history.set(String(version), {version, author, digest, signers, offset});
+  if (history.size <= HISTORY_KEPT) return;
+  const oldest = Math.min(...[...history.values()].map(past => past.version));
+  history.delete(String(oldest));
+}
+
 /** A VM that no pool owns yet goes to the pool that names it; owned ones change by moves only. */
 function takeNewVms(state: FleetState, bundle: Bundle): void {
   for (const [pool, entry] of Object.entries(bundle.pools)) {
