--- a/packages/plugin-caller-http/src/__tests__/caller-edge.ts
+++ b/packages/plugin-caller-http/src/__tests__/caller-edge.ts
@@ -1,4 +1,5 @@
 import {
+  DecisionJournal,
   DrainState,
   MemoryMetrics,
   SilentLogger,
@@ -151,6 +152,7 @@
       callerHttpOptions: options,
       serviceRouter: this.router,
       targetTransport: this.transport,
+      decisionJournal: new DecisionJournal(clock),
       callerDirectory: new CallerDirectory({sharedState}),
       onceOnly:
         parts.onceOnly ?? new LocalOnceOnly({onceOnlyOptions: {keys: 100}}),
--- /dev/null
+++ b/packages/plugin-caller-http/src/__tests__/refusal-journal.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  DecisionJournal,
+  ErrorKind,
+  RequestError,
+  SubjectKind,
+  VirtualClock,
+} from '@gentiandoor/kernel';
+import {RefusalJournal} from '../refusal-journal.js';
+
+describe('RefusalJournal', () => {
+  // A service is saturated and refuses a thousand requests a second for ten seconds. Operators
+  // ask why: they see the reason and the numbers, and older decisions are still there.
+  it('writes one entry a second for each kind, with the number of refusals', () => {
+    const clock = new VirtualClock();
+    const journal = new DecisionJournal(clock);
+    const refusals = new RefusalJournal(clock, journal);
+    for (let millisecond = 0; millisecond < 10_000; millisecond++) {
+      refusals.note(
+        'desk',
+        new RequestError(ErrorKind.QueueFull, 'turned away'),
+      );
+      clock.advance(1);
+    }
+    const entries = journal.about(SubjectKind.Service, 'desk');
+    assert.equal(entries.length, 10);
+    assert.equal(entries[1].decision, 'refused 1000 requests with queue_full');
+    assert.equal(entries[1].evidence.run, 'no');
+  });
+});
--- a/packages/plugin-caller-http/src/request-handler.ts
+++ b/packages/plugin-caller-http/src/request-handler.ts
@@ -6,6 +6,7 @@
   RequestError,
   RunOutcome,
   type Clock,
+  type DecisionJournal,
   type Logger,
   type Metrics,
   type OutgoingBody,
@@ -21,6 +22,7 @@
   type IncomingRequest,
 } from './incoming-request.js';
 import type {KeyedRequests} from './keyed-requests.js';
+import {RefusalJournal} from './refusal-journal.js';
 import type {RequestDispatcher} from './request-dispatcher.js';
 
 /** What a request needs. */
@@ -32,6 +34,7 @@
   readonly headCheck: HeadCheck;
   readonly keyedRequests: KeyedRequests;
   readonly requestDispatcher: RequestDispatcher;
+  readonly decisionJournal: DecisionJournal;
 }
 
 /** A request under way, for the connection's own errors. */
@@ -41,6 +44,8 @@
   /** Undefined until the head has been checked. */
   caller: CallerSide | undefined;
   /** Undefined until the head has been checked. */
+  service: string | undefined;
+  /** Undefined until the head has been checked. */
   idempotent: boolean | undefined;
   /** True once it was asked what became of earlier requests with the same key. */
   isKeyLookedUp = false;
@@ -77,6 +82,7 @@
 /** Takes one request from its head to the end of its answer. */
 export class RequestHandler {
   private readonly dependencies: RequestHandlerDependencies;
+  private readonly refusals: RefusalJournal;
 
   constructor(dependencies: RequestHandlerDependencies) {
     this.dependencies = resolveNow(
@@ -88,7 +94,10 @@
       'headCheck',
       'keyedRequests',
       'requestDispatcher',
+      'decisionJournal',
     );
+    const {clock, decisionJournal} = this.dependencies;
+    this.refusals = new RefusalJournal(clock, decisionJournal);
   }
 
   /** Never throws: whatever happens, the caller is answered or cut off. */
@@ -114,6 +123,7 @@
     const {request, response} = underWay;
     const incoming = headCheck.check(request);
     underWay.idempotent = incoming.idempotent;
+    underWay.service = incoming.service;
     const caller = new CallerSide(response, {
       clock,
       closes: () => underWay.closes(),
@@ -162,6 +172,8 @@
   private refuse(underWay: RequestUnderWay, error: RequestError): void {
     const {logger, metrics} = this.dependencies;
     metrics.increment(MetricName.Refusals, {reason: error.kind});
+    if (underWay.service !== undefined)
+      this.refusals.note(underWay.service, error);
     if (error.kind === ErrorKind.Internal) {
       logger.error(LogEvent.RequestInternalError, {error: error.message});
     } else {
