--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,16 @@
   'hot-shots',
 ];
 
+// Names of the platform's interfaces: only its adapter knows them.
+const platformNames =
+  '(run-start|run-stop|/hold|/pace|/advise|log-(append|read|newest|join|leave|commit|owners|trim)|machine-(move|upkeep)|keyed\\.|fencing_token|last_seen|ended_runs|deadline_ms|X-Expect-Instance|X-Lease-Holder|X-Fencing-Token|X-Deadline-Ms|estimated_ms|anti_affinity|path_prefix|machine_class|max_hold_ms)';
+const platformNameRules = ['Literal[value=', 'TemplateElement[value.raw='].map(
+  start => ({
+    selector: `${start}/${platformNames.replaceAll('/', '\\/')}/i]`,
+    message: 'Names of the platform stand in platform/ only.',
+  }),
+);
+
 export default [
   {
     files: ['scripts/*.mjs'],
@@ -30,7 +40,7 @@
   {ignores: ['**/lib/**', '**/node_modules/**']},
   ...google,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: {
       parserOptions: {
         project: null,
@@ -77,6 +87,8 @@
     files: [
       'packages/decisions/src/**/*.ts',
       'packages/fleet/src/**/*.ts',
+      'packages/jobs/src/**/*.ts',
+      'packages/scheduling/src/**/*.ts',
       'packages/specification/src/**/*.ts',
     ],
     ignores: ['**/__tests__/**'],
@@ -93,4 +105,12 @@
       ],
     },
   },
+  {
+    files: [
+      'packages/{jobs,scheduling,coordinator,entry}/src/**/*.ts',
+      'packages/{kernel,cli,daemon}/src/**/*.ts',
+    ],
+    ignores: ['**/__tests__/**'],
+    rules: {'no-restricted-syntax': ['error', ...platformNameRules]},
+  },
 ];
--- /dev/null
+++ b/packages/coordinator/src/coordinator.ts
@@ -0,0 +1,412 @@
+import {
+  LogEvent,
+  type Clock,
+  type Logger,
+  type Metrics,
+  MetricName,
+} from '@gentiandoor/kernel';
+import {
+  EndEffect,
+  JobExecution,
+  JobState,
+  RunEnd,
+  dropJobRecords,
+  type JobProgress,
+  type JobSubmission,
+  type JobTable,
+  type StoredJob,
+} from '@gentiandoor/jobs';
+import {FullestFirst, longestLease} from '@gentiandoor/scheduling';
+import {Dispatcher, type DispatchHost} from './dispatcher.js';
+import type {EntrySettings} from './entry-settings.js';
+import {FleetKeeper} from './fleet-keeper.js';
+import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
+import type {MachineGateway} from './machine-gateway.js';
+import type {Queue} from './operator-records.js';
+import type {OperatorView} from './operator-view.js';
+import {ProgressWriter} from './progress-writer.js';
+import type {RecordFormats} from './record-formats.js';
+import type {RecordLog} from './record-log.js';
+import type {StreamFollower} from './stream-follower.js';
+import {OrderRefusal, type WorkerGateway} from './worker-gateway.js';
+import {WorkerRegistry} from './worker-registry.js';
+import {WorkerSession, type SessionHost} from './worker-session.js';
+
+/** What a coordinator is built from; all parts outlive it. */
+export interface CoordinatorParts {
+  readonly settings: EntrySettings;
+  readonly log: RecordLog;
+  readonly formats: RecordFormats;
+  readonly workers: WorkerGateway;
+  readonly machines: MachineGateway;
+  readonly operators: OperatorView;
+  readonly table: JobTable;
+  readonly jobs: StreamFollower;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Long enough to outlast the cuts and outages of five to seven seconds that the offices know, short of the platform's bound. */
+const LEASE_MILLISECONDS = 8_000;
+const JOB_WAIT_MILLISECONDS = 500;
+/** Submissions that come close together are read with one call. */
+const JOB_READ_GAP_MILLISECONDS = 8;
+const RETRY_MILLISECONDS = 100;
+const RETENTION_ROUND_MILLISECONDS = 10_000;
+/** Oldest age that a wall-clock difference between daemons is trusted for. */
+const MAXIMUM_AGE_MILLISECONDS = 60_000;
+/** A worker that refuses what should fit has less room than it says for about this long. */
+const REFUSAL_PAUSE_MILLISECONDS = 100;
+
+/** Gives the orders for one term: from its beginning until another daemon's, nothing of it is used twice. */
+export class Coordinator implements SessionHost, DispatchHost {
+  readonly leaseMilliseconds: number;
+  readonly beganAt: number;
+  readonly registry: WorkerRegistry;
+  private readonly executions = new Map<string, JobExecution>();
+  private readonly endedAt = new Map<string, number>();
+  /** Runs on workers that have no entry. */
+  private readonly orphans = new Map<string, Set<LiveRun>>();
+  private readonly writer: ProgressWriter;
+  private readonly dispatcher: Dispatcher;
+  private readonly fleet: FleetKeeper;
+  private closed = false;
+  private recovered = false;
+  private configurationVersion = 0;
+
+  constructor(
+    readonly term: number,
+    private readonly parts: CoordinatorParts,
+    private readonly termIsValid: () => boolean,
+  ) {
+    const {settings, clock} = parts;
+    this.beganAt = clock.monotonicMilliseconds();
+    this.leaseMilliseconds = Math.min(
+      LEASE_MILLISECONDS,
+      settings.limits.maximumLease,
+    );
+    this.writer = new ProgressWriter(parts.log, clock, term, () =>
+      this.fenced(),
+    );
+    this.dispatcher = new Dispatcher(this, new FullestFirst(), clock);
+    this.registry = new WorkerRegistry(parts, this);
+    this.fleet = new FleetKeeper(
+      term,
+      parts,
+      this.registry,
+      this.dispatcher,
+      () => this.ordersAllowed(),
+    );
+  }
+
+  /** Learns what the coordinator before had ordered, then goes on with it. */
+  async run(): Promise<void> {
+    const {logger, clock} = this.parts;
+    if (!(await this.writer.open())) return;
+    // The log is closed to earlier terms: what a read brings from now on is all that they ordered.
+    while (!this.closed && !(await this.parts.jobs.refresh()))
+      await this.pause(RETRY_MILLISECONDS);
+    await this.registry.load();
+    if (this.closed) return;
+    this.parts.table.listen({
+      submitted: job => this.addJob(job),
+      cancelled: jobId => this.cancelJob(jobId),
+    });
+    for (const job of this.parts.table.all()) this.addJob(job);
+    this.recovered = true;
+    logger.info(LogEvent.RecoveryFinished, {
+      term: this.term,
+      jobs: this.executions.size,
+      workers: this.registry.size,
+      milliseconds: clock.monotonicMilliseconds() - this.beganAt,
+    });
+    this.registry.start();
+    this.fleet.start();
+    this.scheduleRetention();
+    await this.followJobs();
+  }
+
+  close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.parts.table.listen({});
+    this.writer.close();
+    this.dispatcher.close();
+    this.fleet.close();
+    this.registry.close();
+  }
+
+  ordersAllowed(): boolean {
+    return !this.closed && this.recovered && this.termIsValid();
+  }
+
+  fenced(): void {
+    this.parts.logger.warn(LogEvent.TermLost, {
+      term: this.term,
+      reason: 'a higher fencing token was seen',
+    });
+    this.close();
+  }
+
+  sessionsOf(service: string): readonly WorkerSession[] {
+    return this.registry.ofService(service);
+  }
+
+  queueOf(execution: JobExecution): Queue | undefined {
+    return this.parts.operators.queue(execution.job.queue);
+  }
+
+  launch(session: WorkerSession, run: LiveRun): void {
+    session.expect(run);
+    this.writer.store(run.execution, () => {
+      this.parts.logger.info(LogEvent.RunOrdered, {
+        task: run.task,
+        run: run.run,
+        worker: session.id,
+        waitedMilliseconds:
+          this.parts.clock.monotonicMilliseconds() - run.plannedAt,
+      });
+      void session.order(run);
+    });
+  }
+
+  runEnded(
+    session: WorkerSession,
+    run: LiveRun,
+    end: RunEnd,
+    checkpoint: string,
+  ): void {
+    this.noteTrust(session, run, end);
+    this.endRun(run, end, checkpoint, session.id);
+    this.dispatcher.wake(session.entry.service);
+  }
+
+  startRefused(
+    session: WorkerSession,
+    run: LiveRun,
+    refusal: OrderRefusal,
+  ): void {
+    const {logger, metrics, clock} = this.parts;
+    logger.warn(LogEvent.RunRefused, {
+      task: run.task,
+      run: run.run,
+      worker: session.id,
+      refusal,
+    });
+    metrics.increment(MetricName.RunRefusals, {reason: refusal});
+    if (refusal === OrderRefusal.Unhealthy)
+      session.trust.suspect(clock.monotonicMilliseconds());
+    this.endRun(run, RunEnd.Lost, '', session.id);
+    clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
+      this.dispatcher.wake(session.entry.service),
+    );
+  }
+
+  afterStored(then: () => void): void {
+    this.writer.afterStored(then);
+  }
+
+  sessionChanged(session: WorkerSession): void {
+    if (session.isDraining) this.leaveDraining(session);
+    if (session.takesStarts) this.dispatcher.wake(session.entry.service);
+  }
+
+  sessionOver(session: WorkerSession): void {
+    this.registry.remove(session);
+  }
+
+  /** A worker has come: runs that were ordered there may be alive. */
+  sessionAdded(session: WorkerSession): void {
+    for (const run of this.orphans.get(session.id) ?? []) session.expect(run);
+    this.orphans.delete(session.id);
+  }
+
+  private async followJobs(): Promise<void> {
+    while (!this.closed) {
+      const answered = await this.parts.jobs.follow(JOB_WAIT_MILLISECONDS);
+      this.noticeConfiguration();
+      await this.pause(
+        answered ? JOB_READ_GAP_MILLISECONDS : RETRY_MILLISECONDS,
+      );
+    }
+  }
+
+  private noticeConfiguration(): void {
+    const version = this.parts.operators.configuration?.version ?? 0;
+    if (version === this.configurationVersion) return;
+    this.configurationVersion = version;
+    this.dispatcher.regroup();
+  }
+
+  private addJob(job: StoredJob & {submission: JobSubmission}): void {
+    const {submission} = job;
+    if (this.executions.has(submission.id)) return;
+    const execution = new JobExecution(submission, copyProgress(job.progress));
+    this.executions.set(submission.id, execution);
+    this.adoptRuns(execution);
+    if (job.cancelled) this.cancelJob(submission.id);
+    if (execution.ended) {
+      this.endedAt.set(submission.id, this.parts.clock.monotonicMilliseconds());
+      this.stopRuns(execution);
+      return;
+    }
+    const age =
+      this.parts.clock.wallMilliseconds() - submission.submittedAtMilliseconds;
+    this.dispatcher.add(
+      execution,
+      Math.min(Math.max(0, age), MAXIMUM_AGE_MILLISECONDS),
+    );
+  }
+
+  private adoptRuns(execution: JobExecution): void {
+    for (const task of execution.liveTasks()) {
+      const now = this.parts.clock.monotonicMilliseconds();
+      const run: LiveRun = {
+        execution,
+        taskOfJob: task,
+        task: taskName(execution.job.id, task),
+        run: task.progress.run,
+        stepKey: stepName(execution.job.id, task),
+        ticket: '',
+        plannedAt: now,
+        status: RunStatus.Recovered,
+        settledAt: -Infinity,
+        stopAsked: false,
+        percent: 0,
+        progressedAt: now,
+        pacePercent: 100,
+      };
+      const session = this.registry.find(task.progress.worker);
+      if (session) session.expect(run);
+      else this.keepOrphan(task.progress.worker, run);
+    }
+  }
+
+  private keepOrphan(worker: string, run: LiveRun): void {
+    let runs = this.orphans.get(worker);
+    if (!runs) {
+      this.orphans.set(worker, (runs = new Set()));
+      const bound = longestLease(this.leaseMilliseconds) + RETRY_MILLISECONDS;
+      this.parts.clock.schedule(bound, () => this.loseOrphans(worker));
+    }
+    runs.add(run);
+  }
+
+  private loseOrphans(worker: string): void {
+    if (this.closed) return;
+    const runs = this.orphans.get(worker) ?? [];
+    this.orphans.delete(worker);
+    for (const run of runs) {
+      this.endRun(run, RunEnd.Lost, '', worker);
+      this.dispatcher.wake(run.execution.job.service);
+    }
+  }
+
+  private cancelJob(jobId: string): void {
+    const execution = this.executions.get(jobId);
+    if (!execution || execution.ended) return;
+    execution.cancel();
+    this.finish(execution);
+    this.writer.store(execution);
+  }
+
+  private endRun(
+    run: LiveRun,
+    end: RunEnd,
+    checkpoint: string,
+    worker: string,
+  ): void {
+    const {execution} = run;
+    const wasEnded = execution.ended;
+    const queue = this.queueOf(execution);
+    const effect = execution.endRun(
+      run.taskOfJob,
+      run.run,
+      end,
+      checkpoint,
+      queue?.maximumAttempts ?? 1,
+    );
+    this.parts.logger.info(LogEvent.RunEnded, {
+      task: run.task,
+      run: run.run,
+      worker,
+      end,
+      effect,
+    });
+    this.parts.metrics.increment(MetricName.RunEnds, {end});
+    if (effect === EndEffect.Stale) return;
+    if (end === RunEnd.Failed) this.dispatcher.noteFailure(run, worker);
+    if (effect === EndEffect.JobEnded && !wasEnded) this.finish(execution);
+    if (run.taskOfJob.specification.gang && end === RunEnd.Done)
+      this.registry.dropRunsOfStep(run);
+    this.writer.store(execution);
+  }
+
+  private finish(execution: JobExecution): void {
+    const {state} = execution.progress;
+    this.parts.logger.info(LogEvent.JobEnded, {job: execution.job.id, state});
+    this.parts.metrics.increment(MetricName.JobEnds, {state});
+    this.endedAt.set(
+      execution.job.id,
+      this.parts.clock.monotonicMilliseconds(),
+    );
+    this.dispatcher.remove(execution);
+    if (state !== JobState.Completed) this.stopRuns(execution);
+  }
+
+  private stopRuns(execution: JobExecution): void {
+    for (const task of execution.liveTasks()) {
+      const session = this.registry.find(task.progress.worker);
+      const run = session?.runs.get(taskName(execution.job.id, task));
+      if (session && run) void session.stop(run);
+    }
+  }
+
+  /** Tasks that last leave a worker that is leaving: they would be lost with it, and stay away until that is certain. */
+  private leaveDraining(session: WorkerSession): void {
+    for (const run of session.runs.values())
+      if (run.taskOfJob.specification.longRunning) void session.stop(run);
+  }
+
+  private noteTrust(session: WorkerSession, run: LiveRun, end: RunEnd): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    if (end === RunEnd.Done) session.trust.noteSuccess();
+    if (end === RunEnd.Failed)
+      session.trust.noteFailure(run.execution.job.id, now);
+  }
+
+  private scheduleRetention(): void {
+    this.parts.clock.schedule(RETENTION_ROUND_MILLISECONDS, () => {
+      if (this.closed) return;
+      this.dropOldJobs();
+      this.scheduleRetention();
+    });
+  }
+
+  /** A final state is kept for twice the time that it may be asked for: a submission that comes again late must still be known. */
+  private dropOldJobs(): void {
+    const oldest =
+      this.parts.clock.monotonicMilliseconds() -
+      2 * this.parts.settings.limits.stateKept;
+    for (const [jobId, endedAt] of this.endedAt) {
+      if (endedAt > oldest) continue;
+      this.endedAt.delete(jobId);
+      this.executions.delete(jobId);
+      this.writer.drop(dropJobRecords(jobId));
+    }
+  }
+
+  private pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      this.parts.clock.schedule(milliseconds, resolve);
+    });
+  }
+}
+
+function copyProgress(progress: JobProgress): JobProgress {
+  const tasks = [...progress.tasks].map(
+    ([key, task]) => [key, {...task}] as const,
+  );
+  return {state: progress.state, tasks: new Map(tasks)};
+}
--- /dev/null
+++ b/packages/coordinator/src/dispatcher.ts
@@ -0,0 +1,343 @@
+import type {Clock} from '@gentiandoor/kernel';
+import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import {
+  compareWaitingJobs,
+  type PlacementWorker,
+  type WaitingJob,
+  type WorkerChoice,
+} from '@gentiandoor/scheduling';
+import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
+import type {Queue} from './operator-records.js';
+import type {WorkerSession} from './worker-session.js';
+
+/** What a dispatcher needs of the coordinator. */
+export interface DispatchHost {
+  sessionsOf(service: string): readonly WorkerSession[];
+  queueOf(execution: JobExecution): Queue | undefined;
+  /** Stores the run, then orders it. */
+  launch(session: WorkerSession, run: LiveRun): void;
+}
+
+/** Callers still count an answer as late until so many times the objective. */
+const LATE_FACTOR = 3;
+/** Tasks of one service that find no room in a row before the rest is left for the next round: a pool that is full stays full. */
+const MISSES_BEFORE_GIVING_UP = 12;
+/** The wall clock of a step due later is looked at again this often at least. */
+const LONGEST_SLEEP_MILLISECONDS = 1_000;
+
+/** A job that waits for room. */
+interface Candidate extends WaitingJob {
+  readonly execution: JobExecution;
+  readonly ready: readonly ExecutableTask[];
+}
+
+/** Waiting and running work of a service, for the size of its pool. */
+export interface ServiceLoad {
+  /** Millicores that waiting tasks ask for. */
+  readonly waitingMillicores: number;
+  readonly waitingTasks: number;
+}
+
+/** Places the ready tasks of all jobs on workers. */
+export class Dispatcher {
+  private readonly active = new Map<string, Set<JobExecution>>();
+  private readonly firstSeen = new Map<JobExecution, number>();
+  private readonly failedOn = new Map<string, Set<string>>();
+  private readonly loads = new Map<string, ServiceLoad>();
+  private readonly due = new Set<string>();
+  private scheduled = false;
+  private closed = false;
+
+  constructor(
+    private readonly host: DispatchHost,
+    private readonly choice: WorkerChoice,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Adds a job that is `ageMilliseconds` old. */
+  add(execution: JobExecution, ageMilliseconds: number): void {
+    const service = this.serviceOf(execution);
+    let jobs = this.active.get(service);
+    if (!jobs) this.active.set(service, (jobs = new Set()));
+    jobs.add(execution);
+    const now = this.clock.monotonicMilliseconds();
+    this.firstSeen.set(execution, now - ageMilliseconds);
+    this.wake(service);
+  }
+
+  remove(execution: JobExecution): void {
+    for (const jobs of this.active.values()) jobs.delete(execution);
+    this.firstSeen.delete(execution);
+    const prefix = `${execution.job.id}.`;
+    for (const name of this.failedOn.keys())
+      if (name.startsWith(prefix)) this.failedOn.delete(name);
+  }
+
+  /** Notes that a run of a task failed on a worker, so that the next try goes elsewhere. */
+  noteFailure(run: LiveRun, workerId: string): void {
+    let workers = this.failedOn.get(run.task);
+    if (!workers) this.failedOn.set(run.task, (workers = new Set()));
+    workers.add(workerId);
+  }
+
+  loadOf(service: string): ServiceLoad {
+    return this.loads.get(service) ?? {waitingMillicores: 0, waitingTasks: 0};
+  }
+
+  /** Places what waits for `service` in the next turn. */
+  wake(service: string): void {
+    this.due.add(service);
+    if (this.scheduled || this.closed) return;
+    this.scheduled = true;
+    setImmediate(() => this.runDue());
+  }
+
+  /** After a new configuration queues may have other services. */
+  regroup(): void {
+    const all = [...this.active.values()].flatMap(jobs => [...jobs]);
+    this.active.clear();
+    for (const execution of all) {
+      const service = this.serviceOf(execution);
+      let jobs = this.active.get(service);
+      if (!jobs) this.active.set(service, (jobs = new Set()));
+      jobs.add(execution);
+      this.wake(service);
+    }
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+
+  private serviceOf(execution: JobExecution): string {
+    return this.host.queueOf(execution)?.service ?? execution.job.service;
+  }
+
+  private runDue(): void {
+    this.scheduled = false;
+    if (this.closed) return;
+    const services = [...this.due];
+    this.due.clear();
+    for (const service of services) this.place(service);
+  }
+
+  private place(service: string): void {
+    const now = this.clock.monotonicMilliseconds();
+    const candidates = this.candidates(service, now);
+    candidates.sort((left, right) => compareWaitingJobs(left, right, now));
+    const sessions = this.host
+      .sessionsOf(service)
+      .filter(session => session.takesStarts);
+    const round = new PlacementRound(sessions, this.choice, now);
+    let misses = 0;
+    let waitingMillicores = 0;
+    let waitingTasks = 0;
+    for (const candidate of candidates) {
+      for (const tasks of groupsOf(candidate.ready)) {
+        const placed =
+          misses < MISSES_BEFORE_GIVING_UP &&
+          this.placeTogether(round, candidate.execution, tasks, now);
+        if (placed) continue;
+        misses++;
+        waitingTasks += tasks.length;
+        for (const task of tasks)
+          if (!task.specification.fills)
+            waitingMillicores += task.specification.processorMillicores;
+      }
+    }
+    this.loads.set(service, {waitingMillicores, waitingTasks});
+  }
+
+  private candidates(service: string, now: number): Candidate[] {
+    const found: Candidate[] = [];
+    const wall = this.clock.wallMilliseconds();
+    for (const execution of this.active.get(service) ?? []) {
+      const ready = execution.readyTasks(wall);
+      if (ready.length > 0)
+        found.push(this.candidate(execution, ready, now, wall));
+      else this.sleepUntilDue(service, execution, wall);
+    }
+    return found;
+  }
+
+  private candidate(
+    execution: JobExecution,
+    ready: readonly ExecutableTask[],
+    now: number,
+    wall: number,
+  ): Candidate {
+    const queue = this.host.queueOf(execution);
+    const {occurrence} = ready[0];
+    const dueWall = execution.dueAt(occurrence);
+    const since =
+      dueWall > 0
+        ? now - (wall - dueWall)
+        : (this.firstSeen.get(execution) ?? now);
+    const remainingChain = execution.remainingChain(occurrence);
+    const objective =
+      (queue?.stretch ?? 1) * execution.wholeChain +
+      (queue?.latencyMilliseconds ?? 0);
+    return {
+      execution,
+      ready,
+      priority: queue?.priority ?? 0,
+      since,
+      dueAt: since + objective,
+      lateUntil: since + LATE_FACTOR * objective,
+      remainingChain,
+    };
+  }
+
+  private sleepUntilDue(
+    service: string,
+    execution: JobExecution,
+    wall: number,
+  ): void {
+    const dueAt = execution.nextDueAfter(wall);
+    if (dueAt === undefined) return;
+    const wait = Math.min(dueAt - wall, LONGEST_SLEEP_MILLISECONDS);
+    this.clock.schedule(wait, () => this.wake(service));
+  }
+
+  /** Places all of `tasks` or none. */
+  private placeTogether(
+    round: PlacementRound,
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+    now: number,
+  ): boolean {
+    const chosen: WorkerSession[] = [];
+    for (const task of tasks) {
+      const session = round.take(
+        stepName(execution.job.id, task),
+        task,
+        this.failedOn.get(taskName(execution.job.id, task)) ?? NOWHERE,
+      );
+      if (!session) {
+        round.giveBack();
+        return false;
+      }
+      chosen.push(session);
+    }
+    round.keep();
+    const together = tasks[0].specification.gang
+      ? 1 + Math.max(...tasks.map(task => task.progress.run))
+      : undefined;
+    tasks.forEach((task, index) => {
+      const session = chosen[index];
+      const run = execution.beginRun(task, session.id, together);
+      this.host.launch(session, plannedRun(execution, task, run, now));
+    });
+    return true;
+  }
+}
+
+const NOWHERE: ReadonlySet<string> = new Set();
+
+/** Members of a gang go together, all others alone. */
+function groupsOf(ready: readonly ExecutableTask[]): ExecutableTask[][] {
+  const gangs = new Map<string, ExecutableTask[]>();
+  const groups: ExecutableTask[][] = [];
+  for (const task of ready) {
+    if (!task.specification.gang) {
+      groups.push([task]);
+      continue;
+    }
+    const key = `${task.occurrence}.${task.step}`;
+    let members = gangs.get(key);
+    if (!members) {
+      members = [];
+      gangs.set(key, members);
+      groups.push(members);
+    }
+    members.push(task);
+  }
+  return groups.filter(isWholeGroup);
+}
+
+/** A gang waits until no run of any member is left: members of two runs never meet. */
+function isWholeGroup(tasks: readonly ExecutableTask[]): boolean {
+  const {gang, taskCount} = tasks[0].specification;
+  return !gang || tasks.length === taskCount;
+}
+
+function plannedRun(
+  execution: JobExecution,
+  task: ExecutableTask,
+  run: number,
+  now: number,
+): LiveRun {
+  return {
+    execution,
+    taskOfJob: task,
+    task: taskName(execution.job.id, task),
+    run,
+    stepKey: stepName(execution.job.id, task),
+    ticket: '',
+    plannedAt: now,
+    status: RunStatus.Planned,
+    settledAt: Infinity,
+    stopAsked: false,
+    percent: 0,
+    progressedAt: now,
+    pacePercent: 100,
+  };
+}
+
+/** Room of a service's workers while one round of placement goes on. */
+class PlacementRound {
+  private readonly sessions = new Map<string, WorkerSession>();
+  private views: PlacementWorker[];
+  private before: PlacementWorker[];
+
+  constructor(
+    sessions: readonly WorkerSession[],
+    private readonly choice: WorkerChoice,
+    now: number,
+  ) {
+    for (const session of sessions) this.sessions.set(session.id, session);
+    this.views = sessions.map(session => session.placementView(now));
+    this.before = [...this.views];
+  }
+
+  /** Takes room for a task; undefined where there is none. */
+  take(
+    stepKey: string,
+    task: ExecutableTask,
+    avoid: ReadonlySet<string>,
+  ): WorkerSession | undefined {
+    const step = task.specification;
+    const worker = this.choice.choose({stepKey, step, avoid}, this.views);
+    if (!worker) return undefined;
+    const index = this.views.indexOf(worker);
+    this.views[index] = withTask(worker, stepKey, task);
+    return this.sessions.get(worker.id);
+  }
+
+  /** Undoes what was taken since `keep`. */
+  giveBack(): void {
+    this.views = [...this.before];
+  }
+
+  keep(): void {
+    this.before = [...this.views];
+  }
+}
+
+function withTask(
+  worker: PlacementWorker,
+  stepKey: string,
+  task: ExecutableTask,
+): PlacementWorker {
+  const step = task.specification;
+  return {
+    ...worker,
+    freeMillicores:
+      worker.freeMillicores - (step.fills ? 0 : step.processorMillicores),
+    freeMegabytes: worker.freeMegabytes - step.memoryMegabytes,
+    freeAccelerators: worker.freeAccelerators - step.accelerators,
+    servingTasks: worker.servingTasks + (step.targetMilliseconds > 0 ? 1 : 0),
+    fillingTasks: worker.fillingTasks + (step.fills ? 1 : 0),
+    countOf: key => worker.countOf(key) + (key === stepKey ? 1 : 0),
+  };
+}
--- /dev/null
+++ b/packages/coordinator/src/entry-settings.ts
@@ -0,0 +1,34 @@
+/** What the platform tells a daemon of itself and of the deployment. */
+export interface EntrySettings {
+  /** Name of this daemon's VM; the same after a restart. */
+  readonly node: string;
+  readonly dataCentre: string;
+  /** Addresses to listen on. */
+  readonly callerAddress: string;
+  readonly readinessAddress: string;
+  readonly storeAddress: string;
+  readonly machineListAddress: string;
+  readonly adviceAddress: string;
+  readonly limits: PlatformLimits;
+}
+
+/** Times that the platform fixes, in milliseconds. */
+export interface PlatformLimits {
+  /** Longest lease that a worker takes. */
+  readonly maximumLease: number;
+  /** After this a cancelled job must have nothing running. */
+  readonly cancel: number;
+  /** Planned work may keep a task away so long before it counts as missing. */
+  readonly notice: number;
+  /** Orders about one VM by another holder wait so long. */
+  readonly holderChange: number;
+  /** From a termination signal to the kill. */
+  readonly grace: number;
+  /** A final state stays to be asked for so long. */
+  readonly stateKept: number;
+  /** A pool change and a maintenance take so long. */
+  readonly move: number;
+  readonly maintenance: number;
+  /** A task may stay over its response time target so long. */
+  readonly harm: number;
+}
--- /dev/null
+++ b/packages/coordinator/src/grouped-appender.ts
@@ -0,0 +1,117 @@
+import {sleep, type Clock} from '@gentiandoor/kernel';
+import type {KeyedRecord} from '@gentiandoor/jobs';
+import {AppendOutcome, type LogStream, type RecordLog} from './record-log.js';
+
+/** What became of a record that was handed in for appending. */
+export enum KeepOutcome {
+  Kept = 'kept',
+  /** It is certain that the record was not and will not be appended. */
+  NotKept = 'not_kept',
+  /** It may have been appended, and may still be. */
+  Unknown = 'unknown',
+}
+
+/** The store takes up to 2 MB in a call; this leaves room for the heads of the records. */
+const MAXIMUM_BATCH_BYTES = 1_000_000;
+const RETRY_MILLISECONDS = 60;
+
+interface WaitingRecord {
+  readonly record: KeyedRecord;
+  /** Refused for certain after this. */
+  readonly refuseAt: number;
+  /** Left in doubt after this. */
+  readonly giveUpAt: number;
+  readonly resolve: (outcome: KeepOutcome) => void;
+  /** An append that carried it got no answer. */
+  inDoubt: boolean;
+}
+
+/**
+ * Appends records of many callers with one call at a time: while one is under way the next ones
+ * gather. A record may be appended twice when an answer was lost; readers take the same key twice.
+ */
+export class GroupedAppender {
+  private queue: WaitingRecord[] = [];
+  private running = false;
+
+  constructor(
+    private readonly log: RecordLog,
+    private readonly stream: LogStream,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Appends a record. `patienceMilliseconds` bounds the wait while nothing was sent;
+   * `boundMilliseconds` bounds it while the outcome is in doubt.
+   */
+  keep(
+    record: KeyedRecord,
+    patienceMilliseconds: number,
+    boundMilliseconds: number,
+  ): Promise<KeepOutcome> {
+    const now = this.clock.monotonicMilliseconds();
+    return new Promise(resolve => {
+      const waiting: WaitingRecord = {
+        record,
+        refuseAt: now + Math.min(patienceMilliseconds, boundMilliseconds),
+        giveUpAt: now + boundMilliseconds,
+        resolve,
+        inDoubt: false,
+      };
+      this.queue.push(waiting);
+      this.clock.schedule(patienceMilliseconds, () => this.refuse(waiting));
+      if (!this.running) void this.run();
+    });
+  }
+
+  /** A record that waits behind an append that hangs was never sent: its caller is told at once. */
+  private refuse(waiting: WaitingRecord): void {
+    const index = this.queue.indexOf(waiting);
+    if (index < 0 || waiting.inDoubt) return;
+    this.queue.splice(index, 1);
+    waiting.resolve(KeepOutcome.NotKept);
+  }
+
+  private async run(): Promise<void> {
+    this.running = true;
+    while (this.queue.length > 0) {
+      const batch = this.takeBatch();
+      const result = await this.log.append(
+        this.stream,
+        batch.map(waiting => waiting.record),
+      );
+      if (result.outcome === AppendOutcome.Appended) {
+        for (const waiting of batch) waiting.resolve(KeepOutcome.Kept);
+        continue;
+      }
+      const inDoubt = result.outcome === AppendOutcome.Unknown;
+      this.queue.unshift(
+        ...batch.filter(waiting => this.staysAfterFailure(waiting, inDoubt)),
+      );
+      if (this.queue.length > 0) await sleep(this.clock, RETRY_MILLISECONDS);
+    }
+    this.running = false;
+  }
+
+  private takeBatch(): WaitingRecord[] {
+    let bytes = 0;
+    let count = 0;
+    for (const {record} of this.queue) {
+      bytes += record.key.length + (record.value?.length ?? 0);
+      if (count > 0 && bytes > MAXIMUM_BATCH_BYTES) break;
+      count++;
+    }
+    return this.queue.splice(0, count);
+  }
+
+  private staysAfterFailure(waiting: WaitingRecord, inDoubt: boolean): boolean {
+    waiting.inDoubt ||= inDoubt;
+    const now = this.clock.monotonicMilliseconds();
+    const until = waiting.inDoubt ? waiting.giveUpAt : waiting.refuseAt;
+    if (now + RETRY_MILLISECONDS < until) return true;
+    waiting.resolve(
+      waiting.inDoubt ? KeepOutcome.Unknown : KeepOutcome.NotKept,
+    );
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -0,0 +1,129 @@
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import {
+  JobRecordKind,
+  JobState,
+  JobTable,
+  encodeJobRecord,
+  isFinal,
+  type JobSubmission,
+} from '@gentiandoor/jobs';
+import {GroupedAppender, KeepOutcome} from './grouped-appender.js';
+import type {StreamFollower} from './stream-follower.js';
+
+/** Answer to a submission. */
+export enum SubmitAnswer {
+  Taken = 'taken',
+  /** It was not taken and never runs. */
+  Refused = 'refused',
+  /** It may have been taken. */
+  Unknown = 'unknown',
+}
+
+/** Answer to a question about a job, or to a cancellation. */
+export type JobAnswer =
+  | {readonly kind: 'state'; readonly state: JobState}
+  | {readonly kind: 'absent'}
+  | {readonly kind: 'unavailable'};
+
+/** A submission without a successful append is refused after this: a caller's own retry, elsewhere, is quicker than waiting on. */
+const PATIENCE_MILLISECONDS = 450;
+/** The answer must leave before the caller stops waiting. */
+const ANSWER_MARGIN_MILLISECONDS = 250;
+/** A state so old is shown without asking the store again. */
+const STATE_AGE_MILLISECONDS = 40;
+/** The number of waiting jobs may be so old. */
+const COUNT_AGE_MILLISECONDS = 1_000;
+
+/** Takes jobs in, and answers for them, at any daemon: the store is the only memory. */
+export class JobFrontDesk {
+  private readonly appender: GroupedAppender;
+  /** Jobs whose submission through this daemon got no answer from the store. */
+  private readonly inDoubt = new Set<string>();
+
+  constructor(
+    private readonly table: JobTable,
+    private readonly follower: StreamFollower,
+    appender: GroupedAppender,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    this.appender = appender;
+  }
+
+  /** Takes a job in; resolves within `boundMilliseconds`. */
+  async submit(
+    job: JobSubmission,
+    boundMilliseconds: number,
+  ): Promise<SubmitAnswer> {
+    if (this.table.find(job.id)) return SubmitAnswer.Taken;
+    const started = this.clock.monotonicMilliseconds();
+    const outcome = await this.appender.keep(
+      encodeJobRecord({kind: JobRecordKind.Submission, job}),
+      PATIENCE_MILLISECONDS,
+      boundMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+    );
+    const answer = this.settleSubmission(job.id, outcome);
+    const fields = {
+      job: job.id,
+      queue: job.queue,
+      answer,
+      milliseconds: this.clock.monotonicMilliseconds() - started,
+    };
+    if (answer === SubmitAnswer.Taken)
+      this.logger.info(LogEvent.JobTaken, fields);
+    else this.logger.warn(LogEvent.JobRefused, fields);
+    return answer;
+  }
+
+  async state(jobId: string): Promise<JobAnswer> {
+    const known = this.table.find(jobId);
+    if (known && isFinal(this.table.stateOf(known)))
+      return {kind: 'state', state: this.table.stateOf(known)};
+    const fresh = await this.ensureFresh(STATE_AGE_MILLISECONDS);
+    const job = this.table.find(jobId);
+    if (job) return {kind: 'state', state: this.table.stateOf(job)};
+    return fresh && !this.inDoubt.has(jobId)
+      ? {kind: 'absent'}
+      : {kind: 'unavailable'};
+  }
+
+  /** Cancels a job; its tasks are stopped soon after. */
+  async cancel(jobId: string, boundMilliseconds: number): Promise<JobAnswer> {
+    const found = await this.state(jobId);
+    if (found.kind !== 'state') return found;
+    if (found.state === JobState.Cancelled) return found;
+    if (isFinal(found.state)) return {kind: 'absent'};
+    const outcome = await this.appender.keep(
+      encodeJobRecord({kind: JobRecordKind.Cancellation, jobId}),
+      boundMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+      boundMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+    );
+    this.logger.info(LogEvent.JobCancelAsked, {job: jobId, outcome});
+    return outcome === KeepOutcome.Kept
+      ? {kind: 'state', state: JobState.Cancelled}
+      : {kind: 'unavailable'};
+  }
+
+  /** Jobs of a queue of which no task has started; undefined when it is not known. */
+  async pending(queue: string): Promise<number | undefined> {
+    const fresh = await this.ensureFresh(COUNT_AGE_MILLISECONDS);
+    return fresh ? this.table.pendingCount(queue) : undefined;
+  }
+
+  private settleSubmission(jobId: string, outcome: KeepOutcome): SubmitAnswer {
+    if (outcome === KeepOutcome.Kept) {
+      this.inDoubt.delete(jobId);
+      return SubmitAnswer.Taken;
+    }
+    if (outcome === KeepOutcome.Unknown) this.inDoubt.add(jobId);
+    // An earlier try that may still be carried out makes a refusal untrue.
+    return this.inDoubt.has(jobId)
+      ? SubmitAnswer.Unknown
+      : SubmitAnswer.Refused;
+  }
+
+  private async ensureFresh(ageMilliseconds: number): Promise<boolean> {
+    if (this.follower.ageMilliseconds <= ageMilliseconds) return true;
+    return this.follower.refresh();
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/live-run.ts
@@ -0,0 +1,43 @@
+import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import type {RunName} from './worker-gateway.js';
+
+/** How far a run is, as the coordinator knows it. */
+export enum RunStatus {
+  /** Its room is taken; the order waits until the run is stored. */
+  Planned = 'planned',
+  /** The order was sent and has not been answered. */
+  Ordered = 'ordered',
+  /** The worker has confirmed it. */
+  Confirmed = 'confirmed',
+  /** An earlier coordinator ordered it; its fate is to be learned from the worker. */
+  Recovered = 'recovered',
+}
+
+/** A run that may be alive on a worker. */
+export interface LiveRun extends RunName {
+  readonly execution: JobExecution;
+  readonly taskOfJob: ExecutableTask;
+  /** Names the step of the occurrence. */
+  readonly stepKey: string;
+  readonly ticket: string;
+  readonly plannedAt: number;
+  status: RunStatus;
+  /** When the worker answered the order, or a stop; a look that began later shows the truth. */
+  settledAt: number;
+  stopAsked: boolean;
+  percent: number;
+  /** When `percent` last changed. */
+  progressedAt: number;
+  /** Speed that was ordered last, in percent. */
+  pacePercent: number;
+}
+
+/** Name of a task among all jobs. */
+export function taskName(jobId: string, task: ExecutableTask): string {
+  return `${jobId}.${task.key}`;
+}
+
+/** Name of a step of an occurrence among all jobs. */
+export function stepName(jobId: string, task: ExecutableTask): string {
+  return `${jobId}.${task.occurrence}.${task.step}`;
+}
--- /dev/null
+++ b/packages/coordinator/src/operator-view.ts
@@ -0,0 +1,121 @@
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import type {KeyedRecord} from '@gentiandoor/jobs';
+import type {
+  Configuration,
+  MaintenanceWave,
+  Queue,
+  ServicePool,
+} from './operator-records.js';
+import {LogStream, type RecordLog} from './record-log.js';
+import type {RecordFormats} from './record-formats.js';
+import {StreamFollower, type StreamSink} from './stream-follower.js';
+
+/** Well under the bound within which a configuration must be in force, so that a silent connection is left in time. */
+const WAIT_MILLISECONDS = 500;
+const RETRY_MILLISECONDS = 150;
+
+/** What operators ask for: the newest configuration and the waves of maintenance. */
+export class OperatorView implements StreamSink {
+  readonly follower: StreamFollower;
+  readonly waves = new Map<number, MaintenanceWave>();
+  private newest: Configuration | undefined;
+  private queuesByName = new Map<string, Queue>();
+  private servicesByName = new Map<string, ServicePool>();
+  private stopping = false;
+
+  constructor(
+    log: RecordLog,
+    private readonly formats: RecordFormats,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    this.follower = new StreamFollower(
+      log,
+      LogStream.Operator,
+      this,
+      clock,
+      logger,
+    );
+  }
+
+  /** Undefined until one was read. */
+  get configuration(): Configuration | undefined {
+    return this.newest;
+  }
+
+  /** The queue of a host with the longest prefix of `path`. */
+  queueFor(host: string, path: string): Queue | undefined {
+    let found: Queue | undefined;
+    for (const queue of this.newest?.queues ?? []) {
+      if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue;
+      if (!found || queue.pathPrefix.length > found.pathPrefix.length)
+        found = queue;
+    }
+    return found;
+  }
+
+  queue(name: string): Queue | undefined {
+    return this.queuesByName.get(name);
+  }
+
+  service(name: string): ServicePool | undefined {
+    return this.servicesByName.get(name);
+  }
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopping = true;
+  }
+
+  apply(record: KeyedRecord): void {
+    const read = this.formats.operatorRecord(record);
+    if (!read) return;
+    if (read.kind === 'wave') this.applyWave(read.wave);
+    else this.applyConfiguration(read.configuration);
+  }
+
+  private applyWave(wave: MaintenanceWave): void {
+    if (!this.waves.has(wave.number))
+      this.logger.info(LogEvent.WaveSeen, {...wave});
+    this.waves.set(wave.number, wave);
+  }
+
+  private applyConfiguration(configuration: Configuration): void {
+    // Reading again from the newest records may bring an older version than the one in force.
+    if (this.newest && configuration.version <= this.newest.version) return;
+    this.newest = configuration;
+    this.queuesByName = new Map(
+      configuration.queues.map(queue => [queue.name, queue]),
+    );
+    this.servicesByName = new Map(
+      configuration.services.map(service => [service.name, service]),
+    );
+    this.logger.info(LogEvent.ConfigurationInForce, {
+      version: configuration.version,
+      queues: configuration.queues.length,
+      services: configuration.services.length,
+    });
+  }
+
+  private async run(): Promise<void> {
+    let reachable = true;
+    while (!this.stopping) {
+      const answered = await this.follower.follow(WAIT_MILLISECONDS);
+      if (answered !== reachable) this.noteReachable(answered);
+      reachable = answered;
+      if (!answered)
+        await new Promise<void>(resolve => {
+          this.clock.schedule(RETRY_MILLISECONDS, resolve);
+        });
+    }
+  }
+
+  private noteReachable(reachable: boolean): void {
+    const {ageMilliseconds} = this.follower;
+    if (reachable) this.logger.info(LogEvent.StoreBack, {ageMilliseconds});
+    else this.logger.warn(LogEvent.StoreLost, {ageMilliseconds});
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/stream-follower.ts
@@ -0,0 +1,126 @@
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import type {KeyedRecord} from '@gentiandoor/jobs';
+import {ReadOutcome, type LogStream, type RecordLog} from './record-log.js';
+
+/** What is done with the records of a stream. */
+export interface StreamSink {
+  /** Applies one record; throws when it can't be read. */
+  apply(record: KeyedRecord): void;
+  /** Called after the newest records of all keys were applied. */
+  loaded?(keys: ReadonlySet<string>): void;
+}
+
+/**
+ * Reads a stream to its end, again and again. A read that meets a gap starts again from the newest
+ * record of each key, which the store keeps for good.
+ */
+export class StreamFollower {
+  private nextOffset: number | undefined;
+  private refreshing: Promise<boolean> | undefined;
+  private queued: Promise<boolean> | undefined;
+  private refreshedAt = -Infinity;
+
+  constructor(
+    private readonly log: RecordLog,
+    private readonly stream: LogStream,
+    private readonly sink: StreamSink,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** True once the stream was read to its end. */
+  get isLoaded(): boolean {
+    return this.nextOffset !== undefined;
+  }
+
+  /** Milliseconds since a read to the end began that succeeded. */
+  get ageMilliseconds(): number {
+    return this.clock.monotonicMilliseconds() - this.refreshedAt;
+  }
+
+  /**
+   * Reads to the end with a read that begins after this call: callers that ask while one is under
+   * way share the next one, since the one under way may have missed what they wait for.
+   */
+  refresh(): Promise<boolean> {
+    if (!this.refreshing) {
+      this.refreshing = this.readToEnd().finally(() => {
+        this.refreshing = undefined;
+      });
+      return this.refreshing;
+    }
+    this.queued ??= this.refreshing.then(() => {
+      this.queued = undefined;
+      return this.refresh();
+    });
+    return this.queued;
+  }
+
+  /** Waits for the next record and applies what came; false when the store did not answer. */
+  async follow(waitMilliseconds: number): Promise<boolean> {
+    if (this.nextOffset === undefined) return this.refresh();
+    const started = this.clock.monotonicMilliseconds();
+    const result = await this.log.read(
+      this.stream,
+      this.nextOffset,
+      waitMilliseconds,
+    );
+    if (result.outcome === ReadOutcome.Unavailable) return false;
+    if (result.outcome === ReadOutcome.Gap) return this.load();
+    this.applyFrom(result.records);
+    if (this.nextOffset >= result.endOffset && result.records.length === 0)
+      this.refreshedAt = Math.max(this.refreshedAt, started);
+    return true;
+  }
+
+  private async readToEnd(): Promise<boolean> {
+    if (this.nextOffset === undefined) return this.load();
+    for (;;) {
+      const started = this.clock.monotonicMilliseconds();
+      const result = await this.log.read(this.stream, this.nextOffset, 0);
+      if (result.outcome === ReadOutcome.Unavailable) return false;
+      if (result.outcome === ReadOutcome.Gap) return this.load();
+      this.applyFrom(result.records);
+      if (this.nextOffset >= result.endOffset) {
+        this.refreshedAt = started;
+        return true;
+      }
+      if (result.records.length === 0) return false;
+    }
+  }
+
+  private async load(): Promise<boolean> {
+    const started = this.clock.monotonicMilliseconds();
+    const result = await this.log.newest(this.stream);
+    if (result.outcome !== ReadOutcome.Read) return false;
+    for (const record of result.records) this.applyOne(record);
+    this.sink.loaded?.(new Set(result.records.map(record => record.key)));
+    // Pages are no snapshot: what was written since the first page is read again from the log.
+    this.nextOffset = Math.max(this.nextOffset ?? 0, result.endOffset);
+    this.refreshedAt = started;
+    return true;
+  }
+
+  private applyFrom(
+    records: readonly (KeyedRecord & {readonly offset: number})[],
+  ): void {
+    for (const record of records) {
+      // A long read and a refresh may bring the same records.
+      if (record.offset < (this.nextOffset ?? 0)) continue;
+      this.applyOne(record);
+      this.nextOffset = record.offset + 1;
+    }
+  }
+
+  private applyOne(record: KeyedRecord): void {
+    try {
+      this.sink.apply(record);
+    } catch (error) {
+      this.logger.warn(LogEvent.RecordUnreadable, {
+        stream: this.stream,
+        key: record.key,
+        error: String(error),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/term-keeper.ts
@@ -0,0 +1,263 @@
+import {
+  LogEvent,
+  sleep,
+  type Clock,
+  type Logger,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import type {KeyedRecord} from '@gentiandoor/jobs';
+import {
+  AppendOutcome,
+  LogStream,
+  ReadOutcome,
+  type RecordLog,
+} from './record-log.js';
+
+/** A holder gives no orders later than this after it sent its last renewal that succeeded. */
+const TERM_MILLISECONDS = 2_000;
+/** Three renewals may fail before a term runs out. */
+const RENEWAL_MILLISECONDS = 500;
+/** Room for two steady clocks that differ and for a step that was under way when the term ran out. */
+const TAKEOVER_SLACK_MILLISECONDS = 200;
+/** Candidates spread over this, so that they don't all write at once. */
+const TAKEOVER_SPREAD_MILLISECONDS = 150;
+const WATCH_MILLISECONDS = 1_000;
+const RETRY_MILLISECONDS = 100;
+/** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock looks the same and costs one renewal. */
+const CLOCK_DRIFT_MILLISECONDS = 200;
+
+const TERM_KEY = 'coordinator';
+
+interface TermRecord {
+  readonly term: number;
+  readonly holder: string;
+  readonly incarnation: string;
+  readonly released: boolean;
+}
+
+/** Hears of the start and the end of a term of this daemon. */
+export interface TermListener {
+  termBegan(term: number): void;
+  termEnded(): void;
+}
+
+/** Who this daemon is to the others. */
+export interface TermCandidate {
+  readonly node: string;
+  readonly incarnation: string;
+}
+
+/**
+ * Holds at most one daemon as the coordinator: a term is a record that is written only if the
+ * stream still ends where its writer has read it.
+ */
+export class TermKeeper {
+  private endOffset = 0;
+  private current: TermRecord | undefined;
+  private changedAt = 0;
+  private validUntil = -Infinity;
+  private clockOffset = 0;
+  private holding = false;
+  private stopping = false;
+  private finished: Promise<void> | undefined;
+
+  constructor(
+    private readonly log: RecordLog,
+    private readonly candidate: TermCandidate,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+    private readonly listener: TermListener,
+  ) {}
+
+  /** Whether an order may be given now. */
+  get isValid(): boolean {
+    if (!this.holding) return false;
+    if (this.clock.monotonicMilliseconds() >= this.validUntil) return false;
+    const drift = Math.abs(this.wallOffset() - this.clockOffset);
+    return drift < CLOCK_DRIFT_MILLISECONDS;
+  }
+
+  start(): void {
+    this.finished = this.run();
+  }
+
+  /** Gives the term back, so that the next coordinator begins at once. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    await this.finished;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopping && !(await this.readCurrent()))
+      await this.pause(RETRY_MILLISECONDS);
+    while (!this.stopping) {
+      if (this.holding) await this.renew();
+      else await this.watch();
+    }
+    if (this.holding) await this.release();
+  }
+
+  private async renew(): Promise<void> {
+    const pause = this.isValid ? RENEWAL_MILLISECONDS : RETRY_MILLISECONDS;
+    await this.pause(pause);
+    if (this.stopping || !this.current) return;
+    await this.write({...this.current, released: false});
+  }
+
+  private async watch(): Promise<void> {
+    const left = this.candidacyAt() - this.clock.monotonicMilliseconds();
+    if (left > 0) {
+      await this.readNext(Math.min(left, WATCH_MILLISECONDS));
+      return;
+    }
+    const term = (this.current?.term ?? 0) + 1;
+    const written = await this.write({
+      term,
+      holder: this.candidate.node,
+      incarnation: this.candidate.incarnation,
+      released: false,
+    });
+    if (!written) await this.pause(RETRY_MILLISECONDS);
+  }
+
+  /** When this daemon may try to take the next term. */
+  private candidacyAt(): number {
+    const {current} = this;
+    if (!current) return -Infinity;
+    const spread = this.random.nextFraction() * TAKEOVER_SPREAD_MILLISECONDS;
+    if (current.released) return this.changedAt + spread / 4;
+    // One machine runs one daemon: an earlier life of this one gives no orders any more.
+    if (current.holder === this.candidate.node) return -Infinity;
+    return (
+      this.changedAt + TERM_MILLISECONDS + TAKEOVER_SLACK_MILLISECONDS + spread
+    );
+  }
+
+  private async write(record: TermRecord): Promise<boolean> {
+    const sentAt = this.clock.monotonicMilliseconds();
+    const offset = this.wallOffset();
+    const result = await this.log.append(LogStream.Terms, [encode(record)], {
+      atOffset: this.endOffset,
+    });
+    if (result.outcome === AppendOutcome.Appended) {
+      this.endOffset = result.endOffset;
+      this.changedAt = sentAt;
+      this.hold(record, sentAt, offset);
+      return true;
+    }
+    // A lost answer may hide a success, and a moved end another's term: the stream says which.
+    if (result.outcome !== AppendOutcome.Refused) await this.settle(sentAt);
+    return false;
+  }
+
+  private async settle(sentAt: number): Promise<void> {
+    const before = this.endOffset;
+    if (!(await this.readCurrent()) || this.endOffset === before) return;
+    const {current} = this;
+    if (!current || !this.isOwn(current))
+      this.lose('another daemon has taken it');
+    else if (!current.released) this.hold(current, sentAt, this.wallOffset());
+  }
+
+  private hold(record: TermRecord, sentAt: number, clockOffset: number): void {
+    const isNew = !this.holding;
+    this.current = record;
+    this.holding = true;
+    this.validUntil = sentAt + TERM_MILLISECONDS;
+    this.clockOffset = clockOffset;
+    if (!isNew) return;
+    this.logger.info(LogEvent.TermTaken, {term: record.term});
+    this.listener.termBegan(record.term);
+  }
+
+  private lose(reason: string): void {
+    if (!this.holding) return;
+    this.holding = false;
+    this.logger.warn(LogEvent.TermLost, {reason, term: this.current?.term});
+    this.listener.termEnded();
+  }
+
+  private async release(): Promise<void> {
+    const {current} = this;
+    this.holding = false;
+    this.listener.termEnded();
+    if (!current) return;
+    const result = await this.log.append(
+      LogStream.Terms,
+      [encode({...current, released: true})],
+      {atOffset: this.endOffset},
+    );
+    this.logger.info(LogEvent.TermReleased, {
+      term: current.term,
+      outcome: result.outcome,
+    });
+  }
+
+  /** Reads the newest term; false when the store did not answer. */
+  private async readCurrent(): Promise<boolean> {
+    const result = await this.log.newest(LogStream.Terms);
+    if (result.outcome !== ReadOutcome.Read) return false;
+    const newest = result.records.find(record => record.key === TERM_KEY);
+    this.endOffset = result.endOffset;
+    this.note(newest);
+    return true;
+  }
+
+  private async readNext(waitMilliseconds: number): Promise<void> {
+    const result = await this.log.read(
+      LogStream.Terms,
+      this.endOffset,
+      Math.ceil(waitMilliseconds),
+    );
+    if (result.outcome === ReadOutcome.Gap) await this.readCurrent();
+    if (result.outcome === ReadOutcome.Unavailable)
+      await this.pause(RETRY_MILLISECONDS);
+    if (result.outcome !== ReadOutcome.Read) return;
+    const newest = result.records.at(-1);
+    if (!newest) return;
+    this.endOffset = newest.offset + 1;
+    this.note(newest);
+  }
+
+  private note(record: KeyedRecord | undefined): void {
+    if (!record) return;
+    const decoded = decode(record);
+    if (!decoded) {
+      this.logger.warn(LogEvent.RecordUnreadable, {
+        stream: LogStream.Terms,
+        key: record.key,
+      });
+      return;
+    }
+    this.current = decoded;
+    this.changedAt = this.clock.monotonicMilliseconds();
+  }
+
+  private isOwn(record: TermRecord): boolean {
+    return record.incarnation === this.candidate.incarnation;
+  }
+
+  private wallOffset(): number {
+    return this.clock.wallMilliseconds() - this.clock.monotonicMilliseconds();
+  }
+
+  private async pause(milliseconds: number): Promise<void> {
+    await sleep(this.clock, milliseconds);
+  }
+}
+
+function encode(record: TermRecord): KeyedRecord {
+  return {key: TERM_KEY, value: Buffer.from(JSON.stringify(record))};
+}
+
+function decode(record: KeyedRecord): TermRecord | undefined {
+  if (record.key !== TERM_KEY || !record.value) return undefined;
+  try {
+    const term = JSON.parse(record.value.toString('utf8')) as TermRecord;
+    return Number.isSafeInteger(term.term) ? term : undefined;
+  } catch {
+    // The caller logs the key; the term before it stays in force.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/worker-registry.ts
@@ -0,0 +1,136 @@
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import type {KeyedRecord} from '@gentiandoor/jobs';
+import type {LiveRun} from './live-run.js';
+import type {RecordFormats} from './record-formats.js';
+import {LogStream, type RecordLog} from './record-log.js';
+import {StreamFollower, type StreamSink} from './stream-follower.js';
+import type {WorkerEntry, WorkerGateway} from './worker-gateway.js';
+import {WorkerSession, type SessionHost} from './worker-session.js';
+
+/** A leaving worker must be noticed well within two seconds, a new one is wanted at once. */
+const READ_MILLISECONDS = 250;
+
+/** What a registry is built from. */
+export interface RegistryParts {
+  readonly log: RecordLog;
+  readonly formats: RecordFormats;
+  readonly workers: WorkerGateway;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Host of sessions that hears of new ones. */
+export interface RegistryHost extends SessionHost {
+  sessionAdded(session: WorkerSession): void;
+}
+
+/** The sessions with all workers that the store lists. */
+export class WorkerRegistry implements StreamSink {
+  private readonly sessions = new Map<string, WorkerSession>();
+  private readonly follower: StreamFollower;
+  private closed = false;
+  private started = false;
+
+  constructor(
+    private readonly parts: RegistryParts,
+    private readonly host: RegistryHost,
+  ) {
+    this.follower = new StreamFollower(
+      parts.log,
+      LogStream.Workers,
+      this,
+      parts.clock,
+      parts.logger,
+    );
+  }
+
+  get size(): number {
+    return this.sessions.size;
+  }
+
+  all(): Iterable<WorkerSession> {
+    return this.sessions.values();
+  }
+
+  find(id: string): WorkerSession | undefined {
+    return this.sessions.get(id);
+  }
+
+  ofService(service: string): WorkerSession[] {
+    return [...this.sessions.values()].filter(
+      session => session.entry.service === service,
+    );
+  }
+
+  /** Reads all entries; returns once that has succeeded. */
+  async load(): Promise<void> {
+    while (!this.closed && !(await this.follower.refresh())) await this.pause();
+  }
+
+  /** Begins the sessions and follows the entries. */
+  start(): void {
+    this.started = true;
+    for (const session of this.sessions.values()) session.start();
+    void this.follow();
+  }
+
+  remove(session: WorkerSession): void {
+    if (this.sessions.get(session.id) === session)
+      this.sessions.delete(session.id);
+  }
+
+  /** Members of a gang are over with one of them. */
+  dropRunsOfStep(ended: LiveRun): void {
+    for (const session of this.sessions.values())
+      for (const run of [...session.runs.values()])
+        if (run.stepKey === ended.stepKey && run.run === ended.run)
+          session.runs.delete(run.task);
+  }
+
+  close(): void {
+    this.closed = true;
+    for (const session of this.sessions.values()) session.close();
+  }
+
+  apply(record: KeyedRecord): void {
+    if (record.value === undefined) {
+      this.sessions.get(record.key)?.update(undefined);
+      return;
+    }
+    const entry = this.parts.formats.workerEntry(record);
+    const session = this.sessions.get(entry.id);
+    if (session) session.update(entry);
+    else this.add(entry);
+  }
+
+  loaded(keys: ReadonlySet<string>): void {
+    for (const [id, session] of this.sessions)
+      if (!keys.has(id)) session.update(undefined);
+  }
+
+  private add(entry: WorkerEntry): void {
+    const {workers, clock, logger} = this.parts;
+    const session = new WorkerSession(entry, this.host, workers, clock, logger);
+    this.sessions.set(entry.id, session);
+    logger.info(LogEvent.WorkerFound, {
+      worker: entry.id,
+      service: entry.service,
+      address: entry.address,
+    });
+    this.host.sessionAdded(session);
+    if (this.started) session.start();
+  }
+
+  private async follow(): Promise<void> {
+    while (!this.closed) {
+      await this.follower.refresh();
+      await this.pause();
+    }
+  }
+
+  private pause(): Promise<void> {
+    return new Promise(resolve => {
+      this.parts.clock.schedule(READ_MILLISECONDS, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/worker-session.ts
@@ -0,0 +1,536 @@
+import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
+import {RunEnd} from '@gentiandoor/jobs';
+import {
+  FillPace,
+  LeaseClock,
+  WorkerTrust,
+  longestLease,
+  type PlacementWorker,
+} from '@gentiandoor/scheduling';
+import {RunStatus, type LiveRun} from './live-run.js';
+import {Signal} from './signal.js';
+import {
+  OrderOutcome,
+  OrderRefusal,
+  WorkerState,
+  type EndedRun,
+  type ListedRun,
+  type LookResult,
+  type WorkerEntry,
+  type WorkerGateway,
+} from './worker-gateway.js';
+
+/** What a session needs of the coordinator. */
+export interface SessionHost {
+  readonly term: number;
+  /** Lease that looks and starts give, in milliseconds. */
+  readonly leaseMilliseconds: number;
+  /** When this coordinator's term began. */
+  readonly beganAt: number;
+  ordersAllowed(): boolean;
+  /** A worker has seen a higher fencing token. */
+  fenced(): void;
+  runEnded(
+    session: WorkerSession,
+    run: LiveRun,
+    end: RunEnd,
+    checkpoint: string,
+  ): void;
+  startRefused(
+    session: WorkerSession,
+    run: LiveRun,
+    refusal: OrderRefusal,
+  ): void;
+  /** Calls `then` when all ends read so far are stored. */
+  afterStored(then: () => void): void;
+  /** The worker can take starts again, or no longer. */
+  sessionChanged(session: WorkerSession): void;
+  /** The life of the worker is over. */
+  sessionOver(session: WorkerSession): void;
+}
+
+/** A look waits so long for an end: a lease is renewed several times over its length, and a silent connection is found in time. */
+const LOOK_WAIT_MILLISECONDS = 1_500;
+/** Ends that come close together are read with one look. */
+const LOOK_GAP_MILLISECONDS = 40;
+/** An idle worker's last ends are acknowledged after this, unless a start brings a look anyway. */
+const LAST_ACKNOWLEDGEMENT_MILLISECONDS = 400;
+const RETRY_MILLISECONDS = 200;
+/** A silent worker with nothing on it is only wanted back for new work. */
+const IDLE_SILENCE_RETRY_MILLISECONDS = 1_000;
+const START_TRIES = 3;
+/** An answer lists so many ends at most; the others follow. */
+const MAXIMUM_ENDS_LISTED = 500;
+/** Room for the time that our own step takes between a sum and its order. */
+const LEASE_SLACK_MILLISECONDS = 300;
+/** Steps of speed under this are not worth a call. */
+const PACE_STEP_PERCENT = 10;
+
+/** Everything between the coordinator and one life of a worker. */
+export class WorkerSession {
+  readonly runs = new Map<string, LiveRun>();
+  readonly trust = new WorkerTrust();
+  private readonly lease = new LeaseClock();
+  private readonly pace = new FillPace();
+  private readonly signal: Signal;
+  private readonly strayStops = new Set<string>();
+  private endsRead = 0;
+  private endsStored = 0;
+  private tokenShown = false;
+  private silentSince: number | undefined;
+  private closed = false;
+  private listed = true;
+  private reservedFor: string | undefined;
+
+  constructor(
+    private current: WorkerEntry,
+    private readonly host: SessionHost,
+    private readonly gateway: WorkerGateway,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    this.signal = new Signal(clock);
+  }
+
+  get entry(): WorkerEntry {
+    return this.current;
+  }
+
+  get id(): string {
+    return this.current.id;
+  }
+
+  /** Since when the worker does not answer; undefined while it does. */
+  get silentFrom(): number | undefined {
+    return this.silentSince;
+  }
+
+  get isDraining(): boolean {
+    return this.current.state === WorkerState.Draining;
+  }
+
+  /** Whether a start may be ordered now. */
+  get takesStarts(): boolean {
+    return (
+      !this.closed &&
+      this.listed &&
+      this.tokenShown &&
+      this.silentSince === undefined &&
+      this.reservedFor === undefined &&
+      !this.isDraining
+    );
+  }
+
+  get isReserved(): boolean {
+    return this.reservedFor !== undefined;
+  }
+
+  /** Keeps new starts away while the VM is to be moved or maintained. */
+  reserve(purpose: string | undefined): void {
+    if (this.reservedFor === purpose) return;
+    this.reservedFor = purpose;
+    this.host.sessionChanged(this);
+  }
+
+  start(): void {
+    void this.run();
+  }
+
+  close(): void {
+    this.closed = true;
+    this.signal.notify();
+  }
+
+  /** Takes the worker's newest entry; undefined when it has none any more. */
+  update(entry: WorkerEntry | undefined): void {
+    const before = this.takesStarts;
+    this.listed = entry !== undefined;
+    if (entry) this.current = entry;
+    if (before !== this.takesStarts) this.host.sessionChanged(this);
+    this.signal.notify();
+  }
+
+  /** What a placement sees of the worker. */
+  placementView(now: number): PlacementWorker {
+    let millicores = 0;
+    let megabytes = 0;
+    let accelerators = 0;
+    let servingTasks = 0;
+    let fillingTasks = 0;
+    const counts = new Map<string, number>();
+    for (const run of this.runs.values()) {
+      const step = run.taskOfJob.specification;
+      if (!step.fills) millicores += step.processorMillicores;
+      megabytes += step.memoryMegabytes;
+      accelerators += step.accelerators;
+      if (step.fills) fillingTasks++;
+      if (step.targetMilliseconds > 0) servingTasks++;
+      counts.set(run.stepKey, (counts.get(run.stepKey) ?? 0) + 1);
+    }
+    const {room} = this.current;
+    return {
+      id: this.id,
+      dataCentre: this.current.dataCentre,
+      labels: this.current.labels,
+      freeMillicores: room.processorMillicores - millicores,
+      freeMegabytes: room.memoryMegabytes - megabytes,
+      freeAccelerators: room.accelerators - accelerators,
+      totalMillicores: Math.max(1, room.processorMillicores),
+      servingTasks,
+      fillingTasks,
+      trust: this.trust.level(now),
+      countOf: stepKey => counts.get(stepKey) ?? 0,
+    };
+  }
+
+  /** Takes room for a run; the order follows with `order`. */
+  expect(run: LiveRun): void {
+    this.runs.set(run.task, run);
+    this.signal.notify();
+  }
+
+  /** Sends the order to start, until its fate is known. */
+  async order(run: LiveRun): Promise<void> {
+    for (let attempt = 0; attempt < START_TRIES; attempt++) {
+      if (!this.isExpected(run)) return;
+      if (run.stopAsked && attempt === 0) {
+        this.end(run, RunEnd.Lost, '');
+        return;
+      }
+      if (!(await this.waitUntilAllowed())) return;
+      if (await this.sendStart(run, attempt > 0)) return;
+      await sleep(this.clock, RETRY_MILLISECONDS);
+    }
+    // Not answered: it may still be carried out. A stop that is answered bars it for good.
+    void this.stop(run);
+  }
+
+  /** Asks the worker to stop a run, until its fate is known. */
+  async stop(run: LiveRun): Promise<void> {
+    if (run.stopAsked) return;
+    run.stopAsked = true;
+    if (run.status === RunStatus.Planned) return;
+    while (this.isExpected(run)) {
+      if (!(await this.waitUntilAllowed())) return;
+      const result = await this.gateway.stop(this.current, run, this.host.term);
+      if (result.outcome !== OrderOutcome.Unknown) {
+        if (this.handledRefusal(result)) return;
+        run.settledAt = this.clock.monotonicMilliseconds();
+        this.signal.notify();
+        return;
+      }
+      await sleep(this.clock, RETRY_MILLISECONDS);
+    }
+  }
+
+  /** All runs are over because the worker's life is. */
+  endLife(reason: string): void {
+    if (this.closed) return;
+    this.logger.info(LogEvent.WorkerLeft, {
+      worker: this.id,
+      reason,
+      runs: this.runs.size,
+    });
+    this.close();
+    this.loseAllRuns();
+    this.gateway.forget(this.current);
+    this.host.sessionOver(this);
+  }
+
+  private async run(): Promise<void> {
+    while (!this.closed) {
+      if (this.isFinished()) {
+        this.endLife('entry removed');
+        return;
+      }
+      if (!this.needsLook()) {
+        await this.signal.wait();
+        continue;
+      }
+      if (!(await this.waitUntilAllowed())) return;
+      await this.look();
+    }
+  }
+
+  /** The worker has no entry any more and nothing on it is in doubt. */
+  private isFinished(): boolean {
+    return !this.listed && this.runs.size === 0;
+  }
+
+  private needsLook(): boolean {
+    return (
+      !this.tokenShown ||
+      this.runs.size > 0 ||
+      this.endsStored < this.endsRead ||
+      this.silentSince !== undefined
+    );
+  }
+
+  private async look(): Promise<void> {
+    if (this.tokenShown && this.runs.size === 0)
+      await this.signal.wait(LAST_ACKNOWLEDGEMENT_MILLISECONDS);
+    if (this.closed) return;
+    const requestedAt = this.clock.monotonicMilliseconds();
+    const waits = this.runs.size > 0 && this.tokenShown;
+    const result = await this.gateway.look(this.current, {
+      fencingToken: this.host.term,
+      endsStored: this.endsStored,
+      leaseEndMilliseconds: this.nextLeaseEnd(requestedAt),
+      waitMilliseconds:
+        waits && this.silentSince === undefined ? LOOK_WAIT_MILLISECONDS : 0,
+    });
+    if (this.closed) return;
+    if (result.outcome === OrderOutcome.Done)
+      this.noteLook(result, requestedAt);
+    else if (!this.handledRefusal(result)) this.noteSilence();
+    await sleep(this.clock, this.gapAfter(result.outcome));
+  }
+
+  private gapAfter(outcome: OrderOutcome): number {
+    if (outcome === OrderOutcome.Done) return LOOK_GAP_MILLISECONDS;
+    return this.runs.size > 0
+      ? RETRY_MILLISECONDS
+      : IDLE_SILENCE_RETRY_MILLISECONDS;
+  }
+
+  private nextLeaseEnd(now: number): number | undefined {
+    if (!this.lease.isKnown || this.runs.size === 0) return undefined;
+    const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
+    this.lease.noteGiven(leaseEnd);
+    return leaseEnd;
+  }
+
+  private noteLook(
+    result: Extract<LookResult, {outcome: OrderOutcome.Done}>,
+    requestedAt: number,
+  ): void {
+    this.noteAnswer(result.clockMilliseconds);
+    const shown = this.tokenShown;
+    if (!shown) this.notePredecessorLease();
+    this.tokenShown = true;
+    const ended = this.noteEnds(result.ended);
+    for (const listed of result.running) this.noteRunning(listed);
+    if (result.ended.length < MAXIMUM_ENDS_LISTED)
+      this.dropMissing(result.running, ended, requestedAt);
+    this.adjustPace(result.running);
+    if (!shown) this.host.sessionChanged(this);
+  }
+
+  /** The coordinator before may have given a lease as long as ours just before its term ended. */
+  private notePredecessorLease(): void {
+    const now = this.clock.monotonicMilliseconds();
+    this.lease.noteGiven(this.lease.leaseEnd(now, this.host.leaseMilliseconds));
+  }
+
+  private noteEnds(ended: readonly EndedRun[]): Set<string> {
+    const names = new Set<string>();
+    for (const item of ended) {
+      names.add(`${item.task}/${item.run}`);
+      if (item.number <= this.endsRead) continue;
+      this.endsRead = item.number;
+      const run = this.runs.get(item.task);
+      if (run?.run === item.run) this.end(run, item.end, item.checkpoint);
+    }
+    const read = this.endsRead;
+    // The worker forgets what is acknowledged, so the ends must be stored before.
+    if (read > this.endsStored)
+      this.host.afterStored(() => {
+        this.endsStored = Math.max(this.endsStored, read);
+        this.signal.notify();
+      });
+    return names;
+  }
+
+  private noteRunning(listed: ListedRun): void {
+    const run = this.runs.get(listed.task);
+    if (!run || run.run !== listed.run) {
+      this.stopStray(listed);
+      return;
+    }
+    const now = this.clock.monotonicMilliseconds();
+    if (run.status !== RunStatus.Confirmed) {
+      run.status = RunStatus.Confirmed;
+      run.settledAt = now;
+    }
+    if (run.percent !== listed.percent) {
+      run.percent = listed.percent;
+      run.progressedAt = now;
+    }
+    if (listed.checkpoint !== '')
+      run.taskOfJob.progress.checkpoint = listed.checkpoint;
+  }
+
+  /** A run that nobody expects here is one of an earlier order; it must not go on. */
+  private stopStray(listed: ListedRun): void {
+    const name = `${listed.task}/${listed.run}`;
+    if (this.strayStops.has(name)) return;
+    this.strayStops.add(name);
+    this.logger.warn(LogEvent.RunStopped, {
+      worker: this.id,
+      task: listed.task,
+      run: listed.run,
+      reason: 'not expected',
+    });
+    void this.gateway
+      .stop(this.current, listed, this.host.term)
+      .then(result => {
+        if (result.outcome === OrderOutcome.Unknown)
+          this.strayStops.delete(name);
+      });
+  }
+
+  /** A settled run that a later look shows neither alive nor ended never ran, or is long over. */
+  private dropMissing(
+    running: readonly ListedRun[],
+    ended: ReadonlySet<string>,
+    requestedAt: number,
+  ): void {
+    const alive = new Set(running.map(item => `${item.task}/${item.run}`));
+    for (const run of [...this.runs.values()]) {
+      const name = `${run.task}/${run.run}`;
+      if (alive.has(name) || ended.has(name)) continue;
+      const settled =
+        run.status === RunStatus.Recovered || run.settledAt < requestedAt;
+      if (settled) this.end(run, RunEnd.Lost, '');
+    }
+  }
+
+  private adjustPace(running: readonly ListedRun[]): void {
+    const filling: LiveRun[] = [];
+    let worst = 0;
+    for (const listed of running) {
+      const run = this.runs.get(listed.task);
+      if (!run) continue;
+      const step = run.taskOfJob.specification;
+      if (step.fills) filling.push(run);
+      else if (step.targetMilliseconds > 0)
+        worst = Math.max(worst, listed.load / step.targetMilliseconds);
+    }
+    if (filling.length === 0) return;
+    const percent = this.pace.update(worst);
+    for (const run of filling) this.sendPace(run, percent);
+  }
+
+  private sendPace(run: LiveRun, percent: number): void {
+    const before = run.pacePercent;
+    if (Math.abs(percent - before) < PACE_STEP_PERCENT && percent !== 100)
+      return;
+    if (percent === before) return;
+    run.pacePercent = percent;
+    void this.gateway
+      .pace(this.current, run, percent, this.host.term)
+      .then(result => {
+        if (result.outcome !== OrderOutcome.Done) run.pacePercent = before;
+      });
+  }
+
+  private async sendStart(run: LiveRun, retried: boolean): Promise<boolean> {
+    const now = this.clock.monotonicMilliseconds();
+    const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
+    this.lease.noteGiven(leaseEnd);
+    run.status = RunStatus.Ordered;
+    const result = await this.gateway.start(this.current, {
+      task: run.task,
+      run: run.run,
+      payload: run.execution.job.payload,
+      leaseEndMilliseconds: leaseEnd,
+      fencingToken: this.host.term,
+      checkpoint: run.taskOfJob.progress.checkpoint,
+      ticket: run.ticket,
+    });
+    if (!this.isExpected(run)) return true;
+    if (result.outcome === OrderOutcome.Unknown) return false;
+    if (this.handledRefusal(result)) return true;
+    if (result.outcome === OrderOutcome.Done) {
+      this.noteAnswer(result.clockMilliseconds);
+      run.status = RunStatus.Confirmed;
+      run.settledAt = this.clock.monotonicMilliseconds();
+      this.signal.notify();
+      return true;
+    }
+    // A refusal of a second try says nothing of the first, which may still be carried out.
+    if (retried) void this.stop(run);
+    else {
+      this.runs.delete(run.task);
+      this.host.startRefused(this, run, result.refusal);
+    }
+    return true;
+  }
+
+  /** Refusals that concern the whole session. */
+  private handledRefusal(result: {
+    readonly outcome: OrderOutcome;
+    readonly refusal?: OrderRefusal;
+  }): boolean {
+    if (result.outcome !== OrderOutcome.Refused) return false;
+    if (result.refusal === OrderRefusal.Fenced) {
+      this.host.fenced();
+      return true;
+    }
+    if (result.refusal === OrderRefusal.OtherLife) {
+      this.endLife('another life answers at its address');
+      return true;
+    }
+    return false;
+  }
+
+  private noteAnswer(clockMilliseconds: number): void {
+    const now = this.clock.monotonicMilliseconds();
+    this.lease.observe(clockMilliseconds, now);
+    if (this.silentSince === undefined) return;
+    this.logger.info(LogEvent.WorkerBack, {
+      worker: this.id,
+      silentMilliseconds: now - this.silentSince,
+    });
+    this.silentSince = undefined;
+    this.host.sessionChanged(this);
+  }
+
+  private noteSilence(): void {
+    const now = this.clock.monotonicMilliseconds();
+    if (this.silentSince === undefined) {
+      this.silentSince = now;
+      this.logger.warn(LogEvent.WorkerSilent, {
+        worker: this.id,
+        runs: this.runs.size,
+      });
+    }
+    if (this.runs.size === 0 || !this.leaseIsOver(now)) return;
+    this.logger.warn(LogEvent.WorkerLeaseOver, {
+      worker: this.id,
+      runs: this.runs.size,
+      silentMilliseconds: now - this.silentSince,
+    });
+    this.loseAllRuns();
+  }
+
+  /** Whether nothing that was ever started on the worker can be alive. */
+  private leaseIsOver(now: number): boolean {
+    if (this.lease.isKnown) return this.lease.hasLapsed(now);
+    const bound =
+      this.host.beganAt +
+      longestLease(this.host.leaseMilliseconds) +
+      LEASE_SLACK_MILLISECONDS;
+    return now > bound;
+  }
+
+  private loseAllRuns(): void {
+    for (const run of [...this.runs.values()]) this.end(run, RunEnd.Lost, '');
+  }
+
+  private end(run: LiveRun, end: RunEnd, checkpoint: string): void {
+    this.runs.delete(run.task);
+    this.host.runEnded(this, run, end, checkpoint);
+  }
+
+  private isExpected(run: LiveRun): boolean {
+    return !this.closed && this.runs.get(run.task) === run;
+  }
+
+  /** Waits while the term is being renewed; false when the session is over. */
+  private async waitUntilAllowed(): Promise<boolean> {
+    while (!this.closed && !this.host.ordersAllowed())
+      await sleep(this.clock, RETRY_MILLISECONDS / 4);
+    return !this.closed;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/coordinator-plugin.ts
@@ -0,0 +1,74 @@
+import {
+  Coordinator,
+  TermKeeper,
+  type CoordinatorParts,
+  type TermListener,
+} from '@gentiandoor/coordinator';
+import {
+  LogEvent,
+  MetricName,
+  type Plugin,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+
+/** Runs a coordinator while this daemon holds the term. */
+export class CoordinatorPlugin implements Plugin, TermListener {
+  private readonly keeper: TermKeeper;
+  private coordinator: Coordinator | undefined;
+
+  constructor(
+    private readonly parts: CoordinatorParts,
+    random: RandomSource,
+    incarnation: string,
+  ) {
+    this.keeper = new TermKeeper(
+      parts.log,
+      {node: parts.settings.node, incarnation},
+      parts.clock,
+      random,
+      parts.logger,
+      this,
+    );
+  }
+
+  /** The coordinator of the present term; undefined while another daemon has it. */
+  get current(): Coordinator | undefined {
+    return this.coordinator;
+  }
+
+  async start(): Promise<void> {
+    this.keeper.start();
+  }
+
+  /** Gives the term back first, so that another daemon goes on while this one lets its callers finish. */
+  async drain(): Promise<void> {
+    await this.keeper.stop();
+  }
+
+  async stop(): Promise<void> {
+    this.coordinator?.close();
+  }
+
+  termBegan(term: number): void {
+    this.coordinator?.close();
+    this.parts.metrics.increment(MetricName.TermsTaken);
+    const coordinator = new Coordinator(
+      term,
+      this.parts,
+      () => this.keeper.isValid,
+    );
+    this.coordinator = coordinator;
+    coordinator.run().catch((error: unknown) => {
+      this.parts.logger.error(LogEvent.TaskFailed, {
+        task: 'coordinator',
+        error: error instanceof Error ? error.stack : String(error),
+      });
+      throw error;
+    });
+  }
+
+  termEnded(): void {
+    this.coordinator?.close();
+    this.coordinator = undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http-server.ts
@@ -0,0 +1,58 @@
+import {createServer, type RequestListener, type Server} from 'node:http';
+import type {Plugin} from '@gentiandoor/kernel';
+
+/** A head that does not come whole within this is not worth a connection. */
+const HEAD_TIMEOUT_MILLISECONDS = 5_000;
+/** Callers keep connections for minutes; closing them ourselves would race with their next request. */
+const KEEP_ALIVE_MILLISECONDS = 75_000;
+
+/** An HTTP port as a part of the daemon. */
+export class HttpServerPlugin implements Plugin {
+  private readonly server: Server;
+
+  constructor(
+    private readonly address: string,
+    listener: RequestListener,
+  ) {
+    this.server = createServer(
+      {
+        keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+        headersTimeout: HEAD_TIMEOUT_MILLISECONDS,
+      },
+      listener,
+    );
+  }
+
+  get boundAddress(): string {
+    return this.address;
+  }
+
+  start(): Promise<void> {
+    const [host, port] = splitHostPort(this.address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Takes no new connections; resolves when the last one is closed. */
+  drain(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
+
+function splitHostPort(address: string): [string, number] {
+  const colon = address.lastIndexOf(':');
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,1 @@
+export * from './wiring.js';
--- /dev/null
+++ b/packages/entry/src/job-log-plugin.ts
@@ -0,0 +1,40 @@
+import type {StreamFollower} from '@gentiandoor/coordinator';
+import {
+  jitter,
+  type Clock,
+  type Plugin,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+
+/** Well within the time for which the store keeps records, so that a follower rarely starts from the newest ones. */
+const REFRESH_MILLISECONDS = 2_000;
+
+/** Keeps a daemon's view of the jobs warm, so that it can answer and take over at once. */
+export class JobLogPlugin implements Plugin {
+  private stopping = false;
+
+  constructor(
+    private readonly jobs: StreamFollower,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+  ) {}
+
+  async start(): Promise<void> {
+    void this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopping = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopping) {
+      if (this.jobs.ageMilliseconds > REFRESH_MILLISECONDS / 2)
+        await this.jobs.refresh();
+      const wait = jitter(this.random, REFRESH_MILLISECONDS);
+      await new Promise<void>(resolve => {
+        this.clock.schedule(wait, resolve);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/wiring.ts
@@ -0,0 +1,191 @@
+import {randomInt, randomUUID} from 'node:crypto';
+import {asFunction, createContainer, InjectionMode} from 'awilix';
+import {
+  GroupedAppender,
+  JobFrontDesk,
+  LogStream,
+  OperatorView,
+  StreamFollower,
+  type CoordinatorParts,
+  type EntrySettings,
+} from '@gentiandoor/coordinator';
+import {JobTable} from '@gentiandoor/jobs';
+import {
+  DrainState,
+  LifeCycle,
+  LogLevel,
+  MemoryMetrics,
+  PinoLogger,
+  SeededRandom,
+  SystemClock,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type NamedPlugin,
+  type RandomSource,
+} from '@gentiandoor/kernel';
+import {
+  CallerRoutes,
+  HttpCalls,
+  PlatformMachines,
+  PlatformRecords,
+  PlatformStore,
+  PlatformWorkers,
+} from '@gentiandoor/platform';
+import {CoordinatorPlugin} from './coordinator-plugin.js';
+import {HttpServerPlugin} from './http-server.js';
+import {JobLogPlugin} from './job-log-plugin.js';
+import {readinessListener} from './readiness-listener.js';
+
+const SEED_BOUND = 2 ** 31;
+/** Long waits hold some connections to the store while appends and reads need others. */
+const STORE_CONNECTIONS = 10;
+/** One for a look that waits, the others for starts. */
+const WORKER_CONNECTIONS = 4;
+
+/** Everything that a daemon on the platform is made of. */
+export interface EntryParts {
+  settings: EntrySettings;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  metrics: Metrics;
+  drainState: DrainState;
+  storeCalls: HttpCalls;
+  workerCalls: HttpCalls;
+  log: PlatformStore;
+  formats: PlatformRecords;
+  workers: PlatformWorkers;
+  machines: PlatformMachines;
+  operators: OperatorView;
+  table: JobTable;
+  jobs: StreamFollower;
+  desk: JobFrontDesk;
+  routes: CallerRoutes;
+  callers: HttpServerPlugin;
+  readiness: HttpServerPlugin;
+  jobLog: JobLogPlugin;
+  coordinator: CoordinatorPlugin;
+  lifeCycle: LifeCycle;
+}
+
+/** Wires a daemon; the only place where its parts are joined. */
+export function wireEntry(settings: EntrySettings): EntryParts {
+  const container = createContainer<EntryParts>({
+    injectionMode: InjectionMode.PROXY,
+    strict: true,
+  });
+  const single = <Part>(make: (parts: EntryParts) => Part) =>
+    asFunction(make).singleton();
+  container.register({
+    settings: single(() => settings),
+    clock: single(() => new SystemClock()),
+    random: single(() => new SeededRandom(randomInt(SEED_BOUND))),
+    logger: single(() => new PinoLogger(LogLevel.Info, {node: settings.node})),
+    metrics: single(() => new MemoryMetrics()),
+    drainState: single(() => new DrainState()),
+    storeCalls: single(() => new HttpCalls(STORE_CONNECTIONS)),
+    workerCalls: single(() => new HttpCalls(WORKER_CONNECTIONS)),
+    log: single(
+      parts => new PlatformStore(parts.storeCalls, () => settings.storeAddress),
+    ),
+    formats: single(() => new PlatformRecords()),
+    workers: single(parts => new PlatformWorkers(parts.workerCalls)),
+    machines: single(
+      parts =>
+        new PlatformMachines(
+          parts.storeCalls,
+          () => settings.machineListAddress,
+        ),
+    ),
+    operators: single(
+      ({log, formats, clock, logger}) =>
+        new OperatorView(log, formats, clock, logger),
+    ),
+    table: single(() => new JobTable()),
+    jobs: single(
+      ({log, table, clock, logger}) =>
+        new StreamFollower(log, LogStream.Jobs, table, clock, logger),
+    ),
+    desk: single(
+      ({table, jobs, log, clock, logger}) =>
+        new JobFrontDesk(
+          table,
+          jobs,
+          new GroupedAppender(log, LogStream.Jobs, clock),
+          clock,
+          logger,
+        ),
+    ),
+    routes: single(
+      ({desk, operators, clock, logger, drainState}) =>
+        new CallerRoutes({
+          desk,
+          operators,
+          clock,
+          logger,
+          isStopping: () => drainState.isDraining,
+        }),
+    ),
+    callers: single(
+      parts =>
+        new HttpServerPlugin(
+          settings.callerAddress,
+          parts.routes.app.callback(),
+        ),
+    ),
+    readiness: single(
+      parts =>
+        new HttpServerPlugin(
+          settings.readinessAddress,
+          readinessListener(parts.operators, parts.drainState),
+        ),
+    ),
+    jobLog: single(
+      parts => new JobLogPlugin(parts.jobs, parts.clock, parts.random),
+    ),
+    coordinator: single(
+      parts =>
+        new CoordinatorPlugin(
+          coordinatorParts(parts),
+          parts.random,
+          randomUUID(),
+        ),
+    ),
+    lifeCycle: single(parts => new LifeCycle(pluginsOf(parts), parts.logger)),
+  });
+  return container.cradle;
+}
+
+function coordinatorParts(parts: EntryParts): CoordinatorParts {
+  const {settings, log, formats, workers, machines} = parts;
+  const {operators, table, jobs, clock, logger, metrics} = parts;
+  return {
+    settings,
+    log,
+    formats,
+    workers,
+    machines,
+    operators,
+    table,
+    jobs,
+    clock,
+    logger,
+    metrics,
+  };
+}
+
+/** Parts in the order in which they start. */
+function pluginsOf(parts: EntryParts): NamedPlugin[] {
+  const operators = {
+    start: async () => parts.operators.start(),
+    stop: async () => parts.operators.stop(),
+  };
+  return [
+    {name: 'operators', plugin: operators},
+    {name: 'job log', plugin: parts.jobLog},
+    {name: 'callers', plugin: parts.callers},
+    {name: 'readiness', plugin: parts.readiness},
+    {name: 'coordinator', plugin: parts.coordinator},
+  ];
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,5 @@
+export * from './job.js';
+export * from './job-execution.js';
+export * from './job-progress.js';
+export * from './job-records.js';
+export * from './job-table.js';
--- /dev/null
+++ b/packages/jobs/src/job-execution.ts
@@ -0,0 +1,231 @@
+import {
+  JobState,
+  RunEnd,
+  isFinal,
+  occurrenceCount,
+  taskKey,
+  type JobSubmission,
+  type StepSpecification,
+  type TaskIndex,
+} from './job.js';
+import {
+  emptyTaskProgress,
+  type JobProgress,
+  type TaskProgress,
+} from './job-progress.js';
+
+/** A task of a job with its step. */
+export interface ExecutableTask extends TaskIndex {
+  readonly key: string;
+  readonly specification: StepSpecification;
+  readonly progress: TaskProgress;
+}
+
+/** One step of one occurrence: the unit in which tasks become ready. */
+interface StepGroup {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly tasks: ExecutableTask[];
+  remaining: number;
+}
+
+/** What the end of a run changed. */
+export enum EndEffect {
+  /** A run that is not the task's last one; nothing changed. */
+  Stale = 'stale',
+  /** The task is done. */
+  TaskDone = 'task_done',
+  /** The task is to be started again. */
+  Again = 'again',
+  /** The job has come to its end by it. */
+  JobEnded = 'job_ended',
+}
+
+/**
+ * The coordinator's working copy of one job: which tasks may start, and what ends of runs mean.
+ * A run is counted when it is ordered and an end when it is read, ahead of the log: an end that
+ * counted only once it was stored would let a failing task start again within the same round trip.
+ */
+export class JobExecution {
+  private readonly groups = new Map<string, StepGroup>();
+  private openGroups = 0;
+  /** Longest chain of estimated task times of all steps, in milliseconds. */
+  readonly wholeChain: number;
+
+  constructor(
+    readonly job: JobSubmission,
+    readonly progress: JobProgress,
+  ) {
+    this.wholeChain = longestChain(job, () => true);
+    for (let k = 0; k < occurrenceCount(job); k++)
+      job.steps.forEach((step, index) => this.addGroup(k, index, step));
+  }
+
+  /** True when nothing of the job starts any more. */
+  get ended(): boolean {
+    return isFinal(this.progress.state);
+  }
+
+  /** Tasks whose run may be alive on a worker. */
+  *liveTasks(): Iterable<ExecutableTask> {
+    for (const group of this.groups.values())
+      for (const task of group.tasks)
+        if (task.progress.worker !== '') yield task;
+  }
+
+  /** Every task of one step of one occurrence. */
+  tasksOfStep(occurrence: number, step: number): readonly ExecutableTask[] {
+    return this.groups.get(groupKey(occurrence, step))?.tasks ?? [];
+  }
+
+  /** The task under `key`. */
+  task(key: string): ExecutableTask | undefined {
+    const [occurrence, step, index] = key.split('.').map(Number);
+    return this.tasksOfStep(occurrence, step)[index];
+  }
+
+  /** Wall-clock time at which an occurrence is due; 0 for a job without occurrences. */
+  dueAt(occurrence: number): number {
+    const {repeat} = this.job;
+    if (!repeat) return 0;
+    return (
+      repeat.startAtMilliseconds + occurrence * repeat.intervalMilliseconds
+    );
+  }
+
+  /** Tasks that may start at the wall-clock time `now`: earlier steps done, due, with no live run. */
+  readyTasks(now: number): ExecutableTask[] {
+    if (this.ended) return [];
+    const ready: ExecutableTask[] = [];
+    for (const group of this.groups.values()) {
+      if (!this.isGroupReady(group, now)) continue;
+      for (const task of group.tasks)
+        if (!task.progress.done && task.progress.worker === '')
+          ready.push(task);
+    }
+    return ready;
+  }
+
+  /** Notes that a run is about to be ordered; returns its number. */
+  beginRun(task: ExecutableTask, worker: string, run?: number): number {
+    task.progress.run = run ?? task.progress.run + 1;
+    task.progress.worker = worker;
+    this.progress.tasks.set(task.key, task.progress);
+    if (this.progress.state === JobState.Queued)
+      this.progress.state = JobState.Running;
+    return task.progress.run;
+  }
+
+  /** Notes how a run ended. `maximumAttempts` bounds the runs that end as failed. */
+  endRun(
+    task: ExecutableTask,
+    run: number,
+    end: RunEnd,
+    checkpoint: string,
+    maximumAttempts: number,
+  ): EndEffect {
+    const {progress} = task;
+    if (progress.run !== run || progress.worker === '') return EndEffect.Stale;
+    progress.worker = '';
+    if (checkpoint !== '') progress.checkpoint = checkpoint;
+    if (this.ended) return EndEffect.JobEnded;
+    if (end === RunEnd.Done && !task.specification.longRunning)
+      return this.completeRun(task);
+    if (end !== RunEnd.Failed) return EndEffect.Again;
+    progress.failures++;
+    const bounded = !task.specification.longRunning;
+    if (!bounded || progress.failures < maximumAttempts) return EndEffect.Again;
+    this.progress.state = JobState.Failed;
+    return EndEffect.JobEnded;
+  }
+
+  /** Ends the job at a caller's wish. */
+  cancel(): void {
+    if (!this.ended) this.progress.state = JobState.Cancelled;
+  }
+
+  /** Longest chain of estimated task times from `occurrence`'s open steps to its end, in milliseconds. */
+  remainingChain(occurrence: number): number {
+    return longestChain(
+      this.job,
+      step => (this.groups.get(groupKey(occurrence, step))?.remaining ?? 0) > 0,
+    );
+  }
+
+  /** Wall-clock time of the next occurrence that is not due yet; undefined for none. */
+  nextDueAfter(now: number): number | undefined {
+    if (!this.job.repeat || this.ended) return undefined;
+    for (let k = 0; k < this.job.repeat.count; k++)
+      if (this.dueAt(k) > now) return this.dueAt(k);
+    return undefined;
+  }
+
+  private addGroup(
+    occurrence: number,
+    step: number,
+    specification: StepSpecification,
+  ): void {
+    const tasks: ExecutableTask[] = [];
+    let remaining = 0;
+    for (let index = 0; index < specification.taskCount; index++) {
+      const key = taskKey({occurrence, step, index});
+      const progress = this.progress.tasks.get(key) ?? emptyTaskProgress();
+      if (!progress.done) remaining++;
+      tasks.push({occurrence, step, index, key, specification, progress});
+    }
+    this.groups.set(groupKey(occurrence, step), {
+      occurrence,
+      step,
+      tasks,
+      remaining,
+    });
+    if (remaining > 0) this.openGroups++;
+  }
+
+  private isGroupReady(group: StepGroup, now: number): boolean {
+    if (group.remaining === 0) return false;
+    if (now < this.dueAt(group.occurrence)) return false;
+    return this.job.steps[group.step].after.every(
+      earlier =>
+        this.groups.get(groupKey(group.occurrence, earlier))?.remaining === 0,
+    );
+  }
+
+  /** One end of a gang's run as done stands for all its members. */
+  private completeRun(task: ExecutableTask): EndEffect {
+    if (!task.specification.gang) return this.completeTask(task);
+    let effect = EndEffect.TaskDone;
+    for (const member of this.tasksOfStep(task.occurrence, task.step)) {
+      if (member.progress.done) continue;
+      member.progress.worker = '';
+      effect = this.completeTask(member);
+    }
+    return effect;
+  }
+
+  private completeTask(task: ExecutableTask): EndEffect {
+    task.progress.done = true;
+    const group = this.groups.get(groupKey(task.occurrence, task.step));
+    if (group && --group.remaining === 0) this.openGroups--;
+    if (this.openGroups > 0) return EndEffect.TaskDone;
+    this.progress.state = JobState.Completed;
+    return EndEffect.JobEnded;
+  }
+}
+
+function longestChain(
+  job: JobSubmission,
+  counts: (step: number) => boolean,
+): number {
+  const length: number[] = [];
+  job.steps.forEach((step, index) => {
+    const own = counts(index) ? step.estimatedMilliseconds : 0;
+    const before = step.after.map(earlier => length[earlier] ?? 0);
+    length.push(own + Math.max(0, ...before));
+  });
+  return Math.max(0, ...length);
+}
+
+function groupKey(occurrence: number, step: number): string {
+  return `${occurrence}.${step}`;
+}
--- /dev/null
+++ b/packages/jobs/src/job-progress.ts
@@ -0,0 +1,30 @@
+import {JobState} from './job.js';
+
+/** What must outlast the coordinator about one task. */
+export interface TaskProgress {
+  /** Number of the last run that was ordered; 0 for none. */
+  run: number;
+  done: boolean;
+  /** Runs that ended as failed. */
+  failures: number;
+  checkpoint: string;
+  /** Worker whose run may be alive; empty for none. */
+  worker: string;
+}
+
+/** What must outlast the coordinator about one job. */
+export interface JobProgress {
+  state: JobState;
+  /** Tasks that were ordered at least once, by `taskKey`. */
+  tasks: Map<string, TaskProgress>;
+}
+
+/** Progress of a job that was just taken in. */
+export function emptyProgress(): JobProgress {
+  return {state: JobState.Queued, tasks: new Map()};
+}
+
+/** A task that was never ordered. */
+export function emptyTaskProgress(): TaskProgress {
+  return {run: 0, done: false, failures: 0, checkpoint: '', worker: ''};
+}
--- /dev/null
+++ b/packages/jobs/src/job-records.ts
@@ -0,0 +1,132 @@
+import {JobState, type JobSubmission} from './job.js';
+import {type JobProgress, type TaskProgress} from './job-progress.js';
+
+/** Kinds of records about a job; each kind has a key of its own, so that one never hides another. */
+export enum JobRecordKind {
+  Submission = 'submission',
+  Cancellation = 'cancellation',
+  Progress = 'progress',
+}
+
+/** A record about a job. */
+export type JobRecord =
+  | {readonly kind: JobRecordKind.Submission; readonly job: JobSubmission}
+  | {readonly kind: JobRecordKind.Cancellation; readonly jobId: string}
+  | {
+      readonly kind: JobRecordKind.Progress;
+      readonly jobId: string;
+      readonly progress: JobProgress;
+    };
+
+/** A record as the log keeps it: the newest value of each key stays. */
+export interface KeyedRecord {
+  readonly key: string;
+  /** Undefined drops the key. */
+  readonly value: Buffer | undefined;
+}
+
+const KEY_PREFIXES: Readonly<Record<JobRecordKind, string>> = {
+  [JobRecordKind.Submission]: 'j/',
+  [JobRecordKind.Cancellation]: 'c/',
+  [JobRecordKind.Progress]: 'p/',
+};
+
+type PackedTask = [string, number, number, number, string, string];
+
+/** Key of the record of `kind` about `jobId`. */
+export function jobRecordKey(kind: JobRecordKind, jobId: string): string {
+  return KEY_PREFIXES[kind] + jobId;
+}
+
+/** Writes a record. */
+export function encodeJobRecord(record: JobRecord): KeyedRecord {
+  switch (record.kind) {
+    case JobRecordKind.Submission:
+      return keyed(record.kind, record.job.id, record.job);
+    case JobRecordKind.Cancellation:
+      return keyed(record.kind, record.jobId, {});
+    case JobRecordKind.Progress:
+      return keyed(record.kind, record.jobId, packProgress(record.progress));
+  }
+}
+
+/** Records that drop everything about a job. */
+export function dropJobRecords(jobId: string): KeyedRecord[] {
+  return Object.values(JobRecordKind).map(kind => ({
+    key: jobRecordKey(kind, jobId),
+    value: undefined,
+  }));
+}
+
+/** What a key of the job log names; undefined for a key of another kind. */
+export function parseJobRecordKey(
+  key: string,
+): {readonly kind: JobRecordKind; readonly jobId: string} | undefined {
+  for (const kind of Object.values(JobRecordKind)) {
+    const prefix = KEY_PREFIXES[kind];
+    if (key.startsWith(prefix)) return {kind, jobId: key.slice(prefix.length)};
+  }
+  return undefined;
+}
+
+/** Reads a record; throws when its bytes are not one of ours. */
+export function decodeJobRecord(
+  kind: JobRecordKind,
+  jobId: string,
+  value: Buffer,
+): JobRecord {
+  const parsed: unknown = JSON.parse(value.toString('utf8'));
+  if (typeof parsed !== 'object' || parsed === null)
+    throw new Error(`record of job ${jobId} is not an object`);
+  switch (kind) {
+    case JobRecordKind.Submission:
+      return {kind, job: readSubmission(jobId, parsed as JobSubmission)};
+    case JobRecordKind.Cancellation:
+      return {kind, jobId};
+    case JobRecordKind.Progress:
+      return {kind, jobId, progress: unpackProgress(jobId, parsed)};
+  }
+}
+
+function keyed(
+  kind: JobRecordKind,
+  jobId: string,
+  value: unknown,
+): KeyedRecord {
+  return {
+    key: jobRecordKey(kind, jobId),
+    value: Buffer.from(JSON.stringify(value)),
+  };
+}
+
+function readSubmission(jobId: string, job: JobSubmission): JobSubmission {
+  if (job.id !== jobId || !Array.isArray(job.steps) || job.steps.length === 0)
+    throw new Error(`submission of job ${jobId} is not whole`);
+  return job;
+}
+
+function packProgress(progress: JobProgress): unknown {
+  const tasks: PackedTask[] = [...progress.tasks].map(([key, task]) => [
+    key,
+    task.run,
+    task.done ? 1 : 0,
+    task.failures,
+    task.checkpoint,
+    task.worker,
+  ]);
+  return {state: progress.state, tasks};
+}
+
+function unpackProgress(jobId: string, packed: object): JobProgress {
+  const {state, tasks} = packed as {state?: JobState; tasks?: PackedTask[]};
+  if (state === undefined || !Object.values(JobState).includes(state))
+    throw new Error(`progress of job ${jobId} has no known state`);
+  if (!Array.isArray(tasks))
+    throw new Error(`progress of job ${jobId} has no tasks`);
+  return {state, tasks: new Map(tasks.map(unpackTask))};
+}
+
+function unpackTask(packed: PackedTask): [string, TaskProgress] {
+  const [key, run, done, failures, checkpoint, worker] = packed;
+  return [key, {run, done: done === 1, failures, checkpoint, worker}];
+}
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -125,4 +125,79 @@
     'This daemon stopped without handing its held answers over; retries are told that the key was run.',
     'check the links between daemons before the next planned stop',
   ),
+  [LogEvent.JobTaken]: entry('A job was taken in: it is in the store.'),
+  [LogEvent.JobRefused]: entry(
+    'A job was not taken in, or its fate is not known; `answer` says which.',
+    'look at the store lines around it',
+  ),
+  [LogEvent.JobCancelAsked]: entry('A caller cancelled a job.'),
+  [LogEvent.JobEnded]: entry('A job has come to its end; `state` says how.'),
+  [LogEvent.RunOrdered]: entry(
+    'A run is stored and its order goes to the worker.',
+  ),
+  [LogEvent.RunEnded]: entry(
+    'A run is over; `end` says how and `effect` what follows.',
+  ),
+  [LogEvent.RunRefused]: entry(
+    'A worker refused to start a run; `refusal` says why.',
+  ),
+  [LogEvent.RunStopped]: entry('A run that nobody expects is stopped.'),
+  [LogEvent.TermTaken]: entry(
+    'This daemon gives the orders from now on; `term` is the fencing token.',
+  ),
+  [LogEvent.TermLost]: entry(
+    'This daemon gives no orders any more.',
+    'look for the daemon that has taken the next term',
+  ),
+  [LogEvent.TermReleased]: entry(
+    'This daemon gave its term back before its stop.',
+  ),
+  [LogEvent.RecoveryFinished]: entry(
+    'The coordinator knows what the one before had ordered.',
+  ),
+  [LogEvent.WorkerFound]: entry('A worker has an entry in the store.'),
+  [LogEvent.WorkerLeft]: entry(
+    'The life of a worker is over; `reason` says how that is known.',
+  ),
+  [LogEvent.WorkerSilent]: entry(
+    'A worker does not answer.',
+    'if it stays so, look at its VM and the way to it',
+  ),
+  [LogEvent.WorkerBack]: entry('A silent worker answers again.'),
+  [LogEvent.WorkerLeaseOver]: entry(
+    'Every lease on a silent worker has run out: its runs are over.',
+  ),
+  [LogEvent.WorkerSuspect]: entry(
+    'A worker fails or stalls what others do well.',
+  ),
+  [LogEvent.VmOrdered]: entry(
+    'A VM was told to move or to be maintained; `outcome` says what became of it.',
+  ),
+  [LogEvent.WaveSeen]: entry('Operators ask for a wave of maintenance.'),
+  [LogEvent.WaveCompleted]: entry('Each VM of a wave has had its maintenance.'),
+  [LogEvent.PoolPlanned]: entry(
+    'The size wanted for a pool has changed; the line gives what decided it.',
+  ),
+  [LogEvent.ConfigurationInForce]: entry(
+    'A configuration is in force at this daemon.',
+  ),
+  [LogEvent.StoreLost]: entry(
+    'The platform\u2019s store does not answer this daemon.',
+    'look whether other daemons reach it',
+  ),
+  [LogEvent.StoreBack]: entry('The platform\u2019s store answers again.'),
+  [LogEvent.SettingsChanged]: entry(
+    'The settings file has changed and was read again.',
+  ),
+  [LogEvent.SettingsUnreadable]: entry(
+    'The settings file can\u2019t be read; the last good one stays.',
+    'correct the file',
+  ),
+  [LogEvent.LinesLeftOut]: entry(
+    'Log lines of one kind were left out to bound the volume; `count` says how many.',
+  ),
+  [LogEvent.TaskFailed]: entry(
+    'A background task ended with an error; the daemon ends.',
+    'report it with the line',
+  ),
 };
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -100,4 +100,26 @@
   [MetricName.EventLoopDelay]: timing(
     'milliseconds by which the event loop ran late',
   ),
+  [MetricName.JobSubmissions]: counter(
+    'answers to submissions of jobs, by answer',
+    'answer',
+  ),
+  [MetricName.JobIntakeDuration]: timing(
+    'milliseconds from a submission to its answer',
+  ),
+  [MetricName.JobEnds]: counter('jobs that came to their end', 'state'),
+  [MetricName.RunEnds]: counter('runs that are over, by how they ended', 'end'),
+  [MetricName.RunRefusals]: counter(
+    'starts that workers refused, by reason',
+    'reason',
+  ),
+  [MetricName.RunWaitDuration]: timing(
+    'milliseconds from the choice of a worker to the order to start',
+  ),
+  [MetricName.VmOrders]: counter(
+    'orders about VMs, by order and outcome',
+    'order',
+    'outcome',
+  ),
+  [MetricName.TermsTaken]: counter('terms that this daemon took'),
 };
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -39,6 +39,22 @@
   /** Bytes of answers held for replay. */
   HeldAnswerBytes = 'held_answer_bytes',
   EventLoopDelay = 'event_loop_delay',
+  /** Answers to submissions, by answer. */
+  JobSubmissions = 'job_submissions',
+  /** Milliseconds from a submission to its answer. */
+  JobIntakeDuration = 'job_intake_duration',
+  /** Jobs that came to their end, by state. */
+  JobEnds = 'job_ends',
+  /** Runs that are over, by how they ended. */
+  RunEnds = 'run_ends',
+  /** Starts that workers refused, by reason. */
+  RunRefusals = 'run_refusals',
+  /** Milliseconds from a task's turn to the order to start it. */
+  RunWaitDuration = 'run_wait_duration',
+  /** Orders about VMs, by order and outcome. */
+  VmOrders = 'vm_orders',
+  /** Terms that this daemon took. */
+  TermsTaken = 'terms_taken',
 }
 
 /** Labels of one metric. */
--- /dev/null
+++ b/packages/scheduling/src/worker-choice.ts
@@ -0,0 +1,72 @@
+import type {StepSpecification} from '@gentiandoor/jobs';
+import {fits, type PlacementWorker} from './worker-room.js';
+
+/** A task that is to be placed. */
+export interface PlacementRequest {
+  /** Names the step of the occurrence, for the bound of tasks on one worker. */
+  readonly stepKey: string;
+  readonly step: StepSpecification;
+  /** Workers on which runs of the task have failed. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** Chooses a worker for a task. */
+export interface WorkerChoice {
+  /** Undefined when no worker can take the task now. */
+  choose(
+    request: PlacementRequest,
+    workers: readonly PlacementWorker[],
+  ): PlacementWorker | undefined;
+}
+
+/** A rack off the preferred one, in fullness: any worker on the right rack goes first. */
+const RACK_BONUS = 10;
+/** A worker that has failed the task before, in fullness: any other goes first. */
+const AVOID_PENALTY = 100;
+/** Distrust counts more than fullness and less than a rack. */
+const TRUST_WEIGHT = 4;
+/** A worker that already takes filling work is the last choice for more: they disturb what serves. */
+const FILLING_PENALTY = 1;
+
+/**
+ * Fullest worker that fits.
+ * Load: bursts of short tasks beside tasks that last, in pools that give VMs away when they idle.
+ * Without it every VM carries a little, none is ever idle, and the pool can't shrink. Tasks that
+ * fill go to the emptiest worker instead, since they slow down what serves beside them.
+ */
+export class FullestFirst implements WorkerChoice {
+  choose(
+    request: PlacementRequest,
+    workers: readonly PlacementWorker[],
+  ): PlacementWorker | undefined {
+    let best: PlacementWorker | undefined;
+    let bestScore = -Infinity;
+    for (const worker of workers) {
+      if (!this.allowed(request, worker)) continue;
+      const score = this.score(request, worker);
+      if (score <= bestScore) continue;
+      best = worker;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  private allowed(request: PlacementRequest, worker: PlacementWorker): boolean {
+    const {step, stepKey} = request;
+    if (!fits(worker, step)) return false;
+    if (step.maximumPerWorker === 0) return true;
+    return worker.countOf(stepKey) < step.maximumPerWorker;
+  }
+
+  private score(request: PlacementRequest, worker: PlacementWorker): number {
+    const {step, avoid} = request;
+    const fullness = 1 - worker.freeMillicores / worker.totalMillicores;
+    let score = step.fills
+      ? -fullness - FILLING_PENALTY * worker.fillingTasks - worker.servingTasks
+      : fullness;
+    if (step.preferredRack && worker.labels.includes(step.preferredRack))
+      score += RACK_BONUS;
+    if (avoid.has(worker.id)) score -= AVOID_PENALTY;
+    return score - TRUST_WEIGHT * (1 - worker.trust);
+  }
+}
