Leases of silent workers end, last ends are acknowledged, a stuck task gets a VM; stand-ins and failure tests

Cause (each found by a test that failed first): looks at a silent worker went on offering it leases, so that its tasks were never free to start elsewhere; the last ends of a worker were stored and never acknowledged; a little work without any usable worker never fetched a VM, and a silent worker counted as one on its way. Change: no lease with looks at a silent worker; what a worker was told of its ends is tracked apart from what is stored; planned pools know how long work has waited.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -0,0 +1,364 @@
+import {
+  JobTable,
+  RunEnd,
+  type JobSubmission,
+  type StepSpecification,
+} from '@gentiandoor/jobs';
+import {
+  MemoryMetrics,
+  SeededRandom,
+  SilentLogger,
+  VirtualClock,
+} from '@gentiandoor/kernel';
+import {
+  Coordinator,
+  GroupedAppender,
+  JobFrontDesk,
+  LogStream,
+  OperatorView,
+  StreamFollower,
+  TermKeeper,
+  VmState,
+  type CoordinatorParts,
+  type EntrySettings,
+  type OperatorRecord,
+  type RecordFormats,
+  type WorkerEntry,
+} from '../index.js';
+import {
+  MemoryStore,
+  SimulatedFleet,
+  SimulatedWorker,
+  SimulatedWorkers,
+  type BegunRun,
+  type StoreConnection,
+  type TaskBehaviour,
+  type WorkerConnection,
+} from '../stand-ins/index.js';
+
+/** Records of others in the tests' own format. */
+class PlainFormats implements RecordFormats {
+  operatorRecord(record: {value: Buffer | undefined}): OperatorRecord {
+    return JSON.parse(String(record.value)) as OperatorRecord;
+  }
+
+  workerEntry(record: {value: Buffer | undefined}): WorkerEntry {
+    return JSON.parse(String(record.value)) as WorkerEntry;
+  }
+
+  waveReport(
+    wave: number,
+    state: string,
+  ): {key: string; value: Buffer | undefined} {
+    return {key: `wave/${wave}`, value: Buffer.from(state)};
+  }
+}
+
+export const SERVICE = 'previews';
+export const QUEUE = 'quick-previews';
+export const STANDBY = 'spare';
+const ROOM = {
+  processorMillicores: 8_000,
+  memoryMegabytes: 64_000,
+  accelerators: 0,
+};
+const TASK_ROOM = {
+  processorMillicores: 1_000,
+  memoryMegabytes: 100,
+  accelerators: 0,
+};
+
+/** One daemon of a test: its own connections, table, desk and term. */
+export class TestDaemon {
+  readonly store: StoreConnection;
+  readonly workers: WorkerConnection;
+  readonly table = new JobTable();
+  readonly jobs: StreamFollower;
+  readonly desk: JobFrontDesk;
+  readonly operators: OperatorView;
+  readonly keeper: TermKeeper;
+  readonly parts: CoordinatorParts;
+  coordinator: Coordinator | undefined;
+
+  constructor(deployment: TestDeployment, node: string, life = '1') {
+    const {clock} = deployment;
+    const logger = new SilentLogger();
+    this.store = deployment.store.connect();
+    this.workers = deployment.workers.connect();
+    this.jobs = new StreamFollower(
+      this.store,
+      LogStream.Jobs,
+      this.table,
+      clock,
+      logger,
+    );
+    this.desk = new JobFrontDesk(
+      this.table,
+      this.jobs,
+      new GroupedAppender(this.store, LogStream.Jobs, clock),
+      clock,
+      logger,
+    );
+    this.operators = new OperatorView(
+      this.store,
+      new PlainFormats(),
+      clock,
+      logger,
+    );
+    this.parts = {
+      settings: settingsOf(node),
+      log: this.store,
+      formats: new PlainFormats(),
+      workers: this.workers,
+      machines: deployment.fleet,
+      operators: this.operators,
+      table: this.table,
+      jobs: this.jobs,
+      clock,
+      logger,
+      metrics: new MemoryMetrics(),
+    };
+    this.keeper = new TermKeeper(
+      this.store,
+      {node, incarnation: `${node}/${life}`},
+      clock,
+      new SeededRandom(7),
+      logger,
+      {
+        termBegan: term => this.begin(term),
+        termEnded: () => this.end(),
+      },
+    );
+  }
+
+  start(): void {
+    this.operators.start();
+    this.keeper.start();
+  }
+
+  /** The process is gone at once, with everything in it. */
+  kill(): void {
+    this.operators.stop();
+    this.end();
+    // A killed process writes nothing more; the keeper's promise is left behind.
+    this.store.setFault('killed' as never);
+  }
+
+  private begin(term: number): void {
+    this.coordinator?.close();
+    this.coordinator = new Coordinator(
+      term,
+      this.parts,
+      () => this.keeper.isValid,
+    );
+    void this.coordinator.run();
+  }
+
+  private end(): void {
+    this.coordinator?.close();
+    this.coordinator = undefined;
+  }
+}
+
+/** A deployment of stand-ins on a virtual clock. */
+export class TestDeployment {
+  readonly clock = new VirtualClock();
+  readonly store = new MemoryStore(this.clock);
+  readonly workers = new SimulatedWorkers(this.clock);
+  readonly fleet = new SimulatedFleet(this.clock);
+  readonly behaviours = new Map<string, TaskBehaviour>();
+  private lives = 0;
+
+  constructor(workerCount: number) {
+    this.publishConfiguration(1);
+    for (let index = 0; index < workerCount; index++)
+      this.addWorker(`worker-${index}`, SERVICE);
+  }
+
+  publishConfiguration(version: number): void {
+    const record: OperatorRecord = {
+      kind: 'configuration',
+      configuration: {
+        version,
+        maximumBodyBytes: 100_000,
+        queues: [
+          {
+            name: QUEUE,
+            host: 'previews.example',
+            pathPrefix: '/q/',
+            service: SERVICE,
+            priority: 0,
+            maximumAttempts: 3,
+            stretch: 2,
+            latencyMilliseconds: 500,
+            timeoutMilliseconds: 3_000,
+            adviceValidMilliseconds: 0,
+          },
+        ],
+        services: [
+          {name: SERVICE, standby: false, enforcesRoom: true, healthPath: ''},
+          {name: STANDBY, standby: true, enforcesRoom: true, healthPath: ''},
+        ],
+      },
+    };
+    this.writeOperatorRecord('config', record);
+  }
+
+  writeOperatorRecord(key: string, record: OperatorRecord): void {
+    this.store.write(LogStream.Operator, {
+      key,
+      value: Buffer.from(JSON.stringify(record)),
+    });
+  }
+
+  /** A worker with an entry, on a VM of the same name in its pool. */
+  addWorker(name: string, service: string, onVm = name): SimulatedWorker {
+    const worker = this.workers.add(
+      new SimulatedWorker(name, service, ROOM, this.clock, task =>
+        this.behaviourOf(task),
+      ),
+    );
+    this.writeEntry(worker);
+    this.fleet.add({
+      name: onVm,
+      pool: service,
+      state: VmState.Up,
+      dataCentre: 'one',
+      labels: ['rack-1'],
+      room: ROOM,
+      workerId: name,
+    });
+    return worker;
+  }
+
+  writeEntry(worker: SimulatedWorker): void {
+    this.store.write(LogStream.Workers, {
+      key: worker.id,
+      value: Buffer.from(JSON.stringify(worker.entry())),
+    });
+  }
+
+  /** The VM order ends the life of the worker on it, and a new one begins. */
+  linkFleet(): void {
+    this.fleet.onOrder = order => {
+      const before = this.fleet.vms.get(order.vm);
+      this.worker(before?.workerId ?? '')?.crash();
+      const id = `${order.vm}/${++this.lives}`;
+      const pool = order.kind === 'move' ? order.to : (before?.pool ?? '');
+      const takes = order.kind === 'move' ? 1_500 : 2_000;
+      this.clock.schedule(takes, () => {
+        const worker = this.workers.add(
+          new SimulatedWorker(id, pool, ROOM, this.clock, task =>
+            this.behaviourOf(task),
+          ),
+        );
+        this.writeEntry(worker);
+      });
+      return id;
+    };
+  }
+
+  worker(id: string): SimulatedWorker | undefined {
+    return this.workers.byAddress.get(id);
+  }
+
+  async run(milliseconds: number): Promise<void> {
+    await this.clock.advanceAsync(milliseconds);
+  }
+
+  /** Every run that any worker began, in order. */
+  begunRuns(): BegunRun[] {
+    return [...this.workers.byAddress.values()]
+      .flatMap(worker => worker.begun)
+      .sort((left, right) => left.begunAt - right.begunAt);
+  }
+
+  private behaviourOf(task: string): TaskBehaviour {
+    const job = task.split('.')[0];
+    return (
+      this.behaviours.get(job) ?? {
+        durationMilliseconds: 500,
+        end: RunEnd.Done,
+        room: TASK_ROOM,
+      }
+    );
+  }
+}
+
+const STEP: StepSpecification = {
+  taskCount: 1,
+  processorMillicores: 1_000,
+  memoryMegabytes: 100,
+  accelerators: 0,
+  estimatedMilliseconds: 500,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  sameRack: false,
+  requiredLabel: '',
+  preferredRack: '',
+  maximumPerWorker: 0,
+  speculative: false,
+  longRunning: false,
+  image: '',
+  targetMilliseconds: 0,
+  fills: false,
+  mayMiss: 0,
+};
+
+/** A step with the given differences from a plain one. */
+export function step(
+  differences: Partial<StepSpecification> = {},
+): StepSpecification {
+  return {...STEP, ...differences};
+}
+
+/** A job of the given steps. */
+export function job(
+  id: string,
+  steps: readonly StepSpecification[] = [step()],
+): JobSubmission {
+  return {
+    id,
+    queue: QUEUE,
+    service: SERVICE,
+    payload: 'text',
+    steps,
+    submittedAtMilliseconds: 1_700_000_000_000,
+  };
+}
+
+/** Behaviour of the tasks of a job. */
+export function behaviour(
+  differences: Partial<TaskBehaviour> = {},
+): TaskBehaviour {
+  return {
+    durationMilliseconds: 500,
+    end: RunEnd.Done,
+    room: TASK_ROOM,
+    ...differences,
+  };
+}
+
+function settingsOf(node: string): EntrySettings {
+  return {
+    node,
+    dataCentre: 'one',
+    callerAddress: '',
+    readinessAddress: '',
+    storeAddress: '',
+    machineListAddress: '',
+    adviceAddress: '',
+    limits: {
+      maximumLease: 10_000,
+      cancel: 3_000,
+      notice: 4_500,
+      holderChange: 3_000,
+      grace: 6_000,
+      stateKept: 120_000,
+      move: 1_500,
+      maintenance: 2_000,
+      harm: 4_000,
+    },
+  };
+}
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -36,8 +36,16 @@
   /** Millicores that waiting tasks ask for. */
   readonly waitingMillicores: number;
   readonly waitingTasks: number;
+  /** Since when tasks have waited without a break; undefined while none does. */
+  readonly waitingSince: number | undefined;
 }
 
+const NO_LOAD: ServiceLoad = {
+  waitingMillicores: 0,
+  waitingTasks: 0,
+  waitingSince: undefined,
+};
+
 /** Places the ready tasks of all jobs on workers. */
 export class Dispatcher {
   private readonly active = new Map<string, Set<JobExecution>>();
@@ -81,7 +89,7 @@
   }
 
   loadOf(service: string): ServiceLoad {
-    return this.loads.get(service) ?? {waitingMillicores: 0, waitingTasks: 0};
+    return this.loads.get(service) ?? NO_LOAD;
   }
 
   /** Places what waits for `service` in the next turn. */
@@ -145,7 +153,9 @@
             waitingMillicores += task.specification.processorMillicores;
       }
     }
-    this.loads.set(service, {waitingMillicores, waitingTasks});
+    const before = this.loadOf(service).waitingSince;
+    const waitingSince = waitingTasks > 0 ? (before ?? now) : undefined;
+    this.loads.set(service, {waitingMillicores, waitingTasks, waitingSince});
   }
 
   private candidates(service: string, now: number): Candidate[] {
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -145,7 +145,7 @@
     return services.map(service => ({
       service: service.name,
       standby: service.standby,
-      waitingMillicores: this.dispatcher.loadOf(service.name).waitingMillicores,
+      ...this.waitingIn(service.name, now),
       arriving: this.arrivingAt(service.name),
       vms: this.vms
         .filter(
@@ -159,6 +159,18 @@
     }));
   }
 
+  private waitingIn(
+    service: string,
+    now: number,
+  ): Pick<PlannedPool, 'waitingMillicores' | 'waitingMilliseconds'> {
+    const {waitingMillicores, waitingSince} = this.dispatcher.loadOf(service);
+    return {
+      waitingMillicores,
+      waitingMilliseconds:
+        waitingSince === undefined ? 0 : Math.max(1, now - waitingSince),
+    };
+  }
+
   private arrivingAt(service: string): number {
     const ordered = [...this.orders.values()].filter(
       order => order.kind === 'move' && order.to === service,
@@ -176,7 +188,7 @@
   private isComing(vm: ListedVm): boolean {
     if (vm.state !== VmState.Up) return false;
     const session = this.registry.find(vm.workerId);
-    return !session || (!session.takesStarts && !session.isReserved);
+    return !session || session.isStarting;
   }
 
   private isMovable(vm: ListedVm, standby: boolean): boolean {
@@ -185,7 +197,10 @@
     const session = this.registry.find(vm.workerId);
     if (!session) return standby;
     return (
-      session.runs.size === 0 && !session.isDraining && !session.isReserved
+      session.runs.size === 0 &&
+      session.silentFrom === undefined &&
+      !session.isDraining &&
+      !session.isReserved
     );
   }
 
--- /dev/null
+++ b/packages/coordinator/src/stand-ins/index.ts
@@ -0,0 +1,4 @@
+export * from './memory-store.js';
+export * from './simulated-fleet.js';
+export * from './simulated-worker.js';
+export * from './simulated-workers.js';
--- /dev/null
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -0,0 +1,255 @@
+import {
+  AppendOutcome,
+  ReadOutcome,
+  type AppendConditions,
+  type AppendResult,
+  type LoggedRecord,
+  type LogStream,
+  type NewestResult,
+  type ReadResult,
+  type RecordLog,
+} from '../index.js';
+import type {KeyedRecord} from '@gentiandoor/jobs';
+import {sleep, type Clock} from '@gentiandoor/kernel';
+
+/** Faults of the store that a test switches on. */
+export enum StoreFault {
+  /** Calls are refused and nothing is done. */
+  Refusing = 'refusing',
+  /** Calls get no answer and nothing is done. */
+  Silent = 'silent',
+  /** Appends are done and get no answer. */
+  AnswersLost = 'answers_lost',
+  /** Appends get no answer and are done later. */
+  DoneLate = 'done_late',
+}
+
+const ANSWER_MILLISECONDS = 4;
+const SILENCE_MILLISECONDS = 1_500;
+/** How much later a late append is done. */
+const LATE_MILLISECONDS = 3_000;
+
+interface Writer {
+  term: number;
+  sequence: number;
+  answers: Map<number, AppendResult>;
+}
+
+class Partition {
+  readonly records: LoggedRecord[] = [];
+  firstKept = 0;
+  readonly writers = new Map<string, Writer>();
+  readonly waiting = new Set<() => void>();
+}
+
+/** The platform's store in memory, shared by the daemons of a test. */
+export class MemoryStore {
+  private readonly partitions = new Map<LogStream, Partition>();
+  /** Calls made, by kind. */
+  readonly calls = {append: 0, read: 0, newest: 0};
+
+  constructor(readonly clock: Clock) {}
+
+  /** The store as one daemon reaches it, with faults of its own. */
+  connect(): StoreConnection {
+    return new StoreConnection(this);
+  }
+
+  /** Writes as an operator or a worker does. */
+  write(stream: LogStream, record: KeyedRecord): void {
+    this.append(stream, [record], {});
+  }
+
+  /** Forgets the history of a stream; the newest record of each key stays. */
+  forgetHistory(stream: LogStream): void {
+    const partition = this.partition(stream);
+    partition.firstKept = partition.records.length;
+  }
+
+  /** All records that were ever appended to a stream. */
+  history(stream: LogStream): readonly LoggedRecord[] {
+    return this.partition(stream).records;
+  }
+
+  /** @internal */
+  append(
+    stream: LogStream,
+    records: readonly KeyedRecord[],
+    conditions: AppendConditions,
+  ): AppendResult {
+    const partition = this.partition(stream);
+    const {atOffset, writer} = conditions;
+    if (atOffset !== undefined && atOffset !== partition.records.length)
+      return {
+        outcome: AppendOutcome.Moved,
+        endOffset: partition.records.length,
+      };
+    if (!writer) return this.add(partition, records);
+    return this.appendAsWriter(partition, records, writer);
+  }
+
+  /** @internal */
+  newest(stream: LogStream): NewestResult {
+    const partition = this.partition(stream);
+    const newest = new Map<string, LoggedRecord>();
+    for (const record of partition.records)
+      if (record.value === undefined) newest.delete(record.key);
+      else newest.set(record.key, record);
+    return {
+      outcome: ReadOutcome.Read,
+      records: [...newest.values()],
+      endOffset: partition.records.length,
+    };
+  }
+
+  /** @internal */
+  read(stream: LogStream, offset: number): ReadResult {
+    const partition = this.partition(stream);
+    if (offset < partition.firstKept) return {outcome: ReadOutcome.Gap};
+    return {
+      outcome: ReadOutcome.Read,
+      records: partition.records.slice(offset),
+      endOffset: partition.records.length,
+    };
+  }
+
+  /** @internal Resolves at the next append to the stream, or after the wait. */
+  async nextAppend(stream: LogStream, waitMilliseconds: number): Promise<void> {
+    const {waiting} = this.partition(stream);
+    await new Promise<void>(resolve => {
+      const wake = () => {
+        waiting.delete(wake);
+        timer.cancel();
+        resolve();
+      };
+      const timer = this.clock.schedule(waitMilliseconds, wake);
+      waiting.add(wake);
+    });
+  }
+
+  private appendAsWriter(
+    partition: Partition,
+    records: readonly KeyedRecord[],
+    numbers: NonNullable<AppendConditions['writer']>,
+  ): AppendResult {
+    let writer = partition.writers.get(numbers.name);
+    if (writer && numbers.term < writer.term)
+      return {outcome: AppendOutcome.Fenced, reason: 'term'};
+    if (!writer || numbers.term > writer.term) {
+      writer = {
+        term: numbers.term,
+        sequence: numbers.sequence,
+        answers: new Map(),
+      };
+      partition.writers.set(numbers.name, writer);
+    } else {
+      const before = writer.answers.get(numbers.sequence);
+      if (before) return before;
+      const expected = writer.sequence + 1;
+      if (numbers.sequence !== expected)
+        return {outcome: AppendOutcome.OutOfSequence, expected};
+      writer.sequence = numbers.sequence;
+    }
+    const answer = this.add(partition, records);
+    writer.answers.set(numbers.sequence, answer);
+    return answer;
+  }
+
+  private add(
+    partition: Partition,
+    records: readonly KeyedRecord[],
+  ): AppendResult {
+    const offset = partition.records.length;
+    records.forEach((record, index) =>
+      partition.records.push({...record, offset: offset + index}),
+    );
+    for (const wake of [...partition.waiting]) wake();
+    return {
+      outcome: AppendOutcome.Appended,
+      offset,
+      endOffset: partition.records.length,
+    };
+  }
+
+  private partition(stream: LogStream): Partition {
+    let partition = this.partitions.get(stream);
+    if (!partition) {
+      partition = new Partition();
+      this.partitions.set(stream, partition);
+    }
+    return partition;
+  }
+}
+
+/** One daemon's way to the store. */
+export class StoreConnection implements RecordLog {
+  private fault: StoreFault | undefined;
+
+  constructor(private readonly store: MemoryStore) {}
+
+  /** Switches a fault on, or all off. */
+  setFault(fault: StoreFault | undefined): void {
+    this.fault = fault;
+  }
+
+  async append(
+    stream: LogStream,
+    records: readonly KeyedRecord[],
+    conditions: AppendConditions = {},
+  ): Promise<AppendResult> {
+    this.store.calls.append++;
+    const {fault} = this;
+    const {clock} = this.store;
+    await sleep(clock, ANSWER_MILLISECONDS);
+    if (fault === StoreFault.Refusing)
+      return {outcome: AppendOutcome.Refused, reason: fault};
+    if (fault === StoreFault.DoneLate)
+      clock.schedule(LATE_MILLISECONDS, () =>
+        this.store.append(stream, records, conditions),
+      );
+    if (fault === StoreFault.AnswersLost)
+      this.store.append(stream, records, conditions);
+    if (fault === undefined)
+      return this.store.append(stream, records, conditions);
+    await sleep(clock, SILENCE_MILLISECONDS);
+    return {outcome: AppendOutcome.Unknown, reason: fault};
+  }
+
+  async read(
+    stream: LogStream,
+    offset: number,
+    waitMilliseconds: number,
+  ): Promise<ReadResult> {
+    this.store.calls.read++;
+    const failure = await this.reach();
+    if (failure) return failure;
+    const first = this.store.read(stream, offset);
+    const hasNone =
+      first.outcome === ReadOutcome.Read && first.records.length === 0;
+    if (!hasNone || waitMilliseconds === 0) return first;
+    await this.store.nextAppend(stream, waitMilliseconds);
+    return this.store.read(stream, offset);
+  }
+
+  async newest(stream: LogStream): Promise<NewestResult> {
+    this.store.calls.newest++;
+    return (await this.reach()) ?? this.store.newest(stream);
+  }
+
+  private async reach(): Promise<
+    | {
+        readonly outcome: ReadOutcome.Unavailable;
+        readonly reason: string;
+      }
+    | undefined
+  > {
+    await sleep(this.store.clock, ANSWER_MILLISECONDS);
+    const {fault} = this;
+    if (fault === undefined || fault === StoreFault.AnswersLost)
+      return undefined;
+    if (fault === StoreFault.DoneLate) return undefined;
+    if (fault === StoreFault.Silent)
+      await sleep(this.store.clock, SILENCE_MILLISECONDS);
+    return {outcome: ReadOutcome.Unavailable, reason: fault};
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -0,0 +1,279 @@
+import {
+  OrderOutcome,
+  OrderRefusal,
+  WorkerState,
+  type EndedRun,
+  type ListedRun,
+  type LookRequest,
+  type LookResult,
+  type OrderResult,
+  type Room,
+  type RunName,
+  type StartRequest,
+  type WorkerEntry,
+} from '../index.js';
+import {RunEnd} from '@gentiandoor/jobs';
+import type {Clock, Timer} from '@gentiandoor/kernel';
+
+/** How a task behaves on any worker. */
+export interface TaskBehaviour {
+  /** Undefined for a task that lasts. */
+  readonly durationMilliseconds: number | undefined;
+  readonly end: RunEnd;
+  readonly room: Room;
+}
+
+/** Tells how the task of a name behaves. */
+export type BehaviourOf = (task: string) => TaskBehaviour;
+
+/** A run that was begun, for what a test checks afterwards. */
+export interface BegunRun extends RunName {
+  readonly worker: string;
+  readonly begunAt: number;
+  endedAt: number | undefined;
+  end: RunEnd | undefined;
+}
+
+const MAXIMUM_LEASE_MILLISECONDS = 10_000;
+const STOP_MILLISECONDS = 200;
+
+interface AliveRun extends RunName {
+  readonly record: BegunRun;
+  readonly room: Room;
+  stopping: boolean;
+  timer: Timer | undefined;
+}
+
+/** One life of a worker: runs tasks under a lease and guards its room. */
+export class SimulatedWorker {
+  readonly begun: BegunRun[] = [];
+  state = WorkerState.Ready;
+  private readonly alive = new Map<string, AliveRun>();
+  private readonly lastRun = new Map<string, number>();
+  private readonly waiting = new Set<() => void>();
+  private ended: EndedRun[] = [];
+  private endNumber = 0;
+  private token = 0;
+  private leaseEnd = 0;
+  private leaseTimer: Timer | undefined;
+  private dead = false;
+
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    readonly room: Room,
+    private readonly clock: Clock,
+    private readonly behaviourOf: BehaviourOf,
+    /** The worker's clock shows this much more than ours. */
+    private readonly clockOffset = 1_000_000,
+  ) {}
+
+  /** Runs alive now. */
+  get running(): readonly RunName[] {
+    return [...this.alive.values()];
+  }
+
+  /** Ends that nobody has acknowledged. */
+  get unacknowledged(): number {
+    return this.ended.length;
+  }
+
+  get highestToken(): number {
+    return this.token;
+  }
+
+  entry(labels: readonly string[] = ['rack-1']): WorkerEntry {
+    return {
+      id: this.id,
+      service: this.service,
+      address: this.id,
+      dataCentre: 'one',
+      state: this.state,
+      room: this.room,
+      labels,
+    };
+  }
+
+  /** Ends this life: everything on it is over and nobody is told. */
+  crash(): void {
+    this.dead = true;
+    for (const run of [...this.alive.values()]) this.finish(run, RunEnd.Lost);
+    this.ended = [];
+  }
+
+  get isDead(): boolean {
+    return this.dead;
+  }
+
+  async look(request: LookRequest): Promise<LookResult> {
+    if (!this.takeToken(request.fencingToken)) return refused('fence');
+    this.ended = this.ended.filter(end => end.number > request.endsStored);
+    if (request.leaseEndMilliseconds !== undefined)
+      this.extendLease(request.leaseEndMilliseconds);
+    if (request.waitMilliseconds > 0 && this.ended.length === 0)
+      await this.nextEnd(request.waitMilliseconds);
+    return {
+      outcome: OrderOutcome.Done,
+      clockMilliseconds: this.workerClock(),
+      running: [...this.alive.values()].map(run => this.listed(run)),
+      ended: [...this.ended],
+    };
+  }
+
+  start(request: StartRequest): OrderResult {
+    if (!this.takeToken(request.fencingToken)) return refused('fence');
+    if (this.workerClock() >= request.leaseEndMilliseconds)
+      return refused('late');
+    const before = this.lastRun.get(request.task) ?? 0;
+    const here = this.alive.get(request.task);
+    if (here?.run === request.run) {
+      this.extendLease(request.leaseEndMilliseconds);
+      return this.done();
+    }
+    if (request.run <= before || here) return refused('old');
+    const behaviour = this.behaviourOf(request.task);
+    if (!this.hasRoom(behaviour.room)) return refused('room');
+    this.extendLease(request.leaseEndMilliseconds);
+    this.begin(request, behaviour);
+    return this.done();
+  }
+
+  stop(run: RunName, fencingToken: number): OrderResult {
+    if (!this.takeToken(fencingToken)) return refused('fence');
+    const alive = this.alive.get(run.task);
+    this.bar(run);
+    if (alive && alive.run === run.run && !alive.stopping) {
+      alive.stopping = true;
+      alive.timer?.cancel();
+      this.clock.schedule(STOP_MILLISECONDS, () =>
+        this.finish(alive, RunEnd.Stopped),
+      );
+    }
+    return this.done();
+  }
+
+  pace(_run: RunName, _percent: number, fencingToken: number): OrderResult {
+    return this.takeToken(fencingToken) ? this.done() : refused('fence');
+  }
+
+  private begin(request: StartRequest, behaviour: TaskBehaviour): void {
+    const record: BegunRun = {
+      task: request.task,
+      run: request.run,
+      worker: this.id,
+      begunAt: this.clock.monotonicMilliseconds(),
+      endedAt: undefined,
+      end: undefined,
+    };
+    this.begun.push(record);
+    this.bar(request);
+    const run: AliveRun = {
+      task: request.task,
+      run: request.run,
+      record,
+      room: behaviour.room,
+      stopping: false,
+      timer: undefined,
+    };
+    this.alive.set(request.task, run);
+    if (behaviour.durationMilliseconds !== undefined)
+      run.timer = this.clock.schedule(behaviour.durationMilliseconds, () =>
+        this.finish(run, behaviour.end),
+      );
+  }
+
+  private finish(run: AliveRun, end: RunEnd): void {
+    if (this.alive.get(run.task) !== run) return;
+    this.alive.delete(run.task);
+    run.timer?.cancel();
+    run.record.endedAt = this.clock.monotonicMilliseconds();
+    run.record.end = end;
+    this.ended.push({
+      number: ++this.endNumber,
+      task: run.task,
+      run: run.run,
+      end,
+      checkpoint: '',
+    });
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  private bar(run: RunName): void {
+    const before = this.lastRun.get(run.task) ?? 0;
+    this.lastRun.set(run.task, Math.max(before, run.run));
+  }
+
+  private hasRoom(room: Room): boolean {
+    let millicores = room.processorMillicores;
+    for (const run of this.alive.values())
+      millicores += run.room.processorMillicores;
+    return millicores <= this.room.processorMillicores;
+  }
+
+  private extendLease(leaseEnd: number): void {
+    const longest = this.workerClock() + MAXIMUM_LEASE_MILLISECONDS;
+    this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, longest));
+    this.leaseTimer?.cancel();
+    this.leaseTimer = this.clock.schedule(
+      Math.max(0, this.leaseEnd - this.workerClock()),
+      () => this.lapse(),
+    );
+  }
+
+  private lapse(): void {
+    for (const run of [...this.alive.values()]) this.finish(run, RunEnd.Lapsed);
+  }
+
+  private takeToken(token: number): boolean {
+    if (token < this.token) return false;
+    this.token = token;
+    return true;
+  }
+
+  private listed(run: AliveRun): ListedRun {
+    return {
+      task: run.task,
+      run: run.run,
+      checkpoint: '',
+      percent: 100,
+      load: 0,
+    };
+  }
+
+  private done(): OrderResult {
+    return {
+      outcome: OrderOutcome.Done,
+      clockMilliseconds: this.workerClock(),
+    };
+  }
+
+  private workerClock(): number {
+    return this.clock.monotonicMilliseconds() + this.clockOffset;
+  }
+
+  private nextEnd(waitMilliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = () => {
+        this.waiting.delete(wake);
+        timer.cancel();
+        resolve();
+      };
+      const timer = this.clock.schedule(waitMilliseconds, wake);
+      this.waiting.add(wake);
+    });
+  }
+}
+
+const REFUSALS = {
+  fence: OrderRefusal.Fenced,
+  late: OrderRefusal.Late,
+  old: OrderRefusal.OldRun,
+  room: OrderRefusal.NoRoom,
+};
+
+function refused(reason: keyof typeof REFUSALS): {
+  readonly outcome: OrderOutcome.Refused;
+  readonly refusal: OrderRefusal;
+} {
+  return {outcome: OrderOutcome.Refused, refusal: REFUSALS[reason]};
+}
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -76,6 +76,8 @@
   private readonly strayStops = new Set<string>();
   private endsRead = 0;
   private endsStored = 0;
+  /** What the worker was told of the ends that are stored. */
+  private endsAcknowledged = 0;
   private tokenShown = false;
   private silentSince: number | undefined;
   private closed = false;
@@ -121,6 +123,11 @@
     );
   }
 
+  /** New, and not looked at yet. */
+  get isStarting(): boolean {
+    return !this.tokenShown && this.silentSince === undefined;
+  }
+
   get isReserved(): boolean {
     return this.reservedFor !== undefined;
   }
@@ -261,7 +268,7 @@
     return (
       !this.tokenShown ||
       this.runs.size > 0 ||
-      this.endsStored < this.endsRead ||
+      this.endsAcknowledged < this.endsRead ||
       this.silentSince !== undefined
     );
   }
@@ -272,17 +279,19 @@
     if (this.closed) return;
     const requestedAt = this.clock.monotonicMilliseconds();
     const waits = this.runs.size > 0 && this.tokenShown;
+    const {endsStored} = this;
     const result = await this.gateway.look(this.current, {
       fencingToken: this.host.term,
-      endsStored: this.endsStored,
+      endsStored,
       leaseEndMilliseconds: this.nextLeaseEnd(requestedAt),
       waitMilliseconds:
         waits && this.silentSince === undefined ? LOOK_WAIT_MILLISECONDS : 0,
     });
     if (this.closed) return;
-    if (result.outcome === OrderOutcome.Done)
+    if (result.outcome === OrderOutcome.Done) {
+      this.endsAcknowledged = endsStored;
       this.noteLook(result, requestedAt);
-    else if (!this.handledRefusal(result)) this.noteSilence();
+    } else if (!this.handledRefusal(result)) this.noteSilence();
     await sleep(this.clock, this.gapAfter(result.outcome));
   }
 
@@ -295,6 +304,8 @@
 
   private nextLeaseEnd(now: number): number | undefined {
     if (!this.lease.isKnown || this.runs.size === 0) return undefined;
+    // A lease that goes on being offered to a silent worker would never be known to be over.
+    if (this.silentSince !== undefined) return undefined;
     const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
     this.lease.noteGiven(leaseEnd);
     return leaseEnd;
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -5,6 +5,8 @@
   readonly standby: boolean;
   /** Millicores of work that finds no room. */
   readonly waitingMillicores: number;
+  /** How long there has been such work without a break; 0 while there is none. */
+  readonly waitingMilliseconds: number;
   /** VMs that are on their way into it. */
   readonly arriving: number;
   readonly vms: readonly PlannedVm[];
@@ -31,6 +33,8 @@
   readonly idleBeforeStandbyMilliseconds: number;
   /** A VM that idles so long may be given to a pool that lacks room. */
   readonly idleBeforeGivingMilliseconds: number;
+  /** Work that finds no room for so long gets a VM, however little it is. */
+  readonly longestWaitMilliseconds: number;
   /** Most VMs that are fetched for one pool at a time. */
   readonly maximumArriving: number;
 }
@@ -39,6 +43,7 @@
 export const DEFAULT_POOL_PLAN: PoolPlanOptions = {
   idleBeforeStandbyMilliseconds: 1_200,
   idleBeforeGivingMilliseconds: 300,
+  longestWaitMilliseconds: 500,
   maximumArriving: 8,
 };
 
@@ -71,7 +76,7 @@
   options: PoolPlanOptions,
 ): Giver[] {
   const givers = pools
-    .filter(pool => pool.standby || pool.waitingMillicores === 0)
+    .filter(pool => pool.standby || pool.waitingMilliseconds === 0)
     .flatMap(pool => pool.vms.map(vm => ({...vm, from: pool})))
     .filter(
       vm =>
@@ -89,14 +94,16 @@
   givers: Giver[],
   options: PoolPlanOptions,
 ): PlannedMove[] {
-  if (pool.standby || pool.waitingMillicores === 0) return [];
+  if (pool.standby || pool.waitingMilliseconds === 0) return [];
   const moves: PlannedMove[] = [];
-  let lacking = pool.waitingMillicores;
   let arriving = pool.arriving;
-  lacking -= arriving * millicoresOf(pool, givers);
+  let lacking =
+    pool.waitingMillicores - arriving * millicoresOf(pool, givers);
   while (arriving < options.maximumArriving) {
     const giver = givers.at(-1);
-    if (!giver || lacking < LEAST_SHORTFALL * giver.millicores) break;
+    if (!giver) break;
+    const isShort = lacking >= LEAST_SHORTFALL * giver.millicores;
+    if (!isShort && !(arriving === 0 && isStuck(pool, options))) break;
     givers.pop();
     moves.push({vm: giver.name, from: giver.from.service, to: pool.service});
     lacking -= giver.millicores;
@@ -105,6 +112,14 @@
   return moves;
 }
 
+/** Little work can wait for ever where no worker may take it: a bound of tasks on one worker, or an empty pool. */
+function isStuck(pool: PlannedPool, options: PoolPlanOptions): boolean {
+  return (
+    pool.vms.length === 0 ||
+    pool.waitingMilliseconds >= options.longestWaitMilliseconds
+  );
+}
+
 function millicoresOf(pool: PlannedPool, givers: readonly Giver[]): number {
   return pool.vms[0]?.millicores ?? givers[0]?.millicores ?? 0;
 }
