Pools follow arriving work; durations are learned; late jobs get a last call; waves are paced

Cause: pools grew only when their VMs were full, a move's time too late; estimates off by a factor ordered the queue; a few late jobs were never served because something in time was always there; a wave took the whole reserve at the start of a burst, and ended late; after each change of coordinator no VM moved for 3 s. Change: a demand meter sizes pools from the rate of arriving work, a regression corrects estimates, a rescue budget lets some late jobs go ahead, a wave takes no more VMs at once than its time asks for, and only VMs of the last stored orders wait for a new holder. Workers of a standby pool are not looked at. The list of VMs ends the lives that it no longer shows.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -19,7 +19,7 @@
 import {FullestFirst, longestLease} from '@gentiandoor/scheduling';
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
-import {FleetKeeper} from './fleet-keeper.js';
+import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
 import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
 import type {MachineGateway} from './machine-gateway.js';
 import type {Queue} from './operator-records.js';
@@ -51,7 +51,7 @@
 const LEASE_MILLISECONDS = 8_000;
 const JOB_WAIT_MILLISECONDS = 500;
 /** Submissions that come close together are read with one call. */
-const JOB_READ_GAP_MILLISECONDS = 8;
+const JOB_READ_GAP_MILLISECONDS = 15;
 const RETRY_MILLISECONDS = 100;
 const RETENTION_ROUND_MILLISECONDS = 10_000;
 /** Oldest age that a wall-clock difference between daemons is trusted for. */
@@ -60,7 +60,7 @@
 const REFUSAL_PAUSE_MILLISECONDS = 100;
 
 /** Gives the orders for one term: from its beginning until another daemon's, nothing of it is used twice. */
-export class Coordinator implements SessionHost, DispatchHost {
+export class Coordinator implements SessionHost, DispatchHost, FleetHost {
   readonly leaseMilliseconds: number;
   readonly beganAt: number;
   readonly registry: WorkerRegistry;
@@ -96,7 +96,7 @@
       parts,
       this.registry,
       this.dispatcher,
-      () => this.ordersAllowed(),
+      this,
     );
   }
 
@@ -178,6 +178,11 @@
     checkpoint: string,
   ): void {
     this.noteTrust(session, run, end);
+    if (end === RunEnd.Done && run.beganAt !== undefined)
+      this.dispatcher.noteDuration(
+        run,
+        this.parts.clock.monotonicMilliseconds() - run.beganAt,
+      );
     this.endRun(run, end, checkpoint, session.id);
     this.dispatcher.wake(session.entry.service);
   }
@@ -222,6 +227,15 @@
     this.orphans.delete(session.id);
   }
 
+  noteLives(alive: ReadonlySet<string>): void {
+    for (const worker of [...this.orphans.keys()])
+      if (!alive.has(worker)) this.loseOrphans(worker);
+  }
+
+  usesWorkersOf(service: string): boolean {
+    return this.parts.operators.service(service)?.standby !== true;
+  }
+
   private async followJobs(): Promise<void> {
     while (!this.closed) {
       const answered = await this.parts.jobs.follow(JOB_WAIT_MILLISECONDS);
@@ -270,6 +284,7 @@
         stepKey: stepName(execution.job.id, task),
         ticket: '',
         plannedAt: now,
+        beganAt: undefined,
         status: RunStatus.Recovered,
         settledAt: -Infinity,
         stopAsked: false,
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,9 +1,19 @@
 import type {Clock} from '@gentiandoor/kernel';
-import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import type {
+  ExecutableTask,
+  JobExecution,
+  StepSpecification,
+} from '@gentiandoor/jobs';
 import {
+  Chance,
+  DemandMeter,
+  DurationModel,
+  RescueBudget,
+  chanceOf,
   compareWaitingJobs,
+  rankOf,
   type PlacementWorker,
-  type WaitingJob,
+  type RankedJob,
   type WorkerChoice,
 } from '@gentiandoor/scheduling';
 import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
@@ -22,11 +32,13 @@
 const LATE_FACTOR = 3;
 /** Tasks of one service that find no room in a row before the rest is left for the next round: a pool that is full stays full. */
 const MISSES_BEFORE_GIVING_UP = 12;
+/** A job that was handed in longer ago than this was not read as it came. */
+const FRESH_MILLISECONDS = 2_000;
 /** The wall clock of a step due later is looked at again this often at least. */
 const LONGEST_SLEEP_MILLISECONDS = 1_000;
 
 /** A job that waits for room. */
-interface Candidate extends WaitingJob {
+interface Candidate extends RankedJob {
   readonly execution: JobExecution;
   readonly ready: readonly ExecutableTask[];
 }
@@ -52,6 +64,9 @@
   private readonly firstSeen = new Map<JobExecution, number>();
   private readonly failedOn = new Map<string, Set<string>>();
   private readonly loads = new Map<string, ServiceLoad>();
+  private readonly durations = new Map<string, DurationModel>();
+  private readonly demands = new Map<string, DemandMeter>();
+  private readonly rescues = new RescueBudget();
   private readonly due = new Set<string>();
   private scheduled = false;
   private closed = false;
@@ -70,12 +85,31 @@
     jobs.add(execution);
     const now = this.clock.monotonicMilliseconds();
     this.firstSeen.set(execution, now - ageMilliseconds);
+    // Jobs of before this term say nothing of what comes now.
+    if (ageMilliseconds < FRESH_MILLISECONDS)
+      this.demandOf(service).note(this.workOf(execution), now);
     this.wake(service);
   }
 
+  /** Millicores that work which arrives at the present rate keeps busy. */
+  arrivingMillicores(service: string): number {
+    return this.demandOf(service).millicores(
+      this.clock.monotonicMilliseconds(),
+    );
+  }
+
+  /** Notes how long a run that ended well took. */
+  noteDuration(run: LiveRun, milliseconds: number): void {
+    const {longRunning, estimatedMilliseconds} = run.taskOfJob.specification;
+    if (longRunning || estimatedMilliseconds <= 0) return;
+    this.durationsOf(run.execution).note(estimatedMilliseconds, milliseconds);
+  }
+
   remove(execution: JobExecution): void {
     for (const jobs of this.active.values()) jobs.delete(execution);
     this.firstSeen.delete(execution);
+    this.rescues.noteServed();
+    this.rescues.forget(execution.job.id);
     const prefix = `${execution.job.id}.`;
     for (const name of this.failedOn.keys())
       if (name.startsWith(prefix)) this.failedOn.delete(name);
@@ -132,7 +166,7 @@
   private place(service: string): void {
     const now = this.clock.monotonicMilliseconds();
     const candidates = this.candidates(service, now);
-    candidates.sort((left, right) => compareWaitingJobs(left, right, now));
+    candidates.sort((left, right) => compareWaitingJobs(left, right));
     const sessions = this.host
       .sessionsOf(service)
       .filter(session => session.takesStarts);
@@ -183,19 +217,51 @@
       dueWall > 0
         ? now - (wall - dueWall)
         : (this.firstSeen.get(execution) ?? now);
-    const remainingChain = execution.remainingChain(occurrence);
+    const durations = this.durationsOf(execution);
+    const expected = (step: StepSpecification) =>
+      durations.expected(step.estimatedMilliseconds);
+    const remainingChain = execution.remainingChain(occurrence, expected);
     const objective =
-      (queue?.stretch ?? 1) * execution.wholeChain +
+      (queue?.stretch ?? 1) * execution.wholeChain(expected) +
       (queue?.latencyMilliseconds ?? 0);
-    return {
-      execution,
-      ready,
+    const waiting = {
       priority: queue?.priority ?? 0,
-      since,
       dueAt: since + objective,
       lateUntil: since + LATE_FACTOR * objective,
       remainingChain,
     };
+    const chance = chanceOf(waiting, now);
+    const rescued =
+      chance === Chance.LastCall && this.rescues.allows(execution.job.id);
+    return {execution, ready, ...waiting, rank: rankOf(chance, rescued)};
+  }
+
+  private durationsOf(execution: JobExecution): DurationModel {
+    const {queue} = execution.job;
+    let model = this.durations.get(queue);
+    if (!model) this.durations.set(queue, (model = new DurationModel()));
+    return model;
+  }
+
+  private demandOf(service: string): DemandMeter {
+    let meter = this.demands.get(service);
+    if (!meter) this.demands.set(service, (meter = new DemandMeter()));
+    return meter;
+  }
+
+  /** Millicores times milliseconds of all tasks of a job that end by themselves. */
+  private workOf(execution: JobExecution): number {
+    const durations = this.durationsOf(execution);
+    return execution.job.steps
+      .filter(step => !step.longRunning && !step.fills)
+      .reduce(
+        (sum, step) =>
+          sum +
+          step.taskCount *
+            step.processorMillicores *
+            durations.expected(step.estimatedMilliseconds),
+        0,
+      );
   }
 
   private sleepUntilDue(
@@ -285,6 +351,7 @@
     stepKey: stepName(execution.job.id, task),
     ticket: '',
     plannedAt: now,
+    beganAt: undefined,
     status: RunStatus.Planned,
     settledAt: Infinity,
     stopAsked: false,
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -1,78 +1,61 @@
-import {
-  LogEvent,
-  MetricName,
-  type Clock,
-  type Logger,
-  type Metrics,
-} from '@gentiandoor/kernel';
+import {sleep} from '@gentiandoor/kernel';
 import {
   planPools,
   planWave,
   type DueVm,
   type PlannedPool,
+  type PlannedVm,
 } from '@gentiandoor/scheduling';
 import type {Dispatcher} from './dispatcher.js';
-import type {EntrySettings} from './entry-settings.js';
 import {RunStatus, type LiveRun} from './live-run.js';
-import {
-  VmOrderOutcome,
-  VmState,
-  type ListedVm,
-  type MachineGateway,
-} from './machine-gateway.js';
-import type {MaintenanceWave} from './operator-records.js';
+import {VmOrderOutcome, VmState, type ListedVm} from './machine-gateway.js';
+import type {MaintenanceWave, ServicePool} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
 import type {RecordFormats} from './record-formats.js';
-import type {RecordLog} from './record-log.js';
+import {VmOrders, type VmOrderParts, type VmOrderRequest} from './vm-orders.js';
 import {WaveProgress} from './wave-progress.js';
 import type {WorkerRegistry} from './worker-registry.js';
 import type {WorkerSession} from './worker-session.js';
 
 /** What a fleet keeper is built from. */
-export interface FleetParts {
-  readonly settings: EntrySettings;
-  readonly log: RecordLog;
+export interface FleetParts extends VmOrderParts {
   readonly formats: RecordFormats;
-  readonly machines: MachineGateway;
   readonly operators: OperatorView;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
+}
+
+/** What a fleet keeper needs of the coordinator. */
+export interface FleetHost {
+  ordersAllowed(): boolean;
+  /** The lives that the list of VMs shows; every other one is over. */
+  noteLives(alive: ReadonlySet<string>): void;
 }
 
 /** Short against a move, so that a pool gets VMs within the first part of a burst; each round lists the VMs once. */
-const ROUND_MILLISECONDS = 250;
+const ROUND_MILLISECONDS = 200;
 /** Time between a maintenance and the return to service, besides the maintenance itself. */
 const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
-/** An order that got no answer is repeated after this: the platform takes it twice. */
-const REPEAT_MILLISECONDS = 500;
 const FULL_PERCENT = 100;
 
-/** An order about a VM that is not over. */
-interface VmOrder {
-  readonly kind: 'move' | 'maintain';
-  /** Pool, or number of the wave. */
-  readonly to: string;
-}
-
 /** Moves VMs between pools and through maintenance. */
 export class FleetKeeper {
-  private readonly orders = new Map<string, VmOrder>();
-  private readonly barred = new Set<string>();
+  private readonly orders: VmOrders;
   private readonly impossibleMoves = new Set<string>();
   private readonly idleFrom = new Map<string, number>();
+  /** The life that each VM was last seen to carry. */
+  private readonly lives = new Map<string, string>();
   private readonly waves: WaveProgress;
   private vms: readonly ListedVm[] = [];
   private closed = false;
 
   constructor(
-    private readonly term: number,
+    term: number,
     private readonly parts: FleetParts,
     private readonly registry: WorkerRegistry,
     private readonly dispatcher: Dispatcher,
-    private readonly ordersAllowed: () => boolean,
+    private readonly host: FleetHost,
   ) {
     this.waves = new WaveProgress(parts);
+    this.orders = new VmOrders(term, parts, () => host.ordersAllowed());
   }
 
   start(): void {
@@ -81,163 +64,203 @@
 
   close(): void {
     this.closed = true;
+    this.orders.close();
   }
 
   private async run(): Promise<void> {
-    const {clock, settings} = this.parts;
-    // Another holder may have given orders about the same VMs a moment ago.
-    const mayOrderAt =
-      clock.monotonicMilliseconds() +
-      (this.term > 1 ? settings.limits.holderChange : 0);
+    await this.orders.load();
     while (!this.closed) {
-      const listedFrom = clock.monotonicMilliseconds();
+      const listedFrom = this.now();
       const vms = await this.parts.machines.list();
       if (this.closed) return;
-      if (vms) {
+      if (vms && vms.length > 0) {
         this.vms = vms;
         this.endLostLives(listedFrom);
         this.noteIdle();
         await this.waves.load();
-        const now = clock.monotonicMilliseconds();
-        if (this.ordersAllowed() && now >= mayOrderAt) this.round();
+        if (this.host.ordersAllowed()) await this.round();
       }
-      await this.pause(ROUND_MILLISECONDS);
+      await sleep(this.parts.clock, ROUND_MILLISECONDS);
     }
   }
 
-  /** A silent worker whose VM carries another life, or none, is over: its tasks need not wait for the lease. */
+  /** A worker whose VM carries another life, or none, is over: its tasks need not wait for the lease. */
   private endLostLives(listedFrom: number): void {
-    if (this.vms.length === 0) return;
     const alive = new Set(this.vms.map(vm => vm.workerId));
+    for (const vm of this.vms) {
+      const before = this.lives.get(vm.name);
+      if (before && before !== vm.workerId && !alive.has(before))
+        this.registry.find(before)?.endLife('its VM runs it no longer');
+      this.lives.set(vm.name, vm.workerId);
+    }
     for (const session of [...this.registry.all()]) {
       const {silentFrom} = session;
       if (silentFrom === undefined || silentFrom > listedFrom) continue;
-      if (!alive.has(session.id)) session.endLife('its VM runs it no longer');
+      if (!alive.has(session.id)) session.endLife('no VM runs it');
     }
+    this.host.noteLives(alive);
   }
 
   private noteIdle(): void {
-    const now = this.parts.clock.monotonicMilliseconds();
+    const now = this.now();
     for (const vm of this.vms) {
-      const session = this.registry.find(vm.workerId);
+      const session = this.sessionOn(vm);
       if (session && session.runs.size > 0) this.idleFrom.delete(vm.name);
       else if (!this.idleFrom.has(vm.name)) this.idleFrom.set(vm.name, now);
     }
   }
 
-  private round(): void {
-    for (const wave of this.parts.operators.waves.values()) this.stepWave(wave);
-    this.stepPools();
+  private async round(): Promise<void> {
+    const pools = this.plannedPools();
+    const requests: VmOrderRequest[] = [];
+    for (const wave of this.parts.operators.waves.values())
+      requests.push(...this.stepWave(wave, pools));
+    const taken = new Set(requests.map(request => request.vm.name));
+    for (const request of this.stepPools(pools))
+      if (!taken.has(request.vm.name)) requests.push(request);
+    await this.orders.give(requests);
   }
 
-  private stepPools(): void {
-    for (const move of planPools(this.plannedPools())) {
-      const barred = this.impossibleMoves.has(`${move.vm}>${move.to}`);
-      if (barred || this.orders.has(move.vm)) continue;
+  private stepPools(pools: readonly PlannedPool[]): VmOrderRequest[] {
+    return planPools(pools).flatMap(move => {
       const vm = this.vms.find(listed => listed.name === move.vm);
-      if (vm) void this.order(vm, {kind: 'move', to: move.to});
-    }
+      const barred = this.impossibleMoves.has(`${move.vm}>${move.to}`);
+      if (!vm || barred) return [];
+      return [
+        {
+          vm,
+          order: {kind: 'move', to: move.to},
+          session: this.sessionOn(vm),
+          settled: outcome => {
+            if (outcome === VmOrderOutcome.Impossible)
+              this.impossibleMoves.add(`${move.vm}>${move.to}`);
+          },
+        } satisfies VmOrderRequest,
+      ];
+    });
   }
 
   private plannedPools(): PlannedPool[] {
-    const now = this.parts.clock.monotonicMilliseconds();
     const services = this.parts.operators.configuration?.services ?? [];
-    return services.map(service => ({
-      service: service.name,
-      standby: service.standby,
-      ...this.waitingIn(service.name, now),
-      arriving: this.arrivingAt(service.name),
-      vms: this.vms
-        .filter(
-          vm => vm.pool === service.name && this.isMovable(vm, service.standby),
-        )
-        .map(vm => ({
-          name: vm.name,
-          millicores: vm.room.processorMillicores,
-          idleMilliseconds: now - (this.idleFrom.get(vm.name) ?? now),
-        })),
-    }));
+    return services.map(service => this.plannedPool(service));
   }
 
-  private waitingIn(
-    service: string,
-    now: number,
-  ): Pick<PlannedPool, 'waitingMillicores' | 'waitingMilliseconds'> {
-    const {waitingMillicores, waitingSince} = this.dispatcher.loadOf(service);
+  private plannedPool({name, standby}: ServicePool): PlannedPool {
+    const now = this.now();
+    const load = this.dispatcher.loadOf(name);
+    const members = this.vms.filter(vm => vm.pool === name);
+    const sessions = this.registry
+      .ofService(name)
+      .filter(session => session.takesStarts);
+    const views = sessions.map(session => session.placementView(now));
     return {
-      waitingMillicores,
+      service: name,
+      standby,
+      usedMillicores: views.reduce(
+        (sum, view) => sum + view.totalMillicores - view.freeMillicores,
+        0,
+      ),
+      waitingMillicores: load.waitingMillicores,
       waitingMilliseconds:
-        waitingSince === undefined ? 0 : Math.max(1, now - waitingSince),
+        load.waitingSince === undefined
+          ? 0
+          : Math.max(1, now - load.waitingSince),
+      arrivingMillicores: this.dispatcher.arrivingMillicores(name),
+      arriving: this.arrivingAt(name, members),
+      usable: sessions.length,
+      vms: members
+        .filter(vm => this.isMovable(vm, standby))
+        .map(vm => this.plannedVm(vm, now)),
+      vmMillicores:
+        members[0]?.room.processorMillicores ??
+        this.vms[0].room.processorMillicores,
     };
   }
 
-  private arrivingAt(service: string): number {
-    const ordered = [...this.orders.values()].filter(
-      order => order.kind === 'move' && order.to === service,
-    );
-    const moving = this.vms.filter(
-      vm =>
-        vm.pool === service &&
-        (vm.state === VmState.Moving || this.isComing(vm)) &&
-        !this.orders.has(vm.name),
-    );
-    return ordered.length + moving.length;
+  private plannedVm(vm: ListedVm, now: number): PlannedVm {
+    return {
+      name: vm.name,
+      millicores: vm.room.processorMillicores,
+      idleMilliseconds: now - (this.idleFrom.get(vm.name) ?? now),
+    };
+  }
+
+  private arrivingAt(service: string, members: readonly ListedVm[]): number {
+    let count = 0;
+    for (const [, order] of this.orders.all())
+      if (order.kind === 'move' && order.to === service) count++;
+    for (const vm of members)
+      if (!this.orders.openOrder(vm.name) && this.isComing(vm)) count++;
+    return count;
   }
 
-  /** Up, and its new worker has not been looked at yet. */
+  /** On its way, or up with a worker that has not been looked at yet. */
   private isComing(vm: ListedVm): boolean {
+    if (vm.state === VmState.Moving || vm.state === VmState.Maintenance)
+      return true;
     if (vm.state !== VmState.Up) return false;
-    const session = this.registry.find(vm.workerId);
+    const session = this.sessionOn(vm);
     return !session || session.isStarting;
   }
 
   private isMovable(vm: ListedVm, standby: boolean): boolean {
-    if (vm.state !== VmState.Up || this.orders.has(vm.name)) return false;
-    if (this.barred.has(vm.name)) return false;
-    const session = this.registry.find(vm.workerId);
+    if (vm.state !== VmState.Up || !this.orders.isFree(vm.name)) return false;
+    const session = this.sessionOn(vm);
     if (!session) return standby;
-    return (
-      session.runs.size === 0 &&
-      session.silentFrom === undefined &&
-      !session.isDraining &&
-      !session.isReserved
-    );
+    if (session.runs.size > 0 || session.isDraining || session.isReserved)
+      return false;
+    return standby || session.silentFrom === undefined;
   }
 
-  private stepWave(wave: MaintenanceWave): void {
-    if (!this.waves.isLoaded || this.waves.isCompleted(wave)) return;
+  private stepWave(
+    wave: MaintenanceWave,
+    pools: readonly PlannedPool[],
+  ): VmOrderRequest[] {
+    if (!this.waves.isLoaded || this.waves.isCompleted(wave)) return [];
     const listed = new Map(this.vms.map(vm => [vm.name, vm]));
-    const open = wave.vms.filter(name => !this.waves.isDone(wave, name));
-    const due = open.flatMap(name => {
-      const vm = listed.get(name);
-      if (!vm) this.waves.noteDone(wave, name);
-      return vm && this.canBeMaintained(vm) ? [this.dueVm(vm)] : [];
-    });
     const {limits} = this.parts.settings;
     const step = planWave({
-      due,
+      due: this.dueVms(wave, listed),
       away: this.awayOf(wave, listed),
       maximumAtOnce: wave.maximumAtOnce,
       leftMilliseconds: this.waves.leftMilliseconds(wave),
       maintenanceMilliseconds:
         limits.maintenance + MAINTENANCE_OVERHEAD_MILLISECONDS,
+      workWaits: pools.some(pool => pool.waitingMillicores > 0),
     });
-    for (const name of step.maintain) {
+    for (const name of step.empty) this.empty(listed.get(name), wave);
+    return step.maintain.flatMap(name => {
       const vm = listed.get(name);
-      if (vm) void this.order(vm, {kind: 'maintain', to: String(wave.number)});
-    }
-    for (const name of step.empty) {
-      const vm = listed.get(name);
-      if (vm) this.empty(vm, wave);
-    }
+      return vm ? [this.maintenanceOf(vm, wave)] : [];
+    });
   }
 
-  private canBeMaintained(vm: ListedVm): boolean {
-    return (
-      vm.state === VmState.Up &&
-      !this.orders.has(vm.name) &&
-      !this.barred.has(vm.name)
-    );
+  private maintenanceOf(vm: ListedVm, wave: MaintenanceWave): VmOrderRequest {
+    return {
+      vm,
+      order: {kind: 'maintain', to: String(wave.number)},
+      session: this.sessionOn(vm),
+      settled: outcome => {
+        const over =
+          outcome === VmOrderOutcome.Done ||
+          outcome === VmOrderOutcome.Impossible;
+        if (over) this.waves.noteDone(wave, vm.name);
+      },
+    };
+  }
+
+  private dueVms(
+    wave: MaintenanceWave,
+    listed: ReadonlyMap<string, ListedVm>,
+  ): DueVm[] {
+    return wave.vms.flatMap(name => {
+      if (this.waves.isDone(wave, name)) return [];
+      const vm = listed.get(name);
+      // A VM that is gone needs no maintenance.
+      if (!vm) this.waves.noteDone(wave, name);
+      const canBe = vm?.state === VmState.Up && this.orders.isFree(name);
+      return canBe ? [this.dueVm(vm)] : [];
+    });
   }
 
   /** VMs of a wave that are in maintenance, or may be. */
@@ -245,15 +268,15 @@
     wave: MaintenanceWave,
     listed: ReadonlyMap<string, ListedVm>,
   ): number {
-    return wave.vms.filter(name => {
-      const order = this.orders.get(name);
-      if (order?.kind === 'maintain') return true;
-      return listed.get(name)?.state === VmState.Maintenance;
-    }).length;
+    return wave.vms.filter(
+      name =>
+        this.orders.openOrder(name)?.kind === 'maintain' ||
+        listed.get(name)?.state === VmState.Maintenance,
+    ).length;
   }
 
   private dueVm(vm: ListedVm): DueVm {
-    const session = this.registry.find(vm.workerId);
+    const session = this.sessionOn(vm);
     const runs = [...(session?.runs.values() ?? [])];
     const lasting = runs.filter(
       run => run.taskOfJob.specification.longRunning,
@@ -261,13 +284,14 @@
     return {
       name: vm.name,
       idle: runs.length === 0,
+      emptying: session?.isReserved ?? false,
       shortTasks: runs.length - lasting,
       lastingTasks: lasting,
     };
   }
 
-  private empty(vm: ListedVm, wave: MaintenanceWave): void {
-    const session = this.registry.find(vm.workerId);
+  private empty(vm: ListedVm | undefined, wave: MaintenanceWave): void {
+    const session = vm && this.sessionOn(vm);
     if (!session) return;
     session.reserve(`wave ${wave.number}`);
     for (const run of session.runs.values())
@@ -278,10 +302,10 @@
   private mayEvacuate(run: LiveRun): boolean {
     const step = run.taskOfJob.specification;
     if (!step.longRunning || run.stopAsked) return false;
-    const others = run.execution
+    const away = run.execution
       .tasksOfStep(run.taskOfJob.occurrence, run.taskOfJob.step)
-      .filter(task => task !== run.taskOfJob);
-    const away = others.filter(task => !this.isAtWork(run, task.key)).length;
+      .filter(task => task !== run.taskOfJob)
+      .filter(task => !this.isAtWork(run, task.key)).length;
     return away < Math.max(1, step.mayMiss);
   }
 
@@ -297,69 +321,11 @@
     );
   }
 
-  /** Gives an order until its fate is known. */
-  private async order(vm: ListedVm, order: VmOrder): Promise<void> {
-    this.orders.set(vm.name, order);
-    const session = this.registry.find(vm.workerId);
-    session?.reserve(order.kind);
-    let outcome = VmOrderOutcome.Unknown;
-    while (!this.closed && outcome === VmOrderOutcome.Unknown) {
-      if (this.ordersAllowed()) outcome = await this.send(vm.name, order);
-      if (outcome === VmOrderOutcome.Unknown)
-        await this.pause(REPEAT_MILLISECONDS);
-    }
-    if (this.closed) return;
-    this.settle(vm, order, outcome, session);
-    // The list must show the new state before the VM is planned with again.
-    await this.pause(ROUND_MILLISECONDS);
-    this.orders.delete(vm.name);
-  }
-
-  private send(vm: string, order: VmOrder): Promise<VmOrderOutcome> {
-    const holder = {
-      name: this.parts.settings.node,
-      fencingToken: this.term,
-    };
-    return order.kind === 'move'
-      ? this.parts.machines.move(vm, order.to, holder)
-      : this.parts.machines.maintain(vm, Number(order.to), holder);
-  }
-
-  private settle(
-    vm: ListedVm,
-    order: VmOrder,
-    outcome: VmOrderOutcome,
-    session: WorkerSession | undefined,
-  ): void {
-    const {logger, metrics, operators} = this.parts;
-    logger.info(LogEvent.VmOrdered, {
-      vm: vm.name,
-      from: vm.pool,
-      order: order.kind,
-      to: order.to,
-      outcome,
-    });
-    metrics.increment(MetricName.VmOrders, {order: order.kind, outcome});
-    const wave =
-      order.kind === 'maintain'
-        ? operators.waves.get(Number(order.to))
-        : undefined;
-    const over =
-      outcome === VmOrderOutcome.Done || outcome === VmOrderOutcome.Impossible;
-    if (wave && over) this.waves.noteDone(wave, vm.name);
-    if (outcome === VmOrderOutcome.Done) {
-      session?.endLife(order.kind);
-      return;
-    }
-    if (outcome === VmOrderOutcome.Fenced) this.barred.add(vm.name);
-    if (outcome === VmOrderOutcome.Impossible && order.kind === 'move')
-      this.impossibleMoves.add(`${vm.name}>${order.to}`);
-    session?.reserve(undefined);
+  private sessionOn(vm: ListedVm): WorkerSession | undefined {
+    return this.registry.find(vm.workerId);
   }
 
-  private pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => {
-      this.parts.clock.schedule(milliseconds, resolve);
-    });
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
   }
 }
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -30,7 +30,7 @@
 /** The answer must leave before the caller stops waiting. */
 const ANSWER_MARGIN_MILLISECONDS = 250;
 /** A state so old is shown without asking the store again. */
-const STATE_AGE_MILLISECONDS = 40;
+const STATE_AGE_MILLISECONDS = 80;
 /** The number of waiting jobs may be so old. */
 const COUNT_AGE_MILLISECONDS = 1_000;
 
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -21,6 +21,8 @@
   readonly stepKey: string;
   readonly ticket: string;
   readonly plannedAt: number;
+  /** When this coordinator's order to start was answered; undefined before, and for recovered runs. */
+  beganAt: number | undefined;
   status: RunStatus;
   /** When the worker answered the order, or a stop; a look that began later shows the truth. */
   settledAt: number;
--- /dev/null
+++ b/packages/coordinator/src/vm-orders.ts
@@ -0,0 +1,209 @@
+import {
+  LogEvent,
+  MetricName,
+  sleep,
+  type Clock,
+  type Logger,
+  type Metrics,
+} from '@gentiandoor/kernel';
+import type {EntrySettings} from './entry-settings.js';
+import {
+  VmOrderOutcome,
+  type ListedVm,
+  type MachineGateway,
+} from './machine-gateway.js';
+import {
+  AppendOutcome,
+  LogStream,
+  ReadOutcome,
+  type RecordLog,
+} from './record-log.js';
+import type {WorkerSession} from './worker-session.js';
+
+/** What orders about VMs are given through. */
+export interface VmOrderParts {
+  readonly settings: EntrySettings;
+  readonly log: RecordLog;
+  readonly machines: MachineGateway;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** An order about a VM. */
+export interface VmOrder {
+  readonly kind: 'move' | 'maintain';
+  /** Pool, or number of the wave. */
+  readonly to: string;
+}
+
+/** An order with what it is about. */
+export interface VmOrderRequest {
+  readonly vm: ListedVm;
+  readonly order: VmOrder;
+  readonly session: WorkerSession | undefined;
+  /** Called once its fate is known. */
+  readonly settled: (outcome: VmOrderOutcome) => void;
+}
+
+/** An order that got no answer is repeated after this: the platform takes it twice. */
+const REPEAT_MILLISECONDS = 500;
+/** The list must show the new state before a VM is planned with again. */
+const SETTLE_MILLISECONDS = 300;
+const RETRY_MILLISECONDS = 100;
+/** Orders older than this are of no concern to the next holder, whatever its wall clock says. */
+const KEPT_MILLISECONDS = 15_000;
+
+/** Key of the record of the last orders. */
+export const VM_ORDERS_KEY = 'orders';
+
+interface StoredOrder {
+  readonly vm: string;
+  readonly holder: string;
+  /** Wall-clock time at its holder. */
+  readonly at: number;
+}
+
+/**
+ * Orders about VMs that are not over. The last ones are stored before they are sent: two holders
+ * must not order about one VM in quick turns, and only VMs of the last orders have to wait for
+ * that when the coordinator changes.
+ */
+export class VmOrders {
+  private readonly open = new Map<string, VmOrder>();
+  private readonly barred = new Set<string>();
+  private readonly waitingUntil = new Map<string, number>();
+  private recent: StoredOrder[] = [];
+  private closed = false;
+
+  constructor(
+    private readonly term: number,
+    private readonly parts: VmOrderParts,
+    private readonly ordersAllowed: () => boolean,
+  ) {}
+
+  close(): void {
+    this.closed = true;
+  }
+
+  /** Learns which VMs the holder before has ordered about. */
+  async load(): Promise<void> {
+    while (!this.closed) {
+      const result = await this.parts.log.newest(LogStream.Fleet);
+      if (result.outcome === ReadOutcome.Read) {
+        const record = result.records.find(item => item.key === VM_ORDERS_KEY);
+        if (record?.value) this.noteBefore(record.value);
+        return;
+      }
+      await sleep(this.parts.clock, RETRY_MILLISECONDS);
+    }
+  }
+
+  /** Whether an order about the VM may be given now. */
+  isFree(vm: string): boolean {
+    if (this.open.has(vm) || this.barred.has(vm)) return false;
+    const until = this.waitingUntil.get(vm);
+    return (
+      until === undefined || this.parts.clock.monotonicMilliseconds() >= until
+    );
+  }
+
+  /** The order about a VM that is not over. */
+  openOrder(vm: string): VmOrder | undefined {
+    return this.open.get(vm);
+  }
+
+  /** Orders that are not over. */
+  all(): Iterable<[string, VmOrder]> {
+    return this.open;
+  }
+
+  /** Stores the orders, then gives them. */
+  async give(requests: readonly VmOrderRequest[]): Promise<void> {
+    if (requests.length === 0) return;
+    for (const {vm, order, session} of requests) {
+      this.open.set(vm.name, order);
+      session?.reserve(order.kind);
+    }
+    if (!(await this.store(requests))) return;
+    for (const request of requests) void this.giveOne(request);
+  }
+
+  private noteBefore(value: Buffer): void {
+    const {clock, settings, logger} = this.parts;
+    try {
+      const stored = JSON.parse(value.toString('utf8')) as StoredOrder[];
+      const until =
+        clock.monotonicMilliseconds() + settings.limits.holderChange;
+      for (const order of stored)
+        if (order.holder !== settings.node)
+          this.waitingUntil.set(order.vm, until);
+    } catch (error) {
+      logger.warn(LogEvent.RecordUnreadable, {
+        stream: LogStream.Fleet,
+        key: VM_ORDERS_KEY,
+        error: String(error),
+      });
+    }
+  }
+
+  private async store(requests: readonly VmOrderRequest[]): Promise<boolean> {
+    const {clock, settings, log} = this.parts;
+    const at = clock.wallMilliseconds();
+    const holder = settings.node;
+    this.recent = [
+      ...this.recent.filter(order => at - order.at < KEPT_MILLISECONDS),
+      ...requests.map(({vm}) => ({vm: vm.name, holder, at})),
+    ];
+    const value = Buffer.from(JSON.stringify(this.recent));
+    while (!this.closed) {
+      const result = await log.append(LogStream.Fleet, [
+        {key: VM_ORDERS_KEY, value},
+      ]);
+      if (result.outcome === AppendOutcome.Appended) return true;
+      await sleep(clock, RETRY_MILLISECONDS);
+    }
+    return false;
+  }
+
+  private async giveOne(request: VmOrderRequest): Promise<void> {
+    const {vm, order} = request;
+    let outcome = VmOrderOutcome.Unknown;
+    while (!this.closed && outcome === VmOrderOutcome.Unknown) {
+      if (this.ordersAllowed()) outcome = await this.send(vm.name, order);
+      if (outcome === VmOrderOutcome.Unknown)
+        await sleep(this.parts.clock, REPEAT_MILLISECONDS);
+    }
+    if (this.closed) return;
+    this.settle(request, outcome);
+    await sleep(this.parts.clock, SETTLE_MILLISECONDS);
+    this.open.delete(vm.name);
+  }
+
+  private send(vm: string, order: VmOrder): Promise<VmOrderOutcome> {
+    const {machines, settings} = this.parts;
+    const holder = {name: settings.node, fencingToken: this.term};
+    return order.kind === 'move'
+      ? machines.move(vm, order.to, holder)
+      : machines.maintain(vm, Number(order.to), holder);
+  }
+
+  private settle(request: VmOrderRequest, outcome: VmOrderOutcome): void {
+    const {vm, order, session} = request;
+    this.parts.logger.info(LogEvent.VmOrdered, {
+      vm: vm.name,
+      from: vm.pool,
+      order: order.kind,
+      to: order.to,
+      outcome,
+    });
+    this.parts.metrics.increment(MetricName.VmOrders, {
+      order: order.kind,
+      outcome,
+    });
+    if (outcome === VmOrderOutcome.Fenced) this.barred.add(vm.name);
+    if (outcome === VmOrderOutcome.Done) session?.endLife(order.kind);
+    else session?.reserve(undefined);
+    request.settled(outcome);
+  }
+}
--- a/packages/coordinator/src/wave-progress.ts
+++ b/packages/coordinator/src/wave-progress.ts
@@ -8,6 +8,7 @@
   ReadOutcome,
   type RecordLog,
 } from './record-log.js';
+import {VM_ORDERS_KEY} from './vm-orders.js';
 
 /** What the progress of waves is built from. */
 export interface WaveParts {
@@ -44,7 +45,8 @@
     if (this.loaded) return;
     const result = await this.parts.log.newest(LogStream.Fleet);
     if (result.outcome !== ReadOutcome.Read) return;
-    for (const record of result.records) this.restore(record);
+    for (const record of result.records)
+      if (record.key !== VM_ORDERS_KEY) this.restore(record);
     this.loaded = true;
   }
 
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -28,6 +28,8 @@
   /** When this coordinator's term began. */
   readonly beganAt: number;
   ordersAllowed(): boolean;
+  /** Whether work is ever placed on workers of a service: VMs of a standby pool are off. */
+  usesWorkersOf(service: string): boolean;
   /** A worker has seen a higher fencing token. */
   fenced(): void;
   runEnded(
@@ -116,6 +118,7 @@
     return (
       !this.closed &&
       this.listed &&
+      this.host.usesWorkersOf(this.current.service) &&
       this.tokenShown &&
       this.silentSince === undefined &&
       this.reservedFor === undefined &&
@@ -265,6 +268,8 @@
   }
 
   private needsLook(): boolean {
+    if (this.runs.size === 0 && !this.host.usesWorkersOf(this.current.service))
+      return false;
     return (
       !this.tokenShown ||
       this.runs.size > 0 ||
@@ -456,6 +461,7 @@
       this.noteAnswer(result.clockMilliseconds);
       run.status = RunStatus.Confirmed;
       run.settledAt = this.clock.monotonicMilliseconds();
+      run.beganAt = run.settledAt;
       this.signal.notify();
       return true;
     }
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -29,6 +29,9 @@
   remaining: number;
 }
 
+/** Run time to expect of a task of a step, in milliseconds. */
+export type ExpectedTime = (step: StepSpecification) => number;
+
 /** What the end of a run changed. */
 export enum EndEffect {
   /** A run that is not the task's last one; nothing changed. */
@@ -49,14 +52,11 @@
 export class JobExecution {
   private readonly groups = new Map<string, StepGroup>();
   private openGroups = 0;
-  /** Longest chain of estimated task times of all steps, in milliseconds. */
-  readonly wholeChain: number;
 
   constructor(
     readonly job: JobSubmission,
     readonly progress: JobProgress,
   ) {
-    this.wholeChain = longestChain(job, () => true);
     for (let k = 0; k < occurrenceCount(job); k++)
       job.steps.forEach((step, index) => this.addGroup(k, index, step));
   }
@@ -144,10 +144,16 @@
     if (!this.ended) this.progress.state = JobState.Cancelled;
   }
 
-  /** Longest chain of estimated task times from `occurrence`'s open steps to its end, in milliseconds. */
-  remainingChain(occurrence: number): number {
+  /** Longest chain of task times of all steps, in milliseconds. */
+  wholeChain(expected: ExpectedTime): number {
+    return longestChain(this.job, expected, () => true);
+  }
+
+  /** Longest chain of task times of `occurrence`'s open steps, in milliseconds. */
+  remainingChain(occurrence: number, expected: ExpectedTime): number {
     return longestChain(
       this.job,
+      expected,
       step => (this.groups.get(groupKey(occurrence, step))?.remaining ?? 0) > 0,
     );
   }
@@ -215,11 +221,12 @@
 
 function longestChain(
   job: JobSubmission,
+  expected: ExpectedTime,
   counts: (step: number) => boolean,
 ): number {
   const length: number[] = [];
   job.steps.forEach((step, index) => {
-    const own = counts(index) ? step.estimatedMilliseconds : 0;
+    const own = counts(index) ? expected(step) : 0;
     const before = step.after.map(earlier => length[earlier] ?? 0);
     length.push(own + Math.max(0, ...before));
   });
--- /dev/null
+++ b/packages/scheduling/src/duration-model.ts
@@ -0,0 +1,50 @@
+/** Runs that are remembered: enough for a slope, short enough to follow a change within a burst. */
+const MEMORY_RUNS = 200;
+/** Runs that are needed before the estimates are corrected. */
+const LEAST_RUNS = 12;
+/** Estimates and run times under this are taken as this: the logarithm of 0 says nothing. */
+const LEAST_MILLISECONDS = 1;
+
+/**
+ * Learns how estimated run times of a queue's tasks stand to the real ones.
+ * Load: callers whose estimates are off by a factor, each queue in its own way. Without it jobs are
+ * ordered and pools sized by numbers that say little. A regression of the logarithms keeps what an
+ * estimate tells and pulls the rest to the queue's mean.
+ */
+export class DurationModel {
+  private weight = 0;
+  private meanEstimate = 0;
+  private meanActual = 0;
+  private variance = 0;
+  private covariance = 0;
+
+  /** Notes a run that ended well. */
+  note(estimatedMilliseconds: number, actualMilliseconds: number): void {
+    const estimate = logarithm(estimatedMilliseconds);
+    const actual = logarithm(actualMilliseconds);
+    this.weight = Math.min(this.weight + 1, MEMORY_RUNS);
+    const share = 1 / this.weight;
+    const beforeEstimate = estimate - this.meanEstimate;
+    const beforeActual = actual - this.meanActual;
+    this.meanEstimate += share * beforeEstimate;
+    this.meanActual += share * beforeActual;
+    const afterEstimate = estimate - this.meanEstimate;
+    this.variance += share * (beforeEstimate * afterEstimate - this.variance);
+    this.covariance += share * (beforeActual * afterEstimate - this.covariance);
+  }
+
+  /** Run time to expect of a task with this estimate, in milliseconds. */
+  expected(estimatedMilliseconds: number): number {
+    if (this.weight < LEAST_RUNS) return estimatedMilliseconds;
+    const slope =
+      this.variance > 0
+        ? Math.min(1, Math.max(0, this.covariance / this.variance))
+        : 1;
+    const distance = logarithm(estimatedMilliseconds) - this.meanEstimate;
+    return Math.exp(this.meanActual + slope * distance);
+  }
+}
+
+function logarithm(milliseconds: number): number {
+  return Math.log(Math.max(LEAST_MILLISECONDS, milliseconds));
+}
--- a/packages/scheduling/src/job-order.ts
+++ b/packages/scheduling/src/job-order.ts
@@ -2,36 +2,64 @@
 export interface WaitingJob {
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** When the job was handed in, or when its occurrence is due. */
-  readonly since: number;
   /** When its objective ends. */
   readonly dueAt: number;
   /** Until when it still counts as late; after that nobody waits for it. */
   readonly lateUntil: number;
-  /** Estimated time of its longest chain of open steps. */
+  /** Expected time of its longest chain of open steps. */
   readonly remainingChain: number;
 }
 
+/** What a waiting job can still reach. */
+export enum Chance {
+  InTime = 'in_time',
+  /** Late, and lost unless it starts soon. */
+  LastCall = 'last_call',
+  Late = 'late',
+  /** Too late for anybody. */
+  Lost = 'lost',
+}
+
+/** A late job that would be lost within this is called for the last time: a round of starts with some room. */
+const LAST_CALL_MILLISECONDS = 700;
+
+const CHANCE_RANKS: Readonly<Record<Chance, number>> = {
+  [Chance.InTime]: 1,
+  [Chance.LastCall]: 1.5,
+  [Chance.Late]: 2,
+  [Chance.Lost]: 3,
+};
+/** Rank of a job that may go ahead of all others. */
+const RESCUED_RANK = 0;
+
+/** What a job can still reach when it starts now. */
+export function chanceOf(job: WaitingJob, now: number): Chance {
+  const earliestEnd = now + job.remainingChain;
+  if (earliestEnd <= job.dueAt) return Chance.InTime;
+  if (earliestEnd > job.lateUntil) return Chance.Lost;
+  return earliestEnd + LAST_CALL_MILLISECONDS > job.lateUntil
+    ? Chance.LastCall
+    : Chance.Late;
+}
+
+/** Rank of a job among all that wait; the lowest goes first. */
+export function rankOf(chance: Chance, rescued: boolean): number {
+  return rescued ? RESCUED_RANK : CHANCE_RANKS[chance];
+}
+
+/** A waiting job with its rank. */
+export interface RankedJob extends WaitingJob {
+  readonly rank: number;
+}
+
 /**
  * Orders waiting jobs: what can still be in time first, then what can still be late, then the rest;
  * within each by urgency and by the end of the objective.
  * Load: a queue asks for several times what its pool holds for some seconds. Without it every job
  * waits behind ones that can no longer be in time, and all of them are late instead of some.
  */
-export function compareWaitingJobs(
-  left: WaitingJob,
-  right: WaitingJob,
-  now: number,
-): number {
-  const byChance = chance(left, now) - chance(right, now);
-  if (byChance !== 0) return byChance;
+export function compareWaitingJobs(left: RankedJob, right: RankedJob): number {
+  if (left.rank !== right.rank) return left.rank - right.rank;
   if (left.priority !== right.priority) return left.priority - right.priority;
   return left.dueAt - right.dueAt;
 }
-
-/** 0 in time, 1 late, 2 too late for anybody. */
-function chance(job: WaitingJob, now: number): number {
-  const earliestEnd = now + job.remainingChain;
-  if (earliestEnd <= job.dueAt) return 0;
-  return earliestEnd <= job.lateUntil ? 1 : 2;
-}
--- a/packages/scheduling/src/wave-plan.ts
+++ b/packages/scheduling/src/wave-plan.ts
@@ -3,6 +3,8 @@
   readonly name: string;
   /** Nothing runs on it, or it is off. */
   readonly idle: boolean;
+  /** It is being emptied for the wave. */
+  readonly emptying: boolean;
   /** Tasks that end by themselves. */
   readonly shortTasks: number;
   /** Tasks that last and must be started elsewhere. */
@@ -17,8 +19,10 @@
   readonly away: number;
   readonly maximumAtOnce: number;
   readonly leftMilliseconds: number;
-  /** A maintenance with what comes before and after it. */
+  /** A maintenance with what comes after it. */
   readonly maintenanceMilliseconds: number;
+  /** Work waits that the VMs could take. */
+  readonly workWaits: boolean;
 }
 
 /** What is done for a wave now. */
@@ -29,32 +33,63 @@
   readonly empty: readonly string[];
 }
 
-/** Share of the time left that the rest of the wave may need before VMs are emptied for it. */
-const UNHURRIED_SHARE = 0.6;
+/** Emptying a VM: its short tasks end, and a task that lasts starts elsewhere. */
+const EMPTYING_MILLISECONDS = 2_500;
+/** Tasks that last leave one after the other, each with a restart. */
+const LASTING_TASK_MILLISECONDS = 1_500;
+/** Share of the time left that a wave plans to use; the rest is for what goes wrong. */
+const PLANNED_SHARE = 0.55;
 
 /**
  * Steps of a wave of maintenance.
- * Load: a wave over half of the VMs beside queues that ask by turns. Without it the wave either cuts
- * work short or ends late: VMs that idle go first, and others are emptied only when time runs short.
+ * Load: a wave over half of the VMs beside queues that ask by turns. Without it the wave takes the
+ * spare VMs in one go just when a burst needs them, or ends late: VMs that idle go first and no
+ * more at once than the time left asks for, and others are emptied when time runs short.
  */
 export function planWave(standing: WaveStanding): WaveStep {
-  const free = Math.max(0, standing.maximumAtOnce - standing.away);
-  const idle = standing.due.filter(vm => vm.idle).map(vm => vm.name);
-  const maintain = idle.slice(0, free);
-  const left = free - maintain.length;
-  if (left === 0 || !isShort(standing)) return {maintain, empty: []};
-  const busy = standing.due
-    .filter(vm => !vm.idle)
-    .sort((one, other) => weight(one) - weight(other));
-  return {maintain, empty: busy.slice(0, left).map(vm => vm.name)};
+  const allowed = Math.max(0, standing.maximumAtOnce - standing.away);
+  const pace = Math.max(0, neededAtOnce(standing) - standing.away);
+  const idle = standing.due.filter(vm => vm.idle);
+  const wanted = standing.workWaits && !isShort(standing) ? 0 : pace;
+  const maintain = idle
+    .slice(0, Math.min(allowed, Math.max(wanted, emptied(idle))))
+    .map(vm => vm.name);
+  return {maintain, empty: toEmpty(standing, allowed - maintain.length)};
 }
 
+/** VMs that were emptied for the wave are of no other use. */
+function emptied(idle: readonly DueVm[]): number {
+  return idle.filter(vm => vm.emptying).length;
+}
+
+function toEmpty(standing: WaveStanding, free: number): string[] {
+  const busy = standing.due.filter(vm => !vm.idle);
+  const going = busy.filter(vm => vm.emptying).map(vm => vm.name);
+  if (!isShort(standing)) return going;
+  const others = busy
+    .filter(vm => !vm.emptying)
+    .sort((one, other) => weight(one) - weight(other))
+    .map(vm => vm.name);
+  return [...going, ...others].slice(0, Math.max(going.length, free));
+}
+
+/** VMs that must be in maintenance at the same time for the wave to end in its planned time. */
+function neededAtOnce(standing: WaveStanding): number {
+  const usable = Math.max(1, PLANNED_SHARE * standing.leftMilliseconds);
+  const work = standing.due.length * standing.maintenanceMilliseconds;
+  return Math.ceil(work / usable);
+}
+
+/** Whether the VMs that don't idle by themselves must be emptied now. */
 function isShort(standing: WaveStanding): boolean {
   const rounds = Math.ceil(
     standing.due.length / Math.max(1, standing.maximumAtOnce),
   );
-  const needed = rounds * standing.maintenanceMilliseconds;
-  return needed > UNHURRIED_SHARE * standing.leftMilliseconds;
+  const lasting = standing.due.reduce((sum, vm) => sum + vm.lastingTasks, 0);
+  const needed =
+    rounds * (standing.maintenanceMilliseconds + EMPTYING_MILLISECONDS) +
+    lasting * LASTING_TASK_MILLISECONDS;
+  return needed > PLANNED_SHARE * standing.leftMilliseconds;
 }
 
 /** A task that lasts is away for a while when it moves; one that ends only has to be waited for. */
