--- /dev/null
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -0,0 +1,232 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fastCheck from 'fast-check';
+import {
+  EndEffect,
+  JobExecution,
+  JobRecordKind,
+  JobState,
+  JobTable,
+  RunEnd,
+  decodeJobRecord,
+  emptyProgress,
+  encodeJobRecord,
+  parseJobRecordKey,
+  type JobSubmission,
+  type StepSpecification,
+} from '../index.js';
+
+const STEP: StepSpecification = {
+  taskCount: 2,
+  processorMillicores: 1_000,
+  memoryMegabytes: 100,
+  accelerators: 0,
+  estimatedMilliseconds: 400,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  sameRack: false,
+  requiredLabel: '',
+  preferredRack: '',
+  maximumPerWorker: 0,
+  speculative: false,
+  longRunning: false,
+  image: '',
+  targetMilliseconds: 0,
+  fills: false,
+  mayMiss: 0,
+};
+
+function submission(
+  steps: readonly StepSpecification[],
+  differences: Partial<JobSubmission> = {},
+): JobSubmission {
+  return {
+    id: 'job',
+    queue: 'queue',
+    service: 'service',
+    payload: '',
+    steps,
+    submittedAtMilliseconds: 0,
+    ...differences,
+  };
+}
+
+function execution(
+  steps: readonly StepSpecification[],
+  differences: Partial<JobSubmission> = {},
+): JobExecution {
+  return new JobExecution(submission(steps, differences), emptyProgress());
+}
+
+function finishAll(job: JobExecution, end = RunEnd.Done): EndEffect[] {
+  return job.readyTasks(0).map(task => {
+    const run = job.beginRun(task, 'worker');
+    return job.endRun(task, run, end, '', 3);
+  });
+}
+
+describe('JobExecution', () => {
+  it('lets a step start when all tasks of earlier steps are done', () => {
+    const job = execution([STEP, {...STEP, after: [0]}]);
+    const [first, second] = job.readyTasks(0);
+    const run = job.beginRun(first, 'worker');
+    job.endRun(first, run, RunEnd.Done, '', 3);
+    assert.deepEqual(
+      job.readyTasks(0).map(task => task.key),
+      [second.key],
+    );
+    finishAll(job);
+    assert.deepEqual(
+      job.readyTasks(0).map(task => task.step),
+      [1, 1],
+    );
+    assert.deepEqual(finishAll(job), [EndEffect.TaskDone, EndEffect.JobEnded]);
+    assert.equal(job.progress.state, JobState.Completed);
+  });
+
+  it('does not let a task start while a run of it may be alive', () => {
+    const job = execution([{...STEP, taskCount: 1}]);
+    job.beginRun(job.readyTasks(0)[0], 'worker');
+    assert.deepEqual(job.readyTasks(0), []);
+  });
+
+  // An old run's end comes after the next run was ordered; it must not free the task.
+  it('takes no notice of the end of an earlier run', () => {
+    const job = execution([{...STEP, taskCount: 1}]);
+    const [task] = job.readyTasks(0);
+    job.endRun(task, job.beginRun(task, 'one'), RunEnd.Lost, '', 3);
+    job.beginRun(task, 'two');
+    assert.equal(job.endRun(task, 1, RunEnd.Failed, '', 3), EndEffect.Stale);
+    assert.deepEqual(job.readyTasks(0), []);
+  });
+
+  it('fails after the attempts of the queue, counting only failed ends', () => {
+    const job = execution([{...STEP, taskCount: 1}]);
+    finishAll(job, RunEnd.Stopped);
+    finishAll(job, RunEnd.Failed);
+    finishAll(job, RunEnd.Lapsed);
+    finishAll(job, RunEnd.Failed);
+    assert.equal(job.ended, false);
+    finishAll(job, RunEnd.Failed);
+    assert.equal(job.progress.state, JobState.Failed);
+  });
+
+  it('starts a task that lasts again however it ends', () => {
+    const job = execution([{...STEP, taskCount: 1, longRunning: true}]);
+    for (let run = 0; run < 8; run++) finishAll(job, RunEnd.Failed);
+    finishAll(job, RunEnd.Done);
+    assert.equal(job.ended, false);
+    assert.equal(job.readyTasks(0).length, 1);
+  });
+
+  it('is done with one end of a gang', () => {
+    const job = execution([{...STEP, taskCount: 3, gang: true}]);
+    const tasks = job.readyTasks(0);
+    for (const task of tasks) job.beginRun(task, `on-${task.index}`, 1);
+    assert.equal(
+      job.endRun(tasks[1], 1, RunEnd.Done, '', 3),
+      EndEffect.JobEnded,
+    );
+    assert.equal(job.progress.state, JobState.Completed);
+  });
+
+  it('lets an occurrence start when it is due', () => {
+    const job = execution([{...STEP, taskCount: 1}], {
+      repeat: {count: 2, startAtMilliseconds: 1_000, intervalMilliseconds: 500},
+    });
+    assert.equal(job.readyTasks(999).length, 0);
+    assert.equal(job.readyTasks(1_000).length, 1);
+    assert.equal(job.nextDueAfter(1_000), 1_500);
+    assert.equal(job.readyTasks(1_500).length, 2);
+  });
+});
+
+describe('records of jobs', () => {
+  it('come back as they were', () => {
+    const job = execution([STEP]);
+    job.beginRun(job.readyTasks(0)[0], 'worker');
+    const record = encodeJobRecord({
+      kind: JobRecordKind.Progress,
+      jobId: 'job',
+      progress: job.progress,
+    });
+    const key = parseJobRecordKey(record.key);
+    assert.ok(key && record.value);
+    const read = decodeJobRecord(key.kind, key.jobId, record.value);
+    assert.ok(read.kind === JobRecordKind.Progress);
+    assert.deepEqual(read.progress, job.progress);
+  });
+
+  // Another writer's bytes under one of our keys must neither stop the reading of the log nor
+  // change what is known of a job.
+  it('of another writer are refused or harmless', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.constantFrom('j/', 'c/', 'p/', 'x/', ''),
+        fastCheck.oneof(
+          fastCheck.string(),
+          fastCheck.json(),
+          fastCheck.constant('{"state":"completed"}'),
+        ),
+        (prefix, text) => {
+          const table = new JobTable();
+          table.apply(
+            encodeJobRecord({
+              kind: JobRecordKind.Submission,
+              job: submission([STEP]),
+            }),
+          );
+          try {
+            table.apply({key: `${prefix}job`, value: Buffer.from(text)});
+          } catch {
+            // Refused: the follower logs it and goes on.
+          }
+          const found = table.find('job');
+          assert.ok(found);
+          assert.equal(found.submission.steps.length, 1);
+          assert.ok(Object.values(JobState).includes(table.stateOf(found)));
+        },
+      ),
+    );
+  });
+});
+
+describe('JobTable', () => {
+  it('keeps a job once, however often it is handed in', () => {
+    const table = new JobTable();
+    let heard = 0;
+    table.listen({submitted: () => heard++});
+    const record = encodeJobRecord({
+      kind: JobRecordKind.Submission,
+      job: submission([STEP]),
+    });
+    table.apply(record);
+    table.apply(record);
+    assert.equal(heard, 1);
+  });
+
+  it('shows a cancellation at once, and never instead of a final state', () => {
+    const table = new JobTable();
+    table.apply(
+      encodeJobRecord({
+        kind: JobRecordKind.Submission,
+        job: submission([STEP]),
+      }),
+    );
+    table.apply(
+      encodeJobRecord({kind: JobRecordKind.Cancellation, jobId: 'job'}),
+    );
+    const found = table.find('job');
+    assert.ok(found);
+    assert.equal(table.stateOf(found), JobState.Cancelled);
+    table.apply(
+      encodeJobRecord({
+        kind: JobRecordKind.Progress,
+        jobId: 'job',
+        progress: {state: JobState.Completed, tasks: new Map()},
+      }),
+    );
+    assert.equal(table.stateOf(found), JobState.Completed);
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  DEFAULT_POOL_PLAN,
+  planPools,
+  type PlannedPool,
+  type PlannedVm,
+} from '../pool-plan.js';
+
+const VM_MILLICORES = 64_000;
+
+function vms(
+  prefix: string,
+  count: number,
+  idleMilliseconds: number,
+): PlannedVm[] {
+  return Array.from({length: count}, (_, index) => ({
+    name: `${prefix}-${index}`,
+    millicores: VM_MILLICORES,
+    idleMilliseconds,
+  }));
+}
+
+function pool(differences: Partial<PlannedPool>): PlannedPool {
+  return {
+    service: 'quotes',
+    standby: false,
+    usedMillicores: 0,
+    waitingMillicores: 0,
+    waitingMilliseconds: 0,
+    arrivingMillicores: 0,
+    arriving: 0,
+    usable: 0,
+    vms: [],
+    vmMillicores: VM_MILLICORES,
+    ...differences,
+  };
+}
+
+const SPARE = pool({
+  service: 'spare',
+  standby: true,
+  vms: vms('spare', 10, 60_000),
+});
+
+describe('planPools', () => {
+  describe('at the start of a burst', () => {
+    // Callers of the first second wait for a move's time when VMs are fetched only once all are
+    // full. Work that arrives for five VMs is reason enough, before anything waits.
+    it('fetches VMs before any work waits', () => {
+      const quotes = pool({usable: 2, arrivingMillicores: 5 * VM_MILLICORES});
+      const moves = planPools([quotes, SPARE]);
+      const wanted = Math.ceil(5 * DEFAULT_POOL_PLAN.headroom) + 1;
+      assert.equal(moves.length, wanted - 2);
+      assert.ok(moves.every(move => move.to === 'quotes'));
+    });
+
+    it('does not fetch again what is on its way', () => {
+      const quotes = pool({
+        usable: 2,
+        arriving: 6,
+        arrivingMillicores: 5 * VM_MILLICORES,
+      });
+      assert.deepEqual(planPools([quotes, SPARE]), []);
+    });
+  });
+
+  describe('when the turn passes to another queue', () => {
+    // The next queue's callers wait while VMs of the last one are sent to the spare pool and
+    // others are fetched from there: two moves in place of one.
+    it('gives the idle VMs of the last queue to the next one', () => {
+      const last = pool({
+        service: 'last',
+        usable: 6,
+        vms: vms('last', 6, 400),
+      });
+      const next = pool({
+        service: 'next',
+        usable: 1,
+        arrivingMillicores: 3 * VM_MILLICORES,
+      });
+      const moves = planPools([last, next, SPARE]);
+      const given = moves.filter(move => move.to === 'next');
+      assert.equal(given.length, 4);
+      assert.ok(given.every(move => move.from === 'last'));
+    });
+
+    it('sends no VM to the spare pool before it has idled for a move’s worth', () => {
+      const last = pool({usable: 6, vms: vms('last', 6, 400)});
+      assert.deepEqual(planPools([last, SPARE]), []);
+    });
+
+    it('keeps the VMs that the pool wants', () => {
+      const last = pool({usable: 6, vms: vms('last', 6, 5_000)});
+      const moves = planPools([last, SPARE]);
+      assert.equal(moves.length, 6 - DEFAULT_POOL_PLAN.spareVms);
+    });
+  });
+
+  describe('with a little work that no worker may take', () => {
+    // Tasks that last, one on a worker at most, wait beside free room. Less than a VM's work never
+    // made a difference to the size, so they waited for ever.
+    it('fetches one VM after a while', () => {
+      const quotes = pool({
+        usable: 6,
+        waitingMillicores: 5_000,
+        waitingMilliseconds: DEFAULT_POOL_PLAN.longestWaitMilliseconds,
+      });
+      const moves = planPools([quotes, SPARE]);
+      assert.equal(moves.length, 1);
+    });
+  });
+
+  it('never takes a VM twice', () => {
+    const one = pool({
+      service: 'one',
+      arrivingMillicores: 20 * VM_MILLICORES,
+    });
+    const two = pool({
+      service: 'two',
+      arrivingMillicores: 20 * VM_MILLICORES,
+    });
+    const moves = planPools([one, two, SPARE]);
+    assert.equal(new Set(moves.map(move => move.vm)).size, moves.length);
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/__tests__/queue-decisions.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SeededRandom} from '@gentiandoor/kernel';
+import {DemandMeter} from '../demand-meter.js';
+import {DurationModel} from '../duration-model.js';
+import {
+  Chance,
+  chanceOf,
+  compareWaitingJobs,
+  rankOf,
+  type RankedJob,
+} from '../job-order.js';
+import {RescueBudget} from '../rescue-budget.js';
+import {WorkerTrust} from '../worker-trust.js';
+
+describe('the order of waiting jobs', () => {
+  const NOW = 10_000;
+
+  function ranked(differences: Partial<RankedJob>): RankedJob {
+    const job = {
+      priority: 0,
+      dueAt: NOW + 2_000,
+      lateUntil: NOW + 6_000,
+      remainingChain: 1_000,
+      ...differences,
+    };
+    return {...job, rank: rankOf(chanceOf(job, NOW), false)};
+  }
+
+  // All callers of an overload get late answers when the oldest job always goes first.
+  it('puts what can still be in time before what is late already', () => {
+    const late = ranked({dueAt: NOW + 500});
+    const inTime = ranked({dueAt: NOW + 1_500});
+    assert.ok(compareWaitingJobs(inTime, late) < 0);
+  });
+
+  it('puts the urgent first among those in time', () => {
+    const urgent = ranked({priority: 0, dueAt: NOW + 3_000});
+    const other = ranked({priority: 1});
+    assert.ok(compareWaitingJobs(urgent, other) < 0);
+  });
+
+  it('calls a late job for the last time before it is lost', () => {
+    const job = {priority: 0, dueAt: 0, remainingChain: 1_000};
+    assert.equal(chanceOf({...job, lateUntil: NOW + 5_000}, NOW), Chance.Late);
+    assert.equal(
+      chanceOf({...job, lateUntil: NOW + 1_200}, NOW),
+      Chance.LastCall,
+    );
+    assert.equal(chanceOf({...job, lateUntil: NOW + 900}, NOW), Chance.Lost);
+  });
+});
+
+describe('RescueBudget', () => {
+  // Under a long overload every job is called for the last time; if all went ahead, none would be
+  // in time any more.
+  it('lets few late jobs go ahead under a long overload', () => {
+    const budget = new RescueBudget();
+    let rescued = 0;
+    for (let job = 0; job < 240; job++) {
+      if (budget.allows(`job-${job}`)) rescued++;
+      budget.noteServed();
+    }
+    assert.ok(rescued <= 4 + 240 / 12);
+    assert.ok(rescued >= 240 / 12);
+  });
+
+  it('goes on with a job that it has let ahead', () => {
+    const budget = new RescueBudget();
+    assert.ok(budget.allows('a'));
+    for (let job = 0; job < 10; job++) budget.allows(`other-${job}`);
+    assert.ok(budget.allows('a'));
+  });
+});
+
+describe('DurationModel', () => {
+  function learned(noise: number): DurationModel {
+    const model = new DurationModel();
+    const random = new SeededRandom(5);
+    for (let run = 0; run < 200; run++) {
+      const actual = 500 * Math.exp(random.nextFraction() - 0.5);
+      const off = Math.exp(noise * (random.nextFraction() - 0.5));
+      model.note(actual * 2 * off, actual);
+    }
+    return model;
+  }
+
+  it('corrects estimates that are off by a factor', () => {
+    const expected = learned(0).expected(1_000);
+    assert.ok(Math.abs(expected - 500) < 25, `${expected}`);
+  });
+
+  it('pulls estimates that say little to the mean of the queue', () => {
+    const model = learned(6);
+    const ratio = model.expected(4_000) / model.expected(1_000);
+    assert.ok(ratio < 1.5, `${ratio}`);
+  });
+
+  it('takes the estimate while too few runs are known', () => {
+    assert.equal(new DurationModel().expected(700), 700);
+  });
+});
+
+describe('DemandMeter', () => {
+  it('shows a burst within a second and forgets it within another', () => {
+    const meter = new DemandMeter();
+    for (let now = 0; now < 1_000; now += 20) meter.note(20 * 32_000, now);
+    const during = meter.millicores(1_000);
+    assert.ok(Math.abs(during - 32_000) < 5_000, `${during}`);
+    assert.equal(meter.millicores(2_000), 0);
+  });
+});
+
+describe('WorkerTrust', () => {
+  // A worker that fails all it starts looks idle and draws the whole queue.
+  it('is lost after failures of several jobs in a row', () => {
+    const trust = new WorkerTrust();
+    trust.noteFailure('a', 0);
+    trust.noteFailure('b', 10);
+    trust.noteFailure('c', 20);
+    assert.equal(trust.level(100), 0);
+    assert.ok(trust.level(10_000) > 0);
+  });
+
+  // A job that fails everywhere says nothing about the workers that it fails on.
+  it('is not lost by one job that fails each time', () => {
+    const trust = new WorkerTrust();
+    for (let run = 0; run < 10; run++) trust.noteFailure('bad', run);
+    assert.ok(trust.level(100) > 0.5);
+  });
+});
