--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -98,6 +98,7 @@
       new GroupedAppender(this.store, LogStream.Jobs, clock),
       clock,
       logger,
+      new MemoryMetrics(),
     );
     this.operators = new OperatorView(
       this.store,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -160,12 +160,15 @@
   launch(session: WorkerSession, run: LiveRun): void {
     session.expect(run);
     this.writer.store(run.execution, () => {
-      this.parts.logger.info(LogEvent.RunOrdered, {
+      const {logger, metrics, clock} = this.parts;
+      const waited = clock.monotonicMilliseconds() - run.plannedAt;
+      metrics.timing(MetricName.RunWaitDuration, waited);
+      logger.info(LogEvent.RunOrdered, {
         task: run.task,
         run: run.run,
         worker: session.id,
-        waitedMilliseconds:
-          this.parts.clock.monotonicMilliseconds() - run.plannedAt,
+        term: this.term,
+        storedAfterMilliseconds: Math.round(waited),
       });
       void session.order(run);
     });
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -1,4 +1,10 @@
-import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  MetricName,
+  type Clock,
+  type Logger,
+  type Metrics,
+} from '@gentiandoor/kernel';
 import {
   JobRecordKind,
   JobState,
@@ -46,6 +52,7 @@
     appender: GroupedAppender,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly metrics: Metrics,
   ) {
     this.appender = appender;
   }
@@ -63,12 +70,10 @@
       boundMilliseconds - ANSWER_MARGIN_MILLISECONDS,
     );
     const answer = this.settleSubmission(job.id, outcome);
-    const fields = {
-      job: job.id,
-      queue: job.queue,
-      answer,
-      milliseconds: this.clock.monotonicMilliseconds() - started,
-    };
+    const milliseconds = this.clock.monotonicMilliseconds() - started;
+    this.metrics.increment(MetricName.JobSubmissions, {answer});
+    this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
+    const fields = {job: job.id, queue: job.queue, answer, milliseconds};
     if (answer === SubmitAnswer.Taken)
       this.logger.info(LogEvent.JobTaken, fields);
     else this.logger.warn(LogEvent.JobRefused, fields);
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -11,16 +11,15 @@
 } from '@gentiandoor/coordinator';
 import {JobTable} from '@gentiandoor/jobs';
 import {
+  BoundedLogger,
   DrainState,
   LifeCycle,
   LogLevel,
-  MemoryMetrics,
   PinoLogger,
   SeededRandom,
   SystemClock,
   type Clock,
   type Logger,
-  type Metrics,
   type NamedPlugin,
   type RandomSource,
 } from '@gentiandoor/kernel';
@@ -32,9 +31,11 @@
   PlatformStore,
   PlatformWorkers,
 } from '@gentiandoor/platform';
+import {PrometheusMetrics} from '@gentiandoor/plugin-metrics';
 import {CoordinatorPlugin} from './coordinator-plugin.js';
 import {HttpServerPlugin} from './http-server.js';
 import {JobLogPlugin} from './job-log-plugin.js';
+import {METRICS_PORT, metricsListener} from './metrics-listener.js';
 import {readinessListener} from './readiness-listener.js';
 
 const SEED_BOUND = 2 ** 31;
@@ -49,7 +50,8 @@
   clock: Clock;
   random: RandomSource;
   logger: Logger;
-  metrics: Metrics;
+  metrics: PrometheusMetrics;
+  metricsPort: HttpServerPlugin;
   drainState: DrainState;
   storeCalls: HttpCalls;
   workerCalls: HttpCalls;
@@ -81,8 +83,21 @@
     settings: single(() => settings),
     clock: single(() => new SystemClock()),
     random: single(() => new SeededRandom(randomInt(SEED_BOUND))),
-    logger: single(() => new PinoLogger(LogLevel.Info, {node: settings.node})),
-    metrics: single(() => new MemoryMetrics()),
+    logger: single(
+      ({clock}) =>
+        new BoundedLogger(
+          new PinoLogger(LogLevel.Info, {node: settings.node}),
+          clock,
+        ),
+    ),
+    metrics: single(() => new PrometheusMetrics()),
+    metricsPort: single(
+      parts =>
+        new HttpServerPlugin(
+          `${hostOf(settings.callerAddress)}:${METRICS_PORT}`,
+          metricsListener(parts.metrics),
+        ),
+    ),
     drainState: single(() => new DrainState()),
     storeCalls: single(() => new HttpCalls(STORE_CONNECTIONS)),
     workerCalls: single(() => new HttpCalls(WORKER_CONNECTIONS)),
@@ -108,13 +123,14 @@
         new StreamFollower(log, LogStream.Jobs, table, clock, logger),
     ),
     desk: single(
-      ({table, jobs, log, clock, logger}) =>
+      ({table, jobs, log, clock, logger, metrics}) =>
         new JobFrontDesk(
           table,
           jobs,
           new GroupedAppender(log, LogStream.Jobs, clock),
           clock,
           logger,
+          metrics,
         ),
     ),
     routes: single(
@@ -175,6 +191,10 @@
   };
 }
 
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
 /** Parts in the order in which they start. */
 function pluginsOf(parts: EntryParts): NamedPlugin[] {
   const operators = {
@@ -182,6 +202,7 @@
     stop: async () => parts.operators.stop(),
   };
   return [
+    {name: 'metrics', plugin: parts.metricsPort},
     {name: 'operators', plugin: operators},
     {name: 'job log', plugin: parts.jobLog},
     {name: 'callers', plugin: parts.callers},
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -17,3 +17,4 @@
 export * from './metric-catalogue.js';
 export * from './resolve-now.js';
 export * from './readiness.js';
+export * from './bounded-logger.js';
--- a/packages/plugin-metrics/src/index.ts
+++ b/packages/plugin-metrics/src/index.ts
@@ -3,6 +3,7 @@
 import {metricsOptions, type MetricsOptions} from './metrics-options.js';
 import {StatsdMetrics} from './statsd-metrics.js';
 
+export {PrometheusMetrics} from './prometheus-metrics.js';
 export {StatsdMetrics} from './statsd-metrics.js';
 
 /** Registers the metrics edge. */
--- /dev/null
+++ b/packages/plugin-metrics/src/prometheus-metrics.ts
@@ -0,0 +1,71 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {
+  METRIC_CATALOGUE,
+  MetricName,
+  MetricType,
+  type Metrics,
+  type MetricTags,
+} from '@gentiandoor/kernel';
+
+const PREFIX = 'gentiandoor_';
+/** From a store's answer to a caller's longest wait, in milliseconds. */
+const TIMING_BUCKETS = [
+  2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000,
+];
+
+/** Keeps metrics in memory and writes them as the text that Prometheus reads. */
+export class PrometheusMetrics implements Metrics {
+  private readonly registry = new Registry();
+  private readonly counters = new Map<MetricName, Counter>();
+  private readonly gauges = new Map<MetricName, Gauge>();
+  private readonly timings = new Map<MetricName, Histogram>();
+
+  constructor() {
+    for (const name of Object.values(MetricName)) this.define(name);
+  }
+
+  increment(name: MetricName, tags: MetricTags = {}, by = 1): void {
+    this.counters.get(name)?.inc({...tags}, by);
+  }
+
+  gauge(name: MetricName, value: number, tags: MetricTags = {}): void {
+    this.gauges.get(name)?.set({...tags}, value);
+  }
+
+  timing(name: MetricName, milliseconds: number, tags: MetricTags = {}): void {
+    this.timings.get(name)?.observe({...tags}, milliseconds);
+  }
+
+  /** All metrics as text. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** Media type of the text. */
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+
+  private define(name: MetricName): void {
+    const entry = METRIC_CATALOGUE[name];
+    const options = {
+      name: PREFIX + name,
+      help: entry.meaning,
+      labelNames: [...entry.tags],
+      registers: [this.registry],
+    };
+    switch (entry.type) {
+      case MetricType.Counter:
+        this.counters.set(name, new Counter(options));
+        break;
+      case MetricType.Gauge:
+        this.gauges.set(name, new Gauge(options));
+        break;
+      case MetricType.Timing:
+        this.timings.set(
+          name,
+          new Histogram({...options, buckets: TIMING_BUCKETS}),
+        );
+    }
+  }
+}
