Pools weigh work by what it is worth, share out, empty VMs of late backlogs, and foresee turns

Cause: after a fault VMs went on with jobs that nobody waits for any more while the next queue's jobs all came late; one pool took all free VMs; after a change of coordinator every VM ordered within 15 s waited for 3 s; turns that come again found no VMs. Change: weights by chance, one VM at a time to the pool that lacks most, emptying of VMs with late work, a forecast of turns from the jobs in the store, distances between stored orders in place of wall-clock ages.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -263,17 +263,18 @@
     this.executions.set(submission.id, execution);
     this.adoptRuns(execution);
     if (job.cancelled) this.cancelJob(submission.id);
+    const age = this.ageOf(submission);
     if (execution.ended) {
       this.endedAt.set(submission.id, this.parts.clock.monotonicMilliseconds());
+      this.dispatcher.noteDemand(execution, age);
       this.stopRuns(execution);
-      return;
-    }
+    } else this.dispatcher.add(execution, age);
+  }
+
+  private ageOf(submission: JobSubmission): number {
     const age =
       this.parts.clock.wallMilliseconds() - submission.submittedAtMilliseconds;
-    this.dispatcher.add(
-      execution,
-      Math.min(Math.max(0, age), MAXIMUM_AGE_MILLISECONDS),
-    );
+    return Math.min(Math.max(0, age), MAXIMUM_AGE_MILLISECONDS);
   }
 
   private adoptRuns(execution: JobExecution): void {
@@ -286,6 +287,7 @@
         run: task.progress.run,
         stepKey: stepName(execution.job.id, task),
         ticket: '',
+        weight: 1,
         plannedAt: now,
         beganAt: undefined,
         status: RunStatus.Recovered,
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -9,6 +9,7 @@
   DemandMeter,
   DurationModel,
   RescueBudget,
+  TurnForecast,
   chanceOf,
   compareWaitingJobs,
   rankOf,
@@ -32,8 +33,13 @@
 const LATE_FACTOR = 3;
 /** Tasks of one service that find no room in a row before the rest is left for the next round: a pool that is full stays full. */
 const MISSES_BEFORE_GIVING_UP = 12;
-/** A job that was handed in longer ago than this was not read as it came. */
-const FRESH_MILLISECONDS = 2_000;
+/** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
+const WEIGHTS: Readonly<Record<Chance, number>> = {
+  [Chance.InTime]: 1,
+  [Chance.LastCall]: 0.3,
+  [Chance.Late]: 0.3,
+  [Chance.Lost]: 0,
+};
 /** The wall clock of a step due later is looked at again this often at least. */
 const LONGEST_SLEEP_MILLISECONDS = 1_000;
 
@@ -41,11 +47,13 @@
 interface Candidate extends RankedJob {
   readonly execution: JobExecution;
   readonly ready: readonly ExecutableTask[];
+  /** What VMs that run it are worth, in [0, 1]. */
+  readonly weight: number;
 }
 
 /** Waiting and running work of a service, for the size of its pool. */
 export interface ServiceLoad {
-  /** Millicores that waiting tasks ask for. */
+  /** Millicores that waiting tasks ask for, weighed by what they are still worth. */
   readonly waitingMillicores: number;
   readonly waitingTasks: number;
   /** Since when tasks have waited without a break; undefined while none does. */
@@ -66,6 +74,7 @@
   private readonly loads = new Map<string, ServiceLoad>();
   private readonly durations = new Map<string, DurationModel>();
   private readonly demands = new Map<string, DemandMeter>();
+  private readonly forecast = new TurnForecast();
   private readonly rescues = new RescueBudget();
   private readonly due = new Set<string>();
   private scheduled = false;
@@ -85,16 +94,25 @@
     jobs.add(execution);
     const now = this.clock.monotonicMilliseconds();
     this.firstSeen.set(execution, now - ageMilliseconds);
-    // Jobs of before this term say nothing of what comes now.
-    if (ageMilliseconds < FRESH_MILLISECONDS)
-      this.demandOf(service).note(this.workOf(execution), now);
+    this.noteDemand(execution, ageMilliseconds);
     this.wake(service);
   }
 
-  /** Millicores that work which arrives at the present rate keeps busy. */
-  arrivingMillicores(service: string): number {
-    return this.demandOf(service).millicores(
-      this.clock.monotonicMilliseconds(),
+  /** Notes that a job was handed in so long ago, whatever became of it: turns are learned from it. */
+  noteDemand(execution: JobExecution, ageMilliseconds: number): void {
+    const service = this.serviceOf(execution);
+    const at = this.clock.monotonicMilliseconds() - ageMilliseconds;
+    const work = this.workOf(execution);
+    this.demandOf(service).note(work, at);
+    this.forecast.note(service, work, at);
+  }
+
+  /** Millicores that work which arrives, or is about to, keeps busy. */
+  arrivingMillicores(service: string, leadMilliseconds: number): number {
+    const now = this.clock.monotonicMilliseconds();
+    return Math.max(
+      this.demandOf(service).millicores(now),
+      this.forecast.millicores(service, now, leadMilliseconds),
     );
   }
 
@@ -178,13 +196,14 @@
       for (const tasks of groupsOf(candidate.ready)) {
         const placed =
           misses < MISSES_BEFORE_GIVING_UP &&
-          this.placeTogether(round, candidate.execution, tasks, now);
+          this.placeTogether(round, candidate, tasks, now);
         if (placed) continue;
         misses++;
         waitingTasks += tasks.length;
         for (const task of tasks)
           if (!task.specification.fills)
-            waitingMillicores += task.specification.processorMillicores;
+            waitingMillicores +=
+              candidate.weight * task.specification.processorMillicores;
       }
     }
     const before = this.loadOf(service).waitingSince;
@@ -233,7 +252,13 @@
     const chance = chanceOf(waiting, now);
     const rescued =
       chance === Chance.LastCall && this.rescues.allows(execution.job.id);
-    return {execution, ready, ...waiting, rank: rankOf(chance, rescued)};
+    return {
+      execution,
+      ready,
+      ...waiting,
+      rank: rankOf(chance, rescued),
+      weight: ready[0].specification.longRunning ? 1 : WEIGHTS[chance],
+    };
   }
 
   private durationsOf(execution: JobExecution): DurationModel {
@@ -278,10 +303,11 @@
   /** Places all of `tasks` or none. */
   private placeTogether(
     round: PlacementRound,
-    execution: JobExecution,
+    candidate: Candidate,
     tasks: readonly ExecutableTask[],
     now: number,
   ): boolean {
+    const {execution, weight} = candidate;
     const chosen: WorkerSession[] = [];
     for (const task of tasks) {
       const session = round.take(
@@ -302,7 +328,7 @@
     tasks.forEach((task, index) => {
       const session = chosen[index];
       const run = execution.beginRun(task, session.id, together);
-      this.host.launch(session, plannedRun(execution, task, run, now));
+      this.host.launch(session, plannedRun(execution, task, run, now, weight));
     });
     return true;
   }
@@ -342,6 +368,7 @@
   task: ExecutableTask,
   run: number,
   now: number,
+  weight: number,
 ): LiveRun {
   return {
     execution,
@@ -350,6 +377,7 @@
     run,
     stepKey: stepName(execution.job.id, task),
     ticket: '',
+    weight,
     plannedAt: now,
     beganAt: undefined,
     status: RunStatus.Planned,
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -35,6 +35,12 @@
 /** Time between a maintenance and the return to service, besides the maintenance itself. */
 const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
 const FULL_PERCENT = 100;
+/** From the end of a move to the first start: the worker's entry is read and it is looked at. */
+const ARRIVAL_OVERHEAD_MILLISECONDS = 600;
+/** Why a VM takes no new starts before it changes its pool. */
+const POOL_CHANGE = 'pool change';
+/** Begins the reason why a VM takes no new starts before its maintenance. */
+const WAVE_PREFIX = 'wave ';
 
 /** Moves VMs between pools and through maintenance. */
 export class FleetKeeper {
@@ -122,24 +128,39 @@
   }
 
   private stepPools(pools: readonly PlannedPool[]): VmOrderRequest[] {
-    return planPools(pools).flatMap(move => {
+    const step = planPools(pools);
+    this.emptyForMoves(new Set(step.empty));
+    return step.moves.flatMap(move => {
       const vm = this.vms.find(listed => listed.name === move.vm);
       const barred = this.impossibleMoves.has(`${move.vm}>${move.to}`);
-      if (!vm || barred) return [];
-      return [
-        {
-          vm,
-          order: {kind: 'move', to: move.to},
-          session: this.sessionOn(vm),
-          settled: outcome => {
-            if (outcome === VmOrderOutcome.Impossible)
-              this.impossibleMoves.add(`${move.vm}>${move.to}`);
-          },
-        } satisfies VmOrderRequest,
-      ];
+      return vm && !barred ? [this.moveOf(vm, move.to)] : [];
     });
   }
 
+  private moveOf(vm: ListedVm, pool: string): VmOrderRequest {
+    return {
+      vm,
+      order: {kind: 'move', to: pool},
+      session: this.sessionOn(vm),
+      settled: outcome => {
+        if (outcome === VmOrderOutcome.Impossible)
+          this.impossibleMoves.add(`${vm.name}>${pool}`);
+      },
+    };
+  }
+
+  /** Keeps new starts away from the VMs that are to move, and lets them back where the need has passed. */
+  private emptyForMoves(names: ReadonlySet<string>): void {
+    for (const vm of this.vms) {
+      const session = this.sessionOn(vm);
+      if (!session) continue;
+      if (names.has(vm.name)) {
+        if (session.reservation === undefined) session.reserve(POOL_CHANGE);
+      } else if (session.reservation === POOL_CHANGE && session.runs.size > 0)
+        session.reserve(undefined);
+    }
+  }
+
   private plannedPools(): PlannedPool[] {
     const services = this.parts.operators.configuration?.services ?? [];
     return services.map(service => this.plannedPool(service));
@@ -151,13 +172,16 @@
     const members = this.vms.filter(vm => vm.pool === name);
     const sessions = this.registry
       .ofService(name)
-      .filter(session => session.takesStarts);
-    const views = sessions.map(session => session.placementView(now));
+      .filter(
+        session => session.takesStarts || session.reservation === POOL_CHANGE,
+      );
+    const lead =
+      this.parts.settings.limits.move + ARRIVAL_OVERHEAD_MILLISECONDS;
     return {
       service: name,
       standby,
-      usedMillicores: views.reduce(
-        (sum, view) => sum + view.totalMillicores - view.freeMillicores,
+      usedMillicores: sessions.reduce(
+        (sum, session) => sum + session.valuedMillicores,
         0,
       ),
       waitingMillicores: load.waitingMillicores,
@@ -165,7 +189,7 @@
         load.waitingSince === undefined
           ? 0
           : Math.max(1, now - load.waitingSince),
-      arrivingMillicores: this.dispatcher.arrivingMillicores(name),
+      arrivingMillicores: this.dispatcher.arrivingMillicores(name, lead),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
       vms: members
@@ -178,10 +202,16 @@
   }
 
   private plannedVm(vm: ListedVm, now: number): PlannedVm {
+    const session = this.sessionOn(vm);
+    const busy = session !== undefined && session.runs.size > 0;
     return {
       name: vm.name,
       millicores: vm.room.processorMillicores,
-      idleMilliseconds: now - (this.idleFrom.get(vm.name) ?? now),
+      idleMilliseconds: busy
+        ? undefined
+        : now - (this.idleFrom.get(vm.name) ?? now),
+      emptying: session?.reservation === POOL_CHANGE,
+      usedMillicores: session?.valuedMillicores ?? 0,
     };
   }
 
@@ -203,12 +233,15 @@
     return !session || session.isStarting;
   }
 
+  /** Up, not leaving, not held for a wave, and without a task that lasts. */
   private isMovable(vm: ListedVm, standby: boolean): boolean {
     if (vm.state !== VmState.Up || !this.orders.isFree(vm.name)) return false;
     const session = this.sessionOn(vm);
     if (!session) return standby;
-    if (session.runs.size > 0 || session.isDraining || session.isReserved)
-      return false;
+    if (session.isDraining || session.hasLastingTask) return false;
+    const reserved =
+      session.reservation !== undefined && session.reservation !== POOL_CHANGE;
+    if (reserved) return false;
     return standby || session.silentFrom === undefined;
   }
 
@@ -284,7 +317,7 @@
     return {
       name: vm.name,
       idle: runs.length === 0,
-      emptying: session?.isReserved ?? false,
+      emptying: session?.reservation?.startsWith(WAVE_PREFIX) ?? false,
       shortTasks: runs.length - lasting,
       lastingTasks: lasting,
     };
@@ -293,7 +326,7 @@
   private empty(vm: ListedVm | undefined, wave: MaintenanceWave): void {
     const session = vm && this.sessionOn(vm);
     if (!session) return;
-    session.reserve(`wave ${wave.number}`);
+    session.reserve(`${WAVE_PREFIX}${wave.number}`);
     for (const run of session.runs.values())
       if (this.mayEvacuate(run)) void session.stop(run);
   }
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -51,7 +51,7 @@
 /** The list must show the new state before a VM is planned with again. */
 const SETTLE_MILLISECONDS = 300;
 const RETRY_MILLISECONDS = 100;
-/** Orders older than this are of no concern to the next holder, whatever its wall clock says. */
+/** Longer than orders of two holders must lie apart on any deployment. */
 const KEPT_MILLISECONDS = 15_000;
 
 /** Key of the record of the last orders. */
@@ -60,7 +60,7 @@
 interface StoredOrder {
   readonly vm: string;
   readonly holder: string;
-  /** Wall-clock time at its holder. */
+  /** Steady time at its holder: only the distance between two orders of one holder says something. */
   readonly at: number;
 }
 
@@ -133,11 +133,13 @@
     const {clock, settings, logger} = this.parts;
     try {
       const stored = JSON.parse(value.toString('utf8')) as StoredOrder[];
-      const until =
-        clock.monotonicMilliseconds() + settings.limits.holderChange;
-      for (const order of stored)
-        if (order.holder !== settings.node)
-          this.waitingUntil.set(order.vm, until);
+      const newest = Math.max(...stored.map(order => order.at));
+      for (const order of stored) {
+        // The newest order may have been given just now, an older one was given that much before.
+        const left = settings.limits.holderChange - (newest - order.at);
+        if (order.holder !== settings.node && left > 0)
+          this.waitingUntil.set(order.vm, clock.monotonicMilliseconds() + left);
+      }
     } catch (error) {
       logger.warn(LogEvent.RecordUnreadable, {
         stream: LogStream.Fleet,
@@ -149,7 +151,7 @@
 
   private async store(requests: readonly VmOrderRequest[]): Promise<boolean> {
     const {clock, settings, log} = this.parts;
-    const at = clock.wallMilliseconds();
+    const at = clock.monotonicMilliseconds();
     const holder = settings.node;
     this.recent = [
       ...this.recent.filter(order => at - order.at < KEPT_MILLISECONDS),
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -131,8 +131,25 @@
     return !this.tokenShown && this.silentSince === undefined;
   }
 
-  get isReserved(): boolean {
-    return this.reservedFor !== undefined;
+  /** Why new starts are kept away; undefined where they are not. */
+  get reservation(): string | undefined {
+    return this.reservedFor;
+  }
+
+  /** Millicores in use, weighed by what the work is still worth. */
+  get valuedMillicores(): number {
+    let sum = 0;
+    for (const {weight, taskOfJob} of this.runs.values())
+      if (!taskOfJob.specification.fills)
+        sum += weight * taskOfJob.specification.processorMillicores;
+    return sum;
+  }
+
+  /** Whether a task that lasts runs on it. */
+  get hasLastingTask(): boolean {
+    for (const run of this.runs.values())
+      if (run.taskOfJob.specification.longRunning) return true;
+    return false;
   }
 
   /** Keeps new starts away while the VM is to be moved or maintained. */
--- a/packages/scheduling/src/__tests__/pool-plan.test.ts
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -12,12 +12,14 @@
 function vms(
   prefix: string,
   count: number,
-  idleMilliseconds: number,
+  idleMilliseconds: number | undefined,
 ): PlannedVm[] {
   return Array.from({length: count}, (_, index) => ({
     name: `${prefix}-${index}`,
     millicores: VM_MILLICORES,
     idleMilliseconds,
+    emptying: false,
+    usedMillicores: 0,
   }));
 }
 
@@ -49,7 +51,7 @@
     // full. Work that arrives for five VMs is reason enough, before anything waits.
     it('fetches VMs before any work waits', () => {
       const quotes = pool({usable: 2, arrivingMillicores: 5 * VM_MILLICORES});
-      const moves = planPools([quotes, SPARE]);
+      const {moves} = planPools([quotes, SPARE]);
       const wanted = Math.ceil(5 * DEFAULT_POOL_PLAN.headroom) + 1;
       assert.equal(moves.length, wanted - 2);
       assert.ok(moves.every(move => move.to === 'quotes'));
@@ -61,7 +63,7 @@
         arriving: 6,
         arrivingMillicores: 5 * VM_MILLICORES,
       });
-      assert.deepEqual(planPools([quotes, SPARE]), []);
+      assert.deepEqual(planPools([quotes, SPARE]).moves, []);
     });
   });
 
@@ -79,7 +81,7 @@
         usable: 1,
         arrivingMillicores: 3 * VM_MILLICORES,
       });
-      const moves = planPools([last, next, SPARE]);
+      const {moves} = planPools([last, next, SPARE]);
       const given = moves.filter(move => move.to === 'next');
       assert.equal(given.length, 4);
       assert.ok(given.every(move => move.from === 'last'));
@@ -87,12 +89,12 @@
 
     it('sends no VM to the spare pool before it has idled for a move’s worth', () => {
       const last = pool({usable: 6, vms: vms('last', 6, 400)});
-      assert.deepEqual(planPools([last, SPARE]), []);
+      assert.deepEqual(planPools([last, SPARE]).moves, []);
     });
 
     it('keeps the VMs that the pool wants', () => {
       const last = pool({usable: 6, vms: vms('last', 6, 5_000)});
-      const moves = planPools([last, SPARE]);
+      const {moves} = planPools([last, SPARE]);
       assert.equal(moves.length, 6 - DEFAULT_POOL_PLAN.spareVms);
     });
   });
@@ -106,11 +108,45 @@
         waitingMillicores: 5_000,
         waitingMilliseconds: DEFAULT_POOL_PLAN.longestWaitMilliseconds,
       });
-      const moves = planPools([quotes, SPARE]);
+      const {moves} = planPools([quotes, SPARE]);
       assert.equal(moves.length, 1);
     });
   });
 
+  describe('while the VMs go on with work that is too late', () => {
+    // The next queue's callers all wait, since every VM is busy with a backlog that nobody waits for
+    // any more. Its VMs must stop taking that work, so that they can go over.
+    it('empties VMs of the late backlog for a queue that can be in time', () => {
+      const late = pool({
+        service: 'late',
+        usable: 10,
+        usedMillicores: 0,
+        vms: vms('late', 10, undefined),
+      });
+      const next = pool({
+        service: 'next',
+        usable: 1,
+        arrivingMillicores: 4 * VM_MILLICORES,
+      });
+      const {moves, empty} = planPools([late, next]);
+      assert.deepEqual(moves, []);
+      assert.equal(empty.length, 5);
+    });
+
+    it('leaves them alone while nobody lacks VMs', () => {
+      const late = pool({usable: 10, vms: vms('late', 10, undefined)});
+      assert.deepEqual(planPools([late, SPARE]).empty, []);
+    });
+  });
+
+  it('shares few VMs between queues that lack as many', () => {
+    const lacking = (service: string) =>
+      pool({service, arrivingMillicores: 20 * VM_MILLICORES});
+    const {moves} = planPools([lacking('one'), lacking('two'), SPARE]);
+    assert.equal(moves.filter(move => move.to === 'one').length, 5);
+    assert.equal(moves.filter(move => move.to === 'two').length, 5);
+  });
+
   it('never takes a VM twice', () => {
     const one = pool({
       service: 'one',
@@ -120,7 +156,7 @@
       service: 'two',
       arrivingMillicores: 20 * VM_MILLICORES,
     });
-    const moves = planPools([one, two, SPARE]);
+    const {moves} = planPools([one, two, SPARE]);
     assert.equal(new Set(moves.map(move => move.vm)).size, moves.length);
   });
 });
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -9,3 +9,4 @@
 export * from './worker-choice.js';
 export * from './worker-room.js';
 export * from './worker-trust.js';
+export * from './turn-forecast.js';
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -3,9 +3,9 @@
   readonly service: string;
   /** Its VMs are off and cost nothing. */
   readonly standby: boolean;
-  /** Millicores in use. */
+  /** Millicores in use, weighed by what the work is still worth. */
   readonly usedMillicores: number;
-  /** Millicores of work that finds no room. */
+  /** Millicores of work that finds no room, weighed alike. */
   readonly waitingMillicores: number;
   /** How long there has been such work without a break; 0 while there is none. */
   readonly waitingMilliseconds: number;
@@ -13,20 +13,24 @@
   readonly arrivingMillicores: number;
   /** VMs that are on their way into it. */
   readonly arriving: number;
-  /** VMs that take work. */
+  /** VMs that take work, or are being emptied. */
   readonly usable: number;
-  /** VMs that may leave it now. */
+  /** VMs that may leave it. */
   readonly vms: readonly PlannedVm[];
   /** Millicores of one of its VMs. */
   readonly vmMillicores: number;
 }
 
-/** A VM that is up and on which nothing runs. */
+/** A VM that is up and may leave its pool now or soon. */
 export interface PlannedVm {
   readonly name: string;
   readonly millicores: number;
-  /** How long nothing has run on it. */
-  readonly idleMilliseconds: number;
+  /** How long nothing has run on it; undefined while something does. */
+  readonly idleMilliseconds: number | undefined;
+  /** It is being emptied: nothing new starts on it. */
+  readonly emptying: boolean;
+  /** Millicores in use, weighed by what the work is still worth. */
+  readonly usedMillicores: number;
 }
 
 /** A VM that is to change its pool. */
@@ -62,20 +66,31 @@
   maximumArriving: 12,
 };
 
+/** What is done about pools now. */
+export interface PoolStep {
+  readonly moves: readonly PlannedMove[];
+  /** VMs on which nothing new is to start, so that they can move soon. */
+  readonly empty: readonly string[];
+}
+
 /**
  * Moves VMs to where work waits or comes, and out of pools where they idle.
  * Load: queues that ask by turns for several times their mean. Without it one pool turns work away
- * while the VMs of the next one idle, at full cost.
+ * while the VMs of the next one idle, at full cost, or go on with work that is too late for anybody.
  */
 export function planPools(
   pools: readonly PlannedPool[],
   options: PoolPlanOptions = DEFAULT_POOL_PLAN,
-): PlannedMove[] {
+): PoolStep {
   const givers = giversOf(pools, options);
-  const moves = pools.flatMap(pool => fetchFor(pool, givers, options));
+  const needs = pools
+    .map(pool => ({pool, lacking: lackingVms(pool, options)}))
+    .filter(need => need.lacking > 0);
+  const moves = shareOut(needs, givers);
+  const empty = vmsToEmpty(pools, needs, moves, options);
   const standby = pools.find(pool => pool.standby);
-  if (!standby) return moves;
-  return [...moves, ...releaseIdle(givers, standby, options)];
+  if (standby) moves.push(...releaseIdle(givers, standby, options));
+  return {moves, empty};
 }
 
 /** VMs that a pool should have. */
@@ -93,50 +108,98 @@
   readonly from: PlannedPool;
 }
 
-/** VMs that may leave their pool, the cheapest to take last. */
+interface Need {
+  readonly pool: PlannedPool;
+  lacking: number;
+}
+
+/** VMs that may leave their pool at once, the cheapest to take last. */
 function giversOf(
   pools: readonly PlannedPool[],
   options: PoolPlanOptions,
 ): Giver[] {
-  const givers = pools.flatMap(pool => {
-    const surplus = pool.standby
-      ? pool.vms.length
-      : Math.max(0, pool.usable - wantedVms(pool, options));
-    return [...pool.vms]
-      .filter(
-        vm =>
-          pool.standby ||
-          vm.idleMilliseconds >= options.idleBeforeGivingMilliseconds,
-      )
-      .sort((one, other) => other.idleMilliseconds - one.idleMilliseconds)
-      .slice(0, surplus)
-      .map(vm => ({...vm, from: pool}));
-  });
+  const givers = pools.flatMap(pool =>
+    pool.vms
+      .filter(vm => pool.standby || isIdleEnough(vm, options))
+      .sort((one, other) => idleOf(other) - idleOf(one))
+      .slice(0, pool.standby ? pool.vms.length : surplusOf(pool, options))
+      .map(vm => ({...vm, from: pool})),
+  );
   // A VM that idles in a pool that costs goes before one that is off.
   return givers.sort(
     (left, right) => Number(right.from.standby) - Number(left.from.standby),
   );
 }
 
-function fetchFor(
-  pool: PlannedPool,
-  givers: Giver[],
-  options: PoolPlanOptions,
-): PlannedMove[] {
-  if (pool.standby) return [];
-  const moves: PlannedMove[] = [];
-  let lacking = wantedVms(pool, options) - pool.usable - pool.arriving;
+function isIdleEnough(vm: PlannedVm, options: PoolPlanOptions): boolean {
+  if (vm.idleMilliseconds === undefined) return false;
+  return (
+    vm.emptying || vm.idleMilliseconds >= options.idleBeforeGivingMilliseconds
+  );
+}
+
+function idleOf(vm: PlannedVm): number {
+  return vm.idleMilliseconds ?? -1;
+}
+
+function surplusOf(pool: PlannedPool, options: PoolPlanOptions): number {
+  return Math.max(0, pool.usable - wantedVms(pool, options));
+}
+
+function lackingVms(pool: PlannedPool, options: PoolPlanOptions): number {
+  if (pool.standby) return 0;
+  const lacking = wantedVms(pool, options) - pool.usable - pool.arriving;
   // Work can wait beside free room: a bound of tasks on one worker, or memory.
-  if (lacking <= 0 && pool.arriving === 0 && isStuck(pool, options))
-    lacking = 1;
+  const stuck = pool.arriving === 0 && isStuck(pool, options);
   const most = options.maximumArriving - pool.arriving;
-  for (let count = Math.min(lacking, most); count > 0; count--) {
+  return Math.min(Math.max(lacking, stuck ? 1 : 0), most);
+}
+
+/** One VM at a time to the pool that lacks most, so that no pool takes all. */
+function shareOut(needs: readonly Need[], givers: Giver[]): PlannedMove[] {
+  const moves: PlannedMove[] = [];
+  for (;;) {
+    const need = needs.reduce<Need | undefined>(
+      (best, one) => (one.lacking > (best?.lacking ?? 0) ? one : best),
+      undefined,
+    );
     const giver = givers.at(-1);
-    if (!giver || giver.from === pool) break;
+    if (!need || !giver) return moves;
     givers.pop();
-    moves.push({vm: giver.name, from: giver.from.service, to: pool.service});
+    need.lacking--;
+    moves.push({
+      vm: giver.name,
+      from: giver.from.service,
+      to: need.pool.service,
+    });
+  }
+}
+
+/** Busy VMs of pools that have more than their work is worth, the least useful first. */
+function vmsToEmpty(
+  pools: readonly PlannedPool[],
+  needs: readonly Need[],
+  moves: readonly PlannedMove[],
+  options: PoolPlanOptions,
+): string[] {
+  let wanted = needs.reduce((sum, need) => sum + need.lacking, 0);
+  const chosen: string[] = [];
+  for (const pool of pools) {
+    if (pool.standby) continue;
+    const given = moves.filter(move => move.from === pool.service).length;
+    const most = Math.min(wanted, surplusOf(pool, options) - given);
+    const busy = pool.vms
+      .filter(vm => vm.idleMilliseconds === undefined)
+      .sort(
+        (one, other) =>
+          Number(other.emptying) - Number(one.emptying) ||
+          one.usedMillicores - other.usedMillicores,
+      )
+      .slice(0, Math.max(0, most));
+    wanted -= busy.length;
+    chosen.push(...busy.map(vm => vm.name));
   }
-  return moves;
+  return chosen;
 }
 
 function isStuck(pool: PlannedPool, options: PoolPlanOptions): boolean {
@@ -151,8 +214,7 @@
   return givers
     .filter(
       vm =>
-        !vm.from.standby &&
-        vm.idleMilliseconds >= options.idleBeforeStandbyMilliseconds,
+        !vm.from.standby && idleOf(vm) >= options.idleBeforeStandbyMilliseconds,
     )
     .map(vm => ({
       vm: vm.name,
