--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -71,8 +71,16 @@
   lifeCycle: LifeCycle;
 }
 
+/** What tests change of a daemon. */
+export interface EntryOverrides {
+  readonly metricsPort?: number;
+}
+
 /** Wires a daemon; the only place where its parts are joined. */
-export function wireEntry(settings: EntrySettings): EntryParts {
+export function wireEntry(
+  settings: EntrySettings,
+  overrides: EntryOverrides = {},
+): EntryParts {
   const container = createContainer<EntryParts>({
     injectionMode: InjectionMode.PROXY,
     strict: true,
@@ -94,7 +102,7 @@
     metricsPort: single(
       parts =>
         new HttpServerPlugin(
-          `${hostOf(settings.callerAddress)}:${METRICS_PORT}`,
+          `${hostOf(settings.callerAddress)}:${overrides.metricsPort ?? METRICS_PORT}`,
           metricsListener(parts.metrics),
         ),
     ),
