--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -57,7 +57,7 @@
 const LEASE_MILLISECONDS = 8_000;
 const JOB_WAIT_MILLISECONDS = 500;
 /** Submissions that come close together are read with one call. */
-const JOB_READ_GAP_MILLISECONDS = 15;
+const JOB_READ_GAP_MILLISECONDS = 20;
 const RETRY_MILLISECONDS = 100;
 const RETENTION_ROUND_MILLISECONDS = 10_000;
 /** Oldest age that a wall-clock difference between daemons is trusted for. */
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -116,6 +116,11 @@
     );
   }
 
+  /** Whether the turns of queues are foreseen by now. */
+  foreseesTurns(): boolean {
+    return this.forecast.isKnown(this.clock.monotonicMilliseconds());
+  }
+
   /** Notes how long a run that ended well took. */
   noteDuration(run: LiveRun, milliseconds: number): void {
     const {longRunning, estimatedMilliseconds} = run.taskOfJob.specification;
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -31,7 +31,7 @@
 }
 
 /** Short against a move, so that a pool gets VMs within the first part of a burst; each round lists the VMs once. */
-const ROUND_MILLISECONDS = 200;
+const ROUND_MILLISECONDS = 100;
 /** Time between a maintenance and the return to service, besides the maintenance itself. */
 const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
 const FULL_PERCENT = 100;
@@ -190,6 +190,7 @@
           ? 0
           : Math.max(1, now - load.waitingSince),
       arrivingMillicores: this.dispatcher.arrivingMillicores(name, lead),
+      foreseen: this.dispatcher.foreseesTurns(),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
       vms: members
@@ -253,7 +254,7 @@
     const listed = new Map(this.vms.map(vm => [vm.name, vm]));
     const {limits} = this.parts.settings;
     const step = planWave({
-      due: this.dueVms(wave, listed),
+      due: this.dueVms(wave, listed, pools),
       away: this.awayOf(wave, listed),
       maximumAtOnce: wave.maximumAtOnce,
       leftMilliseconds: this.waves.leftMilliseconds(wave),
@@ -285,14 +286,20 @@
   private dueVms(
     wave: MaintenanceWave,
     listed: ReadonlyMap<string, ListedVm>,
+    pools: readonly PlannedPool[],
   ): DueVm[] {
+    const inDemand = new Set(
+      pools
+        .filter(pool => pool.waitingMillicores > 0)
+        .map(pool => pool.service),
+    );
     return wave.vms.flatMap(name => {
       if (this.waves.isDone(wave, name)) return [];
       const vm = listed.get(name);
       // A VM that is gone needs no maintenance.
       if (!vm) this.waves.noteDone(wave, name);
       const canBe = vm?.state === VmState.Up && this.orders.isFree(name);
-      return canBe ? [this.dueVm(vm)] : [];
+      return canBe ? [this.dueVm(vm, inDemand.has(vm.pool))] : [];
     });
   }
 
@@ -308,7 +315,7 @@
     ).length;
   }
 
-  private dueVm(vm: ListedVm): DueVm {
+  private dueVm(vm: ListedVm, inDemand: boolean): DueVm {
     const session = this.sessionOn(vm);
     const runs = [...(session?.runs.values() ?? [])];
     const lasting = runs.filter(
@@ -320,6 +327,7 @@
       emptying: session?.reservation?.startsWith(WAVE_PREFIX) ?? false,
       shortTasks: runs.length - lasting,
       lastingTasks: lasting,
+      inDemand,
     };
   }
 
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -11,7 +11,7 @@
 import {StreamFollower, type StreamSink} from './stream-follower.js';
 
 /** Well under the bound within which a configuration must be in force, so that a silent connection is left in time. */
-const WAIT_MILLISECONDS = 500;
+const WAIT_MILLISECONDS = 900;
 const RETRY_MILLISECONDS = 150;
 
 /** What operators ask for: the newest configuration and the waves of maintenance. */
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -8,7 +8,7 @@
 import {WorkerSession, type SessionHost} from './worker-session.js';
 
 /** A leaving worker must be noticed well within two seconds, a new one is wanted at once. */
-const READ_MILLISECONDS = 250;
+const READ_MILLISECONDS = 150;
 
 /** What a registry is built from. */
 export interface RegistryParts {
--- a/packages/scheduling/src/__tests__/pool-plan.test.ts
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -31,6 +31,7 @@
     waitingMillicores: 0,
     waitingMilliseconds: 0,
     arrivingMillicores: 0,
+    foreseen: true,
     arriving: 0,
     usable: 0,
     vms: [],
@@ -52,7 +53,9 @@
     it('fetches VMs before any work waits', () => {
       const quotes = pool({usable: 2, arrivingMillicores: 5 * VM_MILLICORES});
       const {moves} = planPools([quotes, SPARE]);
-      const wanted = Math.ceil(5 * DEFAULT_POOL_PLAN.headroom) + 1;
+      const wanted =
+        Math.ceil(5 * DEFAULT_POOL_PLAN.headroom) +
+        DEFAULT_POOL_PLAN.spareVmsForeseen;
       assert.equal(moves.length, wanted - 2);
       assert.ok(moves.every(move => move.to === 'quotes'));
     });
@@ -95,7 +98,7 @@
     it('keeps the VMs that the pool wants', () => {
       const last = pool({usable: 6, vms: vms('last', 6, 5_000)});
       const {moves} = planPools([last, SPARE]);
-      assert.equal(moves.length, 6 - DEFAULT_POOL_PLAN.spareVms);
+      assert.equal(moves.length, 6 - DEFAULT_POOL_PLAN.spareVmsForeseen);
     });
   });
 
@@ -147,6 +150,16 @@
     assert.equal(moves.filter(move => move.to === 'two').length, 5);
   });
 
+  it('keeps more spare VMs while turns are not foreseen', () => {
+    const last = pool({
+      usable: 6,
+      vms: vms('last', 6, 5_000),
+      foreseen: false,
+    });
+    const {moves} = planPools([last, SPARE]);
+    assert.equal(moves.length, 6 - DEFAULT_POOL_PLAN.spareVms);
+  });
+
   it('never takes a VM twice', () => {
     const one = pool({
       service: 'one',
--- a/packages/scheduling/src/__tests__/wave-plan.test.ts
+++ b/packages/scheduling/src/__tests__/wave-plan.test.ts
@@ -9,6 +9,7 @@
     emptying: false,
     shortTasks: 0,
     lastingTasks: 0,
+    inDemand: false,
     ...differences,
   }));
 }
@@ -55,6 +56,18 @@
     assert.deepEqual(step.empty, ['short']);
   });
 
+  // A burst is served by the very VMs that the wave would empty.
+  it('empties VMs of pools that lack room last', () => {
+    const busy = [
+      ...due(1, {name: 'wanted', idle: false, inDemand: true}),
+      ...due(1, {name: 'other', idle: false, lastingTasks: 1}),
+    ];
+    const step = planWave(
+      standing({due: busy, maximumAtOnce: 1, leftMilliseconds: 8_000}),
+    );
+    assert.deepEqual(step.empty, ['other']);
+  });
+
   it('goes on emptying what it has begun to empty', () => {
     const busy = due(2, {idle: false, emptying: true, lastingTasks: 1});
     const step = planWave(standing({due: busy}));
--- a/packages/scheduling/src/demand-meter.ts
+++ b/packages/scheduling/src/demand-meter.ts
@@ -1,6 +1,9 @@
 const BUCKET_MILLISECONDS = 100;
 /** Long enough that a few jobs make a rate, short against the seconds that a queue's turn lasts. */
-const WINDOW_BUCKETS = 8;
+const HALF_WINDOW_BUCKETS = 4;
+const WINDOW_BUCKETS = 2 * HALF_WINDOW_BUCKETS;
+/** A rate that rises is taken to rise on for about a move's time, at most to so many times itself: a burst doubles within that, a chance cluster of jobs must not fetch a whole pool. */
+const MOST_GROWTH = 2;
 
 /**
  * Rate at which work arrives for a service, in millicores.
@@ -19,11 +22,27 @@
   /** Millicores that work which arrives at the present rate keeps busy. */
   millicores(now: number): number {
     const newest = Math.floor(now / BUCKET_MILLISECONDS);
+    this.forget(newest - WINDOW_BUCKETS);
+    const recent = this.between(newest - HALF_WINDOW_BUCKETS, newest);
+    const before = this.between(
+      newest - WINDOW_BUCKETS,
+      newest - HALF_WINDOW_BUCKETS,
+    );
+    const mean = (recent + before) / 2;
+    const rising = Math.max(0, recent - before);
+    return Math.min(MOST_GROWTH * mean, mean + rising);
+  }
+
+  /** Millicores over the buckets after `from` up to `to`. */
+  private between(from: number, to: number): number {
     let work = 0;
-    for (const [bucket, amount] of this.buckets) {
-      if (bucket <= newest - WINDOW_BUCKETS) this.buckets.delete(bucket);
-      else work += amount;
-    }
-    return work / (WINDOW_BUCKETS * BUCKET_MILLISECONDS);
+    for (let bucket = from + 1; bucket <= to; bucket++)
+      work += this.buckets.get(bucket) ?? 0;
+    return work / ((to - from) * BUCKET_MILLISECONDS);
+  }
+
+  private forget(before: number): void {
+    for (const bucket of this.buckets.keys())
+      if (bucket <= before) this.buckets.delete(bucket);
   }
 }
--- a/packages/scheduling/src/turn-forecast.ts
+++ b/packages/scheduling/src/turn-forecast.ts
@@ -10,22 +10,29 @@
 const SHORTEST_PERIOD_MILLISECONDS = 5_000;
 /** The rate of a turn is taken from its first part. */
 const TURN_BUCKETS = 6;
+/** Jobs in the first part of a turn that make its beginning certain. */
+const CLEAR_TURN_JOBS = 12;
 /** Turns start this much early or late. */
 const TOLERANCE_MILLISECONDS = 750;
 
 class ServiceHistory {
   readonly buckets = new Map<number, number>();
+  private readonly jobs = new Map<number, number>();
   first = Infinity;
 
   note(work: number, at: number): void {
     const bucket = Math.floor(at / BUCKET_MILLISECONDS);
     this.first = Math.min(this.first, bucket);
     this.buckets.set(bucket, (this.buckets.get(bucket) ?? 0) + work);
+    this.jobs.set(bucket, (this.jobs.get(bucket) ?? 0) + 1);
   }
 
   forget(before: number): void {
     for (const bucket of this.buckets.keys())
-      if (bucket < before) this.buckets.delete(bucket);
+      if (bucket < before) {
+        this.buckets.delete(bucket);
+        this.jobs.delete(bucket);
+      }
     this.first = Math.max(this.first, before);
   }
 
@@ -44,6 +51,14 @@
     return found;
   }
 
+  /** Whether enough jobs came at `onset` to call it the beginning of a turn: a few large jobs look like one by chance. */
+  isClear(onset: number): boolean {
+    let count = 0;
+    for (let index = 0; index < TURN_BUCKETS; index++)
+      count += this.jobs.get(onset + index) ?? 0;
+    return count >= CLEAR_TURN_JOBS;
+  }
+
   /** Mean work of a bucket in the turn that began at `onset`. */
   meanFrom(onset: number): number {
     let sum = 0;
@@ -69,6 +84,11 @@
     history.note(work, at);
   }
 
+  /** Whether turns come at a distance that is known. */
+  isKnown(now: number): boolean {
+    return this.period(Math.floor(now / BUCKET_MILLISECONDS)) !== undefined;
+  }
+
   /** Millicores that a turn of `service` will keep busy if one begins within `leadMilliseconds`; 0 if none does. */
   millicores(service: string, now: number, leadMilliseconds: number): number {
     const history = this.services.get(service);
@@ -88,7 +108,9 @@
   private period(newest: number): number | undefined {
     const distances: number[] = [];
     for (const history of this.services.values()) {
-      const onsets = history.onsets(newest);
+      const onsets = history
+        .onsets(newest)
+        .filter(onset => history.isClear(onset));
       for (let index = 1; index < onsets.length; index++) {
         const distance =
           (onsets[index] - onsets[index - 1]) * BUCKET_MILLISECONDS;
--- a/packages/scheduling/src/wave-plan.ts
+++ b/packages/scheduling/src/wave-plan.ts
@@ -9,6 +9,8 @@
   readonly shortTasks: number;
   /** Tasks that last and must be started elsewhere. */
   readonly lastingTasks: number;
+  /** Work waits in its pool. */
+  readonly inDemand: boolean;
 }
 
 /** A wave as it stands. */
@@ -35,10 +37,12 @@
 
 /** Emptying a VM: its short tasks end, and a task that lasts starts elsewhere. */
 const EMPTYING_MILLISECONDS = 2_500;
-/** Tasks that last leave one after the other, each with a restart. */
-const LASTING_TASK_MILLISECONDS = 1_500;
+/** Tasks of one step leave one after the other, each with a restart; several steps do so side by side. */
+const LASTING_TASK_MILLISECONDS = 700;
 /** Share of the time left that a wave plans to use; the rest is for what goes wrong. */
-const PLANNED_SHARE = 0.55;
+const PLANNED_SHARE = 0.65;
+/** A VM whose pool lacks room is emptied after all others. */
+const DEMAND_WEIGHT = 100;
 
 /**
  * Steps of a wave of maintenance.
@@ -87,12 +91,15 @@
   );
   const lasting = standing.due.reduce((sum, vm) => sum + vm.lastingTasks, 0);
   const needed =
-    rounds * (standing.maintenanceMilliseconds + EMPTYING_MILLISECONDS) +
+    rounds * standing.maintenanceMilliseconds +
+    EMPTYING_MILLISECONDS +
     lasting * LASTING_TASK_MILLISECONDS;
   return needed > PLANNED_SHARE * standing.leftMilliseconds;
 }
 
 /** A task that lasts is away for a while when it moves; one that ends only has to be waited for. */
 function weight(vm: DueVm): number {
-  return vm.lastingTasks * 10 + vm.shortTasks;
+  return (
+    (vm.inDemand ? DEMAND_WEIGHT : 0) + vm.lastingTasks * 10 + vm.shortTasks
+  );
 }
