--- /dev/null
+++ b/packages/soak/src/bin/soak.ts
@@ -0,0 +1,45 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import sade from 'sade';
+import {Soak} from '../soak.js';
+
+interface Options {
+  readonly seeds: number;
+  readonly first: number;
+  readonly daemons: number;
+  readonly rounds: number;
+}
+
+async function run(options: Options): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'soak-'));
+  let failed = 0;
+  for (let count = 0; count < Number(options.seeds); count++) {
+    const seed = Number(options.first) + count;
+    const result = await new Soak({
+      seed,
+      daemons: Number(options.daemons),
+      rounds: Number(options.rounds),
+      folder: join(folder, `seed-${seed}`),
+    }).play();
+    const verdict = result.broken.length === 0 ? 'held' : 'BROKEN';
+    console.log(
+      `seed ${seed}: ${verdict}; ${result.jobs} jobs, ${result.runs} runs, ${result.faults.length} faults`,
+    );
+    if (result.broken.length === 0) continue;
+    failed++;
+    for (const line of [...result.faults, ...result.broken])
+      console.log(`  ${line}`);
+  }
+  console.log(`${failed} seeds broke a promise; logs in ${folder}`);
+  process.exit(failed === 0 ? 0 : 1);
+}
+
+sade('soak', true)
+  .describe('Real daemons under random faults; promises are checked.')
+  .option('--seeds', 'How many seeds', 5)
+  .option('--first', 'The first seed', Math.floor(Math.random() * 1e6))
+  .option('--daemons', 'Daemons of each run', 3)
+  .option('--rounds', 'Rounds of faults of each run', 25)
+  .action(run)
+  .parse(process.argv);
--- /dev/null
+++ b/packages/soak/src/daemon-process.ts
@@ -0,0 +1,61 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream, writeFileSync, type WriteStream} from 'node:fs';
+import {createRequire} from 'node:module';
+import {dirname, join} from 'node:path';
+
+const PROGRAM = join(
+  dirname(createRequire(import.meta.url).resolve('@gentiandoor/entry')),
+  'bin/gentiandoor-entry.js',
+);
+
+/** A real daemon, ended and paused only by signals to its own process id. */
+export class DaemonProcess {
+  private child: ChildProcess | undefined;
+  private readonly log: WriteStream;
+
+  constructor(
+    readonly node: string,
+    /** Address that callers use. */
+    readonly callers: string,
+    private readonly settingsPath: string,
+    settings: object,
+    logPath: string,
+  ) {
+    writeFileSync(settingsPath, JSON.stringify(settings));
+    this.log = createWriteStream(logPath, {flags: 'a'});
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  start(): void {
+    if (this.child) return;
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: {...process.env, GENTIANDOOR_CONFIG: this.settingsPath},
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(this.log, {end: false});
+    child.stderr.pipe(this.log, {end: false});
+    child.once('exit', () => {
+      if (this.child === child) this.child = undefined;
+    });
+    this.child = child;
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.child?.kill(name);
+  }
+
+  /** Resolves when the process is gone. */
+  async end(name: NodeJS.Signals): Promise<void> {
+    const {child} = this;
+    if (!child) return;
+    const gone = new Promise(resolve => {
+      child.once('exit', resolve);
+    });
+    child.kill('SIGCONT');
+    child.kill(name);
+    await gone;
+  }
+}
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,1 @@
+export * from './soak.js';
--- /dev/null
+++ b/packages/soak/src/soak-callers.ts
@@ -0,0 +1,92 @@
+import {QUEUE_HOST} from '@gentiandoor/platform/stand-ins';
+import {Agent, request} from 'undici';
+
+/** What callers were told of a job. */
+export interface CalledJob {
+  readonly id: string;
+  readonly service: string;
+  readonly tasks: number;
+  readonly statuses: number[];
+  /** Tries without a whole answer. */
+  unanswered: number;
+  cancelled: boolean;
+  state: string | undefined;
+}
+
+const CALL_MILLISECONDS = 3_000;
+const TRIES = 4;
+const PAUSE_MILLISECONDS = 400;
+
+/** Callers that keep their connections open and ask again elsewhere. */
+export class SoakCallers {
+  private readonly agent = new Agent({keepAliveTimeout: 30_000});
+  readonly jobs: CalledJob[] = [];
+
+  constructor(private readonly pickAddress: () => string) {}
+
+  /** Hands a job in, up to four tries at any daemon. */
+  async submit(job: CalledJob): Promise<void> {
+    this.jobs.push(job);
+    const steps = [
+      {count: job.tasks, cpu: 1_000, mem_mb: 10, estimated_ms: 300},
+    ];
+    for (let attempt = 0; attempt < TRIES; attempt++) {
+      const status = await this.call('POST', job, {spec: 'soak', steps});
+      if (status === undefined) job.unanswered++;
+      else job.statuses.push(status.code);
+      if (status?.code === 200) return;
+      await pause(PAUSE_MILLISECONDS);
+    }
+  }
+
+  async cancel(job: CalledJob): Promise<void> {
+    const answer = await this.call('DELETE', job);
+    if (answer?.code === 200) job.cancelled = true;
+  }
+
+  /** Asks for the state at any daemon; 410 for a job that was taken is kept as `absent`. */
+  async ask(job: CalledJob): Promise<void> {
+    const answer = await this.call('GET', job);
+    if (answer?.code === 410) job.state = 'absent';
+    if (answer?.code === 200) job.state = answer.state;
+  }
+
+  async stop(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async call(
+    method: 'POST' | 'GET' | 'DELETE',
+    job: CalledJob,
+    body?: object,
+  ): Promise<{code: number; state: string | undefined} | undefined> {
+    try {
+      const answer = await request(
+        `http://${this.pickAddress()}/${job.service}/${job.id}`,
+        {
+          method,
+          dispatcher: this.agent,
+          headers: {
+            host: QUEUE_HOST,
+            'x-deadline-ms': String(CALL_MILLISECONDS),
+          },
+          body: body && JSON.stringify(body),
+          signal: AbortSignal.timeout(CALL_MILLISECONDS),
+        },
+      );
+      const text = await answer.body.text();
+      const {state} = JSON.parse(text || '{}') as {state?: string};
+      return {code: answer.statusCode, state};
+    } catch {
+      // No whole answer is itself an outcome that the check counts.
+      return undefined;
+    }
+  }
+}
+
+/** Waits in real time. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- a/packages/specification/src/subjects.ts
+++ b/packages/specification/src/subjects.ts
@@ -4,6 +4,7 @@
 import {claimsWithin} from './claims-model.js';
 import {explore, type Exploration} from './explore.js';
 import {ownershipWithin} from './ownership-model.js';
+import {RUNS} from './run-model.js';
 import type {Mutation, Subject} from './specification.js';
 import {WINDOW} from './window-model.js';
 
@@ -35,6 +36,7 @@
     claimsWithin({attempts: 2, losses: 0, doubles: 0, crashes: 1, refusals: 1}),
   ),
   checkable(WINDOW),
+  checkable(RUNS),
   checkable(BUNDLES),
   checkable(ownershipWithin({starts: 2, aborts: 1, crashes: 0})),
   checkable(ownershipWithin({starts: 1, aborts: 0, crashes: 1})),
