--- a/packages/coordinator/src/__tests__/once-at-most.test.ts
+++ b/packages/coordinator/src/__tests__/once-at-most.test.ts
@@ -256,6 +256,22 @@
       assert.equal(await answer, SubmitAnswer.Unknown);
     });
 
+    // The store is silent: each append hangs for longer than the caller still waits. The caller must
+    // hear in time that the outcome is open, or it finds out only by its own clock.
+    it('is answered before the caller stops waiting', async () => {
+      const deployment = new TestDeployment(1);
+      const daemon = new TestDaemon(deployment, 'one');
+      daemon.start();
+      await deployment.run(200);
+      daemon.store.setFault(StoreFault.Silent);
+      let answer: SubmitAnswer | undefined;
+      void daemon.desk.submit(job('a'), BOUND).then(given => {
+        answer = given;
+      });
+      await deployment.run(BOUND - 200);
+      assert.equal(answer, SubmitAnswer.Unknown);
+    });
+
     // The second try is refused for certain, but the first may still be carried out.
     it('stays in doubt when a second try is refused', async () => {
       const deployment = new TestDeployment(1);
--- a/packages/coordinator/src/grouped-appender.ts
+++ b/packages/coordinator/src/grouped-appender.ts
@@ -67,6 +67,7 @@
       };
       this.queue.push(waiting);
       this.clock.schedule(patienceMilliseconds, () => this.refuse(waiting));
+      this.clock.schedule(boundMilliseconds, () => this.giveUp(waiting));
       if (!this.running) void this.run();
     });
   }
@@ -79,6 +80,14 @@
     waiting.resolve(KeepOutcome.NotKept);
   }
 
+  /** An append that hangs must not hold the answer past the time that the caller waits. */
+  private giveUp(waiting: WaitingRecord): void {
+    const index = this.queue.indexOf(waiting);
+    if (index >= 0) this.queue.splice(index, 1);
+    const isUnsent = index >= 0 && !waiting.inDoubt;
+    waiting.resolve(isUnsent ? KeepOutcome.NotKept : KeepOutcome.Unknown);
+  }
+
   private async run(): Promise<void> {
     this.running = true;
     while (this.queue.length > 0) {
