--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -56,8 +56,10 @@
   readonly spareVmsForeseen: number;
   /** Room that a pool has for each unit of demand: tasks don't fill VMs to the brim, and rates are guesses. */
   readonly headroom: number;
-  /** Most VMs that are fetched for one pool at a time. */
+  /** Most VMs that are fetched for one pool at a time, where the share below is not more. */
   readonly maximumArriving: number;
+  /** The same as a share of all VMs that take work or may: a burst asks for as large a part of any fleet. */
+  readonly maximumArrivingShare: number;
 }
 
 /** A move costs about as much as a second of a VM in a pool, and the queues' turns last several: the waits are near one move's time. */
@@ -67,8 +69,9 @@
   longestWaitMilliseconds: 500,
   spareVms: 2,
   spareVmsForeseen: 1,
-  headroom: 1.25,
+  headroom: 1.1,
   maximumArriving: 12,
+  maximumArrivingShare: 0.25,
 };
 
 /** What is done about pools now. */
@@ -88,8 +91,9 @@
   options: PoolPlanOptions = DEFAULT_POOL_PLAN,
 ): PoolStep {
   const givers = giversOf(pools, options);
+  const most = mostArriving(pools, options);
   const needs = pools
-    .map(pool => ({pool, lacking: lackingVms(pool, options)}))
+    .map(pool => ({pool, lacking: lackingVms(pool, most, options)}))
     .filter(need => need.lacking > 0);
   const moves = shareOut(needs, givers);
   const empty = vmsToEmpty(pools, needs, moves, options);
@@ -152,13 +156,34 @@
   return Math.max(0, pool.usable - wantedVms(pool, options));
 }
 
-function lackingVms(pool: PlannedPool, options: PoolPlanOptions): number {
+function mostArriving(
+  pools: readonly PlannedPool[],
+  options: PoolPlanOptions,
+): number {
+  const fleet = pools.reduce(
+    (sum, pool) =>
+      sum + pool.arriving + (pool.standby ? pool.vms.length : pool.usable),
+    0,
+  );
+  return Math.max(
+    options.maximumArriving,
+    Math.ceil(options.maximumArrivingShare * fleet),
+  );
+}
+
+function lackingVms(
+  pool: PlannedPool,
+  mostArrivingVms: number,
+  options: PoolPlanOptions,
+): number {
   if (pool.standby) return 0;
   const lacking = wantedVms(pool, options) - pool.usable - pool.arriving;
   // Work can wait beside free room: a bound of tasks on one worker, or memory.
   const stuck = pool.arriving === 0 && isStuck(pool, options);
-  const most = options.maximumArriving - pool.arriving;
-  return Math.min(Math.max(lacking, stuck ? 1 : 0), most);
+  return Math.min(
+    Math.max(lacking, stuck ? 1 : 0),
+    mostArrivingVms - pool.arriving,
+  );
 }
 
 /** One VM at a time to the pool that lacks most, so that no pool takes all. */
