--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -1,5 +1,6 @@
 import {
   JobTable,
+  PLAIN_STEP,
   RunEnd,
   type JobSubmission,
   type StepSpecification,
@@ -303,32 +304,11 @@
   }
 }
 
-const STEP: StepSpecification = {
-  taskCount: 1,
-  processorMillicores: 1_000,
-  memoryMegabytes: 100,
-  accelerators: 0,
-  estimatedMilliseconds: 500,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maximumPerWorker: 0,
-  speculative: false,
-  longRunning: false,
-  image: '',
-  targetMilliseconds: 0,
-  fills: false,
-  mayMiss: 0,
-};
-
 /** A step with the given differences from a plain one. */
 export function step(
   differences: Partial<StepSpecification> = {},
 ): StepSpecification {
-  return {...STEP, ...differences};
+  return {...PLAIN_STEP, ...differences};
 }
 
 /** A job of the given steps. */
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -18,7 +18,7 @@
   type StoredJob,
   type TaskProgress,
 } from '@gentiandoor/jobs';
-import {FullestFirst, longestLease} from '@gentiandoor/scheduling';
+import {FullestFirst} from '@gentiandoor/scheduling';
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
@@ -26,9 +26,11 @@
 import type {MachineGateway} from './machine-gateway.js';
 import type {Queue} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
+import {OrphanRuns} from './orphan-runs.js';
 import {ProgressWriter} from './progress-writer.js';
 import type {RecordFormats} from './record-formats.js';
 import type {RecordLog} from './record-log.js';
+import {ServiceDemand} from './service-demand.js';
 import type {StreamFollower} from './stream-follower.js';
 import {
   OrderRefusal,
@@ -72,8 +74,7 @@
   readonly registry: WorkerRegistry;
   private readonly executions = new Map<string, JobExecution>();
   private readonly endedAt = new Map<string, number>();
-  /** Runs on workers that have no entry. */
-  private readonly orphans = new Map<string, Set<LiveRun>>();
+  private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
   private readonly fleet: FleetKeeper;
@@ -95,13 +96,20 @@
     this.writer = new ProgressWriter(parts.log, clock, term, () =>
       this.fenced(),
     );
-    this.dispatcher = new Dispatcher(this, new FullestFirst(), clock);
+    const demand = new ServiceDemand();
+    this.dispatcher = new Dispatcher(this, new FullestFirst(), demand, clock);
     this.registry = new WorkerRegistry(parts, this);
+    this.orphans = new OrphanRuns(
+      this.leaseMilliseconds,
+      clock,
+      (worker, run) => this.loseOrphan(worker, run),
+    );
     this.fleet = new FleetKeeper(
       term,
       parts,
       this.registry,
       this.dispatcher,
+      demand,
       this,
     );
   }
@@ -251,13 +259,11 @@
 
   /** A worker has come: runs that were ordered there may be alive. */
   sessionAdded(session: WorkerSession): void {
-    for (const run of this.orphans.get(session.id) ?? []) session.expect(run);
-    this.orphans.delete(session.id);
+    for (const run of this.orphans.take(session.id)) session.expect(run);
   }
 
   noteLives(alive: ReadonlySet<string>): void {
-    for (const worker of [...this.orphans.keys()])
-      if (!alive.has(worker)) this.loseOrphans(worker);
+    this.orphans.noteLives(alive);
   }
 
   usesWorkersOf(service: string): boolean {
@@ -324,28 +330,14 @@
       };
       const session = this.registry.find(task.progress.worker);
       if (session) session.expect(run);
-      else this.keepOrphan(task.progress.worker, run);
+      else this.orphans.keep(task.progress.worker, run);
     }
   }
 
-  private keepOrphan(worker: string, run: LiveRun): void {
-    let runs = this.orphans.get(worker);
-    if (!runs) {
-      this.orphans.set(worker, (runs = new Set()));
-      const bound = longestLease(this.leaseMilliseconds) + RETRY_MILLISECONDS;
-      this.parts.clock.schedule(bound, () => this.loseOrphans(worker));
-    }
-    runs.add(run);
-  }
-
-  private loseOrphans(worker: string): void {
+  private loseOrphan(worker: string, run: LiveRun): void {
     if (this.closed) return;
-    const runs = this.orphans.get(worker) ?? [];
-    this.orphans.delete(worker);
-    for (const run of runs) {
-      this.endRun(run, RunEnd.Lost, '', worker);
-      this.dispatcher.wake(run.execution.job.service);
-    }
+    this.endRun(run, RunEnd.Lost, '', worker);
+    this.dispatcher.wake(run.execution.job.service);
   }
 
   private cancelJob(jobId: string): void {
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -6,19 +6,18 @@
 } from '@gentiandoor/jobs';
 import {
   Chance,
-  DemandMeter,
-  DurationModel,
   RescueBudget,
-  TurnForecast,
   chanceOf,
   compareWaitingJobs,
   rankOf,
-  type PlacementWorker,
   type RankedJob,
   type WorkerChoice,
 } from '@gentiandoor/scheduling';
 import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
 import type {Queue} from './operator-records.js';
+import {PlacementRound} from './placement-round.js';
+import type {ServiceDemand} from './service-demand.js';
+import {groupsOf} from './task-groups.js';
 import type {WorkerSession} from './worker-session.js';
 
 /** What a dispatcher needs of the coordinator. */
@@ -72,9 +71,6 @@
   private readonly firstSeen = new Map<JobExecution, number>();
   private readonly failedOn = new Map<string, Set<string>>();
   private readonly loads = new Map<string, ServiceLoad>();
-  private readonly durations = new Map<string, DurationModel>();
-  private readonly demands = new Map<string, DemandMeter>();
-  private readonly forecast = new TurnForecast();
   private readonly rescues = new RescueBudget();
   private readonly due = new Set<string>();
   private scheduled = false;
@@ -83,6 +79,7 @@
   constructor(
     private readonly host: DispatchHost,
     private readonly choice: WorkerChoice,
+    private readonly demand: ServiceDemand,
     private readonly clock: Clock,
   ) {}
 
@@ -100,32 +97,17 @@
 
   /** Notes that a job was handed in so long ago, whatever became of it: turns are learned from it. */
   noteDemand(execution: JobExecution, ageMilliseconds: number): void {
-    const service = this.serviceOf(execution);
     const at = this.clock.monotonicMilliseconds() - ageMilliseconds;
-    const work = this.workOf(execution);
-    this.demandOf(service).note(work, at);
-    this.forecast.note(service, work, at);
-  }
-
-  /** Millicores that work which arrives, or is about to, keeps busy. */
-  arrivingMillicores(service: string, leadMilliseconds: number): number {
-    const now = this.clock.monotonicMilliseconds();
-    return Math.max(
-      this.demandOf(service).millicores(now),
-      this.forecast.millicores(service, now, leadMilliseconds),
-    );
-  }
-
-  /** Whether the turns of queues are foreseen by now. */
-  foreseesTurns(): boolean {
-    return this.forecast.isKnown(this.clock.monotonicMilliseconds());
+    this.demand.note(this.serviceOf(execution), execution.job, at);
   }
 
   /** Notes how long a run that ended well took. */
   noteDuration(run: LiveRun, milliseconds: number): void {
     const {longRunning, estimatedMilliseconds} = run.taskOfJob.specification;
     if (longRunning || estimatedMilliseconds <= 0) return;
-    this.durationsOf(run.execution).note(estimatedMilliseconds, milliseconds);
+    this.demand
+      .durationsOf(run.execution.job.queue)
+      .note(estimatedMilliseconds, milliseconds);
   }
 
   remove(execution: JobExecution): void {
@@ -241,7 +223,7 @@
       dueWall > 0
         ? now - (wall - dueWall)
         : (this.firstSeen.get(execution) ?? now);
-    const durations = this.durationsOf(execution);
+    const durations = this.demand.durationsOf(execution.job.queue);
     const expected = (step: StepSpecification) =>
       durations.expected(step.estimatedMilliseconds);
     const remainingChain = execution.remainingChain(occurrence, expected);
@@ -266,34 +248,6 @@
     };
   }
 
-  private durationsOf(execution: JobExecution): DurationModel {
-    const {queue} = execution.job;
-    let model = this.durations.get(queue);
-    if (!model) this.durations.set(queue, (model = new DurationModel()));
-    return model;
-  }
-
-  private demandOf(service: string): DemandMeter {
-    let meter = this.demands.get(service);
-    if (!meter) this.demands.set(service, (meter = new DemandMeter()));
-    return meter;
-  }
-
-  /** Millicores times milliseconds of all tasks of a job that end by themselves. */
-  private workOf(execution: JobExecution): number {
-    const durations = this.durationsOf(execution);
-    return execution.job.steps
-      .filter(step => !step.longRunning && !step.fills)
-      .reduce(
-        (sum, step) =>
-          sum +
-          step.taskCount *
-            step.processorMillicores *
-            durations.expected(step.estimatedMilliseconds),
-        0,
-      );
-  }
-
   private sleepUntilDue(
     service: string,
     execution: JobExecution,
@@ -341,33 +295,6 @@
 
 const NOWHERE: ReadonlySet<string> = new Set();
 
-/** Members of a gang go together, all others alone. */
-function groupsOf(ready: readonly ExecutableTask[]): ExecutableTask[][] {
-  const gangs = new Map<string, ExecutableTask[]>();
-  const groups: ExecutableTask[][] = [];
-  for (const task of ready) {
-    if (!task.specification.gang) {
-      groups.push([task]);
-      continue;
-    }
-    const key = `${task.occurrence}.${task.step}`;
-    let members = gangs.get(key);
-    if (!members) {
-      members = [];
-      gangs.set(key, members);
-      groups.push(members);
-    }
-    members.push(task);
-  }
-  return groups.filter(isWholeGroup);
-}
-
-/** A gang waits until no run of any member is left: members of two runs never meet. */
-function isWholeGroup(tasks: readonly ExecutableTask[]): boolean {
-  const {gang, taskCount} = tasks[0].specification;
-  return !gang || tasks.length === taskCount;
-}
-
 function plannedRun(
   execution: JobExecution,
   task: ExecutableTask,
@@ -393,61 +320,3 @@
     pacePercent: 100,
   };
 }
-
-/** Room of a service's workers while one round of placement goes on. */
-class PlacementRound {
-  private readonly sessions = new Map<string, WorkerSession>();
-  private views: PlacementWorker[];
-  private before: PlacementWorker[];
-
-  constructor(
-    sessions: readonly WorkerSession[],
-    private readonly choice: WorkerChoice,
-    now: number,
-  ) {
-    for (const session of sessions) this.sessions.set(session.id, session);
-    this.views = sessions.map(session => session.placementView(now));
-    this.before = [...this.views];
-  }
-
-  /** Takes room for a task; undefined where there is none. */
-  take(
-    stepKey: string,
-    task: ExecutableTask,
-    avoid: ReadonlySet<string>,
-  ): WorkerSession | undefined {
-    const step = task.specification;
-    const worker = this.choice.choose({stepKey, step, avoid}, this.views);
-    if (!worker) return undefined;
-    const index = this.views.indexOf(worker);
-    this.views[index] = withTask(worker, stepKey, task);
-    return this.sessions.get(worker.id);
-  }
-
-  /** Undoes what was taken since `keep`. */
-  giveBack(): void {
-    this.views = [...this.before];
-  }
-
-  keep(): void {
-    this.before = [...this.views];
-  }
-}
-
-function withTask(
-  worker: PlacementWorker,
-  stepKey: string,
-  task: ExecutableTask,
-): PlacementWorker {
-  const step = task.specification;
-  return {
-    ...worker,
-    freeMillicores:
-      worker.freeMillicores - (step.fills ? 0 : step.processorMillicores),
-    freeMegabytes: worker.freeMegabytes - step.memoryMegabytes,
-    freeAccelerators: worker.freeAccelerators - step.accelerators,
-    servingTasks: worker.servingTasks + (step.targetMilliseconds > 0 ? 1 : 0),
-    fillingTasks: worker.fillingTasks + (step.fills ? 1 : 0),
-    countOf: key => worker.countOf(key) + (key === stepKey ? 1 : 0),
-  };
-}
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -12,6 +12,7 @@
 import type {MaintenanceWave, ServicePool} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
 import type {RecordFormats} from './record-formats.js';
+import type {ServiceDemand} from './service-demand.js';
 import {VmOrders, type VmOrderParts, type VmOrderRequest} from './vm-orders.js';
 import {WaveProgress} from './wave-progress.js';
 import type {WorkerRegistry} from './worker-registry.js';
@@ -58,6 +59,7 @@
     private readonly parts: FleetParts,
     private readonly registry: WorkerRegistry,
     private readonly dispatcher: Dispatcher,
+    private readonly demand: ServiceDemand,
     private readonly host: FleetHost,
   ) {
     this.waves = new WaveProgress(parts);
@@ -189,8 +191,8 @@
         load.waitingSince === undefined
           ? 0
           : Math.max(1, now - load.waitingSince),
-      arrivingMillicores: this.dispatcher.arrivingMillicores(name, lead),
-      foreseen: this.dispatcher.foreseesTurns(),
+      arrivingMillicores: this.demand.arrivingMillicores(name, now, lead),
+      foreseen: this.demand.foreseesTurns(now),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
       vms: members
--- /dev/null
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -0,0 +1,47 @@
+import type {Clock} from '@gentiandoor/kernel';
+import {longestLease} from '@gentiandoor/scheduling';
+import type {LiveRun} from './live-run.js';
+
+/** Room for the time that a step of ours takes between a sum and its use. */
+const SLACK_MILLISECONDS = 100;
+
+/**
+ * Runs of an earlier coordinator on workers without an entry: they count as alive until the worker
+ * comes back, its life is known to be over, or the longest lease has run out.
+ */
+export class OrphanRuns {
+  private readonly byWorker = new Map<string, Set<LiveRun>>();
+
+  constructor(
+    private readonly leaseMilliseconds: number,
+    private readonly clock: Clock,
+    private readonly lose: (worker: string, run: LiveRun) => void,
+  ) {}
+
+  keep(worker: string, run: LiveRun): void {
+    let runs = this.byWorker.get(worker);
+    if (!runs) {
+      this.byWorker.set(worker, (runs = new Set()));
+      const bound = longestLease(this.leaseMilliseconds) + SLACK_MILLISECONDS;
+      this.clock.schedule(bound, () => this.loseAll(worker));
+    }
+    runs.add(run);
+  }
+
+  /** Hands the runs of a worker that has come back over. */
+  take(worker: string): Iterable<LiveRun> {
+    const runs = this.byWorker.get(worker) ?? [];
+    this.byWorker.delete(worker);
+    return runs;
+  }
+
+  /** Takes the lives that the list of VMs shows; every other one is over. */
+  noteLives(alive: ReadonlySet<string>): void {
+    for (const worker of [...this.byWorker.keys()])
+      if (!alive.has(worker)) this.loseAll(worker);
+  }
+
+  private loseAll(worker: string): void {
+    for (const run of this.take(worker)) this.lose(worker, run);
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/placement-round.ts
@@ -0,0 +1,61 @@
+import type {ExecutableTask} from '@gentiandoor/jobs';
+import type {PlacementWorker, WorkerChoice} from '@gentiandoor/scheduling';
+import type {WorkerSession} from './worker-session.js';
+
+/** Room of a service's workers while one round of placement goes on. */
+export class PlacementRound {
+  private readonly sessions = new Map<string, WorkerSession>();
+  private views: PlacementWorker[];
+  private before: PlacementWorker[];
+
+  constructor(
+    sessions: readonly WorkerSession[],
+    private readonly choice: WorkerChoice,
+    now: number,
+  ) {
+    for (const session of sessions) this.sessions.set(session.id, session);
+    this.views = sessions.map(session => session.placementView(now));
+    this.before = [...this.views];
+  }
+
+  /** Takes room for a task; undefined where there is none. */
+  take(
+    stepKey: string,
+    task: ExecutableTask,
+    avoid: ReadonlySet<string>,
+  ): WorkerSession | undefined {
+    const step = task.specification;
+    const worker = this.choice.choose({stepKey, step, avoid}, this.views);
+    if (!worker) return undefined;
+    const index = this.views.indexOf(worker);
+    this.views[index] = withTask(worker, stepKey, task);
+    return this.sessions.get(worker.id);
+  }
+
+  /** Undoes what was taken since `keep`. */
+  giveBack(): void {
+    this.views = [...this.before];
+  }
+
+  keep(): void {
+    this.before = [...this.views];
+  }
+}
+
+function withTask(
+  worker: PlacementWorker,
+  stepKey: string,
+  task: ExecutableTask,
+): PlacementWorker {
+  const step = task.specification;
+  return {
+    ...worker,
+    freeMillicores:
+      worker.freeMillicores - (step.fills ? 0 : step.processorMillicores),
+    freeMegabytes: worker.freeMegabytes - step.memoryMegabytes,
+    freeAccelerators: worker.freeAccelerators - step.accelerators,
+    servingTasks: worker.servingTasks + (step.targetMilliseconds > 0 ? 1 : 0),
+    fillingTasks: worker.fillingTasks + (step.fills ? 1 : 0),
+    countOf: key => worker.countOf(key) + (key === stepKey ? 1 : 0),
+  };
+}
--- /dev/null
+++ b/packages/coordinator/src/service-demand.ts
@@ -0,0 +1,65 @@
+import type {JobSubmission} from '@gentiandoor/jobs';
+import {
+  DemandMeter,
+  DurationModel,
+  TurnForecast,
+} from '@gentiandoor/scheduling';
+
+/** What is learned of the work that comes for each service. */
+export class ServiceDemand {
+  private readonly durations = new Map<string, DurationModel>();
+  private readonly meters = new Map<string, DemandMeter>();
+  private readonly forecast = new TurnForecast();
+
+  /** Notes a job that was handed in at `at`. */
+  note(service: string, job: JobSubmission, at: number): void {
+    const work = this.workOf(job);
+    this.meterOf(service).note(work, at);
+    this.forecast.note(service, work, at);
+  }
+
+  /** Millicores that work which arrives, or is about to, keeps busy. */
+  arrivingMillicores(
+    service: string,
+    now: number,
+    leadMilliseconds: number,
+  ): number {
+    return Math.max(
+      this.meterOf(service).millicores(now),
+      this.forecast.millicores(service, now, leadMilliseconds),
+    );
+  }
+
+  /** Whether the turns of queues are foreseen by now. */
+  foreseesTurns(now: number): boolean {
+    return this.forecast.isKnown(now);
+  }
+
+  /** How long tasks of a queue take. */
+  durationsOf(queue: string): DurationModel {
+    let model = this.durations.get(queue);
+    if (!model) this.durations.set(queue, (model = new DurationModel()));
+    return model;
+  }
+
+  private meterOf(service: string): DemandMeter {
+    let meter = this.meters.get(service);
+    if (!meter) this.meters.set(service, (meter = new DemandMeter()));
+    return meter;
+  }
+
+  /** Millicores times milliseconds of all tasks of a job that end by themselves. */
+  private workOf(job: JobSubmission): number {
+    const durations = this.durationsOf(job.queue);
+    return job.steps
+      .filter(step => !step.longRunning && !step.fills)
+      .reduce(
+        (sum, step) =>
+          sum +
+          step.taskCount *
+            step.processorMillicores *
+            durations.expected(step.estimatedMilliseconds),
+        0,
+      );
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/session-room.ts
@@ -0,0 +1,49 @@
+import type {PlacementWorker} from '@gentiandoor/scheduling';
+import type {LiveRun} from './live-run.js';
+import type {WorkerEntry} from './worker-gateway.js';
+
+/** What a placement sees of a worker that carries `runs`. */
+export function placementView(
+  entry: WorkerEntry,
+  runs: readonly LiveRun[],
+  trust: number,
+): PlacementWorker {
+  const {room} = entry;
+  const counts = new Map<string, number>();
+  for (const {stepKey} of runs)
+    counts.set(stepKey, (counts.get(stepKey) ?? 0) + 1);
+  const steps = runs.map(run => run.taskOfJob.specification);
+  const sum = (of: (step: (typeof steps)[number]) => number) =>
+    steps.reduce((total, step) => total + of(step), 0);
+  return {
+    id: entry.id,
+    dataCentre: entry.dataCentre,
+    labels: entry.labels,
+    freeMillicores:
+      room.processorMillicores -
+      sum(step => (step.fills ? 0 : step.processorMillicores)),
+    freeMegabytes: room.memoryMegabytes - sum(step => step.memoryMegabytes),
+    freeAccelerators: room.accelerators - sum(step => step.accelerators),
+    totalMillicores: Math.max(1, room.processorMillicores),
+    servingTasks: steps.filter(step => step.targetMilliseconds > 0).length,
+    fillingTasks: steps.filter(step => step.fills).length,
+    trust,
+    countOf: stepKey => counts.get(stepKey) ?? 0,
+  };
+}
+
+/** Millicores in use, weighed by what the work is still worth. */
+export function valuedMillicores(runs: Iterable<LiveRun>): number {
+  let sum = 0;
+  for (const {weight, taskOfJob} of runs)
+    if (!taskOfJob.specification.fills)
+      sum += weight * taskOfJob.specification.processorMillicores;
+  return sum;
+}
+
+/** Whether a task that lasts is among the runs. */
+export function hasLastingTask(runs: Iterable<LiveRun>): boolean {
+  for (const {taskOfJob} of runs)
+    if (taskOfJob.specification.longRunning) return true;
+  return false;
+}
--- /dev/null
+++ b/packages/coordinator/src/task-groups.ts
@@ -0,0 +1,28 @@
+import type {ExecutableTask} from '@gentiandoor/jobs';
+
+/** Members of a gang go together, all others alone. */
+export function groupsOf(ready: readonly ExecutableTask[]): ExecutableTask[][] {
+  const gangs = new Map<string, ExecutableTask[]>();
+  const groups: ExecutableTask[][] = [];
+  for (const task of ready) {
+    if (!task.specification.gang) {
+      groups.push([task]);
+      continue;
+    }
+    const key = `${task.occurrence}.${task.step}`;
+    let members = gangs.get(key);
+    if (!members) {
+      members = [];
+      gangs.set(key, members);
+      groups.push(members);
+    }
+    members.push(task);
+  }
+  return groups.filter(isWholeGroup);
+}
+
+/** A gang waits until no run of any member is left: members of two runs never meet. */
+function isWholeGroup(tasks: readonly ExecutableTask[]): boolean {
+  const {gang, taskCount} = tasks[0].specification;
+  return !gang || tasks.length === taskCount;
+}
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -1,13 +1,18 @@
 import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
 import {RunEnd} from '@gentiandoor/jobs';
 import {
-  FillPace,
   LeaseClock,
   WorkerTrust,
   longestLease,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
+import {FillPacer} from './fill-pacer.js';
 import {RunStatus, type LiveRun} from './live-run.js';
+import {
+  hasLastingTask,
+  placementView,
+  valuedMillicores,
+} from './session-room.js';
 import {Signal} from './signal.js';
 import {
   OrderOutcome,
@@ -67,15 +72,12 @@
 const MAXIMUM_ENDS_LISTED = 500;
 /** Room for the time that our own step takes between a sum and its order. */
 const LEASE_SLACK_MILLISECONDS = 300;
-/** Steps of speed under this are not worth a call. */
-const PACE_STEP_PERCENT = 10;
-
 /** Everything between the coordinator and one life of a worker. */
 export class WorkerSession {
   readonly runs = new Map<string, LiveRun>();
   readonly trust = new WorkerTrust();
   private readonly lease = new LeaseClock();
-  private readonly pace = new FillPace();
+  private readonly pacer: FillPacer;
   private readonly signal: Signal;
   private readonly strayStops = new Set<string>();
   private endsRead = 0;
@@ -96,6 +98,9 @@
     private readonly logger: Logger,
   ) {
     this.signal = new Signal(clock);
+    this.pacer = new FillPacer((run, percent) =>
+      gateway.pace(this.current, run, percent, host.term),
+    );
   }
 
   get entry(): WorkerEntry {
@@ -140,18 +145,12 @@
 
   /** Millicores in use, weighed by what the work is still worth. */
   get valuedMillicores(): number {
-    let sum = 0;
-    for (const {weight, taskOfJob} of this.runs.values())
-      if (!taskOfJob.specification.fills)
-        sum += weight * taskOfJob.specification.processorMillicores;
-    return sum;
+    return valuedMillicores(this.runs.values());
   }
 
   /** Whether a task that lasts runs on it. */
   get hasLastingTask(): boolean {
-    for (const run of this.runs.values())
-      if (run.taskOfJob.specification.longRunning) return true;
-    return false;
+    return hasLastingTask(this.runs.values());
   }
 
   /** Keeps new starts away while the VM is to be moved or maintained. */
@@ -181,35 +180,11 @@
 
   /** What a placement sees of the worker. */
   placementView(now: number): PlacementWorker {
-    let millicores = 0;
-    let megabytes = 0;
-    let accelerators = 0;
-    let servingTasks = 0;
-    let fillingTasks = 0;
-    const counts = new Map<string, number>();
-    for (const run of this.runs.values()) {
-      const step = run.taskOfJob.specification;
-      if (!step.fills) millicores += step.processorMillicores;
-      megabytes += step.memoryMegabytes;
-      accelerators += step.accelerators;
-      if (step.fills) fillingTasks++;
-      if (step.targetMilliseconds > 0) servingTasks++;
-      counts.set(run.stepKey, (counts.get(run.stepKey) ?? 0) + 1);
-    }
-    const {room} = this.current;
-    return {
-      id: this.id,
-      dataCentre: this.current.dataCentre,
-      labels: this.current.labels,
-      freeMillicores: room.processorMillicores - millicores,
-      freeMegabytes: room.memoryMegabytes - megabytes,
-      freeAccelerators: room.accelerators - accelerators,
-      totalMillicores: Math.max(1, room.processorMillicores),
-      servingTasks,
-      fillingTasks,
-      trust: this.trust.level(now),
-      countOf: stepKey => counts.get(stepKey) ?? 0,
-    };
+    return placementView(
+      this.current,
+      [...this.runs.values()],
+      this.trust.level(now),
+    );
   }
 
   /** Takes room for a run; the order follows with `order`. */
@@ -347,7 +322,7 @@
     for (const listed of result.running) this.noteRunning(listed);
     if (result.ended.length < MAXIMUM_ENDS_LISTED)
       this.dropMissing(result.running, ended, requestedAt);
-    this.adjustPace(result.running);
+    this.pacer.adjust(result.running, this.runs);
     if (!shown) this.host.sessionChanged(this);
   }
 
@@ -431,35 +406,6 @@
     }
   }
 
-  private adjustPace(running: readonly ListedRun[]): void {
-    const filling: LiveRun[] = [];
-    let worst = 0;
-    for (const listed of running) {
-      const run = this.runs.get(listed.task);
-      if (!run) continue;
-      const step = run.taskOfJob.specification;
-      if (step.fills) filling.push(run);
-      else if (step.targetMilliseconds > 0)
-        worst = Math.max(worst, listed.load / step.targetMilliseconds);
-    }
-    if (filling.length === 0) return;
-    const percent = this.pace.update(worst);
-    for (const run of filling) this.sendPace(run, percent);
-  }
-
-  private sendPace(run: LiveRun, percent: number): void {
-    const before = run.pacePercent;
-    if (Math.abs(percent - before) < PACE_STEP_PERCENT && percent !== 100)
-      return;
-    if (percent === before) return;
-    run.pacePercent = percent;
-    void this.gateway
-      .pace(this.current, run, percent, this.host.term)
-      .then(result => {
-        if (result.outcome !== OrderOutcome.Done) run.pacePercent = before;
-      });
-  }
-
   private async sendStart(run: LiveRun, retried: boolean): Promise<boolean> {
     const now = this.clock.monotonicMilliseconds();
     const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -7,6 +7,7 @@
   JobRecordKind,
   JobState,
   JobTable,
+  PLAIN_STEP,
   RunEnd,
   decodeJobRecord,
   emptyProgress,
@@ -16,26 +17,7 @@
   type StepSpecification,
 } from '../index.js';
 
-const STEP: StepSpecification = {
-  taskCount: 2,
-  processorMillicores: 1_000,
-  memoryMegabytes: 100,
-  accelerators: 0,
-  estimatedMilliseconds: 400,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maximumPerWorker: 0,
-  speculative: false,
-  longRunning: false,
-  image: '',
-  targetMilliseconds: 0,
-  fills: false,
-  mayMiss: 0,
-};
+const STEP: StepSpecification = {...PLAIN_STEP, taskCount: 2};
 
 function submission(
   steps: readonly StepSpecification[],
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -3,3 +3,4 @@
 export * from './job-progress.js';
 export * from './job-records.js';
 export * from './job-table.js';
+export * from './plain-step.js';
--- a/packages/scheduling/src/__tests__/placement.test.ts
+++ b/packages/scheduling/src/__tests__/placement.test.ts
@@ -1,30 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {StepSpecification} from '@gentiandoor/jobs';
+import {PLAIN_STEP, type StepSpecification} from '@gentiandoor/jobs';
 import {LeaseClock, longestLease} from '../lease-clock.js';
 import {FullestFirst} from '../worker-choice.js';
 import type {PlacementWorker} from '../worker-room.js';
 
-const STEP: StepSpecification = {
-  taskCount: 1,
-  processorMillicores: 2_000,
-  memoryMegabytes: 100,
-  accelerators: 0,
-  estimatedMilliseconds: 500,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maximumPerWorker: 0,
-  speculative: false,
-  longRunning: false,
-  image: '',
-  targetMilliseconds: 0,
-  fills: false,
-  mayMiss: 0,
-};
+const STEP: StepSpecification = {...PLAIN_STEP, processorMillicores: 2_000};
 
 function worker(
   id: string,
