Command line shows a deployment on the platform from its store alone

deployment show: coordinator, queues by state, pools; deployment job: tasks, runs, workers, failed runs. Bad input and a store that does not answer have their exit codes; unreadable records are counted.

--- /dev/null
+++ b/packages/cli/src/__tests__/deployment.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import {after, before, beforeEach, describe, it} from 'node:test';
+import {LogStream} from '@gentiandoor/coordinator';
+import {
+  JobRecordKind,
+  JobState,
+  PLAIN_STEP,
+  encodeJobRecord,
+} from '@gentiandoor/jobs';
+import {RunEnd} from '@gentiandoor/jobs';
+import {StandInPlatform} from '@gentiandoor/platform/stand-ins';
+import {ExitCode} from '../exit-codes.js';
+import {processContext} from '../process-context.js';
+import {runProgram} from '../program.js';
+
+const ROOM = {
+  processorMillicores: 1_000,
+  memoryMegabytes: 100,
+  accelerators: 0,
+};
+const JOB_ID = '00000000000000aa';
+
+describe('deployment commands', () => {
+  const platform = new StandInPlatform({
+    services: ['previews'],
+    standbyService: 'spare',
+    workersPerService: 1,
+    room: ROOM,
+    behaviourOf: () => ({
+      durationMilliseconds: 1,
+      end: RunEnd.Done,
+      room: ROOM,
+    }),
+  });
+  let printed: string[] = [];
+  let noted: string[] = [];
+
+  before(async () => {
+    await platform.start();
+    platform.store.write(
+      LogStream.Jobs,
+      encodeJobRecord({
+        kind: JobRecordKind.Submission,
+        job: {
+          id: JOB_ID,
+          queue: 'queue-previews',
+          service: 'previews',
+          payload: '',
+          steps: [PLAIN_STEP],
+          submittedAtMilliseconds: 0,
+        },
+      }),
+    );
+    platform.store.write(
+      LogStream.Jobs,
+      encodeJobRecord({
+        kind: JobRecordKind.Progress,
+        jobId: JOB_ID,
+        progress: {
+          state: JobState.Running,
+          tasks: new Map([
+            [
+              '0.0.0',
+              {
+                run: 2,
+                done: false,
+                failedRuns: [1],
+                checkpoint: '',
+                worker: 'w-7',
+              },
+            ],
+          ]),
+        },
+      }),
+    );
+    // Another writer's record: counted, and no reason to show nothing.
+    platform.store.write(LogStream.Jobs, {
+      key: 'p/00000000000000bb',
+      value: Buffer.from('{'),
+    });
+  });
+  after(() => platform.stop());
+  beforeEach(() => {
+    printed = [];
+    noted = [];
+  });
+
+  function run(...words: string[]): Promise<ExitCode> {
+    return runProgram(['node', 'gentiandoor', ...words], {
+      ...processContext(),
+      print: line => printed.push(line),
+      note: line => noted.push(line),
+    });
+  }
+
+  it('show queues and pools from the store alone', async () => {
+    const code = await run(
+      'deployment',
+      'show',
+      '--store',
+      platform.storeAddress,
+      '--json',
+    );
+    assert.equal(code, ExitCode.Done, noted.join('\n'));
+    const shown = JSON.parse(printed[0]) as {
+      summary: {coordinator: string; unreadable: number};
+      queues: Array<{queue: string; running: number}>;
+      pools: Array<{service: string; ready: number}>;
+    };
+    assert.equal(shown.summary.coordinator, 'none');
+    assert.equal(shown.summary.unreadable, 1);
+    assert.equal(shown.queues[0].running, 1);
+    assert.deepEqual(
+      shown.pools.map(pool => [pool.service, pool.ready]),
+      [
+        ['previews', 1],
+        ['spare', 1],
+      ],
+    );
+  });
+
+  it('show the runs of a job', async () => {
+    const code = await run(
+      'deployment',
+      'job',
+      JOB_ID,
+      '--store',
+      platform.storeAddress,
+    );
+    assert.equal(code, ExitCode.Done, noted.join('\n'));
+    assert.match(printed.join('\n'), /0\.0\.0 +2 +running +w-7 +1/);
+  });
+
+  it('say what is wrong', async () => {
+    assert.equal(await run('deployment', 'show'), ExitCode.BadInput);
+    assert.match(noted[0], /--store/);
+    const away = await run('deployment', 'show', '--store', '127.0.0.1:1');
+    assert.equal(away, ExitCode.Unreachable);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/commands/deployment.ts
@@ -0,0 +1,158 @@
+import {
+  readDeployment,
+  WorkerState,
+  type DeploymentView,
+} from '@gentiandoor/coordinator';
+import {JobState, type TaskProgress} from '@gentiandoor/jobs';
+import {HttpCalls, PlatformRecords, PlatformStore} from '@gentiandoor/platform';
+import {
+  show,
+  type CommandContext,
+  type CommonOptions,
+} from '../command-context.js';
+import {CommandError} from '../command-error.js';
+import type {CommandDefinition} from '../command-registry.js';
+import {ExitCode} from '../exit-codes.js';
+import {formatColumns} from '../format-columns.js';
+
+interface StoreOptions extends CommonOptions {
+  readonly store?: string;
+}
+
+const STORE_CONNECTIONS = 4;
+const STORE_OPTION = [
+  '--store',
+  'Address of the platform’s store, IP number and port',
+] as const;
+
+async function readView(options: StoreOptions): Promise<DeploymentView> {
+  const {store} = options;
+  if (!store)
+    throw new CommandError(ExitCode.BadInput, 'expected --store ADDRESS');
+  const calls = new HttpCalls(STORE_CONNECTIONS);
+  const log = new PlatformStore(calls, () => store);
+  const view = await readDeployment(log, new PlatformRecords());
+  await calls.stop();
+  if (!view)
+    throw new CommandError(
+      ExitCode.Unreachable,
+      `the store at ${store} does not answer`,
+    );
+  return view;
+}
+
+async function deployment(
+  context: CommandContext,
+  options: StoreOptions,
+): Promise<void> {
+  const view = await readView(options);
+  const {term, configuration, waves, unreadable} = view;
+  const summary = {
+    coordinator: term?.released === false ? term.holder : 'none',
+    term: term?.term ?? 0,
+    configuration: configuration?.version ?? 'none',
+    waves: waves.length,
+    unreadable,
+  };
+  const queues = view.queues.map(({queue, service, jobs}) => ({
+    queue,
+    service,
+    ...Object.fromEntries(
+      Object.values(JobState).map(state => [state, jobs.get(state) ?? 0]),
+    ),
+  }));
+  const pools = poolRows(view);
+  const lines = [
+    ...formatColumns(['what', 'value'], rowsOf(summary)),
+    '',
+    ...table(queues, ['queue', 'service', ...STATES]),
+    '',
+    ...table(pools, ['service', 'standby', 'ready', 'leaving']),
+  ];
+  show(context, options, {summary, queues, pools}, lines);
+}
+
+async function job(
+  context: CommandContext,
+  id: string,
+  options: StoreOptions,
+): Promise<void> {
+  const view = await readView(options);
+  const found = view.table.find(id);
+  if (!found)
+    throw new CommandError(ExitCode.Failed, `the store has no job ${id}`);
+  const tasks = [...found.progress.tasks].map(([task, progress]) => ({
+    task,
+    ...taskRow(progress),
+  }));
+  const state = view.table.stateOf(found);
+  const {queue, service} = found.submission;
+  const lines = [
+    `${id} in ${queue}: ${state}`,
+    ...table(tasks, ['task', 'run', 'state', 'worker', 'failed']),
+  ];
+  show(context, options, {id, queue, service, state, tasks}, lines);
+}
+
+const STATES: readonly string[] = Object.values(JobState);
+
+function taskRow(progress: TaskProgress): {
+  run: number;
+  state: string;
+  worker: string;
+  failed: string;
+} {
+  const running = progress.worker === '' ? 'waiting' : 'running';
+  return {
+    run: progress.run,
+    state: progress.done ? 'done' : running,
+    worker: progress.worker || '-',
+    failed: progress.failedRuns.join(' ') || '-',
+  };
+}
+
+function poolRows({configuration, workers}: DeploymentView): Array<{
+  service: string;
+  standby: boolean;
+  ready: number;
+  leaving: number;
+}> {
+  return (configuration?.services ?? []).map(({name, standby}) => {
+    const own = workers.filter(worker => worker.service === name);
+    const leaving = own.filter(
+      worker => worker.state === WorkerState.Draining,
+    ).length;
+    return {service: name, standby, ready: own.length - leaving, leaving};
+  });
+}
+
+function rowsOf(summary: object): string[][] {
+  return Object.entries(summary).map(([name, value]) => [name, String(value)]);
+}
+
+function table(rows: readonly object[], columns: readonly string[]): string[] {
+  const cells = rows.map(row => {
+    const values = new Map(Object.entries(row));
+    return columns.map(column => String(values.get(column) ?? ''));
+  });
+  return formatColumns(columns, cells);
+}
+
+/** Commands that read a deployment on the platform from its store alone. */
+export const deploymentCommands: readonly CommandDefinition[] = [
+  {
+    usage: 'deployment show',
+    description:
+      'Shows who gives the orders, queues, pools and waves, from the platform’s store alone.',
+    examples: ['deployment show --store 10.200.1.7:8621'],
+    options: [STORE_OPTION],
+    run: deployment,
+  },
+  {
+    usage: 'deployment job <id>',
+    description: 'Shows the tasks and runs of a job, from the store alone.',
+    examples: ['deployment job 5c0e7a21d94b36f8 --store 10.200.1.7:8621'],
+    options: [STORE_OPTION],
+    run: job,
+  },
+];
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -2,6 +2,7 @@
 import {addCommands, type CommandDefinition} from './command-registry.js';
 import type {CommandContext} from './command-context.js';
 import {bundleCommands} from './commands/bundle.js';
+import {deploymentCommands} from './commands/deployment.js';
 import {explainCommands} from './commands/explain.js';
 import {maintenanceCommands, vmCommands} from './commands/fleet.js';
 import {jobCommands} from './commands/jobs.js';
@@ -28,6 +29,7 @@
   ...explainCommands,
   ...keyCommands,
   ...reportCommands,
+  ...deploymentCommands,
 ];
 
 /** The operators' command line; `argv` as from the process. Resolves with the exit code. */
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -1,4 +1,5 @@
 export * from './coordinator.js';
+export * from './deployment-view.js';
 export * from './entry-settings.js';
 export * from './grouped-appender.js';
 export * from './job-front-desk.js';
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -26,9 +26,11 @@
 /** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock looks the same and costs one renewal. */
 const CLOCK_DRIFT_MILLISECONDS = 200;
 
-const TERM_KEY = 'coordinator';
+/** Key of the term's record. */
+export const TERM_KEY = 'coordinator';
 
-interface TermRecord {
+/** Who gives the orders, as the store keeps it. */
+export interface TermRecord {
   readonly term: number;
   readonly holder: string;
   readonly incarnation: string;
@@ -222,7 +224,7 @@
 
   private note(record: KeyedRecord | undefined): void {
     if (!record) return;
-    const decoded = decode(record);
+    const decoded = decodeTerm(record);
     if (!decoded) {
       this.logger.warn(LogEvent.RecordUnreadable, {
         stream: LogStream.Terms,
@@ -251,7 +253,8 @@
   return {key: TERM_KEY, value: Buffer.from(JSON.stringify(record))};
 }
 
-function decode(record: KeyedRecord): TermRecord | undefined {
+/** Reads a term's record; undefined when it is not one. */
+export function decodeTerm(record: KeyedRecord): TermRecord | undefined {
   if (record.key !== TERM_KEY || !record.value) return undefined;
   try {
     const term = JSON.parse(record.value.toString('utf8')) as TermRecord;
