--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -169,7 +169,7 @@
   readonly workers = new SimulatedWorkers(this.clock);
   readonly fleet = new SimulatedFleet(this.clock);
   readonly behaviours = new Map<string, TaskBehaviour>();
-  private lives = 0;
+  private incarnations = 0;
 
   constructor(workerCount: number) {
     this.publishConfiguration(1);
@@ -240,12 +240,12 @@
     });
   }
 
-  /** The VM order ends the life of the worker on it, and a new one begins. */
+  /** The VM order ends the incarnation of the worker on it, and a new one begins. */
   linkFleet(): void {
     this.fleet.onOrder = order => {
       const before = this.fleet.vms.get(order.vm);
       this.worker(before?.workerId ?? '')?.crash();
-      const id = `${order.vm}/${++this.lives}`;
+      const id = `${order.vm}/${++this.incarnations}`;
       const pool = order.kind === 'move' ? order.to : (before?.pool ?? '');
       const takes = order.kind === 'move' ? 1_500 : 2_000;
       this.clock.schedule(takes, () => {
@@ -260,12 +260,12 @@
     };
   }
 
-  /** The worker's life ends without a word; a new one begins on its VM. */
+  /** The worker's incarnation ends without a word; a new one begins on its VM. */
   crashWorker(id: string): void {
     const vm = [...this.fleet.vms.values()].find(item => item.workerId === id);
     this.worker(id)?.crash();
     if (!vm) return;
-    const next = `${vm.name}/${++this.lives}`;
+    const next = `${vm.name}/${++this.incarnations}`;
     this.fleet.vms.set(vm.name, {...vm, workerId: next});
     this.clock.schedule(1_000, () => {
       const worker = this.workers.add(
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -29,7 +29,7 @@
   /** A try that a killed daemon never answered is no refusal. */
   attempts: number;
   readonly tasks: number;
-  lasting: boolean;
+  longRunning: boolean;
 }
 
 /** Plays random faults on a deployment of stand-ins, then calm, and checks the promises. */
@@ -42,7 +42,7 @@
   private readonly deployment = new TestDeployment(WORKERS);
   private readonly daemons: TestDaemon[] = [];
   private readonly submitted: Submitted[] = [];
-  private lives = 0;
+  private incarnations = 0;
 
   constructor(seed: number) {
     this.random = new SeededRandom(seed);
@@ -67,7 +67,7 @@
     const daemon = new TestDaemon(
       this.deployment,
       `daemon-${index}`,
-      String(++this.lives),
+      String(++this.incarnations),
     );
     this.daemons[index] = daemon;
     daemon.start();
@@ -77,15 +77,15 @@
     const count = 1 + this.random.nextInteger(3);
     for (let index = 0; index < count; index++) {
       const id = `job-${round}-${index}`;
-      const lasting = this.random.nextInteger(6) === 0;
-      this.deployment.behaviours.set(id, this.behaviourOf(lasting));
+      const longRunning = this.random.nextInteger(6) === 0;
+      this.deployment.behaviours.set(id, this.behaviourOf(longRunning));
       const tasks = 1 + this.random.nextInteger(3);
       const submitted: Submitted = {
         id,
         answers: [],
         attempts: 0,
         tasks,
-        lasting,
+        longRunning,
       };
       this.submitted.push(submitted);
       this.submit(submitted, this.pickDaemon());
@@ -95,10 +95,10 @@
     }
   }
 
-  private behaviourOf(lasting: boolean): ReturnType<typeof behaviour> {
+  private behaviourOf(longRunning: boolean): ReturnType<typeof behaviour> {
     const fails = this.random.nextInteger(8) === 0;
     return behaviour({
-      durationMilliseconds: lasting
+      durationMilliseconds: longRunning
         ? undefined
         : 200 + this.random.nextInteger(2_500),
       end: fails ? RunEnd.Failed : RunEnd.Done,
@@ -107,7 +107,7 @@
 
   private submit(submitted: Submitted, daemon: TestDaemon): void {
     const steps = [
-      step({taskCount: submitted.tasks, longRunning: submitted.lasting}),
+      step({taskCount: submitted.tasks, longRunning: submitted.longRunning}),
     ];
     submitted.attempts++;
     // A daemon that is killed never answers.
@@ -212,7 +212,7 @@
 
   /**
    * Whether the end of `one` counts when `other` begins. An end that was acknowledged counts for
-   * good. One that was not is lost with its worker's life, and by a lease that runs out behind a
+   * good. One that was not is lost with its worker's incarnation, and by a lease that runs out behind a
    * cut: nobody could have known of it, and the task must go on elsewhere.
    */
   private isKnown(one: BegunRun, other: BegunRun): boolean {
@@ -251,13 +251,15 @@
     const own = runs.filter(run => run.task.startsWith(`${one.id}.`));
     const failed = own.filter(run => run.end === RunEnd.Failed).length >= 3;
     if (failed) return [];
-    const wanted = one.lasting
+    const wanted = one.longRunning
       ? own.filter(run => run.endedAt === undefined).length
       : new Set(own.filter(run => run.end === RunEnd.Done).map(run => run.task))
           .size;
     return wanted >= one.tasks
       ? []
-      : [`${one.id}: ${wanted} of ${one.tasks} tasks, lasting ${one.lasting}`];
+      : [
+          `${one.id}: ${wanted} of ${one.tasks} tasks, long-running ${one.longRunning}`,
+        ];
   }
 
   /** Pairs of runs of one task, in order of their beginning. */
--- a/packages/coordinator/src/fill-pacer.ts
+++ b/packages/coordinator/src/best-effort-pacer.ts
@@ -1,4 +1,4 @@
-import {FillPace} from '@gentiandoor/scheduling';
+import {BestEffortPace} from '@gentiandoor/scheduling';
 import type {LiveRun} from './live-run.js';
 import {
   OrderOutcome,
@@ -13,30 +13,30 @@
 /** Sends the order that lets a run work at a share of its speed. */
 export type PaceOrder = (run: LiveRun, percent: number) => Promise<OrderResult>;
 
-/** Slows filling tasks on one worker down where what serves beside them is over its target. */
-export class FillPacer {
-  private readonly pace = new FillPace();
+/** Slows best-effort tasks on one worker down where what serves beside them is over its target. */
+export class BestEffortPacer {
+  private readonly pace = new BestEffortPace();
 
   constructor(private readonly order: PaceOrder) {}
 
-  /** Takes the figures of one look. */
+  /** Takes the figures of one poll. */
   adjust(
     running: readonly ListedRun[],
     runs: ReadonlyMap<string, LiveRun>,
   ): void {
-    const filling: LiveRun[] = [];
+    const bestEffort: LiveRun[] = [];
     let worst = 0;
     for (const listed of running) {
       const run = runs.get(listed.task);
       if (!run) continue;
       const step = run.taskOfJob.specification;
-      if (step.fills) filling.push(run);
+      if (step.bestEffort) bestEffort.push(run);
       else if (step.targetMilliseconds > 0)
         worst = Math.max(worst, listed.load / step.targetMilliseconds);
     }
-    if (filling.length === 0) return;
+    if (bestEffort.length === 0) return;
     const percent = this.pace.update(worst);
-    for (const run of filling) this.send(run, percent);
+    for (const run of bestEffort) this.send(run, percent);
   }
 
   private send(run: LiveRun, percent: number): void {
@@ -45,7 +45,7 @@
     if (percent === before || (isSmall && percent !== FULL_PERCENT)) return;
     run.pacePercent = percent;
     void this.order(run, percent).then(result => {
-      // Not done: the next look tries again from the speed before.
+      // Not done: the next poll tries again from the speed before.
       if (result.outcome !== OrderOutcome.Done) run.pacePercent = before;
     });
   }
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -262,8 +262,8 @@
     for (const run of this.orphans.take(session.id)) session.expect(run);
   }
 
-  noteLives(alive: ReadonlySet<string>): void {
-    this.orphans.noteLives(alive);
+  noteIncarnations(alive: ReadonlySet<string>): void {
+    this.orphans.noteIncarnations(alive);
   }
 
   usesWorkersOf(service: string): boolean {
@@ -407,7 +407,7 @@
     }
   }
 
-  /** Tasks that last leave a worker that is leaving: they would be lost with it, and stay away until that is certain. */
+  /** Long-running tasks leave a worker that is leaving: they would be lost with it, and stay away until that is certain. */
   private leaveDraining(session: WorkerSession): void {
     for (const run of session.runs.values())
       if (run.taskOfJob.specification.longRunning) void session.stop(run);
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -30,7 +30,7 @@
 
 /** Callers still count an answer as late until so many times the objective. */
 const LATE_FACTOR = 3;
-/** Tasks of one service that find no room in a row before the rest is left for the next round: a pool that is full stays full. */
+/** Groups of tasks that find no room in one round before the rest is left for the next: a pool that is full stays full. */
 const MISSES_BEFORE_GIVING_UP = 12;
 /** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
 const WEIGHTS: Readonly<Record<Chance, number>> = {
@@ -188,7 +188,7 @@
         misses++;
         waitingTasks += tasks.length;
         for (const task of tasks)
-          if (!task.specification.fills)
+          if (!task.specification.bestEffort)
             waitingMillicores +=
               candidate.weight * task.specification.processorMillicores;
       }
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -27,8 +27,8 @@
 /** What a fleet keeper needs of the coordinator. */
 export interface FleetHost {
   ordersAllowed(): boolean;
-  /** The lives that the list of VMs shows; every other one is over. */
-  noteLives(alive: ReadonlySet<string>): void;
+  /** The incarnations that the list of VMs shows; every other one is over. */
+  noteIncarnations(alive: ReadonlySet<string>): void;
 }
 
 /** Short against a move, so that a pool gets VMs within the first part of a burst; each round lists the VMs once. */
@@ -36,7 +36,7 @@
 /** Time between a maintenance and the return to service, besides the maintenance itself. */
 const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
 const FULL_PERCENT = 100;
-/** From the end of a move to the first start: the worker's entry is read and it is looked at. */
+/** From the end of a move to the first start: the worker's entry is read and it is polled. */
 const ARRIVAL_OVERHEAD_MILLISECONDS = 600;
 /** Why a VM takes no new starts before it changes its pool. */
 const POOL_CHANGE = 'pool change';
@@ -48,8 +48,8 @@
   private readonly orders: VmOrders;
   private readonly impossibleMoves = new Set<string>();
   private readonly idleFrom = new Map<string, number>();
-  /** The life that each VM was last seen to carry. */
-  private readonly lives = new Map<string, string>();
+  /** The incarnation that each VM was last seen to carry. */
+  private readonly incarnations = new Map<string, string>();
   private readonly waves: WaveProgress;
   private vms: readonly ListedVm[] = [];
   private closed = false;
@@ -83,7 +83,7 @@
       if (this.closed) return;
       if (vms && vms.length > 0) {
         this.vms = vms;
-        this.endLostLives(listedFrom);
+        this.endLostIncarnations(listedFrom);
         this.noteIdle();
         await this.waves.load();
         if (this.host.ordersAllowed()) await this.round();
@@ -92,21 +92,21 @@
     }
   }
 
-  /** A worker whose VM carries another life, or none, is over: its tasks need not wait for the lease. */
-  private endLostLives(listedFrom: number): void {
+  /** A worker whose VM carries another incarnation, or none, is over: its tasks need not wait for the lease. */
+  private endLostIncarnations(listedFrom: number): void {
     const alive = new Set(this.vms.map(vm => vm.workerId));
     for (const vm of this.vms) {
-      const before = this.lives.get(vm.name);
+      const before = this.incarnations.get(vm.name);
       if (before && before !== vm.workerId && !alive.has(before))
-        this.registry.find(before)?.endLife('its VM runs it no longer');
-      this.lives.set(vm.name, vm.workerId);
+        this.registry.find(before)?.endIncarnation('its VM runs it no longer');
+      this.incarnations.set(vm.name, vm.workerId);
     }
     for (const session of [...this.registry.all()]) {
       const {silentFrom} = session;
       if (silentFrom === undefined || silentFrom > listedFrom) continue;
-      if (!alive.has(session.id)) session.endLife('no VM runs it');
+      if (!alive.has(session.id)) session.endIncarnation('no VM runs it');
     }
-    this.host.noteLives(alive);
+    this.host.noteIncarnations(alive);
   }
 
   private noteIdle(): void {
@@ -192,7 +192,7 @@
           ? 0
           : Math.max(1, now - load.waitingSince),
       arrivingMillicores: this.demand.arrivingMillicores(name, now, lead),
-      foreseen: this.demand.foreseesTurns(now),
+      foreseen: this.demand.foreseesBursts(now),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
       vms: members
@@ -227,7 +227,7 @@
     return count;
   }
 
-  /** On its way, or up with a worker that has not been looked at yet. */
+  /** On its way, or up with a worker that has not been polled yet. */
   private isComing(vm: ListedVm): boolean {
     if (vm.state === VmState.Moving || vm.state === VmState.Maintenance)
       return true;
@@ -236,12 +236,12 @@
     return !session || session.isStarting;
   }
 
-  /** Up, not leaving, not held for a wave, and without a task that lasts. */
+  /** Up, not leaving, not held for a wave, and without a long-running task. */
   private isMovable(vm: ListedVm, standby: boolean): boolean {
     if (vm.state !== VmState.Up || !this.orders.isFree(vm.name)) return false;
     const session = this.sessionOn(vm);
     if (!session) return standby;
-    if (session.isDraining || session.hasLastingTask) return false;
+    if (session.isDraining || session.hasLongRunningTask) return false;
     const reserved =
       session.reservation !== undefined && session.reservation !== POOL_CHANGE;
     if (reserved) return false;
@@ -320,15 +320,15 @@
   private dueVm(vm: ListedVm, inDemand: boolean): DueVm {
     const session = this.sessionOn(vm);
     const runs = [...(session?.runs.values() ?? [])];
-    const lasting = runs.filter(
+    const longRunning = runs.filter(
       run => run.taskOfJob.specification.longRunning,
     ).length;
     return {
       name: vm.name,
       idle: runs.length === 0,
       emptying: session?.reservation?.startsWith(WAVE_PREFIX) ?? false,
-      shortTasks: runs.length - lasting,
-      lastingTasks: lasting,
+      shortTasks: runs.length - longRunning,
+      longRunningTasks: longRunning,
       inDemand,
     };
   }
@@ -341,7 +341,7 @@
       if (this.mayEvacuate(run)) void session.stop(run);
   }
 
-  /** A task that lasts may be taken away while no other of its step is. */
+  /** A long-running task may be taken away while no other of its step is. */
   private mayEvacuate(run: LiveRun): boolean {
     const step = run.taskOfJob.specification;
     if (!step.longRunning || run.stopAsked) return false;
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -26,7 +26,7 @@
   /** When this coordinator's order to start was answered; undefined before, and for recovered runs. */
   beganAt: number | undefined;
   status: RunStatus;
-  /** When the worker answered the order, or a stop; a look that began later shows the truth. */
+  /** When the worker answered the order, or a stop; a poll that began later shows the truth. */
   settledAt: number;
   stopAsked: boolean;
   percent: number;
--- a/packages/coordinator/src/machine-gateway.ts
+++ b/packages/coordinator/src/machine-gateway.ts
@@ -17,7 +17,7 @@
   readonly dataCentre: string;
   readonly labels: readonly string[];
   readonly room: Room;
-  /** The life of the worker that runs on it; empty while none does. */
+  /** The incarnation of the worker that runs on it; empty while none does. */
   readonly workerId: string;
 }
 
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -7,7 +7,7 @@
 
 /**
  * Runs of an earlier coordinator on workers without an entry: they count as alive until the worker
- * comes back, its life is known to be over, or the longest lease has run out.
+ * comes back, its incarnation is known to be over, or the longest lease has run out.
  */
 export class OrphanRuns {
   private readonly byWorker = new Map<string, Set<LiveRun>>();
@@ -35,8 +35,8 @@
     return runs;
   }
 
-  /** Takes the lives that the list of VMs shows; every other one is over. */
-  noteLives(alive: ReadonlySet<string>): void {
+  /** Takes the incarnations that the list of VMs shows; every other one is over. */
+  noteIncarnations(alive: ReadonlySet<string>): void {
     for (const worker of [...this.byWorker.keys()])
       if (!alive.has(worker)) this.loseAll(worker);
   }
--- a/packages/coordinator/src/placement-round.ts
+++ b/packages/coordinator/src/placement-round.ts
@@ -51,11 +51,11 @@
   return {
     ...worker,
     freeMillicores:
-      worker.freeMillicores - (step.fills ? 0 : step.processorMillicores),
+      worker.freeMillicores - (step.bestEffort ? 0 : step.processorMillicores),
     freeMegabytes: worker.freeMegabytes - step.memoryMegabytes,
     freeAccelerators: worker.freeAccelerators - step.accelerators,
     servingTasks: worker.servingTasks + (step.targetMilliseconds > 0 ? 1 : 0),
-    fillingTasks: worker.fillingTasks + (step.fills ? 1 : 0),
+    bestEffortTasks: worker.bestEffortTasks + (step.bestEffort ? 1 : 0),
     countOf: key => worker.countOf(key) + (key === stepKey ? 1 : 0),
   };
 }
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -2,14 +2,14 @@
 import {
   DemandMeter,
   DurationModel,
-  TurnForecast,
+  BurstForecast,
 } from '@gentiandoor/scheduling';
 
 /** What is learned of the work that comes for each service. */
 export class ServiceDemand {
   private readonly durations = new Map<string, DurationModel>();
   private readonly meters = new Map<string, DemandMeter>();
-  private readonly forecast = new TurnForecast();
+  private readonly forecast = new BurstForecast();
 
   /** Notes a job that was handed in at `at`. */
   note(service: string, job: JobSubmission, at: number): void {
@@ -31,7 +31,7 @@
   }
 
   /** Whether the turns of queues are foreseen by now. */
-  foreseesTurns(now: number): boolean {
+  foreseesBursts(now: number): boolean {
     return this.forecast.isKnown(now);
   }
 
@@ -52,7 +52,7 @@
   private workOf(job: JobSubmission): number {
     const durations = this.durationsOf(job.queue);
     return job.steps
-      .filter(step => !step.longRunning && !step.fills)
+      .filter(step => !step.longRunning && !step.bestEffort)
       .reduce(
         (sum, step) =>
           sum +
--- a/packages/coordinator/src/session-room.ts
+++ b/packages/coordinator/src/session-room.ts
@@ -21,12 +21,12 @@
     labels: entry.labels,
     freeMillicores:
       room.processorMillicores -
-      sum(step => (step.fills ? 0 : step.processorMillicores)),
+      sum(step => (step.bestEffort ? 0 : step.processorMillicores)),
     freeMegabytes: room.memoryMegabytes - sum(step => step.memoryMegabytes),
     freeAccelerators: room.accelerators - sum(step => step.accelerators),
     totalMillicores: Math.max(1, room.processorMillicores),
     servingTasks: steps.filter(step => step.targetMilliseconds > 0).length,
-    fillingTasks: steps.filter(step => step.fills).length,
+    bestEffortTasks: steps.filter(step => step.bestEffort).length,
     trust,
     countOf: stepKey => counts.get(stepKey) ?? 0,
   };
@@ -36,13 +36,13 @@
 export function valuedMillicores(runs: Iterable<LiveRun>): number {
   let sum = 0;
   for (const {weight, taskOfJob} of runs)
-    if (!taskOfJob.specification.fills)
+    if (!taskOfJob.specification.bestEffort)
       sum += weight * taskOfJob.specification.processorMillicores;
   return sum;
 }
 
-/** Whether a task that lasts is among the runs. */
-export function hasLastingTask(runs: Iterable<LiveRun>): boolean {
+/** Whether a long-running task is among the runs. */
+export function hasLongRunningTask(runs: Iterable<LiveRun>): boolean {
   for (const {taskOfJob} of runs)
     if (taskOfJob.specification.longRunning) return true;
   return false;
--- a/packages/coordinator/src/stand-ins/simulated-fleet.ts
+++ b/packages/coordinator/src/stand-ins/simulated-fleet.ts
@@ -22,7 +22,7 @@
 export class SimulatedFleet implements MachineGateway {
   readonly vms = new Map<string, ListedVm>();
   readonly orders: FleetOrder[] = [];
-  /** Called when a VM leaves its worker; returns what the new life is called. */
+  /** Called when a VM leaves its worker; returns what the new incarnation is called. */
   onOrder: (order: FleetOrder) => string = () => '';
 
   constructor(
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -4,8 +4,8 @@
   WorkerState,
   type EndedRun,
   type ListedRun,
-  type LookRequest,
-  type LookResult,
+  type PollRequest,
+  type PollResult,
   type OrderResult,
   type Room,
   type RunName,
@@ -17,7 +17,7 @@
 
 /** How a task behaves on any worker. */
 export interface TaskBehaviour {
-  /** Undefined for a task that lasts. */
+  /** Undefined for a long-running task. */
   readonly durationMilliseconds: number | undefined;
   readonly end: RunEnd;
   readonly room: Room;
@@ -46,7 +46,7 @@
   timer: Timer | undefined;
 }
 
-/** One life of a worker: runs tasks under a lease and guards its room. */
+/** One incarnation of a worker: runs tasks under a lease and guards its room. */
 export class SimulatedWorker {
   readonly begun: BegunRun[] = [];
   state = WorkerState.Ready;
@@ -98,7 +98,7 @@
     };
   }
 
-  /** Ends this life: everything on it is over and nobody is told. */
+  /** Ends this incarnation: everything on it is over and nobody is told. */
   crash(): void {
     this.dead = true;
     this.leaseTimer?.cancel();
@@ -110,7 +110,7 @@
     return this.dead;
   }
 
-  async look(request: LookRequest): Promise<LookResult> {
+  async poll(request: PollRequest): Promise<PollResult> {
     if (!this.takeToken(request.fencingToken)) return refused('fence');
     this.acknowledge(request.endsStored);
     if (request.leaseEndMilliseconds !== undefined)
@@ -126,9 +126,9 @@
   }
 
   start(request: StartRequest): OrderResult {
-    // A late order finds nobody when the life that it was meant for is over.
+    // A late order finds nobody when the incarnation that it was meant for is over.
     if (this.dead)
-      return {outcome: OrderOutcome.Unknown, reason: 'no such life'};
+      return {outcome: OrderOutcome.Unknown, reason: 'no such incarnation'};
     if (!this.takeToken(request.fencingToken)) return refused('fence');
     if (this.workerClock() >= request.leaseEndMilliseconds)
       return refused('late');
--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -1,8 +1,8 @@
 import {
   OrderOutcome,
   OrderRefusal,
-  type LookRequest,
-  type LookResult,
+  type PollRequest,
+  type PollResult,
   type OrderResult,
   type RunName,
   type StartRequest,
@@ -49,8 +49,8 @@
 /** One daemon's way to the workers. */
 export class WorkerConnection implements WorkerGateway {
   private readonly faults = new Map<string, WorkerFault>();
-  /** Looks made, by worker. */
-  readonly looks = new Map<string, number>();
+  /** Polls made, by worker. */
+  readonly polls = new Map<string, number>();
 
   constructor(private readonly workers: SimulatedWorkers) {}
 
@@ -60,11 +60,11 @@
     else this.faults.set(workerId, fault);
   }
 
-  async look(worker: WorkerAddress, request: LookRequest): Promise<LookResult> {
-    this.looks.set(worker.id, (this.looks.get(worker.id) ?? 0) + 1);
+  async poll(worker: WorkerAddress, request: PollRequest): Promise<PollResult> {
+    this.polls.set(worker.id, (this.polls.get(worker.id) ?? 0) + 1);
     const target = await this.reach(worker);
     if (!target) return this.silence();
-    return target.look(request);
+    return target.poll(request);
   }
 
   async start(
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -23,7 +23,7 @@
 const TAKEOVER_SPREAD_MILLISECONDS = 120;
 const WATCH_MILLISECONDS = 1_000;
 const RETRY_MILLISECONDS = 100;
-/** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock looks the same and costs one renewal. */
+/** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock polls the same and costs one renewal. */
 const CLOCK_DRIFT_MILLISECONDS = 200;
 
 /** Key of the term's record. */
@@ -129,7 +129,7 @@
     if (!current) return -Infinity;
     const spread = this.random.nextFraction() * TAKEOVER_SPREAD_MILLISECONDS;
     if (current.released) return this.changedAt + spread / 4;
-    // One machine runs one daemon: an earlier life of this one gives no orders any more.
+    // One machine runs one daemon: an earlier incarnation of this one gives no orders any more.
     if (current.holder === this.candidate.node) return -Infinity;
     return (
       this.changedAt + TERM_MILLISECONDS + TAKEOVER_SLACK_MILLISECONDS + spread
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -204,7 +204,7 @@
       outcome,
     });
     if (outcome === VmOrderOutcome.Fenced) this.barred.add(vm.name);
-    if (outcome === VmOrderOutcome.Done) session?.endLife(order.kind);
+    if (outcome === VmOrderOutcome.Done) session?.endIncarnation(order.kind);
     else session?.reserve(undefined);
     request.settled(outcome);
   }
--- a/packages/coordinator/src/worker-gateway.ts
+++ b/packages/coordinator/src/worker-gateway.ts
@@ -15,7 +15,7 @@
 
 /** What a worker says of itself. */
 export interface WorkerEntry {
-  /** Names one life of the worker. */
+  /** Names one incarnation of the worker. */
   readonly id: string;
   readonly service: string;
   readonly address: string;
@@ -42,7 +42,7 @@
 
 /** A run that a worker lists as ended. */
 export interface EndedRun extends RunName {
-  /** Rises by one with each end in one life of the worker. */
+  /** Rises by one with each end in one incarnation of the worker. */
   readonly number: number;
   readonly end: RunEnd;
   readonly checkpoint: string;
@@ -63,8 +63,8 @@
   Unhealthy = 'unhealthy',
   /** It could not read the order. */
   Malformed = 'malformed',
-  /** Another life of a worker answers at this address: the one meant is over. */
-  OtherLife = 'other_life',
+  /** Another incarnation of a worker answers at this address: the one meant is over. */
+  OtherIncarnation = 'other_incarnation',
 }
 
 /** What became of an order. */
@@ -81,8 +81,8 @@
   | {readonly outcome: OrderOutcome.Refused; readonly refusal: OrderRefusal}
   | {readonly outcome: OrderOutcome.Unknown; readonly reason: string};
 
-/** Answer to a look. */
-export type LookResult =
+/** Answer to a poll. */
+export type PollResult =
   | {
       readonly outcome: OrderOutcome.Done;
       readonly clockMilliseconds: number;
@@ -98,8 +98,8 @@
   readonly address: string;
 }
 
-/** A look at a worker, which also renews its lease. */
-export interface LookRequest {
+/** A poll at a worker, which also renews its lease. */
+export interface PollRequest {
   readonly fencingToken: number;
   /** Ends up to this number are stored and may be forgotten. */
   readonly endsStored: number;
@@ -121,7 +121,7 @@
 
 /** Calls to workers. Each ends within a bounded time. */
 export interface WorkerGateway {
-  look(worker: WorkerAddress, request: LookRequest): Promise<LookResult>;
+  poll(worker: WorkerAddress, request: PollRequest): Promise<PollResult>;
   start(worker: WorkerAddress, request: StartRequest): Promise<OrderResult>;
   stop(
     worker: WorkerAddress,
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -6,10 +6,10 @@
   longestLease,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
-import {FillPacer} from './fill-pacer.js';
+import {BestEffortPacer} from './best-effort-pacer.js';
 import {RunStatus, type LiveRun} from './live-run.js';
 import {
-  hasLastingTask,
+  hasLongRunningTask,
   placementView,
   valuedMillicores,
 } from './session-room.js';
@@ -20,7 +20,7 @@
   WorkerState,
   type EndedRun,
   type ListedRun,
-  type LookResult,
+  type PollResult,
   type WorkerEntry,
   type WorkerGateway,
 } from './worker-gateway.js';
@@ -28,7 +28,7 @@
 /** What a session needs of the coordinator. */
 export interface SessionHost {
   readonly term: number;
-  /** Lease that looks and starts give, in milliseconds. */
+  /** Lease that polls and starts give, in milliseconds. */
   readonly leaseMilliseconds: number;
   /** When this coordinator's term began. */
   readonly beganAt: number;
@@ -54,15 +54,15 @@
   afterStored(then: () => void): void;
   /** The worker can take starts again, or no longer. */
   sessionChanged(session: WorkerSession): void;
-  /** The life of the worker is over. */
+  /** The incarnation of the worker is over. */
   sessionOver(session: WorkerSession): void;
 }
 
-/** A look waits so long for an end: a lease is renewed several times over its length, and a silent connection is found in time. */
-const LOOK_WAIT_MILLISECONDS = 1_500;
-/** Ends that come close together are read with one look. */
-const LOOK_GAP_MILLISECONDS = 40;
-/** An idle worker's last ends are acknowledged after this, unless a start brings a look anyway. */
+/** A poll waits so long for an end: a lease is renewed several times over its length, and a silent connection is found in time. */
+const POLL_WAIT_MILLISECONDS = 1_500;
+/** Ends that come close together are read with one poll. */
+const POLL_GAP_MILLISECONDS = 40;
+/** An idle worker's last ends are acknowledged after this, unless a start brings a poll anyway. */
 const LAST_ACKNOWLEDGEMENT_MILLISECONDS = 400;
 const RETRY_MILLISECONDS = 200;
 /** A silent worker with nothing on it is only wanted back for new work. */
@@ -72,12 +72,12 @@
 const MAXIMUM_ENDS_LISTED = 500;
 /** Room for the time that our own step takes between a sum and its order. */
 const LEASE_SLACK_MILLISECONDS = 300;
-/** Everything between the coordinator and one life of a worker. */
+/** Everything between the coordinator and one incarnation of a worker. */
 export class WorkerSession {
   readonly runs = new Map<string, LiveRun>();
   readonly trust = new WorkerTrust();
   private readonly lease = new LeaseClock();
-  private readonly pacer: FillPacer;
+  private readonly pacer: BestEffortPacer;
   private readonly signal: Signal;
   private readonly strayStops = new Set<string>();
   private endsRead = 0;
@@ -98,7 +98,7 @@
     private readonly logger: Logger,
   ) {
     this.signal = new Signal(clock);
-    this.pacer = new FillPacer((run, percent) =>
+    this.pacer = new BestEffortPacer((run, percent) =>
       gateway.pace(this.current, run, percent, host.term),
     );
   }
@@ -133,7 +133,7 @@
     );
   }
 
-  /** New, and not looked at yet. */
+  /** New, and not polled yet. */
   get isStarting(): boolean {
     return !this.tokenShown && this.silentSince === undefined;
   }
@@ -148,9 +148,9 @@
     return valuedMillicores(this.runs.values());
   }
 
-  /** Whether a task that lasts runs on it. */
-  get hasLastingTask(): boolean {
-    return hasLastingTask(this.runs.values());
+  /** Whether a long-running task runs on it. */
+  get hasLongRunningTask(): boolean {
+    return hasLongRunningTask(this.runs.values());
   }
 
   /** Keeps new starts away while the VM is to be moved or maintained. */
@@ -227,8 +227,8 @@
     }
   }
 
-  /** All runs are over because the worker's life is. */
-  endLife(reason: string): void {
+  /** All runs are over because the worker's incarnation is. */
+  endIncarnation(reason: string): void {
     if (this.closed) return;
     this.logger.info(LogEvent.WorkerLeft, {
       worker: this.id,
@@ -244,15 +244,15 @@
   private async run(): Promise<void> {
     while (!this.closed) {
       if (this.isFinished()) {
-        this.endLife('entry removed');
+        this.endIncarnation('entry removed');
         return;
       }
-      if (!this.needsLook()) {
+      if (!this.needsPoll()) {
         await this.signal.wait();
         continue;
       }
       if (!(await this.waitUntilAllowed())) return;
-      await this.look();
+      await this.poll();
     }
   }
 
@@ -261,7 +261,7 @@
     return !this.listed && this.runs.size === 0;
   }
 
-  private needsLook(): boolean {
+  private needsPoll(): boolean {
     if (this.runs.size === 0 && !this.host.usesWorkersOf(this.current.service))
       return false;
     return (
@@ -272,30 +272,30 @@
     );
   }
 
-  private async look(): Promise<void> {
+  private async poll(): Promise<void> {
     if (this.tokenShown && this.runs.size === 0)
       await this.signal.wait(LAST_ACKNOWLEDGEMENT_MILLISECONDS);
     if (this.closed) return;
     const requestedAt = this.clock.monotonicMilliseconds();
     const waits = this.runs.size > 0 && this.tokenShown;
     const {endsStored} = this;
-    const result = await this.gateway.look(this.current, {
+    const result = await this.gateway.poll(this.current, {
       fencingToken: this.host.term,
       endsStored,
       leaseEndMilliseconds: this.nextLeaseEnd(requestedAt),
       waitMilliseconds:
-        waits && this.silentSince === undefined ? LOOK_WAIT_MILLISECONDS : 0,
+        waits && this.silentSince === undefined ? POLL_WAIT_MILLISECONDS : 0,
     });
     if (this.closed) return;
     if (result.outcome === OrderOutcome.Done) {
       this.endsAcknowledged = endsStored;
-      this.noteLook(result, requestedAt);
+      this.notePoll(result, requestedAt);
     } else if (!this.handledRefusal(result)) this.noteSilence();
     await sleep(this.clock, this.gapAfter(result.outcome));
   }
 
   private gapAfter(outcome: OrderOutcome): number {
-    if (outcome === OrderOutcome.Done) return LOOK_GAP_MILLISECONDS;
+    if (outcome === OrderOutcome.Done) return POLL_GAP_MILLISECONDS;
     return this.runs.size > 0
       ? RETRY_MILLISECONDS
       : IDLE_SILENCE_RETRY_MILLISECONDS;
@@ -310,8 +310,8 @@
     return leaseEnd;
   }
 
-  private noteLook(
-    result: Extract<LookResult, {outcome: OrderOutcome.Done}>,
+  private notePoll(
+    result: Extract<PollResult, {outcome: OrderOutcome.Done}>,
     requestedAt: number,
   ): void {
     this.noteAnswer(result.clockMilliseconds);
@@ -390,7 +390,7 @@
       });
   }
 
-  /** A settled run that a later look shows neither alive nor ended never ran, or is long over. */
+  /** A settled run that a later poll shows neither alive nor ended never ran, or is long over. */
   private dropMissing(
     running: readonly ListedRun[],
     ended: ReadonlySet<string>,
@@ -450,8 +450,8 @@
       this.host.fenced();
       return true;
     }
-    if (result.refusal === OrderRefusal.OtherLife) {
-      this.endLife('another life answers at its address');
+    if (result.refusal === OrderRefusal.OtherIncarnation) {
+      this.endIncarnation('another incarnation answers at its address');
       return true;
     }
     return false;
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -41,7 +41,7 @@
 const SEED_BOUND = 2 ** 31;
 /** Long waits hold some connections to the store while appends and reads need others. */
 const STORE_CONNECTIONS = 10;
-/** One for a look that waits, the others for starts. */
+/** One for a poll that waits, the others for starts. */
 const WORKER_CONNECTIONS = 4;
 
 /** Everything that a daemon on the platform is made of. */
--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -122,7 +122,7 @@
     assert.equal(job.progress.state, JobState.Completed);
   });
 
-  it('starts a task that lasts again however it ends', () => {
+  it('starts a long-running task again however it ends', () => {
     const job = execution([{...STEP, taskCount: 1, longRunning: true}]);
     for (let run = 0; run < 8; run++) finishAll(job, RunEnd.Failed);
     finishAll(job, RunEnd.Done);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -30,7 +30,7 @@
   /** Bound of the tail of the response times that the tasks serve; 0 for none. */
   readonly targetMilliseconds: number;
   /** The tasks use only processor time that others leave. */
-  readonly fills: boolean;
+  readonly bestEffort: boolean;
   /** Most tasks that planned work may keep away at the same time; 0 for no such bound. */
   readonly mayMiss: number;
 }
--- a/packages/jobs/src/plain-step.ts
+++ b/packages/jobs/src/plain-step.ts
@@ -18,6 +18,6 @@
   longRunning: false,
   image: '',
   targetMilliseconds: 0,
-  fills: false,
+  bestEffort: false,
   mayMiss: 0,
 };
--- a/packages/scheduling/src/__tests__/turn-forecast.test.ts
+++ b/packages/scheduling/src/__tests__/burst-forecast.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {SeededRandom} from '@gentiandoor/kernel';
-import {TurnForecast} from '../turn-forecast.js';
+import {BurstForecast} from '../burst-forecast.js';
 
 const TURN = 4_500;
 const QUEUES = ['a', 'b', 'c', 'd'];
@@ -9,8 +9,8 @@
 const LEAD = 2_200;
 
 /** Four queues that ask by turns, with random arrivals. */
-function played(until: number): TurnForecast {
-  const forecast = new TurnForecast();
+function played(until: number): BurstForecast {
+  const forecast = new BurstForecast();
   const random = new SeededRandom(3);
   for (let at = 0; at < until; at += 50) {
     const active = Math.floor(at / TURN) % QUEUES.length;
@@ -22,7 +22,7 @@
   return forecast;
 }
 
-describe('TurnForecast', () => {
+describe('BurstForecast', () => {
   // The first callers of each turn wait for a move's time when the VMs are fetched once it has begun.
   it('foresees the next turn once a queue has had two', () => {
     const now = 5 * TURN - LEAD + 500;
@@ -39,7 +39,7 @@
   });
 
   it('foresees nothing of steady queues', () => {
-    const forecast = new TurnForecast();
+    const forecast = new BurstForecast();
     for (let at = 0; at < 60_000; at += 100)
       forecast.note('a', MILLICORES * 100, at);
     for (let now = 30_000; now < 60_000; now += 500)
--- a/packages/scheduling/src/__tests__/placement.test.ts
+++ b/packages/scheduling/src/__tests__/placement.test.ts
@@ -20,7 +20,7 @@
     freeAccelerators: 0,
     totalMillicores: 10_000,
     servingTasks: 0,
-    fillingTasks: 0,
+    bestEffortTasks: 0,
     trust: 1,
     countOf: () => 0,
     ...differences,
@@ -66,9 +66,9 @@
     assert.equal(choose(workers, {preferredRack: 'rack-2'}), 'near');
   });
 
-  it('puts filling tasks where the least serves', () => {
+  it('puts best-effort tasks where the least serves', () => {
     const workers = [worker('serving', {servingTasks: 2}), worker('quiet')];
-    assert.equal(choose(workers, {fills: true}), 'quiet');
+    assert.equal(choose(workers, {bestEffort: true}), 'quiet');
   });
 });
 
--- a/packages/scheduling/src/__tests__/pool-plan.test.ts
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -103,7 +103,7 @@
   });
 
   describe('with a little work that no worker may take', () => {
-    // Tasks that last, one on a worker at most, wait beside free room. Less than a VM's work never
+    // Long-running tasks, one on a worker at most, wait beside free room. Less than a VM's work never
     // made a difference to the size, so they waited for ever.
     it('fetches one VM after a while', () => {
       const quotes = pool({
--- a/packages/scheduling/src/__tests__/wave-plan.test.ts
+++ b/packages/scheduling/src/__tests__/wave-plan.test.ts
@@ -8,7 +8,7 @@
     idle: true,
     emptying: false,
     shortTasks: 0,
-    lastingTasks: 0,
+    longRunningTasks: 0,
     inDemand: false,
     ...differences,
   }));
@@ -47,7 +47,7 @@
 
   it('empties busy VMs with the least work when time runs short', () => {
     const busy = [
-      ...due(1, {name: 'lasting', idle: false, lastingTasks: 1}),
+      ...due(1, {name: 'lasting', idle: false, longRunningTasks: 1}),
       ...due(1, {name: 'short', idle: false, shortTasks: 3}),
     ];
     const step = planWave(
@@ -60,7 +60,7 @@
   it('empties VMs of pools that lack room last', () => {
     const busy = [
       ...due(1, {name: 'wanted', idle: false, inDemand: true}),
-      ...due(1, {name: 'other', idle: false, lastingTasks: 1}),
+      ...due(1, {name: 'other', idle: false, longRunningTasks: 1}),
     ];
     const step = planWave(
       standing({due: busy, maximumAtOnce: 1, leftMilliseconds: 8_000}),
@@ -69,7 +69,7 @@
   });
 
   it('goes on emptying what it has begun to empty', () => {
-    const busy = due(2, {idle: false, emptying: true, lastingTasks: 1});
+    const busy = due(2, {idle: false, emptying: true, longRunningTasks: 1});
     const step = planWave(standing({due: busy}));
     assert.equal(step.empty.length, 2);
   });
--- a/packages/scheduling/src/turn-forecast.ts
+++ b/packages/scheduling/src/burst-forecast.ts
@@ -9,9 +9,9 @@
 const LONGEST_PERIOD_MILLISECONDS = 40_000;
 const SHORTEST_PERIOD_MILLISECONDS = 5_000;
 /** The rate of a turn is taken from its first part. */
-const TURN_BUCKETS = 6;
+const BURST_BUCKETS = 6;
 /** Jobs in the first part of a turn that make its beginning certain. */
-const CLEAR_TURN_JOBS = 12;
+const CLEAR_BURST_JOBS = 12;
 /** Turns start this much early or late. */
 const TOLERANCE_MILLISECONDS = 750;
 
@@ -54,17 +54,17 @@
   /** Whether enough jobs came at `onset` to call it the beginning of a turn: a few large jobs look like one by chance. */
   isClear(onset: number): boolean {
     let count = 0;
-    for (let index = 0; index < TURN_BUCKETS; index++)
+    for (let index = 0; index < BURST_BUCKETS; index++)
       count += this.jobs.get(onset + index) ?? 0;
-    return count >= CLEAR_TURN_JOBS;
+    return count >= CLEAR_BURST_JOBS;
   }
 
   /** Mean work of a bucket in the turn that began at `onset`. */
   meanFrom(onset: number): number {
     let sum = 0;
-    for (let index = 0; index < TURN_BUCKETS; index++)
+    for (let index = 0; index < BURST_BUCKETS; index++)
       sum += this.buckets.get(onset + index) ?? 0;
-    return sum / TURN_BUCKETS;
+    return sum / BURST_BUCKETS;
   }
 }
 
@@ -74,7 +74,7 @@
  * a turn has begun, and its first callers wait for a move's time. Nothing is foreseen before one
  * queue has had two turns.
  */
-export class TurnForecast {
+export class BurstForecast {
   private readonly services = new Map<string, ServiceHistory>();
 
   /** `work`: millicores times milliseconds of a job that came at `at`. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,6 +1,6 @@
 export * from './demand-meter.js';
 export * from './duration-model.js';
-export * from './fill-pace.js';
+export * from './best-effort-pace.js';
 export * from './job-order.js';
 export * from './lease-clock.js';
 export * from './pool-plan.js';
@@ -9,5 +9,5 @@
 export * from './worker-choice.js';
 export * from './worker-room.js';
 export * from './worker-trust.js';
-export * from './turn-forecast.js';
+export * from './burst-forecast.js';
 export * from './answer-bound.js';
--- a/packages/scheduling/src/wave-plan.ts
+++ b/packages/scheduling/src/wave-plan.ts
@@ -7,8 +7,8 @@
   readonly emptying: boolean;
   /** Tasks that end by themselves. */
   readonly shortTasks: number;
-  /** Tasks that last and must be started elsewhere. */
-  readonly lastingTasks: number;
+  /** Long-running tasks that must be started elsewhere. */
+  readonly longRunningTasks: number;
   /** Work waits in its pool. */
   readonly inDemand: boolean;
 }
@@ -35,10 +35,10 @@
   readonly empty: readonly string[];
 }
 
-/** Emptying a VM: its short tasks end, and a task that lasts starts elsewhere. */
+/** Emptying a VM: its short tasks end, and a long-running task starts elsewhere. */
 const EMPTYING_MILLISECONDS = 2_500;
 /** Tasks of one step leave one after the other, each with a restart; several steps do so side by side. */
-const LASTING_TASK_MILLISECONDS = 700;
+const LONG_RUNNING_TASK_MILLISECONDS = 700;
 /** Share of the time left that a wave plans to use; the rest is for what goes wrong. */
 const PLANNED_SHARE = 0.65;
 /** A VM whose pool lacks room is emptied after all others. */
@@ -89,17 +89,20 @@
   const rounds = Math.ceil(
     standing.due.length / Math.max(1, standing.maximumAtOnce),
   );
-  const lasting = standing.due.reduce((sum, vm) => sum + vm.lastingTasks, 0);
+  const longRunning = standing.due.reduce(
+    (sum, vm) => sum + vm.longRunningTasks,
+    0,
+  );
   const needed =
     rounds * standing.maintenanceMilliseconds +
     EMPTYING_MILLISECONDS +
-    lasting * LASTING_TASK_MILLISECONDS;
+    longRunning * LONG_RUNNING_TASK_MILLISECONDS;
   return needed > PLANNED_SHARE * standing.leftMilliseconds;
 }
 
-/** A task that lasts is away for a while when it moves; one that ends only has to be waited for. */
+/** A long-running task is away for a while when it moves; one that ends only has to be waited for. */
 function weight(vm: DueVm): number {
   return (
-    (vm.inDemand ? DEMAND_WEIGHT : 0) + vm.lastingTasks * 10 + vm.shortTasks
+    (vm.inDemand ? DEMAND_WEIGHT : 0) + vm.longRunningTasks * 10 + vm.shortTasks
   );
 }
--- a/packages/scheduling/src/worker-choice.ts
+++ b/packages/scheduling/src/worker-choice.ts
@@ -25,14 +25,14 @@
 const AVOID_PENALTY = 100;
 /** Distrust counts more than fullness and less than a rack. */
 const TRUST_WEIGHT = 4;
-/** A worker that already takes filling work is the last choice for more: they disturb what serves. */
-const FILLING_PENALTY = 1;
+/** A worker that already takes best-effort work is the last choice for more: they disturb what serves. */
+const BEST_EFFORT_PENALTY = 1;
 
 /**
  * Fullest worker that fits.
- * Load: bursts of short tasks beside tasks that last, in pools that give VMs away when they idle.
- * Without it every VM carries a little, none is ever idle, and the pool can't shrink. Tasks that
- * fill go to the emptiest worker instead, since they slow down what serves beside them.
+ * Load: bursts of short tasks beside long-running tasks, in pools that give VMs away when they idle.
+ * Without it every VM carries a little, none is ever idle, and the pool can't shrink. Best-effort
+ * tasks go to the emptiest worker instead, since they slow down what serves beside them.
  */
 export class FullestFirst implements WorkerChoice {
   choose(
@@ -61,8 +61,10 @@
   private score(request: PlacementRequest, worker: PlacementWorker): number {
     const {step, avoid} = request;
     const fullness = 1 - worker.freeMillicores / worker.totalMillicores;
-    let score = step.fills
-      ? -fullness - FILLING_PENALTY * worker.fillingTasks - worker.servingTasks
+    let score = step.bestEffort
+      ? -fullness -
+        BEST_EFFORT_PENALTY * worker.bestEffortTasks -
+        worker.servingTasks
       : fullness;
     if (step.preferredRack && worker.labels.includes(step.preferredRack))
       score += RACK_BONUS;
--- a/packages/scheduling/src/worker-room.ts
+++ b/packages/scheduling/src/worker-room.ts
@@ -10,10 +10,10 @@
   readonly freeMegabytes: number;
   readonly freeAccelerators: number;
   readonly totalMillicores: number;
-  /** Tasks that last and serve on it. */
+  /** Long-running tasks that serve on it. */
   readonly servingTasks: number;
   /** Tasks on it that use processor time that others leave. */
-  readonly fillingTasks: number;
+  readonly bestEffortTasks: number;
   /** Share of trust in [0, 1]; 0 takes nothing while another can. */
   readonly trust: number;
   /** Tasks of a step on it. */
@@ -29,5 +29,5 @@
     return false;
   if (worker.freeMegabytes < step.memoryMegabytes) return false;
   if (worker.freeAccelerators < step.accelerators) return false;
-  return step.fills || worker.freeMillicores >= step.processorMillicores;
+  return step.bestEffort || worker.freeMillicores >= step.processorMillicores;
 }
