--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,5 +1,6 @@
 import {
   LogEvent,
+  sleep,
   type Clock,
   type Logger,
   type Metrics,
@@ -120,7 +121,7 @@
     if (!(await this.writer.open())) return;
     // The log is closed to earlier terms: what a read brings from now on is all that they ordered.
     while (!this.closed && !(await this.parts.jobs.refresh()))
-      await this.pause(RETRY_MILLISECONDS);
+      await sleep(this.parts.clock, RETRY_MILLISECONDS);
     await this.registry.load();
     if (this.closed) return;
     this.parts.table.listen({
@@ -274,7 +275,8 @@
     while (!this.closed) {
       const answered = await this.parts.jobs.follow(JOB_WAIT_MILLISECONDS);
       this.noticeConfiguration();
-      await this.pause(
+      await sleep(
+        this.parts.clock,
         answered ? JOB_READ_GAP_MILLISECONDS : RETRY_MILLISECONDS,
       );
     }
@@ -440,12 +442,6 @@
       this.writer.drop(dropJobRecords(jobId));
     }
   }
-
-  private pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => {
-      this.parts.clock.schedule(milliseconds, resolve);
-    });
-  }
 }
 
 function copyProgress(progress: JobProgress): JobProgress {
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -1,4 +1,4 @@
-import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import type {
   Configuration,
@@ -106,10 +106,7 @@
       const answered = await this.follower.follow(WAIT_MILLISECONDS);
       if (answered !== reachable) this.noteReachable(answered);
       reachable = answered;
-      if (!answered)
-        await new Promise<void>(resolve => {
-          this.clock.schedule(RETRY_MILLISECONDS, resolve);
-        });
+      if (!answered) await sleep(this.clock, RETRY_MILLISECONDS);
     }
   }
 
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -1,4 +1,4 @@
-import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import type {LiveRun} from './live-run.js';
 import type {RecordFormats} from './record-formats.js';
@@ -129,8 +129,6 @@
   }
 
   private pause(): Promise<void> {
-    return new Promise(resolve => {
-      this.parts.clock.schedule(READ_MILLISECONDS, resolve);
-    });
+    return sleep(this.parts.clock, READ_MILLISECONDS);
   }
 }
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -1,5 +1,5 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
-import type {Plugin} from '@gentiandoor/kernel';
+import {splitAddress, type Plugin} from '@gentiandoor/kernel';
 
 /** A head that does not come whole within this is not worth a connection. */
 const HEAD_TIMEOUT_MILLISECONDS = 5_000;
@@ -28,7 +28,7 @@
   }
 
   start(): Promise<void> {
-    const [host, port] = splitHostPort(this.address);
+    const {host, port} = splitAddress(this.address);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
@@ -51,8 +51,3 @@
     this.server.close();
   }
 }
-
-function splitHostPort(address: string): [string, number] {
-  const colon = address.lastIndexOf(':');
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- a/packages/entry/src/job-log-plugin.ts
+++ b/packages/entry/src/job-log-plugin.ts
@@ -1,6 +1,7 @@
 import type {StreamFollower} from '@gentiandoor/coordinator';
 import {
   jitter,
+  sleep,
   type Clock,
   type Plugin,
   type RandomSource,
@@ -32,9 +33,7 @@
       if (this.jobs.ageMilliseconds > REFRESH_MILLISECONDS / 2)
         await this.jobs.refresh();
       const wait = jitter(this.random, REFRESH_MILLISECONDS);
-      await new Promise<void>(resolve => {
-        this.clock.schedule(wait, resolve);
-      });
+      await sleep(this.clock, wait);
     }
   }
 }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -18,6 +18,7 @@
   PinoLogger,
   SeededRandom,
   SystemClock,
+  splitAddress,
   type Clock,
   type Logger,
   type NamedPlugin,
@@ -102,7 +103,7 @@
     metricsPort: single(
       parts =>
         new HttpServerPlugin(
-          `${hostOf(settings.callerAddress)}:${overrides.metricsPort ?? METRICS_PORT}`,
+          `${splitAddress(settings.callerAddress).host}:${overrides.metricsPort ?? METRICS_PORT}`,
           metricsListener(parts.metrics),
         ),
     ),
@@ -199,10 +200,6 @@
   };
 }
 
-function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
-
 /** Parts in the order in which they start. */
 function pluginsOf(parts: EntryParts): NamedPlugin[] {
   const operators = {
