--- a/packages/coordinator/src/__tests__/once-at-most.test.ts
+++ b/packages/coordinator/src/__tests__/once-at-most.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {JobState, RunEnd} from '@gentiandoor/jobs';
 import {SubmitAnswer} from '../index.js';
-import {StoreFault, WorkerFault, type BegunRun} from '../stand-ins/index.js';
+import {StoreFault, WorkerFault, overlappingRuns} from '../stand-ins/index.js';
 import {
   TestDaemon,
   TestDeployment,
@@ -13,19 +13,6 @@
 
 const BOUND = 3_000;
 
-function overlaps(runs: readonly BegunRun[]): string[] {
-  const found: string[] = [];
-  runs.forEach((one, index) => {
-    for (const other of runs.slice(index + 1)) {
-      if (one.task !== other.task) continue;
-      const oneEnds = one.endedAt ?? Infinity;
-      if (other.begunAt < oneEnds)
-        found.push(`${one.task}: ${one.run} and ${other.run}`);
-    }
-  });
-  return found;
-}
-
 async function submitted(
   deployment: TestDeployment,
   daemon: TestDaemon,
@@ -103,7 +90,7 @@
       daemon.workers.setFault('worker-0', undefined);
       daemon.workers.setFault('worker-1', undefined);
       await deployment.run(12_000);
-      assert.deepEqual(overlaps(deployment.begunRuns()), []);
+      assert.deepEqual(overlappingRuns(deployment.begunRuns()), []);
       const done = deployment
         .begunRuns()
         .filter(run => run.end === RunEnd.Done);
@@ -145,7 +132,7 @@
       const [first] = deployment.begunRuns();
       daemon.workers.setFault(first.worker, WorkerFault.Cut);
       await deployment.run(20_000);
-      assert.deepEqual(overlaps(deployment.begunRuns()), []);
+      assert.deepEqual(overlappingRuns(deployment.begunRuns()), []);
       assert.equal(deployment.begunRuns().length, 2);
     });
   });
@@ -193,7 +180,7 @@
       await submitted(deployment, first, job('a', [step({taskCount: 2})]));
       first.kill();
       await deployment.run(12_000);
-      assert.deepEqual(overlaps(deployment.begunRuns()), []);
+      assert.deepEqual(overlappingRuns(deployment.begunRuns()), []);
       assert.equal(
         deployment.begunRuns().filter(run => run.end === RunEnd.Done).length,
         2,
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -1,7 +1,13 @@
 import {RunEnd} from '@gentiandoor/jobs';
 import {SeededRandom} from '@gentiandoor/kernel';
 import {SubmitAnswer} from '../index.js';
-import {StoreFault, WorkerFault, type BegunRun} from '../stand-ins/index.js';
+import {
+  StoreFault,
+  WorkerFault,
+  overlappingRuns,
+  pairsOfRuns,
+  type BegunRun,
+} from '../stand-ins/index.js';
 import {
   TestDaemon,
   TestDeployment,
@@ -182,7 +188,7 @@
     );
     return {
       broken: [
-        ...this.runsTogether(runs),
+        ...overlappingRuns(runs),
         ...this.runsAfterDone(runs),
         ...this.tooManyAttempts(runs),
         ...this.refusedAndRun(runs),
@@ -193,17 +199,8 @@
     };
   }
 
-  private runsTogether(runs: readonly BegunRun[]): string[] {
-    return this.pairs(runs)
-      .filter(([one, other]) => other.begunAt < (one.endedAt ?? Infinity))
-      .map(
-        ([one, other]) =>
-          `${one.task}: runs ${one.run} and ${other.run} at the same time`,
-      );
-  }
-
   private runsAfterDone(runs: readonly BegunRun[]): string[] {
-    return this.pairs(runs)
+    return pairsOfRuns(runs)
       .filter(
         ([one, other]) => one.end === RunEnd.Done && this.isKnown(one, other),
       )
@@ -261,21 +258,4 @@
           `${one.id}: ${wanted} of ${one.tasks} tasks, long-running ${one.longRunning}`,
         ];
   }
-
-  /** Pairs of runs of one task, in order of their beginning. */
-  private pairs(runs: readonly BegunRun[]): Array<[BegunRun, BegunRun]> {
-    const byTask = new Map<string, BegunRun[]>();
-    for (const run of runs) {
-      const same = byTask.get(run.task) ?? [];
-      same.push(run);
-      byTask.set(run.task, same);
-    }
-    return [...byTask.values()].flatMap(same =>
-      same.flatMap((one, index) =>
-        same
-          .slice(index + 1)
-          .map((other): [BegunRun, BegunRun] => [one, other]),
-      ),
-    );
-  }
 }
--- a/packages/coordinator/src/stand-ins/index.ts
+++ b/packages/coordinator/src/stand-ins/index.ts
@@ -1,3 +1,4 @@
+export * from './begun-runs.js';
 export * from './memory-store.js';
 export * from './simulated-fleet.js';
 export * from './simulated-worker.js';
--- a/packages/soak/src/soak-check.ts
+++ b/packages/soak/src/soak-check.ts
@@ -1,4 +1,8 @@
-import type {BegunRun} from '@gentiandoor/coordinator/stand-ins';
+import {
+  overlappingRuns,
+  pairsOfRuns,
+  type BegunRun,
+} from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
 import type {CalledJob} from './soak-callers.js';
 
@@ -10,7 +14,7 @@
   runs: readonly BegunRun[],
 ): string[] {
   return [
-    ...runsTogether(runs),
+    ...overlappingRuns(runs),
     ...runsAfterAcknowledgedEnd(runs),
     ...jobs.flatMap(job => brokenFor(job, runs)),
   ];
@@ -39,16 +43,8 @@
     : [`${job.id}: taken and ${job.state ?? 'never answered'}`];
 }
 
-function runsTogether(runs: readonly BegunRun[]): string[] {
-  return pairsOf(runs)
-    .filter(([one, other]) => other.begunAt < (one.endedAt ?? Infinity))
-    .map(
-      ([one, other]) => `${one.task}: runs ${one.run} and ${other.run} overlap`,
-    );
-}
-
 function runsAfterAcknowledgedEnd(runs: readonly BegunRun[]): string[] {
-  return pairsOf(runs)
+  return pairsOfRuns(runs)
     .filter(
       ([one, other]) =>
         one.end === RunEnd.Done &&
@@ -56,15 +52,3 @@
     )
     .map(([one, other]) => `${one.task}: run ${other.run} after it was done`);
 }
-
-function pairsOf(runs: readonly BegunRun[]): Array<[BegunRun, BegunRun]> {
-  const sorted = [...runs].sort((one, other) => one.begunAt - other.begunAt);
-  const pairs: Array<[BegunRun, BegunRun]> = [];
-  const earlier = new Map<string, BegunRun[]>();
-  for (const run of sorted) {
-    const same = earlier.get(run.task) ?? [];
-    for (const one of same) pairs.push([one, run]);
-    earlier.set(run.task, [...same, run]);
-  }
-  return pairs;
-}
