The strongest VMs go first for the coordinator's term

Change: each daemon tells its strength once; the clearly weaker ones wait 400 ms longer than the others before they take a term.

--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -122,7 +122,12 @@
     };
     this.keeper = new TermKeeper(
       this.store,
-      {node, incarnation: `${node}/${life}`},
+      {
+        node,
+        incarnation: `${node}/${life}`,
+        strength: 1,
+        isFirstStart: false,
+      },
       clock,
       new SeededRandom(7),
       logger,
@@ -342,6 +347,8 @@
   return {
     node,
     dataCentre: 'one',
+    isFirstStart: false,
+    size: {cores: 1, megabitsPerSecond: 1_000},
     callerAddress: '',
     readinessAddress: '',
     storeAddress: '',
--- /dev/null
+++ b/packages/coordinator/src/__tests__/term-keeper.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SeededRandom, SilentLogger, VirtualClock} from '@gentiandoor/kernel';
+import {TermKeeper, coordinatorStrength} from '../index.js';
+import {MemoryStore, type StoreConnection} from '../stand-ins/index.js';
+
+interface Candidate {
+  readonly keeper: TermKeeper;
+  readonly store: StoreConnection;
+  readonly began: number[];
+}
+
+class Candidates {
+  readonly clock = new VirtualClock();
+  private readonly store = new MemoryStore(this.clock);
+  private seed = 1;
+
+  add(node: string, strength: number, isFirstStart = false): Candidate {
+    const began: number[] = [];
+    const store = this.store.connect();
+    const keeper = new TermKeeper(
+      store,
+      {node, incarnation: `${node}/${this.seed}`, strength, isFirstStart},
+      this.clock,
+      new SeededRandom(this.seed++),
+      new SilentLogger(),
+      {
+        termBegan: () => began.push(this.clock.monotonicMilliseconds()),
+        termEnded: () => undefined,
+      },
+    );
+    keeper.start();
+    return {keeper, store, began};
+  }
+}
+
+const WEAK = 0.2;
+const STRONG = 1.35;
+
+describe('the next term', () => {
+  describe('among VMs of several sizes', () => {
+    // Callers wait for seconds, then are turned away. The coordinator's VM is lost, one of the many
+    // small ones is the quickest to take the term, and its processor and link can't carry it.
+    it('goes to a strong VM while one is there', async () => {
+      const all = new Candidates();
+      const first = all.add('strong-1', STRONG);
+      await all.clock.advanceAsync(100);
+      const weak = Array.from({length: 8}, (_, index) =>
+        all.add(`weak-${index}`, WEAK),
+      );
+      const strong = all.add('strong-2', STRONG);
+      await all.clock.advanceAsync(2_000);
+      first.store.kill();
+      await all.clock.advanceAsync(2_000);
+      assert.equal(strong.began.length, 1);
+      assert.ok(weak.every(one => one.began.length === 0));
+    });
+
+    // All strong VMs are gone for good; a weak coordinator is better than none.
+    it('goes to a weak VM soon after when no strong one takes it', async () => {
+      const all = new Candidates();
+      const strong = all.add('strong', STRONG);
+      await all.clock.advanceAsync(100);
+      const weak = all.add('weak', WEAK);
+      await all.clock.advanceAsync(2_000);
+      strong.store.kill();
+      const lostAt = all.clock.monotonicMilliseconds();
+      await all.clock.advanceAsync(3_000);
+      assert.equal(weak.began.length, 1);
+      assert.ok(weak.began[0] - lostAt < 2_200);
+    });
+
+    // Each daemon tells its strength at its start, and the first one up would not wait for that.
+    it('goes to a strong VM when all start for the first time', async () => {
+      const all = new Candidates();
+      const weak = Array.from({length: 8}, (_, index) =>
+        all.add(`weak-${index}`, WEAK, true),
+      );
+      await all.clock.advanceAsync(300);
+      const strong = all.add('strong', STRONG, true);
+      await all.clock.advanceAsync(2_000);
+      assert.equal(strong.began.length, 1);
+      assert.ok(weak.every(one => one.began.length === 0));
+    });
+
+    // A weak coordinator that is restarted must not take its term again ahead of a strong VM.
+    it('is not taken back by a weak VM that has restarted', async () => {
+      const all = new Candidates();
+      const weak = all.add('weak', WEAK);
+      await all.clock.advanceAsync(500);
+      const strong = all.add('strong', STRONG);
+      await all.clock.advanceAsync(1_000);
+      weak.store.kill();
+      const again = all.add('weak', WEAK);
+      await all.clock.advanceAsync(2_500);
+      assert.equal(strong.began.length, 1);
+      assert.equal(again.began.length, 0);
+    });
+  });
+
+  describe('among VMs of one size', () => {
+    it('costs no more time than it did without telling strengths', async () => {
+      const all = new Candidates();
+      const first = all.add('one', STRONG);
+      await all.clock.advanceAsync(100);
+      const second = all.add('two', STRONG);
+      await all.clock.advanceAsync(2_000);
+      first.store.kill();
+      const lostAt = all.clock.monotonicMilliseconds();
+      await all.clock.advanceAsync(3_000);
+      assert.ok(second.began[0] - lostAt < 1_650);
+    });
+  });
+});
+
+describe('coordinatorStrength', () => {
+  it('is the smaller of what processor and link allow', () => {
+    const strong = coordinatorStrength({cores: 1.35, megabitsPerSecond: 200});
+    const thin = coordinatorStrength({cores: 1.35, megabitsPerSecond: 10});
+    assert.ok(thin < strong);
+    assert.equal(strong, 1.35);
+  });
+});
--- a/packages/coordinator/src/entry-settings.ts
+++ b/packages/coordinator/src/entry-settings.ts
@@ -3,6 +3,10 @@
   /** Name of this daemon's VM; the same after a restart. */
   readonly node: string;
   readonly dataCentre: string;
+  /** The whole system starts for the first time, all daemons at once. */
+  readonly isFirstStart: boolean;
+  /** Size of this daemon's VM. */
+  readonly size: VmSize;
   /** Addresses to listen on. */
   readonly callerAddress: string;
   readonly readinessAddress: string;
@@ -12,6 +16,14 @@
   readonly limits: PlatformLimits;
 }
 
+/** What a daemon's VM may use. */
+export interface VmSize {
+  /** Processor cores. */
+  readonly cores: number;
+  /** Bandwidth of its own link in megabits a second. */
+  readonly megabitsPerSecond: number;
+}
+
 /** Times that the platform fixes, in milliseconds. */
 export interface PlatformLimits {
   /** Longest lease that a worker takes. */
--- a/packages/coordinator/src/record-log.ts
+++ b/packages/coordinator/src/record-log.ts
@@ -14,6 +14,8 @@
   Terms = 'terms',
   /** What was done to machines. */
   Fleet = 'fleet',
+  /** What each daemon says of itself at its start. */
+  Daemons = 'daemons',
 }
 
 /** What became of an append. */
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -6,6 +6,7 @@
   type RandomSource,
 } from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
+import {DaemonRoster} from './daemon-roster.js';
 import {
   AppendOutcome,
   LogStream,
@@ -23,6 +24,10 @@
 const TAKEOVER_SPREAD_MILLISECONDS = 120;
 const WATCH_MILLISECONDS = 1_000;
 const RETRY_MILLISECONDS = 100;
+/** A weak daemon lets a stronger one go first for this: the coordinator of a few hundred workers needs more than the smallest VMs have, and a slow store takes this long to answer. */
+const DEFERENCE_MILLISECONDS = 400;
+/** Daemons that start for the first time, all at once, do so within this; each has told its strength by then. */
+const FIRST_START_MILLISECONDS = 700;
 /** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock polls the same and costs one renewal. */
 const CLOCK_DRIFT_MILLISECONDS = 200;
 
@@ -47,11 +52,16 @@
 export interface TermCandidate {
   readonly node: string;
   readonly incarnation: string;
+  /** What its VM can carry; any unit, the same on all daemons. */
+  readonly strength: number;
+  /** All daemons start for the first time. */
+  readonly isFirstStart: boolean;
 }
 
 /**
  * Holds at most one daemon as the coordinator: a term is a record that is written only if the
- * stream still ends where its writer has read it.
+ * stream still ends where its writer has read it. Among those that could take the next term the
+ * strongest go first.
  */
 export class TermKeeper {
   private endOffset = 0;
@@ -62,6 +72,10 @@
   private holding = false;
   private stopping = false;
   private finished: Promise<void> | undefined;
+  private startedAt = 0;
+  private readonly roster: DaemonRoster;
+  /** The change of the term before which the roster was read. */
+  private rosterReadFor: number | undefined;
 
   constructor(
     private readonly log: RecordLog,
@@ -70,7 +84,10 @@
     private readonly random: RandomSource,
     private readonly logger: Logger,
     private readonly listener: TermListener,
-  ) {}
+  ) {
+    const {node, strength} = candidate;
+    this.roster = new DaemonRoster(log, node, strength, clock, logger);
+  }
 
   /** Whether an order may be given now. */
   get isValid(): boolean {
@@ -91,6 +108,8 @@
   }
 
   private async run(): Promise<void> {
+    this.startedAt = this.clock.monotonicMilliseconds();
+    void this.roster.announce(() => this.stopping);
     while (!this.stopping && !(await this.readCurrent()))
       await this.pause(RETRY_MILLISECONDS);
     while (!this.stopping) {
@@ -113,6 +132,11 @@
       await this.readNext(Math.min(left, WATCH_MILLISECONDS));
       return;
     }
+    if (this.rosterReadFor !== this.changedAt) {
+      this.rosterReadFor = this.changedAt;
+      await this.roster.refresh();
+      return;
+    }
     const term = (this.current?.term ?? 0) + 1;
     const written = await this.write({
       term,
@@ -125,15 +149,22 @@
 
   /** When this daemon may try to take the next term. */
   private candidacyAt(): number {
-    const {current} = this;
-    if (!current) return -Infinity;
+    const {current, roster} = this;
+    const deference = roster.knowsStronger ? DEFERENCE_MILLISECONDS : 0;
+    if (!current) return this.firstCandidacyAt() + deference;
     const spread = this.random.nextFraction() * TAKEOVER_SPREAD_MILLISECONDS;
-    if (current.released) return this.changedAt + spread / 4;
+    if (current.released) return this.changedAt + spread / 4 + deference;
     // One machine runs one daemon: an earlier incarnation of this one gives no orders any more.
-    if (current.holder === this.candidate.node) return -Infinity;
-    return (
-      this.changedAt + TERM_MILLISECONDS + TAKEOVER_SLACK_MILLISECONDS + spread
-    );
+    if (current.holder === this.candidate.node && !roster.knowsStronger)
+      return -Infinity;
+    const over = TERM_MILLISECONDS + TAKEOVER_SLACK_MILLISECONDS;
+    return this.changedAt + over + spread + deference;
+  }
+
+  private firstCandidacyAt(): number {
+    return this.candidate.isFirstStart
+      ? this.startedAt + FIRST_START_MILLISECONDS
+      : this.startedAt;
   }
 
   private async write(record: TermRecord): Promise<boolean> {
--- a/packages/entry/src/__tests__/settings-watch.test.ts
+++ b/packages/entry/src/__tests__/settings-watch.test.ts
@@ -7,6 +7,8 @@
 const SETTINGS: EntrySettings = {
   node: 'one',
   dataCentre: 'here',
+  isFirstStart: false,
+  size: {cores: 1, megabitsPerSecond: 1_000},
   callerAddress: '127.0.0.1:1',
   readinessAddress: '127.0.0.1:2',
   storeAddress: '127.0.0.1:3',
--- a/packages/entry/src/coordinator-plugin.ts
+++ b/packages/entry/src/coordinator-plugin.ts
@@ -1,6 +1,7 @@
 import {
   Coordinator,
   TermKeeper,
+  coordinatorStrength,
   type CoordinatorParts,
   type TermListener,
 } from '@gentiandoor/coordinator';
@@ -21,9 +22,10 @@
     random: RandomSource,
     incarnation: string,
   ) {
+    const {node, size, isFirstStart} = parts.settings;
     this.keeper = new TermKeeper(
       parts.log,
-      {node: parts.settings.node, incarnation},
+      {node, incarnation, isFirstStart, strength: coordinatorStrength(size)},
       parts.clock,
       random,
       parts.logger,
