Tasks that last go first, and a step that waits for workers ends no round

Each task of such a step that had no allowed worker counted as a sign of a full pool, and twelve ended the round. Change: tasks that last are placed first; one miss is counted for each step, and the rest of the step is not tried again in the round.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/overload.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  TestDaemon,
+  TestDeployment,
+  behaviour,
+  job,
+  step,
+} from './deployment.js';
+
+const BOUND = 3_000;
+
+async function submit(
+  deployment: TestDeployment,
+  daemon: TestDaemon,
+  jobs: ReadonlyArray<ReturnType<typeof job>>,
+): Promise<void> {
+  const submittedAtMilliseconds = deployment.clock.wallMilliseconds();
+  const answers = jobs.map(one =>
+    daemon.desk.submit({...one, submittedAtMilliseconds}, BOUND),
+  );
+  await deployment.run(50);
+  await Promise.all(answers);
+}
+
+/** Hands in more work than the workers hold, for some seconds. */
+async function overload(
+  deployment: TestDeployment,
+  daemon: TestDaemon,
+  seconds: number,
+): Promise<void> {
+  for (let second = 0; second < seconds; second++) {
+    const jobs = Array.from({length: 24}, (_, index) =>
+      job(`short-${deployment.clock.monotonicMilliseconds()}-${index}`, [
+        step({taskCount: 4, processorMillicores: 1_000}),
+      ]),
+    );
+    await submit(deployment, daemon, jobs);
+    await deployment.run(950);
+  }
+}
+
+function lastingJob(id: string, taskCount: number) {
+  return job(id, [
+    step({
+      taskCount,
+      longRunning: true,
+      maximumPerWorker: 1,
+      processorMillicores: 1_000,
+    }),
+  ]);
+}
+
+describe('under overload', () => {
+  // A review that has run for seconds loses a task with its worker. The job is older than any
+  // objective by then, so its task came behind all work that could still be in time, and with work
+  // for twice the room there was always some: the review stood still for as long as that lasted.
+  it('starts a task that lasts again before the work that waits', async () => {
+    const deployment = new TestDeployment(2);
+    deployment.linkFleet();
+    deployment.behaviours.set(
+      'lasting',
+      behaviour({durationMilliseconds: undefined}),
+    );
+    const daemon = new TestDaemon(deployment, 'one');
+    daemon.start();
+    await deployment.run(200);
+    await submit(deployment, daemon, [lastingJob('lasting', 2)]);
+    await overload(deployment, daemon, 12);
+    deployment.clock.schedule(300, () => deployment.crashWorker('worker-1'));
+    await overload(deployment, daemon, 5);
+    const alive = [...deployment.workers.byAddress.values()].flatMap(worker =>
+      worker.running.filter(run => run.task.startsWith('lasting')),
+    );
+    assert.equal(alive.length, 2);
+  });
+
+  // Callers of short work wait although workers are free. Each task of a step that has found all
+  // the workers that its bound allows counted as a sign of a full pool, and a dozen ended the round.
+  it('places other work beside a step that waits for more workers', async () => {
+    const deployment = new TestDeployment(2);
+    deployment.behaviours.set(
+      'lasting',
+      behaviour({durationMilliseconds: undefined}),
+    );
+    const daemon = new TestDaemon(deployment, 'one');
+    daemon.start();
+    await deployment.run(200);
+    await submit(deployment, daemon, [lastingJob('lasting', 20)]);
+    await submit(deployment, daemon, [job('short')]);
+    await deployment.run(1_000);
+    const short = deployment
+      .begunRuns()
+      .filter(run => run.task.startsWith('short'));
+    assert.equal(short.length, 1);
+  });
+});
--- a/packages/coordinator/src/__tests__/term-keeper.test.ts
+++ b/packages/coordinator/src/__tests__/term-keeper.test.ts
@@ -13,7 +13,8 @@
 class Candidates {
   readonly clock = new VirtualClock();
   private readonly store = new MemoryStore(this.clock);
-  private seed = 1;
+
+  constructor(private seed = 1) {}
 
   add(node: string, strength: number, isFirstStart = false): Candidate {
     const began: number[] = [];
@@ -42,18 +43,20 @@
     // Callers wait for seconds, then are turned away. The coordinator's VM is lost, one of the many
     // small ones is the quickest to take the term, and its processor and link can't carry it.
     it('goes to a strong VM while one is there', async () => {
-      const all = new Candidates();
-      const first = all.add('strong-1', STRONG);
-      await all.clock.advanceAsync(100);
-      const weak = Array.from({length: 8}, (_, index) =>
-        all.add(`weak-${index}`, WEAK),
-      );
-      const strong = all.add('strong-2', STRONG);
-      await all.clock.advanceAsync(2_000);
-      first.store.kill();
-      await all.clock.advanceAsync(2_000);
-      assert.equal(strong.began.length, 1);
-      assert.ok(weak.every(one => one.began.length === 0));
+      for (const seed of [100, 200, 300, 400]) {
+        const all = new Candidates(seed);
+        const first = all.add('strong-1', STRONG);
+        await all.clock.advanceAsync(100);
+        const weak = Array.from({length: 8}, (_, index) =>
+          all.add(`weak-${index}`, WEAK),
+        );
+        const strong = all.add('strong-2', STRONG);
+        await all.clock.advanceAsync(2_000);
+        first.store.kill();
+        await all.clock.advanceAsync(2_000);
+        assert.equal(strong.began.length, 1, `seed ${seed}`);
+        assert.ok(weak.every(one => one.began.length === 0));
+      }
     });
 
     // All strong VMs are gone for good; a weak coordinator is better than none.
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -30,7 +30,7 @@
 
 /** Callers still count an answer as late until so many times the objective. */
 const LATE_FACTOR = 3;
-/** Groups of tasks that find no room in one round before the rest is left for the next: a pool that is full stays full. */
+/** Steps that find no room in one round before the rest is left for the next: a pool that is full stays full. */
 const MISSES_BEFORE_GIVING_UP = 12;
 /** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
 const WEIGHTS: Readonly<Record<Chance, number>> = {
@@ -180,12 +180,16 @@
     let waitingMillicores = 0;
     let waitingTasks = 0;
     for (const candidate of candidates) {
+      const full = new Set<string>();
       for (const tasks of groupsOf(candidate.ready)) {
+        const key = stepName(candidate.execution.job.id, tasks[0]);
         const placed =
           misses < MISSES_BEFORE_GIVING_UP &&
+          !full.has(key) &&
           this.placeTogether(round, candidate, tasks, now);
         if (placed) continue;
-        misses++;
+        if (!full.has(key)) misses++;
+        full.add(key);
         waitingTasks += tasks.length;
         for (const task of tasks)
           if (!task.specification.bestEffort)
@@ -237,14 +241,17 @@
       remainingChain,
     };
     const chance = chanceOf(waiting, now);
-    const rescued =
-      chance === Chance.LastCall && this.rescues.allows(execution.job.id);
+    const {longRunning} = ready[0].specification;
+    // A job that lasts is always older than its objective: its tasks are few, run for long, and are missed at once.
+    const goesFirst =
+      longRunning ||
+      (chance === Chance.LastCall && this.rescues.allows(execution.job.id));
     return {
       execution,
       ready,
       ...waiting,
-      rank: rankOf(chance, rescued),
-      weight: ready[0].specification.longRunning ? 1 : WEIGHTS[chance],
+      rank: rankOf(chance, goesFirst),
+      weight: longRunning ? 1 : WEIGHTS[chance],
     };
   }
 
--- a/packages/scheduling/src/job-order.ts
+++ b/packages/scheduling/src/job-order.ts
@@ -30,7 +30,7 @@
   [Chance.Lost]: 3,
 };
 /** Rank of a job that may go ahead of all others. */
-const RESCUED_RANK = 0;
+const FIRST_RANK = 0;
 
 /** What a job can still reach when it starts now. */
 export function chanceOf(job: WaitingJob, now: number): Chance {
@@ -42,9 +42,9 @@
     : Chance.Late;
 }
 
-/** Rank of a job among all that wait; the lowest goes first. */
-export function rankOf(chance: Chance, rescued: boolean): number {
-  return rescued ? RESCUED_RANK : CHANCE_RANKS[chance];
+/** Rank of a job among all that wait; the lowest goes first. `goesFirst`: ahead of all others, whatever it can reach. */
+export function rankOf(chance: Chance, goesFirst: boolean): number {
+  return goesFirst ? FIRST_RANK : CHANCE_RANKS[chance];
 }
 
 /** A waiting job with its rank. */
