Stalled runs are noticed, and a bad worker uses up no job's attempts

Cause: a run that stands still was renewed for as long as its worker lived; a worker that fails all at once was only the last choice, so that in a full pool each waiting task went there, and went there again. Failures of hopeless jobs counted against workers as much as a worker's own. Change: a run that should have ended is polled each 0.3 s and stopped once its progress stands still; a suspect worker takes one task at a time, a task does not return to a worker on which it failed while there is another, and the blame for a job is taken back once it has failed on a second worker. Logged as RunStalled and WorkerSuspect.

--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -174,6 +174,8 @@
   readonly workers = new SimulatedWorkers(this.clock);
   readonly fleet = new SimulatedFleet(this.clock);
   readonly behaviours = new Map<string, TaskBehaviour>();
+  /** What a worker does to all that runs on it. */
+  readonly workerBehaviours = new Map<string, Partial<TaskBehaviour>>();
   private incarnations = 0;
 
   constructor(workerCount: number) {
@@ -220,11 +222,7 @@
 
   /** A worker with an entry, on a VM of the same name in its pool. */
   addWorker(name: string, service: string, onVm = name): SimulatedWorker {
-    const worker = this.workers.add(
-      new SimulatedWorker(name, service, ROOM, this.clock, task =>
-        this.behaviourOf(task),
-      ),
-    );
+    const worker = this.beginWorker(name, service);
     this.writeEntry(worker);
     this.fleet.add({
       name: onVm,
@@ -254,11 +252,7 @@
       const pool = order.kind === 'move' ? order.to : (before?.pool ?? '');
       const takes = order.kind === 'move' ? 1_500 : 2_000;
       this.clock.schedule(takes, () => {
-        const worker = this.workers.add(
-          new SimulatedWorker(id, pool, ROOM, this.clock, task =>
-            this.behaviourOf(task),
-          ),
-        );
+        const worker = this.beginWorker(id, pool);
         this.writeEntry(worker);
       });
       return id;
@@ -273,11 +267,7 @@
     const next = `${vm.name}/${++this.incarnations}`;
     this.fleet.vms.set(vm.name, {...vm, workerId: next});
     this.clock.schedule(1_000, () => {
-      const worker = this.workers.add(
-        new SimulatedWorker(next, vm.pool, ROOM, this.clock, task =>
-          this.behaviourOf(task),
-        ),
-      );
+      const worker = this.beginWorker(next, vm.pool);
       this.writeEntry(worker);
     });
   }
@@ -297,16 +287,24 @@
       .sort((left, right) => left.begunAt - right.begunAt);
   }
 
-  private behaviourOf(task: string): TaskBehaviour {
-    const job = task.split('.')[0];
-    return (
-      this.behaviours.get(job) ?? {
-        durationMilliseconds: 500,
-        end: RunEnd.Done,
-        room: TASK_ROOM,
-      }
+  private beginWorker(id: string, service: string): SimulatedWorker {
+    return this.workers.add(
+      new SimulatedWorker(id, service, ROOM, this.clock, (task, worker) =>
+        this.behaviourOf(task, worker),
+      ),
     );
   }
+
+  private behaviourOf(task: string, worker: string): TaskBehaviour {
+    const job = task.split('.')[0];
+    return {
+      durationMilliseconds: 500,
+      end: RunEnd.Done,
+      room: TASK_ROOM,
+      ...this.behaviours.get(job),
+      ...this.workerBehaviours.get(worker),
+    };
+  }
 }
 
 /** A step with the given differences from a plain one. */
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -19,7 +19,7 @@
   type StoredJob,
   type TaskProgress,
 } from '@gentiandoor/jobs';
-import {FullestFirst} from '@gentiandoor/scheduling';
+import {FullestFirst, WorkerTrust} from '@gentiandoor/scheduling';
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
@@ -73,6 +73,7 @@
   readonly leaseMilliseconds: number;
   readonly beganAt: number;
   readonly registry: WorkerRegistry;
+  readonly trust = new WorkerTrust();
   private readonly executions = new Map<string, JobExecution>();
   private readonly endedAt = new Map<string, number>();
   private readonly orphans: OrphanRuns;
@@ -237,14 +238,32 @@
       refusal,
     });
     metrics.increment(MetricName.RunRefusals, {reason: refusal});
-    if (refusal === OrderRefusal.Unhealthy)
-      session.trust.suspect(clock.monotonicMilliseconds());
+    if (refusal === OrderRefusal.Unhealthy) this.suspect(session, refusal);
     this.endRun(run, RunEnd.Lost, '', session.id);
     clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
       this.dispatcher.wake(session.entry.service),
     );
   }
 
+  /** The worker is to blame, since jobs at fault end as failed. */
+  runStalled(session: WorkerSession, run: LiveRun): void {
+    const {logger, metrics, clock} = this.parts;
+    logger.warn(LogEvent.RunStalled, {
+      task: run.task,
+      run: run.run,
+      worker: session.id,
+      percent: run.percent,
+      stillMilliseconds: Math.round(
+        clock.monotonicMilliseconds() - run.progressedAt,
+      ),
+      expectedMilliseconds: Math.round(run.expectedMilliseconds),
+    });
+    metrics.increment(MetricName.RunsStalled);
+    this.suspect(session, 'run stalled');
+    this.dispatcher.noteFailure(run, session.id);
+    void session.stop(run);
+  }
+
   afterStored(then: () => void): void {
     this.writer.afterStored(then);
   }
@@ -255,6 +274,7 @@
   }
 
   sessionOver(session: WorkerSession): void {
+    this.trust.forgetWorker(session.id);
     this.registry.remove(session);
   }
 
@@ -322,6 +342,7 @@
         ticket: '',
         weight: 1,
         plannedAt: now,
+        expectedMilliseconds: this.dispatcher.expectedTime(execution, task),
         beganAt: undefined,
         status: RunStatus.Recovered,
         settledAt: -Infinity,
@@ -396,6 +417,7 @@
       this.parts.clock.monotonicMilliseconds(),
     );
     this.dispatcher.remove(execution);
+    this.trust.forgetJob(execution.job.id);
     if (state !== JobState.Completed) this.stopRuns(execution);
   }
 
@@ -417,9 +439,23 @@
 
   private noteTrust(session: WorkerSession, run: LiveRun, end: RunEnd): void {
     const now = this.parts.clock.monotonicMilliseconds();
-    if (end === RunEnd.Done) session.trust.noteSuccess();
-    if (end === RunEnd.Failed)
-      session.trust.noteFailure(run.execution.job.id, now);
+    if (end === RunEnd.Done) this.trust.noteSuccess(session.id);
+    const {id} = run.execution.job;
+    if (end === RunEnd.Failed && this.trust.noteFailure(session.id, id, now))
+      this.logSuspect(session, 'jobs that had failed nowhere else failed');
+  }
+
+  private suspect(session: WorkerSession, reason: string): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    if (this.trust.suspect(session.id, now)) this.logSuspect(session, reason);
+  }
+
+  private logSuspect(session: WorkerSession, reason: string): void {
+    this.parts.logger.warn(LogEvent.WorkerSuspect, {
+      worker: session.id,
+      runs: session.runs.size,
+      reason,
+    });
   }
 
   private scheduleRetention(): void {
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -110,6 +110,13 @@
       .note(estimatedMilliseconds, milliseconds);
   }
 
+  /** Run time to expect of a task, in milliseconds. */
+  expectedTime(execution: JobExecution, task: ExecutableTask): number {
+    return this.demand
+      .durationsOf(execution.job.queue)
+      .expected(task.specification.estimatedMilliseconds);
+  }
+
   remove(execution: JobExecution): void {
     for (const jobs of this.active.values()) jobs.delete(execution);
     this.firstSeen.delete(execution);
@@ -294,7 +301,11 @@
     tasks.forEach((task, index) => {
       const session = chosen[index];
       const run = execution.beginRun(task, session.id, together);
-      this.host.launch(session, plannedRun(execution, task, run, now, weight));
+      const expected = this.expectedTime(execution, task);
+      this.host.launch(
+        session,
+        plannedRun(execution, task, run, now, weight, expected),
+      );
     });
     return true;
   }
@@ -308,6 +319,7 @@
   run: number,
   now: number,
   weight: number,
+  expectedMilliseconds: number,
 ): LiveRun {
   return {
     execution,
@@ -318,6 +330,7 @@
     ticket: '',
     weight,
     plannedAt: now,
+    expectedMilliseconds,
     beganAt: undefined,
     status: RunStatus.Planned,
     settledAt: Infinity,
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -23,6 +23,8 @@
   readonly plannedAt: number;
   /** What the VM's time for it is worth, in [0, 1]. */
   readonly weight: number;
+  /** Run time to expect, in milliseconds. */
+  readonly expectedMilliseconds: number;
   /** When this coordinator's order to start was answered; undefined before, and for recovered runs. */
   beganAt: number | undefined;
   status: RunStatus;
--- a/packages/coordinator/src/placement-round.ts
+++ b/packages/coordinator/src/placement-round.ts
@@ -54,6 +54,7 @@
       worker.freeMillicores - (step.bestEffort ? 0 : step.processorMillicores),
     freeMegabytes: worker.freeMegabytes - step.memoryMegabytes,
     freeAccelerators: worker.freeAccelerators - step.accelerators,
+    tasks: worker.tasks + 1,
     servingTasks: worker.servingTasks + (step.targetMilliseconds > 0 ? 1 : 0),
     bestEffortTasks: worker.bestEffortTasks + (step.bestEffort ? 1 : 0),
     countOf: key => worker.countOf(key) + (key === stepKey ? 1 : 0),
--- a/packages/coordinator/src/session-room.ts
+++ b/packages/coordinator/src/session-room.ts
@@ -27,6 +27,7 @@
     totalMillicores: Math.max(1, room.processorMillicores),
     servingTasks: steps.filter(step => step.targetMilliseconds > 0).length,
     bestEffortTasks: steps.filter(step => step.bestEffort).length,
+    tasks: runs.length,
     trust,
     countOf: stepKey => counts.get(stepKey) ?? 0,
   };
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -21,10 +21,12 @@
   readonly durationMilliseconds: number | undefined;
   readonly end: RunEnd;
   readonly room: Room;
+  /** It stops making progress here and never ends by itself. */
+  readonly stallsAtPercent?: number;
 }
 
-/** Tells how the task of a name behaves. */
-export type BehaviourOf = (task: string) => TaskBehaviour;
+/** Tells how the task of a name behaves on a worker. */
+export type BehaviourOf = (task: string, worker: string) => TaskBehaviour;
 
 /** A run that was begun, for what a test checks afterwards. */
 export interface BegunRun extends RunName {
@@ -42,6 +44,7 @@
 interface AliveRun extends RunName {
   readonly record: BegunRun;
   readonly room: Room;
+  readonly behaviour: TaskBehaviour;
   stopping: boolean;
   timer: Timer | undefined;
 }
@@ -139,7 +142,7 @@
       return this.done();
     }
     if (request.run <= before || here) return refused('old');
-    const behaviour = this.behaviourOf(request.task);
+    const behaviour = this.behaviourOf(request.task, this.id);
     if (!this.hasRoom(behaviour.room)) return refused('room');
     this.extendLease(request.leaseEndMilliseconds);
     this.begin(request, behaviour);
@@ -181,11 +184,13 @@
       run: request.run,
       record,
       room: behaviour.room,
+      behaviour,
       stopping: false,
       timer: undefined,
     };
     this.alive.set(request.task, run);
-    if (behaviour.durationMilliseconds !== undefined)
+    const stalls = behaviour.stallsAtPercent !== undefined;
+    if (behaviour.durationMilliseconds !== undefined && !stalls)
       run.timer = this.clock.schedule(behaviour.durationMilliseconds, () =>
         this.finish(run, behaviour.end),
       );
@@ -257,11 +262,19 @@
       task: run.task,
       run: run.run,
       checkpoint: '',
-      percent: 100,
+      percent: this.percentOf(run),
       load: 0,
     };
   }
 
+  private percentOf({behaviour, record}: AliveRun): number {
+    const {durationMilliseconds, stallsAtPercent = 100} = behaviour;
+    if (durationMilliseconds === undefined) return 100;
+    const age = this.clock.monotonicMilliseconds() - record.begunAt;
+    const percent = Math.floor((100 * age) / durationMilliseconds);
+    return Math.min(percent, stallsAtPercent);
+  }
+
   private done(): OrderResult {
     return {
       outcome: OrderOutcome.Done,
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -2,7 +2,10 @@
 import {RunEnd} from '@gentiandoor/jobs';
 import {
   LeaseClock,
-  WorkerTrust,
+  isStalled,
+  timeUntilOverdue,
+  type WatchedRun,
+  type WorkerTrust,
   longestLease,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
@@ -30,6 +33,8 @@
   readonly term: number;
   /** Lease that polls and starts give, in milliseconds. */
   readonly leaseMilliseconds: number;
+  /** What is known of how workers fail. */
+  readonly trust: WorkerTrust;
   /** When this coordinator's term began. */
   readonly beganAt: number;
   ordersAllowed(): boolean;
@@ -50,6 +55,8 @@
     run: LiveRun,
     refusal: OrderRefusal,
   ): void;
+  /** A run shows no progress any more. */
+  runStalled(session: WorkerSession, run: LiveRun): void;
   /** Calls `then` when all ends read so far are stored. */
   afterStored(then: () => void): void;
   /** The worker can take starts again, or no longer. */
@@ -60,6 +67,8 @@
 
 /** A poll waits so long for an end: a lease is renewed several times over its length, and a silent connection is found in time. */
 const POLL_WAIT_MILLISECONDS = 1_500;
+/** Two polls within the time that tells a run which stands still from a slow one. */
+const OVERDUE_POLL_WAIT_MILLISECONDS = 300;
 /** Ends that come close together are read with one poll. */
 const POLL_GAP_MILLISECONDS = 40;
 /** An idle worker's last ends are acknowledged after this, unless a start brings a poll anyway. */
@@ -75,7 +84,6 @@
 /** Everything between the coordinator and one incarnation of a worker. */
 export class WorkerSession {
   readonly runs = new Map<string, LiveRun>();
-  readonly trust = new WorkerTrust();
   private readonly lease = new LeaseClock();
   private readonly pacer: BestEffortPacer;
   private readonly signal: Signal;
@@ -183,7 +191,7 @@
     return placementView(
       this.current,
       [...this.runs.values()],
-      this.trust.level(now),
+      this.host.trust.level(this.id, now),
     );
   }
 
@@ -284,7 +292,9 @@
       endsStored,
       leaseEndMilliseconds: this.nextLeaseEnd(requestedAt),
       waitMilliseconds:
-        waits && this.silentSince === undefined ? POLL_WAIT_MILLISECONDS : 0,
+        waits && this.silentSince === undefined
+          ? this.pollWait(requestedAt)
+          : 0,
     });
     if (this.closed) return;
     if (result.outcome === OrderOutcome.Done) {
@@ -294,6 +304,15 @@
     await sleep(this.clock, this.gapAfter(result.outcome));
   }
 
+  /** A run that should have ended is looked at soon again: its progress shows whether it stands still. */
+  private pollWait(now: number): number {
+    let wait = POLL_WAIT_MILLISECONDS;
+    for (const run of this.runs.values())
+      if (canStall(run))
+        wait = Math.min(wait, timeUntilOverdue(watchedRun(run, now)));
+    return Math.round(Math.max(OVERDUE_POLL_WAIT_MILLISECONDS, wait));
+  }
+
   private gapAfter(outcome: OrderOutcome): number {
     if (outcome === OrderOutcome.Done) return POLL_GAP_MILLISECONDS;
     return this.runs.size > 0
@@ -366,7 +385,8 @@
     if (run.percent !== listed.percent) {
       run.percent = listed.percent;
       run.progressedAt = now;
-    }
+    } else if (canStall(run) && isStalled(watchedRun(run, now)))
+      this.host.runStalled(this, run);
     if (listed.checkpoint !== '')
       run.taskOfJob.progress.checkpoint = listed.checkpoint;
   }
@@ -517,3 +537,19 @@
     return !this.closed;
   }
 }
+
+/** Tasks that last end by no time, best-effort ones are slowed on purpose, and a gang waits for its members. */
+function canStall(run: LiveRun): boolean {
+  const {longRunning, bestEffort, gang} = run.taskOfJob.specification;
+  if (longRunning || bestEffort || run.stopAsked) return false;
+  return !(gang && run.percent === 0);
+}
+
+function watchedRun(run: LiveRun, now: number): WatchedRun {
+  return {
+    percent: run.percent,
+    ageMilliseconds: now - (run.beganAt ?? run.plannedAt),
+    stillMilliseconds: now - Math.max(run.progressedAt, run.beganAt ?? 0),
+    expectedMilliseconds: run.expectedMilliseconds,
+  };
+}
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -142,6 +142,9 @@
     'A worker refused to start a run; `refusal` says why.',
   ),
   [LogEvent.RunStopped]: entry('A run that nobody expects is stopped.'),
+  [LogEvent.RunStalled]: entry(
+    'A run shows no progress any more; it is stopped and started elsewhere.',
+  ),
   [LogEvent.TermTaken]: entry(
     'This daemon gives the orders from now on; `term` is the fencing token.',
   ),
@@ -168,16 +171,13 @@
     'Every lease on a silent worker has run out: its runs are over.',
   ),
   [LogEvent.WorkerSuspect]: entry(
-    'A worker fails or stalls what others do well.',
+    'A worker fails or stalls what others do well, and takes one task at a time for some seconds.',
   ),
   [LogEvent.VmOrdered]: entry(
     'A VM was told to move or to be maintained; `outcome` says what became of it.',
   ),
   [LogEvent.WaveSeen]: entry('Operators ask for a wave of maintenance.'),
   [LogEvent.WaveCompleted]: entry('Each VM of a wave has had its maintenance.'),
-  [LogEvent.PoolPlanned]: entry(
-    'The size wanted for a pool has changed; the line gives what decided it.',
-  ),
   [LogEvent.ConfigurationInForce]: entry(
     'A configuration is in force at this daemon.',
   ),
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -113,6 +113,7 @@
     'starts that workers refused, by reason',
     'reason',
   ),
+  [MetricName.RunsStalled]: counter('runs that stood still and were stopped'),
   [MetricName.RunWaitDuration]: timing(
     'milliseconds from the choice of a worker to the order to start',
   ),
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -49,6 +49,8 @@
   RunEnds = 'run_ends',
   /** Starts that workers refused, by reason. */
   RunRefusals = 'run_refusals',
+  /** Runs that stood still. */
+  RunsStalled = 'runs_stalled',
   /** Milliseconds from a task's turn to the order to start it. */
   RunWaitDuration = 'run_wait_duration',
   /** Orders about VMs, by order and outcome. */
--- a/packages/scheduling/src/__tests__/placement.test.ts
+++ b/packages/scheduling/src/__tests__/placement.test.ts
@@ -21,6 +21,7 @@
     totalMillicores: 10_000,
     servingTasks: 0,
     bestEffortTasks: 0,
+    tasks: 0,
     trust: 1,
     countOf: () => 0,
     ...differences,
--- a/packages/scheduling/src/__tests__/queue-decisions.test.ts
+++ b/packages/scheduling/src/__tests__/queue-decisions.test.ts
@@ -11,6 +11,7 @@
   type RankedJob,
 } from '../job-order.js';
 import {RescueBudget} from '../rescue-budget.js';
+import {isStalled, timeUntilOverdue} from '../stall-watch.js';
 import {WorkerTrust} from '../worker-trust.js';
 
 describe('the order of waiting jobs', () => {
@@ -115,17 +116,77 @@
   // A worker that fails all it starts looks idle and draws the whole queue.
   it('is lost after failures of several jobs in a row', () => {
     const trust = new WorkerTrust();
-    trust.noteFailure('a', 0);
-    trust.noteFailure('b', 10);
-    trust.noteFailure('c', 20);
-    assert.equal(trust.level(100), 0);
-    assert.ok(trust.level(10_000) > 0);
+    trust.noteFailure('w', 'a', 0);
+    trust.noteFailure('w', 'b', 10);
+    trust.noteFailure('w', 'c', 20);
+    assert.equal(trust.level('w', 100), 0);
+    assert.ok(trust.level('w', 10_000) > 0);
+  });
+
+  it('comes back with a run that ends well', () => {
+    const trust = new WorkerTrust();
+    trust.suspect('w', 0);
+    trust.noteSuccess('w');
+    assert.ok(trust.level('w', 1) > 0.5);
   });
 
   // A job that fails everywhere says nothing about the workers that it fails on.
   it('is not lost by one job that fails each time', () => {
     const trust = new WorkerTrust();
-    for (let run = 0; run < 10; run++) trust.noteFailure('bad', run);
-    assert.ok(trust.level(100) > 0.5);
+    for (let run = 0; run < 10; run++) trust.noteFailure('w', 'bad', run);
+    assert.ok(trust.level('w', 100) > 0.5);
+  });
+
+  // A wave of jobs that can't be done fails on every worker in turn. Had each failure counted, all
+  // workers of the pool would be suspects at once and take one task at a time.
+  it('is not lost by many jobs that fail on several workers each', () => {
+    const trust = new WorkerTrust();
+    const workers = ['u', 'v', 'w'];
+    for (let wave = 0; wave < 20; wave++)
+      workers.forEach((worker, at) =>
+        trust.noteFailure(worker, `bad-${wave}`, 100 * wave + at),
+      );
+    for (const worker of workers)
+      assert.ok(trust.level(worker, 2_100) > 0.5, worker);
+  });
+
+  it('sinks by degrees on a worker that fails a part of its runs', () => {
+    const trust = new WorkerTrust();
+    for (let run = 0; run < 40; run++)
+      if (run % 5 < 2) trust.noteFailure('w', `job-${run}`, 100 * run);
+      else trust.noteSuccess('w');
+    assert.ok(trust.level('w', 4_000) < trust.level('sound', 4_000));
+  });
+});
+
+describe('isStalled', () => {
+  const slow = {
+    percent: 40,
+    ageMilliseconds: 1_500,
+    stillMilliseconds: 300,
+    expectedMilliseconds: 800,
+  };
+
+  it('takes a run for stalled that shows the same progress for too long', () => {
+    assert.equal(isStalled(slow), false);
+    assert.equal(isStalled({...slow, stillMilliseconds: 700}), true);
+  });
+
+  // A long run on a slow worker takes seconds for one percent.
+  it('waits for longer where a percent takes longer', () => {
+    const long = {...slow, expectedMilliseconds: 60_000};
+    assert.equal(isStalled({...long, stillMilliseconds: 5_000}), false);
+    assert.equal(isStalled({...long, stillMilliseconds: 16_000}), true);
+  });
+
+  // A start from a checkpoint shows nothing until it has been restored.
+  it('allows for the start of a run', () => {
+    const starting = {...slow, percent: 0, stillMilliseconds: 1_200};
+    assert.equal(isStalled(starting), false);
+  });
+
+  it('asks for a closer look only at runs that should have ended', () => {
+    assert.ok(timeUntilOverdue({...slow, ageMilliseconds: 800}) > 0);
+    assert.ok(timeUntilOverdue({...slow, ageMilliseconds: 2_000}) <= 0);
   });
 });
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export * from './lease-clock.js';
 export * from './pool-plan.js';
 export * from './rescue-budget.js';
+export * from './stall-watch.js';
 export * from './wave-plan.js';
 export * from './worker-choice.js';
 export * from './worker-room.js';
--- /dev/null
+++ b/packages/scheduling/src/stall-watch.ts
@@ -0,0 +1,42 @@
+/** A run as its worker shows it. */
+export interface WatchedRun {
+  /** Progress in whole percent. */
+  readonly percent: number;
+  /** How long the run has been known. */
+  readonly ageMilliseconds: number;
+  /** How long `percent` has been the same. */
+  readonly stillMilliseconds: number;
+  /** Run time to expect. */
+  readonly expectedMilliseconds: number;
+}
+
+/** A run that has begun shows progress each hundredth of its time; one slowed eight times, as workers at fault are, each twelfth. */
+const STILL_SHARE = 0.25;
+/** Least time without progress that says something: two looks at the worker lie in it. */
+const STILL_MILLISECONDS = 600;
+/** Before its first percent a run restores a checkpoint (up to 0.6 s at the offices) and starts up. */
+const STILL_AT_START_MILLISECONDS = 1_500;
+/** Run times vary by half from what is expected: a run is looked at more closely once it is this late. */
+const OVERDUE_FACTOR = 1.6;
+const OVERDUE_MILLISECONDS = 400;
+const FULL_PERCENT = 100;
+
+/**
+ * Whether a run stands still and never ends.
+ * Load: workers whose tasks hang while they answer all calls. Without it such a run keeps its job
+ * waiting until the worker is replaced, and its lease is renewed all the while.
+ */
+export function isStalled(run: WatchedRun): boolean {
+  if (run.percent >= FULL_PERCENT) return false;
+  const least =
+    run.percent === 0 ? STILL_AT_START_MILLISECONDS : STILL_MILLISECONDS;
+  const bound = Math.max(least, STILL_SHARE * run.expectedMilliseconds);
+  return run.stillMilliseconds >= bound;
+}
+
+/** Time until a run is late enough to be looked at more closely, in milliseconds; at most 0 when it is. */
+export function timeUntilOverdue(run: WatchedRun): number {
+  const overdueAge =
+    OVERDUE_FACTOR * run.expectedMilliseconds + OVERDUE_MILLISECONDS;
+  return overdueAge - run.ageMilliseconds;
+}
--- a/packages/scheduling/src/worker-choice.ts
+++ b/packages/scheduling/src/worker-choice.ts
@@ -1,5 +1,5 @@
 import type {StepSpecification} from '@gentiandoor/jobs';
-import {fits, type PlacementWorker} from './worker-room.js';
+import {fits, hasRequiredLabel, type PlacementWorker} from './worker-room.js';
 
 /** A task that is to be placed. */
 export interface PlacementRequest {
@@ -41,8 +41,9 @@
   ): PlacementWorker | undefined {
     let best: PlacementWorker | undefined;
     let bestScore = -Infinity;
+    const barred = barredWorkers(request, workers);
     for (const worker of workers) {
-      if (!this.allowed(request, worker)) continue;
+      if (barred.has(worker.id) || !this.allowed(request, worker)) continue;
       const score = this.score(request, worker);
       if (score <= bestScore) continue;
       best = worker;
@@ -54,6 +55,8 @@
   private allowed(request: PlacementRequest, worker: PlacementWorker): boolean {
     const {step, stepKey} = request;
     if (!fits(worker, step)) return false;
+    // A suspect shows with one task at a time whether it is well again; more would be lost on it.
+    if (worker.trust <= 0 && worker.tasks > 0) return false;
     if (step.maximumPerWorker === 0) return true;
     return worker.countOf(stepKey) < step.maximumPerWorker;
   }
@@ -72,3 +75,21 @@
     return score - TRUST_WEIGHT * (1 - worker.trust);
   }
 }
+
+/**
+ * Workers on which the task has failed, while there is any other: in a full pool the worker that
+ * fails at once is the one with room, and a task used up its attempts there. A task that lasts fails
+ * now and then on sound workers too and must not run out of them.
+ */
+function barredWorkers(
+  {step, avoid}: PlacementRequest,
+  workers: readonly PlacementWorker[],
+): ReadonlySet<string> {
+  if (avoid.size === 0 || step.longRunning) return NONE;
+  const other = workers.some(
+    worker => !avoid.has(worker.id) && hasRequiredLabel(worker, step),
+  );
+  return other ? avoid : NONE;
+}
+
+const NONE: ReadonlySet<string> = new Set();
--- a/packages/scheduling/src/worker-room.ts
+++ b/packages/scheduling/src/worker-room.ts
@@ -14,7 +14,9 @@
   readonly servingTasks: number;
   /** Tasks on it that use processor time that others leave. */
   readonly bestEffortTasks: number;
-  /** Share of trust in [0, 1]; 0 takes nothing while another can. */
+  /** All tasks on it. */
+  readonly tasks: number;
+  /** Share of trust in [0, 1]; 0 takes one task at a time. */
   readonly trust: number;
   /** Tasks of a step on it. */
   countOf(stepKey: string): number;
@@ -25,9 +27,16 @@
   worker: PlacementWorker,
   step: StepSpecification,
 ): boolean {
-  if (step.requiredLabel && !worker.labels.includes(step.requiredLabel))
-    return false;
+  if (!hasRequiredLabel(worker, step)) return false;
   if (worker.freeMegabytes < step.memoryMegabytes) return false;
   if (worker.freeAccelerators < step.accelerators) return false;
   return step.bestEffort || worker.freeMillicores >= step.processorMillicores;
 }
+
+/** Whether a worker is of the kind that `step` asks for. */
+export function hasRequiredLabel(
+  worker: PlacementWorker,
+  step: StepSpecification,
+): boolean {
+  return !step.requiredLabel || worker.labels.includes(step.requiredLabel);
+}
