A daemon is ready while configurations never stop coming; pools wait for the jobs

While the store was away for 3.6 s nothing seemed to arrive, 51 VMs were given back, and callers who returned found 97 VMs still to be fetched. Change: a read that reaches the end counts, with or without records; pools stay as they are while the jobs can't be read for a second.

--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -13,6 +13,7 @@
 import type {OperatorView} from './operator-view.js';
 import type {RecordFormats} from './record-formats.js';
 import type {ServiceDemand} from './service-demand.js';
+import type {StreamFollower} from './stream-follower.js';
 import {VmOrders, type VmOrderParts, type VmOrderRequest} from './vm-orders.js';
 import {WaveProgress} from './wave-progress.js';
 import type {WorkerRegistry} from './worker-registry.js';
@@ -20,6 +21,7 @@
 
 /** What a fleet keeper is built from. */
 export interface FleetParts extends VmOrderParts {
+  readonly jobs: StreamFollower;
   readonly formats: RecordFormats;
   readonly operators: OperatorView;
 }
@@ -38,6 +40,8 @@
 const FULL_PERCENT = 100;
 /** From the end of a move to the first start: the worker's entry is read and it is polled. */
 const ARRIVAL_OVERHEAD_MILLISECONDS = 600;
+/** While the jobs can't be read nothing seems to arrive: VMs that leave their pools then are missing when callers come back, all at once. */
+const DEMAND_AGE_MILLISECONDS = 1_000;
 /** Why a VM takes no new starts before it changes its pool. */
 const POOL_CHANGE = 'pool change';
 /** Begins the reason why a VM takes no new starts before its maintenance. */
@@ -130,6 +134,7 @@
   }
 
   private stepPools(pools: readonly PlannedPool[]): VmOrderRequest[] {
+    if (this.parts.jobs.ageMilliseconds > DEMAND_AGE_MILLISECONDS) return [];
     const step = planPools(pools);
     this.emptyForMoves(new Set(step.empty));
     return step.moves.flatMap(move => {
--- a/packages/coordinator/src/stand-ins/memory-store.ts
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -184,6 +184,7 @@
 /** One daemon's way to the store. */
 export class StoreConnection implements RecordLog {
   private fault: StoreFault | undefined;
+  private faultyStream: LogStream | undefined;
   private killed = false;
 
   constructor(private readonly store: MemoryStore) {}
@@ -193,9 +194,10 @@
     this.killed = true;
   }
 
-  /** Switches a fault on, or all off. */
-  setFault(fault: StoreFault | undefined): void {
+  /** Switches a fault on, or all off; `only`: for one stream. */
+  setFault(fault: StoreFault | undefined, only?: LogStream): void {
     this.fault = fault;
+    this.faultyStream = only;
   }
 
   async append(
@@ -204,7 +206,7 @@
     conditions: AppendConditions = {},
   ): Promise<AppendResult> {
     this.store.calls.append++;
-    const {fault} = this;
+    const fault = this.faultOf(stream);
     const {clock} = this.store;
     await sleep(clock, ANSWER_MILLISECONDS);
     if (this.killed) return neverAnswered();
@@ -228,7 +230,7 @@
     waitMilliseconds: number,
   ): Promise<ReadResult> {
     this.store.calls.read++;
-    const failure = await this.reach();
+    const failure = await this.reach(stream);
     if (failure) return failure;
     const first = this.store.read(stream, offset);
     const hasNone =
@@ -240,10 +242,15 @@
 
   async newest(stream: LogStream): Promise<NewestResult> {
     this.store.calls.newest++;
-    return (await this.reach()) ?? this.store.newest(stream);
+    return (await this.reach(stream)) ?? this.store.newest(stream);
   }
 
-  private async reach(): Promise<
+  private faultOf(stream: LogStream): StoreFault | undefined {
+    const spared = this.faultyStream && this.faultyStream !== stream;
+    return spared ? undefined : this.fault;
+  }
+
+  private async reach(stream: LogStream): Promise<
     | {
         readonly outcome: ReadOutcome.Unavailable;
         readonly reason: string;
@@ -252,7 +259,7 @@
   > {
     await sleep(this.store.clock, ANSWER_MILLISECONDS);
     if (this.killed) return neverAnswered();
-    const {fault} = this;
+    const fault = this.faultOf(stream);
     if (fault === undefined || fault === StoreFault.AnswersLost)
       return undefined;
     if (fault === StoreFault.DoneLate) return undefined;
--- a/packages/coordinator/src/stream-follower.ts
+++ b/packages/coordinator/src/stream-follower.ts
@@ -68,7 +68,8 @@
     if (result.outcome === ReadOutcome.Unavailable) return false;
     if (result.outcome === ReadOutcome.Gap) return this.load();
     this.applyFrom(result.records);
-    if (this.nextOffset >= result.endOffset && result.records.length === 0)
+    // Also when records came: where they never stop coming, a read without any would never be seen.
+    if (this.nextOffset >= result.endOffset)
       this.refreshedAt = Math.max(this.refreshedAt, started);
     return true;
   }
