--- /dev/null
+++ b/packages/cli/src/__tests__/log-story.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {LogEvent, VirtualClock} from '@gentiandoor/kernel';
+import type {CommandContext} from '../command-context.js';
+import {ExitCode} from '../exit-codes.js';
+import {readLogLines, storyOfJob} from '../log-story.js';
+import {runProgram} from '../program.js';
+
+const JOB = '5c0e7a21d94b36f8';
+const BEGAN = 1_800_000_000_000;
+
+function line(
+  after: number,
+  node: string,
+  event: LogEvent,
+  fields: object,
+): string {
+  const row = {level: 30, time: BEGAN + after, node, event, ...fields};
+  return JSON.stringify({...row, msg: LogEvent[event]});
+}
+
+function run(number: number, worker: string): object {
+  return {task: `${JOB}.0.0.3`, run: number, worker};
+}
+
+/** A job whose worker was lost while the coordinator changed. */
+const LOG = [
+  line(0, 'one', LogEvent.JobTaken, {
+    job: JOB,
+    queue: 'quotes',
+    milliseconds: 9.4,
+  }),
+  line(20, 'two', LogEvent.RunOrdered, {
+    ...run(1, 'w-1'),
+    term: 1,
+    storedAfterMilliseconds: 12,
+  }),
+  line(900, 'two', LogEvent.WorkerSilent, {worker: 'w-1', runs: 1}),
+  line(950, 'two', LogEvent.WorkerSilent, {worker: 'w-7', runs: 1}),
+  line(1_500, 'three', LogEvent.TermTaken, {term: 2}),
+  line(3_000, 'three', LogEvent.RunEnded, {
+    ...run(1, 'w-1'),
+    end: 'lost',
+    effect: 'again',
+  }),
+  line(3_010, 'three', LogEvent.RunOrdered, {
+    ...run(2, 'w-2'),
+    term: 2,
+    storedAfterMilliseconds: 8,
+  }),
+  line(3_100, 'three', LogEvent.LinesLeftOut, {of: 'RunEnded', count: 31}),
+  line(3_700, 'three', LogEvent.RunEnded, {
+    ...run(2, 'w-2'),
+    end: 'done',
+    effect: 'job_ended',
+  }),
+  line(3_705, 'three', LogEvent.JobEnded, {job: JOB, state: 'completed'}),
+  line(9_000, 'one', LogEvent.StoreLost, {ageMilliseconds: 3}),
+  line(3_720, 'one', LogEvent.JobTaken, {
+    job: 'ffffffffffffffff',
+    queue: 'quotes',
+  }),
+];
+
+describe('a story from the logs', () => {
+  it('tells what happened to the job, oldest first, with what lies behind it', () => {
+    const story = storyOfJob([...LOG].reverse().join('\n'), JOB);
+    const told = story?.steps.map(step => step.text) ?? [];
+    assert.match(told[0], /taken for queue quotes, answered after 9 ms/);
+    assert.match(told[2], /worker w-1 does not answer/);
+    assert.match(told[3], /coordinator, term 2/);
+    assert.match(told.at(-1) ?? '', /the job is completed/);
+    assert.equal(told.length, 8);
+  });
+
+  it('names the longest times without news and the lines that are missing', () => {
+    const story = storyOfJob(LOG.join('\n'), JOB);
+    assert.equal(story?.gaps[0].milliseconds, 2_980);
+    assert.match(story?.gaps[0].text ?? '', /its worker was not heard of/);
+    assert.equal(story?.linesLeftOut, 31);
+  });
+
+  it('reads lines with a prefix and counts those that are none', () => {
+    const text = `  3.1 front-1 ${LOG[0]}\nnot a line\n{"cut":\n`;
+    const {lines, unreadable} = readLogLines(text);
+    assert.equal(lines.length, 1);
+    assert.equal(unreadable, 1);
+  });
+
+  it('has nothing to tell of a job that no line names', () => {
+    assert.equal(storyOfJob(LOG.join('\n'), 'aaaaaaaaaaaaaaaa'), undefined);
+  });
+});
+
+describe('explain with --log', () => {
+  async function explained(
+    ...words: string[]
+  ): Promise<{code: number; printed: string; noted: string}> {
+    const printed: string[] = [];
+    const noted: string[] = [];
+    const context: CommandContext = {
+      print: row => printed.push(row),
+      note: row => noted.push(row),
+      readFile: path => {
+        if (path === 'day.log') return LOG.join('\n');
+        throw new Error('no such file');
+      },
+      environment: {},
+      clock: new VirtualClock(),
+    };
+    const code = await runProgram(
+      ['node', 'gentiandoor', 'explain', ...words],
+      context,
+    );
+    return {code, printed: printed.join('\n'), noted: noted.join('\n')};
+  }
+
+  it('prints the story without asking a daemon', async () => {
+    const {code, printed} = await explained('job', JOB, '--log', 'day.log');
+    assert.equal(code, ExitCode.Done);
+    assert.match(printed, /\+3705 ms three: the job is completed/);
+    assert.match(printed, /31 lines were left out/);
+  });
+
+  it('says clearly what it cannot do', async () => {
+    const other = await explained('vm', 'v-1', '--log', 'day.log');
+    assert.equal(other.code, ExitCode.BadInput);
+    const missing = await explained('job', JOB, '--log', 'none.log');
+    assert.equal(missing.code, ExitCode.BadInput);
+    assert.match(missing.noted, /cannot read none.log/);
+    const unknown = await explained('job', 'ab', '--log', 'day.log');
+    assert.equal(unknown.code, ExitCode.Failed);
+  });
+});
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,20 +1,32 @@
 import type {ExplainBody, VmBody} from '@gentiandoor/plugin-fleet';
 import {SubjectKind, type JournalEntry} from '@gentiandoor/kernel';
+import {CommandError} from '../command-error.js';
 import type {CommandDefinition} from '../command-registry.js';
+import {ExitCode} from '../exit-codes.js';
+import {storyOfJob, type LogStory} from '../log-story.js';
 import {vmState} from '../vm-state.js';
 import {
   adminClient,
+  readInput,
   show,
   type CommandContext,
   type CommonOptions,
 } from '../command-context.js';
 
+interface ExplainOptions extends CommonOptions {
+  readonly log?: string;
+}
+
 async function explain(
   context: CommandContext,
   subject: string,
   id: string,
-  options: CommonOptions,
+  options: ExplainOptions,
 ): Promise<void> {
+  if (options.log !== undefined) {
+    explainFromLog(context, subject, id, options, options.log);
+    return;
+  }
   const query = `subject=${encodeURIComponent(subject)}&id=${encodeURIComponent(id)}`;
   const body = (await adminClient(context, options).get(
     `/explain?${query}`,
@@ -26,6 +38,45 @@
   show(context, options, body, lines.length > 0 ? lines : [nothing]);
 }
 
+/** Tells of a job from the lines that the daemons of a deployment on the platform have logged. */
+function explainFromLog(
+  context: CommandContext,
+  subject: string,
+  id: string,
+  options: ExplainOptions,
+  path: string,
+): void {
+  if (subject !== SubjectKind.Job)
+    throw new CommandError(
+      ExitCode.BadInput,
+      `logs explain a ${SubjectKind.Job} only, not a ${subject}`,
+    );
+  const story = storyOfJob(readInput(context, path), id);
+  if (!story)
+    throw new CommandError(ExitCode.Failed, `no line in ${path} names ${id}`);
+  show(context, options, story, storyLines(story));
+}
+
+function storyLines(story: LogStory): string[] {
+  const {steps, gaps, linesLeftOut, unreadableLines} = story;
+  const began = steps[0].time;
+  const lines = steps.map(
+    ({time, node, text}) =>
+      `${new Date(time).toISOString()} +${time - began} ms ${node}: ${text}`,
+  );
+  if (gaps.length > 0) lines.push('', 'longest times without news of the job:');
+  for (const {milliseconds, text} of gaps)
+    lines.push(`    ${milliseconds} ms ${text}`);
+  if (linesLeftOut > 0)
+    lines.push(
+      '',
+      `${linesLeftOut} lines were left out meanwhile by the bound on the log; some may be of this job`,
+    );
+  if (unreadableLines > 0)
+    lines.push('', `${unreadableLines} lines of the input are no log lines`);
+  return lines;
+}
+
 /** What is planned on the VM, which may be an operator's doing and no decision of a daemon. */
 async function vmNow(
   context: CommandContext,
@@ -61,7 +112,17 @@
     usage: 'explain <subject> <id>',
     description:
       'Tells why something was decided about a vm, pool, service, job, wave, request, bundle or daemon.',
-    examples: ['explain vm hall-a-r1-1', 'explain wave december --json'],
+    examples: [
+      'explain vm hall-a-r1-1',
+      'explain wave december --json',
+      'explain job 5c0e7a21d94b36f8 --log day.log',
+    ],
+    options: [
+      [
+        '--log',
+        'Log lines of the daemons of a deployment on the platform, a file or - for standard input; tells of a job without any daemon',
+      ],
+    ],
     run: explain,
   },
 ];
