--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -98,11 +98,7 @@
   /** Notes that a job was handed in so long ago, whatever became of it: turns are learned from it. */
   noteDemand(execution: JobExecution, ageMilliseconds: number): void {
     const at = this.clock.monotonicMilliseconds() - ageMilliseconds;
-    const durations = this.demand.durationsOf(execution.job.queue);
-    const chain = execution.wholeChain(step =>
-      durations.expected(step.estimatedMilliseconds),
-    );
-    this.demand.note(this.serviceOf(execution), execution.job, at, chain);
+    this.demand.note(this.serviceOf(execution), execution.job, at);
   }
 
   /** Notes how long a run that ended well took. */
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -4,27 +4,32 @@
   DurationModel,
   BurstForecast,
   PeakHold,
+  RunningMean,
 } from '@gentiandoor/scheduling';
 
-/** A VM that leaves a pool and comes back costs as much as two seconds in it; the meter itself falls over one. */
-const HOLD_MILLISECONDS = 1_000;
+/** Sizes of jobs vary by a factor of ten: the rate of a queue is the number of its jobs times the mean of the last ones. */
+const MEMORY_JOBS = 30;
+/** A VM that leaves a pool and comes back costs as much as two seconds in it; chance lulls of a few jobs a second are shorter than this. */
+const HOLD_MILLISECONDS = 1_500;
+
+/** Work that arrives for a service. */
+interface ServiceRate {
+  readonly meter: DemandMeter;
+  readonly hold: PeakHold;
+}
 
 /** What is learned of the work that comes for each service. */
 export class ServiceDemand {
   private readonly durations = new Map<string, DurationModel>();
-  private readonly meters = new Map<string, DemandMeter>();
-  private readonly holds = new Map<string, PeakHold>();
+  private readonly rates = new Map<string, ServiceRate>();
+  private readonly meanWork = new Map<string, RunningMean>();
   private readonly forecast = new BurstForecast();
 
-  /** Notes a job that was handed in at `at` and whose longest chain of steps takes `chainMilliseconds`. */
-  note(
-    service: string,
-    job: JobSubmission,
-    at: number,
-    chainMilliseconds: number,
-  ): void {
+  /** Notes a job that was handed in at `at`. */
+  note(service: string, job: JobSubmission, at: number): void {
     const work = this.workOf(job);
-    this.meterOf(service).note(work, at, chainMilliseconds);
+    const {meter} = this.rateOf(service);
+    meter.note(this.meanWorkOf(job.queue).note(work), at);
     this.forecast.note(service, work, at);
   }
 
@@ -35,8 +40,9 @@
     leadMilliseconds: number,
   ): number {
     const foreseen = this.forecast.millicores(service, now, leadMilliseconds);
-    const rate = this.meterOf(service).millicores(now);
-    return Math.max(foreseen, this.holdOf(service).note(rate, now));
+    const {meter, hold} = this.rateOf(service);
+    const held = hold.note(meter.millicores(now), now);
+    return Math.max(foreseen, held);
   }
 
   /** Whether the turns of queues are foreseen by now. */
@@ -51,17 +57,22 @@
     return model;
   }
 
-  private meterOf(service: string): DemandMeter {
-    let meter = this.meters.get(service);
-    if (!meter) this.meters.set(service, (meter = new DemandMeter()));
-    return meter;
+  private rateOf(service: string): ServiceRate {
+    let rate = this.rates.get(service);
+    if (!rate) {
+      rate = {
+        meter: new DemandMeter(),
+        hold: new PeakHold(HOLD_MILLISECONDS),
+      };
+      this.rates.set(service, rate);
+    }
+    return rate;
   }
 
-  private holdOf(service: string): PeakHold {
-    let hold = this.holds.get(service);
-    if (!hold)
-      this.holds.set(service, (hold = new PeakHold(HOLD_MILLISECONDS)));
-    return hold;
+  private meanWorkOf(queue: string): RunningMean {
+    let mean = this.meanWork.get(queue);
+    if (!mean) this.meanWork.set(queue, (mean = new RunningMean(MEMORY_JOBS)));
+    return mean;
   }
 
   /** Millicores times milliseconds of all tasks of a job that end by themselves. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,7 @@
 export * from './peak-hold.js';
 export * from './pool-plan.js';
 export * from './rescue-budget.js';
+export * from './running-mean.js';
 export * from './stall-watch.js';
 export * from './wave-plan.js';
 export * from './worker-choice.js';
