--- /dev/null
+++ b/packages/coordinator/src/stray-runs.ts
@@ -0,0 +1,34 @@
+import {LogEvent, type Logger} from '@gentiandoor/kernel';
+import {
+  OrderOutcome,
+  type ListedRun,
+  type OrderResult,
+} from './worker-gateway.js';
+
+/** Sends the order to stop a run. */
+export type StopOrder = (run: ListedRun) => Promise<OrderResult>;
+
+/** Runs on one worker that nobody expects there: earlier orders, which must not go on. */
+export class StrayRuns {
+  private readonly stopping = new Set<string>();
+
+  constructor(
+    private readonly stopOrder: StopOrder,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Stops a run that was listed; one whose order got no answer is stopped again when it is listed again. */
+  async stop(worker: string, listed: ListedRun): Promise<void> {
+    const name = `${listed.task}/${listed.run}`;
+    if (this.stopping.has(name)) return;
+    this.stopping.add(name);
+    this.logger.warn(LogEvent.RunStopped, {
+      worker,
+      task: listed.task,
+      run: listed.run,
+      reason: 'not expected',
+    });
+    const result = await this.stopOrder(listed);
+    if (result.outcome === OrderOutcome.Unknown) this.stopping.delete(name);
+  }
+}
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -4,19 +4,21 @@
   LeaseClock,
   isStalled,
   timeUntilOverdue,
-  type WatchedRun,
   type WorkerTrust,
   longestLease,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
 import {BestEffortPacer} from './best-effort-pacer.js';
+import {EndCursor} from './end-cursor.js';
 import {RunStatus, type LiveRun} from './live-run.js';
 import {
   hasLongRunningTask,
   placementView,
   valuedMillicores,
 } from './session-room.js';
+import {canStall, watchedRun} from './run-watch.js';
 import {Signal} from './signal.js';
+import {StrayRuns} from './stray-runs.js';
 import {
   OrderOutcome,
   OrderRefusal,
@@ -87,11 +89,8 @@
   private readonly lease = new LeaseClock();
   private readonly pacer: BestEffortPacer;
   private readonly signal: Signal;
-  private readonly strayStops = new Set<string>();
-  private endsRead = 0;
-  private endsStored = 0;
-  /** What the worker was told of the ends that are stored. */
-  private endsAcknowledged = 0;
+  private readonly strays: StrayRuns;
+  private readonly ends: EndCursor;
   private tokenShown = false;
   private silentSince: number | undefined;
   private closed = false;
@@ -106,6 +105,14 @@
     private readonly logger: Logger,
   ) {
     this.signal = new Signal(clock);
+    this.ends = new EndCursor(
+      then => host.afterStored(then),
+      () => this.signal.notify(),
+    );
+    this.strays = new StrayRuns(
+      run => gateway.stop(this.current, run, host.term),
+      logger,
+    );
     this.pacer = new BestEffortPacer((run, percent) =>
       gateway.pace(this.current, run, percent, host.term),
     );
@@ -275,7 +282,7 @@
     return (
       !this.tokenShown ||
       this.runs.size > 0 ||
-      this.endsAcknowledged < this.endsRead ||
+      this.ends.hasUnacknowledged ||
       this.silentSince !== undefined
     );
   }
@@ -286,7 +293,7 @@
     if (this.closed) return;
     const requestedAt = this.clock.monotonicMilliseconds();
     const waits = this.runs.size > 0 && this.tokenShown;
-    const {endsStored} = this;
+    const endsStored = this.ends.stored;
     const result = await this.gateway.poll(this.current, {
       fencingToken: this.host.term,
       endsStored,
@@ -298,7 +305,7 @@
     });
     if (this.closed) return;
     if (result.outcome === OrderOutcome.Done) {
-      this.endsAcknowledged = endsStored;
+      this.ends.noteAcknowledged(endsStored);
       this.notePoll(result, requestedAt);
     } else if (!this.handledRefusal(result)) this.noteSilence();
     await sleep(this.clock, this.gapAfter(result.outcome));
@@ -355,26 +362,19 @@
     const names = new Set<string>();
     for (const item of ended) {
       names.add(`${item.task}/${item.run}`);
-      if (item.number <= this.endsRead) continue;
-      this.endsRead = item.number;
+      if (!this.ends.isNew(item.number)) continue;
       const run = this.runs.get(item.task);
       if (run?.run === item.run) this.end(run, item.end, item.checkpoint);
       else this.host.lateEnd(item);
     }
-    const read = this.endsRead;
-    // The worker forgets what is acknowledged, so the ends must be stored before.
-    if (read > this.endsStored)
-      this.host.afterStored(() => {
-        this.endsStored = Math.max(this.endsStored, read);
-        this.signal.notify();
-      });
+    this.ends.acknowledgeWhenStored();
     return names;
   }
 
   private noteRunning(listed: ListedRun): void {
     const run = this.runs.get(listed.task);
     if (!run || run.run !== listed.run) {
-      this.stopStray(listed);
+      void this.strays.stop(this.id, listed);
       return;
     }
     const now = this.clock.monotonicMilliseconds();
@@ -391,25 +391,6 @@
       run.taskOfJob.progress.checkpoint = listed.checkpoint;
   }
 
-  /** A run that nobody expects here is one of an earlier order; it must not go on. */
-  private stopStray(listed: ListedRun): void {
-    const name = `${listed.task}/${listed.run}`;
-    if (this.strayStops.has(name)) return;
-    this.strayStops.add(name);
-    this.logger.warn(LogEvent.RunStopped, {
-      worker: this.id,
-      task: listed.task,
-      run: listed.run,
-      reason: 'not expected',
-    });
-    void this.gateway
-      .stop(this.current, listed, this.host.term)
-      .then(result => {
-        if (result.outcome === OrderOutcome.Unknown)
-          this.strayStops.delete(name);
-      });
-  }
-
   /** A settled run that a later poll shows neither alive nor ended never ran, or is long over. */
   private dropMissing(
     running: readonly ListedRun[],
@@ -537,19 +518,3 @@
     return !this.closed;
   }
 }
-
-/** Tasks that last end by no time, best-effort ones are slowed on purpose, and a gang waits for its members. */
-function canStall(run: LiveRun): boolean {
-  const {longRunning, bestEffort, gang} = run.taskOfJob.specification;
-  if (longRunning || bestEffort || run.stopAsked) return false;
-  return !(gang && run.percent === 0);
-}
-
-function watchedRun(run: LiveRun, now: number): WatchedRun {
-  return {
-    percent: run.percent,
-    ageMilliseconds: now - (run.beganAt ?? run.plannedAt),
-    stillMilliseconds: now - Math.max(run.progressedAt, run.beganAt ?? 0),
-    expectedMilliseconds: run.expectedMilliseconds,
-  };
-}
