A run stands still only from its order on, and only twice

By the same watch a task far longer than its estimate was stopped on each worker in turn and never ended. Change: the watch counts from the order and starts anew when a silent worker answers again; a task is stopped for standing still on two workers at most.

--- a/packages/coordinator/src/__tests__/bad-workers.test.ts
+++ b/packages/coordinator/src/__tests__/bad-workers.test.ts
@@ -42,6 +42,20 @@
       assert.equal(await stateOf(deployment, daemon, 'a'), JobState.Completed);
     });
 
+    // A caller's estimate is off by a hundred: a percent of the task takes longer than what tells a
+    // run that stands still. Stopped on each worker in turn, it would never end.
+    it('keeps a task that is far longer than its estimate', async () => {
+      const deployment = new TestDeployment(4);
+      deployment.behaviours.set('a', behaviour({durationMilliseconds: 90_000}));
+      const daemon = new TestDaemon(deployment, 'one');
+      daemon.start();
+      await deployment.run(200);
+      void daemon.desk.submit(job('a'), BOUND);
+      await deployment.run(110_000);
+      assert.equal(await stateOf(deployment, daemon, 'a'), JobState.Completed);
+      assert.ok(deployment.begunRuns().length <= 3);
+    });
+
     // A worker that is slow but sound must not lose its runs: each stop throws work away.
     it('keeps them when they are only slow', async () => {
       const deployment = new TestDeployment(1);
--- /dev/null
+++ b/packages/coordinator/src/__tests__/run-watch.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {JobExecution, JobState} from '@gentiandoor/jobs';
+import {isStalled} from '@gentiandoor/scheduling';
+import {RunStatus, type LiveRun} from '../index.js';
+import {canStall, watchedRun} from '../run-watch.js';
+import {job, step} from './deployment.js';
+
+function liveRun(
+  differences: Partial<LiveRun>,
+  specification = step(),
+): LiveRun {
+  const execution = new JobExecution(job('a', [specification]), {
+    state: JobState.Running,
+    tasks: new Map(),
+  });
+  const [taskOfJob] = execution.readyTasks(0);
+  return {
+    execution,
+    taskOfJob,
+    task: 'a.0.0.0',
+    run: 1,
+    stepKey: 'a.0.0',
+    ticket: '',
+    weight: 1,
+    isWatched: true,
+    plannedAt: 0,
+    expectedMilliseconds: 500,
+    orderedAt: undefined,
+    beganAt: undefined,
+    status: RunStatus.Ordered,
+    settledAt: Infinity,
+    stopAsked: false,
+    percent: 0,
+    progressedAt: 0,
+    pacePercent: 100,
+    ...differences,
+  };
+}
+
+describe('a run that is watched for standing still', () => {
+  // The store is slow and keeps the plan of a run for 1.6 s; its order is sent then, and a poll shows
+  // it before the order is answered. Counted from the plan it had stood still for all that time, was
+  // stopped at once, and its sound worker taken for a suspect.
+  it('counts from its order, not from its plan', () => {
+    const run = liveRun({orderedAt: 1_646});
+    assert.equal(isStalled(watchedRun(run, 1_656)), false);
+    assert.equal(isStalled(watchedRun(run, 3_300)), true);
+  });
+
+  it('counts from its last progress', () => {
+    const run = liveRun({orderedAt: 10, percent: 40, progressedAt: 2_000});
+    assert.equal(isStalled(watchedRun(run, 2_300)), false);
+    assert.equal(isStalled(watchedRun(run, 2_700)), true);
+  });
+
+  it('is none that lasts, is slowed on purpose, is being stopped or waits for its gang', () => {
+    assert.equal(canStall(liveRun({})), true);
+    assert.equal(canStall(liveRun({isWatched: false})), false);
+    assert.equal(canStall(liveRun({stopAsked: true})), false);
+    assert.equal(canStall(liveRun({}, step({longRunning: true}))), false);
+    assert.equal(canStall(liveRun({}, step({bestEffort: true}))), false);
+    assert.equal(canStall(liveRun({}, step({gang: true}))), false);
+  });
+});
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -30,6 +30,8 @@
 
 /** Callers still count an answer as late until so many times the objective. */
 const LATE_FACTOR = 3;
+/** A task is stopped for standing still at most on so many workers: a third one at fault is unlikely, a task of which a percent takes seconds is not. */
+const MOST_STALLS = 2;
 /** Rounds of placement lie this far apart under load: each looks at all workers and jobs of a service, and one for every end of a run took a seventh of the coordinator's processor time at 780 runs a second. */
 const PLACEMENT_GAP_MILLISECONDS = 5;
 /** Steps that find no room in one round before the rest is left for the next: a pool that is full stays full. */
@@ -120,6 +122,12 @@
       .expected(task.specification.estimatedMilliseconds);
   }
 
+  /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
+  private isWatched(execution: JobExecution, task: ExecutableTask): boolean {
+    const workers = this.failedOn.get(taskName(execution.job.id, task));
+    return (workers?.size ?? 0) < MOST_STALLS;
+  }
+
   remove(execution: JobExecution): void {
     for (const jobs of this.active.values()) jobs.delete(execution);
     this.firstSeen.delete(execution);
@@ -310,11 +318,12 @@
     tasks.forEach((task, index) => {
       const session = chosen[index];
       const run = execution.beginRun(task, session.id, together);
-      const expected = this.expectedTime(execution, task);
-      this.host.launch(
-        session,
-        plannedRun(execution, task, run, now, weight, expected),
-      );
+      this.host.launch(session, {
+        ...plannedRun(execution, task, run, now),
+        weight,
+        expectedMilliseconds: this.expectedTime(execution, task),
+        isWatched: this.isWatched(execution, task),
+      });
     });
     return true;
   }
@@ -322,14 +331,17 @@
 
 const NOWHERE: ReadonlySet<string> = new Set();
 
+type PlannedRun = Omit<
+  LiveRun,
+  'weight' | 'expectedMilliseconds' | 'isWatched'
+>;
+
 function plannedRun(
   execution: JobExecution,
   task: ExecutableTask,
   run: number,
   now: number,
-  weight: number,
-  expectedMilliseconds: number,
-): LiveRun {
+): PlannedRun {
   return {
     execution,
     taskOfJob: task,
@@ -337,9 +349,8 @@
     run,
     stepKey: stepName(execution.job.id, task),
     ticket: '',
-    weight,
     plannedAt: now,
-    expectedMilliseconds,
+    orderedAt: undefined,
     beganAt: undefined,
     status: RunStatus.Planned,
     settledAt: Infinity,
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -23,8 +23,12 @@
   readonly plannedAt: number;
   /** What the VM's time for it is worth, in [0, 1]. */
   readonly weight: number;
+  /** Whether it is stopped when it stands still. */
+  readonly isWatched: boolean;
   /** Run time to expect, in milliseconds. */
   readonly expectedMilliseconds: number;
+  /** When the order to start was first sent; undefined before, and for recovered runs. */
+  orderedAt: number | undefined;
   /** When this coordinator's order to start was answered; undefined before, and for recovered runs. */
   beganAt: number | undefined;
   status: RunStatus;
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -412,6 +412,7 @@
     const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
     this.lease.noteGiven(leaseEnd);
     run.status = RunStatus.Ordered;
+    run.orderedAt ??= now;
     const result = await this.gateway.start(this.current, {
       task: run.task,
       run: run.run,
@@ -467,6 +468,8 @@
       silentMilliseconds: now - this.silentSince,
     });
     this.silentSince = undefined;
+    // Nothing was seen of its runs meanwhile: they have not stood still.
+    for (const run of this.runs.values()) run.progressedAt = now;
     this.host.sessionChanged(this);
   }
 
