Pools are sized by memory as well as by processor time

Change: a task counts as the larger of its two shares of a VM, in what is used, what waits and what arrives.

--- a/packages/coordinator/src/__tests__/pools.test.ts
+++ b/packages/coordinator/src/__tests__/pools.test.ts
@@ -2,7 +2,14 @@
 import {describe, it} from 'node:test';
 import {LogStream} from '../index.js';
 import {StoreFault} from '../stand-ins/index.js';
-import {STANDBY, TestDaemon, TestDeployment, job, step} from './deployment.js';
+import {
+  SERVICE,
+  STANDBY,
+  TestDaemon,
+  TestDeployment,
+  job,
+  step,
+} from './deployment.js';
 
 const BOUND = 3_000;
 
@@ -20,6 +27,35 @@
   }
 }
 
+describe('a pool whose tasks need much memory', () => {
+  // Callers wait although a dozen VMs are off. Two tasks fill the memory of a VM and a quarter of its
+  // processor; reckoned by the processor alone the pool seemed to have room for six more on each.
+  it('is given VMs as its memory fills', async () => {
+    const deployment = new TestDeployment(2);
+    deployment.linkFleet();
+    for (let index = 0; index < 12; index++)
+      deployment.addWorker(`spare-${index}`, STANDBY);
+    const daemon = new TestDaemon(deployment, 'one');
+    daemon.start();
+    await deployment.run(200);
+    const large = step({
+      taskCount: 12,
+      processorMillicores: 1_000,
+      memoryMegabytes: 32_000,
+    });
+    const submittedAtMilliseconds = deployment.clock.wallMilliseconds();
+    void daemon.desk.submit(
+      {...job('large', [large]), submittedAtMilliseconds},
+      BOUND,
+    );
+    await deployment.run(600);
+    const fetched = deployment.fleet.orders.filter(
+      order => order.to === SERVICE,
+    );
+    assert.ok(fetched.length >= 4, `${fetched.length}`);
+  });
+});
+
 describe('a pool', () => {
   function released(deployment: TestDeployment): number {
     return deployment.fleet.orders.filter(order => order.to === STANDBY).length;
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -9,6 +9,7 @@
   RescueBudget,
   chanceOf,
   compareWaitingJobs,
+  occupiedMillicores,
   rankOf,
   type RankedJob,
   type WorkerChoice,
@@ -200,6 +201,8 @@
       .sessionsOf(service)
       .filter(session => session.takesStarts);
     const round = new PlacementRound(sessions, this.choice, now);
+    const room = sessions[0]?.entry.room;
+    this.demand.noteRoom(room);
     let misses = 0;
     let waitingMillicores = 0;
     let waitingTasks = 0;
@@ -216,9 +219,8 @@
         full.add(key);
         waitingTasks += tasks.length;
         for (const task of tasks)
-          if (!task.specification.bestEffort)
-            waitingMillicores +=
-              candidate.weight * task.specification.processorMillicores;
+          waitingMillicores +=
+            candidate.weight * occupiedMillicores(task.specification, room);
       }
     }
     const before = this.loadOf(service).waitingSince;
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -5,6 +5,8 @@
   BurstForecast,
   PeakHold,
   RunningMean,
+  occupiedMillicores,
+  type VmRoom,
 } from '@gentiandoor/scheduling';
 
 /** Sizes of jobs vary by a factor of ten: the rate of a queue is the number of its jobs times the mean of the last ones. */
@@ -21,10 +23,16 @@
 /** What is learned of the work that comes for each service. */
 export class ServiceDemand {
   private readonly durations = new Map<string, DurationModel>();
+  private room: VmRoom | undefined;
   private readonly rates = new Map<string, ServiceRate>();
   private readonly meanWork = new Map<string, RunningMean>();
   private readonly forecast = new BurstForecast();
 
+  /** Notes the room of the workers: what a task takes away depends on it. */
+  noteRoom(room: VmRoom | undefined): void {
+    this.room = room ?? this.room;
+  }
+
   /** Notes a job that was handed in at `at`. */
   note(service: string, job: JobSubmission, at: number): void {
     const work = this.workOf(job);
@@ -79,12 +87,12 @@
   private workOf(job: JobSubmission): number {
     const durations = this.durationsOf(job.queue);
     return job.steps
-      .filter(step => !step.longRunning && !step.bestEffort)
+      .filter(step => !step.longRunning)
       .reduce(
         (sum, step) =>
           sum +
           step.taskCount *
-            step.processorMillicores *
+            occupiedMillicores(step, this.room) *
             durations.expected(step.estimatedMilliseconds),
         0,
       );
--- a/packages/coordinator/src/session-room.ts
+++ b/packages/coordinator/src/session-room.ts
@@ -1,6 +1,9 @@
-import type {PlacementWorker} from '@gentiandoor/scheduling';
+import {
+  occupiedMillicores,
+  type PlacementWorker,
+} from '@gentiandoor/scheduling';
 import type {LiveRun} from './live-run.js';
-import type {WorkerEntry} from './worker-gateway.js';
+import type {Room, WorkerEntry} from './worker-gateway.js';
 
 /** What a placement sees of a worker that carries `runs`. */
 export function placementView(
@@ -33,12 +36,11 @@
   };
 }
 
-/** Millicores in use, weighed by what the work is still worth. */
-export function valuedMillicores(runs: Iterable<LiveRun>): number {
+/** Millicores that runs on a worker with `room` take away, weighed by what the work is still worth. */
+export function valuedMillicores(runs: Iterable<LiveRun>, room: Room): number {
   let sum = 0;
   for (const {weight, taskOfJob} of runs)
-    if (!taskOfJob.specification.bestEffort)
-      sum += weight * taskOfJob.specification.processorMillicores;
+    sum += weight * occupiedMillicores(taskOfJob.specification, room);
   return sum;
 }
 
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -158,9 +158,9 @@
     return this.reservedFor;
   }
 
-  /** Millicores in use, weighed by what the work is still worth. */
+  /** Millicores taken away from other work, weighed by what the work is still worth. */
   get valuedMillicores(): number {
-    return valuedMillicores(this.runs.values());
+    return valuedMillicores(this.runs.values(), this.current.room);
   }
 
   /** Whether a long-running task runs on it. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,7 @@
 export * from './best-effort-pace.js';
 export * from './job-order.js';
 export * from './lease-clock.js';
+export * from './occupied-room.js';
 export * from './peak-hold.js';
 export * from './pool-plan.js';
 export * from './rescue-budget.js';
--- /dev/null
+++ b/packages/scheduling/src/occupied-room.ts
@@ -0,0 +1,23 @@
+import type {StepSpecification} from '@gentiandoor/jobs';
+
+/** Room of a VM or worker. */
+export interface VmRoom {
+  readonly processorMillicores: number;
+  readonly memoryMegabytes: number;
+}
+
+/**
+ * Millicores of a VM that a task of `step` takes away from others, by its processor time or by its
+ * memory, whichever fills the VM first.
+ * Load: tasks that need much memory for their processor time. Without it a pool whose memory is used
+ * up looks half empty, no VM is fetched for it, and its work waits.
+ */
+export function occupiedMillicores(
+  step: StepSpecification,
+  room: VmRoom | undefined,
+): number {
+  if (step.bestEffort) return 0;
+  if (!room || room.memoryMegabytes <= 0) return step.processorMillicores;
+  const share = step.memoryMegabytes / room.memoryMegabytes;
+  return Math.max(step.processorMillicores, share * room.processorMillicores);
+}
