--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -10,6 +10,7 @@
   chanceOf,
   compareWaitingJobs,
   occupiedMillicores,
+  placementGap,
   rankOf,
   type RankedJob,
   type WorkerChoice,
@@ -33,12 +34,6 @@
 const LATE_FACTOR = 3;
 /** A task is stopped for standing still at most on so many workers: a third one at fault is unlikely, a task of which a percent takes seconds is not. */
 const MOST_STALLS = 2;
-/** Rounds of placement lie this far apart under load: each looks at all workers and jobs of a service, and one for every end of a run took a seventh of the coordinator's processor time at 780 runs a second. */
-const PLACEMENT_GAP_MILLISECONDS = 5;
-/** A round over a long backlog takes milliseconds itself: rounds get a fifth of the processor time at most, the orders they lead to need the rest. */
-const PLACEMENT_GAP_FACTOR = 4;
-/** Room that is free for longer than this is felt by callers. */
-const LONGEST_PLACEMENT_GAP_MILLISECONDS = 60;
 /** Steps that find no room in one round before the rest is left for the next: a pool that is full stays full. */
 const MISSES_BEFORE_GIVING_UP = 12;
 /** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
@@ -84,7 +79,7 @@
   private readonly due = new Set<string>();
   private scheduled = false;
   private placedAt = -Infinity;
-  private placementGap = PLACEMENT_GAP_MILLISECONDS;
+  private restMilliseconds = 0;
   private closed = false;
 
   constructor(
@@ -161,8 +156,9 @@
     if (this.scheduled || this.closed) return;
     this.scheduled = true;
     const rested = this.clock.monotonicMilliseconds() - this.placedAt;
-    if (rested >= this.placementGap) setImmediate(() => this.runDue());
-    else this.clock.schedule(this.placementGap - rested, () => this.runDue());
+    if (rested >= this.restMilliseconds) setImmediate(() => this.runDue());
+    else
+      this.clock.schedule(this.restMilliseconds - rested, () => this.runDue());
   }
 
   /** After a new configuration queues may have other services. */
@@ -194,13 +190,7 @@
     this.due.clear();
     for (const service of services) this.place(service);
     this.placedAt = this.clock.monotonicMilliseconds();
-    this.placementGap = Math.min(
-      LONGEST_PLACEMENT_GAP_MILLISECONDS,
-      Math.max(
-        PLACEMENT_GAP_MILLISECONDS,
-        PLACEMENT_GAP_FACTOR * (this.placedAt - began),
-      ),
-    );
+    this.restMilliseconds = placementGap(this.placedAt - began);
   }
 
   private place(service: string): void {
--- a/packages/scheduling/src/__tests__/queue-decisions.test.ts
+++ b/packages/scheduling/src/__tests__/queue-decisions.test.ts
@@ -10,6 +10,7 @@
   rankOf,
   type RankedJob,
 } from '../job-order.js';
+import {placementGap} from '../placement-gap.js';
 import {PeakHold} from '../peak-hold.js';
 import {RescueBudget} from '../rescue-budget.js';
 import {RunningMean} from '../running-mean.js';
@@ -235,3 +236,17 @@
     assert.ok(timeUntilOverdue({...slow, ageMilliseconds: 2_000}) <= 0);
   });
 });
+
+describe('placementGap', () => {
+  it('leaves most of the processor to the orders, however long the backlog', () => {
+    for (const round of [0.1, 1, 5, 14]) {
+      const share = round / (round + placementGap(round));
+      assert.ok(share <= 0.21, `${round} ms: ${share}`);
+    }
+  });
+
+  it('keeps free room waiting for a moment only', () => {
+    assert.ok(placementGap(0) <= 5);
+    assert.ok(placementGap(500) <= 60);
+  });
+});
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export * from './lease-clock.js';
 export * from './occupied-room.js';
 export * from './peak-hold.js';
+export * from './placement-gap.js';
 export * from './pool-plan.js';
 export * from './rescue-budget.js';
 export * from './running-mean.js';
