--- a/packages/coordinator/src/__tests__/stream-follower.test.ts
+++ b/packages/coordinator/src/__tests__/stream-follower.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {SilentLogger, VirtualClock} from '@gentiandoor/kernel';
-import {LogStream, StreamFollower} from '../index.js';
+import {SilentLogger, VirtualClock, sleep} from '@gentiandoor/kernel';
+import {
+  LogStream,
+  ReadOutcome,
+  StreamFollower,
+  type RecordLog,
+} from '../index.js';
 import {MemoryStore} from '../stand-ins/index.js';
 
 describe('StreamFollower', () => {
@@ -31,4 +36,55 @@
     }
     assert.ok(worst < 500, `${worst}`);
   });
+
+  // Versions of a large configuration come faster than the daemon's small link carries them. Read one
+  // after the other, the newest was in force many seconds after it was signed off, and callers of new
+  // queues heard that there was no such queue.
+  it('skips to the newest where only that counts and it has fallen behind', async () => {
+    const clock = new VirtualClock();
+    const store = new MemoryStore(clock);
+    const seen: number[] = [];
+    const follower = new StreamFollower(
+      new SlowReads(store.connect(), clock),
+      LogStream.Operator,
+      {apply: record => seen.push(Number(record.value))},
+      clock,
+      new SilentLogger(),
+      true,
+    );
+    const write = (version: number) =>
+      store.write(LogStream.Operator, {
+        key: 'config',
+        value: Buffer.from(String(version)),
+      });
+    write(0);
+    await Promise.all([follower.refresh(), clock.advanceAsync(2_000)]);
+    for (let version = 1; version <= 60; version++) write(version);
+    for (let call = 0; call < 2; call++)
+      await Promise.all([follower.follow(900), clock.advanceAsync(2_000)]);
+    assert.equal(seen.at(-1), 60);
+  });
 });
+
+/** A link that carries one record in 700 ms. */
+class SlowReads implements RecordLog {
+  constructor(
+    private readonly inner: RecordLog,
+    private readonly clock: VirtualClock,
+  ) {}
+
+  append: RecordLog['append'] = (...call) => this.inner.append(...call);
+
+  newest: RecordLog['newest'] = async stream => {
+    await sleep(this.clock, 700);
+    return this.inner.newest(stream);
+  };
+
+  read: RecordLog['read'] = async (...call) => {
+    await sleep(this.clock, 700);
+    const result = await this.inner.read(...call);
+    return result.outcome === ReadOutcome.Read
+      ? {...result, records: result.records.slice(0, 1)}
+      : result;
+  };
+}
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -35,6 +35,7 @@
       this,
       clock,
       logger,
+      true,
     );
   }
 
--- a/packages/coordinator/src/stream-follower.ts
+++ b/packages/coordinator/src/stream-follower.ts
@@ -19,13 +19,16 @@
   private refreshing: Promise<boolean> | undefined;
   private queued: Promise<boolean> | undefined;
   private refreshedAt = -Infinity;
+  private isBehind = false;
 
+  /** `skipsHistory`: only the newest record of each key counts, what lies between may be skipped. */
   constructor(
     private readonly log: RecordLog,
     private readonly stream: LogStream,
     private readonly sink: StreamSink,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly skipsHistory = false,
   ) {}
 
   /** True once the stream was read to its end. */
@@ -59,15 +62,22 @@
   /** Waits for the next record and applies what came; false when the store did not answer. */
   async follow(waitMilliseconds: number): Promise<boolean> {
     if (this.nextOffset === undefined) return this.refresh();
+    // Versions of a large configuration can come faster than a small link carries them: read one
+    // after the other the newest would be in force many seconds after it was signed off.
+    if (this.isBehind && this.skipsHistory) return this.load();
     const started = this.clock.monotonicMilliseconds();
     const result = await this.log.read(
       this.stream,
       this.nextOffset,
       waitMilliseconds,
     );
-    if (result.outcome === ReadOutcome.Unavailable) return false;
+    if (result.outcome === ReadOutcome.Unavailable) {
+      this.isBehind = true;
+      return false;
+    }
     if (result.outcome === ReadOutcome.Gap) return this.load();
     this.applyFrom(result.records);
+    this.isBehind = this.nextOffset < result.endOffset;
     // Also when records came: where they never stop coming, a read without any would never be seen.
     if (this.nextOffset >= result.endOffset)
       this.refreshedAt = Math.max(this.refreshedAt, started);
@@ -99,6 +109,7 @@
     // Pages are no snapshot: what was written since the first page is read again from the log.
     this.nextOffset = Math.max(this.nextOffset ?? 0, result.endOffset);
     this.refreshedAt = started;
+    this.isBehind = false;
     return true;
   }
 
