After an outage of the store a strong VM takes the term

The wait of a weak daemon counted from the last change of the term, and one that could not read the sizes took itself for one of the strongest.

--- a/packages/coordinator/src/__tests__/term-keeper.test.ts
+++ b/packages/coordinator/src/__tests__/term-keeper.test.ts
@@ -2,7 +2,11 @@
 import {describe, it} from 'node:test';
 import {SeededRandom, SilentLogger, VirtualClock} from '@gentiandoor/kernel';
 import {TermKeeper, coordinatorStrength} from '../index.js';
-import {MemoryStore, type StoreConnection} from '../stand-ins/index.js';
+import {
+  MemoryStore,
+  StoreFault,
+  type StoreConnection,
+} from '../stand-ins/index.js';
 
 interface Candidate {
   readonly keeper: TermKeeper;
@@ -59,6 +63,29 @@
       }
     });
 
+    // The store is away for seconds, for everybody. When it is back all daemons have long been due, and
+    // the first of many small VMs to reach it took the term.
+    it('goes to a strong VM when the store comes back from an outage', async () => {
+      for (const seed of [100, 200, 300, 400]) {
+        const all = new Candidates(seed);
+        const first = all.add('strong-1', STRONG);
+        await all.clock.advanceAsync(100);
+        const weak = Array.from({length: 8}, (_, index) =>
+          all.add(`weak-${index}`, WEAK),
+        );
+        const strong = all.add('strong-2', STRONG);
+        await all.clock.advanceAsync(2_000);
+        first.store.kill();
+        const others = [strong, ...weak];
+        for (const {store} of others) store.setFault(StoreFault.Refusing);
+        await all.clock.advanceAsync(4_000);
+        for (const {store} of others) store.setFault(undefined);
+        await all.clock.advanceAsync(2_000);
+        assert.equal(strong.began.length, 1, `seed ${seed}`);
+        assert.ok(weak.every(one => one.began.length === 0));
+      }
+    });
+
     // All strong VMs are gone for good; a weak coordinator is better than none.
     it('goes to a weak VM soon after when no strong one takes it', async () => {
       const all = new Candidates();
--- a/packages/coordinator/src/daemon-roster.ts
+++ b/packages/coordinator/src/daemon-roster.ts
@@ -41,12 +41,13 @@
     }
   }
 
-  /** Reads what the others have told; without an answer what was known stays. */
-  async refresh(): Promise<void> {
+  /** Reads what the others have told; false when the store did not answer. */
+  async refresh(): Promise<boolean> {
     const result = await this.log.newest(LogStream.Daemons);
-    if (result.outcome !== ReadOutcome.Read) return;
+    if (result.outcome !== ReadOutcome.Read) return false;
     for (const {key, value} of result.records)
       this.strongest = Math.max(this.strongest, this.strengthIn(key, value));
+    return true;
   }
 
   private strengthIn(key: string, value: Buffer | undefined): number {
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -133,10 +133,11 @@
       return;
     }
     if (this.rosterReadFor !== this.changedAt) {
-      this.rosterReadFor = this.changedAt;
-      await this.roster.refresh();
+      if (await this.roster.refresh()) this.rosterReadFor = this.changedAt;
+      else await this.pause(RETRY_MILLISECONDS);
       return;
     }
+    if (this.roster.knowsStronger && !(await this.staysVacant())) return;
     const term = (this.current?.term ?? 0) + 1;
     const written = await this.write({
       term,
@@ -150,15 +151,24 @@
   /** When this daemon may try to take the next term. */
   private candidacyAt(): number {
     const {current, roster} = this;
-    const deference = roster.knowsStronger ? DEFERENCE_MILLISECONDS : 0;
-    if (!current) return this.firstCandidacyAt() + deference;
+    if (!current) return this.firstCandidacyAt();
     const spread = this.random.nextFraction() * TAKEOVER_SPREAD_MILLISECONDS;
-    if (current.released) return this.changedAt + spread / 4 + deference;
+    if (current.released) return this.changedAt + spread / 4;
     // One machine runs one daemon: an earlier incarnation of this one gives no orders any more.
     if (current.holder === this.candidate.node && !roster.knowsStronger)
       return -Infinity;
     const over = TERM_MILLISECONDS + TAKEOVER_SLACK_MILLISECONDS;
-    return this.changedAt + over + spread + deference;
+    return this.changedAt + over + spread;
+  }
+
+  /**
+   * Whether nobody takes the term while a stronger daemon could. Counted from when the store answers:
+   * after an outage all candidates are due at once, and the first to reach it would mostly be a weak one.
+   */
+  private async staysVacant(): Promise<boolean> {
+    const before = this.endOffset;
+    const result = await this.readNext(DEFERENCE_MILLISECONDS);
+    return result === ReadOutcome.Read && this.endOffset === before;
   }
 
   private firstCandidacyAt(): number {
@@ -237,7 +247,7 @@
     return true;
   }
 
-  private async readNext(waitMilliseconds: number): Promise<void> {
+  private async readNext(waitMilliseconds: number): Promise<ReadOutcome> {
     const result = await this.log.read(
       LogStream.Terms,
       this.endOffset,
@@ -246,11 +256,12 @@
     if (result.outcome === ReadOutcome.Gap) await this.readCurrent();
     if (result.outcome === ReadOutcome.Unavailable)
       await this.pause(RETRY_MILLISECONDS);
-    if (result.outcome !== ReadOutcome.Read) return;
+    if (result.outcome !== ReadOutcome.Read) return result.outcome;
     const newest = result.records.at(-1);
-    if (!newest) return;
+    if (!newest) return result.outcome;
     this.endOffset = newest.offset + 1;
     this.note(newest);
+    return result.outcome;
   }
 
   private note(record: KeyedRecord | undefined): void {
