One timer for the jobs of a service that are due later

Cause: each round of placement set a timer for each job that is due later, each timer led to a round, so that the rounds of a busy second came again every second until the job was due. Before: 1,000 rounds in ten idle seconds after 100 in a busy one. Change: one timer a service, for the earliest of them, replaced by each round. The test failed before; when a job starts is as before.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {JobExecution, JobState} from '@gentiandoor/jobs';
+import {VirtualClock} from '@gentiandoor/kernel';
+import {FullestFirst} from '@gentiandoor/scheduling';
+import {Dispatcher} from '../dispatcher.js';
+import {ServiceDemand} from '../service-demand.js';
+import {SERVICE, job} from './deployment.js';
+
+describe('Dispatcher', () => {
+  // Callers of everything else wait longer and longer. Each round of placement set a timer of its own
+  // for a job that is due later, each timer led to a round, and none of them ever became fewer: after a
+  // busy second the coordinator went on with a hundred rounds a second for nothing.
+  it('looks at a job that is due later once a second, however busy it was', async () => {
+    const clock = new VirtualClock();
+    let rounds = 0;
+    const dispatcher = new Dispatcher(
+      {
+        sessionsOf: () => {
+          rounds++;
+          return [];
+        },
+        queueOf: () => undefined,
+        launch: () => undefined,
+      },
+      new FullestFirst(),
+      new ServiceDemand(),
+      clock,
+    );
+    const repeat = {
+      count: 2,
+      startAtMilliseconds: clock.wallMilliseconds() + 60_000,
+      intervalMilliseconds: 5_000,
+    };
+    dispatcher.add(
+      new JobExecution(
+        {...job('later'), repeat},
+        {state: JobState.Queued, tasks: new Map()},
+      ),
+      0,
+    );
+    for (let wake = 0; wake < 100; wake++) {
+      dispatcher.wake(SERVICE);
+      await clock.advanceAsync(10);
+    }
+    const busy = rounds;
+    await clock.advanceAsync(10_000);
+    assert.ok(busy >= 50, `${busy} rounds while busy`);
+    assert.ok(rounds - busy <= 12, `${rounds - busy} rounds in ten seconds`);
+  });
+});
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@gentiandoor/kernel';
+import type {Clock, Timer} from '@gentiandoor/kernel';
 import type {
   ExecutableTask,
   JobExecution,
@@ -77,6 +77,8 @@
   private readonly loads = new Map<string, ServiceLoad>();
   private readonly rescues = new RescueBudget();
   private readonly due = new Set<string>();
+  /** One timer for each service with a job that is due later. */
+  private readonly sleeps = new Map<string, Timer>();
   private scheduled = false;
   private placedAt = -Infinity;
   private restMilliseconds = 0;
@@ -176,6 +178,7 @@
 
   close(): void {
     this.closed = true;
+    for (const timer of this.sleeps.values()) timer.cancel();
   }
 
   private serviceOf(execution: JobExecution): string {
@@ -231,12 +234,15 @@
   private candidates(service: string, now: number): Candidate[] {
     const found: Candidate[] = [];
     const wall = this.clock.wallMilliseconds();
+    let nextDue = Infinity;
     for (const execution of this.active.get(service) ?? []) {
       const ready = execution.readyTasks(wall);
       if (ready.length > 0)
         found.push(this.candidate(execution, ready, now, wall));
-      else this.sleepUntilDue(service, execution, wall);
+      else
+        nextDue = Math.min(nextDue, execution.nextDueAfter(wall) ?? Infinity);
     }
+    this.sleepUntil(service, nextDue, wall);
     return found;
   }
 
@@ -281,15 +287,14 @@
     };
   }
 
-  private sleepUntilDue(
-    service: string,
-    execution: JobExecution,
-    wall: number,
-  ): void {
-    const dueAt = execution.nextDueAfter(wall);
-    if (dueAt === undefined) return;
+  /** Replaces the service's timer: with one for each round and job, busy rounds would lead to as many later ones for good. */
+  private sleepUntil(service: string, dueAt: number, wall: number): void {
+    this.sleeps.get(service)?.cancel();
+    this.sleeps.delete(service);
+    if (dueAt === Infinity) return;
     const wait = Math.min(dueAt - wall, LONGEST_SLEEP_MILLISECONDS);
-    this.clock.schedule(wait, () => this.wake(service));
+    const timer = this.clock.schedule(wait, () => this.wake(service));
+    this.sleeps.set(service, timer);
   }
 
   /** Places all of `tasks` or none. */
