One way to make a run, to name it and to expect its time; one to enrol a job

A run was built field by field in the dispatcher and again in the coordinator, its name was spelled in four places, the expected time of a task was worked out in three and a job enrolled with its service in two. Now newLiveRun, runName, ServiceDemand.expectedTime and Dispatcher.enrol serve all. No change of behaviour.

--- a/packages/coordinator/src/__tests__/run-watch.test.ts
+++ b/packages/coordinator/src/__tests__/run-watch.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {JobExecution, JobState} from '@gentiandoor/jobs';
 import {isStalled} from '@gentiandoor/scheduling';
-import {RunStatus, type LiveRun} from '../index.js';
+import {RunStatus, newLiveRun, type LiveRun} from '../index.js';
 import {canStall, watchedRun} from '../run-watch.js';
 import {job, step} from './deployment.js';
 
@@ -15,27 +15,16 @@
     tasks: new Map(),
   });
   const [taskOfJob] = execution.readyTasks(0);
-  return {
-    execution,
-    taskOfJob,
-    task: 'a.0.0.0',
+  const planned = newLiveRun(execution, taskOfJob, {
     run: 1,
-    stepKey: 'a.0.0',
-    ticket: '',
-    weight: 1,
-    isWatched: true,
     plannedAt: 0,
+    weight: 1,
     expectedMilliseconds: 500,
-    orderedAt: undefined,
-    beganAt: undefined,
+    isWatched: true,
     status: RunStatus.Ordered,
     settledAt: Infinity,
-    stopAsked: false,
-    percent: 0,
-    progressedAt: 0,
-    pacePercent: 100,
-    ...differences,
-  };
+  });
+  return {...planned, ...differences};
 }
 
 describe('a run that is watched for standing still', () => {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -23,7 +23,7 @@
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
-import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
+import {RunStatus, newLiveRun, taskName, type LiveRun} from './live-run.js';
 import type {MachineGateway} from './machine-gateway.js';
 import type {Queue} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
@@ -332,27 +332,15 @@
 
   private adoptRuns(execution: JobExecution): void {
     for (const task of execution.liveTasks()) {
-      const now = this.parts.clock.monotonicMilliseconds();
-      const run: LiveRun = {
-        execution,
-        taskOfJob: task,
-        task: taskName(execution.job.id, task),
+      const run = newLiveRun(execution, task, {
         run: task.progress.run,
-        stepKey: stepName(execution.job.id, task),
-        ticket: '',
+        plannedAt: this.parts.clock.monotonicMilliseconds(),
         weight: 1,
-        plannedAt: now,
-        isWatched: true,
         expectedMilliseconds: this.dispatcher.expectedTime(execution, task),
-        orderedAt: undefined,
-        beganAt: undefined,
+        isWatched: true,
         status: RunStatus.Recovered,
         settledAt: -Infinity,
-        stopAsked: false,
-        percent: 0,
-        progressedAt: now,
-        pacePercent: 100,
-      };
+      });
       const session = this.registry.find(task.progress.worker);
       if (session) session.expect(run);
       else this.orphans.keep(task.progress.worker, run);
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -15,7 +15,13 @@
   type RankedJob,
   type WorkerChoice,
 } from '@gentiandoor/scheduling';
-import {RunStatus, stepName, taskName, type LiveRun} from './live-run.js';
+import {
+  RunStatus,
+  newLiveRun,
+  stepName,
+  taskName,
+  type LiveRun,
+} from './live-run.js';
 import type {Queue} from './operator-records.js';
 import {PlacementRound} from './placement-round.js';
 import type {ServiceDemand} from './service-demand.js';
@@ -93,14 +99,10 @@
 
   /** Adds a job that is `ageMilliseconds` old. */
   add(execution: JobExecution, ageMilliseconds: number): void {
-    const service = this.serviceOf(execution);
-    let jobs = this.active.get(service);
-    if (!jobs) this.active.set(service, (jobs = new Set()));
-    jobs.add(execution);
     const now = this.clock.monotonicMilliseconds();
     this.firstSeen.set(execution, now - ageMilliseconds);
     this.noteDemand(execution, ageMilliseconds);
-    this.wake(service);
+    this.enrol(execution);
   }
 
   /** Notes that a job was handed in so long ago, whatever became of it: turns are learned from it. */
@@ -120,17 +122,10 @@
 
   /** Run time to expect of a task, in milliseconds. */
   expectedTime(execution: JobExecution, task: ExecutableTask): number {
-    return this.demand
-      .durationsOf(execution.job.queue)
-      .expected(task.specification.estimatedMilliseconds);
-  }
-
-  /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
-  private isWatched(execution: JobExecution, task: ExecutableTask): boolean {
-    const workers = this.failedOn.get(taskName(execution.job.id, task));
-    return (workers?.size ?? 0) < MOST_STALLS;
+    return this.demand.expectedTime(execution.job.queue, task.specification);
   }
 
+  /** Takes a job out that has come to its end. */
   remove(execution: JobExecution): void {
     for (const jobs of this.active.values()) jobs.delete(execution);
     this.firstSeen.delete(execution);
@@ -167,13 +162,7 @@
   regroup(): void {
     const all = [...this.active.values()].flatMap(jobs => [...jobs]);
     this.active.clear();
-    for (const execution of all) {
-      const service = this.serviceOf(execution);
-      let jobs = this.active.get(service);
-      if (!jobs) this.active.set(service, (jobs = new Set()));
-      jobs.add(execution);
-      this.wake(service);
-    }
+    for (const execution of all) this.enrol(execution);
   }
 
   close(): void {
@@ -181,6 +170,14 @@
     for (const timer of this.sleeps.values()) timer.cancel();
   }
 
+  /** Lets a job wait among those of its service. */
+  private enrol(execution: JobExecution): void {
+    const service = this.serviceOf(execution);
+    const jobs = this.active.get(service) ?? new Set();
+    this.active.set(service, jobs.add(execution));
+    this.wake(service);
+  }
+
   private serviceOf(execution: JobExecution): string {
     return this.host.queueOf(execution)?.service ?? execution.job.service;
   }
@@ -259,9 +256,8 @@
       dueWall > 0
         ? now - (wall - dueWall)
         : (this.firstSeen.get(execution) ?? now);
-    const durations = this.demand.durationsOf(execution.job.queue);
     const expected = (step: StepSpecification) =>
-      durations.expected(step.estimatedMilliseconds);
+      this.demand.expectedTime(execution.job.queue, step);
     const remainingChain = execution.remainingChain(occurrence, expected);
     const objective =
       (queue?.stretch ?? 1) * execution.wholeChain(expected) +
@@ -287,6 +283,12 @@
     };
   }
 
+  /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
+  private isWatched(execution: JobExecution, task: ExecutableTask): boolean {
+    const workers = this.failedOn.get(taskName(execution.job.id, task));
+    return (workers?.size ?? 0) < MOST_STALLS;
+  }
+
   /** Replaces the service's timer: with one for each round and job, busy rounds would lead to as many later ones for good. */
   private sleepUntil(service: string, dueAt: number, wall: number): void {
     this.sleeps.get(service)?.cancel();
@@ -325,45 +327,19 @@
     tasks.forEach((task, index) => {
       const session = chosen[index];
       const run = execution.beginRun(task, session.id, together);
-      this.host.launch(session, {
-        ...plannedRun(execution, task, run, now),
+      const planned = newLiveRun(execution, task, {
+        run,
+        plannedAt: now,
         weight,
         expectedMilliseconds: this.expectedTime(execution, task),
         isWatched: this.isWatched(execution, task),
+        status: RunStatus.Planned,
+        settledAt: Infinity,
       });
+      this.host.launch(session, planned);
     });
     return true;
   }
 }
 
 const NOWHERE: ReadonlySet<string> = new Set();
-
-type PlannedRun = Omit<
-  LiveRun,
-  'weight' | 'expectedMilliseconds' | 'isWatched'
->;
-
-function plannedRun(
-  execution: JobExecution,
-  task: ExecutableTask,
-  run: number,
-  now: number,
-): PlannedRun {
-  return {
-    execution,
-    taskOfJob: task,
-    task: taskName(execution.job.id, task),
-    run,
-    stepKey: stepName(execution.job.id, task),
-    ticket: '',
-    plannedAt: now,
-    orderedAt: undefined,
-    beganAt: undefined,
-    status: RunStatus.Planned,
-    settledAt: Infinity,
-    stopAsked: false,
-    percent: 0,
-    progressedAt: now,
-    pacePercent: 100,
-  };
-}
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -1,3 +1,4 @@
+import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import {sleep} from '@gentiandoor/kernel';
 import {
   planPools,
@@ -7,7 +8,7 @@
   type PlannedVm,
 } from '@gentiandoor/scheduling';
 import type {Dispatcher} from './dispatcher.js';
-import {RunStatus, type LiveRun} from './live-run.js';
+import {RunStatus, taskName, type LiveRun} from './live-run.js';
 import {VmOrderOutcome, VmState, type ListedVm} from './machine-gateway.js';
 import type {MaintenanceWave, ServicePool} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
@@ -353,19 +354,18 @@
     const away = run.execution
       .tasksOfStep(run.taskOfJob.occurrence, run.taskOfJob.step)
       .filter(task => task !== run.taskOfJob)
-      .filter(task => !this.isAtWork(run, task.key)).length;
+      .filter(task => !this.isAtWork(run.execution, task)).length;
     return away < Math.max(1, step.mayMiss);
   }
 
-  private isAtWork(run: LiveRun, taskKey: string): boolean {
-    const task = run.execution.task(taskKey);
-    const session = task && this.registry.find(task.progress.worker);
-    const other = session?.runs.get(`${run.execution.job.id}.${taskKey}`);
+  private isAtWork(execution: JobExecution, task: ExecutableTask): boolean {
+    const session = this.registry.find(task.progress.worker);
+    const run = session?.runs.get(taskName(execution.job.id, task));
     return (
-      other !== undefined &&
-      other.status === RunStatus.Confirmed &&
-      !other.stopAsked &&
-      other.percent >= FULL_PERCENT
+      run !== undefined &&
+      run.status === RunStatus.Confirmed &&
+      !run.stopAsked &&
+      run.percent >= FULL_PERCENT
     );
   }
 
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -42,6 +42,45 @@
   pacePercent: number;
 }
 
+/** What differs between a run that is planned here and one that an earlier coordinator ordered. */
+export type RunStart = Pick<
+  LiveRun,
+  | 'run'
+  | 'plannedAt'
+  | 'weight'
+  | 'expectedMilliseconds'
+  | 'isWatched'
+  | 'status'
+  | 'settledAt'
+>;
+
+/** A run of a task of which nothing has been heard yet. */
+export function newLiveRun(
+  execution: JobExecution,
+  task: ExecutableTask,
+  start: RunStart,
+): LiveRun {
+  return {
+    execution,
+    taskOfJob: task,
+    task: taskName(execution.job.id, task),
+    stepKey: stepName(execution.job.id, task),
+    ticket: '',
+    orderedAt: undefined,
+    beganAt: undefined,
+    stopAsked: false,
+    percent: 0,
+    progressedAt: start.plannedAt,
+    pacePercent: 100,
+    ...start,
+  };
+}
+
+/** Name of a run among all jobs. */
+export function runName({task, run}: RunName): string {
+  return `${task}/${run}`;
+}
+
 /** Name of a task among all jobs. */
 export function taskName(jobId: string, task: ExecutableTask): string {
   return `${jobId}.${task.key}`;
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -1,4 +1,4 @@
-import type {JobSubmission} from '@gentiandoor/jobs';
+import type {JobSubmission, StepSpecification} from '@gentiandoor/jobs';
 import {
   DemandMeter,
   DurationModel,
@@ -65,6 +65,11 @@
     return model;
   }
 
+  /** Run time to expect of a task of `step`, in milliseconds. */
+  expectedTime(queue: string, step: StepSpecification): number {
+    return this.durationsOf(queue).expected(step.estimatedMilliseconds);
+  }
+
   private rateOf(service: string): ServiceRate {
     let rate = this.rates.get(service);
     if (!rate) {
@@ -85,7 +90,6 @@
 
   /** Millicores times milliseconds of all tasks of a job that end by themselves. */
   private workOf(job: JobSubmission): number {
-    const durations = this.durationsOf(job.queue);
     return job.steps
       .filter(step => !step.longRunning)
       .reduce(
@@ -93,7 +97,7 @@
           sum +
           step.taskCount *
             occupiedMillicores(step, this.room) *
-            durations.expected(step.estimatedMilliseconds),
+            this.expectedTime(job.queue, step),
         0,
       );
   }
--- a/packages/coordinator/src/stray-runs.ts
+++ b/packages/coordinator/src/stray-runs.ts
@@ -1,4 +1,5 @@
 import {LogEvent, type Logger} from '@gentiandoor/kernel';
+import {runName} from './live-run.js';
 import {
   OrderOutcome,
   type ListedRun,
@@ -19,7 +20,7 @@
 
   /** Stops a run that was listed; one whose order got no answer is stopped again when it is listed again. */
   async stop(worker: string, listed: ListedRun): Promise<void> {
-    const name = `${listed.task}/${listed.run}`;
+    const name = runName(listed);
     if (this.stopping.has(name)) return;
     this.stopping.add(name);
     this.logger.warn(LogEvent.RunStopped, {
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -10,7 +10,7 @@
 } from '@gentiandoor/scheduling';
 import {BestEffortPacer} from './best-effort-pacer.js';
 import {EndCursor} from './end-cursor.js';
-import {RunStatus, type LiveRun} from './live-run.js';
+import {RunStatus, runName, type LiveRun} from './live-run.js';
 import {
   hasLongRunningTask,
   placementView,
@@ -361,7 +361,7 @@
   private noteEnds(ended: readonly EndedRun[]): Set<string> {
     const names = new Set<string>();
     for (const item of ended) {
-      names.add(`${item.task}/${item.run}`);
+      names.add(runName(item));
       if (!this.ends.isNew(item.number)) continue;
       const run = this.runs.get(item.task);
       if (run?.run === item.run) this.end(run, item.end, item.checkpoint);
@@ -397,9 +397,9 @@
     ended: ReadonlySet<string>,
     requestedAt: number,
   ): void {
-    const alive = new Set(running.map(item => `${item.task}/${item.run}`));
+    const alive = new Set(running.map(runName));
     for (const run of [...this.runs.values()]) {
-      const name = `${run.task}/${run.run}`;
+      const name = runName(run);
       if (alive.has(name) || ended.has(name)) continue;
       const settled =
         run.status === RunStatus.Recovered || run.settledAt < requestedAt;
