Tests of the coordinator: one way to start a daemon, to ask it, to lose a coordinator, one set of settings

Twenty-one tests started their daemon in the same three lines, two suites and the settings test of the entry had the same settings, the term's tests set the same scene four times. Assertions are as they were.

--- a/packages/coordinator/src/__tests__/bad-workers.test.ts
+++ b/packages/coordinator/src/__tests__/bad-workers.test.ts
@@ -16,9 +16,7 @@
   daemon: TestDaemon,
   id: string,
 ): Promise<JobState | undefined> {
-  const answer = daemon.desk.state(id);
-  await deployment.run(50);
-  const found = await answer;
+  const found = await deployment.answerOf(daemon, id);
   return found.kind === 'state' ? found.state : undefined;
 }
 
@@ -30,9 +28,7 @@
       const deployment = new TestDeployment(2);
       deployment.workerBehaviours.set('worker-0', {stallsAtPercent: 40});
       deployment.workerBehaviours.set('worker-1', {stallsAtPercent: 40});
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       void daemon.desk.submit(job('a'), BOUND);
       await deployment.run(600);
       const [first] = deployment.begunRuns();
@@ -47,9 +43,7 @@
     it('keeps a task that is far longer than its estimate', async () => {
       const deployment = new TestDeployment(4);
       deployment.behaviours.set('a', behaviour({durationMilliseconds: 90_000}));
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       void daemon.desk.submit(job('a'), BOUND);
       await deployment.run(110_000);
       assert.equal(await stateOf(deployment, daemon, 'a'), JobState.Completed);
@@ -62,9 +56,7 @@
       deployment.workerBehaviours.set('worker-0', {
         durationMilliseconds: 4_000,
       });
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       void daemon.desk.submit(job('a'), BOUND);
       await deployment.run(5_000);
       assert.equal(await stateOf(deployment, daemon, 'a'), JobState.Completed);
@@ -85,9 +77,7 @@
         durationMilliseconds: 20,
         end: RunEnd.Failed,
       });
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       const ids = Array.from({length: 40}, (_, index) => `job-${index}`);
       for (const id of ids) {
         deployment.behaviours.set(id, behaviour({durationMilliseconds: 2_000}));
--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -21,7 +21,7 @@
   TermKeeper,
   VmState,
   type CoordinatorParts,
-  type EntrySettings,
+  type JobAnswer,
   type OperatorRecord,
   type RecordFormats,
   type WorkerEntry,
@@ -31,6 +31,7 @@
   SimulatedFleet,
   SimulatedWorker,
   SimulatedWorkers,
+  simulatedSettings,
   type BegunRun,
   type StoreConnection,
   type TaskBehaviour,
@@ -108,7 +109,7 @@
       logger,
     );
     this.parts = {
-      settings: settingsOf(node),
+      settings: simulatedSettings(node),
       log: this.store,
       formats: new PlainFormats(),
       workers: this.workers,
@@ -184,6 +185,14 @@
       this.addWorker(`worker-${index}`, SERVICE);
   }
 
+  /** Starts a daemon and lets it take the term. */
+  async startDaemon(node: string): Promise<TestDaemon> {
+    const daemon = new TestDaemon(this, node);
+    daemon.start();
+    await this.run(200);
+    return daemon;
+  }
+
   publishConfiguration(version: number): void {
     const record: OperatorRecord = {
       kind: 'configuration',
@@ -280,6 +289,13 @@
     await this.clock.advanceAsync(milliseconds);
   }
 
+  /** What a daemon says of a job. */
+  async answerOf(daemon: TestDaemon, jobId: string): Promise<JobAnswer> {
+    const answer = daemon.desk.state(jobId);
+    await this.run(50);
+    return answer;
+  }
+
   /** Every run that any worker began, in order. */
   begunRuns(): BegunRun[] {
     return [...this.workers.byAddress.values()]
@@ -340,28 +356,3 @@
     ...differences,
   };
 }
-
-function settingsOf(node: string): EntrySettings {
-  return {
-    node,
-    dataCentre: 'one',
-    isFirstStart: false,
-    size: {cores: 1, megabitsPerSecond: 1_000},
-    callerAddress: '',
-    readinessAddress: '',
-    storeAddress: '',
-    machineListAddress: '',
-    adviceAddress: '',
-    limits: {
-      maximumLease: 10_000,
-      cancel: 3_000,
-      notice: 4_500,
-      holderChange: 3_000,
-      grace: 6_000,
-      stateKept: 120_000,
-      move: 1_500,
-      maintenance: 2_000,
-      harm: 4_000,
-    },
-  };
-}
--- a/packages/coordinator/src/__tests__/once-at-most.test.ts
+++ b/packages/coordinator/src/__tests__/once-at-most.test.ts
@@ -27,9 +27,7 @@
   describe('on a calm day', () => {
     it('runs once and its job is shown as completed after the end is stored', async () => {
       const deployment = new TestDeployment(2);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       const answers = await submitted(
         deployment,
         daemon,
@@ -37,9 +35,8 @@
       );
       assert.deepEqual(answers, [SubmitAnswer.Taken]);
       await deployment.run(2_000);
-      const state = daemon.desk.state('a');
-      await deployment.run(50);
-      assert.deepEqual(await state, {
+      const state = await deployment.answerOf(daemon, 'a');
+      assert.deepEqual(state, {
         kind: 'state',
         state: JobState.Completed,
       });
@@ -48,9 +45,7 @@
 
     it('has its end acknowledged, so that the worker may forget it', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       await submitted(deployment, daemon, job('a'));
       await deployment.run(2_000);
       assert.equal(deployment.worker('worker-0')?.unacknowledged, 0);
@@ -63,15 +58,12 @@
     it('is started as often as the queue allows and no more', async () => {
       const deployment = new TestDeployment(3);
       deployment.behaviours.set('bad', behaviour({end: RunEnd.Failed}));
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       await submitted(deployment, daemon, job('bad'));
       await deployment.run(6_000);
       assert.equal(deployment.begunRuns().length, 3);
-      const state = daemon.desk.state('bad');
-      await deployment.run(50);
-      assert.deepEqual(await state, {kind: 'state', state: JobState.Failed});
+      const state = await deployment.answerOf(daemon, 'bad');
+      assert.deepEqual(state, {kind: 'state', state: JobState.Failed});
     });
   });
 
@@ -80,9 +72,7 @@
     // has given up on it; a start elsewhere in the meantime would run the task twice.
     it('does not run twice when the start is carried out late', async () => {
       const deployment = new TestDeployment(2);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.workers.setFault('worker-0', WorkerFault.StartsLate);
       daemon.workers.setFault('worker-1', WorkerFault.StartsLate);
       await submitted(deployment, daemon, job('a', [step({taskCount: 4})]));
@@ -100,9 +90,7 @@
     // The start was carried out and only its answer was lost: the next try finds it there.
     it('runs once when only the answer was lost', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.workers.setFault('worker-0', WorkerFault.AnswersLost);
       await submitted(deployment, daemon, job('a'));
       await deployment.run(8_000);
@@ -120,9 +108,7 @@
         'lasting',
         behaviour({durationMilliseconds: undefined}),
       );
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       await submitted(
         deployment,
         daemon,
@@ -158,9 +144,8 @@
       const runs = deployment.begunRuns();
       assert.equal(runs.length, 4);
       assert.ok(runs.every(run => run.end === RunEnd.Done));
-      const state = second.desk.state('long');
-      await deployment.run(50);
-      assert.deepEqual(await state, {
+      const state = await deployment.answerOf(second, 'long');
+      assert.deepEqual(state, {
         kind: 'state',
         state: JobState.Completed,
       });
@@ -193,9 +178,7 @@
   describe('while the store refuses', () => {
     it('is refused at once, and never runs', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.store.setFault(StoreFault.Refusing);
       const answer = daemon.desk.submit(job('a'), BOUND);
       await deployment.run(700);
@@ -211,9 +194,7 @@
     // back may be in doubt; all others hear for certain that they were not taken.
     it('leaves one caller in doubt and refuses the others', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.store.setFault(StoreFault.Silent);
       const first = daemon.desk.submit(job('first'), BOUND);
       await deployment.run(1_600);
@@ -234,9 +215,7 @@
     // would hand it in again under another name.
     it('is said to be in doubt, not refused', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.store.setFault(StoreFault.DoneLate);
       const answer = daemon.desk.submit(job('a'), BOUND);
       await deployment.run(3_100);
@@ -247,9 +226,7 @@
     // hear in time that the outcome is open, or it finds out only by its own clock.
     it('is answered before the caller stops waiting', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.store.setFault(StoreFault.Silent);
       let answer: SubmitAnswer | undefined;
       void daemon.desk.submit(job('a'), BOUND).then(given => {
@@ -262,9 +239,7 @@
     // The second try is refused for certain, but the first may still be carried out.
     it('stays in doubt when a second try is refused', async () => {
       const deployment = new TestDeployment(1);
-      const daemon = new TestDaemon(deployment, 'one');
-      daemon.start();
-      await deployment.run(200);
+      const daemon = await deployment.startDaemon('one');
       daemon.store.setFault(StoreFault.Silent);
       const first = daemon.desk.submit(job('a'), BOUND);
       await deployment.run(3_100);
@@ -300,9 +275,7 @@
       'long',
       behaviour({durationMilliseconds: 60_000}),
     );
-    const daemon = new TestDaemon(deployment, 'one');
-    daemon.start();
-    await deployment.run(200);
+    const daemon = await deployment.startDaemon('one');
     await submitted(deployment, daemon, job('long', [step({taskCount: 20})]));
     await deployment.run(500);
     const answer = daemon.desk.cancel('long', BOUND);
@@ -345,9 +318,7 @@
 
   it('of a job that nobody handed in is answered as absent', async () => {
     const deployment = new TestDeployment(1);
-    const daemon = new TestDaemon(deployment, 'one');
-    daemon.start();
-    await deployment.run(200);
+    const daemon = await deployment.startDaemon('one');
     const answer = daemon.desk.cancel('nobody', BOUND);
     await deployment.run(100);
     assert.deepEqual(await answer, {kind: 'absent'});
--- a/packages/coordinator/src/__tests__/overload.test.ts
+++ b/packages/coordinator/src/__tests__/overload.test.ts
@@ -62,9 +62,7 @@
       'lasting',
       behaviour({durationMilliseconds: undefined}),
     );
-    const daemon = new TestDaemon(deployment, 'one');
-    daemon.start();
-    await deployment.run(200);
+    const daemon = await deployment.startDaemon('one');
     await submit(deployment, daemon, [lastingJob('lasting', 2)]);
     await overload(deployment, daemon, 12);
     deployment.clock.schedule(300, () => deployment.crashWorker('worker-1'));
@@ -83,9 +81,7 @@
       'lasting',
       behaviour({durationMilliseconds: undefined}),
     );
-    const daemon = new TestDaemon(deployment, 'one');
-    daemon.start();
-    await deployment.run(200);
+    const daemon = await deployment.startDaemon('one');
     await submit(deployment, daemon, [lastingJob('lasting', 20)]);
     await submit(deployment, daemon, [job('short')]);
     await deployment.run(1_000);
--- a/packages/coordinator/src/__tests__/pools.test.ts
+++ b/packages/coordinator/src/__tests__/pools.test.ts
@@ -35,9 +35,7 @@
     deployment.linkFleet();
     for (let index = 0; index < 12; index++)
       deployment.addWorker(`spare-${index}`, STANDBY);
-    const daemon = new TestDaemon(deployment, 'one');
-    daemon.start();
-    await deployment.run(200);
+    const daemon = await deployment.startDaemon('one');
     const large = step({
       taskCount: 12,
       processorMillicores: 1_000,
@@ -68,9 +66,7 @@
     const deployment = new TestDeployment(6);
     deployment.linkFleet();
     deployment.addWorker('spare-0', STANDBY);
-    const daemon = new TestDaemon(deployment, 'one');
-    daemon.start();
-    await deployment.run(200);
+    const daemon = await deployment.startDaemon('one');
     await turn(deployment, daemon, 4);
     return {deployment, daemon};
   }
--- a/packages/coordinator/src/__tests__/term-keeper.test.ts
+++ b/packages/coordinator/src/__tests__/term-keeper.test.ts
@@ -42,21 +42,47 @@
 const WEAK = 0.2;
 const STRONG = 1.35;
 
+/** A strong coordinator was just killed, among weak daemons and one more strong one. */
+async function strongCoordinatorLost(seed: number): Promise<{
+  all: Candidates;
+  weak: readonly Candidate[];
+  strong: Candidate;
+}> {
+  const all = new Candidates(seed);
+  const first = all.add('strong-1', STRONG);
+  await all.clock.advanceAsync(100);
+  const weak = Array.from({length: 8}, (_, index) =>
+    all.add(`weak-${index}`, WEAK),
+  );
+  const strong = all.add('strong-2', STRONG);
+  await all.clock.advanceAsync(2_000);
+  first.store.kill();
+  return {all, weak, strong};
+}
+
+/** When the only other daemon takes the term after a strong coordinator was killed. */
+async function leftAlone(strength: number): Promise<{
+  began: readonly number[];
+  lostAt: number;
+}> {
+  const all = new Candidates();
+  const first = all.add('first', STRONG);
+  await all.clock.advanceAsync(100);
+  const {began} = all.add('second', strength);
+  await all.clock.advanceAsync(2_000);
+  first.store.kill();
+  const lostAt = all.clock.monotonicMilliseconds();
+  await all.clock.advanceAsync(3_000);
+  return {began, lostAt};
+}
+
 describe('the next term', () => {
   describe('among VMs of several sizes', () => {
     // Callers wait for seconds, then are turned away. The coordinator's VM is lost, one of the many
     // small ones is the quickest to take the term, and its processor and link can't carry it.
     it('goes to a strong VM while one is there', async () => {
       for (const seed of [100, 200, 300, 400]) {
-        const all = new Candidates(seed);
-        const first = all.add('strong-1', STRONG);
-        await all.clock.advanceAsync(100);
-        const weak = Array.from({length: 8}, (_, index) =>
-          all.add(`weak-${index}`, WEAK),
-        );
-        const strong = all.add('strong-2', STRONG);
-        await all.clock.advanceAsync(2_000);
-        first.store.kill();
+        const {all, weak, strong} = await strongCoordinatorLost(seed);
         await all.clock.advanceAsync(2_000);
         assert.equal(strong.began.length, 1, `seed ${seed}`);
         assert.ok(weak.every(one => one.began.length === 0));
@@ -67,15 +93,7 @@
     // the first of many small VMs to reach it took the term.
     it('goes to a strong VM when the store comes back from an outage', async () => {
       for (const seed of [100, 200, 300, 400]) {
-        const all = new Candidates(seed);
-        const first = all.add('strong-1', STRONG);
-        await all.clock.advanceAsync(100);
-        const weak = Array.from({length: 8}, (_, index) =>
-          all.add(`weak-${index}`, WEAK),
-        );
-        const strong = all.add('strong-2', STRONG);
-        await all.clock.advanceAsync(2_000);
-        first.store.kill();
+        const {all, weak, strong} = await strongCoordinatorLost(seed);
         const others = [strong, ...weak];
         for (const {store} of others) store.setFault(StoreFault.Refusing);
         await all.clock.advanceAsync(4_000);
@@ -88,16 +106,9 @@
 
     // All strong VMs are gone for good; a weak coordinator is better than none.
     it('goes to a weak VM soon after when no strong one takes it', async () => {
-      const all = new Candidates();
-      const strong = all.add('strong', STRONG);
-      await all.clock.advanceAsync(100);
-      const weak = all.add('weak', WEAK);
-      await all.clock.advanceAsync(2_000);
-      strong.store.kill();
-      const lostAt = all.clock.monotonicMilliseconds();
-      await all.clock.advanceAsync(3_000);
-      assert.equal(weak.began.length, 1);
-      assert.ok(weak.began[0] - lostAt < 2_200);
+      const {began, lostAt} = await leftAlone(WEAK);
+      assert.equal(began.length, 1);
+      assert.ok(began[0] - lostAt < 2_200);
     });
 
     // Each daemon tells its strength at its start, and the first one up would not wait for that.
@@ -130,15 +141,8 @@
 
   describe('among VMs of one size', () => {
     it('costs no more time than it did without telling strengths', async () => {
-      const all = new Candidates();
-      const first = all.add('one', STRONG);
-      await all.clock.advanceAsync(100);
-      const second = all.add('two', STRONG);
-      await all.clock.advanceAsync(2_000);
-      first.store.kill();
-      const lostAt = all.clock.monotonicMilliseconds();
-      await all.clock.advanceAsync(3_000);
-      assert.ok(second.began[0] - lostAt < 1_650);
+      const {began, lostAt} = await leftAlone(STRONG);
+      assert.ok(began[0] - lostAt < 1_650);
     });
   });
 });
--- /dev/null
+++ b/packages/coordinator/src/stand-ins/simulated-settings.ts
@@ -0,0 +1,27 @@
+import type {EntrySettings} from '../index.js';
+
+/** Settings of a daemon on stand-ins, which listens nowhere. */
+export function simulatedSettings(node: string): EntrySettings {
+  return {
+    node,
+    dataCentre: 'one',
+    isFirstStart: false,
+    size: {cores: 1, megabitsPerSecond: 1_000},
+    callerAddress: '',
+    readinessAddress: '',
+    storeAddress: '',
+    machineListAddress: '',
+    adviceAddress: '',
+    limits: {
+      maximumLease: 10_000,
+      cancel: 3_000,
+      notice: 4_500,
+      holderChange: 3_000,
+      grace: 6_000,
+      stateKept: 120_000,
+      move: 1_500,
+      maintenance: 2_000,
+      harm: 4_000,
+    },
+  };
+}
--- a/packages/entry/src/__tests__/settings-watch.test.ts
+++ b/packages/entry/src/__tests__/settings-watch.test.ts
@@ -1,31 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {EntrySettings} from '@gentiandoor/coordinator';
+import {simulatedSettings} from '@gentiandoor/coordinator/stand-ins';
 import {SilentLogger, VirtualClock} from '@gentiandoor/kernel';
 import {SettingsWatch} from '../settings-watch.js';
 
-const SETTINGS: EntrySettings = {
-  node: 'one',
-  dataCentre: 'here',
-  isFirstStart: false,
-  size: {cores: 1, megabitsPerSecond: 1_000},
-  callerAddress: '127.0.0.1:1',
-  readinessAddress: '127.0.0.1:2',
-  storeAddress: '127.0.0.1:3',
-  machineListAddress: '127.0.0.1:4',
-  adviceAddress: '',
-  limits: {
-    maximumLease: 10_000,
-    cancel: 3_000,
-    notice: 4_500,
-    holderChange: 3_000,
-    grace: 6_000,
-    stateKept: 120_000,
-    move: 1_500,
-    maintenance: 2_000,
-    harm: 4_000,
-  },
-};
+const SETTINGS = simulatedSettings('one');
 
 describe('SettingsWatch', () => {
   it('takes a changed file without a signal', () => {
