--- a/packages/bench/src/scenarios/request-path-deployment.ts
+++ b/packages/bench/src/scenarios/request-path-deployment.ts
@@ -3,6 +3,7 @@
 import {Deployment, type DaemonPlan} from '../deployment.js';
 import {Balancer} from '../load/balancer.js';
 import {SteadyLoad} from '../load/steady-load.js';
+import {oneRackBundle} from '../one-rack-bundle.js';
 import type {BrokenPromises, PromiseLedger} from '../promise-ledger.js';
 import type {ScenarioCheck, ScenarioRow} from '../scenario.js';
 
@@ -105,22 +106,12 @@
   }
 
   private bundleText(): string {
-    return `
-[bundle]
-version = 1
-base = 0
-author = moana
-sign_offs = 1
-[operator.kerry]
-public_key = ${this.deployment.operator.publicKey}
-[rack.${RACK}]
-data_centre = ${DATA_CENTRE}
-vms = ${RACK}-[1-${TARGETS}]
-[pool.${DESK}]
-vms = ${RACK}-[1-${TARGETS}]
-[service.${DESK}]
-pool = ${DESK}
-deadline_milliseconds = ${this.plan.deadlineMilliseconds}
+    const bundle = oneRackBundle({
+      publicKey: this.deployment.operator.publicKey,
+      service: DESK,
+      vms: `${RACK}-[1-${TARGETS}]`,
+    });
+    return `${bundle}deadline_milliseconds = ${this.plan.deadlineMilliseconds}
 `;
   }
 }
