A run that comes back with its worker is stopped if its job has ended

The runs were handed to the worker's session when the entry came back and were renewed for good; nobody remembered that their job had ended. Ruled out: late orders, a lost answer to the stop (none was sent), a slow coordinator. Change: Coordinator.sessionAdded stops such runs at once.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -280,7 +280,13 @@
 
   /** A worker has come: runs that were ordered there may be alive. */
   sessionAdded(session: WorkerSession): void {
-    for (const run of this.orphans.take(session.id)) session.expect(run);
+    for (const run of this.orphans.take(session.id)) {
+      session.expect(run);
+      // Its job may have ended while there was nobody to order about: the run would go on for good,
+      // its lease renewed. Every run enters a session here or where it is ordered, so none is missed.
+      if (run.execution.ended || run.taskOfJob.progress.done)
+        void session.stop(run);
+    }
   }
 
   noteIncarnations(alive: ReadonlySet<string>): void {
