Runs that may still be stopping do not count as at work

A worker lists such a run as at work for up to 0.9 s. Test first: evacuation.test.ts, fails without it. Also: PoolSized (1934) logs what the size of each pool is decided from, twice a second at most and only when it changes.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/evacuation.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {SimulatedWorker} from '../stand-ins/index.js';
+import {TestDeployment, behaviour, job, step} from './deployment.js';
+
+const BOUND = 3_000;
+const STOP_MILLISECONDS = 900;
+
+describe('a VM that is emptied for maintenance', () => {
+  describe('when the coordinator changes while a run is being stopped', () => {
+    // A service that may miss one task misses two. The coordinator has one task of the step stopped
+    // and gives its term back; the worker takes its time and lists the run as at work meanwhile. The
+    // next coordinator takes the step for whole and has a second task stopped.
+    it('loses no second task of the step before the first is back', async () => {
+      const deployment = new TestDeployment(2);
+      deployment.behaviours.set(
+        'lasting',
+        behaviour({durationMilliseconds: undefined}),
+      );
+      const first = await deployment.startDaemon('one');
+      const asked = job('lasting', [
+        step({
+          longRunning: true,
+          taskCount: 2,
+          maximumPerWorker: 1,
+          mayMiss: 1,
+        }),
+      ]);
+      void first.desk.submit(asked, BOUND);
+      await deployment.run(3_000);
+      const [kept, stopped] = [
+        workerOf(deployment, 'worker-0'),
+        workerOf(deployment, 'worker-1'),
+      ];
+      assert.equal(kept.running.length, 1);
+      assert.equal(stopped.running.length, 1);
+      stopped.stopMilliseconds = STOP_MILLISECONDS;
+      // The second wave is short of time at once, the first a moment later.
+      askForWave(deployment, 1, kept.id, 9_700);
+      askForWave(deployment, 2, stopped.id, 3_000);
+      for (let tries = 0; tries < 100 && stopped.stopsAsked === 0; tries++)
+        await deployment.run(10);
+      assert.equal(stopped.stopsAsked, 1);
+      void first.keeper.stop();
+      const second = await deployment.startDaemon('two');
+      await deployment.run(400);
+
+      assert.ok(second.coordinator);
+      assert.equal(stopped.running.length, 1, 'the stop is still under way');
+      assert.equal(kept.stopsAsked, 0);
+    });
+  });
+});
+
+function workerOf(deployment: TestDeployment, id: string): SimulatedWorker {
+  const worker = deployment.worker(id);
+  assert.ok(worker);
+  return worker;
+}
+
+function askForWave(
+  deployment: TestDeployment,
+  number: number,
+  vm: string,
+  durationMilliseconds: number,
+): void {
+  deployment.writeOperatorRecord(`wave-${number}`, {
+    kind: 'wave',
+    wave: {number, vms: [vm], durationMilliseconds, maximumAtOnce: 1},
+  });
+}
--- a/packages/coordinator/src/entry-settings.ts
+++ b/packages/coordinator/src/entry-settings.ts
@@ -41,6 +41,8 @@
   /** A pool change and a maintenance take so long. */
   readonly move: number;
   readonly maintenance: number;
+  /** A worker takes so long at most to stop a run. */
+  readonly stop: number;
   /** A task may stay over its response time target so long. */
   readonly harm: number;
 }
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -12,6 +12,7 @@
 import {VmOrderOutcome, VmState, type ListedVm} from './machine-gateway.js';
 import type {MaintenanceWave, ServicePool} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
+import {PoolLog} from './pool-log.js';
 import type {RecordFormats} from './record-formats.js';
 import type {ServiceDemand} from './service-demand.js';
 import type {StreamFollower} from './stream-follower.js';
@@ -56,6 +57,7 @@
   /** The incarnation that each VM was last seen to carry. */
   private readonly incarnations = new Map<string, string>();
   private readonly waves: WaveProgress;
+  private readonly poolLog: PoolLog;
   private vms: readonly ListedVm[] = [];
   private closed = false;
 
@@ -68,6 +70,7 @@
     private readonly host: FleetHost,
   ) {
     this.waves = new WaveProgress(parts);
+    this.poolLog = new PoolLog(parts.clock, parts.logger);
     this.orders = new VmOrders(term, parts, () => host.ordersAllowed());
   }
 
@@ -125,6 +128,7 @@
 
   private async round(): Promise<void> {
     const pools = this.plannedPools();
+    this.poolLog.note(pools, this.parts.jobs.ageMilliseconds);
     const requests: VmOrderRequest[] = [];
     for (const wave of this.parts.operators.waves.values())
       requests.push(...this.stepWave(wave, pools));
@@ -365,10 +369,22 @@
       run !== undefined &&
       run.status === RunStatus.Confirmed &&
       !run.stopAsked &&
-      run.percent >= FULL_PERCENT
+      run.percent >= FULL_PERCENT &&
+      !this.mayBeStopping(run)
     );
   }
 
+  /**
+   * The coordinator before may have had a run stopped just before its term ended. The worker lists it
+   * as at work until it is gone, and a second task of its step would be taken away beside it. Since
+   * the worker has seen this term's token no earlier order is taken, so the longest stop bounds it.
+   */
+  private mayBeStopping(run: LiveRun): boolean {
+    const isOfEarlierTerm = run.beganAt === undefined;
+    const seenFor = this.now() - run.settledAt;
+    return isOfEarlierTerm && seenFor < this.parts.settings.limits.stop;
+  }
+
   private sessionOn(vm: ListedVm): WorkerSession | undefined {
     return this.registry.find(vm.workerId);
   }
--- /dev/null
+++ b/packages/coordinator/src/pool-log.ts
@@ -0,0 +1,56 @@
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import {wantedVms, type PlannedPool} from '@gentiandoor/scheduling';
+
+/** Two lines a second of a pool that changes: enough to see a burst of seconds, and bounded by the number of pools. */
+const LEAST_GAP_MILLISECONDS = 500;
+
+interface LastLine {
+  readonly at: number;
+  readonly text: string;
+}
+
+/** Logs what the size of each pool is decided from, when it changes. */
+export class PoolLog {
+  private readonly last = new Map<string, LastLine>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** `demandAgeMilliseconds`: how old the picture of the jobs is. */
+  note(pools: readonly PlannedPool[], demandAgeMilliseconds: number): void {
+    for (const pool of pools)
+      if (!pool.standby) this.noteOne(pool, demandAgeMilliseconds);
+  }
+
+  private noteOne(pool: PlannedPool, demandAgeMilliseconds: number): void {
+    const at = this.clock.monotonicMilliseconds();
+    const before = this.last.get(pool.service);
+    if (before && at - before.at < LEAST_GAP_MILLISECONDS) return;
+    const fields = standing(pool);
+    const text = JSON.stringify(fields);
+    if (before?.text === text) return;
+    this.last.set(pool.service, {at, text});
+    this.logger.info(LogEvent.PoolSized, {
+      ...fields,
+      demandAgeMilliseconds: Math.round(demandAgeMilliseconds),
+    });
+  }
+}
+
+function standing(pool: PlannedPool): Readonly<Record<string, unknown>> {
+  const inVms = (millicores: number) =>
+    Math.round((10 * millicores) / Math.max(1, pool.vmMillicores)) / 10;
+  return {
+    service: pool.service,
+    usable: pool.usable,
+    arriving: pool.arriving,
+    movable: pool.vms.length,
+    wanted: wantedVms(pool),
+    usedVms: inVms(pool.usedMillicores),
+    waitingVms: inVms(pool.waitingMillicores),
+    arrivingWorkVms: inVms(pool.arrivingMillicores),
+    waitingMilliseconds: Math.round(pool.waitingMilliseconds),
+  };
+}
--- a/packages/coordinator/src/stand-ins/simulated-settings.ts
+++ b/packages/coordinator/src/stand-ins/simulated-settings.ts
@@ -21,6 +21,7 @@
       stateKept: 120_000,
       move: 1_500,
       maintenance: 2_000,
+      stop: 900,
       harm: 4_000,
     },
   };
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -53,6 +53,10 @@
 export class SimulatedWorker {
   readonly begun: BegunRun[] = [];
   state = WorkerState.Ready;
+  /** Runs that it was told to stop. */
+  stopsAsked = 0;
+  /** How long a stop takes. */
+  stopMilliseconds = STOP_MILLISECONDS;
   private readonly alive = new Map<string, AliveRun>();
   private readonly lastRun = new Map<string, number>();
   private readonly waiting = new Set<() => void>();
@@ -155,8 +159,9 @@
     this.bar(run);
     if (alive && alive.run === run.run && !alive.stopping) {
       alive.stopping = true;
+      this.stopsAsked++;
       alive.timer?.cancel();
-      this.clock.schedule(STOP_MILLISECONDS, () =>
+      this.clock.schedule(this.stopMilliseconds, () =>
         this.finish(alive, RunEnd.Stopped),
       );
     }
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -178,6 +178,9 @@
   ),
   [LogEvent.WaveSeen]: entry('Operators ask for a wave of maintenance.'),
   [LogEvent.WaveCompleted]: entry('Each VM of a wave has had its maintenance.'),
+  [LogEvent.PoolSized]: entry(
+    'What the size of a pool is decided from, when it changes: VMs that take work, are coming and may leave, and work in use, waiting and arriving, in VMs.',
+  ),
   [LogEvent.ConfigurationInForce]: entry(
     'A configuration is in force at this daemon.',
   ),
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -58,6 +58,7 @@
   VmOrdered = 1931,
   WaveSeen = 1932,
   WaveCompleted = 1933,
+  PoolSized = 1934,
   ConfigurationInForce = 1941,
   StoreLost = 1942,
   StoreBack = 1943,
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -103,7 +103,10 @@
 }
 
 /** VMs that a pool should have. */
-export function wantedVms(pool: PlannedPool, options: PoolPlanOptions): number {
+export function wantedVms(
+  pool: PlannedPool,
+  options: PoolPlanOptions = DEFAULT_POOL_PLAN,
+): number {
   if (pool.standby) return 0;
   const demand = Math.max(
     pool.usedMillicores + pool.waitingMillicores,
