gentiandoor account: where the time of all jobs of a log went

Change: the command reads the lines of all daemons and divides each job's time into intake, no coordinator, room, store, silent workers, runs again and running, by second, queue, size and data centre, with the pools beside it; tables, JSON, or a page with plots.

--- /dev/null
+++ b/packages/cli/src/account/day-account.ts
@@ -0,0 +1,192 @@
+import {LogEvent} from '@gentiandoor/kernel';
+import type {LogLine} from '../log-story.js';
+import type {ReportInput, ReportScenario} from '../report/report-input.js';
+import {findInterruptions} from './interruptions.js';
+import {TimeUse, accountsOfJobs, type JobAccount} from './job-account.js';
+
+/** Jobs of one group: second of intake, queue, size or data centre. */
+export interface AccountRow {
+  readonly label: string;
+  readonly jobs: number;
+  /** Mean milliseconds of a job, in all and by use. */
+  readonly meanMilliseconds: number;
+  readonly uses: Readonly<Record<TimeUse, number>>;
+}
+
+/** Pool as it stood in one span of the day, as means of what was logged. */
+export interface PoolRow {
+  readonly label: string;
+  readonly values: Readonly<Record<string, number>>;
+}
+
+/** Where the time of all jobs of a log went. */
+export interface DayAccount {
+  readonly bySecond: readonly AccountRow[];
+  readonly byQueue: readonly AccountRow[];
+  readonly bySize: readonly AccountRow[];
+  readonly byDataCentre: readonly AccountRow[];
+  readonly pools: readonly PoolRow[];
+  /** Submissions that were answered as refused or in doubt, by that answer. */
+  readonly refusals: Readonly<Record<string, number>>;
+  /** Jobs that were taken and have no end in the log. */
+  readonly unfinished: number;
+  /** Lines that the daemons left out to bound the log. */
+  readonly linesLeftOut: number;
+}
+
+/** Seconds of intake that make a row: queues' bursts last several. */
+const SECONDS_IN_ROW = 2;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Upper bounds of the sizes that jobs are told apart by, in tasks. */
+const SIZES = [4, 8, 16, 32];
+
+/** What is told of a pool, by field of its log line. */
+const POOL_FIELDS = [
+  'usable',
+  'arriving',
+  'wanted',
+  'usedVms',
+  'waitingVms',
+  'arrivingWorkVms',
+];
+
+/** Adds up where the time of jobs went, from the log lines of all daemons, oldest first. */
+export function accountOfDay(lines: readonly LogLine[]): DayAccount {
+  const jobs = accountsOfJobs(lines, findInterruptions(lines));
+  const began = jobs.length > 0 ? jobs[0].takenAt : 0;
+  const dataCentres = dataCentresOf(lines);
+  const rowOfSecond = (time: number) =>
+    secondLabel(Math.floor((time - began) / MILLISECONDS_PER_SECOND));
+  return {
+    bySecond: rowsBy(jobs, job => rowOfSecond(job.takenAt)),
+    byQueue: rowsBy(jobs, job => job.queue),
+    bySize: rowsBy(jobs, job => sizeLabel(job.tasks)),
+    byDataCentre: rowsBy(jobs, job => dataCentres.get(job.node) ?? '?'),
+    pools: poolRows(lines, rowOfSecond),
+    refusals: countRefusals(lines),
+    unfinished: countTaken(lines) - jobs.length,
+    linesLeftOut: lines
+      .filter(line => line.event === LogEvent.LinesLeftOut)
+      .reduce((sum, line) => sum + (Number(line.fields.count) || 0), 0),
+  };
+}
+
+/** The account in the form of the report page, which draws it. */
+export function accountReport(account: DayAccount): ReportInput {
+  const {bySecond, byQueue, bySize, byDataCentre, pools} = account;
+  return {
+    'by second of intake': scenario(bySecond),
+    'by queue': scenario(byQueue),
+    'by size': scenario(bySize),
+    'by data centre': scenario(byDataCentre),
+    pools: {seed: 0, checks: [], rows: pools.map(row => ({...row}))},
+  };
+}
+
+function scenario(rows: readonly AccountRow[]): ReportScenario {
+  return {
+    seed: 0,
+    checks: [],
+    rows: rows.map(({label, jobs, meanMilliseconds, uses}) => ({
+      label,
+      values: {jobs, 'mean ms': meanMilliseconds, ...uses},
+    })),
+  };
+}
+
+function rowsBy(
+  jobs: readonly JobAccount[],
+  labelOf: (job: JobAccount) => string,
+): AccountRow[] {
+  const groups = new Map<string, JobAccount[]>();
+  for (const job of jobs) {
+    const label = labelOf(job);
+    groups.set(label, [...(groups.get(label) ?? []), job]);
+  }
+  return [...groups]
+    .map(([label, members]) => rowOf(label, members))
+    .sort(byLabel);
+}
+
+function rowOf(label: string, jobs: readonly JobAccount[]): AccountRow {
+  const mean = (of: (job: JobAccount) => number) =>
+    Math.round(jobs.reduce((sum, job) => sum + of(job), 0) / jobs.length);
+  const uses = Object.values(TimeUse).map(
+    use => [use, mean(job => job.uses[use])] as const,
+  );
+  return {
+    label,
+    jobs: jobs.length,
+    meanMilliseconds: mean(job => job.endedAt - job.takenAt),
+    uses: Object.fromEntries(uses) as Record<TimeUse, number>,
+  };
+}
+
+function byLabel(one: {label: string}, other: {label: string}): number {
+  return one.label.localeCompare(other.label, undefined, {numeric: true});
+}
+
+function secondLabel(second: number): string {
+  const from = Math.floor(second / SECONDS_IN_ROW) * SECONDS_IN_ROW;
+  return `${from} s`;
+}
+
+function sizeLabel(tasks: number): string {
+  const bound = SIZES.find(size => tasks <= size);
+  return bound === undefined
+    ? `over ${SIZES[SIZES.length - 1]} tasks`
+    : `${bound} tasks at most`;
+}
+
+function dataCentresOf(lines: readonly LogLine[]): Map<string, string> {
+  const found = new Map<string, string>();
+  for (const {event, node, fields} of lines)
+    if (event === LogEvent.DaemonStarted)
+      found.set(node, String(fields.dataCentre));
+  return found;
+}
+
+function poolRows(
+  lines: readonly LogLine[],
+  rowOfSecond: (time: number) => string,
+): PoolRow[] {
+  const groups = new Map<string, LogLine[]>();
+  for (const line of lines) {
+    if (line.event !== LogEvent.PoolSized) continue;
+    const label = `${String(line.fields.service)} ${rowOfSecond(line.time)}`;
+    groups.set(label, [...(groups.get(label) ?? []), line]);
+  }
+  return [...groups]
+    .map(([label, members]) => ({
+      label,
+      values: Object.fromEntries(
+        POOL_FIELDS.map(field => [field, meanOf(members, field)]),
+      ),
+    }))
+    .sort(byLabel);
+}
+
+function meanOf(lines: readonly LogLine[], field: string): number {
+  const sum = lines.reduce(
+    (total, line) => total + (Number(line.fields[field]) || 0),
+    0,
+  );
+  return Math.round((10 * sum) / lines.length) / 10;
+}
+
+function countRefusals(lines: readonly LogLine[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const {event, fields} of lines) {
+    if (event !== LogEvent.JobRefused) continue;
+    const answer = String(fields.answer);
+    counts[answer] = (counts[answer] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function countTaken(lines: readonly LogLine[]): number {
+  const taken = lines
+    .filter(line => line.event === LogEvent.JobTaken)
+    .map(line => line.fields.job);
+  return new Set(taken).size;
+}
--- /dev/null
+++ b/packages/cli/src/account/interruptions.ts
@@ -0,0 +1,71 @@
+import {LogEvent} from '@gentiandoor/kernel';
+import type {LogLine} from '../log-story.js';
+
+/** A span of wall-clock time in milliseconds. */
+export interface TimeSpan {
+  readonly from: number;
+  readonly until: number;
+}
+
+/** Times in which work could not go on, whatever job it was of. */
+export interface Interruptions {
+  /** Nobody gave orders. */
+  readonly withoutCoordinator: readonly TimeSpan[];
+  /** When each worker did not answer. */
+  readonly silentWorkers: ReadonlyMap<string, readonly TimeSpan[]>;
+}
+
+/** Finds the interruptions in the log lines of all daemons, oldest first. */
+export function findInterruptions(lines: readonly LogLine[]): Interruptions {
+  return {
+    withoutCoordinator: spansWithoutCoordinator(lines),
+    silentWorkers: spansOfSilence(lines),
+  };
+}
+
+/** Milliseconds of `span` that lie in any of `others`, which do not overlap. */
+export function overlap(span: TimeSpan, others: readonly TimeSpan[]): number {
+  return others.reduce((sum, other) => {
+    const from = Math.max(span.from, other.from);
+    const until = Math.min(span.until, other.until);
+    return sum + Math.max(0, until - from);
+  }, 0);
+}
+
+/** From the last order of one coordinator until the next one has learned what runs. */
+function spansWithoutCoordinator(lines: readonly LogLine[]): TimeSpan[] {
+  const spans: TimeSpan[] = [];
+  let lastOrderAt: number | undefined;
+  let from: number | undefined;
+  for (const {event, time} of lines) {
+    if (event === LogEvent.RunOrdered) lastOrderAt = time;
+    if (event === LogEvent.TermTaken) from ??= lastOrderAt;
+    if (event === LogEvent.RecoveryFinished && from !== undefined) {
+      spans.push({from, until: time});
+      from = undefined;
+    }
+  }
+  return spans;
+}
+
+const SILENCE_ENDS: ReadonlySet<LogEvent> = new Set([
+  LogEvent.WorkerBack,
+  LogEvent.WorkerLeft,
+  LogEvent.WorkerLeaseOver,
+]);
+
+function spansOfSilence(lines: readonly LogLine[]): Map<string, TimeSpan[]> {
+  const spans = new Map<string, TimeSpan[]>();
+  const silentFrom = new Map<string, number>();
+  for (const {event, time, fields} of lines) {
+    // The next coordinator finds out for itself who answers.
+    if (event === LogEvent.TermTaken) silentFrom.clear();
+    const worker = String(fields.worker);
+    const from = silentFrom.get(worker);
+    if (event === LogEvent.WorkerSilent) silentFrom.set(worker, from ?? time);
+    if (!SILENCE_ENDS.has(event) || from === undefined) continue;
+    silentFrom.delete(worker);
+    spans.set(worker, [...(spans.get(worker) ?? []), {from, until: time}]);
+  }
+  return spans;
+}
--- /dev/null
+++ b/packages/cli/src/commands/account.ts
@@ -0,0 +1,106 @@
+import {writeFileSync} from 'node:fs';
+import {
+  accountOfDay,
+  accountReport,
+  type AccountRow,
+  type DayAccount,
+} from '../account/day-account.js';
+import {TimeUse} from '../account/job-account.js';
+import {CommandError} from '../command-error.js';
+import type {CommandDefinition} from '../command-registry.js';
+import {ExitCode} from '../exit-codes.js';
+import {formatColumns} from '../format-columns.js';
+import {readLogLines} from '../log-story.js';
+import {chartLibrary} from '../report/chart-library.js';
+import {reportPage} from '../report/report-page.js';
+import {
+  readInput,
+  show,
+  type CommandContext,
+  type CommonOptions,
+} from '../command-context.js';
+
+interface AccountOptions extends CommonOptions {
+  readonly page?: string;
+}
+
+async function account(
+  context: CommandContext,
+  path: string,
+  options: AccountOptions,
+): Promise<void> {
+  const {lines, unreadable} = readLogLines(readInput(context, path));
+  const day = accountOfDay(lines);
+  if (day.byQueue.length === 0)
+    throw new CommandError(
+      ExitCode.Failed,
+      `no line in ${path} tells of a job from its intake to its end`,
+    );
+  if (options.page !== undefined) {
+    writeFileSync(options.page, reportPage(accountReport(day), chartLibrary()));
+    context.note(`${options.page} written`);
+  }
+  show(context, options, day, [
+    ...tablesOf(day),
+    ...remarksOn(day, unreadable),
+  ]);
+}
+
+function tablesOf(day: DayAccount): string[] {
+  return [
+    ...table('second of intake', day.bySecond),
+    ...table('queue', day.byQueue),
+    ...table('size', day.bySize),
+    ...table('data centre', day.byDataCentre),
+    ...poolTable(day),
+  ];
+}
+
+/** Mean milliseconds of a job by use. */
+function table(heading: string, rows: readonly AccountRow[]): string[] {
+  const uses = Object.values(TimeUse);
+  const cells = rows.map(row => [
+    row.label,
+    String(row.jobs),
+    String(row.meanMilliseconds),
+    ...uses.map(use => String(row.uses[use])),
+  ]);
+  return [...formatColumns([heading, 'jobs', 'mean ms', ...uses], cells), ''];
+}
+
+function poolTable(day: DayAccount): string[] {
+  if (day.pools.length === 0) return [];
+  const fields = Object.keys(day.pools[0].values);
+  const cells = day.pools.map(({label, values}) => [
+    label,
+    ...fields.map(field => String(values[field])),
+  ]);
+  return [...formatColumns(['pool', ...fields], cells), ''];
+}
+
+function remarksOn(day: DayAccount, unreadable: number): string[] {
+  const remarks = Object.entries(day.refusals).map(
+    ([answer, count]) => `${count} submissions answered as ${answer}`,
+  );
+  if (day.unfinished > 0)
+    remarks.push(`${day.unfinished} jobs were taken and have no end here`);
+  if (day.linesLeftOut > 0)
+    remarks.push(
+      `${day.linesLeftOut} lines were left out by the bound on the log: times may be missing`,
+    );
+  if (unreadable > 0)
+    remarks.push(`${unreadable} lines of the input are no log lines`);
+  return remarks;
+}
+
+/** Commands that add up a log. */
+export const accountCommands: readonly CommandDefinition[] = [
+  {
+    usage: 'account <file>',
+    description:
+      'Adds up where the time of jobs went, from the log lines of all daemons of a deployment on the platform; a file, or - for standard input.',
+    examples: ['account day.log', 'account day.log --page day.html'],
+    options: [['--page', 'File for a self-contained HTML page with plots']],
+    run: account,
+  },
+];
--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -1,17 +1,14 @@
-import {readFileSync, writeFileSync} from 'node:fs';
-import {createRequire} from 'node:module';
-import {dirname, join} from 'node:path';
+import {writeFileSync} from 'node:fs';
 import type {CommandDefinition} from '../command-registry.js';
 import {
   readInput,
   type CommandContext,
   type CommonOptions,
 } from '../command-context.js';
+import {chartLibrary} from '../report/chart-library.js';
 import {parseReportInput} from '../report/report-input.js';
 import {reportPage} from '../report/report-page.js';
 
-const CHART_PACKAGE = 'chart.js';
-const CHART_SCRIPT = 'chart.umd.js';
 const DEFAULT_OUTPUT = 'report.html';
 
 interface ReportOptions extends CommonOptions {
@@ -24,17 +21,10 @@
   options: ReportOptions,
 ): Promise<void> {
   const input = parseReportInput(readInput(context, file), file);
-  const library = readFileSync(chartScriptPath(), 'utf8');
-  writeFileSync(options.output, reportPage(input, library));
+  writeFileSync(options.output, reportPage(input, chartLibrary()));
   context.print(`${options.output}: ${Object.keys(input).length} scenarios`);
 }
 
-/** The package exports modules only; its browser script lies beside its main file. */
-function chartScriptPath(): string {
-  const main = createRequire(import.meta.url).resolve(CHART_PACKAGE);
-  return join(dirname(main), CHART_SCRIPT);
-}
-
 /** Commands that write reports. */
 export const reportCommands: readonly CommandDefinition[] = [
   {
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,6 +1,7 @@
 import sade from 'sade';
 import {addCommands, type CommandDefinition} from './command-registry.js';
 import type {CommandContext} from './command-context.js';
+import {accountCommands} from './commands/account.js';
 import {bundleCommands} from './commands/bundle.js';
 import {deploymentCommands} from './commands/deployment.js';
 import {explainCommands} from './commands/explain.js';
@@ -27,6 +28,7 @@
   ...memberCommands,
   ...jobCommands,
   ...explainCommands,
+  ...accountCommands,
   ...keyCommands,
   ...reportCommands,
   ...deploymentCommands,
