A term is as short as the store's answers allow

Change: a term's record says how long it is good for: 0.8 s while the store answers at once, up to 1.3 s as its answers get slower; renewed each 0.25 s. Others wait for what the record says. Tests: another daemon begins within 1.1 s of the loss; a store slowed sixty times leaves no gap.

--- a/packages/coordinator/src/__tests__/term-keeper.test.ts
+++ b/packages/coordinator/src/__tests__/term-keeper.test.ts
@@ -144,6 +144,30 @@
       const {began, lostAt} = await leftAlone(STRONG);
       assert.ok(began[0] - lostAt < 1_650);
     });
+
+    // Nothing starts while nobody gives orders: callers of a burst wait for as long as the term lasts.
+    it('goes to another daemon within 1.1 s of the loss of its holder', async () => {
+      const {began, lostAt} = await leftAlone(STRONG);
+      assert.ok(began[0] - lostAt < 1_100);
+    });
+
+    // A store slowed sixty times over answers in 240 ms. A term as short as on a calm day would run
+    // out between two renewals, and nothing would be ordered for part of each.
+    it('is kept without a gap while the store is slow', async () => {
+      const all = new Candidates();
+      const holder = all.add('one', STRONG);
+      const other = all.add('two', STRONG);
+      await all.clock.advanceAsync(1_000);
+      for (const {store} of [holder, other]) store.answerMilliseconds = 240;
+      await all.clock.advanceAsync(600);
+      let invalid = 0;
+      for (let step = 0; step < 400; step++) {
+        await all.clock.advanceAsync(10);
+        if (!holder.keeper.isValid) invalid++;
+      }
+      assert.equal(invalid, 0);
+      assert.deepEqual(other.began, []);
+    });
   });
 });
 
--- a/packages/coordinator/src/stand-ins/memory-store.ts
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -194,6 +194,9 @@
     this.killed = true;
   }
 
+  /** How long the store takes to answer this daemon. */
+  answerMilliseconds = ANSWER_MILLISECONDS;
+
   /** Switches a fault on, or all off; `only`: for one stream. */
   setFault(fault: StoreFault | undefined, only?: LogStream): void {
     this.fault = fault;
@@ -208,7 +211,7 @@
     this.store.calls.append++;
     const fault = this.faultOf(stream);
     const {clock} = this.store;
-    await sleep(clock, ANSWER_MILLISECONDS);
+    await sleep(clock, this.answerMilliseconds);
     if (this.killed) return neverAnswered();
     if (fault === StoreFault.Refusing)
       return {outcome: AppendOutcome.Refused, reason: fault};
@@ -257,7 +260,7 @@
       }
     | undefined
   > {
-    await sleep(this.store.clock, ANSWER_MILLISECONDS);
+    await sleep(this.store.clock, this.answerMilliseconds);
     if (this.killed) return neverAnswered();
     const fault = this.faultOf(stream);
     if (fault === undefined || fault === StoreFault.AnswersLost)
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -14,10 +14,13 @@
   type RecordLog,
 } from './record-log.js';
 
-/** A holder gives no orders later than this after it sent its last renewal that succeeded. Four times the answer of a store slowed sixty times over; while nobody holds the term nothing starts. */
-const TERM_MILLISECONDS = 1_300;
-/** Two renewals may fail before a term runs out. */
-const RENEWAL_MILLISECONDS = 350;
+/** A holder gives no orders later than this after it sent its last renewal that succeeded; while nobody holds the term nothing starts. One renewal may be lost, with the 250 ms that show it. */
+const LEAST_TERM_MILLISECONDS = 800;
+/** The same with a store that answers slowly: four times the answer of one slowed sixty times over. */
+const MOST_TERM_MILLISECONDS = 1_300;
+/** A renewal is sent, answered, and the next one answered within the term. */
+const ANSWERS_IN_TERM = 4;
+const RENEWAL_MILLISECONDS = 250;
 /** Room for two steady clocks that differ and for a step that was under way when the term ran out. */
 const TAKEOVER_SLACK_MILLISECONDS = 150;
 /** Candidates spread over this, so that they don't all write at once. */
@@ -40,6 +43,8 @@
   readonly holder: string;
   readonly incarnation: string;
   readonly released: boolean;
+  /** How long it is good for from the sending of this record; others wait as long before they take the next one. */
+  readonly validMilliseconds: number;
 }
 
 /** Hears of the start and the end of a term of this daemon. */
@@ -68,6 +73,8 @@
   private current: TermRecord | undefined;
   private changedAt = 0;
   private validUntil = -Infinity;
+  /** What the newest write to the store took. */
+  private answerMilliseconds = 0;
   private clockOffset = 0;
   private holding = false;
   private stopping = false;
@@ -123,7 +130,11 @@
     const pause = this.isValid ? RENEWAL_MILLISECONDS : RETRY_MILLISECONDS;
     await this.pause(pause);
     if (this.stopping || !this.current) return;
-    await this.write({...this.current, released: false});
+    await this.write({
+      ...this.current,
+      released: false,
+      validMilliseconds: this.termMilliseconds(),
+    });
   }
 
   private async watch(): Promise<void> {
@@ -144,10 +155,17 @@
       holder: this.candidate.node,
       incarnation: this.candidate.incarnation,
       released: false,
+      validMilliseconds: this.termMilliseconds(),
     });
     if (!written) await this.pause(RETRY_MILLISECONDS);
   }
 
+  /** Short terms end soon after their holder is lost; a slow store can't renew them. */
+  private termMilliseconds(): number {
+    const answers = ANSWERS_IN_TERM * this.answerMilliseconds;
+    return Math.min(MOST_TERM_MILLISECONDS, LEAST_TERM_MILLISECONDS + answers);
+  }
+
   /** When this daemon may try to take the next term. */
   private candidacyAt(): number {
     const {current, roster} = this;
@@ -157,7 +175,7 @@
     // One machine runs one daemon: an earlier incarnation of this one gives no orders any more.
     if (current.holder === this.candidate.node && !roster.knowsStronger)
       return -Infinity;
-    const over = TERM_MILLISECONDS + TAKEOVER_SLACK_MILLISECONDS;
+    const over = current.validMilliseconds + TAKEOVER_SLACK_MILLISECONDS;
     return this.changedAt + over + spread;
   }
 
@@ -184,6 +202,7 @@
       atOffset: this.endOffset,
     });
     if (result.outcome === AppendOutcome.Appended) {
+      this.answerMilliseconds = this.clock.monotonicMilliseconds() - sentAt;
       this.endOffset = result.endOffset;
       this.changedAt = sentAt;
       this.hold(record, sentAt, offset);
@@ -207,7 +226,7 @@
     const isNew = !this.holding;
     this.current = record;
     this.holding = true;
-    this.validUntil = sentAt + TERM_MILLISECONDS;
+    this.validUntil = sentAt + record.validMilliseconds;
     this.clockOffset = clockOffset;
     if (!isNew) return;
     this.logger.info(LogEvent.TermTaken, {term: record.term});
@@ -300,7 +319,10 @@
   if (record.key !== TERM_KEY || !record.value) return undefined;
   try {
     const term = JSON.parse(record.value.toString('utf8')) as TermRecord;
-    return Number.isSafeInteger(term.term) ? term : undefined;
+    if (!Number.isSafeInteger(term.term)) return undefined;
+    // A daemon of an earlier version writes no length; its terms were never longer than this.
+    const {validMilliseconds = MOST_TERM_MILLISECONDS} = term;
+    return {...term, validMilliseconds};
   } catch {
     // The caller logs the key; the term before it stays in force.
     return undefined;
