A daemon that does not reach the store sends its callers away

Cause: in a data centre that is cut off, or at a daemon that the store turns down, callers were refused for up to four seconds until the balancer had taken the daemon out: it called itself ready until its last read was two seconds old. Change: not ready 0.3 s after reads or appends began to fail, and connections are closed after their answer meanwhile, since an open one stays with its daemon. Where no daemon reaches the store nothing changes: the balancer then uses all. A read that follows a failed one does not wait, so that the return of the store is seen at once.

--- /dev/null
+++ b/packages/coordinator/src/daemon-readiness.ts
@@ -0,0 +1,42 @@
+import type {JobFrontDesk} from './job-front-desk.js';
+import type {OperatorView} from './operator-view.js';
+
+/** Reads of the store come at least every second; after two that failed another daemon serves better. */
+const STORE_AGE_MILLISECONDS = 2_000;
+/** One lost answer is repeated within this; the balancer looks every second. */
+const FAILING_MILLISECONDS = 300;
+
+/**
+ * Whether callers are better served by another daemon.
+ * Load: a data centre cut off, or a store that turns single daemons away, for seconds. Without it
+ * callers of this daemon are refused until the balancer has noticed by itself, if it ever does. Where
+ * no daemon reaches the store all of them say so, and the balancer goes on with all.
+ */
+export class DaemonReadiness {
+  constructor(
+    private readonly operators: OperatorView,
+    private readonly desk: JobFrontDesk,
+    private readonly isStopping: () => boolean,
+  ) {}
+
+  /** This daemon has a configuration, reaches the store and is not stopping. */
+  get isReady(): boolean {
+    const {operators} = this;
+    return (
+      operators.configuration !== undefined &&
+      !this.isStopping() &&
+      operators.follower.ageMilliseconds < STORE_AGE_MILLISECONDS &&
+      operators.unreachableMilliseconds < FAILING_MILLISECONDS &&
+      !this.takesNothing
+    );
+  }
+
+  /** Appends fail and nothing was read since: without callers no append would show that the store is back. */
+  private get takesNothing(): boolean {
+    const {operators, desk} = this;
+    const isFailing = desk.failingMilliseconds >= FAILING_MILLISECONDS;
+    const readSince =
+      operators.follower.ageMilliseconds < desk.sinceFailureMilliseconds;
+    return isFailing && !readSince;
+  }
+}
--- a/packages/coordinator/src/grouped-appender.ts
+++ b/packages/coordinator/src/grouped-appender.ts
@@ -34,6 +34,7 @@
   private queue: WaitingRecord[] = [];
   private running = false;
   private failingFrom: number | undefined;
+  private failedAt = -Infinity;
 
   constructor(
     private readonly log: RecordLog,
@@ -47,6 +48,11 @@
     return this.clock.monotonicMilliseconds() - this.failingFrom;
   }
 
+  /** Time since the newest append that failed; infinite before the first. */
+  get sinceFailureMilliseconds(): number {
+    return this.clock.monotonicMilliseconds() - this.failedAt;
+  }
+
   /**
    * Appends a record. `patienceMilliseconds` bounds the wait while nothing was sent;
    * `boundMilliseconds` bounds it while the outcome is in doubt.
@@ -101,7 +107,8 @@
         for (const waiting of batch) waiting.resolve(KeepOutcome.Kept);
         continue;
       }
-      this.failingFrom ??= this.clock.monotonicMilliseconds();
+      this.failedAt = this.clock.monotonicMilliseconds();
+      this.failingFrom ??= this.failedAt;
       const inDoubt = result.outcome === AppendOutcome.Unknown;
       this.queue.unshift(
         ...batch.filter(waiting => this.staysAfterFailure(waiting, inDoubt)),
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -1,4 +1,5 @@
 export * from './coordinator.js';
+export * from './daemon-readiness.js';
 export * from './daemon-roster.js';
 export * from './deployment-view.js';
 export * from './entry-settings.js';
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -66,6 +66,16 @@
       : 2;
   }
 
+  /** How long the store has taken nothing from here; 0 while it does. */
+  get failingMilliseconds(): number {
+    return this.appender.failingMilliseconds;
+  }
+
+  /** Time since the store last took nothing from here. */
+  get sinceFailureMilliseconds(): number {
+    return this.appender.sinceFailureMilliseconds;
+  }
+
   /** Takes a job in; resolves within `boundMilliseconds`. */
   async submit(
     job: JobSubmission,
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -21,6 +21,7 @@
   private newest: Configuration | undefined;
   private queuesByName = new Map<string, Queue>();
   private servicesByName = new Map<string, ServicePool>();
+  private unreachableFrom: number | undefined;
   private stopping = false;
 
   constructor(
@@ -39,6 +40,12 @@
     );
   }
 
+  /** How long no read has been answered; 0 while they are. */
+  get unreachableMilliseconds(): number {
+    if (this.unreachableFrom === undefined) return 0;
+    return this.clock.monotonicMilliseconds() - this.unreachableFrom;
+  }
+
   /** Undefined until one was read. */
   get configuration(): Configuration | undefined {
     return this.newest;
@@ -104,7 +111,9 @@
   private async run(): Promise<void> {
     let reachable = true;
     while (!this.stopping) {
-      const answered = await this.follower.follow(WAIT_MILLISECONDS);
+      // A read that waits would show only when it ends that the store is back.
+      const wait = reachable ? WAIT_MILLISECONDS : 0;
+      const answered = await this.follower.follow(wait);
       if (answered !== reachable) this.noteReachable(answered);
       reachable = answered;
       if (!answered) await sleep(this.clock, RETRY_MILLISECONDS);
@@ -113,6 +122,9 @@
 
   private noteReachable(reachable: boolean): void {
     const {ageMilliseconds} = this.follower;
+    this.unreachableFrom = reachable
+      ? undefined
+      : this.clock.monotonicMilliseconds();
     if (reachable) this.logger.info(LogEvent.StoreBack, {ageMilliseconds});
     else this.logger.warn(LogEvent.StoreLost, {ageMilliseconds});
   }
--- a/packages/entry/src/readiness-listener.ts
+++ b/packages/entry/src/readiness-listener.ts
@@ -1,21 +1,10 @@
 import type {RequestListener} from 'node:http';
-import type {OperatorView} from '@gentiandoor/coordinator';
-import type {DrainState} from '@gentiandoor/kernel';
+import type {DaemonReadiness} from '@gentiandoor/coordinator';
 
-/** Reads of the store come every half second; after three that failed another daemon serves better. */
-const STORE_AGE_MILLISECONDS = 2_000;
-
-/** Answers the balancer: ready while this daemon has a configuration, reaches the store and is not stopping. */
-export function readinessListener(
-  operators: OperatorView,
-  drainState: DrainState,
-): RequestListener {
+/** Answers the balancer. */
+export function readinessListener(readiness: DaemonReadiness): RequestListener {
   return (request, response) => {
-    const ready =
-      operators.configuration !== undefined &&
-      operators.follower.ageMilliseconds < STORE_AGE_MILLISECONDS &&
-      !drainState.isDraining;
     request.resume();
-    response.writeHead(ready ? 200 : 503).end();
+    response.writeHead(readiness.isReady ? 200 : 503).end();
   };
 }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,6 +1,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import {asFunction, createContainer, InjectionMode} from 'awilix';
 import {
+  DaemonReadiness,
   GroupedAppender,
   JobFrontDesk,
   LogStream,
@@ -66,6 +67,7 @@
   desk: JobFrontDesk;
   routes: CallerRoutes;
   callers: HttpServerPlugin;
+  daemonReadiness: DaemonReadiness;
   readiness: HttpServerPlugin;
   jobLog: JobLogPlugin;
   coordinator: CoordinatorPlugin;
@@ -142,14 +144,18 @@
           metrics,
         ),
     ),
+    daemonReadiness: single(
+      ({operators, desk, drainState}) =>
+        new DaemonReadiness(operators, desk, () => drainState.isDraining),
+    ),
     routes: single(
-      ({desk, operators, clock, logger, drainState}) =>
+      ({desk, operators, clock, logger, daemonReadiness}) =>
         new CallerRoutes({
           desk,
           operators,
           clock,
           logger,
-          isStopping: () => drainState.isDraining,
+          sendsCallersAway: () => !daemonReadiness.isReady,
         }),
     ),
     callers: single(
@@ -163,7 +169,7 @@
       parts =>
         new HttpServerPlugin(
           settings.readinessAddress,
-          readinessListener(parts.operators, parts.drainState),
+          readinessListener(parts.daemonReadiness),
         ),
     ),
     jobLog: single(
