Silent workers are found by a probe within half a second

Cause: a poll that waits at a worker shows its silence after 2.3 s; until then a worker behind a cut is given starts, each of which holds its job up until the lease is over. Change: a start that is not answered within 150 ms is looked into by a poll that does not wait; the first silent worker of a data centre has the others probed. Polls wait 0.75 s instead of 1.5.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -273,6 +273,13 @@
     if (session.takesStarts) this.dispatcher.wake(session.entry.service);
   }
 
+  /** A cut takes a data centre at a time: the first silent worker gives the others away. */
+  sessionSilent(silent: WorkerSession): void {
+    for (const session of this.registry.all())
+      if (session.entry.dataCentre === silent.entry.dataCentre)
+        void session.probe();
+  }
+
   sessionOver(session: WorkerSession): void {
     this.trust.forgetWorker(session.id);
     this.registry.remove(session);
--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -63,7 +63,7 @@
   async poll(worker: WorkerAddress, request: PollRequest): Promise<PollResult> {
     this.polls.set(worker.id, (this.polls.get(worker.id) ?? 0) + 1);
     const target = await this.reach(worker);
-    if (!target) return this.silence();
+    if (!target) return this.silence(request.boundMilliseconds);
     return target.poll(request);
   }
 
@@ -119,11 +119,11 @@
     return target && !target.isDead ? target : undefined;
   }
 
-  private async silence(): Promise<{
+  private async silence(boundMilliseconds = SILENCE_MILLISECONDS): Promise<{
     readonly outcome: OrderOutcome.Unknown;
     readonly reason: string;
   }> {
-    await sleep(this.workers.clock, SILENCE_MILLISECONDS);
+    await sleep(this.workers.clock, boundMilliseconds);
     return {outcome: OrderOutcome.Unknown, reason: 'silent'};
   }
 }
--- a/packages/coordinator/src/worker-gateway.ts
+++ b/packages/coordinator/src/worker-gateway.ts
@@ -107,6 +107,8 @@
   readonly leaseEndMilliseconds?: number;
   /** The answer waits so long for an end. */
   readonly waitMilliseconds: number;
+  /** Bound of the answer beyond that; the gateway's own where undefined. */
+  readonly boundMilliseconds?: number;
 }
 
 /** An order to start a run. */
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -57,6 +57,8 @@
     run: LiveRun,
     refusal: OrderRefusal,
   ): void;
+  /** The worker does not answer: others near it may not either. */
+  sessionSilent(session: WorkerSession): void;
   /** A run shows no progress any more. */
   runStalled(session: WorkerSession, run: LiveRun): void;
   /** Calls `then` when all ends read so far are stored. */
@@ -67,8 +69,8 @@
   sessionOver(session: WorkerSession): void;
 }
 
-/** A poll waits so long for an end: a lease is renewed several times over its length, and a silent connection is found in time. */
-const POLL_WAIT_MILLISECONDS = 1_500;
+/** A poll waits so long for an end: a lease is renewed many times over its length, and a worker that falls silent is found within a second and a half where no start finds it before. */
+const POLL_WAIT_MILLISECONDS = 750;
 /** Two polls within the time that tells a run which stands still from a slow one. */
 const OVERDUE_POLL_WAIT_MILLISECONDS = 300;
 /** Ends that come close together are read with one poll. */
@@ -79,6 +81,12 @@
 /** A silent worker with nothing on it is only wanted back for new work. */
 const IDLE_SILENCE_RETRY_MILLISECONDS = 1_000;
 const START_TRIES = 3;
+/** A start that is not answered by then is looked into: a worker answers within a few milliseconds. */
+const START_DOUBT_MILLISECONDS = 150;
+/** Bound of a probe: fifty times a worker's answer, and short against the second in which a burst brings dozens of starts. */
+const PROBE_BOUND_MILLISECONDS = 200;
+/** Workers that have answered so lately need no probe when others near them fall silent. */
+const ANSWERED_LATELY_MILLISECONDS = 100;
 /** An answer lists so many ends at most; the others follow. */
 const MAXIMUM_ENDS_LISTED = 500;
 /** Room for the time that our own step takes between a sum and its order. */
@@ -93,6 +101,8 @@
   private readonly ends: EndCursor;
   private tokenShown = false;
   private silentSince: number | undefined;
+  private answeredAt = -Infinity;
+  private probing = false;
   private closed = false;
   private listed = true;
   private reservedFor: string | undefined;
@@ -242,6 +252,30 @@
     }
   }
 
+  /**
+   * Asks for an answer beside the poll that waits. Without it a worker behind a cut is given starts
+   * until that poll's bound, over two seconds, and each job with a task there waits for its lease.
+   */
+  async probe(): Promise<void> {
+    const now = this.clock.monotonicMilliseconds();
+    const isKnown =
+      this.silentSince !== undefined ||
+      now - this.answeredAt < ANSWERED_LATELY_MILLISECONDS;
+    if (this.closed || this.probing || isKnown || !this.tokenShown) return;
+    this.probing = true;
+    const result = await this.gateway.poll(this.current, {
+      fencingToken: this.host.term,
+      endsStored: this.ends.stored,
+      waitMilliseconds: 0,
+      boundMilliseconds: PROBE_BOUND_MILLISECONDS,
+    });
+    this.probing = false;
+    if (this.closed) return;
+    if (result.outcome === OrderOutcome.Done) this.notePoll(result, now);
+    else if (!this.handledRefusal(result) && this.answeredAt < now)
+      this.noteSilence();
+  }
+
   /** All runs are over because the worker's incarnation is. */
   endIncarnation(reason: string): void {
     if (this.closed) return;
@@ -413,6 +447,10 @@
     this.lease.noteGiven(leaseEnd);
     run.status = RunStatus.Ordered;
     run.orderedAt ??= now;
+    const doubt = this.clock.schedule(
+      START_DOUBT_MILLISECONDS,
+      () => void this.probe(),
+    );
     const result = await this.gateway.start(this.current, {
       task: run.task,
       run: run.run,
@@ -422,6 +460,7 @@
       checkpoint: run.taskOfJob.progress.checkpoint,
       ticket: run.ticket,
     });
+    doubt.cancel();
     if (!this.isExpected(run)) return true;
     if (result.outcome === OrderOutcome.Unknown) return false;
     if (this.handledRefusal(result)) return true;
@@ -462,6 +501,7 @@
   private noteAnswer(clockMilliseconds: number): void {
     const now = this.clock.monotonicMilliseconds();
     this.lease.observe(clockMilliseconds, now);
+    this.answeredAt = now;
     if (this.silentSince === undefined) return;
     this.logger.info(LogEvent.WorkerBack, {
       worker: this.id,
@@ -481,6 +521,7 @@
         worker: this.id,
         runs: this.runs.size,
       });
+      this.host.sessionSilent(this);
     }
     if (this.runs.size === 0 || !this.leaseIsOver(now)) return;
     this.logger.warn(LogEvent.WorkerLeaseOver, {
