The end of a job is logged with its age and its objective; the account counts late jobs

Cause: no line told whether a job was late, nor by how much. Change: JobEnded carries milliseconds and objectiveMilliseconds; the account has a column late; its page has a heading of its own.

--- a/packages/cli/src/__tests__/day-account.test.ts
+++ b/packages/cli/src/__tests__/day-account.test.ts
@@ -7,6 +7,7 @@
 
 const BEGAN = 1_800_000_000_000;
 const QUOTE = '5c0e7a21d94b36f8';
+const OBJECTIVE_MILLISECONDS = 2_500;
 const REVIEW = 'a1b2c3d4e5f60718';
 
 function line(after: number, event: LogEvent, fields: object): string {
@@ -28,7 +29,12 @@
 }
 
 function finished(after: number, job: string): string {
-  return line(after, LogEvent.JobEnded, {job, state: 'completed'});
+  return line(after, LogEvent.JobEnded, {
+    job,
+    state: 'completed',
+    milliseconds: after,
+    objectiveMilliseconds: OBJECTIVE_MILLISECONDS,
+  });
 }
 
 function account(...rows: string[]): DayAccount {
@@ -47,6 +53,7 @@
       );
       assert.equal(byQueue.length, 1);
       assert.equal(byQueue[0].meanMilliseconds, 1_300);
+      assert.equal(byQueue[0].late, 0);
       assert.equal(byQueue[0].uses[TimeUse.Room], 480);
       assert.equal(byQueue[0].uses[TimeUse.Store], 20);
       assert.equal(byQueue[0].uses[TimeUse.Running], 800);
@@ -69,7 +76,8 @@
         ended(5_000, `${REVIEW}.0.0.0`, 2),
         finished(5_000, REVIEW),
       );
-      const [{uses}] = byQueue;
+      const [{uses, late}] = byQueue;
+      assert.equal(late, 1);
       assert.equal(uses[TimeUse.Running], 500);
       assert.equal(uses[TimeUse.SilentWorker], 1_000);
       assert.equal(uses[TimeUse.Coordinator], 1_500);
--- a/packages/cli/src/account/day-account.ts
+++ b/packages/cli/src/account/day-account.ts
@@ -8,6 +8,8 @@
 export interface AccountRow {
   readonly label: string;
   readonly jobs: number;
+  /** Jobs that took longer than their objective. */
+  readonly late: number;
   /** Mean milliseconds of a job, in all and by use. */
   readonly meanMilliseconds: number;
   readonly uses: Readonly<Record<TimeUse, number>>;
@@ -87,9 +89,9 @@
   return {
     seed: 0,
     checks: [],
-    rows: rows.map(({label, jobs, meanMilliseconds, uses}) => ({
+    rows: rows.map(({label, jobs, late, meanMilliseconds, uses}) => ({
       label,
-      values: {jobs, 'mean ms': meanMilliseconds, ...uses},
+      values: {jobs, late, 'mean ms': meanMilliseconds, ...uses},
     })),
   };
 }
@@ -117,6 +119,7 @@
   return {
     label,
     jobs: jobs.length,
+    late: jobs.filter(job => job.isLate).length,
     meanMilliseconds: mean(job => job.endedAt - job.takenAt),
     uses: Object.fromEntries(uses) as Record<TimeUse, number>,
   };
--- a/packages/cli/src/account/job-account.ts
+++ b/packages/cli/src/account/job-account.ts
@@ -28,6 +28,8 @@
   readonly takenAt: number;
   readonly endedAt: number;
   readonly state: string;
+  /** It took longer than its objective, as far as the coordinator knew it. */
+  readonly isLate: boolean;
   /** Tasks that were ordered at least once. */
   readonly tasks: number;
   /** Milliseconds by use; they add up to its time from intake to end. */
@@ -108,6 +110,7 @@
         takenAt: taken.time,
         endedAt: ended.time,
         state: String(ended.fields.state),
+        isLate: isOverObjective(ended),
         tasks: this.tasks.size,
         uses: this.uses,
       },
@@ -153,6 +156,12 @@
   }
 }
 
+/** A line without an objective, of a daemon of an earlier version, tells of no lateness. */
+function isOverObjective(ended: LogLine): boolean {
+  const objective = numberOf(ended, 'objectiveMilliseconds');
+  return objective > 0 && numberOf(ended, 'milliseconds') > objective;
+}
+
 function noUses(): Record<TimeUse, number> {
   const uses = Object.values(TimeUse).map(use => [use, 0] as const);
   return Object.fromEntries(uses) as Record<TimeUse, number>;
--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -12,7 +12,7 @@
 import {formatColumns} from '../format-columns.js';
 import {readLogLines} from '../log-story.js';
 import {chartLibrary} from '../report/chart-library.js';
-import {reportPage} from '../report/report-page.js';
+import {pageOf} from '../report/report-page.js';
 import {
   readInput,
   show,
@@ -20,6 +20,12 @@
   type CommonOptions,
 } from '../command-context.js';
 
+const HEADING = {
+  title: 'Where the time of jobs went',
+  remark:
+    'Means in milliseconds of a job from its intake to its end, by what it waited for; pools in VMs.',
+};
+
 interface AccountOptions extends CommonOptions {
   readonly page?: string;
 }
@@ -37,7 +43,10 @@
       `no line in ${path} tells of a job from its intake to its end`,
     );
   if (options.page !== undefined) {
-    writeFileSync(options.page, reportPage(accountReport(day), chartLibrary()));
+    writeFileSync(
+      options.page,
+      pageOf(HEADING, accountReport(day), chartLibrary()),
+    );
     context.note(`${options.page} written`);
   }
   show(context, options, day, [
@@ -62,10 +71,14 @@
   const cells = rows.map(row => [
     row.label,
     String(row.jobs),
+    String(row.late),
     String(row.meanMilliseconds),
     ...uses.map(use => String(row.uses[use])),
   ]);
-  return [...formatColumns([heading, 'jobs', 'mean ms', ...uses], cells), ''];
+  return [
+    ...formatColumns([heading, 'jobs', 'late', 'mean ms', ...uses], cells),
+    '',
+  ];
 }
 
 function poolTable(day: DayAccount): string[] {
--- a/packages/cli/src/report/report-page.ts
+++ b/packages/cli/src/report/report-page.ts
@@ -27,8 +27,24 @@
 }
 `;
 
-/** A self-contained HTML page of results; `chartLibrary` is the script text of the plot library. */
+/** What stands above the sections of a page. */
+export interface PageHeading {
+  readonly title: string;
+  readonly remark: string;
+}
+
+/** A self-contained HTML page of bench results; `chartLibrary` is the script text of the plot library. */
 export function reportPage(input: ReportInput, chartLibrary: string): string {
+  const remark = `${Object.keys(input).length} scenarios; ${countBroken(input)} checks broken.`;
+  return pageOf({title: 'gentiandoor report', remark}, input, chartLibrary);
+}
+
+/** A self-contained HTML page of tables with plots. */
+export function pageOf(
+  {title, remark}: PageHeading,
+  input: ReportInput,
+  chartLibrary: string,
+): string {
   const sections = Object.entries(input).map(([name, scenario]) =>
     section(name, scenario),
   );
@@ -36,12 +52,12 @@
 <html lang="en">
 <head>
 <meta charset="utf-8">
-<title>gentiandoor report</title>
+<title>${escapeHtml(title)}</title>
 <style>${STYLE}</style>
 </head>
 <body>
-<h1>gentiandoor report</h1>
-<p>${Object.keys(input).length} scenarios; ${countBroken(input)} checks broken.</p>
+<h1>${escapeHtml(title)}</h1>
+<p>${escapeHtml(remark)}</p>
 ${sections.join('\n')}
 <script>${chartLibrary.replaceAll('</script', '<\\/script')}</script>
 <script>${DRAW_CHARTS}</script>
@@ -62,7 +78,7 @@
   ];
   return `<section>
 <h2>${escapeHtml(name)}</h2>
-<p>seed ${scenario.seed}</p>
+${scenario.seed > 0 ? `<p>seed ${scenario.seed}</p>` : ''}
 ${checkList(scenario)}
 <div class="charts">${columns.map(column => chart(column, scenario)).join('')}</div>
 ${table(columns, scenario)}
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -413,7 +413,12 @@
 
   private finish(execution: JobExecution): void {
     const {state} = execution.progress;
-    this.parts.logger.info(LogEvent.JobEnded, {job: execution.job.id, state});
+    this.parts.logger.info(LogEvent.JobEnded, {
+      job: execution.job.id,
+      state,
+      milliseconds: Math.round(this.dispatcher.ageOf(execution)),
+      objectiveMilliseconds: Math.round(this.dispatcher.objectiveOf(execution)),
+    });
     this.parts.metrics.increment(MetricName.JobEnds, {state});
     this.endedAt.set(
       execution.job.id,
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,8 +1,8 @@
 import type {Clock, Timer} from '@gentiandoor/kernel';
 import type {
   ExecutableTask,
+  ExpectedTime,
   JobExecution,
-  StepSpecification,
 } from '@gentiandoor/jobs';
 import {
   Chance,
@@ -143,6 +143,19 @@
     workers.add(workerId);
   }
 
+  /** How long a job has been known. */
+  ageOf(execution: JobExecution): number {
+    const now = this.clock.monotonicMilliseconds();
+    return now - (this.firstSeen.get(execution) ?? now);
+  }
+
+  /** Time from its submission within which a job's caller expects it to be done, as far as its run times are known. */
+  objectiveOf(execution: JobExecution): number {
+    const queue = this.host.queueOf(execution);
+    const chain = execution.wholeChain(this.stepTimes(execution));
+    return (queue?.stretch ?? 1) * chain + (queue?.latencyMilliseconds ?? 0);
+  }
+
   loadOf(service: string): ServiceLoad {
     return this.loads.get(service) ?? NO_LOAD;
   }
@@ -249,21 +262,19 @@
     now: number,
     wall: number,
   ): Candidate {
-    const queue = this.host.queueOf(execution);
     const {occurrence} = ready[0];
     const dueWall = execution.dueAt(occurrence);
     const since =
       dueWall > 0
         ? now - (wall - dueWall)
         : (this.firstSeen.get(execution) ?? now);
-    const expected = (step: StepSpecification) =>
-      this.demand.expectedTime(execution.job.queue, step);
-    const remainingChain = execution.remainingChain(occurrence, expected);
-    const objective =
-      (queue?.stretch ?? 1) * execution.wholeChain(expected) +
-      (queue?.latencyMilliseconds ?? 0);
+    const remainingChain = execution.remainingChain(
+      occurrence,
+      this.stepTimes(execution),
+    );
+    const objective = this.objectiveOf(execution);
     const waiting = {
-      priority: queue?.priority ?? 0,
+      priority: this.host.queueOf(execution)?.priority ?? 0,
       dueAt: since + objective,
       lateUntil: since + LATE_FACTOR * objective,
       remainingChain,
@@ -283,6 +294,12 @@
     };
   }
 
+  /** Run time to expect of each step of a job. */
+  private stepTimes(execution: JobExecution): ExpectedTime {
+    const {queue} = execution.job;
+    return step => this.demand.expectedTime(queue, step);
+  }
+
   /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
   private isWatched(execution: JobExecution, task: ExecutableTask): boolean {
     const workers = this.failedOn.get(taskName(execution.job.id, task));
