--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -40,8 +40,6 @@
 /** Time between a maintenance and the return to service, besides the maintenance itself. */
 const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
 const FULL_PERCENT = 100;
-/** From the end of a move to the first start: the worker's entry is read and it is polled. */
-const ARRIVAL_OVERHEAD_MILLISECONDS = 600;
 /** While the jobs can't be read nothing seems to arrive: VMs that leave their pools then are missing when callers come back, all at once. */
 const DEMAND_AGE_MILLISECONDS = 1_000;
 /** Why a VM takes no new starts before it changes its pool. */
@@ -187,8 +185,6 @@
       .filter(
         session => session.takesStarts || session.reservation === POOL_CHANGE,
       );
-    const lead =
-      this.parts.settings.limits.move + ARRIVAL_OVERHEAD_MILLISECONDS;
     return {
       service: name,
       standby,
@@ -201,8 +197,7 @@
         load.waitingSince === undefined
           ? 0
           : Math.max(1, now - load.waitingSince),
-      arrivingMillicores: this.demand.arrivingMillicores(name, now, lead),
-      foreseen: this.demand.foreseesBursts(now),
+      arrivingMillicores: this.demand.arrivingMillicores(name, now),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
       vms: members
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -2,7 +2,6 @@
 import {
   DemandMeter,
   DurationModel,
-  BurstForecast,
   PeakHold,
   RunningMean,
   occupiedMillicores,
@@ -26,7 +25,6 @@
   private room: VmRoom | undefined;
   private readonly rates = new Map<string, ServiceRate>();
   private readonly meanWork = new Map<string, RunningMean>();
-  private readonly forecast = new BurstForecast();
 
   /** Notes the room of the workers: what a task takes away depends on it. */
   noteRoom(room: VmRoom | undefined): void {
@@ -38,24 +36,12 @@
     const work = this.workOf(job);
     const {meter} = this.rateOf(service);
     meter.note(this.meanWorkOf(job.queue).note(work), at);
-    this.forecast.note(service, work, at);
   }
 
-  /** Millicores that work which arrives, or is about to, keeps busy. */
-  arrivingMillicores(
-    service: string,
-    now: number,
-    leadMilliseconds: number,
-  ): number {
-    const foreseen = this.forecast.millicores(service, now, leadMilliseconds);
+  /** Millicores that work which arrives keeps busy. */
+  arrivingMillicores(service: string, now: number): number {
     const {meter, hold} = this.rateOf(service);
-    const held = hold.note(meter.millicores(now), now);
-    return Math.max(foreseen, held);
-  }
-
-  /** Whether the turns of queues are foreseen by now. */
-  foreseesBursts(now: number): boolean {
-    return this.forecast.isKnown(now);
+    return hold.note(meter.millicores(now), now);
   }
 
   /** How long tasks of a queue take. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,5 +14,4 @@
 export * from './worker-choice.js';
 export * from './worker-room.js';
 export * from './worker-trust.js';
-export * from './burst-forecast.js';
 export * from './answer-bound.js';
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -11,8 +11,6 @@
   readonly waitingMilliseconds: number;
   /** Millicores that work which arrives at the present rate keeps busy. */
   readonly arrivingMillicores: number;
-  /** Whether the turns of queues are foreseen by now. */
-  readonly foreseen: boolean;
   /** VMs that are on their way into it. */
   readonly arriving: number;
   /** VMs that take work, or are being emptied. */
@@ -52,8 +50,6 @@
   readonly longestWaitMilliseconds: number;
   /** VMs that a pool keeps over what it uses: the first second of a burst finds them. */
   readonly spareVms: number;
-  /** The same where turns are foreseen, so that VMs are fetched before them. */
-  readonly spareVmsForeseen: number;
   /** Room that a pool has for each unit of demand: tasks don't fill VMs to the brim, and rates are guesses. */
   readonly headroom: number;
   /** Most VMs that are fetched for one pool at a time, where the share below is not more. */
@@ -68,7 +64,6 @@
   idleBeforeGivingMilliseconds: 250,
   longestWaitMilliseconds: 500,
   spareVms: 2,
-  spareVmsForeseen: 1,
   headroom: 1.1,
   maximumArriving: 12,
   maximumArrivingShare: 0.5,
@@ -113,8 +108,7 @@
     pool.arrivingMillicores,
   );
   const vms = (demand * options.headroom) / Math.max(1, pool.vmMillicores);
-  const spare = pool.foreseen ? options.spareVmsForeseen : options.spareVms;
-  return Math.ceil(vms) + spare;
+  return Math.ceil(vms) + options.spareVms;
 }
 
 interface Giver extends PlannedVm {
