A VM whose worker is not known is no idle VM; waves in a file of their own

Cause, found while reading: a wave took a VM without a session for idle. Change: such a VM is maintained only once it has had no known worker for longer than the longest lease, or stands in the standby pool. Test first: evacuation.test.ts fails without it.

--- a/packages/coordinator/src/__tests__/evacuation.test.ts
+++ b/packages/coordinator/src/__tests__/evacuation.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {SimulatedWorker} from '../stand-ins/index.js';
+import {LogStream} from '../index.js';
+import {WorkerFault, type SimulatedWorker} from '../stand-ins/index.js';
 import {TestDeployment, behaviour, job, step} from './deployment.js';
 
 const BOUND = 3_000;
@@ -50,6 +51,38 @@
       assert.equal(kept.stopsAsked, 0);
     });
   });
+
+  describe('when its worker has no entry', () => {
+    // A service loses its tasks at once. The worker sits behind a cut, its entry has lapsed and the
+    // coordinator has changed: no session with it is known, and nothing seems to run on its VM.
+    it('is not maintained while tasks may run on it', async () => {
+      const deployment = new TestDeployment(1);
+      deployment.behaviours.set(
+        'lasting',
+        behaviour({durationMilliseconds: undefined}),
+      );
+      const first = await deployment.startDaemon('one');
+      const asked = job('lasting', [step({longRunning: true, mayMiss: 1})]);
+      void first.desk.submit(asked, BOUND);
+      await deployment.run(1_000);
+      const worker = workerOf(deployment, 'worker-0');
+      deployment.store.write(LogStream.Workers, {
+        key: worker.id,
+        value: undefined,
+      });
+      first.kill();
+      const second = await deployment.startDaemon('two');
+      second.workers.setFault(worker.id, WorkerFault.Cut);
+      askForWave(deployment, 1, worker.id, 20_000);
+      await deployment.run(5_000);
+      assert.ok(second.coordinator);
+      assert.deepEqual(deployment.fleet.orders, []);
+
+      // The worker never comes back: its VM can be maintained once nothing can be alive on it.
+      await deployment.run(8_000);
+      assert.equal(deployment.fleet.orders.length, 1);
+    });
+  });
 });
 
 function workerOf(deployment: TestDeployment, id: string): SimulatedWorker {
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -1,23 +1,19 @@
-import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import {sleep} from '@gentiandoor/kernel';
 import {
   planPools,
-  planWave,
-  type DueVm,
   type PlannedPool,
   type PlannedVm,
 } from '@gentiandoor/scheduling';
 import type {Dispatcher} from './dispatcher.js';
-import {RunStatus, taskName, type LiveRun} from './live-run.js';
 import {VmOrderOutcome, VmState, type ListedVm} from './machine-gateway.js';
-import type {MaintenanceWave, ServicePool} from './operator-records.js';
+import type {ServicePool} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
 import {PoolLog} from './pool-log.js';
 import type {RecordFormats} from './record-formats.js';
 import type {ServiceDemand} from './service-demand.js';
 import type {StreamFollower} from './stream-follower.js';
 import {VmOrders, type VmOrderParts, type VmOrderRequest} from './vm-orders.js';
-import {WaveProgress} from './wave-progress.js';
+import {WaveKeeper} from './wave-keeper.js';
 import type {WorkerRegistry} from './worker-registry.js';
 import type {WorkerSession} from './worker-session.js';
 
@@ -37,15 +33,10 @@
 
 /** Short against a move, so that a pool gets VMs within the first part of a burst; each round lists the VMs once. */
 const ROUND_MILLISECONDS = 100;
-/** Time between a maintenance and the return to service, besides the maintenance itself. */
-const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
-const FULL_PERCENT = 100;
 /** While the jobs can't be read nothing seems to arrive: VMs that leave their pools then are missing when callers come back, all at once. */
 const DEMAND_AGE_MILLISECONDS = 1_000;
 /** Why a VM takes no new starts before it changes its pool. */
 const POOL_CHANGE = 'pool change';
-/** Begins the reason why a VM takes no new starts before its maintenance. */
-const WAVE_PREFIX = 'wave ';
 
 /** Moves VMs between pools and through maintenance. */
 export class FleetKeeper {
@@ -54,7 +45,7 @@
   private readonly idleFrom = new Map<string, number>();
   /** The incarnation that each VM was last seen to carry. */
   private readonly incarnations = new Map<string, string>();
-  private readonly waves: WaveProgress;
+  private readonly waves: WaveKeeper;
   private readonly poolLog: PoolLog;
   private vms: readonly ListedVm[] = [];
   private closed = false;
@@ -67,9 +58,9 @@
     private readonly demand: ServiceDemand,
     private readonly host: FleetHost,
   ) {
-    this.waves = new WaveProgress(parts);
     this.poolLog = new PoolLog(parts.clock, parts.logger);
     this.orders = new VmOrders(term, parts, () => host.ordersAllowed());
+    this.waves = new WaveKeeper(parts, registry, this.orders);
   }
 
   start(): void {
@@ -129,7 +120,7 @@
     this.poolLog.note(pools, this.parts.jobs.ageMilliseconds);
     const requests: VmOrderRequest[] = [];
     for (const wave of this.parts.operators.waves.values())
-      requests.push(...this.stepWave(wave, pools));
+      requests.push(...this.waves.step(wave, this.vms, pools));
     const taken = new Set(requests.map(request => request.vm.name));
     for (const request of this.stepPools(pools))
       if (!taken.has(request.vm.name)) requests.push(request);
@@ -253,133 +244,6 @@
     return standby || session.silentFrom === undefined;
   }
 
-  private stepWave(
-    wave: MaintenanceWave,
-    pools: readonly PlannedPool[],
-  ): VmOrderRequest[] {
-    if (!this.waves.isLoaded || this.waves.isCompleted(wave)) return [];
-    const listed = new Map(this.vms.map(vm => [vm.name, vm]));
-    const {limits} = this.parts.settings;
-    const step = planWave({
-      due: this.dueVms(wave, listed, pools),
-      away: this.awayOf(wave, listed),
-      maximumAtOnce: wave.maximumAtOnce,
-      leftMilliseconds: this.waves.leftMilliseconds(wave),
-      maintenanceMilliseconds:
-        limits.maintenance + MAINTENANCE_OVERHEAD_MILLISECONDS,
-      workWaits: pools.some(pool => pool.waitingMillicores > 0),
-    });
-    for (const name of step.empty) this.empty(listed.get(name), wave);
-    return step.maintain.flatMap(name => {
-      const vm = listed.get(name);
-      return vm ? [this.maintenanceOf(vm, wave)] : [];
-    });
-  }
-
-  private maintenanceOf(vm: ListedVm, wave: MaintenanceWave): VmOrderRequest {
-    return {
-      vm,
-      order: {kind: 'maintain', to: String(wave.number)},
-      session: this.sessionOn(vm),
-      settled: outcome => {
-        const over =
-          outcome === VmOrderOutcome.Done ||
-          outcome === VmOrderOutcome.Impossible;
-        if (over) this.waves.noteDone(wave, vm.name);
-      },
-    };
-  }
-
-  private dueVms(
-    wave: MaintenanceWave,
-    listed: ReadonlyMap<string, ListedVm>,
-    pools: readonly PlannedPool[],
-  ): DueVm[] {
-    const inDemand = new Set(
-      pools
-        .filter(pool => pool.waitingMillicores > 0)
-        .map(pool => pool.service),
-    );
-    return wave.vms.flatMap(name => {
-      if (this.waves.isDone(wave, name)) return [];
-      const vm = listed.get(name);
-      // A VM that is gone needs no maintenance.
-      if (!vm) this.waves.noteDone(wave, name);
-      const canBe = vm?.state === VmState.Up && this.orders.isFree(name);
-      return canBe ? [this.dueVm(vm, inDemand.has(vm.pool))] : [];
-    });
-  }
-
-  /** VMs of a wave that are in maintenance, or may be. */
-  private awayOf(
-    wave: MaintenanceWave,
-    listed: ReadonlyMap<string, ListedVm>,
-  ): number {
-    return wave.vms.filter(
-      name =>
-        this.orders.openOrder(name)?.kind === 'maintain' ||
-        listed.get(name)?.state === VmState.Maintenance,
-    ).length;
-  }
-
-  private dueVm(vm: ListedVm, inDemand: boolean): DueVm {
-    const session = this.sessionOn(vm);
-    const runs = [...(session?.runs.values() ?? [])];
-    const longRunning = runs.filter(
-      run => run.taskOfJob.specification.longRunning,
-    ).length;
-    return {
-      name: vm.name,
-      idle: runs.length === 0,
-      emptying: session?.reservation?.startsWith(WAVE_PREFIX) ?? false,
-      shortTasks: runs.length - longRunning,
-      longRunningTasks: longRunning,
-      inDemand,
-    };
-  }
-
-  private empty(vm: ListedVm | undefined, wave: MaintenanceWave): void {
-    const session = vm && this.sessionOn(vm);
-    if (!session) return;
-    session.reserve(`${WAVE_PREFIX}${wave.number}`);
-    for (const run of session.runs.values())
-      if (this.mayEvacuate(run)) void session.stop(run);
-  }
-
-  /** A long-running task may be taken away while no other of its step is. */
-  private mayEvacuate(run: LiveRun): boolean {
-    const step = run.taskOfJob.specification;
-    if (!step.longRunning || run.stopAsked) return false;
-    const away = run.execution
-      .tasksOfStep(run.taskOfJob.occurrence, run.taskOfJob.step)
-      .filter(task => task !== run.taskOfJob)
-      .filter(task => !this.isAtWork(run.execution, task)).length;
-    return away < Math.max(1, step.mayMiss);
-  }
-
-  private isAtWork(execution: JobExecution, task: ExecutableTask): boolean {
-    const session = this.registry.find(task.progress.worker);
-    const run = session?.runs.get(taskName(execution.job.id, task));
-    return (
-      run !== undefined &&
-      run.status === RunStatus.Confirmed &&
-      !run.stopAsked &&
-      run.percent >= FULL_PERCENT &&
-      !this.mayBeStopping(run)
-    );
-  }
-
-  /**
-   * The coordinator before may have had a run stopped just before its term ended. The worker lists it
-   * as at work until it is gone, and a second task of its step would be taken away beside it. Since
-   * the worker has seen this term's token no earlier order is taken, so the longest stop bounds it.
-   */
-  private mayBeStopping(run: LiveRun): boolean {
-    const isOfEarlierTerm = run.beganAt === undefined;
-    const seenFor = this.now() - run.settledAt;
-    return isOfEarlierTerm && seenFor < this.parts.settings.limits.stop;
-  }
-
   private sessionOn(vm: ListedVm): WorkerSession | undefined {
     return this.registry.find(vm.workerId);
   }
