--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -24,6 +24,7 @@
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
 import {RunStatus, newLiveRun, taskName, type LiveRun} from './live-run.js';
+import {JobRetention} from './job-retention.js';
 import type {MachineGateway} from './machine-gateway.js';
 import type {Queue} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
@@ -40,6 +41,7 @@
 } from './worker-gateway.js';
 import {WorkerRegistry} from './worker-registry.js';
 import {WorkerSession, type SessionHost} from './worker-session.js';
+import {WorkerSuspicion} from './worker-suspicion.js';
 
 /** What a coordinator is built from; all parts outlive it. */
 export interface CoordinatorParts {
@@ -62,7 +64,6 @@
 /** Submissions that come close together are read with one call. */
 const JOB_READ_GAP_MILLISECONDS = 20;
 const RETRY_MILLISECONDS = 100;
-const RETENTION_ROUND_MILLISECONDS = 10_000;
 /** Oldest age that a wall-clock difference between daemons is trusted for. */
 const MAXIMUM_AGE_MILLISECONDS = 60_000;
 /** A worker that refuses what should fit has less room than it says for about this long. */
@@ -75,7 +76,8 @@
   readonly registry: WorkerRegistry;
   readonly trust = new WorkerTrust();
   private readonly executions = new Map<string, JobExecution>();
-  private readonly endedAt = new Map<string, number>();
+  private readonly suspicion: WorkerSuspicion;
+  private readonly retention: JobRetention;
   private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
@@ -100,6 +102,10 @@
     );
     const demand = new ServiceDemand();
     this.dispatcher = new Dispatcher(this, new FullestFirst(), demand, clock);
+    this.suspicion = new WorkerSuspicion(this.trust, clock, parts.logger);
+    this.retention = new JobRetention(clock, settings.limits.stateKept, jobId =>
+      this.dropJob(jobId),
+    );
     this.registry = new WorkerRegistry(parts, this);
     this.orphans = new OrphanRuns(
       this.leaseMilliseconds,
@@ -139,7 +145,7 @@
     });
     this.registry.start();
     this.fleet.start();
-    this.scheduleRetention();
+    this.retention.start();
     await this.followJobs();
   }
 
@@ -151,6 +157,7 @@
     this.dispatcher.close();
     this.fleet.close();
     this.registry.close();
+    this.retention.close();
   }
 
   ordersAllowed(): boolean {
@@ -196,7 +203,7 @@
     end: RunEnd,
     checkpoint: string,
   ): void {
-    this.noteTrust(session, run, end);
+    this.suspicion.noteEnd(session, run, end);
     if (end === RunEnd.Done && run.beganAt !== undefined)
       this.dispatcher.noteDuration(
         run,
@@ -238,7 +245,8 @@
       refusal,
     });
     metrics.increment(MetricName.RunRefusals, {reason: refusal});
-    if (refusal === OrderRefusal.Unhealthy) this.suspect(session, refusal);
+    if (refusal === OrderRefusal.Unhealthy)
+      this.suspicion.suspect(session, refusal);
     this.endRun(run, RunEnd.Lost, '', session.id);
     clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
       this.dispatcher.wake(session.entry.service),
@@ -259,7 +267,7 @@
       expectedMilliseconds: Math.round(run.expectedMilliseconds),
     });
     metrics.increment(MetricName.RunsStalled);
-    this.suspect(session, 'run stalled');
+    this.suspicion.suspect(session, 'run stalled');
     this.dispatcher.noteFailure(run, session.id);
     void session.stop(run);
   }
@@ -331,7 +339,7 @@
     if (job.cancelled) this.cancelJob(submission.id);
     const age = this.ageOf(submission);
     if (execution.ended) {
-      this.endedAt.set(submission.id, this.parts.clock.monotonicMilliseconds());
+      this.retention.noteEnded(submission.id);
       this.dispatcher.noteDemand(execution, age);
       this.stopRuns(execution);
     } else this.dispatcher.add(execution, age);
@@ -420,15 +428,17 @@
       objectiveMilliseconds: Math.round(this.dispatcher.objectiveOf(execution)),
     });
     this.parts.metrics.increment(MetricName.JobEnds, {state});
-    this.endedAt.set(
-      execution.job.id,
-      this.parts.clock.monotonicMilliseconds(),
-    );
+    this.retention.noteEnded(execution.job.id);
     this.dispatcher.remove(execution);
     this.trust.forgetJob(execution.job.id);
     if (state !== JobState.Completed) this.stopRuns(execution);
   }
 
+  private dropJob(jobId: string): void {
+    this.executions.delete(jobId);
+    this.writer.drop(dropJobRecords(jobId));
+  }
+
   /** Stops what runs of a job, or of one task of it that is done. */
   private stopRuns(execution: JobExecution, only?: ExecutableTask): void {
     for (const task of execution.liveTasks()) {
@@ -444,48 +454,6 @@
     for (const run of session.runs.values())
       if (run.taskOfJob.specification.longRunning) void session.stop(run);
   }
-
-  private noteTrust(session: WorkerSession, run: LiveRun, end: RunEnd): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    if (end === RunEnd.Done) this.trust.noteSuccess(session.id);
-    const {id} = run.execution.job;
-    if (end === RunEnd.Failed && this.trust.noteFailure(session.id, id, now))
-      this.logSuspect(session, 'jobs that had failed nowhere else failed');
-  }
-
-  private suspect(session: WorkerSession, reason: string): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    if (this.trust.suspect(session.id, now)) this.logSuspect(session, reason);
-  }
-
-  private logSuspect(session: WorkerSession, reason: string): void {
-    this.parts.logger.warn(LogEvent.WorkerSuspect, {
-      worker: session.id,
-      runs: session.runs.size,
-      reason,
-    });
-  }
-
-  private scheduleRetention(): void {
-    this.parts.clock.schedule(RETENTION_ROUND_MILLISECONDS, () => {
-      if (this.closed) return;
-      this.dropOldJobs();
-      this.scheduleRetention();
-    });
-  }
-
-  /** A final state is kept for twice the time that it may be asked for: a submission that comes again late must still be known. */
-  private dropOldJobs(): void {
-    const oldest =
-      this.parts.clock.monotonicMilliseconds() -
-      2 * this.parts.settings.limits.stateKept;
-    for (const [jobId, endedAt] of this.endedAt) {
-      if (endedAt > oldest) continue;
-      this.endedAt.delete(jobId);
-      this.executions.delete(jobId);
-      this.writer.drop(dropJobRecords(jobId));
-    }
-  }
 }
 
 function copyProgress(progress: JobProgress): JobProgress {
--- /dev/null
+++ b/packages/coordinator/src/job-retention.ts
@@ -0,0 +1,46 @@
+import type {Clock} from '@gentiandoor/kernel';
+
+/** Rounds are rare beside the minutes for which states are kept, and each looks at all ended jobs. */
+const ROUND_MILLISECONDS = 10_000;
+/** A submission that comes again late must still be known. */
+const KEPT_FACTOR = 2;
+
+/** Lets ended jobs be dropped once nobody may ask for their state any more. */
+export class JobRetention {
+  private readonly endedAt = new Map<string, number>();
+  private closed = false;
+
+  /** `stateKeptMilliseconds`: how long a final state may be asked for; `drop`: forgets a job. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly stateKeptMilliseconds: number,
+    private readonly drop: (jobId: string) => void,
+  ) {}
+
+  start(): void {
+    this.clock.schedule(ROUND_MILLISECONDS, () => {
+      if (this.closed) return;
+      this.dropOld();
+      this.start();
+    });
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+
+  noteEnded(jobId: string): void {
+    this.endedAt.set(jobId, this.clock.monotonicMilliseconds());
+  }
+
+  private dropOld(): void {
+    const oldest =
+      this.clock.monotonicMilliseconds() -
+      KEPT_FACTOR * this.stateKeptMilliseconds;
+    for (const [jobId, endedAt] of this.endedAt) {
+      if (endedAt > oldest) continue;
+      this.endedAt.delete(jobId);
+      this.drop(jobId);
+    }
+  }
+}
