--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -14,12 +14,13 @@
   type RecordLog,
 } from './record-log.js';
 
-/** A holder gives no orders later than this after it sent its last renewal that succeeded; while nobody holds the term nothing starts. One renewal may be lost, with the 250 ms that show it. */
+/** A holder gives no orders later than this after it sent its last renewal that succeeded; while nobody holds the term nothing starts. */
 const LEAST_TERM_MILLISECONDS = 800;
 /** The same with a store that answers slowly: four times the answer of one slowed sixty times over. */
 const MOST_TERM_MILLISECONDS = 1_300;
 /** A renewal is sent, answered, and the next one answered within the term. */
 const ANSWERS_IN_TERM = 4;
+/** Three renewals are sent within the shortest term: one may be lost. */
 const RENEWAL_MILLISECONDS = 250;
 /** Room for two steady clocks that differ and for a step that was under way when the term ran out. */
 const TAKEOVER_SLACK_MILLISECONDS = 150;
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -262,6 +262,7 @@
       this.silentSince !== undefined ||
       now - this.answeredAt < ANSWERED_LATELY_MILLISECONDS;
     if (this.closed || this.probing || isKnown || !this.tokenShown) return;
+    if (!this.host.ordersAllowed()) return;
     this.probing = true;
     const result = await this.gateway.poll(this.current, {
       fencingToken: this.host.term,
