--- a/packages/coordinator/src/__tests__/random-faults.test.ts
+++ b/packages/coordinator/src/__tests__/random-faults.test.ts
@@ -4,12 +4,15 @@
 
 const SEEDS = Number(process.env.GENTIANDOOR_FAULT_SEEDS ?? 12);
 const FIRST_SEED = Number(process.env.GENTIANDOOR_FIRST_SEED ?? 1);
+/** 77076: an end as failed is read 14 s late from a worker whose lease has lapsed meanwhile; it does not count. */
+const KEPT_SEEDS = [77_076];
 
 // Daemons are killed and restarted, cut from the store or told nothing by it, workers are cut, crash,
 // take orders late or lose answers, in any order and overlapping. Callers must see each job run once,
 // never one that was refused, and all of them at their end when the faults are over.
 describe('random faults', () => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++)
+  const fresh = Array.from({length: SEEDS}, (_, index) => FIRST_SEED + index);
+  for (const seed of new Set([...KEPT_SEEDS, ...fresh]))
     it(`break no promise under seed ${seed}`, async () => {
       const run = await playRandomFaults(seed);
       assert.deepEqual(run.broken, []);
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -21,6 +21,8 @@
 const FAULT_ROUNDS = 14;
 const CALM_MILLISECONDS = 40_000;
 const SUBMIT_BOUND_MILLISECONDS = 3_000;
+/** Of the queue that all jobs go to. */
+const MAXIMUM_ATTEMPTS = 3;
 
 /** What a seeded run of faults broke; empty when every promise held. */
 export interface RandomRun {
@@ -226,14 +228,17 @@
     return !(this.deployment.worker(run.worker)?.isDead ?? true);
   }
 
+  /** Runs that began after as many ends as failed that count as the queue allows. */
   private tooManyAttempts(runs: readonly BegunRun[]): string[] {
-    const failures = new Map<string, number>();
-    for (const run of runs)
-      if (run.end === RunEnd.Failed && this.outlived(run))
-        failures.set(run.task, (failures.get(run.task) ?? 0) + 1);
-    return [...failures]
-      .filter(([, count]) => count > 3)
-      .map(([task, count]) => `${task}: failed ${count} times`);
+    const knownFailures = new Map<BegunRun, number>();
+    for (const [one, other] of pairsOfRuns(runs))
+      if (one.end === RunEnd.Failed && this.isKnown(one, other))
+        knownFailures.set(other, (knownFailures.get(other) ?? 0) + 1);
+    return [...knownFailures]
+      .filter(([, count]) => count >= MAXIMUM_ATTEMPTS)
+      .map(
+        ([{task, run}, count]) => `${task}: run ${run} after ${count} failures`,
+      );
   }
 
   private refusedAndRun(runs: readonly BegunRun[]): string[] {
