--- a/packages/cli/src/account/job-account.ts
+++ b/packages/cli/src/account/job-account.ts
@@ -1,5 +1,5 @@
 import {LogEvent} from '@gentiandoor/kernel';
-import type {LogLine} from '../log-story.js';
+import {jobOf, type LogLine} from '../log-story.js';
 import {overlap, type Interruptions, type TimeSpan} from './interruptions.js';
 
 /** What a job's time went to. */
@@ -43,7 +43,7 @@
 ): JobAccount[] {
   const journeys = new Map<string, Journey>();
   for (const line of lines) {
-    const job = jobNamedBy(line);
+    const job = jobOf(line);
     if (job === undefined) continue;
     let journey = journeys.get(job);
     if (!journey) {
@@ -55,13 +55,6 @@
   return [...journeys.values()].flatMap(journey => journey.account());
 }
 
-/** The job that a line names, itself or by one of its tasks. */
-function jobNamedBy({fields}: LogLine): string | undefined {
-  const {job, task} = fields;
-  if (typeof job === 'string') return job;
-  return typeof task === 'string' ? task.split('.')[0] : undefined;
-}
-
 class Journey {
   private readonly uses = noUses();
   /** Worker of each run under way, by task and run. */
--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -152,7 +152,8 @@
   }
 }
 
-function jobOf(line: LogLine): string | undefined {
+/** The job that a line names, itself or by one of its tasks. */
+export function jobOf(line: LogLine): string | undefined {
   const {job, task} = line.fields;
   if (typeof job === 'string') return job;
   return typeof task === 'string' ? task.split('.')[0] : undefined;
