--- a/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
+++ b/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {LogStream} from '../index.js';
-import {TestDeployment, behaviour, job, step} from './deployment.js';
+import {LASTING_JOB, TestDeployment} from './deployment.js';
 
 const BOUND = 3_000;
 
@@ -12,17 +12,8 @@
     // is nobody to order about. The cancellation comes; only then does the worker's entry return.
     it('has its run stopped once the worker is back', async () => {
       const deployment = new TestDeployment(1);
-      deployment.behaviours.set(
-        'lasting',
-        behaviour({durationMilliseconds: undefined}),
-      );
       const first = await deployment.startDaemon('one');
-      const submitted = first.desk.submit(
-        job('lasting', [step({longRunning: true})]),
-        BOUND,
-      );
-      await deployment.run(500);
-      await submitted;
+      await deployment.startLastingJob(first);
       deployment.store.write(LogStream.Workers, {
         key: 'worker-0',
         value: undefined,
@@ -30,7 +21,7 @@
       first.kill();
       const second = await deployment.startDaemon('two');
       await deployment.run(2_000);
-      const cancelled = second.desk.cancel('lasting', BOUND);
+      const cancelled = second.desk.cancel(LASTING_JOB, BOUND);
       await deployment.run(500);
       await cancelled;
 
--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -59,6 +59,8 @@
 export const SERVICE = 'previews';
 export const QUEUE = 'quick-previews';
 export const STANDBY = 'spare';
+export const LASTING_JOB = 'lasting';
+const LASTING_JOB_BOUND_MILLISECONDS = 3_000;
 const ROOM = {
   processorMillicores: 8_000,
   memoryMegabytes: 64_000,
@@ -289,6 +291,21 @@
     await this.clock.advanceAsync(milliseconds);
   }
 
+  /** Hands in a job named `lasting` with a long-running step, and lets its tasks start. */
+  async startLastingJob(
+    daemon: TestDaemon,
+    differences: Partial<StepSpecification> = {},
+  ): Promise<void> {
+    this.behaviours.set(
+      LASTING_JOB,
+      behaviour({durationMilliseconds: undefined}),
+    );
+    const asked = job(LASTING_JOB, [step({longRunning: true, ...differences})]);
+    const submitted = daemon.desk.submit(asked, LASTING_JOB_BOUND_MILLISECONDS);
+    await this.run(1_000);
+    await submitted;
+  }
+
   /** What a daemon says of a job. */
   async answerOf(daemon: TestDaemon, jobId: string): Promise<JobAnswer> {
     const answer = daemon.desk.state(jobId);
--- a/packages/coordinator/src/__tests__/evacuation.test.ts
+++ b/packages/coordinator/src/__tests__/evacuation.test.ts
@@ -2,9 +2,8 @@
 import {describe, it} from 'node:test';
 import {LogStream} from '../index.js';
 import {WorkerFault, type SimulatedWorker} from '../stand-ins/index.js';
-import {TestDeployment, behaviour, job, step} from './deployment.js';
+import {TestDeployment} from './deployment.js';
 
-const BOUND = 3_000;
 const STOP_MILLISECONDS = 900;
 
 describe('a VM that is emptied for maintenance', () => {
@@ -14,21 +13,14 @@
     // next coordinator takes the step for whole and has a second task stopped.
     it('loses no second task of the step before the first is back', async () => {
       const deployment = new TestDeployment(2);
-      deployment.behaviours.set(
-        'lasting',
-        behaviour({durationMilliseconds: undefined}),
-      );
       const first = await deployment.startDaemon('one');
-      const asked = job('lasting', [
-        step({
-          longRunning: true,
-          taskCount: 2,
-          maximumPerWorker: 1,
-          mayMiss: 1,
-        }),
-      ]);
-      void first.desk.submit(asked, BOUND);
-      await deployment.run(3_000);
+      await deployment.startLastingJob(first, {
+        taskCount: 2,
+        maximumPerWorker: 1,
+        mayMiss: 1,
+      });
+      // The polls that wait show the tasks at work.
+      await deployment.run(2_000);
       const [kept, stopped] = [
         workerOf(deployment, 'worker-0'),
         workerOf(deployment, 'worker-1'),
@@ -57,14 +49,8 @@
     // coordinator has changed: no session with it is known, and nothing seems to run on its VM.
     it('is not maintained while tasks may run on it', async () => {
       const deployment = new TestDeployment(1);
-      deployment.behaviours.set(
-        'lasting',
-        behaviour({durationMilliseconds: undefined}),
-      );
       const first = await deployment.startDaemon('one');
-      const asked = job('lasting', [step({longRunning: true, mayMiss: 1})]);
-      void first.desk.submit(asked, BOUND);
-      await deployment.run(1_000);
+      await deployment.startLastingJob(first, {mayMiss: 1});
       const worker = workerOf(deployment, 'worker-0');
       deployment.store.write(LogStream.Workers, {
         key: worker.id,
