--- a/packages/cli/src/account/day-account.ts
+++ b/packages/cli/src/account/day-account.ts
@@ -1,6 +1,6 @@
 import {LogEvent} from '@gentiandoor/kernel';
-import type {LogLine} from '../log-story.js';
-import type {ReportInput, ReportScenario} from '../report/report-input.js';
+import {countLeftOut, type LogLine} from '../log-story.js';
+import type {PageSection} from '../report/report-page.js';
 import {findInterruptions} from './interruptions.js';
 import {TimeUse, accountsOfJobs, type JobAccount} from './job-account.js';
 
@@ -67,28 +67,26 @@
     pools: poolRows(lines, rowOfSecond),
     refusals: countRefusals(lines),
     unfinished: countTaken(lines) - jobs.length,
-    linesLeftOut: lines
-      .filter(line => line.event === LogEvent.LinesLeftOut)
-      .reduce((sum, line) => sum + (Number(line.fields.count) || 0), 0),
+    linesLeftOut: countLeftOut(lines),
   };
 }
 
-/** The account in the form of the report page, which draws it. */
-export function accountReport(account: DayAccount): ReportInput {
+/** The account as sections of a page, by heading. */
+export function accountSections(
+  account: DayAccount,
+): Readonly<Record<string, PageSection>> {
   const {bySecond, byQueue, bySize, byDataCentre, pools} = account;
   return {
-    'by second of intake': scenario(bySecond),
-    'by queue': scenario(byQueue),
-    'by size': scenario(bySize),
-    'by data centre': scenario(byDataCentre),
-    pools: {seed: 0, checks: [], rows: pools.map(row => ({...row}))},
+    'by second of intake': section(bySecond),
+    'by queue': section(byQueue),
+    'by size': section(bySize),
+    'by data centre': section(byDataCentre),
+    pools: {rows: pools},
   };
 }
 
-function scenario(rows: readonly AccountRow[]): ReportScenario {
+function section(rows: readonly AccountRow[]): PageSection {
   return {
-    seed: 0,
-    checks: [],
     rows: rows.map(({label, jobs, late, meanMilliseconds, uses}) => ({
       label,
       values: {jobs, late, 'mean ms': meanMilliseconds, ...uses},
@@ -100,16 +98,25 @@
   jobs: readonly JobAccount[],
   labelOf: (job: JobAccount) => string,
 ): AccountRow[] {
-  const groups = new Map<string, JobAccount[]>();
-  for (const job of jobs) {
-    const label = labelOf(job);
-    groups.set(label, [...(groups.get(label) ?? []), job]);
-  }
-  return [...groups]
+  return [...groupsBy(jobs, labelOf)]
     .map(([label, members]) => rowOf(label, members))
     .sort(byLabel);
 }
 
+function groupsBy<Item>(
+  items: readonly Item[],
+  labelOf: (item: Item) => string,
+): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const label = labelOf(item);
+    const group = groups.get(label);
+    if (group) group.push(item);
+    else groups.set(label, [item]);
+  }
+  return groups;
+}
+
 function rowOf(label: string, jobs: readonly JobAccount[]): AccountRow {
   const mean = (of: (job: JobAccount) => number) =>
     Math.round(jobs.reduce((sum, job) => sum + of(job), 0) / jobs.length);
@@ -153,13 +160,10 @@
   lines: readonly LogLine[],
   rowOfSecond: (time: number) => string,
 ): PoolRow[] {
-  const groups = new Map<string, LogLine[]>();
-  for (const line of lines) {
-    if (line.event !== LogEvent.PoolSized) continue;
-    const label = `${String(line.fields.service)} ${rowOfSecond(line.time)}`;
-    groups.set(label, [...(groups.get(label) ?? []), line]);
-  }
-  return [...groups]
+  const sized = lines.filter(line => line.event === LogEvent.PoolSized);
+  const labelOf = ({fields, time}: LogLine) =>
+    `${String(fields.service)} ${rowOfSecond(time)}`;
+  return [...groupsBy(sized, labelOf)]
     .map(([label, members]) => ({
       label,
       values: Object.fromEntries(
--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -1,7 +1,7 @@
 import {writeFileSync} from 'node:fs';
 import {
   accountOfDay,
-  accountReport,
+  accountSections,
   type AccountRow,
   type DayAccount,
 } from '../account/day-account.js';
@@ -45,7 +45,7 @@
   if (options.page !== undefined) {
     writeFileSync(
       options.page,
-      pageOf(HEADING, accountReport(day), chartLibrary()),
+      pageOf(HEADING, accountSections(day), chartLibrary()),
     );
     context.note(`${options.page} written`);
   }
--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -132,10 +132,9 @@
     job,
     steps: told.map(stepOf),
     gaps: longestGaps(own),
-    linesLeftOut: lines
-      .filter(line => line.event === LogEvent.LinesLeftOut)
-      .filter(line => line.time >= from && line.time <= until)
-      .reduce((sum, line) => sum + (Number(line.fields.count) || 0), 0),
+    linesLeftOut: countLeftOut(
+      lines.filter(line => line.time >= from && line.time <= until),
+    ),
     unreadableLines: unreadable,
   };
 }
@@ -152,6 +151,13 @@
   }
 }
 
+/** Lines that the daemons left out to bound the log, as they told. */
+export function countLeftOut(lines: readonly LogLine[]): number {
+  return lines
+    .filter(line => line.event === LogEvent.LinesLeftOut)
+    .reduce((sum, line) => sum + (Number(line.fields.count) || 0), 0);
+}
+
 /** The job that a line names, itself or by one of its tasks. */
 export function jobOf(line: LogLine): string | undefined {
   const {job, task} = line.fields;
--- a/packages/cli/src/report/report-page.ts
+++ b/packages/cli/src/report/report-page.ts
@@ -27,6 +27,17 @@
 }
 `;
 
+/** One table of a page, drawn column by column. */
+export interface PageSection {
+  readonly rows: ReadonlyArray<{
+    readonly label: string;
+    readonly values: Readonly<Record<string, number>>;
+  }>;
+  /** Seed and checks of a bench scenario; undefined where the rows are of none. */
+  readonly seed?: number;
+  readonly checks?: ReportScenario['checks'];
+}
+
 /** What stands above the sections of a page. */
 export interface PageHeading {
   readonly title: string;
@@ -42,11 +53,11 @@
 /** A self-contained HTML page of tables with plots. */
 export function pageOf(
   {title, remark}: PageHeading,
-  input: ReportInput,
+  input: Readonly<Record<string, PageSection>>,
   chartLibrary: string,
 ): string {
-  const sections = Object.entries(input).map(([name, scenario]) =>
-    section(name, scenario),
+  const sections = Object.entries(input).map(([name, content]) =>
+    section(name, content),
   );
   return `<!doctype html>
 <html lang="en">
@@ -72,28 +83,28 @@
     .filter(check => !check.passed).length;
 }
 
-function section(name: string, scenario: ReportScenario): string {
+function section(name: string, scenario: PageSection): string {
   const columns = [
     ...new Set(scenario.rows.flatMap(row => Object.keys(row.values))),
   ];
   return `<section>
 <h2>${escapeHtml(name)}</h2>
-${scenario.seed > 0 ? `<p>seed ${scenario.seed}</p>` : ''}
-${checkList(scenario)}
+${scenario.seed === undefined ? '' : `<p>seed ${scenario.seed}</p>`}
+${scenario.checks ? checkList(scenario.checks) : ''}
 <div class="charts">${columns.map(column => chart(column, scenario)).join('')}</div>
 ${table(columns, scenario)}
 </section>`;
 }
 
-function checkList(scenario: ReportScenario): string {
-  const items = scenario.checks.map(check => {
+function checkList(checks: ReportScenario['checks']): string {
+  const items = checks.map(check => {
     const word = check.passed ? 'held' : '<span class="broken">BROKEN</span>';
     return `<li>${word}: ${escapeHtml(check.name)}: ${escapeHtml(check.detail)}</li>`;
   });
   return `<ul>${items.join('')}</ul>`;
 }
 
-function chart(column: string, scenario: ReportScenario): string {
+function chart(column: string, scenario: PageSection): string {
   const rows = scenario.rows.filter(row => column in row.values);
   const data = JSON.stringify({
     title: column,
@@ -103,7 +114,7 @@
   return `<div class="chart"><canvas data-chart="${escapeHtml(data)}"></canvas></div>`;
 }
 
-function table(columns: readonly string[], scenario: ReportScenario): string {
+function table(columns: readonly string[], scenario: PageSection): string {
   const head = columns.map(column => `<th>${escapeHtml(column)}</th>`).join('');
   const body = scenario.rows.map(row => {
     const cells = columns.map(
