A coordinator that lags keeps its term: orders under way are bounded, workers' answers are waited for by the lag

Change: bound of workers' answers by what answers take; a window of orders under way (services take turns, tasks that last go past it); the list of VMs takes a fifth of the link at most; one record for each VM's last order.

--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -8,8 +8,9 @@
 import {
   MemoryMetrics,
   SeededRandom,
-  SilentLogger,
   VirtualClock,
+  type LogEvent,
+  type Logger,
 } from '@gentiandoor/kernel';
 import {
   Coordinator,
@@ -23,12 +24,14 @@
   type CoordinatorParts,
   type JobAnswer,
   type OperatorRecord,
+  type Queue,
   type RecordFormats,
   type WorkerEntry,
 } from '../index.js';
 import {
   MemoryStore,
   SimulatedFleet,
+  SimulatedLink,
   SimulatedWorker,
   SimulatedWorkers,
   simulatedSettings,
@@ -58,6 +61,8 @@
 
 export const SERVICE = 'previews';
 export const QUEUE = 'quick-previews';
+export const OTHER_SERVICE = 'reviews';
+export const OTHER_QUEUE = 'long-reviews';
 export const STANDBY = 'spare';
 export const LASTING_JOB = 'lasting';
 const LASTING_JOB_BOUND_MILLISECONDS = 3_000;
@@ -72,8 +77,34 @@
   accelerators: 0,
 };
 
+/** Counts the log lines of each event. */
+export class EventCounts implements Logger {
+  private readonly counts = new Map<LogEvent, number>();
+
+  of(event: LogEvent): number {
+    return this.counts.get(event) ?? 0;
+  }
+
+  debug(event: LogEvent): void {
+    this.counts.set(event, this.of(event) + 1);
+  }
+
+  info(event: LogEvent): void {
+    this.debug(event);
+  }
+
+  warn(event: LogEvent): void {
+    this.debug(event);
+  }
+
+  error(event: LogEvent): void {
+    this.debug(event);
+  }
+}
+
 /** One daemon of a test: its own connections, table, desk and term. */
 export class TestDaemon {
+  readonly events = new EventCounts();
   readonly store: StoreConnection;
   readonly workers: WorkerConnection;
   readonly table = new JobTable();
@@ -84,11 +115,16 @@
   readonly parts: CoordinatorParts;
   coordinator: Coordinator | undefined;
 
-  constructor(deployment: TestDeployment, node: string, life = '1') {
+  constructor(
+    deployment: TestDeployment,
+    node: string,
+    life = '1',
+    link = new SimulatedLink(deployment.clock),
+  ) {
     const {clock} = deployment;
-    const logger = new SilentLogger();
-    this.store = deployment.store.connect();
-    this.workers = deployment.workers.connect();
+    const logger = this.events;
+    this.store = deployment.store.connect(link);
+    this.workers = deployment.workers.connect(link);
     this.jobs = new StreamFollower(
       this.store,
       LogStream.Jobs,
@@ -146,6 +182,11 @@
     this.keeper.start();
   }
 
+  /** Takes jobs in and never becomes the coordinator. */
+  startIntakeOnly(): void {
+    this.operators.start();
+  }
+
   /** The process is gone at once, with everything in it. */
   kill(): void {
     this.operators.stop();
@@ -187,38 +228,42 @@
       this.addWorker(`worker-${index}`, SERVICE);
   }
 
+  /** A link so narrow that a turn of a queue fills it; undefined bandwidth for one that is never full. */
+  link(bytesPerMillisecond?: number): SimulatedLink {
+    return new SimulatedLink(this.clock, bytesPerMillisecond);
+  }
+
   /** Starts a daemon and lets it take the term. */
-  async startDaemon(node: string): Promise<TestDaemon> {
-    const daemon = new TestDaemon(this, node);
+  async startDaemon(
+    node: string,
+    link: SimulatedLink = this.link(),
+  ): Promise<TestDaemon> {
+    const daemon = new TestDaemon(this, node, '1', link);
     daemon.start();
     await this.run(200);
     return daemon;
   }
 
-  publishConfiguration(version: number): void {
+  /** `services`: those with a pool and a queue of their own. */
+  publishConfiguration(
+    version: number,
+    services: ReadonlyMap<string, string> = new Map([[QUEUE, SERVICE]]),
+  ): void {
+    const pools = [...services.values(), STANDBY];
     const record: OperatorRecord = {
       kind: 'configuration',
       configuration: {
         version,
         maximumBodyBytes: 100_000,
-        queues: [
-          {
-            name: QUEUE,
-            host: 'previews.example',
-            pathPrefix: '/q/',
-            service: SERVICE,
-            priority: 0,
-            maximumAttempts: 3,
-            stretch: 2,
-            latencyMilliseconds: 500,
-            timeoutMilliseconds: 3_000,
-            adviceValidMilliseconds: 0,
-          },
-        ],
-        services: [
-          {name: SERVICE, standby: false, enforcesRoom: true, healthPath: ''},
-          {name: STANDBY, standby: true, enforcesRoom: true, healthPath: ''},
-        ],
+        queues: [...services].map(([queue, service]) =>
+          queueOf(queue, service),
+        ),
+        services: pools.map(name => ({
+          name,
+          standby: name === STANDBY,
+          enforcesRoom: true,
+          healthPath: '',
+        })),
       },
     };
     this.writeOperatorRecord('config', record);
@@ -340,6 +385,21 @@
   }
 }
 
+function queueOf(name: string, service: string): Queue {
+  return {
+    name,
+    host: 'previews.example',
+    pathPrefix: `/${name}/`,
+    service,
+    priority: 0,
+    maximumAttempts: 3,
+    stretch: 2,
+    latencyMilliseconds: 500,
+    timeoutMilliseconds: 3_000,
+    adviceValidMilliseconds: 0,
+  };
+}
+
 /** A step with the given differences from a plain one. */
 export function step(
   differences: Partial<StepSpecification> = {},
--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -21,6 +21,7 @@
           return [];
         },
         queueOf: () => undefined,
+        mayOrder: () => true,
         launch: () => undefined,
       },
       new FullestFirst(),
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -19,7 +19,7 @@
   type StoredJob,
   type TaskProgress,
 } from '@gentiandoor/jobs';
-import {FullestFirst, WorkerTrust} from '@gentiandoor/scheduling';
+import {FullestFirst, OrderWindow, WorkerTrust} from '@gentiandoor/scheduling';
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
@@ -40,7 +40,11 @@
   type WorkerGateway,
 } from './worker-gateway.js';
 import {WorkerRegistry} from './worker-registry.js';
-import {WorkerSession, type SessionHost} from './worker-session.js';
+import {
+  WorkerSession,
+  newAnswerBound,
+  type SessionHost,
+} from './worker-session.js';
 import {WorkerSuspicion} from './worker-suspicion.js';
 
 /** What a coordinator is built from; all parts outlive it. */
@@ -75,6 +79,8 @@
   readonly beganAt: number;
   readonly registry: WorkerRegistry;
   readonly trust = new WorkerTrust();
+  private readonly answers = newAnswerBound();
+  private readonly window = new OrderWindow();
   private readonly executions = new Map<string, JobExecution>();
   private readonly suspicion: WorkerSuspicion;
   private readonly retention: JobRetention;
@@ -180,7 +186,24 @@
     return this.parts.operators.queue(execution.job.queue);
   }
 
+  get answerBoundMilliseconds(): number {
+    return this.answers.milliseconds;
+  }
+
+  noteAnswerTime(milliseconds: number): void {
+    this.answers.noteAnswer(milliseconds);
+    this.window.noteAnswer(
+      milliseconds,
+      this.parts.clock.monotonicMilliseconds(),
+    );
+  }
+
+  mayOrder(count: number): boolean {
+    return this.window.allows(count);
+  }
+
   launch(session: WorkerSession, run: LiveRun): void {
+    this.window.begin();
     session.expect(run);
     this.writer.store(run.execution, () => {
       const {logger, metrics, clock} = this.parts;
@@ -193,7 +216,10 @@
         term: this.term,
         storedAfterMilliseconds: Math.round(waited),
       });
-      void session.order(run);
+      void session.order(run).finally(() => {
+        this.window.end();
+        this.dispatcher.orderSettled();
+      });
     });
   }
 
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import {
   Chance,
   RescueBudget,
+  ServiceTurns,
   chanceOf,
   compareWaitingJobs,
   occupiedMillicores,
@@ -32,6 +33,8 @@
 export interface DispatchHost {
   sessionsOf(service: string): readonly WorkerSession[];
   queueOf(execution: JobExecution): Queue | undefined;
+  /** Whether `count` orders may be begun together; more would wait behind each other at this daemon. */
+  mayOrder(count: number): boolean;
   /** Stores the run, then orders it. */
   launch(session: WorkerSession, run: LiveRun): void;
 }
@@ -83,6 +86,9 @@
   private readonly loads = new Map<string, ServiceLoad>();
   private readonly rescues = new RescueBudget();
   private readonly due = new Set<string>();
+  /** Services with work that has room and waits until fewer orders are under way. */
+  private readonly held = new Set<string>();
+  private readonly turns = new ServiceTurns();
   /** One timer for each service with a job that is due later. */
   private readonly sleeps = new Map<string, Timer>();
   private scheduled = false;
@@ -171,6 +177,12 @@
       this.clock.schedule(this.restMilliseconds - rested, () => this.runDue());
   }
 
+  /** The fate of an order is known: others may be begun. */
+  orderSettled(): void {
+    for (const service of this.held) this.wake(service);
+    this.held.clear();
+  }
+
   /** After a new configuration queues may have other services. */
   regroup(): void {
     const all = [...this.active.values()].flatMap(jobs => [...jobs]);
@@ -199,7 +211,7 @@
     this.scheduled = false;
     if (this.closed) return;
     const began = this.clock.monotonicMilliseconds();
-    const services = [...this.due];
+    const services = this.turns.order(this.due);
     this.due.clear();
     for (const service of services) this.place(service);
     this.placedAt = this.clock.monotonicMilliseconds();
@@ -222,6 +234,10 @@
     for (const candidate of candidates) {
       const full = new Set<string>();
       for (const tasks of groupsOf(candidate.ready)) {
+        if (!this.mayOrder(tasks)) {
+          this.held.add(service);
+          continue;
+        }
         const key = stepName(candidate.execution.job.id, tasks[0]);
         const placed =
           misses < MISSES_BEFORE_GIVING_UP &&
@@ -241,6 +257,12 @@
     this.loads.set(service, {waitingMillicores, waitingTasks, waitingSince});
   }
 
+  /** Tasks that last are few, and missed at once: they don't wait behind a turn's orders. */
+  private mayOrder(tasks: readonly ExecutableTask[]): boolean {
+    const {longRunning} = tasks[0].specification;
+    return longRunning || this.host.mayOrder(tasks.length);
+  }
+
   private candidates(service: string, now: number): Candidate[] {
     const found: Candidate[] = [];
     const wall = this.clock.wallMilliseconds();
@@ -338,6 +360,7 @@
       chosen.push(session);
     }
     round.keep();
+    this.turns.noteTurn(this.serviceOf(execution));
     const together = tasks[0].specification.gang
       ? 1 + Math.max(...tasks.map(task => task.progress.run))
       : undefined;
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -1,5 +1,6 @@
 import {sleep} from '@gentiandoor/kernel';
 import {
+  fleetListGap,
   planPools,
   type PlannedPool,
   type PlannedVm,
@@ -31,8 +32,6 @@
   noteIncarnations(alive: ReadonlySet<string>): void;
 }
 
-/** Short against a move, so that a pool gets VMs within the first part of a burst; each round lists the VMs once. */
-const ROUND_MILLISECONDS = 100;
 /** While the jobs can't be read nothing seems to arrive: VMs that leave their pools then are missing when callers come back, all at once. */
 const DEMAND_AGE_MILLISECONDS = 1_000;
 /** Why a VM takes no new starts before it changes its pool. */
@@ -77,6 +76,7 @@
     while (!this.closed) {
       const listedFrom = this.now();
       const vms = await this.parts.machines.list();
+      const gap = fleetListGap(this.now() - listedFrom);
       if (this.closed) return;
       if (vms && vms.length > 0) {
         this.vms = vms;
@@ -85,7 +85,7 @@
         await this.waves.load();
         if (this.host.ordersAllowed()) await this.round();
       }
-      await sleep(this.parts.clock, ROUND_MILLISECONDS);
+      await sleep(this.parts.clock, gap);
     }
   }
 
--- a/packages/coordinator/src/stand-ins/memory-store.ts
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -11,6 +11,7 @@
 } from '../index.js';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import {sleep, type Clock} from '@gentiandoor/kernel';
+import {SimulatedLink} from './simulated-link.js';
 
 /** Faults of the store that a test switches on. */
 export enum StoreFault {
@@ -26,6 +27,8 @@
 
 const ANSWER_MILLISECONDS = 4;
 const SILENCE_MILLISECONDS = 1_500;
+/** Heads of a call and of its answer. */
+const CALL_BYTES = 350;
 /** How much later a late append is done. */
 const LATE_MILLISECONDS = 3_000;
 
@@ -51,8 +54,8 @@
   constructor(readonly clock: Clock) {}
 
   /** The store as one daemon reaches it, with faults of its own. */
-  connect(): StoreConnection {
-    return new StoreConnection(this);
+  connect(link = new SimulatedLink(this.clock)): StoreConnection {
+    return new StoreConnection(this, link);
   }
 
   /** Writes as an operator or a worker does. */
@@ -187,7 +190,10 @@
   private faultyStream: LogStream | undefined;
   private killed = false;
 
-  constructor(private readonly store: MemoryStore) {}
+  constructor(
+    private readonly store: MemoryStore,
+    private readonly link: SimulatedLink,
+  ) {}
 
   /** The daemon is gone: no call of it is ever done or answered any more. */
   kill(): void {
@@ -211,6 +217,7 @@
     this.store.calls.append++;
     const fault = this.faultOf(stream);
     const {clock} = this.store;
+    await this.link.carry('store', CALL_BYTES + bytesOf(records));
     await sleep(clock, this.answerMilliseconds);
     if (this.killed) return neverAnswered();
     if (fault === StoreFault.Refusing)
@@ -238,14 +245,23 @@
     const first = this.store.read(stream, offset);
     const hasNone =
       first.outcome === ReadOutcome.Read && first.records.length === 0;
-    if (!hasNone || waitMilliseconds === 0) return first;
+    if (!hasNone || waitMilliseconds === 0) return this.carried(first);
     await this.store.nextAppend(stream, waitMilliseconds);
-    return this.store.read(stream, offset);
+    return this.carried(this.store.read(stream, offset));
   }
 
   async newest(stream: LogStream): Promise<NewestResult> {
     this.store.calls.newest++;
-    return (await this.reach(stream)) ?? this.store.newest(stream);
+    const failure = await this.reach(stream);
+    return failure ?? this.carried(this.store.newest(stream));
+  }
+
+  private async carried<Result extends ReadResult | NewestResult>(
+    result: Result,
+  ): Promise<Result> {
+    const records = 'records' in result ? result.records : [];
+    await this.link.carry('store', CALL_BYTES + bytesOf(records));
+    return result;
   }
 
   private faultOf(stream: LogStream): StoreFault | undefined {
@@ -272,6 +288,13 @@
   }
 }
 
+function bytesOf(records: readonly KeyedRecord[]): number {
+  return records.reduce(
+    (sum, {key, value}) => sum + key.length + (value?.length ?? 0),
+    0,
+  );
+}
+
 function neverAnswered(): Promise<never> {
   return new Promise(() => undefined);
 }
--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -10,6 +10,7 @@
   type WorkerGateway,
 } from '../index.js';
 import {sleep, type Clock} from '@gentiandoor/kernel';
+import {SimulatedLink} from './simulated-link.js';
 import type {SimulatedWorker} from './simulated-worker.js';
 
 /** Faults of the way to one worker that a test switches on. */
@@ -26,6 +27,9 @@
 
 const ANSWER_MILLISECONDS = 2;
 const SILENCE_MILLISECONDS = 800;
+/** What a call takes of a daemon's link, both ways, with the heads of its messages. */
+const POLL_BYTES = 600;
+const ORDER_BYTES = 1_100;
 /** How much later a late start is carried out. */
 const LATE_MILLISECONDS = 2_500;
 
@@ -41,18 +45,23 @@
   }
 
   /** The workers as one daemon reaches them, with faults of its own. */
-  connect(): WorkerConnection {
-    return new WorkerConnection(this);
+  connect(link = new SimulatedLink(this.clock)): WorkerConnection {
+    return new WorkerConnection(this, link);
   }
 }
 
 /** One daemon's way to the workers. */
 export class WorkerConnection implements WorkerGateway {
   private readonly faults = new Map<string, WorkerFault>();
+  /** How long any worker takes to answer this daemon. */
+  answerMilliseconds = ANSWER_MILLISECONDS;
   /** Polls made, by worker. */
   readonly polls = new Map<string, number>();
 
-  constructor(private readonly workers: SimulatedWorkers) {}
+  constructor(
+    private readonly workers: SimulatedWorkers,
+    private readonly link: SimulatedLink,
+  ) {}
 
   /** Switches a fault of the way to `workerId` on, or all off. */
   setFault(workerId: string, fault: WorkerFault | undefined): void {
@@ -62,9 +71,9 @@
 
   async poll(worker: WorkerAddress, request: PollRequest): Promise<PollResult> {
     this.polls.set(worker.id, (this.polls.get(worker.id) ?? 0) + 1);
-    const target = await this.reach(worker);
-    if (!target) return this.silence(request.boundMilliseconds);
-    return target.poll(request);
+    const bound = request.boundMilliseconds ?? SILENCE_MILLISECONDS;
+    const target = await this.reach(worker, POLL_BYTES, bound);
+    return target ? target.poll(request) : silent();
   }
 
   async start(
@@ -72,8 +81,8 @@
     request: StartRequest,
   ): Promise<OrderResult> {
     const fault = this.faults.get(worker.id);
-    const target = await this.reach(worker);
-    if (!target) return this.silence();
+    const target = await this.reach(worker, ORDER_BYTES);
+    if (!target) return silent();
     if (fault === WorkerFault.Unhealthy)
       return {
         outcome: OrderOutcome.Refused,
@@ -94,8 +103,8 @@
     run: RunName,
     fencingToken: number,
   ): Promise<OrderResult> {
-    const target = await this.reach(worker);
-    return target ? target.stop(run, fencingToken) : this.silence();
+    const target = await this.reach(worker, POLL_BYTES);
+    return target ? target.stop(run, fencingToken) : silent();
   }
 
   async pace(
@@ -104,26 +113,40 @@
     percent: number,
     fencingToken: number,
   ): Promise<OrderResult> {
-    const target = await this.reach(worker);
-    return target ? target.pace(run, percent, fencingToken) : this.silence();
+    const target = await this.reach(worker, POLL_BYTES);
+    return target ? target.pace(run, percent, fencingToken) : silent();
   }
 
   forget(): void {}
 
+  /** The worker that the call reaches; undefined, after `boundMilliseconds`, where it gets no answer in time. */
   private async reach(
     worker: WorkerAddress,
+    bytes: number,
+    boundMilliseconds = SILENCE_MILLISECONDS,
   ): Promise<SimulatedWorker | undefined> {
-    await sleep(this.workers.clock, ANSWER_MILLISECONDS);
-    if (this.faults.get(worker.id) === WorkerFault.Cut) return undefined;
+    const {clock} = this.workers;
+    const takes = this.link.reserve('workers', bytes) + this.answerMilliseconds;
+    await sleep(clock, Math.min(takes, boundMilliseconds));
     const target = this.workers.byAddress.get(worker.address);
-    return target && !target.isDead ? target : undefined;
+    const isCut = this.faults.get(worker.id) === WorkerFault.Cut;
+    if (target && !target.isDead && !isCut && takes <= boundMilliseconds)
+      return target;
+    await sleep(clock, Math.max(0, boundMilliseconds - takes));
+    return undefined;
   }
 
-  private async silence(boundMilliseconds = SILENCE_MILLISECONDS): Promise<{
-    readonly outcome: OrderOutcome.Unknown;
-    readonly reason: string;
-  }> {
-    await sleep(this.workers.clock, boundMilliseconds);
-    return {outcome: OrderOutcome.Unknown, reason: 'silent'};
+  private async silence(): Promise<Silence> {
+    await sleep(this.workers.clock, SILENCE_MILLISECONDS);
+    return silent();
   }
 }
+
+interface Silence {
+  readonly outcome: OrderOutcome.Unknown;
+  readonly reason: string;
+}
+
+function silent(): Silence {
+  return {outcome: OrderOutcome.Unknown, reason: 'silent'};
+}
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -6,6 +6,7 @@
   type Logger,
   type Metrics,
 } from '@gentiandoor/kernel';
+import type {KeyedRecord} from '@gentiandoor/jobs';
 import type {EntrySettings} from './entry-settings.js';
 import {
   VmOrderOutcome,
@@ -51,14 +52,17 @@
 /** The list must show the new state before a VM is planned with again. */
 const SETTLE_MILLISECONDS = 300;
 const RETRY_MILLISECONDS = 100;
-/** Longer than orders of two holders must lie apart on any deployment. */
-const KEPT_MILLISECONDS = 15_000;
 
-/** Key of the record of the last orders. */
-export const VM_ORDERS_KEY = 'orders';
+/** Begins the key of the record of a VM's last order. */
+const ORDER_KEY_PREFIX = 'order/';
 
+/** Whether a record of the fleet is that of a VM's last order. */
+export function isVmOrderKey(key: string): boolean {
+  return key.startsWith(ORDER_KEY_PREFIX);
+}
+
+/** The last order about a VM, as the store keeps it. */
 interface StoredOrder {
-  readonly vm: string;
   readonly holder: string;
   /** Steady time at its holder: only the distance between two orders of one holder says something. */
   readonly at: number;
@@ -73,7 +77,6 @@
   private readonly open = new Map<string, VmOrder>();
   private readonly barred = new Set<string>();
   private readonly waitingUntil = new Map<string, number>();
-  private recent: StoredOrder[] = [];
   private closed = false;
 
   constructor(
@@ -91,8 +94,9 @@
     while (!this.closed) {
       const result = await this.parts.log.newest(LogStream.Fleet);
       if (result.outcome === ReadOutcome.Read) {
-        const record = result.records.find(item => item.key === VM_ORDERS_KEY);
-        if (record?.value) this.noteBefore(record.value);
+        this.noteBefore(
+          result.records.filter(record => isVmOrderKey(record.key)),
+        );
         return;
       }
       await sleep(this.parts.clock, RETRY_MILLISECONDS);
@@ -129,39 +133,59 @@
     for (const request of requests) void this.giveOne(request);
   }
 
-  private noteBefore(value: Buffer): void {
-    const {clock, settings, logger} = this.parts;
+  /** One record for each VM: a record of all late orders was 9 KB and went out five times a second. */
+  private noteBefore(records: readonly KeyedRecord[]): void {
+    const {clock, settings} = this.parts;
+    const now = clock.monotonicMilliseconds();
+    const orders = records
+      .map(record => ({vm: vmIn(record.key), order: this.readOrder(record)}))
+      .filter(({order}) => order && order.holder !== settings.node);
+    const newest = new Map<string, number>();
+    for (const {order} of orders)
+      if (order)
+        newest.set(
+          order.holder,
+          Math.max(order.at, newest.get(order.holder) ?? -Infinity),
+        );
+    for (const {vm, order} of orders) {
+      if (!order) continue;
+      // A holder's newest order may have been given just now, an older one was given that much before.
+      const before = (newest.get(order.holder) ?? order.at) - order.at;
+      const left = settings.limits.holderChange - before;
+      if (left > 0) this.waitingUntil.set(vm, now + left);
+    }
+  }
+
+  private readOrder(record: KeyedRecord): StoredOrder | undefined {
     try {
-      const stored = JSON.parse(value.toString('utf8')) as StoredOrder[];
-      const newest = Math.max(...stored.map(order => order.at));
-      for (const order of stored) {
-        // The newest order may have been given just now, an older one was given that much before.
-        const left = settings.limits.holderChange - (newest - order.at);
-        if (order.holder !== settings.node && left > 0)
-          this.waitingUntil.set(order.vm, clock.monotonicMilliseconds() + left);
-      }
+      const order = JSON.parse(String(record.value)) as Partial<StoredOrder>;
+      const {holder, at} = order;
+      if (typeof holder === 'string' && typeof at === 'number')
+        return {holder, at};
+      throw new TypeError('no holder or no time');
     } catch (error) {
-      logger.warn(LogEvent.RecordUnreadable, {
+      this.parts.logger.warn(LogEvent.RecordUnreadable, {
         stream: LogStream.Fleet,
-        key: VM_ORDERS_KEY,
+        key: record.key,
         error: String(error),
       });
+      return undefined;
     }
   }
 
   private async store(requests: readonly VmOrderRequest[]): Promise<boolean> {
     const {clock, settings, log} = this.parts;
-    const at = clock.monotonicMilliseconds();
-    const holder = settings.node;
-    this.recent = [
-      ...this.recent.filter(order => at - order.at < KEPT_MILLISECONDS),
-      ...requests.map(({vm}) => ({vm: vm.name, holder, at})),
-    ];
-    const value = Buffer.from(JSON.stringify(this.recent));
+    const order: StoredOrder = {
+      holder: settings.node,
+      at: clock.monotonicMilliseconds(),
+    };
+    const value = Buffer.from(JSON.stringify(order));
+    const records = requests.map(({vm}) => ({
+      key: ORDER_KEY_PREFIX + vm.name,
+      value,
+    }));
     while (!this.closed) {
-      const result = await log.append(LogStream.Fleet, [
-        {key: VM_ORDERS_KEY, value},
-      ]);
+      const result = await log.append(LogStream.Fleet, records);
       if (result.outcome === AppendOutcome.Appended) return true;
       await sleep(clock, RETRY_MILLISECONDS);
     }
@@ -209,3 +233,7 @@
     request.settled(outcome);
   }
 }
+
+function vmIn(key: string): string {
+  return key.slice(ORDER_KEY_PREFIX.length);
+}
--- a/packages/coordinator/src/wave-progress.ts
+++ b/packages/coordinator/src/wave-progress.ts
@@ -8,7 +8,7 @@
   ReadOutcome,
   type RecordLog,
 } from './record-log.js';
-import {VM_ORDERS_KEY} from './vm-orders.js';
+import {isVmOrderKey} from './vm-orders.js';
 
 /** What the progress of waves is built from. */
 export interface WaveParts {
@@ -46,7 +46,7 @@
     const result = await this.parts.log.newest(LogStream.Fleet);
     if (result.outcome !== ReadOutcome.Read) return;
     for (const record of result.records)
-      if (record.key !== VM_ORDERS_KEY) this.restore(record);
+      if (!isVmOrderKey(record.key)) this.restore(record);
     this.loaded = true;
   }
 
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -1,6 +1,7 @@
 import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
 import {RunEnd} from '@gentiandoor/jobs';
 import {
+  AnswerBound,
   LeaseClock,
   isStalled,
   timeUntilOverdue,
@@ -37,6 +38,10 @@
   readonly leaseMilliseconds: number;
   /** What is known of how workers fail. */
   readonly trust: WorkerTrust;
+  /** How long any worker may take to answer a call that does not wait there: where all are slow, this daemon is. */
+  readonly answerBoundMilliseconds: number;
+  /** Such a call was answered after so long. */
+  noteAnswerTime(milliseconds: number): void;
   /** When this coordinator's term began. */
   readonly beganAt: number;
   ordersAllowed(): boolean;
@@ -85,12 +90,24 @@
 const START_DOUBT_MILLISECONDS = 150;
 /** Bound of a probe: fifty times a worker's answer, and short against the second in which a burst brings dozens of starts. */
 const PROBE_BOUND_MILLISECONDS = 200;
+/** A daemon that lags so much waits no longer: the calls themselves are given up a little later. */
+const LONGEST_DOUBT_MILLISECONDS = 700;
 /** Workers that have answered so lately need no probe when others near them fall silent. */
 const ANSWERED_LATELY_MILLISECONDS = 100;
 /** An answer lists so many ends at most; the others follow. */
 const MAXIMUM_ENDS_LISTED = 500;
 /** Room for the time that our own step takes between a sum and its order. */
 const LEASE_SLACK_MILLISECONDS = 300;
+
+/**
+ * Bound of workers' answers that are given at once, shared by all sessions of a coordinator.
+ * Load: a turn that fills the coordinator's own link or processor. With a fixed bound every worker
+ * seems silent, is asked again over new connections, and what is asked fills the link for good.
+ */
+export function newAnswerBound(): AnswerBound {
+  return new AnswerBound(START_DOUBT_MILLISECONDS, LONGEST_DOUBT_MILLISECONDS);
+}
+
 /** Everything between the coordinator and one incarnation of a worker. */
 export class WorkerSession {
   readonly runs = new Map<string, LiveRun>();
@@ -268,10 +285,14 @@
       fencingToken: this.host.term,
       endsStored: this.ends.stored,
       waitMilliseconds: 0,
-      boundMilliseconds: PROBE_BOUND_MILLISECONDS,
+      boundMilliseconds: Math.max(
+        PROBE_BOUND_MILLISECONDS,
+        this.host.answerBoundMilliseconds,
+      ),
     });
     this.probing = false;
     if (this.closed) return;
+    if (result.outcome === OrderOutcome.Done) this.noteSpeed(now);
     if (result.outcome === OrderOutcome.Done) this.notePoll(result, now);
     else if (!this.handledRefusal(result) && this.answeredAt < now)
       this.noteSilence();
@@ -329,17 +350,17 @@
     const requestedAt = this.clock.monotonicMilliseconds();
     const waits = this.runs.size > 0 && this.tokenShown;
     const endsStored = this.ends.stored;
+    const waitMilliseconds =
+      waits && this.silentSince === undefined ? this.pollWait(requestedAt) : 0;
     const result = await this.gateway.poll(this.current, {
       fencingToken: this.host.term,
       endsStored,
       leaseEndMilliseconds: this.nextLeaseEnd(requestedAt),
-      waitMilliseconds:
-        waits && this.silentSince === undefined
-          ? this.pollWait(requestedAt)
-          : 0,
+      waitMilliseconds,
     });
     if (this.closed) return;
     if (result.outcome === OrderOutcome.Done) {
+      if (waitMilliseconds === 0) this.noteSpeed(requestedAt);
       this.ends.noteAcknowledged(endsStored);
       this.notePoll(result, requestedAt);
     } else if (!this.handledRefusal(result)) this.noteSilence();
@@ -449,7 +470,7 @@
     run.status = RunStatus.Ordered;
     run.orderedAt ??= now;
     const doubt = this.clock.schedule(
-      START_DOUBT_MILLISECONDS,
+      this.host.answerBoundMilliseconds,
       () => void this.probe(),
     );
     const result = await this.gateway.start(this.current, {
@@ -462,6 +483,7 @@
       ticket: run.ticket,
     });
     doubt.cancel();
+    if (result.outcome !== OrderOutcome.Unknown) this.noteSpeed(now);
     if (!this.isExpected(run)) return true;
     if (result.outcome === OrderOutcome.Unknown) return false;
     if (this.handledRefusal(result)) return true;
@@ -499,6 +521,11 @@
     return false;
   }
 
+  /** Notes how fast a call that does not wait at the worker was answered. */
+  private noteSpeed(sentAt: number): void {
+    this.host.noteAnswerTime(this.clock.monotonicMilliseconds() - sentAt);
+  }
+
   private noteAnswer(clockMilliseconds: number): void {
     const now = this.clock.monotonicMilliseconds();
     this.lease.observe(clockMilliseconds, now);
--- a/packages/scheduling/src/placement-gap.ts
+++ b/packages/scheduling/src/placement-gap.ts
@@ -1,9 +1,26 @@
-/** Least time between rounds of placement: one for every end of a run took a seventh of the coordinator's processor time at 780 runs a second. */
-const LEAST_GAP_MILLISECONDS = 5;
-/** Rounds get a fifth of the processor time at most; the orders that they lead to need the rest. */
-const GAP_FACTOR = 4;
-/** Room that is free for longer than this is felt by callers. */
-const LONGEST_GAP_MILLISECONDS = 60;
+/** How often something is done that costs what it costs. */
+interface RestBounds {
+  readonly leastMilliseconds: number;
+  readonly longestMilliseconds: number;
+  /** Time between two goes, in times that the last one took. */
+  readonly factor: number;
+}
+
+/** Least: one round for every end of a run took a seventh of the coordinator's processor time at 780 runs a second. Longest: room that is free for longer is felt by callers. */
+const PLACEMENT: RestBounds = {
+  leastMilliseconds: 5,
+  longestMilliseconds: 60,
+  // Rounds get a fifth of the processor time at most; the orders that they lead to need the rest.
+  factor: 4,
+};
+
+/** Least: short against a move, so that a pool gets VMs within the first part of a burst. Longest: a wave's VM that is back counts as away for no more than this. */
+const FLEET_LIST: RestBounds = {
+  leastMilliseconds: 100,
+  longestMilliseconds: 800,
+  // The list gets a fifth of the link at most: orders and polls go over it as well.
+  factor: 4,
+};
 
 /**
  * Time to wait between two rounds of placement.
@@ -12,8 +29,21 @@
  * but look, and the longer the backlog the fewer orders it gives.
  */
 export function placementGap(lastRoundMilliseconds: number): number {
+  return restAfter(lastRoundMilliseconds, PLACEMENT);
+}
+
+/**
+ * Time to wait between two readings of the list of VMs.
+ * Load: a turn that fills the coordinator's link. The list names every VM; read ten times a second it
+ * took 80 of the 250 KB a second of a small VM's link with 72 VMs, before the first order was given.
+ */
+export function fleetListGap(lastReadingMilliseconds: number): number {
+  return restAfter(lastReadingMilliseconds, FLEET_LIST);
+}
+
+function restAfter(milliseconds: number, bounds: RestBounds): number {
   return Math.min(
-    LONGEST_GAP_MILLISECONDS,
-    Math.max(LEAST_GAP_MILLISECONDS, GAP_FACTOR * lastRoundMilliseconds),
+    bounds.longestMilliseconds,
+    Math.max(bounds.leastMilliseconds, bounds.factor * milliseconds),
   );
 }
