Waiting jobs go by their latest start, and a step lasts as long as its slowest task

Change: order by the end of the objective less the chain that is left; the slowest sibling's excess is learned from steps that have ended.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -119,11 +119,11 @@
 
   /** Notes how long a run that ended well took. */
   noteDuration(run: LiveRun, milliseconds: number): void {
-    const {longRunning, estimatedMilliseconds} = run.taskOfJob.specification;
+    const {specification} = run.taskOfJob;
+    const {longRunning, estimatedMilliseconds} = specification;
     if (longRunning || estimatedMilliseconds <= 0) return;
-    this.demand
-      .durationsOf(run.execution.job.queue)
-      .note(estimatedMilliseconds, milliseconds);
+    const {queue} = run.execution.job;
+    this.demand.noteDuration(queue, specification, run.stepKey, milliseconds);
   }
 
   /** Run time to expect of a task, in milliseconds. */
@@ -319,7 +319,7 @@
   /** Run time to expect of each step of a job. */
   private stepTimes(execution: JobExecution): ExpectedTime {
     const {queue} = execution.job;
-    return step => this.demand.expectedTime(queue, step);
+    return step => this.demand.stepTime(queue, step);
   }
 
   /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -4,6 +4,7 @@
   DurationModel,
   PeakHold,
   RunningMean,
+  SiblingSpread,
   occupiedMillicores,
   type VmRoom,
 } from '@gentiandoor/scheduling';
@@ -22,6 +23,7 @@
 /** What is learned of the work that comes for each service. */
 export class ServiceDemand {
   private readonly durations = new Map<string, DurationModel>();
+  private readonly spreads = new Map<string, SiblingSpread>();
   private room: VmRoom | undefined;
   private readonly rates = new Map<string, ServiceRate>();
   private readonly meanWork = new Map<string, RunningMean>();
@@ -44,8 +46,24 @@
     return hold.note(meter.millicores(now), now);
   }
 
-  /** How long tasks of a queue take. */
-  durationsOf(queue: string): DurationModel {
+  /** Notes how long a task of `step` took that ended well; `stepKey` names its step of the occurrence. */
+  noteDuration(
+    queue: string,
+    step: StepSpecification,
+    stepKey: string,
+    milliseconds: number,
+  ): void {
+    this.durationsOf(queue).note(step.estimatedMilliseconds, milliseconds);
+    this.spreadOf(queue).note(stepKey, step.taskCount, milliseconds);
+  }
+
+  /** Time to expect until all tasks of `step` have ended that start together, in milliseconds. */
+  stepTime(queue: string, step: StepSpecification): number {
+    const slowest = this.spreadOf(queue).slowestFactor(step.taskCount);
+    return slowest * this.expectedTime(queue, step);
+  }
+
+  private durationsOf(queue: string): DurationModel {
     let model = this.durations.get(queue);
     if (!model) this.durations.set(queue, (model = new DurationModel()));
     return model;
@@ -56,6 +74,12 @@
     return this.durationsOf(queue).expected(step.estimatedMilliseconds);
   }
 
+  private spreadOf(queue: string): SiblingSpread {
+    let spread = this.spreads.get(queue);
+    if (!spread) this.spreads.set(queue, (spread = new SiblingSpread()));
+    return spread;
+  }
+
   private rateOf(service: string): ServiceRate {
     let rate = this.rates.get(service);
     if (!rate) {
--- a/packages/scheduling/src/__tests__/queue-decisions.test.ts
+++ b/packages/scheduling/src/__tests__/queue-decisions.test.ts
@@ -44,6 +44,14 @@
     assert.ok(compareWaitingJobs(urgent, other) < 0);
   });
 
+  // Two jobs of a turn can both be in time. The long one waits behind the short one, whose objective
+  // ends first but which could start much later, and is late for it.
+  it('puts what must start first before what is due first', () => {
+    const long = ranked({dueAt: NOW + 3_000, remainingChain: 2_800});
+    const short = ranked({dueAt: NOW + 2_000, remainingChain: 500});
+    assert.ok(compareWaitingJobs(long, short) < 0);
+  });
+
   it('calls a late job for the last time before it is lost', () => {
     const job = {priority: 0, dueAt: 0, remainingChain: 1_000};
     assert.equal(chanceOf({...job, lateUntil: NOW + 5_000}, NOW), Chance.Late);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,6 +11,7 @@
 export * from './rescue-budget.js';
 export * from './running-mean.js';
 export * from './service-turns.js';
+export * from './sibling-spread.js';
 export * from './stall-watch.js';
 export * from './wave-plan.js';
 export * from './worker-choice.js';
--- a/packages/scheduling/src/job-order.ts
+++ b/packages/scheduling/src/job-order.ts
@@ -54,12 +54,17 @@
 
 /**
  * Orders waiting jobs: what can still be in time first, then what can still be late, then the rest;
- * within each by urgency and by the end of the objective.
+ * within each by urgency and by the latest start that still meets the objective.
  * Load: a queue asks for several times what its pool holds for some seconds. Without it every job
- * waits behind ones that can no longer be in time, and all of them are late instead of some.
+ * waits behind ones that can no longer be in time, and all of them are late instead of some. By the
+ * end of the objective alone, long jobs start too late while short ones that come after them could wait.
  */
 export function compareWaitingJobs(left: RankedJob, right: RankedJob): number {
   if (left.rank !== right.rank) return left.rank - right.rank;
   if (left.priority !== right.priority) return left.priority - right.priority;
-  return left.dueAt - right.dueAt;
+  return latestStart(left) - latestStart(right);
+}
+
+function latestStart(job: WaitingJob): number {
+  return job.dueAt - job.remainingChain;
 }
--- /dev/null
+++ b/packages/scheduling/src/sibling-spread.ts
@@ -0,0 +1,65 @@
+import {RunningMean} from './running-mean.js';
+
+/** Steps that are remembered: a few seconds of a queue's turn. */
+const MEMORY_STEPS = 60;
+/** Steps that are needed before anything is corrected. */
+const LEAST_STEPS = 4;
+/** Steps of which some tasks never end well are forgotten beyond so many. */
+const MOST_OPEN_STEPS = 2_000;
+/** A step of fewer tasks says little of how far apart they are. */
+const LEAST_TASKS = 3;
+
+interface OpenStep {
+  count: number;
+  sum: number;
+  longest: number;
+}
+
+/**
+ * Learns how much longer the slowest task of a step takes than a usual one of it.
+ * Load: steps of eight tasks or more, each of which ends when its slowest task does. Without it the
+ * chain of a job, and with it the time that its caller grants, is taken for a third too short: jobs
+ * that can still be in time count as late and wait behind all others.
+ */
+export class SiblingSpread {
+  private readonly open = new Map<string, OpenStep>();
+  private readonly excess = new RunningMean(MEMORY_STEPS);
+  private steps = 0;
+
+  /** Notes the run time of one of a step's `taskCount` tasks. */
+  note(stepKey: string, taskCount: number, milliseconds: number): void {
+    if (taskCount < LEAST_TASKS) return;
+    const step = this.open.get(stepKey) ?? {count: 0, sum: 0, longest: 0};
+    step.count++;
+    step.sum += milliseconds;
+    step.longest = Math.max(step.longest, milliseconds);
+    if (step.count < taskCount) this.keepOpen(stepKey, step);
+    else this.close(stepKey, step);
+  }
+
+  /** How many times a usual task's time the slowest of `taskCount` takes. */
+  slowestFactor(taskCount: number): number {
+    if (this.steps < LEAST_STEPS) return 1;
+    return 1 + this.excess.value * growthOf(taskCount);
+  }
+
+  private keepOpen(stepKey: string, step: OpenStep): void {
+    this.open.set(stepKey, step);
+    if (this.open.size <= MOST_OPEN_STEPS) return;
+    const [oldest] = this.open.keys();
+    this.open.delete(oldest);
+  }
+
+  private close(stepKey: string, {count, sum, longest}: OpenStep): void {
+    this.open.delete(stepKey);
+    const mean = sum / count;
+    if (mean <= 0) return;
+    this.steps++;
+    this.excess.note((longest / mean - 1) / growthOf(count));
+  }
+}
+
+/** The largest of so many equal chances lies about so many standard deviations over their mean. */
+function growthOf(taskCount: number): number {
+  return Math.sqrt(2 * Math.log(Math.max(1, taskCount)));
+}
