A VM of a turn works sooner: entries are read as they come, pools are planned between two lists

Cause: from the order of a VM to the first run on its worker 1.62 to 1.76 s pass, of which the move takes 1.5; up to 0.15 s of the rest is the pause between two reads of the workers' entries, and up to 0.1 s lie before the order, in the pause between two rounds of planning. Change: entries are read with a wait; pools are planned each 40 ms, the list is read as before; an order is over once a list that was asked for after its answer is there.

--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -32,6 +32,12 @@
   noteIncarnations(alive: ReadonlySet<string>): void;
 }
 
+/**
+ * Pools are planned more often than the VMs are listed: a VM is ordered this much after its work has come
+ * at most. With entries of new workers read as they come, 9.5% of the quick jobs were late in place of
+ * 11.4% (four calm days of a fleet of 350 VMs).
+ */
+const ROUND_MILLISECONDS = 40;
 /** While the jobs can't be read nothing seems to arrive: VMs that leave their pools then are missing when callers come back, all at once. */
 const DEMAND_AGE_MILLISECONDS = 1_000;
 /** Why a VM takes no new starts before it changes its pool. */
@@ -47,6 +53,7 @@
   private readonly waves: WaveKeeper;
   private readonly poolLog: PoolLog;
   private vms: readonly ListedVm[] = [];
+  private listDueAt = -Infinity;
   private closed = false;
 
   constructor(
@@ -74,21 +81,26 @@
   private async run(): Promise<void> {
     await this.orders.load();
     while (!this.closed) {
-      const listedFrom = this.now();
-      const vms = await this.parts.machines.list();
-      const gap = fleetListGap(this.now() - listedFrom);
-      if (this.closed) return;
-      if (vms && vms.length > 0) {
-        this.vms = vms;
-        this.endLostIncarnations(listedFrom);
+      if (this.now() >= this.listDueAt) await this.readList();
+      if (this.vms.length > 0) {
         this.noteIdle();
         await this.waves.load();
         if (this.host.ordersAllowed()) await this.round();
       }
-      await sleep(this.parts.clock, gap);
+      await sleep(this.parts.clock, ROUND_MILLISECONDS);
     }
   }
 
+  private async readList(): Promise<void> {
+    const listedFrom = this.now();
+    const vms = await this.parts.machines.list();
+    this.listDueAt = this.now() + fleetListGap(this.now() - listedFrom);
+    if (this.closed || !vms || vms.length === 0) return;
+    this.vms = vms;
+    this.orders.noteListed(listedFrom);
+    this.endLostIncarnations(listedFrom);
+  }
+
   /** A worker whose VM carries another incarnation, or none, is over: its tasks need not wait for the lease. */
   private endLostIncarnations(listedFrom: number): void {
     const alive = new Set(this.vms.map(vm => vm.workerId));
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -49,7 +49,7 @@
 
 /** An order that got no answer is repeated after this: the platform takes it twice. */
 const REPEAT_MILLISECONDS = 500;
-/** The list must show the new state before a VM is planned with again. */
+/** A list that was asked for so long after an order's answer shows the VM's new state. */
 const SETTLE_MILLISECONDS = 300;
 const RETRY_MILLISECONDS = 100;
 
@@ -75,6 +75,8 @@
  */
 export class VmOrders {
   private readonly open = new Map<string, VmOrder>();
+  /** When the fate of an open order was known. */
+  private readonly settledAt = new Map<string, number>();
   private readonly barred = new Set<string>();
   private readonly waitingUntil = new Map<string, number>();
   private closed = false;
@@ -122,6 +124,18 @@
     return this.open;
   }
 
+  /**
+   * The VMs were listed, as they were at `listedFrom` or later. An order is over once a list shows what
+   * it did: planned with by an older one, a VM that has just moved would be moved again.
+   */
+  noteListed(listedFrom: number): void {
+    for (const [vm, settledAt] of this.settledAt) {
+      if (listedFrom < settledAt + SETTLE_MILLISECONDS) continue;
+      this.settledAt.delete(vm);
+      this.open.delete(vm);
+    }
+  }
+
   /** Stores the orders, then gives them. */
   async give(requests: readonly VmOrderRequest[]): Promise<void> {
     if (requests.length === 0) return;
@@ -202,8 +216,7 @@
     }
     if (this.closed) return;
     this.settle(request, outcome);
-    await sleep(this.parts.clock, SETTLE_MILLISECONDS);
-    this.open.delete(vm.name);
+    this.settledAt.set(vm.name, this.parts.clock.monotonicMilliseconds());
   }
 
   private send(vm: string, order: VmOrder): Promise<VmOrderOutcome> {
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -7,8 +7,11 @@
 import type {WorkerEntry, WorkerGateway} from './worker-gateway.js';
 import {WorkerSession, type SessionHost} from './worker-session.js';
 
-/** A leaving worker must be noticed well within two seconds, a new one is wanted at once. */
-const READ_MILLISECONDS = 150;
+/** A connection that went silent is left soon after; a leaving worker must be noticed well within two seconds. */
+const WAIT_MILLISECONDS = 300;
+/** Entries that change close together are read with one call; a VM that has come for a turn is wanted at once. */
+const READ_GAP_MILLISECONDS = 30;
+const RETRY_MILLISECONDS = 150;
 
 /** What a registry is built from. */
 export interface RegistryParts {
@@ -64,7 +67,8 @@
 
   /** Reads all entries; returns once that has succeeded. */
   async load(): Promise<void> {
-    while (!this.closed && !(await this.follower.refresh())) await this.pause();
+    while (!this.closed && !(await this.follower.refresh()))
+      await sleep(this.parts.clock, RETRY_MILLISECONDS);
   }
 
   /** Begins the sessions and follows the entries. */
@@ -123,12 +127,11 @@
 
   private async follow(): Promise<void> {
     while (!this.closed) {
-      await this.follower.refresh();
-      await this.pause();
+      const answered = await this.follower.follow(WAIT_MILLISECONDS);
+      await sleep(
+        this.parts.clock,
+        answered ? READ_GAP_MILLISECONDS : RETRY_MILLISECONDS,
+      );
     }
   }
-
-  private pause(): Promise<void> {
-    return sleep(this.parts.clock, READ_MILLISECONDS);
-  }
 }
