Spare VMs of pools at rest go to a pool whose work waits while no VM is off

On the small sites each pool at rest keeps two of 35 to 48 VMs while a turn asks for more than the whole fleet. Change: while no VM is off, a pool without work that waits gives its idle spare VMs, but for one, to a pool whose work waits. Tests replay such a turn; the first fails without it.

--- a/packages/scheduling/src/__tests__/pool-plan.test.ts
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -161,6 +161,46 @@
     assert.equal(moves.filter(move => move.to === 'two').length, 5);
   });
 
+  describe('when a turn asks for more than the whole fleet', () => {
+    const turn = pool({
+      usable: 6,
+      usedMillicores: 6 * VM_MILLICORES,
+      waitingMillicores: 8 * VM_MILLICORES,
+    });
+    const atRest = pool({
+      service: 'at-rest',
+      usable: 2,
+      vms: vms('at-rest', 2, 5_000),
+    });
+
+    // Callers of the turn wait while two VMs of each pool at rest idle, and none is off.
+    it('takes a spare VM of a pool at rest, and leaves it one', () => {
+      const {moves} = planPools([turn, atRest]);
+      assert.deepEqual(
+        moves.map(({from, to}) => ({from, to})),
+        [{from: 'at-rest', to: 'quotes'}],
+      );
+    });
+
+    it('leaves the spare VMs where they are while others are off', () => {
+      const {moves} = planPools([
+        turn,
+        atRest,
+        {...SPARE, vms: vms('off', 40, 0)},
+      ]);
+      assert.ok(moves.every(move => move.from === 'spare'));
+    });
+
+    it('leaves them for work that arrives and does not wait yet', () => {
+      const rising = {
+        ...turn,
+        waitingMillicores: 0,
+        arrivingMillicores: 9 * VM_MILLICORES,
+      };
+      assert.deepEqual(planPools([rising, atRest]).moves, []);
+    });
+  });
+
   it('never takes a VM twice', () => {
     const one = pool({
       service: 'one',
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -50,6 +50,8 @@
   readonly longestWaitMilliseconds: number;
   /** VMs that a pool keeps over what it uses: the first second of a burst finds them. */
   readonly spareVms: number;
+  /** The same for a pool without work that waits, while another one has such work and no VM is off. */
+  readonly spareVmsUnderPressure: number;
   /** Room that a pool has for each unit of demand: tasks don't fill VMs to the brim, and rates are guesses. */
   readonly headroom: number;
   /** Most VMs that are fetched for one pool at a time, where the share below is not more. */
@@ -64,6 +66,7 @@
   idleBeforeGivingMilliseconds: 250,
   longestWaitMilliseconds: 500,
   spareVms: 2,
+  spareVmsUnderPressure: 1,
   headroom: 1.1,
   maximumArriving: 12,
   maximumArrivingShare: 0.5,
@@ -91,6 +94,7 @@
     .map(pool => ({pool, lacking: lackingVms(pool, most, options)}))
     .filter(need => need.lacking > 0);
   const moves = shareOut(needs, givers);
+  moves.push(...shareOutSpares(pools, needs, moves, options));
   const empty = vmsToEmpty(pools, needs, moves, options);
   const standby = pools.find(pool => pool.standby);
   if (standby) moves.push(...releaseIdle(givers, standby, options));
@@ -203,6 +207,35 @@
   }
 }
 
+/**
+ * Spare VMs of pools at rest, to pools whose work waits while no VM is off.
+ * Load: a turn that asks for more than the whole fleet. Without it two VMs of each other pool idle
+ * beside it: a sixth of a fleet of 35.
+ */
+function shareOutSpares(
+  pools: readonly PlannedPool[],
+  needs: readonly Need[],
+  moves: readonly PlannedMove[],
+  options: PoolPlanOptions,
+): PlannedMove[] {
+  const pressed = needs.filter(
+    need => need.lacking > 0 && need.pool.waitingMillicores > 0,
+  );
+  if (pressed.length === 0) return [];
+  const least = {...options, spareVms: options.spareVmsUnderPressure};
+  const taken = new Set(moves.map(move => move.vm));
+  const spares = pools
+    .filter(pool => !pool.standby && pool.waitingMillicores === 0)
+    .flatMap(pool => {
+      const given = pool.vms.filter(vm => taken.has(vm.name)).length;
+      return pool.vms
+        .filter(vm => !taken.has(vm.name) && isIdleEnough(vm, options))
+        .slice(0, Math.max(0, surplusOf(pool, least) - given))
+        .map(vm => ({...vm, from: pool}));
+    });
+  return shareOut(pressed, spares);
+}
+
 /** Busy VMs of pools that have more than their work is worth, the least useful first. */
 function vmsToEmpty(
   pools: readonly PlannedPool[],
