--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -164,6 +164,28 @@
 });
 
 describe('records of jobs', () => {
+  // Every daemon reads the progress of all jobs; of one that has ended nothing but its state is asked for,
+  // and where a run may still be alive.
+  it('tell of a job that has ended only the runs that may be alive', () => {
+    const job = execution([{...STEP, taskCount: 8}]);
+    const [alive, ...others] = job.readyTasks(0);
+    job.beginRun(alive, 'worker');
+    for (const task of others)
+      job.endRun(task, job.beginRun(task, 'other'), RunEnd.Done, '', 3);
+    job.cancel();
+    const {key, value} = encodeJobRecord({
+      kind: JobRecordKind.Progress,
+      jobId: 'job',
+      progress: job.progress,
+    });
+    assert.ok(value);
+    assert.ok(key);
+    const record = decodeJobRecord(JobRecordKind.Progress, 'job', value);
+    assert.ok(record.kind === JobRecordKind.Progress);
+    assert.equal(record.progress.state, JobState.Cancelled);
+    assert.deepEqual([...record.progress.tasks.keys()], [alive.key]);
+  });
+
   it('come back as they were', () => {
     const job = execution([STEP]);
     job.beginRun(job.readyTasks(0)[0], 'worker');
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -1,4 +1,4 @@
-import {JobState, type JobSubmission} from './job.js';
+import {JobState, isFinal, type JobSubmission} from './job.js';
 import {type JobProgress, type TaskProgress} from './job-progress.js';
 
 /** Kinds of records about a job; each kind has a key of its own, so that one never hides another. */
@@ -115,8 +115,15 @@
   return job;
 }
 
-function packProgress(progress: JobProgress): unknown {
-  const tasks: PackedTask[] = [...progress.tasks].map(([key, task]) => [
+/**
+ * Of a job that has ended only runs that may still be alive are told: a hundred daemons read every record,
+ * and after a lapse of the store's history each of them all jobs of the last minutes at once.
+ */
+function packProgress({state, tasks}: JobProgress): unknown {
+  const told = [...tasks].filter(
+    ([, task]) => !isFinal(state) || task.worker !== '',
+  );
+  const packed = told.map(([key, task]): PackedTask => [
     key,
     task.run,
     task.done ? 1 : 0,
@@ -124,7 +131,7 @@
     task.checkpoint,
     task.worker,
   ]);
-  return {state: progress.state, tasks};
+  return {state, tasks: packed};
 }
 
 function unpackProgress(jobId: string, packed: object): JobProgress {
--- a/packages/scheduling/src/__tests__/answer-bound.test.ts
+++ b/packages/scheduling/src/__tests__/answer-bound.test.ts
@@ -43,4 +43,15 @@
     for (let silence = 0; silence < 20; silence++) bound.noteSilence();
     assert.equal(bound.milliseconds, MOST);
   });
+
+  // Reads that wait for the next record queue up behind large ones. Each that was given up too early left
+  // its answer to be sent for nothing, and the next one was given up as early.
+  it('waits longer for answers after silence, and as before once one has come', () => {
+    const bound = new AnswerBound(LEAST, MOST);
+    bound.noteSilence();
+    bound.noteSilence();
+    assert.equal(bound.milliseconds, 4 * LEAST);
+    bound.noteWaitedAnswer();
+    assert.equal(bound.milliseconds, LEAST);
+  });
 });
--- a/packages/scheduling/src/answer-bound.ts
+++ b/packages/scheduling/src/answer-bound.ts
@@ -35,6 +35,11 @@
     this.doublings = 0;
   }
 
+  /** An answer came that had waited for something else: it says that there are answers, not how fast. */
+  noteWaitedAnswer(): void {
+    this.doublings = 0;
+  }
+
   noteSilence(): void {
     if (this.milliseconds < this.mostMilliseconds) this.doublings++;
   }
