--- a/packages/cli/src/commands/bundle.ts
+++ b/packages/cli/src/commands/bundle.ts
@@ -1,5 +1,5 @@
 import type {BundlesView, PublishResult} from '@gentiandoor/plugin-admin';
-import {BundleError} from '@gentiandoor/kernel';
+import {BundleError, sleep} from '@gentiandoor/kernel';
 import {
   parseBundle,
   signBundle,
@@ -21,6 +21,10 @@
 import {showPublished} from '../publish-result.js';
 import {withProgress} from '../with-progress.js';
 
+/** A daemon reads the log at least twice a second. */
+const READ_BACK_MILLISECONDS = 100;
+const READ_BACK_ROUNDS = 15;
+
 interface DiffOptions extends CommonOptions {
   readonly against?: string;
 }
@@ -146,8 +150,15 @@
   options: CommonOptions,
   version: number,
 ) {
-  const {proposals} = await readBundles(context, options);
-  const matching = proposals.filter(proposal => proposal.version === version);
+  let {proposals} = await readBundles(context, options);
+  const of = () => proposals.filter(proposal => proposal.version === version);
+  // A proposal is stored before the daemon has read it back: without the wait, a sign-off that followed
+  // its proposal within a third of a second, as in a script, was told that there is none.
+  for (let round = 0; round < READ_BACK_ROUNDS && of().length === 0; round++) {
+    await sleep(context.clock, READ_BACK_MILLISECONDS);
+    ({proposals} = await readBundles(context, options));
+  }
+  const matching = of();
   if (matching.length === 1) return matching[0];
   const found =
     proposals.map(proposal => proposal.version).join(', ') || 'none';
