--- a/packages/entry/src/__tests__/whole-path.test.ts
+++ b/packages/entry/src/__tests__/whole-path.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
@@ -13,6 +12,7 @@
 } from '@gentiandoor/platform/stand-ins';
 import {request} from 'undici';
 import {wireEntry, type EntryParts} from '../wiring.js';
+import {freePort} from './free-port.js';
 
 const ROOM = {
   processorMillicores: 8_000,
@@ -23,18 +23,6 @@
 const GIVE_UP_ROUNDS = 400;
 const ROUND_MILLISECONDS = 50;
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 /** Asks again until the answer is as wanted: the daemon works in real time here. */
 async function eventually<Answer>(
   ask: () => Promise<Answer>,
