--- /dev/null
+++ b/packages/coordinator/src/__tests__/vm-orders.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {MemoryMetrics, VirtualClock} from '@gentiandoor/kernel';
+import {LogStream} from '../index.js';
+import {
+  MemoryStore,
+  SimulatedFleet,
+  simulatedSettings,
+} from '../stand-ins/index.js';
+import {VmOrders} from '../vm-orders.js';
+import {EventCounts} from './deployment.js';
+
+/** What the last orders of other holders leave free to `two`, after it has read them. */
+async function readOrders(
+  orders: ReadonlyArray<{vm: string; value: string}>,
+): Promise<VmOrders> {
+  const clock = new VirtualClock();
+  const store = new MemoryStore(clock);
+  for (const {vm, value} of orders)
+    store.write(LogStream.Fleet, {
+      key: `order/${vm}`,
+      value: Buffer.from(value),
+    });
+  const read = new VmOrders(
+    4,
+    {
+      settings: simulatedSettings('two'),
+      log: store.connect(),
+      machines: new SimulatedFleet(clock),
+      clock,
+      logger: new EventCounts(),
+      metrics: new MemoryMetrics(),
+    },
+    () => true,
+  );
+  const loaded = read.load();
+  await clock.advanceAsync(100);
+  await loaded;
+  return read;
+}
+
+function order(term: number, at: number, holder = 'one'): string {
+  return JSON.stringify({holder, term, at});
+}
+
+describe('the orders of the holder before', () => {
+  it('keep only VMs of its last orders waiting', async () => {
+    const orders = await readOrders([
+      {vm: 'late', value: order(3, 60_000)},
+      {vm: 'early', value: order(3, 50_000)},
+    ]);
+    assert.equal(orders.isFree('late'), false);
+    assert.equal(orders.isFree('early'), true);
+  });
+
+  // The holder was restarted between two orders, and its steady clock began anew. The later order seemed to
+  // lie a minute before the earlier one, and its VM got orders of two holders within a second.
+  it('are told apart by term, since a restart sets the steady clock back', async () => {
+    const orders = await readOrders([
+      {vm: 'before', value: order(1, 60_000)},
+      {vm: 'after', value: order(3, 2_000)},
+    ]);
+    assert.equal(orders.isFree('after'), false);
+  });
+
+  it('of this daemon itself, and ones that can’t be read, keep nothing waiting', async () => {
+    const orders = await readOrders([
+      {vm: 'own', value: order(2, 9_000, 'two')},
+      {vm: 'torn', value: '{"holder": 7'},
+      {vm: 'old', value: '{"holder": "one", "at": 3}'},
+    ]);
+    for (const vm of ['own', 'torn', 'old'])
+      assert.equal(orders.isFree(vm), true);
+  });
+});
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -64,7 +64,9 @@
 /** The last order about a VM, as the store keeps it. */
 interface StoredOrder {
   readonly holder: string;
-  /** Steady time at its holder: only the distance between two orders of one holder says something. */
+  /** Of the holder. A daemon that is restarted begins a new one. */
+  readonly term: number;
+  /** Steady time at its holder: only the distance between two orders of one term says something. */
   readonly at: number;
 }
 
@@ -151,20 +153,17 @@
   private noteBefore(records: readonly KeyedRecord[]): void {
     const {clock, settings} = this.parts;
     const now = clock.monotonicMilliseconds();
-    const orders = records
-      .map(record => ({vm: vmIn(record.key), order: this.readOrder(record)}))
-      .filter(({order}) => order && order.holder !== settings.node);
-    const newest = new Map<string, number>();
-    for (const {order} of orders)
-      if (order)
-        newest.set(
-          order.holder,
-          Math.max(order.at, newest.get(order.holder) ?? -Infinity),
-        );
-    for (const {vm, order} of orders) {
-      if (!order) continue;
-      // A holder's newest order may have been given just now, an older one was given that much before.
-      const before = (newest.get(order.holder) ?? order.at) - order.at;
+    const orders = records.flatMap(record => {
+      const order = this.readOrder(record);
+      const isOther = order && order.holder !== settings.node;
+      return isOther ? [{vm: vmIn(record.key), ...order}] : [];
+    });
+    const newest = new Map<number, number>();
+    for (const {term, at} of orders)
+      newest.set(term, Math.max(at, newest.get(term) ?? at));
+    for (const {vm, term, at} of orders) {
+      // A term's newest order may have been given just now, an older one was given that much before.
+      const before = (newest.get(term) ?? at) - at;
       const left = settings.limits.holderChange - before;
       if (left > 0) this.waitingUntil.set(vm, now + left);
     }
@@ -173,10 +172,11 @@
   private readOrder(record: KeyedRecord): StoredOrder | undefined {
     try {
       const order = JSON.parse(String(record.value)) as Partial<StoredOrder>;
-      const {holder, at} = order;
-      if (typeof holder === 'string' && typeof at === 'number')
-        return {holder, at};
-      throw new TypeError('no holder or no time');
+      const {holder, term, at} = order;
+      if (typeof holder !== 'string') throw new TypeError('no holder');
+      if (typeof term !== 'number') throw new TypeError('no term');
+      if (typeof at !== 'number') throw new TypeError('no time');
+      return {holder, term, at};
     } catch (error) {
       this.parts.logger.warn(LogEvent.RecordUnreadable, {
         stream: LogStream.Fleet,
@@ -191,6 +191,7 @@
     const {clock, settings, log} = this.parts;
     const order: StoredOrder = {
       holder: settings.node,
+      term: this.term,
       at: clock.monotonicMilliseconds(),
     };
     const value = Buffer.from(JSON.stringify(order));
