Organisations: keys at the entry, jobs hidden from others, a limit of room over all workers

Cause: nothing knew of organisations. Change: a package of its own. A job is shown to its organisation only. A run counts against its organisation's limit from before its order until it is known to be over, also across coordinators, and is looked at again when it was stored late. An organisation that can't be read stays as it was; the others are in force. Ruled out: refusing by the newest configuration at hand alone (a daemon that reads late would turn new keys away).

--- a/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
+++ b/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {LogStream} from '../index.js';
-import {LASTING_JOB, TestDeployment} from './deployment.js';
+import {ANY_CALLER, LASTING_JOB, TestDeployment} from './deployment.js';
 
 const BOUND = 3_000;
 
@@ -21,7 +21,7 @@
       first.kill();
       const second = await deployment.startDaemon('two');
       await deployment.run(2_000);
-      const cancelled = second.desk.cancel(LASTING_JOB, BOUND);
+      const cancelled = second.desk.cancel(LASTING_JOB, BOUND, ANY_CALLER);
       await deployment.run(500);
       await cancelled;
 
--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -12,6 +12,7 @@
   type LogEvent,
   type Logger,
 } from '@gentiandoor/kernel';
+import type {Caller, Organisation} from '@gentiandoor/organisations';
 import {
   Coordinator,
   JobFrontDesk,
@@ -65,6 +66,12 @@
 export const OTHER_QUEUE = 'long-reviews';
 export const STANDBY = 'spare';
 export const LASTING_JOB = 'lasting';
+/** A caller of the public queue. */
+export const ANY_CALLER: Caller = {
+  organisation: undefined,
+  queue: QUEUE,
+  isPublicQueue: true,
+};
 const LASTING_JOB_BOUND_MILLISECONDS = 3_000;
 const ROOM = {
   processorMillicores: 8_000,
@@ -216,6 +223,8 @@
   readonly behaviours = new Map<string, TaskBehaviour>();
   /** What a worker does to all that runs on it. */
   readonly workerBehaviours = new Map<string, Partial<TaskBehaviour>>();
+  /** Undefined for a deployment that knows none. */
+  organisations: readonly Organisation[] | undefined;
   private incarnations = 0;
 
   constructor(workerCount: number) {
@@ -251,6 +260,10 @@
       configuration: {
         version,
         maximumBodyBytes: 100_000,
+        organisations: this.organisations && {
+          organisations: this.organisations,
+          rejected: [],
+        },
         queues: [...services].map(([queue, service]) =>
           queueOf(queue, service),
         ),
@@ -349,7 +362,7 @@
 
   /** What a daemon says of a job. */
   async answerOf(daemon: TestDaemon, jobId: string): Promise<JobAnswer> {
-    const answer = daemon.desk.state(jobId);
+    const answer = daemon.desk.state(jobId, ANY_CALLER);
     await this.run(50);
     return answer;
   }
@@ -393,6 +406,7 @@
     latencyMilliseconds: 500,
     timeoutMilliseconds: 3_000,
     adviceValidMilliseconds: 0,
+    isPublic: true,
   };
 }
 
--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -22,6 +22,7 @@
         },
         queueOf: () => undefined,
         mayOrder: () => true,
+        mayStart: () => true,
         launch: () => undefined,
       },
       new FullestFirst(),
--- a/packages/coordinator/src/__tests__/once-at-most.test.ts
+++ b/packages/coordinator/src/__tests__/once-at-most.test.ts
@@ -4,6 +4,7 @@
 import {SubmitAnswer} from '../index.js';
 import {StoreFault, WorkerFault, overlappingRuns} from '../stand-ins/index.js';
 import {
+  ANY_CALLER,
   TestDaemon,
   TestDeployment,
   behaviour,
@@ -278,7 +279,7 @@
     const daemon = await deployment.startDaemon('one');
     await submitted(deployment, daemon, job('long', [step({taskCount: 20})]));
     await deployment.run(500);
-    const answer = daemon.desk.cancel('long', BOUND);
+    const answer = daemon.desk.cancel('long', BOUND, ANY_CALLER);
     await deployment.run(2_000);
     assert.deepEqual(await answer, {
       kind: 'state',
@@ -302,13 +303,13 @@
     const other = new TestDaemon(deployment, 'two');
     daemon.start();
     await deployment.run(200);
-    const warm = other.desk.state('nobody');
+    const warm = other.desk.state('nobody', ANY_CALLER);
     await deployment.run(10);
     await warm;
     const submission = daemon.desk.submit(job('a'), BOUND);
     await deployment.run(5);
     assert.equal(await submission, SubmitAnswer.Taken);
-    const answer = other.desk.cancel('a', BOUND);
+    const answer = other.desk.cancel('a', BOUND, ANY_CALLER);
     await deployment.run(50);
     assert.deepEqual(await answer, {
       kind: 'state',
@@ -319,7 +320,7 @@
   it('of a job that nobody handed in is answered as absent', async () => {
     const deployment = new TestDeployment(1);
     const daemon = await deployment.startDaemon('one');
-    const answer = daemon.desk.cancel('nobody', BOUND);
+    const answer = daemon.desk.cancel('nobody', BOUND, ANY_CALLER);
     await deployment.run(100);
     assert.deepEqual(await answer, {kind: 'absent'});
   });
--- /dev/null
+++ b/packages/coordinator/src/__tests__/organisation-limit.test.ts
@@ -0,0 +1,223 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {JobState, type JobSubmission} from '@gentiandoor/jobs';
+import {digestKey, type Organisation} from '@gentiandoor/organisations';
+import {LogStream, SubmitAnswer} from '../index.js';
+import {StoreFault, WorkerFault, mostAtOnce} from '../stand-ins/index.js';
+import {
+  QUEUE,
+  TestDeployment,
+  behaviour,
+  job,
+  step,
+  type TestDaemon,
+} from './deployment.js';
+
+const BOUND = 3_000;
+const MILLICORES = 1_000;
+
+function organisation(name: string, cores: number): Organisation {
+  return {
+    name,
+    keys: [digestKey(`key of ${name}`)],
+    weight: 1,
+    limit: {
+      processorMillicores: cores * MILLICORES,
+      memoryMegabytes: 0,
+      accelerators: 0,
+    },
+  };
+}
+
+function jobOf(
+  owner: string,
+  id: string,
+  taskCount: number,
+  differences: Parameters<typeof step>[0] = {},
+): JobSubmission {
+  return {...job(id, [step({taskCount, ...differences})]), organisation: owner};
+}
+
+class LimitedDeployment extends TestDeployment {
+  version = 1;
+
+  constructor(workers: number, cores: number) {
+    super(workers);
+    this.setLimit(cores);
+  }
+
+  setLimit(cores: number): void {
+    this.organisations = [
+      organisation('advisers', cores),
+      organisation('auditors', 0),
+    ];
+    this.publishConfiguration(++this.version);
+  }
+
+  async submit(daemon: TestDaemon, one: JobSubmission): Promise<void> {
+    const answer = daemon.desk.submit(one, BOUND);
+    await this.run(20);
+    assert.equal(await answer, SubmitAnswer.Taken);
+  }
+
+  /** Most tasks of jobs whose id begins with `prefix` that ran at the same time. */
+  mostOf(prefix: string, from = 0): number {
+    const runs = this.begunRuns().filter(run => run.task.startsWith(prefix));
+    return mostAtOnce(runs, from);
+  }
+}
+
+describe('the limit of an organisation', () => {
+  it('holds over all workers, and the rest of the room goes to others', async () => {
+    const deployment = new LimitedDeployment(3, 4);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 12));
+    await deployment.submit(daemon, jobOf('auditors', 'review', 12));
+    await deployment.run(4_000);
+    assert.equal(deployment.mostOf('advice'), 4);
+    assert.equal(deployment.mostOf('review'), 12);
+    const answer = await deployment.answerOf(daemon, 'review');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+    assert.equal(deployment.begunRuns().length, 24);
+  });
+
+  // The organisation is over its limit. Orders to one worker get no answer; the coordinator gives up
+  // asking and starts the tasks elsewhere, while the first ones run after all. A run counts until it is known
+  // to be over, so that nothing is started in its place before.
+  for (const fault of Object.values(WorkerFault))
+    it(`holds while a worker is ${fault}`, async () => {
+      const deployment = new LimitedDeployment(3, 4);
+      deployment.behaviours.set(
+        'advice',
+        behaviour({durationMilliseconds: 2_500}),
+      );
+      const daemon = await deployment.startDaemon('one');
+      daemon.workers.setFault('worker-0', fault);
+      await deployment.submit(daemon, jobOf('advisers', 'advice', 12));
+      await deployment.run(6_000);
+      daemon.workers.setFault('worker-0', undefined);
+      await deployment.run(40_000);
+      assert.ok(
+        deployment.mostOf('advice') <= 4,
+        `${deployment.mostOf('advice')} at once`,
+      );
+      const answer = await deployment.answerOf(daemon, 'advice');
+      assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+    });
+
+  // The coordinator is killed with tasks running and a worker cut off. Its successor does not see the tasks on
+  // that worker and would fill the limit anew beside them. It counts what its predecessor stored.
+  it('holds when the coordinator changes with a worker cut off', async () => {
+    const deployment = new LimitedDeployment(3, 4);
+    deployment.behaviours.set(
+      'advice',
+      behaviour({durationMilliseconds: 3_000}),
+    );
+    const first = await deployment.startDaemon('one');
+    await deployment.submit(first, jobOf('advisers', 'advice', 12));
+    await deployment.run(500);
+    first.kill();
+    const second = await deployment.startDaemon('two');
+    const busy = deployment.begunRuns()[0].worker;
+    second.workers.setFault(busy, WorkerFault.Cut);
+    await deployment.run(15_000);
+    second.workers.setFault(busy, undefined);
+    await deployment.run(30_000);
+    assert.ok(
+      deployment.mostOf('advice') <= 4,
+      `${deployment.mostOf('advice')} at once`,
+    );
+    const answer = await deployment.answerOf(second, 'advice');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+  });
+
+  // Operators lower a limit far below what runs. What runs goes on, but starts that were chosen before the
+  // change and not ordered yet would bring the organisation over the new limit; nothing starts until it is met.
+  it('is met again after it was lowered far below what runs', async () => {
+    const deployment = new LimitedDeployment(3, 12);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 60));
+    await deployment.run(700);
+    deployment.setLimit(2);
+    await deployment.run(1_600);
+    const from = deployment.clock.monotonicMilliseconds();
+    await deployment.run(20_000);
+    assert.equal(deployment.mostOf('advice', from), 2);
+    const answer = await deployment.answerOf(daemon, 'advice');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+  });
+
+  // Runs are chosen and the store does not take them yet. Operators lower the limit, which is acknowledged;
+  // then the store takes the runs, and their orders would bring the organisation over a limit that is old news.
+  it('is looked at again when a run was stored late', async () => {
+    const deployment = new LimitedDeployment(3, 12);
+    const daemon = await deployment.startDaemon('one');
+    daemon.store.setFault(StoreFault.Refusing, LogStream.Jobs);
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 12));
+    await deployment.run(300);
+    deployment.setLimit(2);
+    await deployment.run(1_200);
+    daemon.store.setFault(undefined);
+    await deployment.run(10_000);
+    assert.equal(deployment.mostOf('advice'), 2);
+    const answer = await deployment.answerOf(daemon, 'advice');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+  });
+
+  it('lets tasks that were taken in run one by one when it is below their size', async () => {
+    const deployment = new LimitedDeployment(3, 0.5);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 3));
+    await deployment.run(4_000);
+    assert.equal(deployment.mostOf('advice'), 1);
+    const answer = await deployment.answerOf(daemon, 'advice');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+  });
+
+  it('starts a gang whole or not at all', async () => {
+    const deployment = new LimitedDeployment(3, 4);
+    const daemon = await deployment.startDaemon('one');
+    const gang = {gang: true};
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 2));
+    await deployment.submit(daemon, jobOf('advisers', 'gang', 4, gang));
+    await deployment.run(5_000);
+    assert.ok(deployment.mostOf('') <= 4);
+    const answer = await deployment.answerOf(daemon, 'gang');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+  });
+
+  it('stays that of the last configuration for one that has left it', async () => {
+    const deployment = new LimitedDeployment(3, 4);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 12));
+    deployment.organisations = [];
+    deployment.publishConfiguration(++deployment.version);
+    await deployment.run(4_000);
+    assert.equal(deployment.mostOf('advice'), 4);
+    const answer = await deployment.answerOf(daemon, 'advice');
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
+  });
+});
+
+describe('a job of an organisation', () => {
+  it('is hidden from others, and its id can not be taken by them', async () => {
+    const deployment = new LimitedDeployment(1, 4);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 1));
+    await deployment.run(200);
+    const other = {
+      organisation: 'auditors',
+      queue: QUEUE,
+      isPublicQueue: false,
+    };
+    const state = daemon.desk.state('advice', other);
+    const cancelled = daemon.desk.cancel('advice', BOUND, other);
+    const taken = daemon.desk.submit(jobOf('auditors', 'advice', 1), BOUND);
+    await deployment.run(100);
+    assert.deepEqual(await state, {kind: 'absent'});
+    assert.deepEqual(await cancelled, {kind: 'absent'});
+    assert.equal(await taken, SubmitAnswer.IdInUse);
+    await deployment.run(1_000);
+    assert.equal(deployment.begunRuns().length, 1);
+  });
+});
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -30,6 +30,7 @@
 import type {MachineGateway} from './machine-gateway.js';
 import type {Queue} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
+import {OrganisationRooms} from './organisation-rooms.js';
 import {OrphanRuns} from './orphan-runs.js';
 import {ProgressWriter} from './progress-writer.js';
 import type {RecordFormats} from './record-formats.js';
@@ -89,6 +90,7 @@
   private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
+  private readonly rooms: OrganisationRooms;
   private readonly fleet: FleetKeeper;
   private closed = false;
   private recovered = false;
@@ -108,6 +110,13 @@
     this.writer = new ProgressWriter(parts.log, clock, term, () =>
       this.fenced(),
     );
+    this.rooms = new OrganisationRooms({
+      operators: parts.operators,
+      inForce: settings.limits.configurationInForce,
+      clock,
+      logger: parts.logger,
+      metrics: parts.metrics,
+    });
     const demand = new ServiceDemand();
     this.dispatcher = new Dispatcher(this, new FullestFirst(), demand, clock);
     this.suspicion = new WorkerSuspicion(this.trust, clock, parts.logger);
@@ -208,9 +217,18 @@
     return this.window.allows(count);
   }
 
+  mayStart(
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+    service: string,
+  ): boolean {
+    return this.rooms.mayStart(execution, tasks, service);
+  }
+
   launch(session: WorkerSession, run: LiveRun): void {
     this.window.begin();
     session.expect(run);
+    this.rooms.begin(run);
     this.writer.store(run.execution, () => {
       const {logger, metrics, clock} = this.parts;
       const waited = clock.monotonicMilliseconds() - run.plannedAt;
@@ -222,6 +240,7 @@
         term: this.term,
         storedAfterMilliseconds: Math.round(waited),
       });
+      if (!this.rooms.mayBeOrdered(run)) run.stopAsked = true;
       void session.order(run).finally(() => {
         this.window.end();
         this.dispatcher.orderSettled();
@@ -390,6 +409,7 @@
         status: RunStatus.Recovered,
         settledAt: -Infinity,
       });
+      this.rooms.begin(run);
       const session = this.registry.find(task.progress.worker);
       if (session) session.expect(run);
       else this.orphans.keep(task.progress.worker, run);
@@ -417,6 +437,7 @@
     worker: string,
   ): void {
     const {execution} = run;
+    this.releaseRoom(run);
     const wasEnded = execution.ended;
     const queue = this.queueOf(execution);
     const effect = execution.endRun(
@@ -431,10 +452,16 @@
     if (end === RunEnd.Failed) this.dispatcher.noteFailure(run, worker);
     if (effect === EndEffect.JobEnded && !wasEnded) this.finish(execution);
     if (run.taskOfJob.specification.gang && end === RunEnd.Done)
-      this.registry.dropRunsOfStep(run);
+      this.registry
+        .dropRunsOfStep(run)
+        .forEach(member => this.releaseRoom(member));
     this.writer.store(execution);
   }
 
+  private releaseRoom(run: LiveRun): void {
+    for (const service of this.rooms.end(run)) this.dispatcher.wake(service);
+  }
+
   private logRunEnd(
     task: string,
     run: number,
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -37,6 +37,12 @@
   queueOf(execution: JobExecution): Queue | undefined;
   /** Whether `count` orders may be begun together; more would wait behind each other at this daemon. */
   mayOrder(count: number): boolean;
+  /** Whether the limit of the job's organisation lets these tasks start together. */
+  mayStart(
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+    service: string,
+  ): boolean;
   /** Stores the run, then orders it. */
   launch(session: WorkerSession, run: LiveRun): void;
 }
@@ -263,6 +269,8 @@
           this.held.add(service);
           continue;
         }
+        // More VMs would not help: what waits for a limit asks for none.
+        if (!this.host.mayStart(candidate.execution, tasks, service)) continue;
         const key = stepName(candidate.execution.job.id, tasks[0]);
         const placed =
           misses < MISSES_BEFORE_GIVING_UP &&
--- a/packages/coordinator/src/entry-settings.ts
+++ b/packages/coordinator/src/entry-settings.ts
@@ -28,6 +28,10 @@
 export interface PlatformLimits {
   /** Longest lease that a worker takes. */
   readonly maximumLease: number;
+  /** A configuration must be in force within this. */
+  readonly configurationInForce: number;
+  /** Bounds are longer by so much at most while the store serves only some daemons. */
+  readonly stretch: number;
   /** After this a cancelled job must have nothing running. */
   readonly cancel: number;
   /** Planned work may keep a task away so long before it counts as missing. */
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -13,6 +13,11 @@
   isFinal,
   type JobSubmission,
 } from '@gentiandoor/jobs';
+import {
+  OrganisationLabels,
+  maySee,
+  type Caller,
+} from '@gentiandoor/organisations';
 import {KeepOutcome} from './grouped-appender.js';
 import type {JobStreams} from './job-streams.js';
 import type {SubmissionLog} from './submission-log.js';
@@ -24,6 +29,8 @@
   Refused = 'refused',
   /** It may have been taken. */
   Unknown = 'unknown',
+  /** Its id is that of a job which the caller may not see; nothing was taken. */
+  IdInUse = 'id_in_use',
 }
 
 /** Answer to a question about a job, or to a cancellation. */
@@ -47,6 +54,7 @@
 export class JobFrontDesk {
   /** Jobs whose submission through this daemon got no answer from the store. */
   private readonly inDoubt = new Set<string>();
+  private readonly labels = new OrganisationLabels();
 
   constructor(
     private readonly table: JobTable,
@@ -80,7 +88,11 @@
     job: JobSubmission,
     boundMilliseconds: number,
   ): Promise<SubmitAnswer> {
-    if (this.table.find(job.id)) return SubmitAnswer.Taken;
+    const known = this.table.find(job.id);
+    if (known)
+      return known.submission.organisation === job.organisation
+        ? SubmitAnswer.Taken
+        : SubmitAnswer.IdInUse;
     const started = this.clock.monotonicMilliseconds();
     const outcome = await this.submissions.keep(
       job.id,
@@ -90,17 +102,34 @@
     );
     const answer = this.settleSubmission(job.id, outcome);
     const milliseconds = this.clock.monotonicMilliseconds() - started;
-    this.metrics.increment(MetricName.JobSubmissions, {answer});
     this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
-    const fields = {job: job.id, queue: job.queue, answer, milliseconds};
+    this.noteAnswer(job, answer, milliseconds);
+    return answer;
+  }
+
+  private noteAnswer(
+    job: JobSubmission,
+    answer: SubmitAnswer,
+    milliseconds: number,
+  ): void {
+    const {id, queue, organisation} = job;
+    this.metrics.increment(MetricName.JobSubmissions, {answer});
+    if (organisation !== undefined)
+      this.metrics.increment(MetricName.OrganisationJobs, {
+        organisation: this.labels.of(organisation),
+        answer,
+      });
+    const fields = {job: id, queue, organisation, answer, milliseconds};
     if (answer === SubmitAnswer.Taken)
       this.logger.info(LogEvent.JobTaken, fields);
     else this.logger.warn(LogEvent.JobRefused, fields);
-    return answer;
   }
 
-  async state(jobId: string): Promise<JobAnswer> {
+  /** State of a job, as far as `caller` may see it. */
+  async state(jobId: string, caller: Caller): Promise<JobAnswer> {
     const known = this.table.find(jobId);
+    // The same answer as for a job that does not exist: it tells nothing of what others run.
+    if (known && !maySee(known.submission, caller)) return {kind: 'absent'};
     if (known && isFinal(this.table.stateOf(known)))
       return {kind: 'state', state: this.table.stateOf(known)};
     // What was read a moment ago may show a job's state, but never that there is no such job: its
@@ -109,6 +138,7 @@
       ? await this.ensureProgress()
       : await this.streams.refreshJob(jobId);
     const job = this.table.find(jobId);
+    if (job && !maySee(job.submission, caller)) return {kind: 'absent'};
     if (job) return {kind: 'state', state: this.table.stateOf(job)};
     return fresh && !this.inDoubt.has(jobId)
       ? {kind: 'absent'}
@@ -116,8 +146,12 @@
   }
 
   /** Cancels a job; its tasks are stopped soon after. */
-  async cancel(jobId: string, boundMilliseconds: number): Promise<JobAnswer> {
-    const found = await this.state(jobId);
+  async cancel(
+    jobId: string,
+    boundMilliseconds: number,
+    caller: Caller,
+  ): Promise<JobAnswer> {
+    const found = await this.state(jobId, caller);
     if (found.kind !== 'state') return found;
     if (found.state === JobState.Cancelled) return found;
     if (isFinal(found.state)) return {kind: 'absent'};
--- a/packages/coordinator/src/operator-records.ts
+++ b/packages/coordinator/src/operator-records.ts
@@ -1,3 +1,5 @@
+import type {OrganisationList} from '@gentiandoor/organisations';
+
 /** A queue of the configuration. */
 export interface Queue {
   readonly name: string;
@@ -14,6 +16,8 @@
   readonly timeoutMilliseconds: number;
   /** Milliseconds for which an advised worker may be used; 0 where the queue needs no advice. */
   readonly adviceValidMilliseconds: number;
+  /** Its callers need no key. */
+  readonly isPublic: boolean;
 }
 
 /** A service of the configuration: a pool of VMs. */
@@ -31,6 +35,8 @@
   readonly version: number;
   readonly queues: readonly Queue[];
   readonly services: readonly ServicePool[];
+  /** Undefined in a deployment that knows no organisations: its queues are open to all. */
+  readonly organisations: OrganisationList | undefined;
   readonly maximumBodyBytes: number;
 }
 
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -1,5 +1,11 @@
 import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
+import {
+  OrganisationBook,
+  type KeyRing,
+  type KeySource,
+  type OrganisationList,
+} from '@gentiandoor/organisations';
 import type {
   Configuration,
   MaintenanceWave,
@@ -15,8 +21,9 @@
 const RETRY_MILLISECONDS = 150;
 
 /** What operators ask for: the newest configuration and the waves of maintenance. */
-export class OperatorView implements StreamSink {
+export class OperatorView implements StreamSink, KeySource {
   readonly follower: StreamFollower;
+  readonly organisations = new OrganisationBook();
   readonly waves = new Map<number, MaintenanceWave>();
   private newest: Configuration | undefined;
   private queuesByName = new Map<string, Queue>();
@@ -46,6 +53,20 @@
     return this.clock.monotonicMilliseconds() - this.unreachableFrom;
   }
 
+  get keys(): KeyRing {
+    return this.organisations.keys;
+  }
+
+  /** Since the configuration at hand was the newest one for certain. */
+  get ageMilliseconds(): number {
+    return this.follower.ageMilliseconds;
+  }
+
+  /** Reads to the end of the operators' records; false when the store does not answer. */
+  refresh(): Promise<boolean> {
+    return this.follower.refresh();
+  }
+
   /** Undefined until one was read. */
   get configuration(): Configuration | undefined {
     return this.newest;
@@ -101,13 +122,30 @@
     this.servicesByName = new Map(
       configuration.services.map(service => [service.name, service]),
     );
+    const {organisations = NO_ORGANISATIONS} = configuration;
+    this.applyOrganisations(organisations);
     this.logger.info(LogEvent.ConfigurationInForce, {
       version: configuration.version,
       queues: configuration.queues.length,
       services: configuration.services.length,
+      organisations: organisations.organisations.length,
     });
   }
 
+  private applyOrganisations(list: OrganisationList): void {
+    this.organisations.replace(list);
+    for (const {name, reason} of list.rejected)
+      this.logger.warn(LogEvent.OrganisationUnreadable, {
+        organisation: name,
+        reason,
+      });
+    const {conflicts} = this.organisations.keys;
+    if (conflicts.length > 0)
+      this.logger.warn(LogEvent.OrganisationKeyShared, {
+        organisations: conflicts,
+      });
+  }
+
   private async run(): Promise<void> {
     let reachable = true;
     while (!this.stopping) {
@@ -129,3 +167,5 @@
     else this.logger.warn(LogEvent.StoreLost, {ageMilliseconds});
   }
 }
+
+const NO_ORGANISATIONS: OrganisationList = {organisations: [], rejected: []};
--- a/packages/coordinator/src/stand-ins/begun-runs.ts
+++ b/packages/coordinator/src/stand-ins/begun-runs.ts
@@ -24,3 +24,16 @@
         `${one.task}: runs ${one.run} and ${other.run} at the same time`,
     );
 }
+
+/** Most runs that were alive right after one of them began, of those that began at `from` or later. */
+export function mostAtOnce(runs: readonly BegunRun[], from = 0): number {
+  const counts = runs
+    .filter(run => run.begunAt >= from)
+    .map(({begunAt}) => aliveAt(runs, begunAt));
+  return Math.max(0, ...counts);
+}
+
+function aliveAt(runs: readonly BegunRun[], at: number): number {
+  return runs.filter(run => run.begunAt <= at && at < (run.endedAt ?? Infinity))
+    .length;
+}
--- a/packages/coordinator/src/stand-ins/simulated-settings.ts
+++ b/packages/coordinator/src/stand-ins/simulated-settings.ts
@@ -14,6 +14,8 @@
     adviceAddress: '',
     limits: {
       maximumLease: 10_000,
+      configurationInForce: 2_000,
+      stretch: 5_000,
       cancel: 3_000,
       notice: 4_500,
       holderChange: 3_000,
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -83,12 +83,16 @@
       this.sessions.delete(session.id);
   }
 
-  /** Members of a gang are over with one of them. */
-  dropRunsOfStep(ended: LiveRun): void {
+  /** Members of a gang are over with one of them; returns those that were dropped. */
+  dropRunsOfStep(ended: LiveRun): LiveRun[] {
+    const dropped: LiveRun[] = [];
     for (const session of this.sessions.values())
-      for (const run of [...session.runs.values()])
-        if (run.stepKey === ended.stepKey && run.run === ended.run)
-          session.forget(run);
+      for (const run of [...session.runs.values()]) {
+        if (run.stepKey !== ended.stepKey || run.run !== ended.run) continue;
+        session.forget(run);
+        dropped.push(run);
+      }
+    return dropped;
   }
 
   close(): void {
--- /dev/null
+++ b/packages/entry/src/__tests__/organisations.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {request as openRequest} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import {RunEnd} from '@gentiandoor/jobs';
+import {readPlatformSettings} from '@gentiandoor/platform';
+import {
+  QUEUE_HOST,
+  StandInPlatform,
+  standInSettings,
+} from '@gentiandoor/platform/stand-ins';
+import {request} from 'undici';
+import {wireEntry, type EntryParts} from '../wiring.js';
+import {freePort} from './free-port.js';
+
+const ROOM = {
+  processorMillicores: 8_000,
+  memoryMegabytes: 64_000,
+  accelerators: 0,
+};
+const JOB = {spec: 'text', steps: [{count: 1, cpu: 1_000, mem_mb: 10}]};
+const ROUND_MILLISECONDS = 25;
+const GIVE_UP_ROUNDS = 200;
+
+describe('a daemon that knows organisations', () => {
+  const platform = new StandInPlatform({
+    services: ['previews'],
+    standbyService: 'spare',
+    workersPerService: 1,
+    room: ROOM,
+    behaviourOf: () => ({
+      durationMilliseconds: 100,
+      end: RunEnd.Done,
+      room: {...ROOM, processorMillicores: 1_000},
+    }),
+  });
+  let folder: string;
+  let parts: EntryParts;
+  let callers: number;
+  let version = 1;
+
+  function publish(...keysOfAdvisers: string[]): void {
+    platform.organisations = [
+      {name: 'advisers', keys: keysOfAdvisers},
+      {name: 'auditors', keys: ['open-audit']},
+    ];
+    platform.publishConfiguration(++version);
+  }
+
+  before(async () => {
+    await platform.start();
+    publish('open-one');
+    folder = mkdtempSync(join(tmpdir(), 'entry-'));
+    callers = await freePort();
+    const readiness = await freePort();
+    const path = join(folder, 'node.json');
+    const settings = standInSettings(platform, 'one', {callers, readiness});
+    writeFileSync(path, JSON.stringify(settings));
+    parts = wireEntry(readPlatformSettings(path), {
+      metricsPort: await freePort(),
+    });
+    await parts.lifeCycle.start();
+    await eventually(() => call('GET', 'open-one'), 200);
+  });
+
+  after(async () => {
+    await parts.coordinator.drain();
+    await parts.lifeCycle.stop();
+    await parts.storeCalls.stop();
+    await parts.workerCalls.stop();
+    platform.stop();
+    rmSync(folder, {recursive: true});
+  });
+
+  async function call(
+    method: 'GET' | 'POST' | 'DELETE',
+    key: string | string[] | undefined,
+    path = '',
+  ): Promise<number> {
+    const headers = {host: QUEUE_HOST, 'x-deadline-ms': '3000'};
+    const answer = await request(
+      `http://127.0.0.1:${callers}/previews/${path}`,
+      {
+        method,
+        headers:
+          key === undefined ? headers : {...headers, 'x-credential': key},
+        body: method === 'POST' ? JSON.stringify(JOB) : undefined,
+      },
+    );
+    await answer.body.dump();
+    return answer.statusCode;
+  }
+
+  async function eventually(
+    ask: () => Promise<number>,
+    wanted: number,
+  ): Promise<void> {
+    for (let round = 0; round < GIVE_UP_ROUNDS; round++) {
+      if ((await ask()) === wanted) return;
+      await new Promise(resolve => {
+        setTimeout(resolve, ROUND_MILLISECONDS);
+      });
+    }
+    assert.fail(`no answer ${wanted}`);
+  }
+
+  it('serves a key that an organisation holds, and no other', async () => {
+    assert.equal(await call('POST', 'open-one', '0000000000000001'), 200);
+    for (const key of [
+      undefined,
+      '',
+      'open-on',
+      'open-one ',
+      ['open-one', 'open-audit'],
+    ])
+      assert.equal(
+        await call('POST', key, '0000000000000002'),
+        key === 'open-one ' ? 200 : 401,
+        `key ${String(key)}`,
+      );
+  });
+
+  it('shows a job to its organisation only', async () => {
+    assert.equal(await call('GET', 'open-one', '0000000000000001'), 200);
+    assert.equal(await call('GET', 'open-audit', '0000000000000001'), 410);
+    assert.equal(await call('DELETE', 'open-audit', '0000000000000001'), 410);
+    assert.equal(await call('POST', 'open-audit', '0000000000000001'), 409);
+    assert.equal(await call('GET', undefined, '0000000000000001'), 401);
+  });
+
+  it('refuses before the body has come', async () => {
+    const status = await new Promise(resolve => {
+      const open = openRequest({
+        port: callers,
+        path: '/previews/0000000000000003',
+        method: 'POST',
+        headers: {host: QUEUE_HOST, 'content-length': '5000'},
+      });
+      open.on('response', answer => {
+        resolve(answer.statusCode);
+        open.destroy();
+      });
+      open.flushHeaders();
+    });
+    assert.equal(status, 401);
+  });
+
+  it('takes a new key at once and stops serving one that was taken away', async () => {
+    publish('open-two');
+    assert.equal(await call('GET', 'open-two'), 200);
+    await eventually(() => call('GET', 'open-one'), 401);
+    assert.equal(await call('GET', 'open-two', '0000000000000001'), 200);
+  });
+
+  it('names no key in its metrics', async () => {
+    const address = parts.metricsPort.boundAddress;
+    const answer = await request(`http://${address}/metrics`);
+    const text = await answer.body.text();
+    assert.match(text, /organisation_jobs\{organisation="advisers"/);
+    assert.match(text, /calls_refused\{reason="refused"\}/);
+    assert.doesNotMatch(text, /open-/);
+  });
+});
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -10,6 +10,7 @@
   type EntrySettings,
 } from '@gentiandoor/coordinator';
 import {JobTable} from '@gentiandoor/jobs';
+import {AccessGuard} from '@gentiandoor/organisations';
 import {
   BoundedLogger,
   DrainState,
@@ -65,6 +66,7 @@
   jobs: JobStreams;
   submissions: SubmissionLog;
   desk: JobFrontDesk;
+  guard: AccessGuard;
   routes: CallerRoutes;
   callers: HttpServerPlugin;
   daemonReadiness: DaemonReadiness;
@@ -142,13 +144,26 @@
       ({operators, desk, drainState}) =>
         new DaemonReadiness(operators, desk, () => drainState.isDraining),
     ),
+    guard: single(
+      ({operators, clock}) =>
+        new AccessGuard(
+          operators,
+          {
+            inForce: settings.limits.configurationInForce,
+            stretch: settings.limits.stretch,
+          },
+          clock,
+        ),
+    ),
     routes: single(
-      ({desk, operators, clock, logger, daemonReadiness}) =>
+      ({desk, operators, guard, clock, logger, metrics, daemonReadiness}) =>
         new CallerRoutes({
           desk,
           operators,
+          guard,
           clock,
           logger,
+          metrics,
           sendsCallersAway: () => !daemonReadiness.isReady,
         }),
     ),
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -50,6 +50,8 @@
   readonly queue: string;
   /** Service of the queue at that time; used when the queue is gone. */
   readonly service: string;
+  /** Name of the organisation that handed it in; left out where its queue asks for no key. */
+  readonly organisation?: string;
   /** Opaque text for the workers. */
   readonly payload: string;
   readonly steps: readonly StepSpecification[];
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -199,6 +199,26 @@
   [LogEvent.LinesLeftOut]: entry(
     'Log lines of one kind were left out to bound the volume; `count` says how many.',
   ),
+  [LogEvent.CallRefused]: entry(
+    'A call was not let in; `reason` says why: its key is not known, the configuration is too old to tell, or the job is another organisation\u2019s.',
+    'see docs/OPERATIONS.md, a key lost or revoked',
+  ),
+  [LogEvent.OrganisationUnreadable]: entry(
+    'The settings of an organisation can\u2019t be read; it stays as it was, the others are in force.',
+    'correct the field that `reason` names and publish again',
+  ),
+  [LogEvent.OrganisationKeyShared]: entry(
+    'Organisations hold the same key, which therefore opens nothing.',
+    'give each of them a key of its own',
+  ),
+  [LogEvent.OrganisationAtLimit]: entry(
+    'Work of an organisation waits since more would be over its limit; told once a second at most.',
+    'raise its limit if the room is there for it',
+  ),
+  [LogEvent.OrganisationOverShare]: entry(
+    'A job was refused since its organisation has more waiting than its share will run in time.',
+    'nothing; look at its callers if it goes on',
+  ),
   [LogEvent.TaskFailed]: entry(
     'A background task ended with an error; the daemon ends.',
     'report it with the line',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -66,4 +66,9 @@
   SettingsUnreadable = 1945,
   LinesLeftOut = 1946,
   TaskFailed = 1947,
+  CallRefused = 1951,
+  OrganisationUnreadable = 1952,
+  OrganisationKeyShared = 1953,
+  OrganisationAtLimit = 1954,
+  OrganisationOverShare = 1955,
 }
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -104,6 +104,19 @@
     'answers to submissions of jobs, by answer',
     'answer',
   ),
+  [MetricName.OrganisationJobs]: counter(
+    'answers to submissions of jobs, by organisation and answer; past a bound on their number organisations count as `other`',
+    'organisation',
+    'answer',
+  ),
+  [MetricName.CallsRefused]: counter(
+    'calls of callers that were not let in, by reason',
+    'reason',
+  ),
+  [MetricName.OrganisationMillicores]: gauge(
+    'millicores that runs of an organisation take or may take, at the coordinator',
+    'organisation',
+  ),
   [MetricName.JobIntakeDuration]: timing(
     'milliseconds from a submission to its answer',
   ),
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -41,6 +41,12 @@
   EventLoopDelay = 'event_loop_delay',
   /** Answers to submissions, by answer. */
   JobSubmissions = 'job_submissions',
+  /** Answers to submissions, by organisation and answer. */
+  OrganisationJobs = 'organisation_jobs',
+  /** Calls that were not let in, by reason. */
+  CallsRefused = 'calls_refused',
+  /** Millicores of work under way, by organisation. */
+  OrganisationMillicores = 'organisation_millicores',
   /** Milliseconds from a submission to its answer. */
   JobIntakeDuration = 'job_intake_duration',
   /** Jobs that came to their end, by state. */
--- /dev/null
+++ b/packages/organisations/src/organisation-book.ts
@@ -0,0 +1,43 @@
+import {KeyRing} from './key-ring.js';
+import type {Organisation, RejectedOrganisation} from './organisation.js';
+
+/** Organisations as one version of the configuration names them. */
+export interface OrganisationList {
+  readonly organisations: readonly Organisation[];
+  readonly rejected: readonly RejectedOrganisation[];
+}
+
+/** The organisations in force, through all versions of the configuration. */
+export class OrganisationBook {
+  private present = new Map<string, Organisation>();
+  private readonly departed = new Map<string, Organisation>();
+  private ring = new KeyRing([]);
+
+  /** Organisations of the newest version. */
+  all(): Iterable<Organisation> {
+    return this.present.values();
+  }
+
+  get keys(): KeyRing {
+    return this.ring;
+  }
+
+  /** Takes a newer version. One whose settings can't be read stays as it was: the others must not wait for it. */
+  replace({organisations, rejected}: OrganisationList): void {
+    const next = new Map(organisations.map(one => [one.name, one]));
+    for (const {name = ''} of rejected) {
+      const before = this.present.get(name);
+      if (before && !next.has(name)) next.set(name, before);
+    }
+    for (const [name, one] of this.present)
+      if (!next.has(name)) this.departed.set(name, one);
+    for (const name of next.keys()) this.departed.delete(name);
+    this.present = next;
+    this.ring = new KeyRing(next.values());
+  }
+
+  /** Also finds one that has left the configuration: what was taken in from it goes on within its last limit. */
+  find(name: string): Organisation | undefined {
+    return this.present.get(name) ?? this.departed.get(name);
+  }
+}
