Organisations in deployment show, account and explain

Cause: an operator could not see which organisation a job, a wait or a refusal belonged to. Change: running cores against the limit, keys, weight and waiting jobs in deployment show; a table by organisation, refusals and calls not let in in account; explain names the organisation and its limit as what held a job up. Tests beside each.

--- a/packages/cli/src/__tests__/day-account.test.ts
+++ b/packages/cli/src/__tests__/day-account.test.ts
@@ -113,4 +113,30 @@
       assert.equal(pools[0].values.wanted, 8);
     });
   });
+
+  describe('of organisations', () => {
+    it('tells their jobs and refusals apart, and calls that were not let in', () => {
+      const organisation = 'advisers';
+      const day = account(
+        line(0, LogEvent.JobTaken, {job: QUOTE, queue: 'q', organisation}),
+        finished(3_000, QUOTE),
+        line(10, LogEvent.JobTaken, {job: REVIEW, queue: 'q'}),
+        finished(700, REVIEW),
+        line(20, LogEvent.JobRefused, {
+          job: 'b1b2c3d4e5f60718',
+          organisation,
+          answer: 'refused',
+        }),
+        line(30, LogEvent.CallRefused, {queue: 'q', reason: 'refused'}),
+        line(31, LogEvent.CallRefused, {queue: 'q', reason: 'refused'}),
+        line(32, LogEvent.CallRefused, {queue: 'q', reason: 'unsure'}),
+      );
+      assert.deepEqual(
+        day.byOrganisation.map(({label, jobs, late}) => [label, jobs, late]),
+        [['advisers', 1, 1]],
+      );
+      assert.deepEqual(day.refusalsByOrganisation, {advisers: 1});
+      assert.deepEqual(day.callsRefused, {refused: 2, unsure: 1});
+    });
+  });
 });
--- a/packages/cli/src/__tests__/deployment.test.ts
+++ b/packages/cli/src/__tests__/deployment.test.ts
@@ -45,6 +45,7 @@
           id: JOB_ID,
           queue: 'queue-previews',
           service: 'previews',
+          organisation: 'advisers',
           payload: '',
           steps: [PLAIN_STEP],
           submittedAtMilliseconds: 0,
@@ -119,6 +120,25 @@
     );
   });
 
+  it('show what organisations run, against their limits', async () => {
+    platform.organisations = [
+      {name: 'advisers', keys: ['a', 'b'], weight: 3, limitMillicores: 4_000},
+      {name: 'auditors', keys: []},
+    ];
+    platform.publishConfiguration(2);
+    const code = await run(
+      'deployment',
+      'show',
+      '--store',
+      platform.storeAddress,
+    );
+    assert.equal(code, ExitCode.Done, noted.join('\n'));
+    const text = printed.join('\n');
+    assert.match(text, /organisation +keys +weight +cores +limit +queued/);
+    assert.match(text, /advisers +2 +3 +1 +4 +0/);
+    assert.match(text, /auditors +0 +1 +0 +none +0/);
+  });
+
   it('show the runs of a job', async () => {
     const code = await run(
       'deployment',
--- a/packages/cli/src/__tests__/log-story.test.ts
+++ b/packages/cli/src/__tests__/log-story.test.ts
@@ -92,6 +92,48 @@
   });
 });
 
+describe('the story of a job of an organisation', () => {
+  const OTHER = 'a1b2c3d4e5f60718';
+  const limit = (organisation: string) =>
+    line(40, 'two', LogEvent.OrganisationAtLimit, {organisation});
+  const log = [
+    line(0, 'one', LogEvent.JobTaken, {
+      job: JOB,
+      queue: 'quotes',
+      organisation: 'advisers',
+      milliseconds: 9,
+    }),
+    limit('advisers'),
+    limit('auditors'),
+    line(900, 'two', LogEvent.JobEnded, {job: JOB, state: 'completed'}),
+    line(0, 'one', LogEvent.CallRefused, {
+      job: OTHER,
+      method: 'POST',
+      reason: 'unsure',
+      configurationAgeMilliseconds: 2_731,
+    }),
+    line(9, 'one', LogEvent.JobRefused, {
+      job: OTHER,
+      organisation: 'auditors',
+      answer: 'id_in_use',
+      milliseconds: 1,
+    }),
+  ].join('\n');
+
+  it('names the organisation, and its limit as what held the job up', () => {
+    const told = storyOfJob(log, JOB)?.steps.map(step => step.text) ?? [];
+    assert.match(told[0], /taken for queue quotes of advisers/);
+    assert.match(told[1], /more work of advisers waits.*its limit/);
+    assert.equal(told.length, 3);
+  });
+
+  it('tells why a call was not let in', () => {
+    const told = storyOfJob(log, OTHER)?.steps.map(step => step.text) ?? [];
+    assert.match(told[0], /POST not let in, unsure.*2731 ms old/);
+    assert.match(told[1], /its id is that of another job of auditors/);
+  });
+});
+
 describe('explain with --log', () => {
   async function explained(
     ...words: string[]
--- a/packages/cli/src/account/day-account.ts
+++ b/packages/cli/src/account/day-account.ts
@@ -2,7 +2,12 @@
 import {countLeftOut, type LogLine} from '../log-story.js';
 import type {PageSection} from '../report/report-page.js';
 import {findInterruptions} from './interruptions.js';
-import {TimeUse, accountsOfJobs, type JobAccount} from './job-account.js';
+import {
+  TimeUse,
+  accountsOfJobs,
+  organisationIn,
+  type JobAccount,
+} from './job-account.js';
 
 /** Jobs of one group: second of intake, queue, size or data centre. */
 export interface AccountRow {
@@ -27,9 +32,15 @@
   readonly byQueue: readonly AccountRow[];
   readonly bySize: readonly AccountRow[];
   readonly byDataCentre: readonly AccountRow[];
+  /** Empty where no organisations are known. */
+  readonly byOrganisation: readonly AccountRow[];
   readonly pools: readonly PoolRow[];
   /** Submissions that were answered as refused or in doubt, by that answer. */
   readonly refusals: Readonly<Record<string, number>>;
+  /** Calls that were not let in, by reason. */
+  readonly callsRefused: Readonly<Record<string, number>>;
+  /** Submissions of each organisation that were not taken. */
+  readonly refusalsByOrganisation: Readonly<Record<string, number>>;
   /** Jobs that were taken and have no end in the log. */
   readonly unfinished: number;
   /** Lines that the daemons left out to bound the log. */
@@ -64,8 +75,18 @@
     byQueue: rowsBy(jobs, job => job.queue),
     bySize: rowsBy(jobs, job => sizeLabel(job.tasks)),
     byDataCentre: rowsBy(jobs, job => dataCentres.get(job.node) ?? '?'),
+    byOrganisation: rowsBy(
+      jobs.filter(job => job.organisation !== undefined),
+      job => job.organisation ?? '',
+    ),
     pools: poolRows(lines, rowOfSecond),
-    refusals: countRefusals(lines),
+    refusals: countBy(lines, LogEvent.JobRefused, ({fields}) =>
+      String(fields.answer),
+    ),
+    callsRefused: countBy(lines, LogEvent.CallRefused, ({fields}) =>
+      String(fields.reason),
+    ),
+    refusalsByOrganisation: countBy(lines, LogEvent.JobRefused, organisationIn),
     unfinished: countTaken(lines) - jobs.length,
     linesLeftOut: countLeftOut(lines),
   };
@@ -75,12 +96,14 @@
 export function accountSections(
   account: DayAccount,
 ): Readonly<Record<string, PageSection>> {
-  const {bySecond, byQueue, bySize, byDataCentre, pools} = account;
+  const {bySecond, byQueue, bySize, byDataCentre, byOrganisation, pools} =
+    account;
   return {
     'by second of intake': section(bySecond),
     'by queue': section(byQueue),
     'by size': section(bySize),
     'by data centre': section(byDataCentre),
+    'by organisation': section(byOrganisation),
     pools: {rows: pools},
   };
 }
@@ -181,12 +204,16 @@
   return Math.round((10 * sum) / lines.length) / 10;
 }
 
-function countRefusals(lines: readonly LogLine[]): Record<string, number> {
+/** Lines of an event by label; those without one are left out. */
+function countBy(
+  lines: readonly LogLine[],
+  event: LogEvent,
+  labelOf: (line: LogLine) => string | undefined,
+): Record<string, number> {
   const counts: Record<string, number> = {};
-  for (const {event, fields} of lines) {
-    if (event !== LogEvent.JobRefused) continue;
-    const answer = String(fields.answer);
-    counts[answer] = (counts[answer] ?? 0) + 1;
+  for (const line of lines) {
+    const label = line.event === event ? labelOf(line) : undefined;
+    if (label !== undefined) counts[label] = (counts[label] ?? 0) + 1;
   }
   return counts;
 }
--- a/packages/cli/src/account/job-account.ts
+++ b/packages/cli/src/account/job-account.ts
@@ -23,6 +23,8 @@
 export interface JobAccount {
   readonly job: string;
   readonly queue: string;
+  /** Undefined for a job of a public queue. */
+  readonly organisation: string | undefined;
   /** Daemon that took it. */
   readonly node: string;
   readonly takenAt: number;
@@ -99,6 +101,7 @@
       {
         job: this.job,
         queue: String(taken.fields.queue),
+        organisation: organisationIn(taken),
         node: taken.node,
         takenAt: taken.time,
         endedAt: ended.time,
@@ -155,6 +158,12 @@
   return objective > 0 && numberOf(ended, 'milliseconds') > objective;
 }
 
+/** Organisation that a line names. */
+export function organisationIn({fields}: LogLine): string | undefined {
+  const {organisation} = fields;
+  return typeof organisation === 'string' ? organisation : undefined;
+}
+
 function noUses(): Record<TimeUse, number> {
   const uses = Object.values(TimeUse).map(use => [use, 0] as const);
   return Object.fromEntries(uses) as Record<TimeUse, number>;
--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -61,6 +61,9 @@
     ...table('queue', day.byQueue),
     ...table('size', day.bySize),
     ...table('data centre', day.byDataCentre),
+    ...(day.byOrganisation.length > 0
+      ? table('organisation', day.byOrganisation)
+      : []),
     ...poolTable(day),
   ];
 }
@@ -95,6 +98,12 @@
   const remarks = Object.entries(day.refusals).map(
     ([answer, count]) => `${count} submissions answered as ${answer}`,
   );
+  for (const [organisation, count] of Object.entries(
+    day.refusalsByOrganisation,
+  ))
+    remarks.push(`${count} submissions of ${organisation} were not taken`);
+  for (const [reason, count] of Object.entries(day.callsRefused))
+    remarks.push(`${count} calls were not let in: ${reason}`);
   if (day.unfinished > 0)
     remarks.push(`${day.unfinished} jobs were taken and have no end here`);
   if (day.linesLeftOut > 0)
--- a/packages/cli/src/commands/deployment.ts
+++ b/packages/cli/src/commands/deployment.ts
@@ -2,6 +2,7 @@
   readDeployment,
   WorkerState,
   type DeploymentView,
+  type OrganisationView,
 } from '@gentiandoor/coordinator';
 import {JobState, type TaskProgress} from '@gentiandoor/jobs';
 import {HttpCalls, PlatformRecords, PlatformStore} from '@gentiandoor/platform';
@@ -62,14 +63,18 @@
     ),
   }));
   const pools = poolRows(view);
+  const organisations = view.organisations.map(organisationRow);
   const lines = [
     ...formatColumns(['what', 'value'], rowsOf(summary)),
     '',
     ...table(queues, ['queue', 'service', ...STATES]),
     '',
     ...table(pools, ['service', 'standby', 'ready', 'leaving']),
+    ...(organisations.length > 0
+      ? ['', ...table(organisations, ORGANISATION_COLUMNS)]
+      : []),
   ];
-  show(context, options, {summary, queues, pools}, lines);
+  show(context, options, {summary, queues, pools, organisations}, lines);
 }
 
 async function job(
@@ -94,6 +99,34 @@
   show(context, options, {id, queue, service, state, tasks}, lines);
 }
 
+const ORGANISATION_COLUMNS = [
+  'organisation',
+  'keys',
+  'weight',
+  'cores',
+  'limit',
+  'queued',
+];
+const MILLICORES = 1_000;
+
+/** Cores that run of an organisation, its limit in cores, and jobs of it that wait. */
+function organisationRow({
+  name,
+  settings,
+  running,
+  queued,
+}: OrganisationView): object {
+  const limit = settings?.limit.processorMillicores ?? 0;
+  return {
+    organisation: name,
+    keys: settings?.keys.length ?? 0,
+    weight: settings?.weight ?? '-',
+    cores: running.processorMillicores / MILLICORES,
+    limit: limit > 0 ? limit / MILLICORES : 'none',
+    queued,
+  };
+}
+
 const STATES: readonly string[] = Object.values(JobState);
 
 function taskRow(progress: TaskProgress): {
--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -44,11 +44,13 @@
 /** Events that name a job or one of its tasks. */
 const JOB_EVENTS: Partial<Record<LogEvent, Teller>> = {
   [LogEvent.JobTaken]: line =>
-    `taken for queue ${text(line, 'queue')}, answered after ${whole(line, 'milliseconds')} ms`,
+    `taken for queue ${text(line, 'queue')}${ownerIn(line)}, answered after ${whole(line, 'milliseconds')} ms`,
   [LogEvent.JobRefused]: line =>
-    line.answer === 'refused'
-      ? `refused after ${whole(line, 'milliseconds')} ms: the store had done nothing, the job never runs`
-      : `answered as in doubt after ${whole(line, 'milliseconds')} ms: the store may have taken it`,
+    `${REFUSALS[text(line, 'answer')] ?? text(line, 'answer')}${ownerIn(line)}, after ${whole(line, 'milliseconds')} ms`,
+  [LogEvent.CallRefused]: line =>
+    `${text(line, 'method')} not let in, ${text(line, 'reason')}: the configuration was ${whole(line, 'configurationAgeMilliseconds')} ms old`,
+  [LogEvent.OrganisationOverShare]: line =>
+    `refused${ownerIn(line)}: it has more waiting than its share of the room runs in time`,
   [LogEvent.JobCancelAsked]: line =>
     `asked to cancel: ${text(line, 'outcome')}`,
   [LogEvent.JobEnded]: line => `the job is ${text(line, 'state')}`,
@@ -64,6 +66,13 @@
     `task ${taskOf(line)} run ${whole(line, 'run')} stood still at ${whole(line, 'percent')}% on ${text(line, 'worker')} for ${whole(line, 'stillMilliseconds')} ms`,
 };
 
+/** What a submission that was not taken was answered. */
+const REFUSALS: Readonly<Record<string, string>> = {
+  refused: 'refused: the store had done nothing, the job never runs',
+  unknown: 'answered as in doubt: the store may have taken it',
+  id_in_use: 'refused: its id is that of another job',
+};
+
 /** Events that explain why a job waited, whichever job it is. */
 const SURROUNDINGS: Partial<Record<LogEvent, Teller>> = {
   [LogEvent.TermTaken]: line =>
@@ -93,6 +102,12 @@
     `worker ${text(line, 'worker')} is a suspect: ${text(line, 'reason')}`,
 };
 
+/** Events about an organisation, told to its own jobs. */
+const ORGANISATION_EVENTS: Partial<Record<LogEvent, Teller>> = {
+  [LogEvent.OrganisationAtLimit]: line =>
+    `more work of ${text(line, 'organisation')} waits, since it would be over its limit`,
+};
+
 /** Reads log text: one JSON object a line, with anything before it left out. */
 export function readLogLines(log: string): {
   readonly lines: readonly LogLine[];
@@ -119,12 +134,15 @@
   const from = own[0].time - LEAD_MILLISECONDS;
   const until = own[own.length - 1].time;
   const workers = new Set(own.map(line => line.fields.worker));
+  const owner = own.find(line => line.fields.organisation !== undefined);
   const told = lines.filter(
     line => line.time >= from && line.time <= until && isTold(line),
   );
   function isTold(line: LogLine): boolean {
     if (jobOf(line) === job) return JOB_EVENTS[line.event] !== undefined;
     if (SURROUNDINGS[line.event]) return true;
+    if (ORGANISATION_EVENTS[line.event])
+      return line.fields.organisation === owner?.fields.organisation;
     const isWorker = WORKER_EVENTS[line.event] !== undefined;
     return isWorker && workers.has(line.fields.worker);
   }
@@ -169,6 +187,7 @@
   const teller =
     JOB_EVENTS[line.event] ??
     SURROUNDINGS[line.event] ??
+    ORGANISATION_EVENTS[line.event] ??
     WORKER_EVENTS[line.event];
   const told = teller?.(line.fields) ?? LogEvent[line.event];
   return {time: line.time, node: line.node, text: told};
@@ -202,6 +221,13 @@
   JobEnded: 'the last end was on its way to the store',
 };
 
+/** The organisation that a line names, in words. */
+function ownerIn(fields: Readonly<Record<string, unknown>>): string {
+  return fields.organisation === undefined
+    ? ''
+    : ` of ${text(fields, 'organisation')}`;
+}
+
 function text(fields: Readonly<Record<string, unknown>>, name: string): string {
   return fields[name] === undefined ? '?' : String(fields[name]);
 }
--- a/packages/coordinator/src/deployment-view.ts
+++ b/packages/coordinator/src/deployment-view.ts
@@ -1,4 +1,14 @@
-import {JobTable, type JobState, type KeyedRecord} from '@gentiandoor/jobs';
+import {
+  JobState,
+  JobTable,
+  type KeyedRecord,
+  type StoredJob,
+} from '@gentiandoor/jobs';
+import {
+  sum,
+  type Organisation,
+  type RoomAmount,
+} from '@gentiandoor/organisations';
 import type {
   Configuration,
   MaintenanceWave,
@@ -17,12 +27,24 @@
   readonly jobs: ReadonlyMap<JobState, number>;
 }
 
+/** Work of one organisation. */
+export interface OrganisationView {
+  readonly name: string;
+  /** Undefined for one that has left the configuration. */
+  readonly settings: Organisation | undefined;
+  /** What its runs take, as far as they may be alive. */
+  readonly running: RoomAmount;
+  /** Jobs of which nothing has run yet. */
+  readonly queued: number;
+}
+
 /** A deployment as its store tells of it. */
 export interface DeploymentView {
   /** Undefined before the first term. */
   readonly term: TermRecord | undefined;
   readonly configuration: Configuration | undefined;
   readonly queues: readonly QueueView[];
+  readonly organisations: readonly OrganisationView[];
   readonly waves: readonly MaintenanceWave[];
   readonly workers: readonly WorkerEntry[];
   readonly table: JobTable;
@@ -77,9 +99,11 @@
     const table = new JobTable();
     this.readEach(jobs, record => table.apply(record));
     const term = terms.find(record => record.key === TERM_KEY);
+    const configuration = configurationIn(asked);
     return {
       term: term && decodeTerm(term),
-      configuration: configurationIn(asked),
+      configuration,
+      organisations: organisationsOf(table, configuration),
       queues: queuesOf(table),
       waves: asked.flatMap(one => (one.kind === 'wave' ? [one.wave] : [])),
       workers: this.readEach(workers, record =>
@@ -130,3 +154,34 @@
   }
   return [...queues.values()];
 }
+
+function organisationsOf(
+  table: JobTable,
+  configuration: Configuration | undefined,
+): OrganisationView[] {
+  const settings = new Map(
+    configuration?.organisations?.organisations.map(one => [one.name, one]),
+  );
+  const jobs = new Map<string, StoredJob[]>();
+  for (const name of settings.keys()) jobs.set(name, []);
+  for (const job of table.all()) {
+    const {organisation} = job.submission;
+    if (organisation === undefined) continue;
+    const own = jobs.get(organisation);
+    if (own) own.push(job);
+    else jobs.set(organisation, [job]);
+  }
+  return [...jobs].map(([name, own]) => ({
+    name,
+    settings: settings.get(name),
+    running: sum(own.flatMap(amountsUnderWay)),
+    queued: own.filter(job => table.stateOf(job) === JobState.Queued).length,
+  }));
+}
+
+/** Of each run that may be alive. */
+function amountsUnderWay({submission, progress}: StoredJob): RoomAmount[] {
+  return [...progress.tasks]
+    .filter(([, task]) => task.worker !== '')
+    .flatMap(([key]) => submission?.steps[Number(key.split('.')[1])] ?? []);
+}
