A pool wishes for the VMs that its tasks need which may not share one

Cause: tasks that last, one or two of a step to a worker, were counted by processor time. A pool with 17 usable VMs of which the work took 4 wished for 7, so it grew by the rule for stuck work alone, one VM after the last had come; two of four queues of lasting jobs had 10 and 12 of 17 periods late. Change: for each step of which tasks wait, what runs and what waits of it, at so many on a VM; the widest step counts, since steps share VMs. Test: twelve tasks, one to a VM, run within 2.5 s; one by one before.

--- a/packages/coordinator/src/__tests__/pools.test.ts
+++ b/packages/coordinator/src/__tests__/pools.test.ts
@@ -54,6 +54,25 @@
   });
 });
 
+describe('a pool whose tasks may not share a VM', () => {
+  // Two of three tasks of a job that lasts are away for half a minute. They ask for a tenth of a VM each, so
+  // the pool seems large enough; it is enlarged by one VM, and by the next only when that one has come.
+  it('is given all the VMs that they need at once', async () => {
+    const deployment = new TestDeployment(2);
+    deployment.linkFleet();
+    for (let index = 0; index < 20; index++)
+      deployment.addWorker(`spare-${index}`, STANDBY);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.startLastingJob(daemon, {
+      taskCount: 12,
+      processorMillicores: 100,
+      maximumPerWorker: 1,
+    });
+    await deployment.run(2_500);
+    assert.equal(deployment.begunRuns().length, 12);
+  });
+});
+
 describe('a pool', () => {
   function released(deployment: TestDeployment): number {
     return deployment.fleet.orders.filter(order => order.to === STANDBY).length;
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -14,7 +14,9 @@
   orderWaiting,
   placementGap,
   rankOf,
+  vmsForSpread,
   type PoolRoom,
+  type SpreadStep,
   type WaitingWork,
   type WorkerChoice,
 } from '@gentiandoor/scheduling';
@@ -85,6 +87,8 @@
   /** Millicores that waiting tasks ask for, weighed by what they are still worth. */
   readonly waitingMillicores: number;
   readonly waitingTasks: number;
+  /** VMs that waiting tasks need since they may not share them. */
+  readonly spreadVms: number;
   /** Since when tasks have waited without a break; undefined while none does. */
   readonly waitingSince: number | undefined;
 }
@@ -92,6 +96,7 @@
 const NO_LOAD: ServiceLoad = {
   waitingMillicores: 0,
   waitingTasks: 0,
+  spreadVms: 0,
   waitingSince: undefined,
 };
 
@@ -262,6 +267,7 @@
     let misses = 0;
     let waitingMillicores = 0;
     let waitingTasks = 0;
+    const spreads = new Map<string, SpreadStep>();
     for (const candidate of candidates) {
       const full = new Set<string>();
       for (const tasks of groupsOf(candidate.ready)) {
@@ -280,6 +286,7 @@
         if (!full.has(key)) misses++;
         full.add(key);
         waitingTasks += tasks.length;
+        noteSpread(spreads, key, candidate.execution, tasks);
         for (const task of tasks)
           waitingMillicores +=
             candidate.weight * occupiedMillicores(task.specification, room);
@@ -287,7 +294,12 @@
     }
     const before = this.loadOf(service).waitingSince;
     const waitingSince = waitingTasks > 0 ? (before ?? now) : undefined;
-    this.loads.set(service, {waitingMillicores, waitingTasks, waitingSince});
+    this.loads.set(service, {
+      waitingMillicores,
+      waitingTasks,
+      spreadVms: vmsForSpread(spreads.values()),
+      waitingSince,
+    });
   }
 
   /** Tasks that last are few, and missed at once: they don't wait behind a turn's orders. */
@@ -444,5 +456,27 @@
   }
 }
 
+/** Counts tasks of a step that wait, with those of it that run. */
+function noteSpread(
+  spreads: Map<string, SpreadStep>,
+  key: string,
+  execution: JobExecution,
+  tasks: readonly ExecutableTask[],
+): void {
+  const {occurrence, step, specification} = tasks[0];
+  if (specification.maximumPerWorker === 0) return;
+  const before = spreads.get(key);
+  const running =
+    before?.running ??
+    execution
+      .tasksOfStep(occurrence, step)
+      .filter(({progress}) => progress.worker !== '').length;
+  spreads.set(key, {
+    waiting: (before?.waiting ?? 0) + tasks.length,
+    running,
+    maximumPerWorker: specification.maximumPerWorker,
+  });
+}
+
 const NOWHERE: ReadonlySet<string> = new Set();
 const NO_AVOIDANCE: Avoidance = {workers: NOWHERE, isBarred: false};
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -208,6 +208,7 @@
         load.waitingSince === undefined
           ? 0
           : Math.max(1, now - load.waitingSince),
+      spreadVms: load.spreadVms,
       arrivingMillicores: this.demand.arrivingMillicores(name, now),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
--- a/packages/scheduling/src/__tests__/pool-plan.test.ts
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -6,6 +6,7 @@
   type PlannedPool,
   type PlannedVm,
 } from '../pool-plan.js';
+import {vmsForSpread} from '../spread-need.js';
 
 const VM_MILLICORES = 64_000;
 
@@ -31,6 +32,7 @@
     waitingMillicores: 0,
     waitingMilliseconds: 0,
     arrivingMillicores: 0,
+    spreadVms: 0,
     arriving: 0,
     usable: 0,
     vms: [],
@@ -45,6 +47,25 @@
   vms: vms('spare', 10, 60_000),
 });
 
+describe('vmsForSpread', () => {
+  const step = {waiting: 4, running: 8, maximumPerWorker: 2};
+
+  it('counts what runs and what waits of a step, at so many on a VM', () => {
+    assert.equal(vmsForSpread([step]), 6);
+    assert.equal(vmsForSpread([{...step, waiting: 3}]), 6);
+  });
+
+  it('is the need of the widest step, since steps share VMs', () => {
+    assert.equal(vmsForSpread([step, {...step, maximumPerWorker: 1}]), 12);
+  });
+
+  it('is nothing where nothing waits or all may share a VM', () => {
+    assert.equal(vmsForSpread([{...step, waiting: 0}]), 0);
+    assert.equal(vmsForSpread([{...step, maximumPerWorker: 0}]), 0);
+    assert.equal(vmsForSpread([]), 0);
+  });
+});
+
 describe('planPools', () => {
   describe('at the start of a burst', () => {
     // Callers of the first second wait for a move's time when VMs are fetched only once all are
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -12,6 +12,7 @@
 export * from './running-mean.js';
 export * from './service-turns.js';
 export * from './sibling-spread.js';
+export * from './spread-need.js';
 export * from './stall-watch.js';
 export * from './waiting-order.js';
 export * from './wave-plan.js';
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -11,6 +11,8 @@
   readonly waitingMilliseconds: number;
   /** Millicores that work which arrives at the present rate keeps busy. */
   readonly arrivingMillicores: number;
+  /** VMs that work which waits needs since its tasks may not share them; 0 for none. */
+  readonly spreadVms: number;
   /** VMs that are on their way into it. */
   readonly arriving: number;
   /** VMs that take work, or are being emptied. */
@@ -112,7 +114,7 @@
     pool.arrivingMillicores,
   );
   const vms = (demand * options.headroom) / Math.max(1, pool.vmMillicores);
-  return Math.ceil(vms) + options.spareVms;
+  return Math.max(Math.ceil(vms) + options.spareVms, pool.spreadVms);
 }
 
 interface Giver extends PlannedVm {
