--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -4,7 +4,6 @@
   type Clock,
   type Logger,
   type Metrics,
-  MetricName,
 } from '@gentiandoor/kernel';
 import {
   EndEffect,
@@ -36,6 +35,7 @@
 import type {RecordFormats} from './record-formats.js';
 import type {RecordLog} from './record-log.js';
 import {ServiceDemand} from './service-demand.js';
+import {RunLog} from './run-log.js';
 import type {SubmissionLog} from './submission-log.js';
 import {
   OrderRefusal,
@@ -43,11 +43,8 @@
   type WorkerGateway,
 } from './worker-gateway.js';
 import {WorkerRegistry} from './worker-registry.js';
-import {
-  WorkerSession,
-  newAnswerBound,
-  type SessionHost,
-} from './worker-session.js';
+import type {SessionHost} from './session-host.js';
+import {newAnswerBound, type WorkerSession} from './worker-session.js';
 import {WorkerSuspicion} from './worker-suspicion.js';
 
 /** What a coordinator is built from; all parts outlive it. */
@@ -82,6 +79,7 @@
   readonly beganAt: number;
   readonly registry: WorkerRegistry;
   readonly trust = new WorkerTrust();
+  private readonly log: RunLog;
   private readonly answers = newAnswerBound();
   private readonly window = new OrderWindow();
   private readonly executions = new Map<string, JobExecution>();
@@ -103,6 +101,7 @@
   ) {
     const {settings, clock} = parts;
     this.beganAt = clock.monotonicMilliseconds();
+    this.log = new RunLog(parts);
     this.leaseMilliseconds = Math.min(
       LEASE_MILLISECONDS,
       settings.limits.maximumLease,
@@ -230,16 +229,7 @@
     session.expect(run);
     this.rooms.begin(run);
     this.writer.store(run.execution, () => {
-      const {logger, metrics, clock} = this.parts;
-      const waited = clock.monotonicMilliseconds() - run.plannedAt;
-      metrics.timing(MetricName.RunWaitDuration, waited);
-      logger.info(LogEvent.RunOrdered, {
-        task: run.task,
-        run: run.run,
-        worker: session.id,
-        term: this.term,
-        storedAfterMilliseconds: Math.round(waited),
-      });
+      this.log.ordered(run, session.id, this.term);
       if (!this.rooms.mayBeOrdered(run)) run.stopAsked = true;
       void session.order(run).finally(() => {
         this.window.end();
@@ -276,7 +266,7 @@
       this.queueOf(execution)?.maximumAttempts ?? 1,
     );
     if (effect === EndEffect.Stale) return;
-    this.logRunEnd(ended.task, ended.run, '', ended.end, effect);
+    this.log.ended(ended, '', ended.end, effect);
     this.stopRuns(execution, task);
     if (effect === EndEffect.JobEnded) this.finish(execution);
     this.writer.store(execution);
@@ -288,36 +278,18 @@
     run: LiveRun,
     refusal: OrderRefusal,
   ): void {
-    const {logger, metrics, clock} = this.parts;
-    logger.warn(LogEvent.RunRefused, {
-      task: run.task,
-      run: run.run,
-      worker: session.id,
-      refusal,
-    });
-    metrics.increment(MetricName.RunRefusals, {reason: refusal});
+    this.log.refused(run, session.id, refusal);
     if (refusal === OrderRefusal.Unhealthy)
       this.suspicion.suspect(session, refusal);
     this.endRun(run, RunEnd.Lost, '', session.id);
-    clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
+    this.parts.clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
       this.dispatcher.wake(session.entry.service),
     );
   }
 
   /** The worker is to blame, since jobs at fault end as failed. */
   runStalled(session: WorkerSession, run: LiveRun): void {
-    const {logger, metrics, clock} = this.parts;
-    logger.warn(LogEvent.RunStalled, {
-      task: run.task,
-      run: run.run,
-      worker: session.id,
-      percent: run.percent,
-      stillMilliseconds: Math.round(
-        clock.monotonicMilliseconds() - run.progressedAt,
-      ),
-      expectedMilliseconds: Math.round(run.expectedMilliseconds),
-    });
-    metrics.increment(MetricName.RunsStalled);
+    this.log.stalled(run, session.id);
     this.suspicion.suspect(session, 'run stalled');
     this.dispatcher.noteFailure(run, session.id);
     void session.stop(run);
@@ -447,7 +419,7 @@
       checkpoint,
       queue?.maximumAttempts ?? 1,
     );
-    this.logRunEnd(run.task, run.run, worker, end, effect);
+    this.log.ended(run, worker, end, effect);
     if (effect === EndEffect.Stale) return;
     if (end === RunEnd.Failed) this.dispatcher.noteFailure(run, worker);
     if (effect === EndEffect.JobEnded && !wasEnded) this.finish(execution);
@@ -462,27 +434,15 @@
     for (const service of this.rooms.end(run)) this.dispatcher.wake(service);
   }
 
-  private logRunEnd(
-    task: string,
-    run: number,
-    worker: string,
-    end: RunEnd,
-    effect: EndEffect,
-  ): void {
-    const fields = {task, run, worker, end, effect};
-    this.parts.logger.info(LogEvent.RunEnded, fields);
-    this.parts.metrics.increment(MetricName.RunEnds, {end});
-  }
-
   private finish(execution: JobExecution): void {
     const {state} = execution.progress;
-    this.parts.logger.info(LogEvent.JobEnded, {
+    this.log.jobEnded({
       job: execution.job.id,
+      organisation: execution.job.organisation,
       state,
-      milliseconds: Math.round(this.dispatcher.ageOf(execution)),
-      objectiveMilliseconds: Math.round(this.dispatcher.objectiveOf(execution)),
+      ageMilliseconds: this.dispatcher.ageOf(execution),
+      objectiveMilliseconds: this.dispatcher.objectiveOf(execution),
     });
-    this.parts.metrics.increment(MetricName.JobEnds, {state});
     this.retention.noteEnded(execution.job.id);
     this.dispatcher.remove(execution);
     this.trust.forgetJob(execution.job.id);
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,23 +1,10 @@
 import type {Clock, Timer} from '@gentiandoor/kernel';
-import type {
-  ExecutableTask,
-  ExpectedTime,
-  JobExecution,
-} from '@gentiandoor/jobs';
+import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import {
-  type Avoidance,
-  Chance,
-  RescueBudget,
   ServiceTurns,
-  chanceOf,
-  occupiedMillicores,
   orderWaiting,
   placementGap,
-  rankOf,
-  vmsForSpread,
   type PoolRoom,
-  type SpreadStep,
-  type WaitingWork,
   type WorkerChoice,
 } from '@gentiandoor/scheduling';
 import {
@@ -30,7 +17,10 @@
 import type {Queue} from './operator-records.js';
 import {PlacementRound} from './placement-round.js';
 import type {ServiceDemand} from './service-demand.js';
+import {LoadCount, NO_LOAD, type ServiceLoad} from './service-load.js';
+import {BAR_MILLISECONDS, TaskFailures} from './task-failures.js';
 import {groupsOf} from './task-groups.js';
+import {WaitingJobs, type Candidate} from './waiting-jobs.js';
 import type {WorkerSession} from './worker-session.js';
 
 /** What a dispatcher needs of the coordinator. */
@@ -49,64 +39,16 @@
   launch(session: WorkerSession, run: LiveRun): void;
 }
 
-/** Callers still count an answer as late until so many times the objective. */
-const LATE_FACTOR = 3;
-/** A task is stopped for standing still at most on so many workers: a third one at fault is unlikely, a task of which a percent takes seconds is not. */
-const MOST_STALLS = 2;
 /** Steps that find no room in one round before the rest is left for the next: a pool that is full stays full. */
 const MISSES_BEFORE_GIVING_UP = 12;
-/** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
-const WEIGHTS: Readonly<Record<Chance, number>> = {
-  [Chance.InTime]: 1,
-  [Chance.LastCall]: 0.3,
-  [Chance.Late]: 0.3,
-  [Chance.Lost]: 0,
-};
 /** The wall clock of a step due later is looked at again this often at least. */
 const LONGEST_SLEEP_MILLISECONDS = 1_000;
 
-/** A task waits so long for a worker on which it has not failed; the others may be full of tasks that last. */
-const BAR_MILLISECONDS = 1_000;
-
-/** Workers on which runs of a task have failed, and when the last one did. */
-interface TaskFailures {
-  readonly workers: ReadonlySet<string>;
-  readonly newestAt: number;
-}
-
-/** A job that waits for room. */
-interface Candidate extends WaitingWork {
-  readonly execution: JobExecution;
-  readonly ready: readonly ExecutableTask[];
-  /** What VMs that run it are worth, in [0, 1]. */
-  readonly weight: number;
-}
-
-/** Waiting and running work of a service, for the size of its pool. */
-export interface ServiceLoad {
-  /** Millicores that waiting tasks ask for, weighed by what they are still worth. */
-  readonly waitingMillicores: number;
-  readonly waitingTasks: number;
-  /** VMs that waiting tasks need since they may not share them. */
-  readonly spreadVms: number;
-  /** Since when tasks have waited without a break; undefined while none does. */
-  readonly waitingSince: number | undefined;
-}
-
-const NO_LOAD: ServiceLoad = {
-  waitingMillicores: 0,
-  waitingTasks: 0,
-  spreadVms: 0,
-  waitingSince: undefined,
-};
-
 /** Places the ready tasks of all jobs on workers. */
 export class Dispatcher {
-  private readonly active = new Map<string, Set<JobExecution>>();
-  private readonly firstSeen = new Map<JobExecution, number>();
-  private readonly failures = new Map<string, TaskFailures>();
+  private readonly jobs: WaitingJobs;
+  private readonly failures: TaskFailures;
   private readonly loads = new Map<string, ServiceLoad>();
-  private readonly rescues = new RescueBudget();
   private readonly due = new Set<string>();
   /** Services with work that has room and waits until fewer orders are under way. */
   private readonly held = new Set<string>();
@@ -125,20 +67,25 @@
     private readonly choice: WorkerChoice,
     private readonly demand: ServiceDemand,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.failures = new TaskFailures(clock);
+    this.jobs = new WaitingJobs(
+      execution => host.queueOf(execution),
+      demand,
+      clock,
+    );
+  }
 
   /** Adds a job that is `ageMilliseconds` old. */
   add(execution: JobExecution, ageMilliseconds: number): void {
-    const now = this.clock.monotonicMilliseconds();
-    this.firstSeen.set(execution, now - ageMilliseconds);
     this.noteDemand(execution, ageMilliseconds);
-    this.enrol(execution);
+    this.wake(this.jobs.add(execution, ageMilliseconds));
   }
 
   /** Notes that a job was handed in so long ago, whatever became of it: turns are learned from it. */
   noteDemand(execution: JobExecution, ageMilliseconds: number): void {
     const at = this.clock.monotonicMilliseconds() - ageMilliseconds;
-    this.demand.note(this.serviceOf(execution), execution.job, at);
+    this.demand.note(this.jobs.serviceOf(execution), execution.job, at);
   }
 
   /** Notes how long a run that ended well took. */
@@ -157,37 +104,25 @@
 
   /** Takes a job out that has come to its end. */
   remove(execution: JobExecution): void {
-    for (const jobs of this.active.values()) jobs.delete(execution);
-    this.firstSeen.delete(execution);
-    this.rescues.noteServed();
-    this.rescues.forget(execution.job.id);
-    const prefix = `${execution.job.id}.`;
-    for (const name of this.failures.keys())
-      if (name.startsWith(prefix)) this.failures.delete(name);
+    this.jobs.remove(execution);
+    this.failures.forgetJob(execution.job.id);
   }
 
   /** Notes that a run of a task failed on a worker, so that the next try goes elsewhere. */
   noteFailure(run: LiveRun, workerId: string): void {
-    const before = this.failures.get(run.task)?.workers ?? NOWHERE;
-    this.failures.set(run.task, {
-      workers: new Set([...before, workerId]),
-      newestAt: this.clock.monotonicMilliseconds(),
-    });
-    const service = this.serviceOf(run.execution);
+    this.failures.note(run.task, workerId);
+    const service = this.jobs.serviceOf(run.execution);
     this.clock.schedule(BAR_MILLISECONDS, () => this.wake(service));
   }
 
   /** How long a job has been known. */
   ageOf(execution: JobExecution): number {
-    const now = this.clock.monotonicMilliseconds();
-    return now - (this.firstSeen.get(execution) ?? now);
+    return this.jobs.ageOf(execution);
   }
 
   /** Time from its submission within which a job's caller expects it to be done, as far as its run times are known. */
   objectiveOf(execution: JobExecution): number {
-    const queue = this.host.queueOf(execution);
-    const chain = execution.wholeChain(this.stepTimes(execution));
-    return (queue?.stretch ?? 1) * chain + (queue?.latencyMilliseconds ?? 0);
+    return this.jobs.objectiveOf(execution);
   }
 
   /** Notes the room of VMs that are on their way into the pool of `service`. */
@@ -218,9 +153,7 @@
 
   /** After a new configuration queues may have other services. */
   regroup(): void {
-    const all = [...this.active.values()].flatMap(jobs => [...jobs]);
-    this.active.clear();
-    for (const execution of all) this.enrol(execution);
+    for (const service of this.jobs.regroup()) this.wake(service);
   }
 
   close(): void {
@@ -228,18 +161,6 @@
     for (const timer of this.sleeps.values()) timer.cancel();
   }
 
-  /** Lets a job wait among those of its service. */
-  private enrol(execution: JobExecution): void {
-    const service = this.serviceOf(execution);
-    const jobs = this.active.get(service) ?? new Set();
-    this.active.set(service, jobs.add(execution));
-    this.wake(service);
-  }
-
-  private serviceOf(execution: JobExecution): string {
-    return this.host.queueOf(execution)?.service ?? execution.job.service;
-  }
-
   private runDue(): void {
     this.scheduled = false;
     if (this.closed) return;
@@ -256,50 +177,50 @@
     const sessions = this.host
       .sessionsOf(service)
       .filter(session => session.takesStarts);
-    const candidates = orderWaiting(
-      this.candidates(service, now),
+    const {candidates, nextDue} = this.jobs.readyFor(service, now);
+    this.sleepUntil(service, nextDue);
+    const room = sessions[0]?.entry.room;
+    this.demand.noteRoom(room);
+    const round = new PlacementRound(sessions, this.choice, now);
+    const count = new LoadCount(room);
+    const ordered = orderWaiting(
+      candidates,
       this.roomOf(service, sessions),
       now,
     );
-    const round = new PlacementRound(sessions, this.choice, now);
-    const room = sessions[0]?.entry.room;
-    this.demand.noteRoom(room);
     let misses = 0;
-    let waitingMillicores = 0;
-    let waitingTasks = 0;
-    const spreads = new Map<string, SpreadStep>();
-    for (const candidate of candidates) {
-      const full = new Set<string>();
-      for (const tasks of groupsOf(candidate.ready)) {
-        if (!this.mayOrder(tasks)) {
-          this.held.add(service);
-          continue;
-        }
-        // More VMs would not help: what waits for a limit asks for none.
-        if (!this.host.mayStart(candidate.execution, tasks, service)) continue;
-        const key = stepName(candidate.execution.job.id, tasks[0]);
-        const placed =
-          misses < MISSES_BEFORE_GIVING_UP &&
-          !full.has(key) &&
-          this.placeTogether(round, candidate, tasks, now);
-        if (placed) continue;
-        if (!full.has(key)) misses++;
-        full.add(key);
-        waitingTasks += tasks.length;
-        noteSpread(spreads, key, candidate.execution, tasks);
-        for (const task of tasks)
-          waitingMillicores +=
-            candidate.weight * occupiedMillicores(task.specification, room);
+    for (const candidate of ordered) {
+      const gaveUp = misses >= MISSES_BEFORE_GIVING_UP;
+      misses += this.placeCandidate(
+        {service, round, count, now, gaveUp},
+        candidate,
+      );
+    }
+    this.loads.set(service, count.load(this.loadOf(service), now));
+  }
+
+  /** Places what of a job has room; returns how many of its steps found none. */
+  private placeCandidate(turn: PlacementTurn, candidate: Candidate): number {
+    const {service, round, count, now, gaveUp} = turn;
+    const {execution, weight} = candidate;
+    const full = new Set<string>();
+    for (const tasks of groupsOf(candidate.ready)) {
+      if (!this.mayOrder(tasks)) {
+        this.held.add(service);
+        continue;
       }
+      // More VMs would not help: what waits for a limit asks for none.
+      if (!this.host.mayStart(execution, tasks, service)) continue;
+      const key = stepName(execution.job.id, tasks[0]);
+      const placed =
+        !gaveUp &&
+        !full.has(key) &&
+        this.placeTogether(round, candidate, tasks, now);
+      if (placed) continue;
+      full.add(key);
+      count.note(execution, tasks, weight);
     }
-    const before = this.loadOf(service).waitingSince;
-    const waitingSince = waitingTasks > 0 ? (before ?? now) : undefined;
-    this.loads.set(service, {
-      waitingMillicores,
-      waitingTasks,
-      spreadVms: vmsForSpread(spreads.values()),
-      waitingSince,
-    });
+    return full.size;
   }
 
   /** Tasks that last are few, and missed at once: they don't wait behind a turn's orders. */
@@ -321,93 +242,13 @@
     };
   }
 
-  private candidates(service: string, now: number): Candidate[] {
-    const found: Candidate[] = [];
-    const wall = this.clock.wallMilliseconds();
-    let nextDue = Infinity;
-    for (const execution of this.active.get(service) ?? []) {
-      const ready = execution.readyTasks(wall);
-      if (ready.length > 0)
-        found.push(this.candidate(execution, ready, now, wall));
-      else
-        nextDue = Math.min(nextDue, execution.nextDueAfter(wall) ?? Infinity);
-    }
-    this.sleepUntil(service, nextDue, wall);
-    return found;
-  }
-
-  private candidate(
-    execution: JobExecution,
-    ready: readonly ExecutableTask[],
-    now: number,
-    wall: number,
-  ): Candidate {
-    const {occurrence} = ready[0];
-    const dueWall = execution.dueAt(occurrence);
-    const since =
-      dueWall > 0
-        ? now - (wall - dueWall)
-        : (this.firstSeen.get(execution) ?? now);
-    const remainingChain = execution.remainingChain(
-      occurrence,
-      this.stepTimes(execution),
-    );
-    const objective = this.objectiveOf(execution);
-    const waiting = {
-      priority: this.host.queueOf(execution)?.priority ?? 0,
-      dueAt: since + objective,
-      lateUntil: since + LATE_FACTOR * objective,
-      remainingChain,
-    };
-    const chance = chanceOf(waiting, now);
-    const {longRunning} = ready[0].specification;
-    // A job that lasts is always older than its objective: its tasks are few, run for long, and are missed at once.
-    const goesFirst =
-      longRunning ||
-      (chance === Chance.LastCall && this.rescues.allows(execution.job.id));
-    return {
-      execution,
-      ready,
-      ...waiting,
-      remainingWork: execution.remainingWork(occurrence, step =>
-        this.demand.taskWork(execution.job.queue, step),
-      ),
-      rank: rankOf(chance, goesFirst),
-      weight: longRunning ? 1 : WEIGHTS[chance],
-    };
-  }
-
-  /** Run time to expect of each step of a job. */
-  private stepTimes(execution: JobExecution): ExpectedTime {
-    const {queue} = execution.job;
-    return step => this.demand.stepTime(queue, step);
-  }
-
-  /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
-  private isWatched(execution: JobExecution, task: ExecutableTask): boolean {
-    const failures = this.failures.get(taskName(execution.job.id, task));
-    return (failures?.workers.size ?? 0) < MOST_STALLS;
-  }
-
-  /** Where a task goes last, or not at all for a while. */
-  private avoidanceOf(
-    execution: JobExecution,
-    task: ExecutableTask,
-    now: number,
-  ): Avoidance {
-    const failures = this.failures.get(taskName(execution.job.id, task));
-    if (!failures) return NO_AVOIDANCE;
-    const {workers, newestAt} = failures;
-    const isBarred = now - newestAt < BAR_MILLISECONDS;
-    return {workers, isBarred};
-  }
-
   /** Replaces the service's timer: with one for each round and job, busy rounds would lead to as many later ones for good. */
-  private sleepUntil(service: string, dueAt: number, wall: number): void {
+  private sleepUntil(service: string, dueAt: number): void {
     this.sleeps.get(service)?.cancel();
     this.sleeps.delete(service);
     if (dueAt === Infinity) return;
-    const wait = Math.min(dueAt - wall, LONGEST_SLEEP_MILLISECONDS);
+    const left = dueAt - this.clock.wallMilliseconds();
+    const wait = Math.min(left, LONGEST_SLEEP_MILLISECONDS);
     const timer = this.clock.schedule(wait, () => this.wake(service));
     this.sleeps.set(service, timer);
   }
@@ -415,17 +256,16 @@
   /** Places all of `tasks` or none. */
   private placeTogether(
     round: PlacementRound,
-    candidate: Candidate,
+    {execution, weight}: Candidate,
     tasks: readonly ExecutableTask[],
     now: number,
   ): boolean {
-    const {execution, weight} = candidate;
     const chosen: WorkerSession[] = [];
     for (const task of tasks) {
       const session = round.take(
         stepName(execution.job.id, task),
         task,
-        this.avoidanceOf(execution, task, now),
+        this.failures.avoidanceOf(taskName(execution.job.id, task), now),
       );
       if (!session) {
         round.giveBack();
@@ -434,19 +274,18 @@
       chosen.push(session);
     }
     round.keep();
-    this.turns.noteTurn(this.serviceOf(execution));
+    this.turns.noteTurn(this.jobs.serviceOf(execution));
     const together = tasks[0].specification.gang
       ? 1 + Math.max(...tasks.map(task => task.progress.run))
       : undefined;
     tasks.forEach((task, index) => {
       const session = chosen[index];
-      const run = execution.beginRun(task, session.id, together);
       const planned = newLiveRun(execution, task, {
-        run,
+        run: execution.beginRun(task, session.id, together),
         plannedAt: now,
         weight,
         expectedMilliseconds: this.expectedTime(execution, task),
-        isWatched: this.isWatched(execution, task),
+        isWatched: this.failures.isWatched(taskName(execution.job.id, task)),
         status: RunStatus.Planned,
         settledAt: Infinity,
       });
@@ -456,27 +295,13 @@
   }
 }
 
-/** Counts tasks of a step that wait, with those of it that run. */
-function noteSpread(
-  spreads: Map<string, SpreadStep>,
-  key: string,
-  execution: JobExecution,
-  tasks: readonly ExecutableTask[],
-): void {
-  const {occurrence, step, specification} = tasks[0];
-  if (specification.maximumPerWorker === 0) return;
-  const before = spreads.get(key);
-  const running =
-    before?.running ??
-    execution
-      .tasksOfStep(occurrence, step)
-      .filter(({progress}) => progress.worker !== '').length;
-  spreads.set(key, {
-    waiting: (before?.waiting ?? 0) + tasks.length,
-    running,
-    maximumPerWorker: specification.maximumPerWorker,
-  });
+/** One round of placement for a service. */
+interface PlacementTurn {
+  readonly service: string;
+  readonly round: PlacementRound;
+  /** Adds up what finds no room. */
+  readonly count: LoadCount;
+  readonly now: number;
+  /** Too many steps have found no room: the rest only counts as waiting. */
+  readonly gaveUp: boolean;
 }
-
-const NOWHERE: ReadonlySet<string> = new Set();
-const NO_AVOIDANCE: Avoidance = {workers: NOWHERE, isBarred: false};
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -73,10 +73,7 @@
     this.orders.close();
   }
 
-  /**
-   * Pools are planned more often than the VMs are listed. With entries of new workers read as they come,
-   * 9.5% of the quick jobs were late in place of 11.4% (four calm days of a fleet of 350 VMs).
-   */
+  /** Pools are planned more often than the VMs are listed: the list costs link time, and callers of a burst wait for the plan. */
   private async run(): Promise<void> {
     await this.orders.load();
     while (!this.closed) {
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -14,6 +14,7 @@
 export * from './progress-writer.js';
 export * from './record-formats.js';
 export * from './record-log.js';
+export * from './session-host.js';
 export * from './signal.js';
 export * from './stream-follower.js';
 export * from './submission-log.js';
--- /dev/null
+++ b/packages/coordinator/src/run-log.ts
@@ -0,0 +1,89 @@
+import {
+  LogEvent,
+  MetricName,
+  type Clock,
+  type Logger,
+  type Metrics,
+} from '@gentiandoor/kernel';
+import type {EndEffect, JobState, RunEnd} from '@gentiandoor/jobs';
+import type {LiveRun} from './live-run.js';
+import type {OrderRefusal, RunName} from './worker-gateway.js';
+
+/** What a run log writes to. */
+export interface RunLogParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** How a job came to its end. */
+export interface JobEnding {
+  readonly job: string;
+  readonly organisation: string | undefined;
+  readonly state: JobState;
+  readonly ageMilliseconds: number;
+  readonly objectiveMilliseconds: number;
+}
+
+/** Lines and figures about runs and jobs, one for each decision of the coordinator. */
+export class RunLog {
+  constructor(private readonly parts: RunLogParts) {}
+
+  /** A run that is stored is about to be ordered. */
+  ordered(run: LiveRun, worker: string, term: number): void {
+    const waited = this.now() - run.plannedAt;
+    this.parts.metrics.timing(MetricName.RunWaitDuration, waited);
+    this.parts.logger.info(LogEvent.RunOrdered, {
+      task: run.task,
+      run: run.run,
+      worker,
+      term,
+      storedAfterMilliseconds: Math.round(waited),
+    });
+  }
+
+  ended(
+    {task, run}: RunName,
+    worker: string,
+    end: RunEnd,
+    effect: EndEffect,
+  ): void {
+    const fields = {task, run, worker, end, effect};
+    this.parts.logger.info(LogEvent.RunEnded, fields);
+    this.parts.metrics.increment(MetricName.RunEnds, {end});
+  }
+
+  refused({task, run}: RunName, worker: string, refusal: OrderRefusal): void {
+    const fields = {task, run, worker, refusal};
+    this.parts.logger.warn(LogEvent.RunRefused, fields);
+    this.parts.metrics.increment(MetricName.RunRefusals, {reason: refusal});
+  }
+
+  stalled(run: LiveRun, worker: string): void {
+    this.parts.logger.warn(LogEvent.RunStalled, {
+      task: run.task,
+      run: run.run,
+      worker,
+      percent: run.percent,
+      stillMilliseconds: Math.round(this.now() - run.progressedAt),
+      expectedMilliseconds: Math.round(run.expectedMilliseconds),
+    });
+    this.parts.metrics.increment(MetricName.RunsStalled);
+  }
+
+  jobEnded(ending: JobEnding): void {
+    const {job, organisation, state} = ending;
+    this.parts.logger.info(LogEvent.JobEnded, {
+      job,
+      organisation,
+      state,
+      milliseconds: Math.round(ending.ageMilliseconds),
+      objectiveMilliseconds: Math.round(ending.objectiveMilliseconds),
+    });
+    this.parts.metrics.increment(MetricName.JobEnds, {state});
+  }
+
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
+  }
+}
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -16,7 +16,7 @@
 
 /**
  * Share of the slowest sibling's excess that counts. Run times are seen with the delays of polls, more so
- * when the coordinator lags: counted whole, jobs of a turn that took 3.3 s all seemed to be in time.
+ * when the coordinator lags: counted whole, jobs that are late seem to be in time.
  */
 const SLOWEST_SHARE = 0.5;
 
--- /dev/null
+++ b/packages/coordinator/src/service-load.ts
@@ -0,0 +1,77 @@
+import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import {
+  occupiedMillicores,
+  vmsForSpread,
+  type SpreadStep,
+  type VmRoom,
+} from '@gentiandoor/scheduling';
+import {stepName} from './live-run.js';
+
+/** Waiting work of a service, for the size of its pool. */
+export interface ServiceLoad {
+  /** Millicores that waiting tasks ask for, weighed by what they are still worth. */
+  readonly waitingMillicores: number;
+  readonly waitingTasks: number;
+  /** VMs that waiting tasks need since they may not share them. */
+  readonly spreadVms: number;
+  /** Since when tasks have waited without a break; undefined while none does. */
+  readonly waitingSince: number | undefined;
+}
+
+/** Load of a service for which nothing waits. */
+export const NO_LOAD: ServiceLoad = {
+  waitingMillicores: 0,
+  waitingTasks: 0,
+  spreadVms: 0,
+  waitingSince: undefined,
+};
+
+/** Adds up what one round of placement leaves waiting. */
+export class LoadCount {
+  private millicores = 0;
+  private tasks = 0;
+  private readonly spreads = new Map<string, SpreadStep>();
+
+  constructor(private readonly room: VmRoom | undefined) {}
+
+  /** Tasks of one step wait; `weight`: what VMs for them are worth, in [0, 1]. */
+  note(
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+    weight: number,
+  ): void {
+    this.tasks += tasks.length;
+    for (const {specification} of tasks)
+      this.millicores += weight * occupiedMillicores(specification, this.room);
+    this.noteSpread(execution, tasks);
+  }
+
+  /** The load at `now`, after a round that left `before`. */
+  load(before: ServiceLoad, now: number): ServiceLoad {
+    return {
+      waitingMillicores: this.millicores,
+      waitingTasks: this.tasks,
+      spreadVms: vmsForSpread(this.spreads.values()),
+      waitingSince: this.tasks > 0 ? (before.waitingSince ?? now) : undefined,
+    };
+  }
+
+  private noteSpread(
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+  ): void {
+    const {occurrence, step, specification} = tasks[0];
+    if (specification.maximumPerWorker === 0) return;
+    const key = stepName(execution.job.id, tasks[0]);
+    const before = this.spreads.get(key);
+    this.spreads.set(key, {
+      waiting: (before?.waiting ?? 0) + tasks.length,
+      running:
+        before?.running ??
+        execution
+          .tasksOfStep(occurrence, step)
+          .filter(({progress}) => progress.worker !== '').length,
+      maximumPerWorker: specification.maximumPerWorker,
+    });
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/session-runs.ts
@@ -0,0 +1,79 @@
+import type {PlacementWorker} from '@gentiandoor/scheduling';
+import {RunStatus, runName, type LiveRun} from './live-run.js';
+import {
+  hasLongRunningTask,
+  placementView,
+  valuedMillicores,
+} from './session-room.js';
+import type {ListedRun, Room, WorkerEntry} from './worker-gateway.js';
+
+/** Runs that may be alive on one worker. */
+export class SessionRuns {
+  private readonly byTask = new Map<string, LiveRun>();
+  /** What a placement sees of the worker, until its runs or its entry change. */
+  private view: PlacementWorker | undefined;
+
+  /** By task. */
+  get all(): ReadonlyMap<string, LiveRun> {
+    return this.byTask;
+  }
+
+  get count(): number {
+    return this.byTask.size;
+  }
+
+  /** Whether a long-running task is among them. */
+  get hasLongRunningTask(): boolean {
+    return hasLongRunningTask(this.byTask.values());
+  }
+
+  has(run: LiveRun): boolean {
+    return this.byTask.get(run.task) === run;
+  }
+
+  add(run: LiveRun): void {
+    this.byTask.set(run.task, run);
+    this.view = undefined;
+  }
+
+  remove(run: LiveRun): void {
+    this.byTask.delete(run.task);
+    this.view = undefined;
+  }
+
+  /** The worker's entry has changed. */
+  entryChanged(): void {
+    this.view = undefined;
+  }
+
+  /** Millicores taken away from other work, weighed by what the work is still worth. */
+  valuedMillicores(room: Room): number {
+    return valuedMillicores(this.byTask.values(), room);
+  }
+
+  /** What a placement sees of the worker; made anew only when something has changed, since each round looks at every worker. */
+  placementView(entry: WorkerEntry, trust: number): PlacementWorker {
+    if (this.view?.trust !== trust)
+      this.view = placementView(entry, [...this.byTask.values()], trust);
+    return this.view;
+  }
+
+  /** Nothing was seen of the runs for a while: they have not stood still. */
+  restartStallWatch(now: number): void {
+    for (const run of this.byTask.values()) run.progressedAt = now;
+  }
+
+  /** Settled runs that a poll asked for at `requestedAt` shows neither alive nor ended: they never ran, or are long over. */
+  missingFrom(
+    running: readonly ListedRun[],
+    ended: ReadonlySet<string>,
+    requestedAt: number,
+  ): LiveRun[] {
+    const alive = new Set(running.map(runName));
+    return [...this.byTask.values()].filter(run => {
+      const name = runName(run);
+      if (alive.has(name) || ended.has(name)) return false;
+      return run.status === RunStatus.Recovered || run.settledAt < requestedAt;
+    });
+  }
+}
--- a/packages/coordinator/src/submission-log.ts
+++ b/packages/coordinator/src/submission-log.ts
@@ -6,9 +6,9 @@
 import {LogStream, type RecordLog} from './record-log.js';
 
 /**
- * The store takes one append after the other in a partition: slowed 37 times it takes 27 a second, and a
- * hundred daemons ask for up to 150. All in one partition, two thirds of the submissions of five seconds
- * were refused, and the coordinator's progress behind them was stored 2 to 6 s late. The same on all daemons.
+ * The store takes one append after the other in a partition. While it is slow, a single partition takes fewer
+ * than a hundred daemons ask for: most submissions are refused, and the coordinator's progress waits behind the
+ * others. The same on all daemons.
  */
 export const SUBMISSION_PARTITIONS = 6;
 
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -149,7 +149,7 @@
     for (const request of requests) void this.giveOne(request);
   }
 
-  /** One record for each VM: a record of all late orders was 9 KB and went out five times a second. */
+  /** One record for each VM: one of all late orders grows with the fleet and goes out with each order. */
   private noteBefore(records: readonly KeyedRecord[]): void {
     const {clock, settings} = this.parts;
     const now = clock.monotonicMilliseconds();
--- /dev/null
+++ b/packages/coordinator/src/waiting-jobs.ts
@@ -0,0 +1,165 @@
+import type {Clock} from '@gentiandoor/kernel';
+import type {
+  ExecutableTask,
+  ExpectedTime,
+  JobExecution,
+} from '@gentiandoor/jobs';
+import {
+  Chance,
+  RescueBudget,
+  chanceOf,
+  rankOf,
+  type WaitingWork,
+} from '@gentiandoor/scheduling';
+import type {Queue} from './operator-records.js';
+import type {ServiceDemand} from './service-demand.js';
+
+/** Callers still count an answer as late until so many times the objective. */
+const LATE_FACTOR = 3;
+/** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
+const WEIGHTS: Readonly<Record<Chance, number>> = {
+  [Chance.InTime]: 1,
+  [Chance.LastCall]: 0.3,
+  [Chance.Late]: 0.3,
+  [Chance.Lost]: 0,
+};
+
+/** A job that waits for room. */
+export interface Candidate extends WaitingWork {
+  readonly execution: JobExecution;
+  /** Undefined for a job of a public queue. */
+  readonly organisation: string | undefined;
+  readonly ready: readonly ExecutableTask[];
+  /** What VMs that run it are worth, in [0, 1]. */
+  readonly weight: number;
+}
+
+/** Jobs of a service that have ready tasks. */
+export interface ReadyJobs {
+  readonly candidates: readonly Candidate[];
+  /** Wall-clock time at which the next of the others is due; infinite for none. */
+  readonly nextDue: number;
+}
+
+/** The jobs that are not over, by the service that runs them, and what each can still reach. */
+export class WaitingJobs {
+  private readonly active = new Map<string, Set<JobExecution>>();
+  private readonly firstSeen = new Map<JobExecution, number>();
+  private readonly rescues = new RescueBudget();
+
+  constructor(
+    private readonly queueOf: (execution: JobExecution) => Queue | undefined,
+    private readonly demand: ServiceDemand,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Adds a job that is `ageMilliseconds` old; returns its service. */
+  add(execution: JobExecution, ageMilliseconds: number): string {
+    const now = this.clock.monotonicMilliseconds();
+    this.firstSeen.set(execution, now - ageMilliseconds);
+    return this.enrol(execution);
+  }
+
+  /** Takes a job out that has come to its end. */
+  remove(execution: JobExecution): void {
+    for (const jobs of this.active.values()) jobs.delete(execution);
+    this.firstSeen.delete(execution);
+    this.rescues.noteServed();
+    this.rescues.forget(execution.job.id);
+  }
+
+  /** After a new configuration queues may have other services; returns all that have jobs. */
+  regroup(): Iterable<string> {
+    const all = [...this.active.values()].flatMap(jobs => [...jobs]);
+    this.active.clear();
+    for (const execution of all) this.enrol(execution);
+    return this.active.keys();
+  }
+
+  serviceOf(execution: JobExecution): string {
+    return this.queueOf(execution)?.service ?? execution.job.service;
+  }
+
+  /** How long a job has been known. */
+  ageOf(execution: JobExecution): number {
+    const now = this.clock.monotonicMilliseconds();
+    return now - (this.firstSeen.get(execution) ?? now);
+  }
+
+  /** Time from its submission within which a job's caller expects it to be done, as far as its run times are known. */
+  objectiveOf(execution: JobExecution): number {
+    const queue = this.queueOf(execution);
+    const chain = execution.wholeChain(this.stepTimes(execution));
+    return (queue?.stretch ?? 1) * chain + (queue?.latencyMilliseconds ?? 0);
+  }
+
+  /** Jobs with tasks that may start now. */
+  readyFor(service: string, now: number): ReadyJobs {
+    const candidates: Candidate[] = [];
+    const wall = this.clock.wallMilliseconds();
+    let nextDue = Infinity;
+    for (const execution of this.active.get(service) ?? []) {
+      const ready = execution.readyTasks(wall);
+      if (ready.length > 0)
+        candidates.push(this.candidate(execution, ready, now, wall));
+      else
+        nextDue = Math.min(nextDue, execution.nextDueAfter(wall) ?? Infinity);
+    }
+    return {candidates, nextDue};
+  }
+
+  private enrol(execution: JobExecution): string {
+    const service = this.serviceOf(execution);
+    const jobs = this.active.get(service) ?? new Set();
+    this.active.set(service, jobs.add(execution));
+    return service;
+  }
+
+  private candidate(
+    execution: JobExecution,
+    ready: readonly ExecutableTask[],
+    now: number,
+    wall: number,
+  ): Candidate {
+    const {occurrence} = ready[0];
+    const dueWall = execution.dueAt(occurrence);
+    const since =
+      dueWall > 0
+        ? now - (wall - dueWall)
+        : (this.firstSeen.get(execution) ?? now);
+    const remainingChain = execution.remainingChain(
+      occurrence,
+      this.stepTimes(execution),
+    );
+    const objective = this.objectiveOf(execution);
+    const waiting = {
+      priority: this.queueOf(execution)?.priority ?? 0,
+      dueAt: since + objective,
+      lateUntil: since + LATE_FACTOR * objective,
+      remainingChain,
+    };
+    const chance = chanceOf(waiting, now);
+    const {longRunning} = ready[0].specification;
+    // A job that lasts is always older than its objective: its tasks are few, run for long, and are missed at once.
+    const goesFirst =
+      longRunning ||
+      (chance === Chance.LastCall && this.rescues.allows(execution.job.id));
+    return {
+      execution,
+      organisation: execution.job.organisation,
+      ready,
+      ...waiting,
+      remainingWork: execution.remainingWork(occurrence, step =>
+        this.demand.taskWork(execution.job.queue, step),
+      ),
+      rank: rankOf(chance, goesFirst),
+      weight: longRunning ? 1 : WEIGHTS[chance],
+    };
+  }
+
+  /** Run time to expect of each step of a job. */
+  private stepTimes(execution: JobExecution): ExpectedTime {
+    const {queue} = execution.job;
+    return step => this.demand.stepTime(queue, step);
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/worker-presence.ts
@@ -0,0 +1,101 @@
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
+import {LeaseClock, longestLease} from '@gentiandoor/scheduling';
+
+/** What is told of a worker's presence. */
+export interface PresenceHost {
+  /** Lease that polls and starts give, in milliseconds. */
+  readonly leaseMilliseconds: number;
+  /** When this coordinator's term began. */
+  readonly beganAt: number;
+}
+
+/** Workers that have answered so lately need no probe when others near them fall silent. */
+const ANSWERED_LATELY_MILLISECONDS = 100;
+/** Room for the time that our own step takes between a sum and its order. */
+const LEASE_SLACK_MILLISECONDS = 300;
+
+/** Whether a worker answers, and until when what runs on it may be alive. */
+export class WorkerPresence {
+  private readonly lease = new LeaseClock();
+  private silentSince: number | undefined;
+  private answeredAt = -Infinity;
+
+  constructor(
+    private readonly worker: string,
+    private readonly host: PresenceHost,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Since when the worker does not answer; undefined while it does. */
+  get silentFrom(): number | undefined {
+    return this.silentSince;
+  }
+
+  get isSilent(): boolean {
+    return this.silentSince !== undefined;
+  }
+
+  /** Whether it answered at `since` or later. */
+  hasAnsweredSince(since: number): boolean {
+    return this.answeredAt >= since;
+  }
+
+  /** Whether a probe would tell nothing new. */
+  isKnownAt(now: number): boolean {
+    return (
+      this.isSilent || now - this.answeredAt < ANSWERED_LATELY_MILLISECONDS
+    );
+  }
+
+  /** Notes an answer with what the worker's clock showed; true when it had been silent. */
+  noteAnswer(clockMilliseconds: number): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    this.lease.observe(clockMilliseconds, now);
+    this.answeredAt = now;
+    if (this.silentSince === undefined) return false;
+    this.logger.info(LogEvent.WorkerBack, {
+      worker: this.worker,
+      silentMilliseconds: now - this.silentSince,
+    });
+    this.silentSince = undefined;
+    return true;
+  }
+
+  /** Notes that a call got no answer; true when it is the first one. */
+  noteSilence(runs: number): boolean {
+    if (this.silentSince !== undefined) return false;
+    this.silentSince = this.clock.monotonicMilliseconds();
+    this.logger.warn(LogEvent.WorkerSilent, {worker: this.worker, runs});
+    return true;
+  }
+
+  /** End of a lease that an order of now gives, on the worker's clock. */
+  giveLease(now: number): number {
+    const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
+    this.lease.noteGiven(leaseEnd);
+    return leaseEnd;
+  }
+
+  /** The same for a poll; undefined where it must give none. */
+  leaseForPoll(now: number): number | undefined {
+    // A lease that goes on being offered to a silent worker would never be known to be over.
+    if (!this.lease.isKnown || this.isSilent) return undefined;
+    return this.giveLease(now);
+  }
+
+  /** The coordinator before may have given a lease as long as ours just before its term ended. */
+  notePredecessorLease(): void {
+    this.giveLease(this.clock.monotonicMilliseconds());
+  }
+
+  /** Whether nothing that was ever started on the worker can be alive. */
+  isLeaseOver(now: number): boolean {
+    if (this.lease.isKnown) return this.lease.hasLapsed(now);
+    const bound =
+      this.host.beganAt +
+      longestLease(this.host.leaseMilliseconds) +
+      LEASE_SLACK_MILLISECONDS;
+    return now > bound;
+  }
+}
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -5,7 +5,8 @@
 import {LogStream, type RecordLog} from './record-log.js';
 import {StreamFollower, type StreamSink} from './stream-follower.js';
 import type {WorkerEntry, WorkerGateway} from './worker-gateway.js';
-import {WorkerSession, type SessionHost} from './worker-session.js';
+import type {SessionHost} from './session-host.js';
+import {WorkerSession} from './worker-session.js';
 
 /** A connection that went silent is left soon after; a leaving worker must be noticed well within two seconds. */
 const WAIT_MILLISECONDS = 300;
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -2,22 +2,17 @@
 import {RunEnd} from '@gentiandoor/jobs';
 import {
   AnswerBound,
-  LeaseClock,
   isStalled,
   timeUntilOverdue,
-  type WorkerTrust,
-  longestLease,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
 import {BestEffortPacer} from './best-effort-pacer.js';
 import {EndCursor} from './end-cursor.js';
 import {RunStatus, runName, type LiveRun} from './live-run.js';
-import {
-  hasLongRunningTask,
-  placementView,
-  valuedMillicores,
-} from './session-room.js';
+import {RunOrders, type RunOrderHost} from './run-orders.js';
 import {canStall, watchedRun} from './run-watch.js';
+import type {SessionHost} from './session-host.js';
+import {SessionRuns} from './session-runs.js';
 import {Signal} from './signal.js';
 import {StrayRuns} from './stray-runs.js';
 import {
@@ -30,51 +25,7 @@
   type WorkerEntry,
   type WorkerGateway,
 } from './worker-gateway.js';
-
-/** What a session needs of the coordinator. */
-export interface SessionHost {
-  readonly term: number;
-  /** Lease that polls and starts give, in milliseconds. */
-  readonly leaseMilliseconds: number;
-  /** What is known of how workers fail. */
-  readonly trust: WorkerTrust;
-  /** How long any worker may take to answer a call that does not wait there: where all are slow, this daemon is. */
-  readonly answerBoundMilliseconds: number;
-  /** How long such calls take on average: more than a few milliseconds are this daemon's own. */
-  readonly lagMilliseconds: number;
-  /** Such a call was answered after so long. */
-  noteAnswerTime(milliseconds: number): void;
-  /** When this coordinator's term began. */
-  readonly beganAt: number;
-  ordersAllowed(): boolean;
-  /** Whether work is ever placed on workers of a service: VMs of a standby pool are off. */
-  usesWorkersOf(service: string): boolean;
-  /** A worker has seen a higher fencing token. */
-  fenced(): void;
-  runEnded(
-    session: WorkerSession,
-    run: LiveRun,
-    end: RunEnd,
-    checkpoint: string,
-  ): void;
-  /** A run that was given up has ended after all. */
-  lateEnd(ended: EndedRun): void;
-  startRefused(
-    session: WorkerSession,
-    run: LiveRun,
-    refusal: OrderRefusal,
-  ): void;
-  /** The worker does not answer: others near it may not either. */
-  sessionSilent(session: WorkerSession): void;
-  /** A run shows no progress any more. */
-  runStalled(session: WorkerSession, run: LiveRun): void;
-  /** Calls `then` when all ends read so far are stored. */
-  afterStored(then: () => void): void;
-  /** The worker can take starts again, or no longer. */
-  sessionChanged(session: WorkerSession): void;
-  /** The incarnation of the worker is over. */
-  sessionOver(session: WorkerSession): void;
-}
+import {WorkerPresence} from './worker-presence.js';
 
 /** A poll waits so long for an end: a lease is renewed many times over its length, and a worker that falls silent is found within a second and a half where no start finds it before. */
 const POLL_WAIT_MILLISECONDS = 750;
@@ -87,19 +38,14 @@
 const RETRY_MILLISECONDS = 200;
 /** A silent worker with nothing on it is only wanted back for new work. */
 const IDLE_SILENCE_RETRY_MILLISECONDS = 1_000;
-const START_TRIES = 3;
 /** A start that is not answered by then is looked into: a worker answers within a few milliseconds. */
 const START_DOUBT_MILLISECONDS = 150;
 /** Bound of a probe: fifty times a worker's answer, and short against the second in which a burst brings dozens of starts. */
 const PROBE_BOUND_MILLISECONDS = 200;
 /** A daemon that lags so much waits no longer: the calls themselves are given up a little later. */
 const LONGEST_DOUBT_MILLISECONDS = 700;
-/** Workers that have answered so lately need no probe when others near them fall silent. */
-const ANSWERED_LATELY_MILLISECONDS = 100;
 /** An answer lists so many ends at most; the others follow. */
 const MAXIMUM_ENDS_LISTED = 500;
-/** Room for the time that our own step takes between a sum and its order. */
-const LEASE_SLACK_MILLISECONDS = 300;
 
 /**
  * Bound of workers' answers that are given at once, shared by all sessions of a coordinator.
@@ -111,18 +57,15 @@
 }
 
 /** Everything between the coordinator and one incarnation of a worker. */
-export class WorkerSession {
-  private readonly liveRuns = new Map<string, LiveRun>();
-  /** What a placement sees of the worker, until its runs or its entry change. */
-  private view: PlacementWorker | undefined;
-  private readonly lease = new LeaseClock();
+export class WorkerSession implements RunOrderHost {
+  private readonly live = new SessionRuns();
+  private readonly presence: WorkerPresence;
+  private readonly orders: RunOrders;
   private readonly pacer: BestEffortPacer;
   private readonly signal: Signal;
   private readonly strays: StrayRuns;
   private readonly ends: EndCursor;
   private tokenShown = false;
-  private silentSince: number | undefined;
-  private answeredAt = -Infinity;
   private probing = false;
   private closed = false;
   private listed = true;
@@ -136,6 +79,8 @@
     private readonly logger: Logger,
   ) {
     this.signal = new Signal(clock);
+    this.presence = new WorkerPresence(current.id, host, clock, logger);
+    this.orders = new RunOrders(this, this.presence, gateway, clock);
     this.ends = new EndCursor(
       then => host.afterStored(then),
       () => this.signal.notify(),
@@ -151,7 +96,7 @@
 
   /** Runs that may be alive on the worker, by task. */
   get runs(): ReadonlyMap<string, LiveRun> {
-    return this.liveRuns;
+    return this.live.all;
   }
 
   get entry(): WorkerEntry {
@@ -162,9 +107,17 @@
     return this.current.id;
   }
 
+  get term(): number {
+    return this.host.term;
+  }
+
+  get answerBoundMilliseconds(): number {
+    return this.host.answerBoundMilliseconds;
+  }
+
   /** Since when the worker does not answer; undefined while it does. */
   get silentFrom(): number | undefined {
-    return this.silentSince;
+    return this.presence.silentFrom;
   }
 
   get isDraining(): boolean {
@@ -178,7 +131,7 @@
       this.listed &&
       this.host.usesWorkersOf(this.current.service) &&
       this.tokenShown &&
-      this.silentSince === undefined &&
+      !this.presence.isSilent &&
       this.reservedFor === undefined &&
       !this.isDraining
     );
@@ -186,7 +139,7 @@
 
   /** New, and not polled yet. */
   get isStarting(): boolean {
-    return !this.tokenShown && this.silentSince === undefined;
+    return !this.tokenShown && !this.presence.isSilent;
   }
 
   /** Why new starts are kept away; undefined where they are not. */
@@ -196,12 +149,12 @@
 
   /** Millicores taken away from other work, weighed by what the work is still worth. */
   get valuedMillicores(): number {
-    return valuedMillicores(this.runs.values(), this.current.room);
+    return this.live.valuedMillicores(this.current.room);
   }
 
   /** Whether a long-running task runs on it. */
   get hasLongRunningTask(): boolean {
-    return hasLongRunningTask(this.runs.values());
+    return this.live.hasLongRunningTask;
   }
 
   /** Keeps new starts away while the VM is to be moved or maintained. */
@@ -225,71 +178,36 @@
     const before = this.takesStarts;
     this.listed = entry !== undefined;
     if (entry) this.current = entry;
-    this.view = undefined;
+    this.live.entryChanged();
     if (before !== this.takesStarts) this.host.sessionChanged(this);
     this.signal.notify();
   }
 
-  /**
-   * What a placement sees of the worker. Made anew for every worker and round it took a fifteenth of the
-   * processor time of a coordinator at 480 starts a second on 100 workers.
-   */
+  /** What a placement sees of the worker. */
   placementView(now: number): PlacementWorker {
     const trust = this.host.trust.level(this.id, now);
-    if (this.view?.trust !== trust)
-      this.view = placementView(
-        this.current,
-        [...this.liveRuns.values()],
-        trust,
-      );
-    return this.view;
+    return this.live.placementView(this.current, trust);
   }
 
   /** Takes room for a run; the order follows with `order`. */
   expect(run: LiveRun): void {
-    this.liveRuns.set(run.task, run);
-    this.view = undefined;
+    this.live.add(run);
     this.signal.notify();
   }
 
   /** Forgets a run of which it is known otherwise that it is over. */
   forget(run: LiveRun): void {
-    this.liveRuns.delete(run.task);
-    this.view = undefined;
+    this.live.remove(run);
   }
 
   /** Sends the order to start, until its fate is known. */
-  async order(run: LiveRun): Promise<void> {
-    for (let attempt = 0; attempt < START_TRIES; attempt++) {
-      if (!this.isExpected(run)) return;
-      if (run.stopAsked && attempt === 0) {
-        this.end(run, RunEnd.Lost, '');
-        return;
-      }
-      if (!(await this.waitUntilAllowed())) return;
-      if (await this.sendStart(run, attempt > 0)) return;
-      await sleep(this.clock, RETRY_MILLISECONDS);
-    }
-    // Not answered: it may still be carried out. A stop that is answered bars it for good.
-    void this.stop(run);
+  order(run: LiveRun): Promise<void> {
+    return this.orders.start(run);
   }
 
   /** Asks the worker to stop a run, until its fate is known. */
-  async stop(run: LiveRun): Promise<void> {
-    if (run.stopAsked) return;
-    run.stopAsked = true;
-    if (run.status === RunStatus.Planned) return;
-    while (this.isExpected(run)) {
-      if (!(await this.waitUntilAllowed())) return;
-      const result = await this.gateway.stop(this.current, run, this.host.term);
-      if (result.outcome !== OrderOutcome.Unknown) {
-        if (this.handledRefusal(result)) return;
-        run.settledAt = this.clock.monotonicMilliseconds();
-        this.signal.notify();
-        return;
-      }
-      await sleep(this.clock, RETRY_MILLISECONDS);
-    }
+  stop(run: LiveRun): Promise<void> {
+    return this.orders.stop(run);
   }
 
   /**
@@ -298,11 +216,8 @@
    */
   async probe(): Promise<void> {
     const now = this.clock.monotonicMilliseconds();
-    const isKnown =
-      this.silentSince !== undefined ||
-      now - this.answeredAt < ANSWERED_LATELY_MILLISECONDS;
-    if (this.closed || this.probing || isKnown || !this.tokenShown) return;
-    if (!this.host.ordersAllowed()) return;
+    if (this.closed || this.probing || !this.tokenShown) return;
+    if (this.presence.isKnownAt(now) || !this.host.ordersAllowed()) return;
     this.probing = true;
     const result = await this.gateway.poll(this.current, {
       fencingToken: this.host.term,
@@ -315,9 +230,13 @@
     });
     this.probing = false;
     if (this.closed) return;
-    if (result.outcome === OrderOutcome.Done) this.noteSpeed(now);
-    if (result.outcome === OrderOutcome.Done) this.notePoll(result, now);
-    else if (!this.handledRefusal(result) && this.answeredAt < now)
+    if (result.outcome === OrderOutcome.Done) {
+      this.noteSpeed(now);
+      this.notePoll(result, now);
+    } else if (
+      !this.handledRefusal(result) &&
+      !this.presence.hasAnsweredSince(now)
+    )
       this.noteSilence();
   }
 
@@ -327,7 +246,7 @@
     this.logger.info(LogEvent.WorkerLeft, {
       worker: this.id,
       reason,
-      runs: this.runs.size,
+      runs: this.live.count,
     });
     this.close();
     this.loseAllRuns();
@@ -335,6 +254,55 @@
     this.host.sessionOver(this);
   }
 
+  isExpected(run: LiveRun): boolean {
+    return !this.closed && this.live.has(run);
+  }
+
+  async waitUntilAllowed(): Promise<boolean> {
+    while (!this.closed && !this.host.ordersAllowed())
+      await sleep(this.clock, RETRY_MILLISECONDS / 4);
+    return !this.closed;
+  }
+
+  noteSpeed(sentAt: number): void {
+    this.host.noteAnswerTime(this.clock.monotonicMilliseconds() - sentAt);
+  }
+
+  noteAnswer(clockMilliseconds: number): void {
+    if (!this.presence.noteAnswer(clockMilliseconds)) return;
+    this.live.restartStallWatch(this.clock.monotonicMilliseconds());
+    this.host.sessionChanged(this);
+  }
+
+  handledRefusal(result: {
+    readonly outcome: OrderOutcome;
+    readonly refusal?: OrderRefusal;
+  }): boolean {
+    if (result.outcome !== OrderOutcome.Refused) return false;
+    if (result.refusal === OrderRefusal.Fenced) {
+      this.host.fenced();
+      return true;
+    }
+    if (result.refusal === OrderRefusal.OtherIncarnation) {
+      this.endIncarnation('another incarnation answers at its address');
+      return true;
+    }
+    return false;
+  }
+
+  neverStarted(run: LiveRun): void {
+    this.end(run, RunEnd.Lost, '');
+  }
+
+  startRefused(run: LiveRun, refusal: OrderRefusal): void {
+    this.forget(run);
+    this.host.startRefused(this, run, refusal);
+  }
+
+  settled(): void {
+    this.signal.notify();
+  }
+
   private async run(): Promise<void> {
     while (!this.closed) {
       if (this.isFinished()) {
@@ -352,33 +320,37 @@
 
   /** The worker has no entry any more and nothing on it is in doubt. */
   private isFinished(): boolean {
-    return !this.listed && this.runs.size === 0;
+    return !this.listed && this.live.count === 0;
   }
 
   private needsPoll(): boolean {
-    if (this.runs.size === 0 && !this.host.usesWorkersOf(this.current.service))
+    const {count} = this.live;
+    if (count === 0 && !this.host.usesWorkersOf(this.current.service))
       return false;
     return (
       !this.tokenShown ||
-      this.runs.size > 0 ||
+      count > 0 ||
       this.ends.hasUnacknowledged ||
-      this.silentSince !== undefined
+      this.presence.isSilent
     );
   }
 
   private async poll(): Promise<void> {
-    if (this.tokenShown && this.runs.size === 0)
+    if (this.tokenShown && this.live.count === 0)
       await this.signal.wait(LAST_ACKNOWLEDGEMENT_MILLISECONDS);
     if (this.closed) return;
     const requestedAt = this.clock.monotonicMilliseconds();
-    const waits = this.runs.size > 0 && this.tokenShown;
+    const waits = this.live.count > 0 && this.tokenShown;
     const endsStored = this.ends.stored;
     const waitMilliseconds =
-      waits && this.silentSince === undefined ? this.pollWait(requestedAt) : 0;
+      waits && !this.presence.isSilent ? this.pollWait(requestedAt) : 0;
     const result = await this.gateway.poll(this.current, {
       fencingToken: this.host.term,
       endsStored,
-      leaseEndMilliseconds: this.nextLeaseEnd(requestedAt),
+      leaseEndMilliseconds:
+        this.live.count > 0
+          ? this.presence.leaseForPoll(requestedAt)
+          : undefined,
       waitMilliseconds,
     });
     if (this.closed) return;
@@ -403,42 +375,32 @@
     // A coordinator that lags reads more ends with each poll: polls cost it as much as starts.
     if (outcome === OrderOutcome.Done)
       return POLL_GAP_MILLISECONDS + this.host.lagMilliseconds;
-    return this.runs.size > 0
+    return this.live.count > 0
       ? RETRY_MILLISECONDS
       : IDLE_SILENCE_RETRY_MILLISECONDS;
   }
 
-  private nextLeaseEnd(now: number): number | undefined {
-    if (!this.lease.isKnown || this.runs.size === 0) return undefined;
-    // A lease that goes on being offered to a silent worker would never be known to be over.
-    if (this.silentSince !== undefined) return undefined;
-    const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
-    this.lease.noteGiven(leaseEnd);
-    return leaseEnd;
-  }
-
   private notePoll(
     result: Extract<PollResult, {outcome: OrderOutcome.Done}>,
     requestedAt: number,
   ): void {
     this.noteAnswer(result.clockMilliseconds);
     const shown = this.tokenShown;
-    if (!shown) this.notePredecessorLease();
+    if (!shown) this.presence.notePredecessorLease();
     this.tokenShown = true;
     const ended = this.noteEnds(result.ended);
     for (const listed of result.running) this.noteRunning(listed);
     if (result.ended.length < MAXIMUM_ENDS_LISTED)
-      this.dropMissing(result.running, ended, requestedAt);
+      for (const run of this.live.missingFrom(
+        result.running,
+        ended,
+        requestedAt,
+      ))
+        this.end(run, RunEnd.Lost, '');
     this.pacer.adjust(result.running, this.runs);
     if (!shown) this.host.sessionChanged(this);
   }
 
-  /** The coordinator before may have given a lease as long as ours just before its term ended. */
-  private notePredecessorLease(): void {
-    const now = this.clock.monotonicMilliseconds();
-    this.lease.noteGiven(this.lease.leaseEnd(now, this.host.leaseMilliseconds));
-  }
-
   private noteEnds(ended: readonly EndedRun[]): Set<string> {
     const names = new Set<string>();
     for (const item of ended) {
@@ -472,129 +434,19 @@
       run.taskOfJob.progress.checkpoint = listed.checkpoint;
   }
 
-  /** A settled run that a later poll shows neither alive nor ended never ran, or is long over. */
-  private dropMissing(
-    running: readonly ListedRun[],
-    ended: ReadonlySet<string>,
-    requestedAt: number,
-  ): void {
-    const alive = new Set(running.map(runName));
-    for (const run of [...this.runs.values()]) {
-      const name = runName(run);
-      if (alive.has(name) || ended.has(name)) continue;
-      const settled =
-        run.status === RunStatus.Recovered || run.settledAt < requestedAt;
-      if (settled) this.end(run, RunEnd.Lost, '');
-    }
-  }
-
-  private async sendStart(run: LiveRun, retried: boolean): Promise<boolean> {
-    const now = this.clock.monotonicMilliseconds();
-    const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
-    this.lease.noteGiven(leaseEnd);
-    run.status = RunStatus.Ordered;
-    run.orderedAt ??= now;
-    const doubt = this.clock.schedule(
-      this.host.answerBoundMilliseconds,
-      () => void this.probe(),
-    );
-    const result = await this.gateway.start(this.current, {
-      task: run.task,
-      run: run.run,
-      payload: run.execution.job.payload,
-      leaseEndMilliseconds: leaseEnd,
-      fencingToken: this.host.term,
-      checkpoint: run.taskOfJob.progress.checkpoint,
-      ticket: run.ticket,
-    });
-    doubt.cancel();
-    if (result.outcome !== OrderOutcome.Unknown) this.noteSpeed(now);
-    if (!this.isExpected(run)) return true;
-    if (result.outcome === OrderOutcome.Unknown) return false;
-    if (this.handledRefusal(result)) return true;
-    if (result.outcome === OrderOutcome.Done) {
-      this.noteAnswer(result.clockMilliseconds);
-      run.status = RunStatus.Confirmed;
-      run.settledAt = this.clock.monotonicMilliseconds();
-      run.beganAt = run.settledAt;
-      this.signal.notify();
-      return true;
-    }
-    // A refusal of a second try says nothing of the first, which may still be carried out.
-    if (retried) void this.stop(run);
-    else {
-      this.forget(run);
-      this.host.startRefused(this, run, result.refusal);
-    }
-    return true;
-  }
-
-  /** Refusals that concern the whole session. */
-  private handledRefusal(result: {
-    readonly outcome: OrderOutcome;
-    readonly refusal?: OrderRefusal;
-  }): boolean {
-    if (result.outcome !== OrderOutcome.Refused) return false;
-    if (result.refusal === OrderRefusal.Fenced) {
-      this.host.fenced();
-      return true;
-    }
-    if (result.refusal === OrderRefusal.OtherIncarnation) {
-      this.endIncarnation('another incarnation answers at its address');
-      return true;
-    }
-    return false;
-  }
-
-  /** Notes how fast a call that does not wait at the worker was answered. */
-  private noteSpeed(sentAt: number): void {
-    this.host.noteAnswerTime(this.clock.monotonicMilliseconds() - sentAt);
-  }
-
-  private noteAnswer(clockMilliseconds: number): void {
-    const now = this.clock.monotonicMilliseconds();
-    this.lease.observe(clockMilliseconds, now);
-    this.answeredAt = now;
-    if (this.silentSince === undefined) return;
-    this.logger.info(LogEvent.WorkerBack, {
-      worker: this.id,
-      silentMilliseconds: now - this.silentSince,
-    });
-    this.silentSince = undefined;
-    // Nothing was seen of its runs meanwhile: they have not stood still.
-    for (const run of this.runs.values()) run.progressedAt = now;
-    this.host.sessionChanged(this);
-  }
-
   private noteSilence(): void {
     const now = this.clock.monotonicMilliseconds();
-    if (this.silentSince === undefined) {
-      this.silentSince = now;
-      this.logger.warn(LogEvent.WorkerSilent, {
-        worker: this.id,
-        runs: this.runs.size,
-      });
+    if (this.presence.noteSilence(this.live.count))
       this.host.sessionSilent(this);
-    }
-    if (this.runs.size === 0 || !this.leaseIsOver(now)) return;
+    if (this.live.count === 0 || !this.presence.isLeaseOver(now)) return;
     this.logger.warn(LogEvent.WorkerLeaseOver, {
       worker: this.id,
-      runs: this.runs.size,
-      silentMilliseconds: now - this.silentSince,
+      runs: this.live.count,
+      silentMilliseconds: now - (this.silentFrom ?? now),
     });
     this.loseAllRuns();
   }
 
-  /** Whether nothing that was ever started on the worker can be alive. */
-  private leaseIsOver(now: number): boolean {
-    if (this.lease.isKnown) return this.lease.hasLapsed(now);
-    const bound =
-      this.host.beganAt +
-      longestLease(this.host.leaseMilliseconds) +
-      LEASE_SLACK_MILLISECONDS;
-    return now > bound;
-  }
-
   private loseAllRuns(): void {
     for (const run of [...this.runs.values()]) this.end(run, RunEnd.Lost, '');
   }
@@ -603,15 +455,4 @@
     this.forget(run);
     this.host.runEnded(this, run, end, checkpoint);
   }
-
-  private isExpected(run: LiveRun): boolean {
-    return !this.closed && this.runs.get(run.task) === run;
-  }
-
-  /** Waits while the term is being renewed; false when the session is over. */
-  private async waitUntilAllowed(): Promise<boolean> {
-    while (!this.closed && !this.host.ordersAllowed())
-      await sleep(this.clock, RETRY_MILLISECONDS / 4);
-    return !this.closed;
-  }
 }
--- a/packages/scheduling/src/placement-gap.ts
+++ b/packages/scheduling/src/placement-gap.ts
@@ -6,7 +6,7 @@
   readonly factor: number;
 }
 
-/** Least: one round for every end of a run took a seventh of the coordinator's processor time at 780 runs a second. Longest: room that is free for longer is felt by callers. */
+/** Least: one round serves the ends of several runs. Longest: room that is free for longer is felt by callers. */
 const PLACEMENT: RestBounds = {
   leastMilliseconds: 5,
   longestMilliseconds: 60,
@@ -33,7 +33,7 @@
 /**
  * Time to wait between two rounds of planning the pools.
  * Load: a turn that fills the coordinator's processor. Without a gap that grows with what a round
- * takes, planning 380 VMs 25 times a second delays the orders that the VMs are wanted for.
+ * takes, planning a large fleet delays the orders that the VMs are wanted for.
  */
 export function planningGap(lastRoundMilliseconds: number): number {
   return restAfter(lastRoundMilliseconds, PLANNING);
@@ -51,8 +51,8 @@
 
 /**
  * Time to wait between two readings of the list of VMs.
- * Load: a turn that fills the coordinator's link. The list names every VM; read ten times a second it
- * took 80 of the 250 KB a second of a small VM's link with 72 VMs, before the first order was given.
+ * Load: a turn that fills the coordinator's link. The list names every VM; read at a fixed pace it takes
+ * most of a small VM's link before the first order is given.
  */
 export function fleetListGap(lastReadingMilliseconds: number): number {
   return restAfter(lastReadingMilliseconds, FLEET_LIST);
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -211,8 +211,7 @@
 
 /**
  * Spare VMs of pools at rest, to pools whose work waits while no VM is off.
- * Load: a turn that asks for more than the whole fleet. Without it two VMs of each other pool idle
- * beside it: a sixth of a fleet of 35.
+ * Load: a turn that asks for more than the whole fleet. Without it VMs of every other pool idle beside it.
  */
 function shareOutSpares(
   pools: readonly PlannedPool[],
--- a/packages/scheduling/src/service-turns.ts
+++ b/packages/scheduling/src/service-turns.ts
@@ -2,7 +2,7 @@
  * Order in which services get orders that are to be shared.
  * Load: two queues ask for more orders than their coordinator gives. Without turns the service that
  * is looked at first takes every order that becomes free, and a task of the other one that is to last
- * did not run for 30 seconds beside free room.
+ * does not run beside free room.
  */
 export class ServiceTurns {
   private readonly lastTurn = new Map<string, number>();
--- a/packages/scheduling/src/stall-watch.ts
+++ b/packages/scheduling/src/stall-watch.ts
@@ -14,7 +14,7 @@
 const STILL_SHARE = 0.25;
 /** Least time without progress that says something: two looks at the worker lie in it. */
 const STILL_MILLISECONDS = 600;
-/** Before its first percent a run restores a checkpoint (up to 0.6 s at the offices) and starts up. */
+/** Before its first percent a run restores a checkpoint and starts up. */
 const STILL_AT_START_MILLISECONDS = 1_500;
 /** Run times vary by half from what is expected: a run is looked at more closely once it is this late. */
 const OVERDUE_FACTOR = 1.6;
--- a/packages/scheduling/src/waiting-order.ts
+++ b/packages/scheduling/src/waiting-order.ts
@@ -30,8 +30,7 @@
  * Sorts waiting jobs into the order in which they get room.
  * Load: a turn asks for more than the whole fleet holds. By latest start, which is best while VMs can
  * still be fetched, every job starts as late as it may and most are late by a little. So once not all can
- * be in time, the jobs that ask for most are put off until the others can be: of five turns that ask for
- * twice their pool 1,732 jobs are in time, 1,684 by the end of the objective, 1,469 by latest start.
+ * be in time, the jobs that ask for most are put off until the others can be: most jobs are in time then.
  */
 export function orderWaiting<Job extends WaitingWork>(
   jobs: readonly Job[],
