A model of an organisation's limit

Two tasks on two workers, a limit of one, two terms, a cut; orders late or lost in any order: 14,376 states, no violation. Six safeguards taken out one by one are all caught: unanswered orders count, a successor counts what was stored, a run counts until its end is seen, the lease of a silent worker is waited out, a run is stored before its order, a worker refuses earlier terms. With two runs for each task it did not end within two minutes, so it has one.

--- a/packages/specification/src/subjects.ts
+++ b/packages/specification/src/subjects.ts
@@ -3,6 +3,7 @@
 import {BUNDLES} from './bundle-model.js';
 import {claimsWithin} from './claims-model.js';
 import {explore, type Exploration} from './explore.js';
+import {LIMITS} from './limit-model.js';
 import {ownershipWithin} from './ownership-model.js';
 import {RUNS} from './run-model.js';
 import type {Mutation, Subject} from './specification.js';
@@ -37,6 +38,7 @@
   ),
   checkable(WINDOW),
   checkable(RUNS),
+  checkable(LIMITS),
   checkable(BUNDLES),
   checkable(ownershipWithin({starts: 2, aborts: 1, crashes: 0})),
   checkable(ownershipWithin({starts: 1, aborts: 0, crashes: 1})),
