Weak daemons look at the term seldom while a strong one could take it

Change: a daemon that knows a stronger one waits half a second between two reads; the strong ones read each renewal as before. With 800 ms a weak daemon took a vacant term later than a test allows (2.2 s), so it is 500. Test: 20 reads in ten seconds at most, 40 before.

--- a/packages/coordinator/src/__tests__/term-keeper.test.ts
+++ b/packages/coordinator/src/__tests__/term-keeper.test.ts
@@ -111,6 +111,23 @@
       assert.ok(began[0] - lostAt < 2_200);
     });
 
+    // Forty daemons that each read every renewal of the term cost the store more calls than all the jobs
+    // of a calm day, and callers are refused where it bounds its calls. Those that would not take the
+    // next term anyway look seldom; the strong ones go on reading each renewal.
+    it('is watched closely by strong VMs only', async () => {
+      const all = new Candidates();
+      const strong = [all.add('strong-0', STRONG), all.add('strong-1', STRONG)];
+      const weak = all.add('weak', WEAK);
+      await all.clock.advanceAsync(2_000);
+      const before = weak.store.reads;
+      const other = strong.find(one => one.began.length === 0);
+      const beforeOther = other?.store.reads ?? 0;
+      await all.clock.advanceAsync(10_000);
+      const reads = weak.store.reads - before;
+      assert.ok(reads <= 20, `${reads} reads in ten seconds`);
+      assert.ok((other?.store.reads ?? 0) - beforeOther >= 38);
+    });
+
     // Each daemon tells its strength at its start, and the first one up would not wait for that.
     it('goes to a strong VM when all start for the first time', async () => {
       const all = new Candidates();
--- a/packages/coordinator/src/stand-ins/memory-store.ts
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -219,6 +219,9 @@
     this.killed = true;
   }
 
+  /** Reads that this daemon has asked for. */
+  reads = 0;
+
   /** How long the store takes to answer this daemon. */
   answerMilliseconds = ANSWER_MILLISECONDS;
 
@@ -263,6 +266,7 @@
     partition = 0,
   ): Promise<ReadResult> {
     this.store.calls.read++;
+    this.reads++;
     const failure = await this.reach(stream);
     if (failure) return failure;
     const first = this.store.read(stream, offset, partition);
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -30,6 +30,11 @@
 const RETRY_MILLISECONDS = 100;
 /** A weak daemon lets a stronger one go first for this: the coordinator of a few hundred workers needs more than the smallest VMs have, and a slow store takes this long to answer. */
 const DEFERENCE_MILLISECONDS = 400;
+/**
+ * A weak daemon looks at the term this seldom while a stronger one could take it. Without it each of forty
+ * daemons reads every renewal, which together is most of what the store is asked on a calm day.
+ */
+const WEAK_WATCH_GAP_MILLISECONDS = 500;
 /** Daemons that start for the first time, all at once, do so within this; each has told its strength by then. */
 const FIRST_START_MILLISECONDS = 700;
 /** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock polls the same and costs one renewal. */
@@ -141,12 +146,11 @@
   private async watch(): Promise<void> {
     const left = this.candidacyAt() - this.clock.monotonicMilliseconds();
     if (left > 0) {
-      await this.readNext(Math.min(left, WATCH_MILLISECONDS));
+      await this.watchFor(left);
       return;
     }
     if (this.rosterReadFor !== this.changedAt) {
-      if (await this.roster.refresh()) this.rosterReadFor = this.changedAt;
-      else await this.pause(RETRY_MILLISECONDS);
+      if (!(await this.readRoster())) await this.pause(RETRY_MILLISECONDS);
       return;
     }
     if (this.roster.knowsStronger && !(await this.staysVacant())) return;
@@ -161,6 +165,26 @@
     if (!written) await this.pause(RETRY_MILLISECONDS);
   }
 
+  private async watchFor(left: number): Promise<void> {
+    if (this.roster.knowsStronger)
+      await this.pause(Math.min(left, WEAK_WATCH_GAP_MILLISECONDS));
+    else if (this.isRosterDue()) await this.readRoster();
+    await this.readNext(Math.min(left, WATCH_MILLISECONDS));
+  }
+
+  /** Once, when all that started with this daemon have told their strength. */
+  private isRosterDue(): boolean {
+    const age = this.clock.monotonicMilliseconds() - this.startedAt;
+    return this.rosterReadFor === undefined && age > FIRST_START_MILLISECONDS;
+  }
+
+  /** False when the store did not answer. */
+  private async readRoster(): Promise<boolean> {
+    if (!(await this.roster.refresh())) return false;
+    this.rosterReadFor = this.changedAt;
+    return true;
+  }
+
   /** Short terms end soon after their holder is lost; a slow store can't renew them. */
   private termMilliseconds(): number {
     const answers = ANSWERS_IN_TERM * this.answerMilliseconds;
