Pools: VMs for what gathers until they come; room by the mean run time

Cause: at a turn's beginning the pool follows what arrives by a second and a half. And VMs for what arrives alone never catch up with the two seconds of work before them.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -91,6 +91,8 @@
   /** Notes how long a run that ended well took. */
   noteDuration(run: LiveRun, milliseconds: number): void {
     const {specification} = run.taskOfJob;
+    if (run.beganAt !== undefined)
+      this.demand.noteStartDelay(run.beganAt - run.plannedAt);
     const {longRunning, estimatedMilliseconds} = specification;
     if (longRunning || estimatedMilliseconds <= 0) return;
     const {queue} = run.execution.job;
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -20,6 +20,9 @@
  */
 const SLOWEST_SHARE = 0.5;
 
+/** Runs whose way from plan to start is remembered. */
+const MEMORY_STARTS = 200;
+
 /** Work that arrives for a service. */
 interface ServiceRate {
   readonly meter: DemandMeter;
@@ -32,6 +35,8 @@
   private readonly spreads = new Map<string, SiblingSpread>();
   private room: VmRoom | undefined;
   private readonly rates = new Map<string, ServiceRate>();
+  /** Milliseconds for which a run takes room before it begins. */
+  private readonly startDelay = new RunningMean(MEMORY_STARTS);
   private readonly meanWork = new Map<string, RunningMean>();
 
   /** Notes the room of the workers: what a task takes away depends on it. */
@@ -63,6 +68,11 @@
     this.spreadOf(queue).note(stepKey, step.taskCount, milliseconds);
   }
 
+  /** Notes how long a run took room before it began: its record was stored, its order sent. */
+  noteStartDelay(milliseconds: number): void {
+    this.startDelay.note(milliseconds);
+  }
+
   /** Time to expect until all tasks of `step` have ended that start together, in milliseconds. */
   stepTime(queue: string, step: StepSpecification): number {
     const slowest = this.spreadOf(queue).slowestFactor(step.taskCount);
@@ -72,7 +82,9 @@
 
   /** Millicores times milliseconds to expect of a task of `step`. */
   taskWork(queue: string, step: StepSpecification): number {
-    return occupiedMillicores(step, this.room) * this.expectedTime(queue, step);
+    const mean = this.durationsOf(queue).mean(step.estimatedMilliseconds);
+    const time = mean + this.startDelay.value;
+    return occupiedMillicores(step, this.room) * time;
   }
 
   private durationsOf(queue: string): DurationModel {
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -56,6 +56,10 @@
   readonly spareVmsUnderPressure: number;
   /** Room that a pool has for each unit of demand: tasks don't fill VMs to the brim, and rates are guesses. */
   readonly headroom: number;
+  /** A VM that is ordered now takes work after about this. */
+  readonly leadMilliseconds: number;
+  /** What gathers until the VMs come is worked off within this, so that callers of a turn's beginning are in time. */
+  readonly catchUpMilliseconds: number;
   /** Most VMs that are fetched for one pool at a time, where the share below is not more. */
   readonly maximumArriving: number;
   /** The same as a share of all VMs that take work or may: a burst asks for as large a part of any fleet. */
@@ -70,6 +74,8 @@
   spareVms: 2,
   spareVmsUnderPressure: 1,
   headroom: 1.1,
+  leadMilliseconds: 2_000,
+  catchUpMilliseconds: 2_000,
   maximumArriving: 12,
   maximumArrivingShare: 0.5,
 };
@@ -111,12 +117,27 @@
   if (pool.standby) return 0;
   const demand = Math.max(
     pool.usedMillicores + pool.waitingMillicores,
-    pool.arrivingMillicores,
+    demandWhenVmsCome(pool, options),
   );
   const vms = (demand * options.headroom) / Math.max(1, pool.vmMillicores);
   return Math.max(Math.ceil(vms) + options.spareVms, pool.spreadVms);
 }
 
+/**
+ * Demand at the time when VMs that are ordered now take work: what arrives, and what has gathered until then.
+ * Load: the beginning of a turn, many times what the pool holds. VMs for what arrives alone never catch up with
+ * the two seconds of work that came before them, and the callers of the first half of a turn are late.
+ */
+function demandWhenVmsCome(
+  {arrivingMillicores, usable, vmMillicores}: PlannedPool,
+  {leadMilliseconds, catchUpMilliseconds}: PoolPlanOptions,
+): number {
+  const lacking = Math.max(0, arrivingMillicores - usable * vmMillicores);
+  return (
+    arrivingMillicores + (lacking * leadMilliseconds) / catchUpMilliseconds
+  );
+}
+
 interface Giver extends PlannedVm {
   readonly from: PlannedPool;
 }
