Shares when a pool is full: work beyond an organisation's share goes behind

Cause: where a pool has no room for all, jobs of an organisation that sends several times its usual took as much of it as there were of them, and everybody was late. Change: three ways behind one interface (ShareOrder): the order that stands, always the organisation with least of the pool for its weight, and the order that stands with what is beyond a share behind; by weight, over processor and memory together, for each pool, within each class of what jobs are still worth. The third is wired: it changes nothing while nobody is beyond a share.

--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {JobExecution, JobState} from '@gentiandoor/jobs';
 import {VirtualClock} from '@gentiandoor/kernel';
+import {NO_LIMIT, StandingOrder} from '@gentiandoor/organisations';
 import {FullestFirst} from '@gentiandoor/scheduling';
 import {Dispatcher} from '../dispatcher.js';
 import {ServiceDemand} from '../service-demand.js';
@@ -23,9 +24,16 @@
         queueOf: () => undefined,
         mayOrder: () => true,
         mayStart: () => true,
+        claimsOn: (_service, _waiting, pool) => ({
+          pool,
+          totalWeight: 1,
+          weightOf: () => 1,
+          usedBy: () => NO_LIMIT,
+        }),
         launch: () => undefined,
       },
       new FullestFirst(),
+      new StandingOrder(),
       new ServiceDemand(),
       clock,
     );
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -19,6 +19,11 @@
   type TaskProgress,
 } from '@gentiandoor/jobs';
 import {FullestFirst, OrderWindow, WorkerTrust} from '@gentiandoor/scheduling';
+import {
+  BeyondShareBehind,
+  type PoolClaims,
+  type RoomAmount,
+} from '@gentiandoor/organisations';
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
@@ -117,7 +122,13 @@
       metrics: parts.metrics,
     });
     const demand = new ServiceDemand();
-    this.dispatcher = new Dispatcher(this, new FullestFirst(), demand, clock);
+    this.dispatcher = new Dispatcher(
+      this,
+      new FullestFirst(),
+      new BeyondShareBehind(),
+      demand,
+      clock,
+    );
     this.suspicion = new WorkerSuspicion(this.trust, clock, parts.logger);
     this.retention = new JobRetention(clock, settings.limits.stateKept, jobId =>
       this.dropJob(jobId),
@@ -224,6 +235,14 @@
     return this.rooms.mayStart(execution, tasks, service);
   }
 
+  claimsOn(
+    service: string,
+    waiting: ReadonlySet<string>,
+    pool: RoomAmount,
+  ): PoolClaims {
+    return this.rooms.claimsOn(service, waiting, pool);
+  }
+
   launch(session: WorkerSession, run: LiveRun): void {
     this.window.begin();
     session.expect(run);
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,5 +1,11 @@
 import type {Clock, Timer} from '@gentiandoor/kernel';
 import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import {
+  sum,
+  type PoolClaims,
+  type RoomAmount,
+  type ShareOrder,
+} from '@gentiandoor/organisations';
 import {
   ServiceTurns,
   orderWaiting,
@@ -35,6 +41,12 @@
     tasks: readonly ExecutableTask[],
     service: string,
   ): boolean;
+  /** Claims of organisations on the pool of a service, of those that wait at least. */
+  claimsOn(
+    service: string,
+    waiting: ReadonlySet<string>,
+    pool: RoomAmount,
+  ): PoolClaims;
   /** Stores the run, then orders it. */
   launch(session: WorkerSession, run: LiveRun): void;
 }
@@ -65,6 +77,7 @@
   constructor(
     private readonly host: DispatchHost,
     private readonly choice: WorkerChoice,
+    private readonly shares: ShareOrder,
     private readonly demand: ServiceDemand,
     private readonly clock: Clock,
   ) {
@@ -191,7 +204,7 @@
       now,
     );
     let misses = 0;
-    for (const candidate of ordered) {
+    for (const candidate of this.arrange(service, ordered, sessions)) {
       const gaveUp = misses >= MISSES_BEFORE_GIVING_UP;
       misses += this.placeCandidate(
         {service, round, count, now, gaveUp},
@@ -201,6 +214,21 @@
     this.loads.set(service, count.load(this.loadOf(service), now));
   }
 
+  /** Each class of what jobs are still worth in the order of shares: by shares alone late jobs would go ahead of ones that can be in time. */
+  private *arrange(
+    service: string,
+    ordered: readonly Candidate[],
+    sessions: readonly WorkerSession[],
+  ): Iterable<Candidate> {
+    const waiting = new Set<string>();
+    for (const {organisation, weight} of ordered)
+      if (organisation !== undefined && weight > 0) waiting.add(organisation);
+    const pool = sum(sessions.map(({entry}) => entry.room));
+    const claims = this.host.claimsOn(service, waiting, pool);
+    for (const jobs of classesOf(ordered))
+      yield* this.shares.arrange(jobs, claims);
+  }
+
   /** Places what of a job has room; returns how many of its steps found none. */
   private placeCandidate(turn: PlacementTurn, candidate: Candidate): number {
     const {service, round, count, now, gaveUp} = turn;
@@ -307,3 +335,14 @@
   /** Too many steps have found no room: the rest only counts as waiting. */
   readonly gaveUp: boolean;
 }
+
+/** Jobs by rank, each class in the order in which they come. */
+function classesOf(ordered: readonly Candidate[]): Iterable<Candidate[]> {
+  const classes = new Map<number, Candidate[]>();
+  for (const candidate of ordered) {
+    const same = classes.get(candidate.rank);
+    if (same) same.push(candidate);
+    else classes.set(candidate.rank, [candidate]);
+  }
+  return classes.values();
+}
--- a/packages/coordinator/src/organisation-rooms.ts
+++ b/packages/coordinator/src/organisation-rooms.ts
@@ -10,6 +10,7 @@
   NO_LIMIT,
   OrganisationLabels,
   RoomLedger,
+  type PoolClaims,
   type RoomAmount,
 } from '@gentiandoor/organisations';
 import {runName, type LiveRun} from './live-run.js';
@@ -33,6 +34,8 @@
 /** Holds every organisation within its limit of room, over all services. */
 export class OrganisationRooms {
   private readonly ledger = new RoomLedger();
+  /** The same for each service alone: shares are those of its pool. */
+  private readonly byService = new Map<string, RoomLedger>();
   /** Services with work that waits for an organisation's limit. */
   private readonly waiting = new Map<string, Set<string>>();
   private readonly toldAt = new Map<string, number>();
@@ -44,13 +47,20 @@
   begin(run: LiveRun): void {
     const {organisation} = run.execution.job;
     if (organisation === undefined) return;
-    this.ledger.take(runName(run), organisation, run.taskOfJob.specification);
+    const {specification} = run.taskOfJob;
+    this.ledger.take(runName(run), organisation, specification);
+    this.ledgerOf(run.execution.job.service).take(
+      runName(run),
+      organisation,
+      specification,
+    );
     this.show(organisation);
   }
 
   /** The run is over; returns the services whose work may have waited for it. */
   end(run: LiveRun): Iterable<string> {
     const organisation = this.ledger.release(runName(run));
+    this.ledgerOf(run.execution.job.service).release(runName(run));
     if (organisation === undefined) return NOWHERE;
     this.show(organisation);
     const services = this.waiting.get(organisation) ?? NOWHERE;
@@ -90,9 +100,32 @@
     );
   }
 
-  /** What an organisation has under way, as far as it may be alive. */
-  usedBy(organisation: string): RoomAmount {
-    return this.ledger.usedBy(organisation);
+  /** Claims on the pool of `service` of the organisations that have work there. */
+  claimsOn(
+    service: string,
+    waiting: ReadonlySet<string>,
+    pool: RoomAmount,
+  ): PoolClaims {
+    const ledger = this.ledgerOf(service);
+    const names = new Set([...waiting, ...ledger.organisations()]);
+    let totalWeight = 0;
+    for (const name of names) totalWeight += this.weightOf(name);
+    return {
+      pool,
+      totalWeight,
+      weightOf: name => this.weightOf(name),
+      usedBy: name => ledger.usedBy(name),
+    };
+  }
+
+  private ledgerOf(service: string): RoomLedger {
+    let ledger = this.byService.get(service);
+    if (!ledger) this.byService.set(service, (ledger = new RoomLedger()));
+    return ledger;
+  }
+
+  private weightOf(organisation: string): number {
+    return this.parts.operators.organisations.find(organisation)?.weight ?? 0;
   }
 
   private limitOf(organisation: string): RoomAmount {
--- a/packages/organisations/src/index.ts
+++ b/packages/organisations/src/index.ts
@@ -6,3 +6,4 @@
 export * from './organisation-book.js';
 export * from './organisation-labels.js';
 export * from './room-ledger.js';
+export * from './share-order.js';
--- a/packages/organisations/src/room-ledger.ts
+++ b/packages/organisations/src/room-ledger.ts
@@ -35,11 +35,12 @@
     this.entries.delete(runName);
     const {organisation, amount} = entry;
     const left = difference(this.usedBy(organisation), amount);
-    this.sums.set(organisation, left);
+    if (isNothing(left)) this.sums.delete(organisation);
+    else this.sums.set(organisation, left);
     return organisation;
   }
 
-  /** Organisations of which runs have been counted. */
+  /** Organisations of which runs are counted. */
   organisations(): Iterable<string> {
     return this.sums.keys();
   }
