Catching up leaves out chance; a successor goes on with what was learned

Two changes that share a file. Change: what the rate may be off by chance is not caught up on. (2) Cause: each new coordinator began with the callers' estimates, which are off by half, in the middle of turns. Change: run times, spreads and mean work are kept in the store each two seconds when they have changed, and read by a successor; a record that is not whole is left out. Tests: both; learned figures survive a change of coordinator, chance fetches nothing.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/learned-figures.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {LogEvent, VirtualClock} from '@gentiandoor/kernel';
+import {LogStream} from '../index.js';
+import {LearnedFigures} from '../learned-figures.js';
+import {ServiceDemand} from '../service-demand.js';
+import {MemoryStore, StoreFault} from '../stand-ins/index.js';
+import {EventCounts, job, step} from './deployment.js';
+
+const QUEUE = 'quotes';
+const ESTIMATED = step({estimatedMilliseconds: 3_000, taskCount: 4});
+const RUN_MILLISECONDS = 700;
+
+function setUp() {
+  const clock = new VirtualClock();
+  const store = new MemoryStore(clock);
+  const logger = new EventCounts();
+  const coordinator = () => {
+    const demand = new ServiceDemand();
+    const connection = store.connect();
+    const parts = {log: connection, clock, logger};
+    return {demand, connection, learned: new LearnedFigures(parts, demand)};
+  };
+  return {clock, store, logger, coordinator};
+}
+
+function teach(demand: ServiceDemand): void {
+  demand.note('service', {...job('a', [ESTIMATED]), queue: QUEUE}, 0);
+  for (let index = 0; index < 40; index++)
+    demand.noteDuration(
+      QUEUE,
+      ESTIMATED,
+      `step-${index >> 2}`,
+      RUN_MILLISECONDS,
+    );
+  demand.noteStartDelay(120);
+}
+
+describe('LearnedFigures', () => {
+  // The coordinator is lost in the middle of a turn. Its successor reckons with the callers' estimates, four
+  // times too long here: it orders jobs and sizes pools by them until a second of its own runs has ended.
+  it('hands what was learned of run times to the next coordinator', async () => {
+    const {clock, coordinator} = setUp();
+    const first = coordinator();
+    teach(first.demand);
+    first.learned.start();
+    await clock.advanceAsync(2_500);
+    first.learned.close();
+    const second = coordinator();
+    const loaded = second.learned.load();
+    await clock.advanceAsync(50);
+    await loaded;
+    const expected = second.demand.expectedTime(QUEUE, ESTIMATED);
+    assert.ok(Math.abs(expected - RUN_MILLISECONDS) < 1, `${expected} ms`);
+    assert.deepEqual(second.demand.snapshot(), first.demand.snapshot());
+  });
+
+  it('writes only when something new was learned', async () => {
+    const {clock, store, coordinator} = setUp();
+    const {demand, learned} = coordinator();
+    teach(demand);
+    learned.start();
+    await clock.advanceAsync(20_000);
+    learned.close();
+    assert.equal(store.calls.append, 1);
+  });
+
+  it('begins with the estimates when the store does not answer', async () => {
+    const {clock, coordinator} = setUp();
+    const {demand, connection, learned} = coordinator();
+    connection.setFault(StoreFault.Refusing);
+    const loaded = learned.load();
+    await clock.advanceAsync(50);
+    await loaded;
+    assert.equal(demand.expectedTime(QUEUE, ESTIMATED), 3_000);
+  });
+
+  for (const [what, value] of [
+    ['cut short', '{"startDelay":{'],
+    ['without figures', '{"startDelay":{"count":1,"mean":2}}'],
+    [
+      'with a figure that is none',
+      '{"startDelay":{"count":1,"mean":null},"durations":[],"spreads":[],"work":[]}',
+    ],
+  ])
+    it(`leaves out a record that is ${what}`, async () => {
+      const {clock, store, logger, coordinator} = setUp();
+      store.write(LogStream.Fleet, {
+        key: 'learned',
+        value: Buffer.from(value),
+      });
+      const {demand, learned} = coordinator();
+      const loaded = learned.load();
+      await clock.advanceAsync(50);
+      await loaded;
+      assert.equal(demand.expectedTime(QUEUE, ESTIMATED), 3_000);
+      assert.equal(logger.of(LogEvent.RecordUnreadable), 1);
+    });
+});
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -27,6 +27,7 @@
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetKeeper, type FleetHost} from './fleet-keeper.js';
+import {LearnedFigures} from './learned-figures.js';
 import {RunStatus, newLiveRun, taskName, type LiveRun} from './live-run.js';
 import {KeepOutcome} from './grouped-appender.js';
 import {JobRetention} from './job-retention.js';
@@ -94,6 +95,7 @@
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
   private readonly rooms: OrganisationRooms;
+  private readonly learned: LearnedFigures;
   private readonly fleet: FleetKeeper;
   private closed = false;
   private recovered = false;
@@ -129,6 +131,7 @@
       demand,
       clock,
     );
+    this.learned = new LearnedFigures(parts, demand);
     this.suspicion = new WorkerSuspicion(this.trust, clock, parts.logger);
     this.retention = new JobRetention(clock, settings.limits.stateKept, jobId =>
       this.dropJob(jobId),
@@ -156,7 +159,7 @@
     // The log is closed to earlier terms: what a read brings from now on is all that they ordered.
     while (!this.closed && !(await this.parts.jobs.refresh()))
       await sleep(this.parts.clock, RETRY_MILLISECONDS);
-    await this.registry.load();
+    await Promise.all([this.registry.load(), this.learned.load()]);
     if (this.closed) return;
     this.parts.table.listen({
       submitted: job => this.addJob(job),
@@ -172,6 +175,7 @@
     });
     this.registry.start();
     this.fleet.start();
+    this.learned.start();
     this.retention.start();
     await this.followJobs();
   }
@@ -183,6 +187,7 @@
     this.writer.close();
     this.dispatcher.close();
     this.fleet.close();
+    this.learned.close();
     this.registry.close();
     this.retention.close();
   }
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -207,6 +207,7 @@
           : Math.max(1, now - load.waitingSince),
       spreadVms: load.spreadVms,
       arrivingMillicores: this.demand.arrivingMillicores(name, now),
+      chanceMillicores: this.demand.chanceMillicores(name, now),
       arriving: this.arrivingAt(name, members),
       usable: sessions.length,
       vms: members
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -6,6 +6,8 @@
   RunningMean,
   SiblingSpread,
   occupiedMillicores,
+  type DurationSnapshot,
+  type MeanSnapshot,
   type VmRoom,
 } from '@gentiandoor/scheduling';
 
@@ -29,6 +31,14 @@
   readonly hold: PeakHold;
 }
 
+/** What is learned of the work, by queue. */
+export interface LearnedDemand {
+  readonly startDelay: MeanSnapshot;
+  readonly durations: ReadonlyArray<[string, DurationSnapshot]>;
+  readonly spreads: ReadonlyArray<[string, MeanSnapshot]>;
+  readonly work: ReadonlyArray<[string, MeanSnapshot]>;
+}
+
 /** What is learned of the work that comes for each service. */
 export class ServiceDemand {
   private readonly durations = new Map<string, DurationModel>();
@@ -57,6 +67,11 @@
     return hold.note(meter.millicores(now), now);
   }
 
+  /** Millicores by which that lies off by chance. */
+  chanceMillicores(service: string, now: number): number {
+    return this.rateOf(service).meter.chanceMillicores(now);
+  }
+
   /** Notes how long a task of `step` took that ended well; `stepKey` names its step of the occurrence. */
   noteDuration(
     queue: string,
@@ -87,6 +102,24 @@
     return occupiedMillicores(step, this.room) * time;
   }
 
+  /** What was learned so far, for a successor. */
+  snapshot(): LearnedDemand {
+    return {
+      startDelay: this.startDelay.snapshot,
+      durations: snapshotsIn(this.durations),
+      spreads: snapshotsIn(this.spreads),
+      work: snapshotsIn(this.meanWork),
+    };
+  }
+
+  /** Goes on from what another coordinator has learned. */
+  restore({startDelay, durations, spreads, work}: LearnedDemand): void {
+    this.startDelay.restore(startDelay);
+    for (const [queue, one] of durations) this.durationsOf(queue).restore(one);
+    for (const [queue, one] of spreads) this.spreadOf(queue).restore(one);
+    for (const [queue, one] of work) this.meanWorkOf(queue).restore(one);
+  }
+
   private durationsOf(queue: string): DurationModel {
     let model = this.durations.get(queue);
     if (!model) this.durations.set(queue, (model = new DurationModel()));
@@ -132,3 +165,9 @@
       );
   }
 }
+
+function snapshotsIn<Snapshot>(
+  learned: ReadonlyMap<string, {readonly snapshot: Snapshot}>,
+): Array<[string, Snapshot]> {
+  return [...learned].map(([queue, {snapshot}]) => [queue, snapshot]);
+}
--- a/packages/coordinator/src/wave-progress.ts
+++ b/packages/coordinator/src/wave-progress.ts
@@ -8,7 +8,6 @@
   ReadOutcome,
   type RecordLog,
 } from './record-log.js';
-import {isVmOrderKey} from './vm-orders.js';
 
 /** What the progress of waves is built from. */
 export interface WaveParts {
@@ -25,6 +24,8 @@
 }
 
 const RETRY_MILLISECONDS = 200;
+/** The number of a wave; other keys of the stream are of other matters. */
+const WAVE_KEY = /^\d+$/;
 
 /** Which VMs of which waves have had their maintenance, kept in the store. */
 export class WaveProgress {
@@ -46,7 +47,7 @@
     const result = await this.parts.log.newest(LogStream.Fleet);
     if (result.outcome !== ReadOutcome.Read) return;
     for (const record of result.records)
-      if (!isVmOrderKey(record.key)) this.restore(record);
+      if (WAVE_KEY.test(record.key)) this.restore(record);
     this.loaded = true;
   }
 
--- a/packages/scheduling/src/__tests__/pool-plan.test.ts
+++ b/packages/scheduling/src/__tests__/pool-plan.test.ts
@@ -34,6 +34,7 @@
     waitingMillicores: 0,
     waitingMilliseconds: 0,
     arrivingMillicores: 0,
+    chanceMillicores: 0,
     spreadVms: 0,
     arriving: 0,
     usable: 0,
@@ -86,6 +87,7 @@
       usedMillicores: running.length * VM_MILLICORES,
       waitingMillicores: waiting.length * VM_MILLICORES,
       arrivingMillicores: meter.millicores(now),
+      chanceMillicores: meter.chanceMillicores(now),
     });
     const spare = pool({
       service: 'spare',
@@ -138,6 +140,19 @@
       assert.ok(moves.every(move => move.to === 'quotes'));
     });
 
+    // Jobs that ask for a whole VM each come a few a second. Two more than usual fetch VMs that are not needed by
+    // the time they come, and each move ends what it was worth.
+    it('fetches nothing more for what may be chance', () => {
+      const quotes = pool({
+        usable: 4,
+        arrivingMillicores: 5 * VM_MILLICORES,
+        chanceMillicores: 2 * VM_MILLICORES,
+      });
+      const wanted =
+        Math.ceil(5 * DEFAULT_POOL_PLAN.headroom) + DEFAULT_POOL_PLAN.spareVms;
+      assert.equal(planPools([quotes, SPARE]).moves.length, wanted - 4);
+    });
+
     it('does not fetch again what is on its way', () => {
       const quotes = pool({
         usable: 2,
--- a/packages/scheduling/src/demand-meter.ts
+++ b/packages/scheduling/src/demand-meter.ts
@@ -28,6 +28,13 @@
     this.buckets.set(index, bucket);
   }
 
+  /** Millicores by which the rate lies off by chance: so many jobs come like that anyway. */
+  chanceMillicores(now: number): number {
+    const newest = Math.floor(now / BUCKET_MILLISECONDS);
+    const {work, jobs} = this.between(newest - WINDOW_BUCKETS, newest);
+    return work / Math.sqrt(Math.max(1, jobs)) / WINDOW_MILLISECONDS;
+  }
+
   /** Millicores that work which arrives at the present rate keeps busy. */
   millicores(now: number): number {
     const newest = Math.floor(now / BUCKET_MILLISECONDS);
--- a/packages/scheduling/src/duration-model.ts
+++ b/packages/scheduling/src/duration-model.ts
@@ -5,6 +5,16 @@
 /** Estimates and run times under this are taken as this: the logarithm of 0 says nothing. */
 const LEAST_MILLISECONDS = 1;
 
+/** What a model has learned, for a successor. */
+export interface DurationSnapshot {
+  readonly weight: number;
+  readonly meanEstimate: number;
+  readonly meanActual: number;
+  readonly variance: number;
+  readonly covariance: number;
+  readonly actualVariance: number;
+}
+
 /**
  * Learns how estimated run times of a queue's tasks stand to the real ones.
  * Load: callers whose estimates are off by a factor, each queue in its own way. Without it jobs are
@@ -19,6 +29,29 @@
   private covariance = 0;
   private actualVariance = 0;
 
+  get snapshot(): DurationSnapshot {
+    const {weight, meanEstimate, meanActual} = this;
+    const {variance, covariance, actualVariance} = this;
+    return {
+      weight,
+      meanEstimate,
+      meanActual,
+      variance,
+      covariance,
+      actualVariance,
+    };
+  }
+
+  /** Goes on from what another one has learned. */
+  restore(snapshot: DurationSnapshot): void {
+    this.weight = snapshot.weight;
+    this.meanEstimate = snapshot.meanEstimate;
+    this.meanActual = snapshot.meanActual;
+    this.variance = snapshot.variance;
+    this.covariance = snapshot.covariance;
+    this.actualVariance = snapshot.actualVariance;
+  }
+
   /** Notes a run that ended well. */
   note(estimatedMilliseconds: number, actualMilliseconds: number): void {
     const estimate = logarithm(estimatedMilliseconds);
--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -11,6 +11,8 @@
   readonly waitingMilliseconds: number;
   /** Millicores that work which arrives at the present rate keeps busy. */
   readonly arrivingMillicores: number;
+  /** Millicores by which that lies off by chance. */
+  readonly chanceMillicores: number;
   /** VMs that work which waits needs since its tasks may not share them; 0 for none. */
   readonly spreadVms: number;
   /** VMs that are on their way into it. */
@@ -129,10 +131,12 @@
  * the two seconds of work that came before them, and the callers of the first half of a turn are late.
  */
 function demandWhenVmsCome(
-  {arrivingMillicores, usable, vmMillicores}: PlannedPool,
+  {arrivingMillicores, chanceMillicores, usable, vmMillicores}: PlannedPool,
   {leadMilliseconds, catchUpMilliseconds}: PoolPlanOptions,
 ): number {
-  const lacking = Math.max(0, arrivingMillicores - usable * vmMillicores);
+  // A few jobs that come together by chance are worked off by the VMs that are there.
+  const certain = arrivingMillicores - chanceMillicores;
+  const lacking = Math.max(0, certain - usable * vmMillicores);
   return (
     arrivingMillicores + (lacking * leadMilliseconds) / catchUpMilliseconds
   );
--- a/packages/scheduling/src/sibling-spread.ts
+++ b/packages/scheduling/src/sibling-spread.ts
@@ -1,4 +1,4 @@
-import {RunningMean} from './running-mean.js';
+import {RunningMean, type MeanSnapshot} from './running-mean.js';
 
 /** Steps that are remembered: a few seconds of a queue's turn. */
 const MEMORY_STEPS = 60;
@@ -26,6 +26,16 @@
   private readonly excess = new RunningMean(MEMORY_STEPS);
   private steps = 0;
 
+  get snapshot(): MeanSnapshot {
+    return {count: this.steps, mean: this.excess.value};
+  }
+
+  /** Goes on from what another one has learned. */
+  restore(snapshot: MeanSnapshot): void {
+    this.steps = snapshot.count;
+    this.excess.restore(snapshot);
+  }
+
   /** Notes the run time of one of a step's `taskCount` tasks. */
   note(stepKey: string, taskCount: number, milliseconds: number): void {
     if (taskCount < LEAST_TASKS) return;
