A job that can never run within its organisation's limit is refused at once

Cause: a task, or a gang, larger than the limit was taken in and waited for ever. The test of that took the job in under the low limit; now it lowers the limit after the intake, and one more task than before has to end.

--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -70,6 +70,8 @@
 const REFUSALS: Readonly<Record<string, string>> = {
   refused: 'refused: the store had done nothing, the job never runs',
   unknown: 'answered as in doubt: the store may have taken it',
+  over_limit:
+    'refused: it asks for more at once than its organisation may ever have',
   id_in_use: 'refused: its id is that of another job',
 };
 
--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -134,20 +134,21 @@
     this.workers = deployment.workers.connect(link);
     this.jobs = new JobStreams(this.store, this.table, clock, logger);
     const submissions = new SubmissionLog(this.store, clock);
+    this.operators = new OperatorView(
+      this.store,
+      new PlainFormats(),
+      clock,
+      logger,
+    );
     this.desk = new JobFrontDesk(
       this.table,
       this.jobs,
       submissions,
+      this.operators.organisations,
       clock,
       logger,
       new MemoryMetrics(),
     );
-    this.operators = new OperatorView(
-      this.store,
-      new PlainFormats(),
-      clock,
-      logger,
-    );
     this.parts = {
       settings: simulatedSettings(node),
       log: this.store,
--- a/packages/coordinator/src/__tests__/organisation-limit.test.ts
+++ b/packages/coordinator/src/__tests__/organisation-limit.test.ts
@@ -164,11 +164,12 @@
     assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
   });
 
-  it('lets tasks that were taken in run one by one when it is below their size', async () => {
-    const deployment = new LimitedDeployment(3, 0.5);
+  it('lets tasks that were taken in run one by one when it is lowered below their size', async () => {
+    const deployment = new LimitedDeployment(3, 1);
     const daemon = await deployment.startDaemon('one');
-    await deployment.submit(daemon, jobOf('advisers', 'advice', 3));
-    await deployment.run(4_000);
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 6));
+    deployment.setLimit(0.5);
+    await deployment.run(8_000);
     assert.equal(deployment.mostOf('advice'), 1);
     const answer = await deployment.answerOf(daemon, 'advice');
     assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
@@ -186,6 +187,24 @@
     assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
   });
 
+  // A job that can never run would be taken in, wait for ever and be shown as queued; its caller learns nothing.
+  it('refuses at once what is larger than it, and says so', async () => {
+    const deployment = new LimitedDeployment(3, 4);
+    const daemon = await deployment.startDaemon('one');
+    const large = jobOf('advisers', 'large', 1, {processorMillicores: 5_000});
+    const gang = jobOf('advisers', 'gang', 5, {gang: true});
+    const wide = jobOf('advisers', 'wide', 5);
+    const answers = [large, gang, wide].map(one =>
+      daemon.desk.submit(one, BOUND),
+    );
+    await deployment.run(50);
+    assert.deepEqual(await Promise.all(answers), [
+      SubmitAnswer.OverLimit,
+      SubmitAnswer.OverLimit,
+      SubmitAnswer.Taken,
+    ]);
+  });
+
   it('stays that of the last configuration for one that has left it', async () => {
     const deployment = new LimitedDeployment(3, 4);
     const daemon = await deployment.startDaemon('one');
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -14,9 +14,13 @@
   type JobSubmission,
 } from '@gentiandoor/jobs';
 import {
+  NO_LIMIT,
   OrganisationLabels,
+  canEverRun,
   maySee,
   type Caller,
+  type OrganisationBook,
+  type RoomAmount,
 } from '@gentiandoor/organisations';
 import {KeepOutcome} from './grouped-appender.js';
 import type {JobStreams} from './job-streams.js';
@@ -31,6 +35,8 @@
   Unknown = 'unknown',
   /** Its id is that of a job which the caller may not see; nothing was taken. */
   IdInUse = 'id_in_use',
+  /** It asks for more at once than its organisation may ever have. */
+  OverLimit = 'over_limit',
 }
 
 /** Answer to a question about a job, or to a cancellation. */
@@ -60,6 +66,7 @@
     private readonly table: JobTable,
     private readonly streams: JobStreams,
     private readonly submissions: SubmissionLog,
+    private readonly organisations: OrganisationBook,
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly metrics: Metrics,
@@ -93,6 +100,10 @@
       return known.submission.organisation === job.organisation
         ? SubmitAnswer.Taken
         : SubmitAnswer.IdInUse;
+    if (!canEverRun(job.steps, this.limitOf(job))) {
+      this.noteAnswer(job, SubmitAnswer.OverLimit, 0);
+      return SubmitAnswer.OverLimit;
+    }
     const started = this.clock.monotonicMilliseconds();
     const outcome = await this.submissions.keep(
       job.id,
@@ -107,6 +118,11 @@
     return answer;
   }
 
+  private limitOf({organisation}: JobSubmission): RoomAmount {
+    if (organisation === undefined) return NO_LIMIT;
+    return this.organisations.find(organisation)?.limit ?? NO_LIMIT;
+  }
+
   private noteAnswer(
     job: JobSubmission,
     answer: SubmitAnswer,
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -137,8 +137,16 @@
     ),
     submissions: single(({log, clock}) => new SubmissionLog(log, clock)),
     desk: single(
-      ({table, jobs, submissions, clock, logger, metrics}) =>
-        new JobFrontDesk(table, jobs, submissions, clock, logger, metrics),
+      ({table, jobs, submissions, operators, clock, logger, metrics}) =>
+        new JobFrontDesk(
+          table,
+          jobs,
+          submissions,
+          operators.organisations,
+          clock,
+          logger,
+          metrics,
+        ),
     ),
     daemonReadiness: single(
       ({operators, desk, drainState}) =>
