Work that waited for an unknown limit starts once it is known again

Cause, found by reading: a coordinator that could not read the operators' records refused starts of organisations, and where nothing of the organisation ran no end of a run brought another look; the job waited until something else woke its service. Test: two tasks start within 1.5 s of the records being readable again; they did not without the change. Besides: a VM's unknown worker is timed by its incarnation, not by the VM's name; a method of the job streams and a figure of the stand-in's link that nobody used are gone.

--- a/packages/coordinator/src/__tests__/organisation-limit.test.ts
+++ b/packages/coordinator/src/__tests__/organisation-limit.test.ts
@@ -164,6 +164,21 @@
     assert.deepEqual(answer, {kind: 'state', state: JobState.Completed});
   });
 
+  // The coordinator can't read the operators' records for some seconds, so it does not know the limit and starts
+  // nothing of the organisation. Then it can again: nothing else happens that would make it look at the job.
+  it('starts what waited once it is known again', async () => {
+    const deployment = new LimitedDeployment(3, 4);
+    const daemon = await deployment.startDaemon('one');
+    daemon.store.setFault(StoreFault.Refusing, LogStream.Operator);
+    await deployment.run(3_000);
+    await deployment.submit(daemon, jobOf('advisers', 'advice', 2));
+    await deployment.run(2_000);
+    assert.equal(deployment.begunRuns().length, 0);
+    daemon.store.setFault(undefined);
+    await deployment.run(1_500);
+    assert.equal(deployment.begunRuns().length, 2);
+  });
+
   it('lets tasks that were taken in run one by one when it is lowered below their size', async () => {
     const deployment = new LimitedDeployment(3, 1);
     const daemon = await deployment.startDaemon('one');
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -122,6 +122,7 @@
       clock,
       logger: parts.logger,
       metrics: parts.metrics,
+      wake: service => this.dispatcher.wake(service),
     });
     const demand = new ServiceDemand();
     this.dispatcher = new Dispatcher(
@@ -433,7 +434,7 @@
     worker: string,
   ): void {
     const {execution} = run;
-    this.releaseRoom(run);
+    this.rooms.end(run);
     const wasEnded = execution.ended;
     const queue = this.queueOf(execution);
     const effect = execution.endRun(
@@ -450,14 +451,10 @@
     if (run.taskOfJob.specification.gang && end === RunEnd.Done)
       this.registry
         .dropRunsOfStep(run)
-        .forEach(member => this.releaseRoom(member));
+        .forEach(member => this.rooms.end(member));
     this.writer.store(execution);
   }
 
-  private releaseRoom(run: LiveRun): void {
-    for (const service of this.rooms.end(run)) this.dispatcher.wake(service);
-  }
-
   private finish(execution: JobExecution): void {
     const {state} = execution.progress;
     this.log.jobEnded({
--- a/packages/coordinator/src/job-streams.ts
+++ b/packages/coordinator/src/job-streams.ts
@@ -55,11 +55,6 @@
     return this.allAnswered([this.progress, ...this.submissions]);
   }
 
-  /** Reads to the end what tells of jobs that were handed in. */
-  async refreshSubmissions(): Promise<boolean> {
-    return this.allAnswered(this.submissions);
-  }
-
   /** Reads the progress of jobs to its end. */
   refreshProgress(): Promise<boolean> {
     return this.refreshOne(this.progress);
--- a/packages/coordinator/src/organisation-rooms.ts
+++ b/packages/coordinator/src/organisation-rooms.ts
@@ -18,6 +18,8 @@
 
 /** Room for the way of an order after its limit was looked at. */
 const AGE_MARGIN_MILLISECONDS = 500;
+/** Work waits no longer than this once the limits are known again. */
+const LOOK_AGAIN_MILLISECONDS = 200;
 /** The line about an organisation at its limit comes once in this time. */
 const LINE_GAP_MILLISECONDS = 1_000;
 
@@ -29,6 +31,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Places what waits for a service. */
+  readonly wake: (service: string) => void;
 }
 
 /** Holds every organisation within its limit of room, over all services. */
@@ -38,6 +42,8 @@
   private readonly byService = new Map<string, RoomLedger>();
   /** Services with work that waits for an organisation's limit. */
   private readonly waiting = new Map<string, Set<string>>();
+  /** Services that are looked at again since a limit was not known. */
+  private readonly lookingAgain = new Set<string>();
   private readonly toldAt = new Map<string, number>();
   private readonly labels = new OrganisationLabels();
 
@@ -57,15 +63,15 @@
     this.show(organisation);
   }
 
-  /** The run is over; returns the services whose work may have waited for it. */
-  end(run: LiveRun): Iterable<string> {
+  /** The run is over; work of its organisation may have waited for that, also in other services. */
+  end(run: LiveRun): void {
     const organisation = this.ledger.release(runName(run));
     this.ledgerOf(run.execution.job.service).release(runName(run));
-    if (organisation === undefined) return NOWHERE;
+    if (organisation === undefined) return;
     this.show(organisation);
     const services = this.waiting.get(organisation) ?? NOWHERE;
     this.waiting.delete(organisation);
-    return services;
+    for (const service of services) this.parts.wake(service);
   }
 
   /** Whether tasks of a job may be started together now; what may not waits for the end of a run. */
@@ -78,8 +84,8 @@
     if (organisation === undefined) return true;
     const amounts = tasks.map(task => task.specification);
     const limit = this.limitOf(organisation);
-    if (this.isLimitKnown() && this.ledger.allows(organisation, limit, amounts))
-      return true;
+    if (!this.isLimitKnown()) this.lookAgainSoon(service);
+    else if (this.ledger.allows(organisation, limit, amounts)) return true;
     const services = this.waiting.get(organisation) ?? new Set();
     this.waiting.set(organisation, services.add(service));
     this.tell(organisation, limit);
@@ -140,6 +146,16 @@
     return operators.ageMilliseconds <= inForce - AGE_MARGIN_MILLISECONDS;
   }
 
+  /** Without it work of an organisation of which nothing runs waits for ever: no end of a run brings another look. */
+  private lookAgainSoon(service: string): void {
+    if (this.lookingAgain.has(service)) return;
+    this.lookingAgain.add(service);
+    this.parts.clock.schedule(LOOK_AGAIN_MILLISECONDS, () => {
+      this.lookingAgain.delete(service);
+      this.parts.wake(service);
+    });
+  }
+
   private show(organisation: string): void {
     this.parts.metrics.gauge(
       MetricName.OrganisationMillicores,
--- a/packages/coordinator/src/stand-ins/memory-store.ts
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -239,7 +239,7 @@
     this.store.calls.append++;
     const fault = this.faultOf(stream);
     const {clock} = this.store;
-    await this.link.carry('store', CALL_BYTES + bytesOf(records));
+    await this.link.carry(CALL_BYTES + bytesOf(records));
     await sleep(clock, this.answerMilliseconds);
     if (this.killed) return neverAnswered();
     if (fault === StoreFault.Refusing)
@@ -287,7 +287,7 @@
     result: Result,
   ): Promise<Result> {
     const records = 'records' in result ? result.records : [];
-    await this.link.carry('store', CALL_BYTES + bytesOf(records));
+    await this.link.carry(CALL_BYTES + bytesOf(records));
     return result;
   }
 
--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -126,7 +126,7 @@
     boundMilliseconds = SILENCE_MILLISECONDS,
   ): Promise<SimulatedWorker | undefined> {
     const {clock} = this.workers;
-    const takes = this.link.reserve('workers', bytes) + this.answerMilliseconds;
+    const takes = this.link.reserve(bytes) + this.answerMilliseconds;
     await sleep(clock, Math.min(takes, boundMilliseconds));
     const target = this.workers.byAddress.get(worker.address);
     const isCut = this.faults.get(worker.id) === WorkerFault.Cut;
--- a/packages/coordinator/src/wave-keeper.ts
+++ b/packages/coordinator/src/wave-keeper.ts
@@ -25,7 +25,7 @@
 /** Takes the VMs of waves through their maintenance, and long-running tasks off them before. */
 export class WaveKeeper {
   private readonly progress: WaveProgress;
-  /** Since when each VM has had no worker that is known. */
+  /** Since when each incarnation on a VM has had no entry. */
   private readonly unknownFrom = new Map<string, number>();
 
   constructor(
@@ -114,7 +114,7 @@
 
   private dueVm(vm: ListedVm, inDemand: boolean): DueVm {
     const session = this.sessionOn(vm);
-    if (session) this.unknownFrom.delete(vm.name);
+    if (session) this.unknownFrom.delete(vm.workerId);
     const runs = [...(session?.runs.values() ?? [])];
     const longRunning = runs.filter(
       run => run.taskOfJob.specification.longRunning,
@@ -136,8 +136,8 @@
    */
   private isSurelyEmpty(vm: ListedVm): boolean {
     if (this.parts.operators.service(vm.pool)?.standby) return true;
-    const from = this.unknownFrom.get(vm.name) ?? this.now();
-    this.unknownFrom.set(vm.name, from);
+    const from = this.unknownFrom.get(vm.workerId) ?? this.now();
+    this.unknownFrom.set(vm.workerId, from);
     return this.now() - from >= UNKNOWN_WORKER_MILLISECONDS;
   }
 
