--- a/packages/coordinator/src/__tests__/random-faults.test.ts
+++ b/packages/coordinator/src/__tests__/random-faults.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {playRandomFaults} from './random-faults.js';
+import {playLimitedFaults, playRandomFaults} from './random-faults.js';
 
 const SEEDS = Number(process.env.GENTIANDOOR_FAULT_SEEDS ?? 12);
 const FIRST_SEED = Number(process.env.GENTIANDOOR_FIRST_SEED ?? 1);
@@ -20,3 +20,19 @@
       assert.ok(run.started > 0);
     });
 });
+
+// The same faults with many jobs of an organisation that may run a few tasks at a time. Its callers' jobs
+// must all come to their end, and never may more of their tasks be alive than its limit allows: not beside late
+// orders, silent workers or runs that an earlier coordinator ordered.
+describe('random faults with a limit on an organisation', () => {
+  const limits = [2, 3, 5];
+  for (let index = 0; index < SEEDS; index++) {
+    const seed = FIRST_SEED + index;
+    const limit = limits[seed % limits.length];
+    it(`break no promise under seed ${seed}, limit ${limit}`, async () => {
+      const run = await playLimitedFaults(seed, limit);
+      assert.deepEqual(run.broken, []);
+      assert.ok(run.started > 0);
+    });
+  }
+});
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -1,9 +1,11 @@
 import {RunEnd} from '@gentiandoor/jobs';
 import {SeededRandom} from '@gentiandoor/kernel';
+import {NO_LIMIT} from '@gentiandoor/organisations';
 import {SubmitAnswer} from '../index.js';
 import {
   StoreFault,
   WorkerFault,
+  mostAtOnce,
   overlappingRuns,
   pairsOfRuns,
   type BegunRun,
@@ -45,16 +47,43 @@
   return new RandomFaults(seed).play();
 }
 
+/** The same with every other job of an organisation that may run so many tasks at a time. */
+export async function playLimitedFaults(
+  seed: number,
+  taskLimit: number,
+): Promise<RandomRun> {
+  return new RandomFaults(seed, taskLimit).play();
+}
+
+const ORGANISATION = 'advisers';
+const TASK_MILLICORES = 1_000;
+
 class RandomFaults {
   private readonly random: SeededRandom;
   private readonly deployment = new TestDeployment(WORKERS);
   private readonly daemons: TestDaemon[] = [];
   private readonly submitted: Submitted[] = [];
+  /** Jobs of the organisation with a limit. */
+  private readonly owned = new Set<string>();
   private incarnations = 0;
 
-  constructor(seed: number) {
+  constructor(
+    seed: number,
+    private readonly taskLimit?: number,
+  ) {
     this.random = new SeededRandom(seed);
     this.deployment.linkFleet();
+    if (taskLimit !== undefined) this.publishLimit(taskLimit);
+  }
+
+  private publishLimit(taskLimit: number): void {
+    const limit = {
+      ...NO_LIMIT,
+      processorMillicores: taskLimit * TASK_MILLICORES,
+    };
+    const organisation = {name: ORGANISATION, keys: [], weight: 1, limit};
+    this.deployment.organisations = [organisation];
+    this.deployment.publishConfiguration(2);
   }
 
   async play(): Promise<RandomRun> {
@@ -96,6 +125,9 @@
         longRunning,
       };
       this.submitted.push(submitted);
+      // Tasks that last would hold the limit for good.
+      if (this.taskLimit !== undefined && !longRunning && index % 2 === 0)
+        this.owned.add(id);
       this.submit(submitted, this.pickDaemon());
       // Callers ask again elsewhere when they hear nothing for certain.
       if (this.random.nextInteger(3) === 0)
@@ -118,9 +150,15 @@
       step({taskCount: submitted.tasks, longRunning: submitted.longRunning}),
     ];
     submitted.attempts++;
+    const organisation = this.owned.has(submitted.id)
+      ? ORGANISATION
+      : undefined;
     // A daemon that is killed never answers.
     void daemon.desk
-      .submit(job(submitted.id, steps), SUBMIT_BOUND_MILLISECONDS)
+      .submit(
+        {...job(submitted.id, steps), organisation},
+        SUBMIT_BOUND_MILLISECONDS,
+      )
       .then(answer => submitted.answers.push(answer));
   }
 
@@ -194,6 +232,7 @@
         ...this.runsAfterDone(runs),
         ...this.tooManyAttempts(runs),
         ...this.refusedAndRun(runs),
+        ...this.overLimit(runs),
         ...taken.flatMap(one => this.unfinished(one, runs)),
       ],
       started: runs.length,
@@ -241,6 +280,15 @@
       );
   }
 
+  private overLimit(runs: readonly BegunRun[]): string[] {
+    const {taskLimit = Infinity} = this;
+    const owned = runs.filter(run => this.owned.has(run.task.split('.')[0]));
+    const most = mostAtOnce(owned);
+    return most > taskLimit
+      ? [`${most} tasks of the organisation at once, limit ${taskLimit}`]
+      : [];
+  }
+
   private refusedAndRun(runs: readonly BegunRun[]): string[] {
     return this.submitted
       .filter(one => one.attempts === one.answers.length)
