--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -49,8 +49,6 @@
     `${REFUSALS[text(line, 'answer')] ?? text(line, 'answer')}${ownerIn(line)}, after ${whole(line, 'milliseconds')} ms`,
   [LogEvent.CallRefused]: line =>
     `${text(line, 'method')} not let in, ${text(line, 'reason')}: the configuration was ${whole(line, 'configurationAgeMilliseconds')} ms old`,
-  [LogEvent.OrganisationOverShare]: line =>
-    `refused${ownerIn(line)}: it has more waiting than its share of the room runs in time`,
   [LogEvent.JobCancelAsked]: line =>
     `asked to cancel: ${text(line, 'outcome')}`,
   [LogEvent.JobEnded]: line => `the job is ${text(line, 'state')}`,
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -215,10 +215,6 @@
     'Work of an organisation waits since more would be over its limit; told once a second at most.',
     'raise its limit if the room is there for it',
   ),
-  [LogEvent.OrganisationOverShare]: entry(
-    'A job was refused since its organisation has more waiting than its share will run in time.',
-    'nothing; look at its callers if it goes on',
-  ),
   [LogEvent.TaskFailed]: entry(
     'A background task ended with an error; the daemon ends.',
     'report it with the line',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -70,5 +70,4 @@
   OrganisationUnreadable = 1952,
   OrganisationKeyShared = 1953,
   OrganisationAtLimit = 1954,
-  OrganisationOverShare = 1955,
 }
