Soaks beside each other have loopback addresses of their own

Traced: two soaks at once, logs of daemons that end with 'listen EADDRINUSE 127.0.1.1:9464', since the port of the metrics is fixed and both soaks used the same addresses; shown again with two soaks by hand (88 and 23 runs, daemons of both not started). Change: the addresses come from the process. Two at once by hand afterwards: no such line.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -100,7 +100,7 @@
 
   private async addDaemon(index: number): Promise<void> {
     // Each daemon has a loopback address of its own, as each VM has one.
-    const host = `127.0.1.${index + 1}`;
+    const host = loopbackHost(process.pid, index);
     const store = new FaultProxy(this.platform.storeAddress);
     this.proxies.push(store);
     const settings = standInSettings(this.platform, `daemon-${index}`, {
@@ -240,6 +240,17 @@
   return hash;
 }
 
+const OCTETS = 256;
+
+/**
+ * Address of a daemon on loopback, another one for each soak. The port of the metrics is the same on all
+ * daemons: with the same addresses, those of two soaks on one machine can't start beside each other.
+ */
+function loopbackHost(soak: number, index: number): string {
+  const high = 1 + (Math.floor(soak / OCTETS) % (OCTETS - 2));
+  return `127.${high}.${soak % OCTETS}.${index + 1}`;
+}
+
 async function freePort(host: string): Promise<number> {
   const server = createServer();
   await new Promise<void>(resolve => {
