What the change wrote again is called where it stands once

Read again as a whole: grouping by a key stood in the account, the example fleet, the sharing order, the dispatcher and the view of a deployment (kernel: groupBy); an organisation's limit was looked up alike at intake and at the coordinator (OrganisationBook.limitOf); the models of runs and of limits sorted their orders alike (sortedBag), and replaced one item by code of their own (replaceAt); three tests of the entry daemon set one up and ended it alike (RunningDaemon, eventually). A round of placement sums the pool and the claims only where work of an organisation waits.

--- a/packages/cli/src/account/day-account.ts
+++ b/packages/cli/src/account/day-account.ts
@@ -1,4 +1,4 @@
-import {LogEvent} from '@gentiandoor/kernel';
+import {LogEvent, groupBy} from '@gentiandoor/kernel';
 import {countLeftOut, type LogLine} from '../log-story.js';
 import type {PageSection} from '../report/report-page.js';
 import {findInterruptions} from './interruptions.js';
@@ -121,25 +121,11 @@
   jobs: readonly JobAccount[],
   labelOf: (job: JobAccount) => string,
 ): AccountRow[] {
-  return [...groupsBy(jobs, labelOf)]
+  return [...groupBy(jobs, labelOf)]
     .map(([label, members]) => rowOf(label, members))
     .sort(byLabel);
 }
 
-function groupsBy<Item>(
-  items: readonly Item[],
-  labelOf: (item: Item) => string,
-): Map<string, Item[]> {
-  const groups = new Map<string, Item[]>();
-  for (const item of items) {
-    const label = labelOf(item);
-    const group = groups.get(label);
-    if (group) group.push(item);
-    else groups.set(label, [item]);
-  }
-  return groups;
-}
-
 function rowOf(label: string, jobs: readonly JobAccount[]): AccountRow {
   const mean = (of: (job: JobAccount) => number) =>
     Math.round(jobs.reduce((sum, job) => sum + of(job), 0) / jobs.length);
@@ -186,7 +172,7 @@
   const sized = lines.filter(line => line.event === LogEvent.PoolSized);
   const labelOf = ({fields, time}: LogLine) =>
     `${String(fields.service)} ${rowOfSecond(time)}`;
-  return [...groupsBy(sized, labelOf)]
+  return [...groupBy(sized, labelOf)]
     .map(([label, members]) => ({
       label,
       values: Object.fromEntries(
--- a/packages/coordinator/src/deployment-view.ts
+++ b/packages/coordinator/src/deployment-view.ts
@@ -4,6 +4,7 @@
   type KeyedRecord,
   type StoredJob,
 } from '@gentiandoor/jobs';
+import {groupBy} from '@gentiandoor/kernel';
 import {
   sum,
   type Organisation,
@@ -162,21 +163,20 @@
   const settings = new Map(
     configuration?.organisations?.organisations.map(one => [one.name, one]),
   );
-  const jobs = new Map<string, StoredJob[]>();
-  for (const name of settings.keys()) jobs.set(name, []);
-  for (const job of table.all()) {
-    const {organisation} = job.submission;
-    if (organisation === undefined) continue;
-    const own = jobs.get(organisation);
-    if (own) own.push(job);
-    else jobs.set(organisation, [job]);
-  }
-  return [...jobs].map(([name, own]) => ({
-    name,
-    settings: settings.get(name),
-    running: sum(own.flatMap(amountsUnderWay)),
-    queued: own.filter(job => table.stateOf(job) === JobState.Queued).length,
-  }));
+  const jobs = groupBy(table.all(), job => job.submission.organisation);
+  jobs.delete(undefined);
+  const names = new Set([...settings.keys(), ...jobs.keys()]);
+  return [...names].flatMap(name => {
+    if (name === undefined) return [];
+    const own = jobs.get(name) ?? [];
+    const queued = own.filter(job => table.stateOf(job) === JobState.Queued);
+    return {
+      name,
+      settings: settings.get(name),
+      running: sum(own.flatMap(amountsUnderWay)),
+      queued: queued.length,
+    };
+  });
 }
 
 /** Of each run that may be alive. */
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,4 +1,4 @@
-import type {Clock, Timer} from '@gentiandoor/kernel';
+import {groupBy, type Clock, type Timer} from '@gentiandoor/kernel';
 import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import {
   sum,
@@ -223,9 +223,13 @@
     const waiting = new Set<string>();
     for (const {organisation, weight} of ordered)
       if (organisation !== undefined && weight > 0) waiting.add(organisation);
+    if (waiting.size === 0) {
+      yield* ordered;
+      return;
+    }
     const pool = sum(sessions.map(({entry}) => entry.room));
     const claims = this.host.claimsOn(service, waiting, pool);
-    for (const jobs of classesOf(ordered))
+    for (const jobs of groupBy(ordered, ({rank}) => rank).values())
       yield* this.shares.arrange(jobs, claims);
   }
 
@@ -335,14 +339,3 @@
   /** Too many steps have found no room: the rest only counts as waiting. */
   readonly gaveUp: boolean;
 }
-
-/** Jobs by rank, each class in the order in which they come. */
-function classesOf(ordered: readonly Candidate[]): Iterable<Candidate[]> {
-  const classes = new Map<number, Candidate[]>();
-  for (const candidate of ordered) {
-    const same = classes.get(candidate.rank);
-    if (same) same.push(candidate);
-    else classes.set(candidate.rank, [candidate]);
-  }
-  return classes.values();
-}
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -119,8 +119,9 @@
   }
 
   private limitOf({organisation}: JobSubmission): RoomAmount {
-    if (organisation === undefined) return NO_LIMIT;
-    return this.organisations.find(organisation)?.limit ?? NO_LIMIT;
+    return organisation === undefined
+      ? NO_LIMIT
+      : this.organisations.limitOf(organisation);
   }
 
   private noteAnswer(
--- a/packages/coordinator/src/organisation-rooms.ts
+++ b/packages/coordinator/src/organisation-rooms.ts
@@ -7,7 +7,6 @@
 } from '@gentiandoor/kernel';
 import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import {
-  NO_LIMIT,
   OrganisationLabels,
   RoomLedger,
   type PoolClaims,
@@ -135,9 +134,7 @@
   }
 
   private limitOf(organisation: string): RoomAmount {
-    return (
-      this.parts.operators.organisations.find(organisation)?.limit ?? NO_LIMIT
-    );
+    return this.parts.operators.organisations.limitOf(organisation);
   }
 
   /** A coordinator that can't read the configuration may miss that a limit was lowered. */
--- /dev/null
+++ b/packages/entry/src/__tests__/eventually.ts
@@ -0,0 +1,16 @@
+const GIVE_UP_ROUNDS = 400;
+const ROUND_MILLISECONDS = 50;
+
+/** Asks again until the answer is as wanted: daemons work in real time here. Returns the last answer. */
+export async function eventually<Answer>(
+  ask: () => Promise<Answer>,
+  wanted: (answer: Answer) => boolean,
+): Promise<Answer> {
+  for (let round = 0; ; round++) {
+    const answer = await ask();
+    if (wanted(answer) || round === GIVE_UP_ROUNDS) return answer;
+    await new Promise(resolve => {
+      setTimeout(resolve, ROUND_MILLISECONDS);
+    });
+  }
+}
--- a/packages/entry/src/__tests__/organisations.test.ts
+++ b/packages/entry/src/__tests__/organisations.test.ts
@@ -1,19 +1,11 @@
 import assert from 'node:assert/strict';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {request as openRequest} from 'node:http';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
 import {RunEnd} from '@gentiandoor/jobs';
-import {readPlatformSettings} from '@gentiandoor/platform';
-import {
-  QUEUE_HOST,
-  StandInPlatform,
-  standInSettings,
-} from '@gentiandoor/platform/stand-ins';
+import {QUEUE_HOST, StandInPlatform} from '@gentiandoor/platform/stand-ins';
 import {request} from 'undici';
-import {wireEntry, type EntryParts} from '../wiring.js';
-import {freePort} from './free-port.js';
+import {eventually} from './eventually.js';
+import {RunningDaemon} from './running-daemon.js';
 
 const ROOM = {
   processorMillicores: 8_000,
@@ -21,8 +13,6 @@
   accelerators: 0,
 };
 const JOB = {spec: 'text', steps: [{count: 1, cpu: 1_000, mem_mb: 10}]};
-const ROUND_MILLISECONDS = 25;
-const GIVE_UP_ROUNDS = 200;
 
 describe('a daemon that knows organisations', () => {
   const platform = new StandInPlatform({
@@ -36,9 +26,7 @@
       room: {...ROOM, processorMillicores: 1_000},
     }),
   });
-  let folder: string;
-  let parts: EntryParts;
-  let callers: number;
+  let daemon: RunningDaemon;
   let version = 1;
 
   function publish(...keysOfAdvisers: string[]): void {
@@ -52,27 +40,11 @@
   before(async () => {
     await platform.start();
     publish('open-one');
-    folder = mkdtempSync(join(tmpdir(), 'entry-'));
-    callers = await freePort();
-    const readiness = await freePort();
-    const path = join(folder, 'node.json');
-    const settings = standInSettings(platform, 'one', {callers, readiness});
-    writeFileSync(path, JSON.stringify(settings));
-    parts = wireEntry(readPlatformSettings(path), {
-      metricsPort: await freePort(),
-    });
-    await parts.lifeCycle.start();
-    await eventually(() => call('GET', 'open-one'), 200);
+    daemon = await RunningDaemon.start(platform);
+    await becomes(200, () => call('GET', 'open-one'));
   });
 
-  after(async () => {
-    await parts.coordinator.drain();
-    await parts.lifeCycle.stop();
-    await parts.storeCalls.stop();
-    await parts.workerCalls.stop();
-    platform.stop();
-    rmSync(folder, {recursive: true});
-  });
+  after(() => daemon.stop());
 
   async function call(
     method: 'GET' | 'POST' | 'DELETE',
@@ -81,7 +53,7 @@
   ): Promise<number> {
     const headers = {host: QUEUE_HOST, 'x-deadline-ms': '3000'};
     const answer = await request(
-      `http://127.0.0.1:${callers}/previews/${path}`,
+      `http://127.0.0.1:${daemon.callers}/previews/${path}`,
       {
         method,
         headers:
@@ -93,17 +65,11 @@
     return answer.statusCode;
   }
 
-  async function eventually(
-    ask: () => Promise<number>,
+  async function becomes(
     wanted: number,
+    ask: () => Promise<number>,
   ): Promise<void> {
-    for (let round = 0; round < GIVE_UP_ROUNDS; round++) {
-      if ((await ask()) === wanted) return;
-      await new Promise(resolve => {
-        setTimeout(resolve, ROUND_MILLISECONDS);
-      });
-    }
-    assert.fail(`no answer ${wanted}`);
+    assert.equal(await eventually(ask, status => status === wanted), wanted);
   }
 
   it('serves a key that an organisation holds, and no other', async () => {
@@ -133,7 +99,7 @@
   it('refuses before the body has come', async () => {
     const status = await new Promise(resolve => {
       const open = openRequest({
-        port: callers,
+        port: daemon.callers,
         path: '/previews/0000000000000003',
         method: 'POST',
         headers: {host: QUEUE_HOST, 'content-length': '5000'},
@@ -150,12 +116,12 @@
   it('takes a new key at once and stops serving one that was taken away', async () => {
     publish('open-two');
     assert.equal(await call('GET', 'open-two'), 200);
-    await eventually(() => call('GET', 'open-one'), 401);
+    await becomes(401, () => call('GET', 'open-one'));
     assert.equal(await call('GET', 'open-two', '0000000000000001'), 200);
   });
 
   it('names no key in its metrics', async () => {
-    const address = parts.metricsPort.boundAddress;
+    const address = daemon.parts.metricsPort.boundAddress;
     const answer = await request(`http://${address}/metrics`);
     const text = await answer.body.text();
     assert.match(text, /organisation_jobs\{organisation="advisers"/);
--- a/packages/entry/src/__tests__/settings-change.test.ts
+++ b/packages/entry/src/__tests__/settings-change.test.ts
@@ -16,6 +16,7 @@
 import {SettingsWatch} from '../settings-watch.js';
 import {wireEntry, type EntryParts} from '../wiring.js';
 import {freePort} from './free-port.js';
+import {endDaemon} from './running-daemon.js';
 
 const ROOM = {
   processorMillicores: 8_000,
@@ -112,11 +113,7 @@
   });
 
   after(async () => {
-    await parts.coordinator.drain();
-    await parts.lifeCycle.stop();
-    await parts.storeCalls.stop();
-    await parts.workerCalls.stop();
-    platform.stop();
+    await endDaemon(parts, platform);
     forwarder.end();
     rmSync(folder, {recursive: true});
   });
--- a/packages/entry/src/__tests__/whole-path.test.ts
+++ b/packages/entry/src/__tests__/whole-path.test.ts
@@ -1,18 +1,10 @@
 import assert from 'node:assert/strict';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
 import {RunEnd} from '@gentiandoor/jobs';
-import {readPlatformSettings} from '@gentiandoor/platform';
-import {
-  QUEUE_HOST,
-  StandInPlatform,
-  standInSettings,
-} from '@gentiandoor/platform/stand-ins';
+import {QUEUE_HOST, StandInPlatform} from '@gentiandoor/platform/stand-ins';
 import {request} from 'undici';
-import {wireEntry, type EntryParts} from '../wiring.js';
-import {freePort} from './free-port.js';
+import {eventually} from './eventually.js';
+import {RunningDaemon} from './running-daemon.js';
 
 const ROOM = {
   processorMillicores: 8_000,
@@ -20,23 +12,6 @@
   accelerators: 0,
 };
 const TASK_ROOM = {...ROOM, processorMillicores: 1_000};
-const GIVE_UP_ROUNDS = 400;
-const ROUND_MILLISECONDS = 50;
-
-/** Asks again until the answer is as wanted: the daemon works in real time here. */
-async function eventually<Answer>(
-  ask: () => Promise<Answer>,
-  wanted: (answer: Answer) => boolean,
-): Promise<Answer> {
-  for (let round = 0; ; round++) {
-    const answer = await ask();
-    if (wanted(answer) || round === GIVE_UP_ROUNDS) return answer;
-    await new Promise(resolve => {
-      setTimeout(resolve, ROUND_MILLISECONDS);
-    });
-  }
-}
-
 describe('a daemon on the platform', () => {
   const platform = new StandInPlatform({
     services: ['previews'],
@@ -49,40 +24,21 @@
       room: TASK_ROOM,
     }),
   });
-  let folder: string;
-  let parts: EntryParts;
-  let callers: number;
-  let readiness: number;
+  let daemon: RunningDaemon;
 
   before(async () => {
     await platform.start();
-    folder = mkdtempSync(join(tmpdir(), 'entry-'));
-    callers = await freePort();
-    readiness = await freePort();
-    const path = join(folder, 'node.json');
-    const settings = standInSettings(platform, 'one', {callers, readiness});
-    writeFileSync(path, JSON.stringify(settings));
-    parts = wireEntry(readPlatformSettings(path), {
-      metricsPort: await freePort(),
-    });
-    await parts.lifeCycle.start();
+    daemon = await RunningDaemon.start(platform);
   });
 
-  after(async () => {
-    await parts.coordinator.drain();
-    await parts.lifeCycle.stop();
-    await parts.storeCalls.stop();
-    await parts.workerCalls.stop();
-    platform.stop();
-    rmSync(folder, {recursive: true});
-  });
+  after(() => daemon.stop());
 
   async function call(
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body?: object,
   ): Promise<{status: number; body: Record<string, unknown>}> {
-    const answer = await request(`http://127.0.0.1:${callers}${path}`, {
+    const answer = await request(`http://127.0.0.1:${daemon.callers}${path}`, {
       method,
       headers: {host: QUEUE_HOST, 'x-deadline-ms': '3000'},
       body: body && JSON.stringify(body),
@@ -105,7 +61,9 @@
   it('becomes ready', async () => {
     const status = await eventually(
       async () => {
-        const answer = await request(`http://127.0.0.1:${readiness}/ready`);
+        const answer = await request(
+          `http://127.0.0.1:${daemon.readiness}/ready`,
+        );
         await answer.body.dump();
         return answer.statusCode;
       },
@@ -154,7 +112,7 @@
   });
 
   it('shows metrics as text', async () => {
-    const address = parts.metricsPort.boundAddress;
+    const address = daemon.parts.metricsPort.boundAddress;
     const answer = await request(`http://${address}/metrics`);
     assert.match(
       await answer.body.text(),
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './drain-state.js';
 export * from './error-kinds.js';
 export * from './errors.js';
+export * from './group-by.js';
 export * from './identity.js';
 export * from './life-cycle.js';
 export * from './log-events.js';
--- a/packages/organisations/src/organisation-book.ts
+++ b/packages/organisations/src/organisation-book.ts
@@ -1,5 +1,10 @@
 import {KeyRing} from './key-ring.js';
-import type {Organisation, RejectedOrganisation} from './organisation.js';
+import {
+  NO_LIMIT,
+  type Organisation,
+  type RejectedOrganisation,
+  type RoomAmount,
+} from './organisation.js';
 
 /** Organisations as one version of the configuration names them. */
 export interface OrganisationList {
@@ -40,4 +45,9 @@
   find(name: string): Organisation | undefined {
     return this.present.get(name) ?? this.departed.get(name);
   }
+
+  /** Its limit, also of one that has left; none where it is not known. */
+  limitOf(name: string): RoomAmount {
+    return this.find(name)?.limit ?? NO_LIMIT;
+  }
 }
--- a/packages/organisations/src/share-order.ts
+++ b/packages/organisations/src/share-order.ts
@@ -1,3 +1,4 @@
+import {groupBy} from '@gentiandoor/kernel';
 import type {RoomAmount} from './organisation.js';
 
 /** Claims of organisations on the room of one pool, as they are now. */
@@ -41,12 +42,7 @@
     waiting: readonly Work[],
     claims: PoolClaims,
   ): Iterable<Work> {
-    const lanes = new Map<string | undefined, Work[]>();
-    for (const work of waiting) {
-      const lane = lanes.get(work.organisation);
-      if (lane) lane.push(work);
-      else lanes.set(work.organisation, [work]);
-    }
+    const lanes = groupBy(waiting, ({organisation}) => organisation);
     while (lanes.size > 0) {
       const [organisation, lane] = leastShare(lanes, claims);
       const [first] = lane.splice(0, 1);
--- /dev/null
+++ b/packages/specification/src/bag.ts
@@ -0,0 +1,6 @@
+/** Items whose order says nothing: one order for each content keeps the states few. */
+export function sortedBag<Item>(items: readonly Item[]): Item[] {
+  return [...items].sort((one, other) =>
+    JSON.stringify(one) < JSON.stringify(other) ? -1 : 1,
+  );
+}
--- a/packages/specification/src/change-at.ts
+++ b/packages/specification/src/change-at.ts
@@ -8,3 +8,12 @@
     place === index ? {...item, ...change} : item,
   );
 }
+
+/** The items with another one in place of one of them. */
+export function replaceAt<Item>(
+  items: readonly Item[],
+  index: number,
+  item: Item,
+): Item[] {
+  return items.map((before, place) => (place === index ? item : before));
+}
--- a/packages/specification/src/limit-model.ts
+++ b/packages/specification/src/limit-model.ts
@@ -1,3 +1,5 @@
+import {sortedBag} from './bag.js';
+import {replaceAt} from './change-at.js';
 import {
   Promised,
   type Invariant,
@@ -258,14 +260,14 @@
     const run = coordinator.runs[task] + 1;
     const planned = changeCoordinator(state, of, one => ({
       ...one,
-      runs: replaced(one.runs, task, run),
-      beliefs: replaced(one.beliefs, task, B.Stored),
+      runs: replaceAt(one.runs, task, run),
+      beliefs: replaceAt(one.beliefs, task, B.Stored),
     }));
     if (this.mutation === M.SendBeforeStore) return send(planned, of, task);
     // The log is closed to earlier terms.
     if (coordinator.term < state.term)
       return changeCoordinator(state, of, fence);
-    return {...planned, storedRuns: replaced(state.storedRuns, task, run)};
+    return {...planned, storedRuns: replaceAt(state.storedRuns, task, run)};
   }
 
   private arrive(state: LimitState, of: number): LimitState {
@@ -289,7 +291,7 @@
   const order: LimitOrder = {term, task, run: runs[task], late: false};
   return {
     ...believe(state, of, task, B.Sent),
-    orders: sorted([...state.orders, order]),
+    orders: sortedBag([...state.orders, order]),
   };
 }
 
@@ -337,7 +339,7 @@
 function lapse(state: LimitState, task: number): LimitState {
   return {
     ...changeWorker(state, task, end),
-    orders: sorted(
+    orders: sortedBag(
       state.orders.map(order =>
         order.task === task ? {...order, late: true} : order,
       ),
@@ -361,7 +363,7 @@
 ): LimitState {
   return changeCoordinator(state, of, one => ({
     ...one,
-    beliefs: replaced(one.beliefs, task, belief),
+    beliefs: replaceAt(one.beliefs, task, belief),
   }));
 }
 
@@ -373,7 +375,7 @@
   const {coordinators} = state;
   return {
     ...state,
-    coordinators: replaced(coordinators, of, change(coordinators[of])),
+    coordinators: replaceAt(coordinators, of, change(coordinators[of])),
   };
 }
 
@@ -383,28 +385,13 @@
   change: (worker: LimitWorker) => LimitWorker,
 ): LimitState {
   const {workers} = state;
-  return {...state, workers: replaced(workers, of, change(workers[of]))};
-}
-
-function replaced<Item>(
-  items: readonly Item[],
-  index: number,
-  item: Item,
-): Item[] {
-  return items.map((before, at) => (at === index ? item : before));
+  return {...state, workers: replaceAt(workers, of, change(workers[of]))};
 }
 
 function withoutOrder(state: LimitState, of: number): LimitState {
   return {...state, orders: state.orders.filter((_, index) => index !== of)};
 }
 
-/** Orders are a bag: one text for each content keeps the states few. */
-function sorted(orders: readonly LimitOrder[]): LimitOrder[] {
-  return [...orders].sort((one, other) =>
-    JSON.stringify(one) < JSON.stringify(other) ? -1 : 1,
-  );
-}
-
 const MUTATIONS: readonly Mutation[] = [
   {
     name: M.UnansweredIsFree,
--- a/packages/specification/src/run-model.ts
+++ b/packages/specification/src/run-model.ts
@@ -1,3 +1,4 @@
+import {sortedBag} from './bag.js';
 import {
   Promised,
   type Invariant,
@@ -283,7 +284,7 @@
     const {term, run, worker} = state.coordinators[of];
     const order: RunOrder = {term, run, worker, late: false};
     return changeCoordinator(
-      {...state, orders: sorted([...state.orders, order])},
+      {...state, orders: sortedBag([...state.orders, order])},
       of,
       one => ({...one, belief: B.Sent}),
     );
@@ -382,7 +383,7 @@
   }));
   return {
     ...lapsed,
-    orders: sorted(
+    orders: sortedBag(
       state.orders.map(order =>
         order.worker === worker ? {...order, late: true} : order,
       ),
@@ -432,13 +433,6 @@
   return {...state, orders: state.orders.filter((_, index) => index !== of)};
 }
 
-/** Orders are a bag: one text for each content keeps the states few. */
-function sorted(orders: readonly RunOrder[]): RunOrder[] {
-  return [...orders].sort((one, other) =>
-    JSON.stringify(one) < JSON.stringify(other) ? -1 : 1,
-  );
-}
-
 const MUTATIONS: readonly Mutation[] = [
   {
     name: M.SendBeforeStore,
--- a/packages/stand-ins/src/fleet-example.ts
+++ b/packages/stand-ins/src/fleet-example.ts
@@ -1,3 +1,4 @@
+import {groupBy} from '@gentiandoor/kernel';
 import {
   RecordKind,
   applyPayload,
@@ -215,20 +216,6 @@
   ];
 }
 
-function groupBy<Item>(
-  items: readonly Item[],
-  keyOf: (item: Item) => string,
-): Map<string, Item[]> {
-  const groups = new Map<string, Item[]>();
-  for (const item of items) {
-    const key = keyOf(item);
-    const group = groups.get(key) ?? [];
-    group.push(item);
-    groups.set(key, group);
-  }
-  return groups;
-}
-
 /** Operator that proposes the example bundles. */
 export const EXAMPLE_AUTHOR = makeOperatorKeys();
 /** Operator whose sign-off counts before the first bundle. */
