--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -95,7 +95,7 @@
   [LogEvent.WorkerBack]: line =>
     `worker ${text(line, 'worker')} answers again after ${whole(line, 'silentMilliseconds')} ms`,
   [LogEvent.WorkerLeft]: line =>
-    `worker ${text(line, 'worker')} is over: ${text(line, 'reason')}`,
+    `worker ${text(line, 'worker')} ${line.hasCrashed === true ? 'has crashed' : 'is over'}: ${text(line, 'reason')}`,
   [LogEvent.WorkerLeaseOver]: line =>
     `nothing can run on worker ${text(line, 'worker')} any more: its lease is over`,
   [LogEvent.WorkerSuspect]: line =>
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -141,7 +141,7 @@
     this.orphans = new OrphanRuns(
       this.leaseMilliseconds,
       clock,
-      (worker, run) => this.loseOrphan(worker, run),
+      (worker, run, end) => this.endOrphan(worker, run, end),
     );
     this.fleet = new FleetKeeper(
       term,
@@ -413,9 +413,9 @@
     }
   }
 
-  private loseOrphan(worker: string, run: LiveRun): void {
+  private endOrphan(worker: string, run: LiveRun, end: RunEnd): void {
     if (this.closed) return;
-    this.endRun(run, RunEnd.Lost, '', worker);
+    this.endRun(run, end, '', worker);
     this.dispatcher.wake(run.execution.job.service);
   }
 
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -7,6 +7,7 @@
   type PlannedVm,
 } from '@gentiandoor/scheduling';
 import type {Dispatcher} from './dispatcher.js';
+import {IncarnationEnd} from './incarnation-end.js';
 import type {JobStreams} from './job-streams.js';
 import {VmOrderOutcome, VmState, type ListedVm} from './machine-gateway.js';
 import type {ServicePool} from './operator-records.js';
@@ -107,13 +108,13 @@
     for (const vm of this.vms) {
       const before = this.incarnations.get(vm.name);
       if (before && before !== vm.workerId && !alive.has(before))
-        this.registry.find(before)?.endIncarnation('its VM runs it no longer');
+        this.registry.find(before)?.endIncarnation(endOnVm(vm));
       this.incarnations.set(vm.name, vm.workerId);
     }
     for (const session of [...this.registry.all()]) {
       const {silentFrom} = session;
       if (silentFrom === undefined || silentFrom > listedFrom) continue;
-      if (!alive.has(session.id)) session.endIncarnation('no VM runs it');
+      if (!alive.has(session.id)) session.endIncarnation(IncarnationEnd.NoVm);
     }
     this.host.noteIncarnations(alive);
   }
@@ -271,3 +272,9 @@
     return this.parts.clock.monotonicMilliseconds();
   }
 }
+
+/** How the incarnation ended that a VM no longer carries. */
+function endOnVm({state}: ListedVm): IncarnationEnd {
+  const isAway = state === VmState.Moving || state === VmState.Maintenance;
+  return isAway ? IncarnationEnd.VmAway : IncarnationEnd.LeftVm;
+}
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -1,3 +1,4 @@
+import {RunEnd} from '@gentiandoor/jobs';
 import type {Clock} from '@gentiandoor/kernel';
 import {longestLease} from '@gentiandoor/scheduling';
 import type {LiveRun} from './live-run.js';
@@ -15,7 +16,11 @@
   constructor(
     private readonly leaseMilliseconds: number,
     private readonly clock: Clock,
-    private readonly lose: (worker: string, run: LiveRun) => void,
+    private readonly endRun: (
+      worker: string,
+      run: LiveRun,
+      end: RunEnd,
+    ) => void,
   ) {}
 
   keep(worker: string, run: LiveRun): void {
@@ -23,7 +28,7 @@
     if (!runs) {
       this.byWorker.set(worker, (runs = new Set()));
       const bound = longestLease(this.leaseMilliseconds) + SLACK_MILLISECONDS;
-      this.clock.schedule(bound, () => this.loseAll(worker));
+      this.clock.schedule(bound, () => this.endAll(worker, RunEnd.Lost));
     }
     runs.add(run);
   }
@@ -38,10 +43,10 @@
   /** Takes the incarnations that the list of VMs shows; every other one is over. */
   noteIncarnations(alive: ReadonlySet<string>): void {
     for (const worker of [...this.byWorker.keys()])
-      if (!alive.has(worker)) this.loseAll(worker);
+      if (!alive.has(worker)) this.endAll(worker, RunEnd.Crashed);
   }
 
-  private loseAll(worker: string): void {
-    for (const run of this.take(worker)) this.lose(worker, run);
+  private endAll(worker: string, end: RunEnd): void {
+    for (const run of this.take(worker)) this.endRun(worker, run, end);
   }
 }
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -8,6 +8,7 @@
 } from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import type {EntrySettings} from './entry-settings.js';
+import {IncarnationEnd} from './incarnation-end.js';
 import {
   VmOrderOutcome,
   type ListedVm,
@@ -242,12 +243,19 @@
       outcome,
     });
     if (outcome === VmOrderOutcome.Fenced) this.barred.add(vm.name);
-    if (outcome === VmOrderOutcome.Done) session?.endIncarnation(order.kind);
+    if (outcome === VmOrderOutcome.Done)
+      session?.endIncarnation(END_BY_ORDER[order.kind]);
     else session?.reserve(undefined);
     request.settled(outcome);
   }
 }
 
+/** How an order that was carried out ends the VM's worker. */
+const END_BY_ORDER: Readonly<Record<VmOrder['kind'], IncarnationEnd>> = {
+  move: IncarnationEnd.Moved,
+  maintain: IncarnationEnd.Maintained,
+};
+
 function vmIn(key: string): string {
   return key.slice(ORDER_KEY_PREFIX.length);
 }
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -8,6 +8,7 @@
 } from '@gentiandoor/scheduling';
 import {BestEffortPacer} from './best-effort-pacer.js';
 import {EndCursor} from './end-cursor.js';
+import {IncarnationEnd, isUnplanned} from './incarnation-end.js';
 import {RunStatus, runName, type LiveRun} from './live-run.js';
 import {RunOrders, type RunOrderHost} from './run-orders.js';
 import {canStall, watchedRun} from './run-watch.js';
@@ -241,15 +242,17 @@
   }
 
   /** All runs are over because the worker's incarnation is. */
-  endIncarnation(reason: string): void {
+  endIncarnation(end: IncarnationEnd): void {
     if (this.closed) return;
+    const hasCrashed = isUnplanned(end) && !this.isDraining;
     this.logger.info(LogEvent.WorkerLeft, {
       worker: this.id,
-      reason,
+      reason: end,
+      hasCrashed,
       runs: this.live.count,
     });
     this.close();
-    this.loseAllRuns();
+    this.endAllRuns(hasCrashed ? RunEnd.Crashed : RunEnd.Lost);
     this.gateway.forget(this.current);
     this.host.sessionOver(this);
   }
@@ -284,7 +287,7 @@
       return true;
     }
     if (result.refusal === OrderRefusal.OtherIncarnation) {
-      this.endIncarnation('another incarnation answers at its address');
+      this.endIncarnation(IncarnationEnd.Replaced);
       return true;
     }
     return false;
@@ -306,7 +309,7 @@
   private async run(): Promise<void> {
     while (!this.closed) {
       if (this.isFinished()) {
-        this.endIncarnation('entry removed');
+        this.endIncarnation(IncarnationEnd.EntryRemoved);
         return;
       }
       if (!this.needsPoll()) {
@@ -444,11 +447,11 @@
       runs: this.live.count,
       silentMilliseconds: now - (this.silentFrom ?? now),
     });
-    this.loseAllRuns();
+    this.endAllRuns(RunEnd.Lost);
   }
 
-  private loseAllRuns(): void {
-    for (const run of [...this.runs.values()]) this.end(run, RunEnd.Lost, '');
+  private endAllRuns(end: RunEnd): void {
+    for (const run of [...this.runs.values()]) this.end(run, end, '');
   }
 
   private end(run: LiveRun, end: RunEnd, checkpoint: string): void {
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -102,8 +102,10 @@
   Broken = 'broken',
   /** The other members of its gang did not come. */
   Alone = 'alone',
-  /** The worker is gone, or never took the order. */
+  /** The worker can't be reached, never took the order, or left as planned. */
   Lost = 'lost',
+  /** The worker ended without warning while the run was on it. */
+  Crashed = 'crashed',
 }
 
 /** Number of occurrences of a job, 1 for a job that is not repeated. */
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -136,7 +136,7 @@
     'A run is stored and its order goes to the worker.',
   ),
   [LogEvent.RunEnded]: entry(
-    'A run is over; `end` says how and `effect` what follows.',
+    'A run is over; `end` says how (`crashed`: its worker ended without warning, `lost`: it can not be reached or left as planned) and `effect` what follows.',
   ),
   [LogEvent.RunRefused]: entry(
     'A worker refused to start a run; `refusal` says why.',
@@ -160,7 +160,7 @@
   ),
   [LogEvent.WorkerFound]: entry('A worker has an entry in the store.'),
   [LogEvent.WorkerLeft]: entry(
-    'The life of a worker is over; `reason` says how that is known.',
+    'The life of a worker is over; `reason` says how that is known, `hasCrashed` whether it ended without warning.',
   ),
   [LogEvent.WorkerSilent]: entry(
     'A worker does not answer.',
