--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,73 @@
+// Runs all built tests. Tests that KNOWN-RED.txt names may fail and are printed; any other failure fails the
+// run, and so does an entry whose test passed or did not run, so that no entry outlives its fault.
+import {existsSync, readFileSync, readdirSync} from 'node:fs';
+import path from 'node:path';
+import {run} from 'node:test';
+import {spec} from 'node:test/reporters';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+/** Begins the line of an entry that names its test: describe blocks and test, joined by NAME_SEPARATOR. */
+const TEST_PREFIX = 'test: ';
+const NAME_SEPARATOR = ' > ';
+const TEST_TIMEOUT_MILLISECONDS = 120_000;
+const ROOTS = ['packages', 'platform'];
+
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return new Set();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  const entries = lines.filter(line => line.startsWith(TEST_PREFIX));
+  return new Set(entries.map(line => line.slice(TEST_PREFIX.length).trim()));
+}
+
+function findTests(folder) {
+  return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
+    const child = path.join(folder, entry.name);
+    if (entry.isDirectory())
+      return entry.name === 'node_modules' ? [] : findTests(child);
+    const isBuilt = child.split(path.sep).includes('lib');
+    return isBuilt && entry.name.endsWith('.test.js') ? [child] : [];
+  });
+}
+
+/** Names tests by the blocks around them; each file reports its blocks and tests in order. */
+class TestNames {
+  #blocksByFile = new Map();
+
+  noteStart({file, nesting, name}) {
+    const blocks = this.#blocksByFile.get(file) ?? [];
+    this.#blocksByFile.set(file, [...blocks.slice(0, nesting), name]);
+  }
+
+  nameOf({file, nesting, name}) {
+    const blocks = this.#blocksByFile.get(file) ?? [];
+    return [...blocks.slice(0, nesting), name].join(NAME_SEPARATOR);
+  }
+}
+
+const knownRed = readKnownRed();
+const names = new TestNames();
+const failedAsKnown = new Set();
+const failed = new Set();
+
+const tests = run({
+  files: ROOTS.flatMap(findTests)
+    .sort()
+    .map(file => path.resolve(file)),
+  concurrency: true,
+  timeout: TEST_TIMEOUT_MILLISECONDS,
+});
+tests.on('test:start', data => names.noteStart(data));
+tests.on('test:fail', data => {
+  // A block fails with its tests, which are reported by themselves.
+  if (data.details.error?.failureType === 'subtestsFailed') return;
+  const name = names.nameOf(data);
+  (knownRed.has(name) ? failedAsKnown : failed).add(name);
+});
+tests.on('end', () => {
+  const stale = [...knownRed].filter(name => !failedAsKnown.has(name));
+  for (const name of failedAsKnown) console.log(`known red: ${name}`);
+  for (const name of stale)
+    console.error(`${KNOWN_RED_FILE} names a test that did not fail: ${name}`);
+  if (failed.size > 0 || stale.length > 0) process.exitCode = 1;
+});
+tests.compose(new spec()).pipe(process.stdout);
