--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -221,6 +221,7 @@
   readonly store = new MemoryStore(this.clock);
   readonly workers = new SimulatedWorkers(this.clock);
   readonly fleet = new SimulatedFleet(this.clock);
+  /** By job, or by task where one task behaves otherwise. */
   readonly behaviours = new Map<string, TaskBehaviour>();
   /** What a worker does to all that runs on it. */
   readonly workerBehaviours = new Map<string, Partial<TaskBehaviour>>();
@@ -376,11 +377,15 @@
   }
 
   private beginWorker(id: string, service: string): SimulatedWorker {
-    return this.workers.add(
-      new SimulatedWorker(id, service, ROOM, this.clock, (task, worker) =>
-        this.behaviourOf(task, worker),
-      ),
+    const worker = new SimulatedWorker(
+      id,
+      service,
+      ROOM,
+      this.clock,
+      (task, on) => this.behaviourOf(task, on),
     );
+    worker.onTaskCrash = () => this.crashWorker(id);
+    return this.workers.add(worker);
   }
 
   private behaviourOf(task: string, worker: string): TaskBehaviour {
@@ -389,7 +394,7 @@
       durationMilliseconds: 500,
       end: RunEnd.Done,
       room: TASK_ROOM,
-      ...this.behaviours.get(job),
+      ...(this.behaviours.get(task) ?? this.behaviours.get(job)),
       ...this.workerBehaviours.get(worker),
     };
   }
--- a/packages/coordinator/src/stand-ins/begun-runs.ts
+++ b/packages/coordinator/src/stand-ins/begun-runs.ts
@@ -1,3 +1,4 @@
+import {RunEnd} from '@gentiandoor/jobs';
 import type {BegunRun} from './simulated-worker.js';
 
 /** Pairs of runs of one task, the earlier first. */
@@ -37,3 +38,18 @@
   return runs.filter(run => run.begunAt <= at && at < (run.endedAt ?? Infinity))
     .length;
 }
+
+/** How often a task was started after `crashes` of its runs had ended with a crash of their worker. */
+export function startsAfterCrashes(
+  runs: readonly BegunRun[],
+  task: string,
+  crashes: number,
+): number {
+  const own = runs.filter(run => run.task === task);
+  const crashedAt = own
+    .filter(run => run.end === RunEnd.Crashed)
+    .map(run => run.endedAt ?? Infinity)
+    .sort((left, right) => left - right);
+  const bound = crashedAt[crashes - 1] ?? Infinity;
+  return own.filter(run => run.begunAt >= bound).length;
+}
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -23,6 +23,8 @@
   readonly room: Room;
   /** It stops making progress here and never ends by itself. */
   readonly stallsAtPercent?: number;
+  /** It crashes its worker so long after its start. */
+  readonly crashesAfterMilliseconds?: number;
 }
 
 /** Tells how the task of a name behaves on a worker. */
@@ -55,6 +57,8 @@
   state = WorkerState.Ready;
   /** Runs that it was told to stop. */
   stopsAsked = 0;
+  /** Called when a task crashes the worker. */
+  onTaskCrash: () => void = () => this.crash();
   /** How long a stop takes. */
   stopMilliseconds = STOP_MILLISECONDS;
   private readonly alive = new Map<string, AliveRun>();
@@ -109,7 +113,8 @@
   crash(): void {
     this.dead = true;
     this.leaseTimer?.cancel();
-    for (const run of [...this.alive.values()]) this.finish(run, RunEnd.Lost);
+    for (const run of [...this.alive.values()])
+      this.finish(run, RunEnd.Crashed);
     this.ended = [];
   }
 
@@ -194,7 +199,13 @@
       timer: undefined,
     };
     this.alive.set(request.task, run);
-    const stalls = behaviour.stallsAtPercent !== undefined;
+    if (behaviour.crashesAfterMilliseconds !== undefined)
+      run.timer = this.clock.schedule(behaviour.crashesAfterMilliseconds, () =>
+        this.onTaskCrash(),
+      );
+    const stalls =
+      behaviour.stallsAtPercent !== undefined ||
+      behaviour.crashesAfterMilliseconds !== undefined;
     if (behaviour.durationMilliseconds !== undefined && !stalls)
       run.timer = this.clock.schedule(behaviour.durationMilliseconds, () =>
         this.finish(run, behaviour.end),
