A task under which workers crash is counted, kept apart, and given up

What callers saw: jobs of logo-quick late or never done for a minute, workers of the pool gone as soon as they came. Cause: only ends `failed` counted as attempts; a run whose worker was over ended as `lost`, which bounds nothing, so a task that crashes its workers was started again within the same millisecond, without end, and took the tasks beside it down each time.

Change: crashes are counted for each task in its progress record, so that a successor goes on counting. After two the task starts apart: only where no other job's task began within a second, and none joins it for that long. It is given up, its job failed, after three crashes within 300 ms of an answered start, the last of them apart, or after five of any kind; a run that lives three seconds clears the count. Why this holds the rule: runs of one task come one after the other, so at most two starts follow the third crash, also across coordinators.

After: at most 2, job failed; with each coordinator killed, late in the run, lasting, gang, checkpointing, many at once; jobs beside it complete; workers lost in series by other causes fail no job.

A crash in the stand-in no longer answers the poll that waited there: real workers reset the connection.

--- a/packages/cli/src/__tests__/deployment.test.ts
+++ b/packages/cli/src/__tests__/deployment.test.ts
@@ -66,6 +66,7 @@
                 run: 2,
                 done: false,
                 failedRuns: [1],
+                crashes: {total: 1, atStart: 1},
                 checkpoint: '',
                 worker: 'w-7',
               },
--- a/packages/cli/src/commands/deployment.ts
+++ b/packages/cli/src/commands/deployment.ts
@@ -134,6 +134,7 @@
   state: string;
   worker: string;
   failed: string;
+  crashes: number;
 } {
   const running = progress.worker === '' ? 'waiting' : 'running';
   return {
@@ -141,6 +142,7 @@
     state: progress.done ? 'done' : running,
     worker: progress.worker || '-',
     failed: progress.failedRuns.join(' ') || '-',
+    crashes: progress.crashes.total,
   };
 }
 
--- a/packages/cli/src/log-story.ts
+++ b/packages/cli/src/log-story.ts
@@ -60,6 +60,8 @@
     `task ${taskOf(line)} run ${whole(line, 'run')} refused by worker ${text(line, 'worker')}: ${text(line, 'refusal')}`,
   [LogEvent.RunStopped]: line =>
     `task ${taskOf(line)} run ${whole(line, 'run')} stopped on ${text(line, 'worker')}: ${text(line, 'reason')}`,
+  [LogEvent.TaskGivenUp]: line =>
+    `task ${taskOf(line)} given up: ${whole(line, 'crashes')} workers have crashed under it, ${whole(line, 'crashesAtStart')} at its start`,
   [LogEvent.RunStalled]: line =>
     `task ${taskOf(line)} run ${whole(line, 'run')} stood still at ${whole(line, 'percent')}% on ${text(line, 'worker')} for ${whole(line, 'stillMilliseconds')} ms`,
 };
--- a/packages/coordinator/src/__tests__/crashing-tasks.test.ts
+++ b/packages/coordinator/src/__tests__/crashing-tasks.test.ts
@@ -1,14 +1,57 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {JobState} from '@gentiandoor/jobs';
+import {JobState, type StepSpecification} from '@gentiandoor/jobs';
+import {SeededRandom} from '@gentiandoor/kernel';
 import {startsAfterCrashes} from '../stand-ins/index.js';
-import {TestDeployment, behaviour, job, step} from './deployment.js';
+import {
+  TestDaemon,
+  TestDeployment,
+  behaviour,
+  job,
+  step,
+} from './deployment.js';
 
 const TIMEOUT = 3_000;
 const CRASH = behaviour({crashesAfterMilliseconds: 10});
 const TASK = 'bad.0.0.0';
 /** Starts that are allowed after three workers have crashed under a task. */
 const MOST_STARTS_AFTER_THREE = 2;
+const CRASH_GAP_MILLISECONDS = 1_500;
+
+function assertBounded(deployment: TestDeployment, task = TASK): void {
+  const starts = startsAfterCrashes(deployment.begunRuns(), task, 3);
+  assert.ok(starts <= MOST_STARTS_AFTER_THREE, `${task}: ${starts} starts`);
+}
+
+async function assertState(
+  deployment: TestDeployment,
+  daemon: TestDaemon,
+  id: string,
+  state: JobState,
+): Promise<void> {
+  const found = await deployment.answerOf(daemon, id);
+  assert.deepEqual(found, {kind: 'state', state}, id);
+}
+
+function submit(
+  daemon: TestDaemon,
+  id: string,
+  differences: Partial<StepSpecification> = {},
+): void {
+  void daemon.desk.submit(job(id, [step(differences)]), TIMEOUT);
+}
+
+function crashOneOf(deployment: TestDeployment, random: SeededRandom): void {
+  const alive = [...deployment.fleet.vms.values()].filter(
+    vm => deployment.worker(vm.workerId)?.isDead === false,
+  );
+  const vm = alive[random.nextInteger(alive.length)];
+  if (vm) deployment.crashWorker(vm.workerId);
+}
+
+function ids(prefix: string, count: number): string[] {
+  return Array.from({length: count}, (_, index) => `${prefix}-${index}`);
+}
 
 describe('a task that crashes its workers', () => {
   // Guards against a task that takes down one worker after the other without end.
@@ -16,13 +59,132 @@
     const deployment = new TestDeployment(4);
     deployment.behaviours.set(TASK, CRASH);
     const daemon = await deployment.startDaemon('one');
-    void daemon.desk.submit(job('bad', [step({taskCount: 3})]), TIMEOUT);
+    submit(daemon, 'bad', {taskCount: 3});
     await deployment.run(20_000);
-    const starts = startsAfterCrashes(deployment.begunRuns(), TASK, 3);
-    assert.ok(starts <= MOST_STARTS_AFTER_THREE, `${starts} starts`);
-    assert.deepEqual(await deployment.answerOf(daemon, 'bad'), {
-      kind: 'state',
-      state: JobState.Failed,
+    assertBounded(deployment);
+    await assertState(deployment, daemon, 'bad', JobState.Failed);
+  });
+
+  // Guards against a successor that counts from zero.
+  it('is given up when each coordinator is killed right after its crash', async () => {
+    const deployment = new TestDeployment(4);
+    deployment.behaviours.set(TASK, CRASH);
+    let daemon = await deployment.startDaemon('one');
+    submit(daemon, 'bad');
+    for (let life = 2; life < 12; life++) {
+      await deployment.run(40);
+      daemon.kill();
+      daemon = new TestDaemon(deployment, 'one', String(life));
+      daemon.start();
+      await deployment.run(3_000);
+    }
+    await deployment.run(5_000);
+    assertBounded(deployment);
+    await assertState(deployment, daemon, 'bad', JobState.Failed);
+  });
+
+  // Guards against crashes that count only when they follow the start at once.
+  it('is given up when it crashes late in its run', async () => {
+    const deployment = new TestDeployment(4);
+    deployment.behaviours.set(
+      TASK,
+      behaviour({crashesAfterMilliseconds: 2_500}),
+    );
+    const daemon = await deployment.startDaemon('one');
+    submit(daemon, 'bad');
+    await deployment.run(30_000);
+    assertBounded(deployment);
+    await assertState(deployment, daemon, 'bad', JobState.Failed);
+  });
+
+  for (const [kind, differences] of [
+    ['that lasts', {longRunning: true}],
+    ['of a gang', {gang: true}],
+    ['that saves its progress', {checkpointing: true}],
+  ] as const)
+    // Guards against a kind of task that escapes the count.
+    it(`is given up when it is one ${kind}`, async () => {
+      const deployment = new TestDeployment(4);
+      deployment.behaviours.set(TASK, CRASH);
+      const daemon = await deployment.startDaemon('one');
+      submit(daemon, 'bad', differences);
+      await deployment.run(30_000);
+      assertBounded(deployment);
+      await assertState(deployment, daemon, 'bad', JobState.Failed);
     });
+
+  // Guards against jobs that are given up for the task that runs beside theirs.
+  it('does not take the jobs beside it down', async () => {
+    const deployment = new TestDeployment(3);
+    deployment.behaviours.set(TASK, CRASH);
+    const daemon = await deployment.startDaemon('one');
+    const sound = ids('sound', 4);
+    submit(daemon, 'bad');
+    for (const id of sound) submit(daemon, id, {taskCount: 2});
+    await deployment.run(20_000);
+    assertBounded(deployment);
+    await assertState(deployment, daemon, 'bad', JobState.Failed);
+    for (const id of sound)
+      await assertState(deployment, daemon, id, JobState.Completed);
+  });
+
+  // Guards against a pool with one worker at a time, where all that waits starts together again.
+  it('does not take the jobs beside it down on a single worker', async () => {
+    const deployment = new TestDeployment(1);
+    deployment.behaviours.set(TASK, CRASH);
+    const daemon = await deployment.startDaemon('one');
+    const sound = ids('sound', 3);
+    submit(daemon, 'bad');
+    for (const id of sound) submit(daemon, id);
+    await deployment.run(30_000);
+    assertBounded(deployment);
+    for (const id of sound)
+      await assertState(deployment, daemon, id, JobState.Completed);
+  });
+
+  // Guards against a whole class of such jobs, among sound ones of the same queue.
+  it('is given up beside many others of its kind, and sound jobs are not', async () => {
+    const deployment = new TestDeployment(8);
+    const bad = ids('bad', 12);
+    const sound = ids('sound', 24);
+    for (const id of bad) deployment.behaviours.set(`${id}.0.0.0`, CRASH);
+    const daemon = await deployment.startDaemon('one');
+    for (let index = 0; index < sound.length; index++) {
+      submit(daemon, sound[index], {taskCount: 2});
+      if (index < bad.length) submit(daemon, bad[index], {taskCount: 2});
+      await deployment.run(300);
+    }
+    await deployment.run(60_000);
+    for (const id of bad) {
+      assertBounded(deployment, `${id}.0.0.0`);
+      await assertState(deployment, daemon, id, JobState.Failed);
+    }
+    for (const id of sound)
+      await assertState(deployment, daemon, id, JobState.Completed);
   });
 });
+
+describe('workers that are lost in series by other causes', () => {
+  // Guards against jobs that are given up for crashes that no task has caused.
+  for (const seed of [1, 2, 3, 4, 5, 6])
+    it(`have no job given up under seed ${seed}`, async () => {
+      const deployment = new TestDeployment(8);
+      const random = new SeededRandom(seed);
+      const daemon = await deployment.startDaemon('one');
+      await deployment.startLastingJob(daemon, {
+        taskCount: 6,
+        maximumPerWorker: 1,
+      });
+      const short = ids('short', 30);
+      for (const id of short) {
+        deployment.behaviours.set(id, behaviour({durationMilliseconds: 800}));
+        submit(daemon, id, {taskCount: 3});
+        await deployment.run(CRASH_GAP_MILLISECONDS);
+        crashOneOf(deployment, random);
+      }
+      await deployment.run(15_000);
+      for (const id of short)
+        await assertState(deployment, daemon, id, JobState.Completed);
+      await assertState(deployment, daemon, 'lasting', JobState.Running);
+    });
+});
--- a/packages/coordinator/src/__tests__/random-faults.test.ts
+++ b/packages/coordinator/src/__tests__/random-faults.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {playLimitedFaults, playRandomFaults} from './random-faults.js';
+import {
+  playCrashingFaults,
+  playLimitedFaults,
+  playRandomFaults,
+} from './random-faults.js';
 
 const SEEDS = Number(process.env.GENTIANDOOR_FAULT_SEEDS ?? 12);
 const FIRST_SEED = Number(process.env.GENTIANDOOR_FIRST_SEED ?? 1);
@@ -36,3 +40,15 @@
     });
   }
 });
+
+// Guards against a task that crashes its workers and is started without end, beside any other fault.
+describe('random faults with tasks that crash their workers', () => {
+  for (let index = 0; index < SEEDS; index++) {
+    const seed = FIRST_SEED + index;
+    it(`break no promise under seed ${seed}`, async () => {
+      const run = await playCrashingFaults(seed);
+      assert.deepEqual(run.broken, []);
+      assert.ok(run.started > 0);
+    });
+  }
+});
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -8,6 +8,7 @@
   mostAtOnce,
   overlappingRuns,
   pairsOfRuns,
+  startsAfterCrashes,
   type BegunRun,
 } from '../stand-ins/index.js';
 import {
@@ -25,6 +26,11 @@
 const SUBMIT_BOUND_MILLISECONDS = 3_000;
 /** Of the queue that all jobs go to. */
 const MAXIMUM_ATTEMPTS = 3;
+const CRASHING_JOBS_EVERY = 6;
+const CRASH_MILLISECONDS = 10;
+/** Workers that have crashed under a task, and starts that may follow. */
+const CRASHES_COUNTED = 3;
+const MOST_STARTS_AFTER_CRASHES = 2;
 
 /** What a seeded run of faults broke; empty when every promise held. */
 export interface RandomRun {
@@ -55,6 +61,11 @@
   return new RandomFaults(seed, taskLimit).play();
 }
 
+/** The same with some jobs whose first task crashes each worker that starts it. */
+export async function playCrashingFaults(seed: number): Promise<RandomRun> {
+  return new RandomFaults(seed, undefined, new SeededRandom(seed)).play();
+}
+
 const ORGANISATION = 'advisers';
 const TASK_MILLICORES = 1_000;
 
@@ -70,6 +81,8 @@
   constructor(
     seed: number,
     private readonly taskLimit?: number,
+    /** Picks the jobs that crash workers, apart from `random`: the other faults stay those of the seed. */
+    private readonly crashes?: SeededRandom,
   ) {
     this.random = new SeededRandom(seed);
     this.deployment.linkFleet();
@@ -116,6 +129,11 @@
       const id = `job-${round}-${index}`;
       const longRunning = this.random.nextInteger(6) === 0;
       this.deployment.behaviours.set(id, this.behaviourOf(longRunning));
+      if (this.crashes?.nextInteger(CRASHING_JOBS_EVERY) === 0)
+        this.deployment.behaviours.set(
+          `${id}.0.0.0`,
+          behaviour({crashesAfterMilliseconds: CRASH_MILLISECONDS}),
+        );
       const tasks = 1 + this.random.nextInteger(3);
       const submitted: Submitted = {
         id,
@@ -233,6 +251,7 @@
         ...this.tooManyAttempts(runs),
         ...this.refusedAndRun(runs),
         ...this.overLimit(runs),
+        ...this.tooManyCrashes(runs),
         ...taken.flatMap(one => this.unfinished(one, runs)),
       ],
       started: runs.length,
@@ -280,6 +299,18 @@
       );
   }
 
+  private tooManyCrashes(runs: readonly BegunRun[]): string[] {
+    const crashing = [...this.deployment.behaviours].filter(
+      ([, {crashesAfterMilliseconds}]) => crashesAfterMilliseconds,
+    );
+    return crashing.flatMap(([task]) => {
+      const starts = startsAfterCrashes(runs, task, CRASHES_COUNTED);
+      return starts > MOST_STARTS_AFTER_CRASHES
+        ? [`${task}: ${starts} starts after ${CRASHES_COUNTED} crashes`]
+        : [];
+    });
+  }
+
   private overLimit(runs: readonly BegunRun[]): string[] {
     const {taskLimit = Infinity} = this;
     const owned = runs.filter(run => this.owned.has(run.task.split('.')[0]));
@@ -297,10 +328,19 @@
       .map(one => `${one.id}: refused and run`);
   }
 
+  /** So many crashes under one task are reason enough. */
+  private wasGivenUp(own: readonly BegunRun[]): boolean {
+    const crashes = new Map<string, number>();
+    for (const {task, end} of own)
+      if (end === RunEnd.Crashed)
+        crashes.set(task, (crashes.get(task) ?? 0) + 1);
+    return Math.max(0, ...crashes.values()) >= CRASHES_COUNTED;
+  }
+
   private unfinished(one: Submitted, runs: readonly BegunRun[]): string[] {
     const own = runs.filter(run => run.task.startsWith(`${one.id}.`));
     const failed = own.filter(run => run.end === RunEnd.Failed).length >= 3;
-    if (failed) return [];
+    if (failed || this.wasGivenUp(own)) return [];
     const wanted = one.longRunning
       ? own.filter(run => run.endedAt === undefined).length
       : new Set(own.filter(run => run.end === RunEnd.Done).map(run => run.task))
--- a/packages/coordinator/src/__tests__/run-watch.test.ts
+++ b/packages/coordinator/src/__tests__/run-watch.test.ts
@@ -21,6 +21,7 @@
     weight: 1,
     expectedMilliseconds: 500,
     isWatched: true,
+    isIsolated: false,
     status: RunStatus.Ordered,
     settledAt: Infinity,
   });
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -6,6 +6,7 @@
   type Metrics,
 } from '@gentiandoor/kernel';
 import {
+  CRASH_AT_START_MILLISECONDS,
   EndEffect,
   JobExecution,
   JobState,
@@ -18,7 +19,12 @@
   type StoredJob,
   type TaskProgress,
 } from '@gentiandoor/jobs';
-import {FullestFirst, OrderWindow, WorkerTrust} from '@gentiandoor/scheduling';
+import {
+  FullestFirst,
+  OrderWindow,
+  PROVEN_MILLISECONDS,
+  WorkerTrust,
+} from '@gentiandoor/scheduling';
 import {
   BeyondShareBehind,
   type PoolClaims,
@@ -69,6 +75,15 @@
   readonly metrics: Metrics;
 }
 
+/** How a run ended, and where. */
+interface RunEnding {
+  readonly end: RunEnd;
+  readonly checkpoint: string;
+  readonly worker: string;
+  /** Since when the worker has not answered; undefined while it does. */
+  readonly silentFrom?: number;
+}
+
 /** Long enough to outlast the cuts and outages of five to seven seconds that the offices know, short of the platform's bound. */
 const LEASE_MILLISECONDS = 8_000;
 const RETRY_MILLISECONDS = 100;
@@ -259,10 +274,26 @@
       void session.order(run).finally(() => {
         this.window.end();
         this.dispatcher.orderSettled();
+        this.wakeAfterIsolation(session, run);
       });
     });
   }
 
+  /** Other jobs may join the run on its worker then. */
+  private wakeAfterIsolation(
+    {entry}: WorkerSession,
+    {isIsolated}: LiveRun,
+  ): void {
+    if (!isIsolated) return;
+    this.parts.clock.schedule(PROVEN_MILLISECONDS, () =>
+      this.dispatcher.wake(entry.service),
+    );
+  }
+
+  runSurvived({execution, taskOfJob}: LiveRun): void {
+    if (execution.noteSurvival(taskOfJob)) this.writer.store(execution);
+  }
+
   runEnded(
     session: WorkerSession,
     run: LiveRun,
@@ -275,7 +306,12 @@
         run,
         this.parts.clock.monotonicMilliseconds() - run.beganAt,
       );
-    this.endRun(run, end, checkpoint, session.id);
+    this.endRun(run, {
+      end,
+      checkpoint,
+      worker: session.id,
+      silentFrom: session.silentFrom,
+    });
     this.dispatcher.wake(session.entry.service);
   }
 
@@ -306,7 +342,7 @@
     this.log.refused(run, session.id, refusal);
     if (refusal === OrderRefusal.Unhealthy)
       this.suspicion.suspect(session, refusal);
-    this.endRun(run, RunEnd.Lost, '', session.id);
+    this.endRun(run, {end: RunEnd.Lost, checkpoint: '', worker: session.id});
     this.parts.clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
       this.dispatcher.wake(session.entry.service),
     );
@@ -403,6 +439,7 @@
         weight: 1,
         expectedMilliseconds: this.dispatcher.expectedTime(execution, task),
         isWatched: true,
+        isIsolated: this.dispatcher.mustIsolate(execution, task),
         status: RunStatus.Recovered,
         settledAt: -Infinity,
       });
@@ -415,7 +452,7 @@
 
   private endOrphan(worker: string, run: LiveRun, end: RunEnd): void {
     if (this.closed) return;
-    this.endRun(run, end, '', worker);
+    this.endRun(run, {end, checkpoint: '', worker});
     this.dispatcher.wake(run.execution.job.service);
   }
 
@@ -427,23 +464,21 @@
     this.writer.store(execution);
   }
 
-  private endRun(
-    run: LiveRun,
-    end: RunEnd,
-    checkpoint: string,
-    worker: string,
-  ): void {
+  private endRun(run: LiveRun, ending: RunEnding): void {
     const {execution} = run;
+    const {end, worker} = ending;
     this.rooms.end(run);
     const wasEnded = execution.ended;
-    const queue = this.queueOf(execution);
-    const effect = execution.endRun(
-      run.taskOfJob,
-      run.run,
-      end,
-      checkpoint,
-      queue?.maximumAttempts ?? 1,
-    );
+    const effect =
+      end === RunEnd.Crashed
+        ? this.crashRun(run, ending)
+        : execution.endRun(
+            run.taskOfJob,
+            run.run,
+            end,
+            ending.checkpoint,
+            this.queueOf(execution)?.maximumAttempts ?? 1,
+          );
     this.log.ended(run, worker, end, effect);
     if (effect === EndEffect.Stale) return;
     if (end === RunEnd.Failed) this.dispatcher.noteFailure(run, worker);
@@ -455,6 +490,20 @@
     this.writer.store(execution);
   }
 
+  private crashRun(run: LiveRun, {worker, silentFrom}: RunEnding): EndEffect {
+    const {execution, taskOfJob} = run;
+    const crashedAt = silentFrom ?? this.parts.clock.monotonicMilliseconds();
+    const wasEnded = execution.ended;
+    const effect = execution.crashRun(taskOfJob, run.run, {
+      isAtStart: endedAtStart(run, crashedAt),
+      isIsolated: run.isIsolated,
+    });
+    this.dispatcher.noteCrash(run);
+    if (effect === EndEffect.JobEnded && !wasEnded)
+      this.log.givenUp(run, worker, taskOfJob.progress.crashes);
+    return effect;
+  }
+
   private finish(execution: JobExecution): void {
     const {state} = execution.progress;
     this.log.jobEnded({
@@ -512,11 +561,22 @@
   }
 }
 
+/** A start without an answer may have met a worker that had crashed before. */
+function endedAtStart({beganAt}: LiveRun, endedAt: number): boolean {
+  return (
+    beganAt !== undefined && endedAt - beganAt < CRASH_AT_START_MILLISECONDS
+  );
+}
+
 function copyProgress(progress: JobProgress): JobProgress {
   const tasks = [...progress.tasks].map(
     ([key, task]): [string, TaskProgress] => [
       key,
-      {...task, failedRuns: [...task.failedRuns]},
+      {
+        ...task,
+        failedRuns: [...task.failedRuns],
+        crashes: {...task.crashes},
+      },
     ],
   );
   return {state: progress.state, tasks: new Map(tasks)};
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -21,7 +21,7 @@
   type LiveRun,
 } from './live-run.js';
 import type {Queue} from './operator-records.js';
-import {PlacementRound} from './placement-round.js';
+import {PlacementRound, type PlacementWish} from './placement-round.js';
 import type {ServiceDemand} from './service-demand.js';
 import {LoadCount, NO_LOAD, type ServiceLoad} from './service-load.js';
 import {BAR_MILLISECONDS, TaskFailures} from './task-failures.js';
@@ -55,6 +55,7 @@
 const MISSES_BEFORE_GIVING_UP = 12;
 /** The wall clock of a step due later is looked at again this often at least. */
 const LONGEST_SLEEP_MILLISECONDS = 1_000;
+const ISOLATION_RETRY_MILLISECONDS = 200;
 
 /** Places the ready tasks of all jobs on workers. */
 export class Dispatcher {
@@ -69,6 +70,8 @@
   private readonly arriving = new Map<string, number>();
   /** One timer for each service with a job that is due later. */
   private readonly sleeps = new Map<string, Timer>();
+  /** Services with a task that waits to be kept apart. */
+  private readonly retries = new Set<string>();
   private scheduled = false;
   private placedAt = -Infinity;
   private restMilliseconds = 0;
@@ -130,6 +133,17 @@
     this.clock.schedule(BAR_MILLISECONDS, () => this.wake(service));
   }
 
+  /** Notes that a worker crashed under a run of a task, so that the next try goes apart. */
+  noteCrash(run: LiveRun): void {
+    this.failures.noteCrash(run.task);
+  }
+
+  /** Whether a task starts apart from other jobs' tasks if it starts now. */
+  mustIsolate(execution: JobExecution, task: ExecutableTask): boolean {
+    const name = taskName(execution.job.id, task);
+    return this.failures.mustIsolate(name, task.progress.crashes.total);
+  }
+
   /** How long a job has been known. */
   ageOf(execution: JobExecution): number {
     return this.jobs.ageOf(execution);
@@ -251,12 +265,28 @@
         !full.has(key) &&
         this.placeTogether(round, candidate, tasks, now);
       if (placed) continue;
+      this.retryIsolated(service, candidate, tasks);
       full.add(key);
       count.note(execution, tasks, weight);
     }
     return full.size;
   }
 
+  /** What a task that is kept apart waits for passes with time, and no event tells of it. */
+  private retryIsolated(
+    service: string,
+    {execution}: Candidate,
+    tasks: readonly ExecutableTask[],
+  ): void {
+    const waits = tasks.some(task => this.mustIsolate(execution, task));
+    if (!waits || this.retries.has(service)) return;
+    this.retries.add(service);
+    this.clock.schedule(ISOLATION_RETRY_MILLISECONDS, () => {
+      this.retries.delete(service);
+      this.wake(service);
+    });
+  }
+
   /** Tasks that last are few, and missed at once: they don't wait behind a turn's orders. */
   private mayOrder(tasks: readonly ExecutableTask[]): boolean {
     const {longRunning} = tasks[0].specification;
@@ -287,6 +317,21 @@
     this.sleeps.set(service, timer);
   }
 
+  private wishOf(
+    execution: JobExecution,
+    task: ExecutableTask,
+    now: number,
+  ): PlacementWish {
+    const name = taskName(execution.job.id, task);
+    return {
+      stepKey: stepName(execution.job.id, task),
+      step: task.specification,
+      job: execution.job.id,
+      avoid: this.failures.avoidanceOf(name, now),
+      isIsolated: this.mustIsolate(execution, task),
+    };
+  }
+
   /** Places all of `tasks` or none. */
   private placeTogether(
     round: PlacementRound,
@@ -296,11 +341,7 @@
   ): boolean {
     const chosen: WorkerSession[] = [];
     for (const task of tasks) {
-      const session = round.take(
-        stepName(execution.job.id, task),
-        task,
-        this.failures.avoidanceOf(taskName(execution.job.id, task), now),
-      );
+      const session = round.take(this.wishOf(execution, task, now));
       if (!session) {
         round.giveBack();
         return false;
@@ -320,6 +361,7 @@
         weight,
         expectedMilliseconds: this.expectedTime(execution, task),
         isWatched: this.failures.isWatched(taskName(execution.job.id, task)),
+        isIsolated: this.mustIsolate(execution, task),
         status: RunStatus.Planned,
         settledAt: Infinity,
       });
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -25,6 +25,8 @@
   readonly weight: number;
   /** Whether it is stopped when it stands still. */
   readonly isWatched: boolean;
+  /** Whether it starts apart from other jobs' tasks that may crash the worker. */
+  readonly isIsolated: boolean;
   /** Run time to expect, in milliseconds. */
   readonly expectedMilliseconds: number;
   /** When the order to start was first sent; undefined before, and for recovered runs. */
@@ -50,6 +52,7 @@
   | 'weight'
   | 'expectedMilliseconds'
   | 'isWatched'
+  | 'isIsolated'
   | 'status'
   | 'settledAt'
 >;
--- a/packages/coordinator/src/placement-round.ts
+++ b/packages/coordinator/src/placement-round.ts
@@ -1,11 +1,13 @@
-import type {ExecutableTask} from '@gentiandoor/jobs';
 import type {
-  Avoidance,
+  PlacementRequest,
   PlacementWorker,
   WorkerChoice,
 } from '@gentiandoor/scheduling';
 import type {WorkerSession} from './worker-session.js';
 
+/** A task to place, as far as the round does not know it itself. */
+export type PlacementWish = Omit<PlacementRequest, 'now'>;
+
 /** Room of a service's workers while one round of placement goes on. */
 export class PlacementRound {
   private readonly sessions = new Map<string, WorkerSession>();
@@ -15,7 +17,7 @@
   constructor(
     sessions: readonly WorkerSession[],
     private readonly choice: WorkerChoice,
-    now: number,
+    private readonly now: number,
   ) {
     for (const session of sessions) this.sessions.set(session.id, session);
     this.views = sessions.map(session => session.placementView(now));
@@ -23,16 +25,12 @@
   }
 
   /** Takes room for a task; undefined where there is none. */
-  take(
-    stepKey: string,
-    task: ExecutableTask,
-    avoid: Avoidance,
-  ): WorkerSession | undefined {
-    const step = task.specification;
-    const worker = this.choice.choose({stepKey, step, avoid}, this.views);
+  take(wish: PlacementWish): WorkerSession | undefined {
+    const request: PlacementRequest = {...wish, now: this.now};
+    const worker = this.choice.choose(request, this.views);
     if (!worker) return undefined;
     const index = this.views.indexOf(worker);
-    this.views[index] = withTask(worker, stepKey, task);
+    this.views[index] = withTask(worker, request);
     return this.sessions.get(worker.id);
   }
 
@@ -48,10 +46,8 @@
 
 function withTask(
   worker: PlacementWorker,
-  stepKey: string,
-  task: ExecutableTask,
+  {stepKey, step, job, isIsolated}: PlacementRequest,
 ): PlacementWorker {
-  const step = task.specification;
   return {
     ...worker,
     freeMillicores:
@@ -62,5 +58,8 @@
     servingTasks: worker.servingTasks + (step.targetMilliseconds > 0 ? 1 : 0),
     bestEffortTasks: worker.bestEffortTasks + (step.bestEffort ? 1 : 0),
     countOf: key => worker.countOf(key) + (key === stepKey ? 1 : 0),
+    isolatedJob: now => (isIsolated ? job : worker.isolatedJob(now)),
+    hasUnprovenOther: (other, now) =>
+      other !== job || worker.hasUnprovenOther(other, now),
   };
 }
--- a/packages/coordinator/src/run-log.ts
+++ b/packages/coordinator/src/run-log.ts
@@ -5,7 +5,7 @@
   type Logger,
   type Metrics,
 } from '@gentiandoor/kernel';
-import type {EndEffect, JobState, RunEnd} from '@gentiandoor/jobs';
+import type {CrashCount, EndEffect, JobState, RunEnd} from '@gentiandoor/jobs';
 import type {LiveRun} from './live-run.js';
 import type {OrderRefusal, RunName} from './worker-gateway.js';
 
@@ -53,6 +53,22 @@
     this.parts.metrics.increment(MetricName.RunEnds, {end});
   }
 
+  /** Its job fails: workers crash under the task. */
+  givenUp(
+    {task, run}: RunName,
+    worker: string,
+    {total, atStart}: CrashCount,
+  ): void {
+    this.parts.logger.warn(LogEvent.TaskGivenUp, {
+      task,
+      run,
+      worker,
+      crashes: total,
+      crashesAtStart: atStart,
+    });
+    this.parts.metrics.increment(MetricName.TasksGivenUp);
+  }
+
   refused({task, run}: RunName, worker: string, refusal: OrderRefusal): void {
     const fields = {task, run, worker, refusal};
     this.parts.logger.warn(LogEvent.RunRefused, fields);
--- a/packages/coordinator/src/session-host.ts
+++ b/packages/coordinator/src/session-host.ts
@@ -27,6 +27,8 @@
     end: RunEnd,
     checkpoint: string,
   ): void;
+  /** A run has lived for long. */
+  runSurvived(run: LiveRun): void;
   /** A run that was given up has ended after all. */
   lateEnd(ended: EndedRun): void;
   startRefused(
--- a/packages/coordinator/src/session-room.ts
+++ b/packages/coordinator/src/session-room.ts
@@ -1,4 +1,5 @@
 import {
+  isUnproven,
   occupiedMillicores,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
@@ -15,6 +16,7 @@
   const counts = new Map<string, number>();
   for (const {stepKey} of runs)
     counts.set(stepKey, (counts.get(stepKey) ?? 0) + 1);
+  const isolated = runs.filter(run => run.isIsolated);
   const steps = runs.map(run => run.taskOfJob.specification);
   const sum = (of: (step: (typeof steps)[number]) => number) =>
     steps.reduce((total, step) => total + of(step), 0);
@@ -33,9 +35,21 @@
     tasks: runs.length,
     trust,
     countOf: stepKey => counts.get(stepKey) ?? 0,
+    isolatedJob: now =>
+      isolated.find(run => isUnproven(provenFrom(run), now))?.execution.job.id,
+    hasUnprovenOther: (job, now) =>
+      runs.some(
+        run => run.execution.job.id !== job && isUnproven(provenFrom(run), now),
+      ),
   };
 }
 
+/** A run that an earlier coordinator ordered counts from when it was seen alive. */
+function provenFrom({beganAt, settledAt}: LiveRun): number | undefined {
+  if (beganAt !== undefined) return beganAt;
+  return Number.isFinite(settledAt) ? settledAt : undefined;
+}
+
 /** Millicores that runs on a worker with `room` take away, weighed by what the work is still worth. */
 export function valuedMillicores(runs: Iterable<LiveRun>, room: Room): number {
   let sum = 0;
--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -73,7 +73,9 @@
     this.polls.set(worker.id, (this.polls.get(worker.id) ?? 0) + 1);
     const bound = request.boundMilliseconds ?? SILENCE_MILLISECONDS;
     const target = await this.reach(worker, POLL_BYTES, bound);
-    return target ? target.poll(request) : silent();
+    const result = await target?.poll(request);
+    // A worker that crashed while the poll waited there answers nothing.
+    return result && !target?.isDead ? result : silent();
   }
 
   async start(
--- a/packages/coordinator/src/task-failures.ts
+++ b/packages/coordinator/src/task-failures.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@gentiandoor/kernel';
-import type {Avoidance} from '@gentiandoor/scheduling';
+import {mustIsolate, type Avoidance} from '@gentiandoor/scheduling';
 
 /** A task waits so long for a worker on which it has not failed; the others may be full of tasks that last. */
 export const BAR_MILLISECONDS = 1_000;
@@ -12,9 +12,11 @@
   readonly newestAt: number;
 }
 
-/** Remembers where tasks have failed, so that the next try goes elsewhere. */
+/** Remembers where tasks have failed or crashed their workers, so that the next try goes elsewhere, or apart. */
 export class TaskFailures {
   private readonly byTask = new Map<string, Failures>();
+  /** When a worker last crashed under a task. */
+  private readonly crashedAt = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -26,10 +28,23 @@
     });
   }
 
+  noteCrash(task: string): void {
+    this.crashedAt.set(task, this.clock.monotonicMilliseconds());
+  }
+
   forgetJob(jobId: string): void {
     const prefix = `${jobId}.`;
-    for (const task of this.byTask.keys())
-      if (task.startsWith(prefix)) this.byTask.delete(task);
+    for (const tasks of [this.byTask, this.crashedAt])
+      for (const task of tasks.keys())
+        if (task.startsWith(prefix)) tasks.delete(task);
+  }
+
+  /** Whether a task under which `crashes` workers have crashed is kept apart if it starts now. */
+  mustIsolate(task: string, crashes: number): boolean {
+    // An earlier coordinator saw the crashes: the wait begins here.
+    if (crashes > 0 && !this.crashedAt.has(task)) this.noteCrash(task);
+    const now = this.clock.monotonicMilliseconds();
+    return mustIsolate(crashes, now - (this.crashedAt.get(task) ?? now));
   }
 
   /** A task that has stood still or failed on several workers is left to go on: it may be far longer than its estimate. */
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -1,5 +1,5 @@
 import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
-import {RunEnd} from '@gentiandoor/jobs';
+import {RunEnd, SURVIVAL_MILLISECONDS} from '@gentiandoor/jobs';
 import {
   AnswerBound,
   isStalled,
@@ -433,6 +433,8 @@
       run.progressedAt = now;
     } else if (canStall(run) && isStalled(watchedRun(run, now)))
       this.host.runStalled(this, run);
+    const aliveFor = now - (run.beganAt ?? run.settledAt);
+    if (aliveFor >= SURVIVAL_MILLISECONDS) this.host.runSurvived(run);
     if (listed.checkpoint !== '')
       run.taskOfJob.progress.checkpoint = listed.checkpoint;
   }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,4 @@
+export * from './crash-count.js';
 export * from './job.js';
 export * from './job-execution.js';
 export * from './job-progress.js';
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -8,6 +8,7 @@
   type StepSpecification,
   type TaskIndex,
 } from './job.js';
+import {countCrash, noCrashes, type RunCrash} from './crash-count.js';
 import {
   emptyTaskProgress,
   type JobProgress,
@@ -134,6 +135,25 @@
     return this.countEnd(task, run, end, maximumAttempts);
   }
 
+  /** Notes that a worker crashed under a run. */
+  crashRun(task: ExecutableTask, run: number, crash: RunCrash): EndEffect {
+    const {progress} = task;
+    if (progress.run !== run || progress.worker === '') return EndEffect.Stale;
+    progress.worker = '';
+    if (this.ended) return EndEffect.JobEnded;
+    if (progress.done) return EndEffect.TaskDone;
+    if (!countCrash(progress.crashes, crash)) return EndEffect.Again;
+    this.progress.state = JobState.Failed;
+    return EndEffect.JobEnded;
+  }
+
+  /** Notes that a run has lived long; returns true when that clears its task of earlier crashes. */
+  noteSurvival({progress}: ExecutableTask): boolean {
+    if (progress.crashes.total === 0) return false;
+    progress.crashes = noCrashes();
+    return true;
+  }
+
   /**
    * Notes the end of a run that had been given up, read when its worker came back: a task that was
    * done is done, and a failed end counts as an attempt.
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,3 +1,4 @@
+import {noCrashes, type CrashCount} from './crash-count.js';
 import {JobState} from './job.js';
 
 /** What must outlast the coordinator about one task. */
@@ -7,6 +8,7 @@
   done: boolean;
   /** Numbers of the runs that ended as failed: an end that is read twice counts once. */
   failedRuns: number[];
+  crashes: CrashCount;
   checkpoint: string;
   /** Worker whose run may be alive; empty for none. */
   worker: string;
@@ -26,5 +28,12 @@
 
 /** A task that was never ordered. */
 export function emptyTaskProgress(): TaskProgress {
-  return {run: 0, done: false, failedRuns: [], checkpoint: '', worker: ''};
+  return {
+    run: 0,
+    done: false,
+    failedRuns: [],
+    crashes: noCrashes(),
+    checkpoint: '',
+    worker: '',
+  };
 }
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -31,7 +31,16 @@
   [JobRecordKind.Progress]: 'p/',
 };
 
-type PackedTask = [string, number, number, number[], string, string];
+/** The last entry is left out for a task under which no worker has crashed. */
+type PackedTask = [
+  string,
+  number,
+  number,
+  number[],
+  string,
+  string,
+  [number, number]?,
+];
 
 /** Key of the record of `kind` about `jobId`. */
 export function jobRecordKey(kind: JobRecordKind, jobId: string): string {
@@ -123,15 +132,21 @@
   const told = [...tasks].filter(
     ([, task]) => !isFinal(state) || task.worker !== '',
   );
-  const packed = told.map(([key, task]): PackedTask => [
+  return {state, tasks: told.map(packTask)};
+}
+
+function packTask([key, task]: [string, TaskProgress]): PackedTask {
+  const {run, done, failedRuns, checkpoint, worker, crashes} = task;
+  const packed: PackedTask = [
     key,
-    task.run,
-    task.done ? 1 : 0,
-    task.failedRuns,
-    task.checkpoint,
-    task.worker,
-  ]);
-  return {state, tasks: packed};
+    run,
+    done ? 1 : 0,
+    failedRuns,
+    checkpoint,
+    worker,
+  ];
+  if (crashes.total > 0) packed.push([crashes.total, crashes.atStart]);
+  return packed;
 }
 
 function unpackProgress(jobId: string, packed: object): JobProgress {
@@ -144,9 +159,17 @@
 }
 
 function unpackTask(packed: PackedTask): [string, TaskProgress] {
-  const [key, run, done, failedRuns, checkpoint, worker] = packed;
+  const [key, run, done, failedRuns, checkpoint, worker, crashed] = packed;
+  const [total, atStart] = crashed ?? [0, 0];
   return [
     key,
-    {run, done: done === 1, failedRuns: [...failedRuns], checkpoint, worker},
+    {
+      run,
+      done: done === 1,
+      failedRuns: [...failedRuns],
+      crashes: {total, atStart},
+      checkpoint,
+      worker,
+    },
   ];
 }
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -145,6 +145,10 @@
   [LogEvent.RunStalled]: entry(
     'A run shows no progress any more; it is stopped and started elsewhere.',
   ),
+  [LogEvent.TaskGivenUp]: entry(
+    'Workers crash under a task: its job fails; `crashes` and `crashesAtStart` say how often.',
+    'tell the caller which task it is',
+  ),
   [LogEvent.TermTaken]: entry(
     'This daemon gives the orders from now on; `term` is the fencing token.',
   ),
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -45,6 +45,7 @@
   RunRefused = 1907,
   RunStopped = 1908,
   RunStalled = 1909,
+  TaskGivenUp = 1910,
   TermTaken = 1911,
   TermLost = 1912,
   TermReleased = 1913,
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -127,6 +127,9 @@
     'reason',
   ),
   [MetricName.RunsStalled]: counter('runs that stood still and were stopped'),
+  [MetricName.TasksGivenUp]: counter(
+    'tasks given up since workers crash under them',
+  ),
   [MetricName.RunWaitDuration]: timing(
     'milliseconds from the choice of a worker to the order to start',
   ),
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -57,6 +57,7 @@
   RunRefusals = 'run_refusals',
   /** Runs that stood still. */
   RunsStalled = 'runs_stalled',
+  TasksGivenUp = 'tasks_given_up',
   /** Milliseconds from a task's turn to the order to start it. */
   RunWaitDuration = 'run_wait_duration',
   /** Orders about VMs, by order and outcome. */
--- a/packages/scheduling/src/__tests__/placement.test.ts
+++ b/packages/scheduling/src/__tests__/placement.test.ts
@@ -24,6 +24,8 @@
     tasks: 0,
     trust: 1,
     countOf: () => 0,
+    isolatedJob: () => undefined,
+    hasUnprovenOther: () => false,
     ...differences,
   };
 }
@@ -32,12 +34,16 @@
   workers: readonly PlacementWorker[],
   step: Partial<StepSpecification> = {},
   avoid: readonly string[] = [],
+  isIsolated = false,
 ): string | undefined {
   return new FullestFirst().choose(
     {
       stepKey: 's',
       step: {...STEP, ...step},
+      job: 'a',
       avoid: {workers: new Set(avoid), isBarred: true},
+      isIsolated,
+      now: 0,
     },
     workers,
   )?.id;
@@ -71,6 +77,23 @@
     assert.equal(choose(workers, {preferredRack: 'rack-2'}), 'near');
   });
 
+  it('keeps a task apart that may crash its worker', () => {
+    const used = worker('used', {
+      freeMillicores: 3_000,
+      hasUnprovenOther: () => true,
+    });
+    assert.equal(choose([used, worker('empty')], {}, [], true), 'empty');
+    assert.equal(choose([used], {}, [], true), undefined);
+    assert.equal(choose([used, worker('empty')]), 'used');
+  });
+
+  it('lets only the job itself join a task that is kept apart', () => {
+    const other = worker('other', {isolatedJob: () => 'b'});
+    const own = worker('own', {isolatedJob: () => 'a'});
+    assert.equal(choose([other]), undefined);
+    assert.equal(choose([other, own]), 'own');
+  });
+
   it('puts best-effort tasks where the least serves', () => {
     const workers = [worker('serving', {servingTasks: 2}), worker('quiet')];
     assert.equal(choose(workers, {bestEffort: true}), 'quiet');
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,6 +1,7 @@
 export * from './demand-meter.js';
 export * from './duration-model.js';
 export * from './best-effort-pace.js';
+export * from './isolation.js';
 export * from './job-order.js';
 export * from './lease-clock.js';
 export * from './occupied-room.js';
--- a/packages/scheduling/src/worker-choice.ts
+++ b/packages/scheduling/src/worker-choice.ts
@@ -6,7 +6,13 @@
   /** Names the step of the occurrence, for the bound of tasks on one worker. */
   readonly stepKey: string;
   readonly step: StepSpecification;
+  /** Names its job. */
+  readonly job: string;
   readonly avoid: Avoidance;
+  /** Whether it is kept apart from other jobs' tasks that may crash the worker. */
+  readonly isIsolated: boolean;
+  /** Monotonic milliseconds. */
+  readonly now: number;
 }
 
 /** Workers on which runs of a task have failed. */
@@ -61,12 +67,22 @@
   private allowed(request: PlacementRequest, worker: PlacementWorker): boolean {
     const {step, stepKey} = request;
     if (!fits(worker, step)) return false;
+    if (!this.allowedBeside(request, worker)) return false;
     // A suspect shows with one task at a time whether it is well again; more would be lost on it.
     if (worker.trust <= 0 && worker.tasks > 0) return false;
     if (step.maximumPerWorker === 0) return true;
     return worker.countOf(stepKey) < step.maximumPerWorker;
   }
 
+  private allowedBeside(
+    {job, isIsolated, now}: PlacementRequest,
+    worker: PlacementWorker,
+  ): boolean {
+    const isolatedJob = worker.isolatedJob(now);
+    if (isolatedJob !== undefined) return isolatedJob === job;
+    return !isIsolated || !worker.hasUnprovenOther(job, now);
+  }
+
   private score(request: PlacementRequest, worker: PlacementWorker): number {
     const {step, avoid} = request;
     const fullness = 1 - worker.freeMillicores / worker.totalMillicores;
--- a/packages/scheduling/src/worker-room.ts
+++ b/packages/scheduling/src/worker-room.ts
@@ -20,6 +20,10 @@
   readonly trust: number;
   /** Tasks of a step on it. */
   countOf(stepKey: string): number;
+  /** Job whose task is kept apart on it; undefined for none. */
+  isolatedJob(now: number): string | undefined;
+  /** Whether a task of another job than `job` has not run on it for long. */
+  hasUnprovenOther(job: string, now: number): boolean;
 }
 
 /** Whether a task of `step` fits. */
