The room of workers that do not guard it is kept when it shrinks

Causes found by test (stand-ins whose workers start what they are told; before / after): a run stored while the store was away was ordered by the room of its placement, seconds later (starts over room / none); entries of workers that can not be read left the picture as it was while starts went on (starts over room for 8 s / none); a forgotten run that is being stopped was not counted (one start over room / none). Change: where a service does not enforce room, each order looks at the room again, no start is given on entries read over 1.5 s ago, and none while the worker lists runs that nobody expects. Services that enforce room go as before.

--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -225,6 +225,8 @@
   readonly behaviours = new Map<string, TaskBehaviour>();
   /** What a worker does to all that runs on it. */
   readonly workerBehaviours = new Map<string, Partial<TaskBehaviour>>();
+  /** Set before the workers are added. */
+  workersGuardRoom = true;
   /** Undefined for a deployment that knows none. */
   organisations: readonly Organisation[] | undefined;
   private incarnations = 0;
@@ -272,7 +274,7 @@
         services: pools.map(name => ({
           name,
           standby: name === STANDBY,
-          enforcesRoom: true,
+          enforcesRoom: this.workersGuardRoom,
           healthPath: '',
         })),
       },
@@ -303,6 +305,18 @@
     return worker;
   }
 
+  /** The worker's room changes while it runs; its entry says so `beatMilliseconds` later. */
+  changeRoom(
+    id: string,
+    processorMillicores: number,
+    beatMilliseconds = 0,
+  ): void {
+    const worker = this.worker(id);
+    if (!worker) throw new Error(`no worker ${id}`);
+    worker.room = {...worker.room, processorMillicores};
+    this.clock.schedule(beatMilliseconds, () => this.writeEntry(worker));
+  }
+
   writeEntry(worker: SimulatedWorker): void {
     this.store.write(LogStream.Workers, {
       key: worker.id,
@@ -384,6 +398,7 @@
       this.clock,
       (task, on) => this.behaviourOf(task, on),
     );
+    worker.guardsRoom = this.workersGuardRoom;
     worker.onTaskCrash = () => this.crashWorker(id);
     return this.workers.add(worker);
   }
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -392,6 +392,14 @@
     this.orphans.noteIncarnations(alive);
   }
 
+  guardsRoom(service: string): boolean {
+    return this.parts.operators.service(service)?.enforcesRoom === true;
+  }
+
+  knowsRooms(): boolean {
+    return this.registry.isFresh;
+  }
+
   usesWorkersOf(service: string): boolean {
     return this.parts.operators.service(service)?.standby !== true;
   }
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -17,6 +17,8 @@
   readonly answerBoundMilliseconds: number;
   /** Whether the run may be alive here, as far as is known. */
   isExpected(run: LiveRun): boolean;
+  /** Whether the worker still has room for a run that was placed there. */
+  hasRoomFor(run: LiveRun): boolean;
   /** Waits while the term is being renewed; false when the session is over. */
   waitUntilAllowed(): Promise<boolean>;
   /** Asks for an answer beside the poll that waits. */
@@ -54,10 +56,15 @@
         return;
       }
       if (!(await this.host.waitUntilAllowed())) return;
+      if (!this.host.hasRoomFor(run)) {
+        if (attempt > 0) break;
+        this.host.neverStarted(run);
+        return;
+      }
       if (await this.sendStart(run, attempt > 0)) return;
       await sleep(this.clock, RETRY_MILLISECONDS);
     }
-    // Not answered: it may still be carried out. A stop that is answered bars it for good.
+    // Not answered, or without room by now: it may still be carried out. A stop that is answered bars it for good.
     void this.stop(run);
   }
 
--- a/packages/coordinator/src/session-host.ts
+++ b/packages/coordinator/src/session-host.ts
@@ -19,6 +19,10 @@
   ordersAllowed(): boolean;
   /** Whether work is ever placed on workers of a service: VMs of a standby pool are off. */
   usesWorkersOf(service: string): boolean;
+  /** Whether workers of a service refuse what does not fit them. */
+  guardsRoom(service: string): boolean;
+  /** Whether the entries of workers were read so lately that their rooms can be relied on. */
+  knowsRooms(): boolean;
   /** A worker has seen a higher fencing token. */
   fenced(): void;
   runEnded(
--- a/packages/coordinator/src/session-runs.ts
+++ b/packages/coordinator/src/session-runs.ts
@@ -1,4 +1,4 @@
-import type {PlacementWorker} from '@gentiandoor/scheduling';
+import {fits, type PlacementWorker} from '@gentiandoor/scheduling';
 import {RunStatus, runName, type LiveRun} from './live-run.js';
 import {
   hasLongRunningTask,
@@ -58,6 +58,15 @@
     return this.view;
   }
 
+  /** Whether a run whose order was not sent yet fits beside those that may be on the worker. */
+  hasRoomFor(run: LiveRun, entry: WorkerEntry): boolean {
+    const others = [...this.byTask.values()].filter(
+      other => other !== run && other.status !== RunStatus.Planned,
+    );
+    const view = placementView(entry, others, 1);
+    return fits(view, run.taskOfJob.specification);
+  }
+
   /** Nothing was seen of the runs for a while: they have not stood still. */
   restartStallWatch(now: number): void {
     for (const run of this.byTask.values()) run.progressedAt = now;
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -57,6 +57,10 @@
   state = WorkerState.Ready;
   /** Runs that it was told to stop. */
   stopsAsked = 0;
+  /** Whether it refuses what does not fit. */
+  guardsRoom = true;
+  /** When starts brought it over its room. */
+  readonly startsOverRoom: number[] = [];
   /** Called when a task crashes the worker. */
   onTaskCrash: () => void = () => this.crash();
   /** How long a stop takes. */
@@ -76,7 +80,7 @@
   constructor(
     readonly id: string,
     readonly service: string,
-    readonly room: Room,
+    public room: Room,
     private readonly clock: Clock,
     private readonly behaviourOf: BehaviourOf,
     /** The worker's clock shows this much more than ours. */
@@ -152,7 +156,10 @@
     }
     if (request.run <= before || here) return refused('old');
     const behaviour = this.behaviourOf(request.task, this.id);
-    if (!this.hasRoom(behaviour.room)) return refused('room');
+    if (!this.hasRoom(behaviour.room)) {
+      if (this.guardsRoom) return refused('room');
+      this.startsOverRoom.push(this.clock.monotonicMilliseconds());
+    }
     this.extendLease(request.leaseEndMilliseconds);
     this.begin(request, behaviour);
     return this.done();
--- a/packages/coordinator/src/stray-runs.ts
+++ b/packages/coordinator/src/stray-runs.ts
@@ -12,14 +12,26 @@
 /** Runs on one worker that nobody expects there: earlier orders, which must not go on. */
 export class StrayRuns {
   private readonly stopping = new Set<string>();
+  private listed = 0;
 
   constructor(
     private readonly stopOrder: StopOrder,
     private readonly logger: Logger,
   ) {}
 
+  /** Whether the worker listed any when it was last asked: they take room until they end. */
+  get areListed(): boolean {
+    return this.listed > 0;
+  }
+
+  /** The worker's runs are listed anew. */
+  beginList(): void {
+    this.listed = 0;
+  }
+
   /** Stops a run that was listed; one whose order got no answer is stopped again when it is listed again. */
   async stop(worker: string, listed: ListedRun): Promise<void> {
+    this.listed++;
     const name = runName(listed);
     if (this.stopping.has(name)) return;
     this.stopping.add(name);
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -13,6 +13,8 @@
 /** Entries that change close together are read with one call; a VM that has come for a turn is wanted at once. */
 const READ_GAP_MILLISECONDS = 30;
 const RETRY_MILLISECONDS = 150;
+/** Room that a worker has lost counts a few seconds after its entry says so. */
+const MOST_AGE_MILLISECONDS = 1_500;
 
 /** What a registry is built from. */
 export interface RegistryParts {
@@ -66,6 +68,11 @@
     );
   }
 
+  /** Whether what the entries say of the workers' rooms can be relied on. */
+  get isFresh(): boolean {
+    return this.follower.ageMilliseconds < MOST_AGE_MILLISECONDS;
+  }
+
   /** Reads all entries; returns once that has succeeded. */
   async load(): Promise<void> {
     while (!this.closed && !(await this.follower.refresh()))
@@ -132,7 +139,11 @@
 
   private async follow(): Promise<void> {
     while (!this.closed) {
+      const wasFresh = this.isFresh;
       const answered = await this.follower.follow(WAIT_MILLISECONDS);
+      if (!wasFresh && this.isFresh)
+        for (const session of this.sessions.values())
+          this.host.sessionChanged(session);
       await sleep(
         this.parts.clock,
         answered ? READ_GAP_MILLISECONDS : RETRY_MILLISECONDS,
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -134,10 +134,15 @@
       this.tokenShown &&
       !this.presence.isSilent &&
       this.reservedFor === undefined &&
-      !this.isDraining
+      !this.isDraining &&
+      (this.guardsRoom || (this.host.knowsRooms() && !this.strays.areListed))
     );
   }
 
+  private get guardsRoom(): boolean {
+    return this.host.guardsRoom(this.current.service);
+  }
+
   /** New, and not polled yet. */
   get isStarting(): boolean {
     return !this.tokenShown && !this.presence.isSilent;
@@ -257,6 +262,12 @@
     this.host.sessionOver(this);
   }
 
+  /** Its room may have shrunk since the run was placed, and the worker may start it all the same. */
+  hasRoomFor(run: LiveRun): boolean {
+    if (this.guardsRoom) return true;
+    return this.host.knowsRooms() && this.live.hasRoomFor(run, this.current);
+  }
+
   isExpected(run: LiveRun): boolean {
     return !this.closed && this.live.has(run);
   }
@@ -392,6 +403,8 @@
     if (!shown) this.presence.notePredecessorLease();
     this.tokenShown = true;
     const ended = this.noteEnds(result.ended);
+    const hadStrays = this.strays.areListed;
+    this.strays.beginList();
     for (const listed of result.running) this.noteRunning(listed);
     if (result.ended.length < MAXIMUM_ENDS_LISTED)
       for (const run of this.live.missingFrom(
@@ -401,7 +414,8 @@
       ))
         this.end(run, RunEnd.Lost, '');
     this.pacer.adjust(result.running, this.runs);
-    if (!shown) this.host.sessionChanged(this);
+    if (!shown || (hadStrays && !this.strays.areListed))
+      this.host.sessionChanged(this);
   }
 
   private noteEnds(ended: readonly EndedRun[]): Set<string> {
