Work that waits starts when a worker's room grows again

Callers would see a job wait for good although a worker has room for it. Cause: a new entry woke the placement only where it changed whether the worker takes starts; room that grew changed nothing until the next job or end of a run. Shown by a test of the stand-ins: four tasks that fit no worker, whose rooms then grow: queued for good before, done at once after. Why it works: an entry with more room of any kind wakes the placement of its service.

--- a/packages/coordinator/src/__tests__/shrinking-room.test.ts
+++ b/packages/coordinator/src/__tests__/shrinking-room.test.ts
@@ -134,4 +134,20 @@
     await deployment.run(3_000);
     assert.deepEqual(startsOverRoom(deployment, 0), []);
   });
+
+  // Guards against work that waits although a worker has room for it again.
+  it('is used again when it grows', async () => {
+    const {deployment, daemon} = await begin();
+    for (const id of WORKERS) deployment.changeRoom(id, 500);
+    await deployment.run(500);
+    void daemon.desk.submit(job('a', [step({taskCount: 4})]), TIMEOUT);
+    await deployment.run(2_000);
+    assert.equal(deployment.begunRuns().length, 0);
+    for (const id of WORKERS) deployment.changeRoom(id, WHOLE_MILLICORES);
+    await deployment.run(2_000);
+    assert.deepEqual(await deployment.answerOf(daemon, 'a'), {
+      kind: 'state',
+      state: JobState.Completed,
+    });
+  });
 });
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -23,6 +23,7 @@
   type EndedRun,
   type ListedRun,
   type PollResult,
+  type Room,
   type WorkerEntry,
   type WorkerGateway,
 } from './worker-gateway.js';
@@ -181,11 +182,14 @@
 
   /** Takes the worker's newest entry; undefined when it has none any more. */
   update(entry: WorkerEntry | undefined): void {
-    const before = this.takesStarts;
+    const tookStarts = this.takesStarts;
+    const hasGrown =
+      entry !== undefined && isLarger(entry.room, this.current.room);
     this.listed = entry !== undefined;
     if (entry) this.current = entry;
     this.live.entryChanged();
-    if (before !== this.takesStarts) this.host.sessionChanged(this);
+    if (hasGrown || tookStarts !== this.takesStarts)
+      this.host.sessionChanged(this);
     this.signal.notify();
   }
 
@@ -475,3 +479,11 @@
     this.host.runEnded(this, run, end, checkpoint);
   }
 }
+
+function isLarger(room: Room, before: Room): boolean {
+  return (
+    room.processorMillicores > before.processorMillicores ||
+    room.memoryMegabytes > before.memoryMegabytes ||
+    room.accelerators > before.accelerators
+  );
+}
