Pools are sized by a whole VM, not by one whose room has shrunk

Cause: the room of the VM that a list happens to name first stood for all of its pool; since rooms may shrink while VMs run, a shrunken first one made the planner want many times the VMs. Change: the largest room of the pool counts.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -8,6 +8,7 @@
 } from '@gentiandoor/organisations';
 import {
   ServiceTurns,
+  largestRoom,
   orderWaiting,
   placementGap,
   type PoolRoom,
@@ -208,7 +209,7 @@
       .filter(session => session.takesStarts);
     const {candidates, nextDue} = this.jobs.readyFor(service, now);
     this.sleepUntil(service, nextDue);
-    const room = sessions[0]?.entry.room;
+    const room = largestRoom(sessions.map(({entry}) => entry.room));
     this.demand.noteRoom(room);
     const round = new PlacementRound(sessions, this.choice, now);
     const count = new LoadCount(room);
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -1,6 +1,7 @@
 import {sleep} from '@gentiandoor/kernel';
 import {
   fleetListGap,
+  largestRoom,
   planPools,
   planningGap,
   type PlannedPool,
@@ -215,8 +216,9 @@
         .filter(vm => this.isMovable(vm, standby))
         .map(vm => this.plannedVm(vm, now)),
       vmMillicores:
-        members[0]?.room.processorMillicores ??
-        this.vms[0].room.processorMillicores,
+        largestRoom(
+          (members.length > 0 ? members : this.vms).map(vm => vm.room),
+        )?.processorMillicores ?? 0,
     };
   }
 
--- a/packages/scheduling/src/occupied-room.ts
+++ b/packages/scheduling/src/occupied-room.ts
@@ -21,3 +21,18 @@
   const share = step.memoryMegabytes / room.memoryMegabytes;
   return Math.max(step.processorMillicores, share * room.processorMillicores);
 }
+
+/**
+ * Room of a whole VM among `rooms`; undefined for none.
+ * Load: a VM whose room has shrunk while it runs. Without it a pool that happens to list that VM first
+ * counts all its VMs as so small, and far too many are fetched.
+ */
+export function largestRoom<Room extends VmRoom>(
+  rooms: Iterable<Room>,
+): Room | undefined {
+  let largest: Room | undefined;
+  for (const room of rooms)
+    if (!largest || room.processorMillicores > largest.processorMillicores)
+      largest = room;
+  return largest;
+}
