--- a/packages/specification/src/subjects.ts
+++ b/packages/specification/src/subjects.ts
@@ -2,6 +2,7 @@
 import {budgetWithin} from './budget-model.js';
 import {BUNDLES} from './bundle-model.js';
 import {claimsWithin} from './claims-model.js';
+import {CRASHES} from './crash-model.js';
 import {explore, type Exploration} from './explore.js';
 import {LIMITS} from './limit-model.js';
 import {ownershipWithin} from './ownership-model.js';
@@ -38,6 +39,7 @@
   ),
   checkable(WINDOW),
   checkable(RUNS),
+  checkable(CRASHES),
   checkable(LIMITS),
   checkable(BUNDLES),
   checkable(ownershipWithin({starts: 2, aborts: 1, crashes: 0})),
