Constants: short technical comments, timeouts called so

About eighty named constants of the coordinator and of scheduling carried a sentence on how their value was chosen. They say what they are, in the terms of the field, or nothing where the name does. No value and no behaviour changed.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -84,14 +84,13 @@
   readonly silentFrom?: number;
 }
 
-/** Long enough to outlast the cuts and outages of five to seven seconds that the offices know, short of the platform's bound. */
+/** Runs survive a network partition shorter than this. */
 const LEASE_MILLISECONDS = 8_000;
 const RETRY_MILLISECONDS = 100;
-/** Long against an outage of the store; nobody waits for it. */
-const DROP_BOUND_MILLISECONDS = 15_000;
-/** Oldest age that a wall-clock difference between daemons is trusted for. */
+const DROP_TIMEOUT_MILLISECONDS = 15_000;
+/** Longest age of a job computed from the wall clocks of two daemons. */
 const MAXIMUM_AGE_MILLISECONDS = 60_000;
-/** A worker that refuses what should fit has less room than it says for about this long. */
+/** Delay before tasks are placed again after a worker refused one. */
 const REFUSAL_PAUSE_MILLISECONDS = 100;
 
 /** Gives the orders for one term: from its beginning until another daemon's, nothing of it is used twice. */
@@ -543,8 +542,8 @@
         this.parts.submissions.keep(
           jobId,
           record,
-          DROP_BOUND_MILLISECONDS,
-          DROP_BOUND_MILLISECONDS,
+          DROP_TIMEOUT_MILLISECONDS,
+          DROP_TIMEOUT_MILLISECONDS,
         ),
       ),
     );
--- a/packages/coordinator/src/daemon-readiness.ts
+++ b/packages/coordinator/src/daemon-readiness.ts
@@ -1,9 +1,9 @@
 import type {JobFrontDesk} from './job-front-desk.js';
 import type {OperatorView} from './operator-view.js';
 
-/** Reads of the store come at least every second; after two that failed another daemon serves better. */
+/** A daemon whose last read of the store is older than this is not ready. */
 const STORE_AGE_MILLISECONDS = 2_000;
-/** One lost answer is repeated within this; the balancer looks every second. */
+/** A daemon whose calls to the store have failed this long is not ready. */
 const FAILING_MILLISECONDS = 300;
 
 /**
--- a/packages/coordinator/src/daemon-roster.ts
+++ b/packages/coordinator/src/daemon-roster.ts
@@ -8,7 +8,7 @@
 } from './record-log.js';
 
 const RETRY_MILLISECONDS = 250;
-/** Daemons within this share of the strongest one count as its equals: VMs of one size are described a little differently. */
+/** Daemons within this share of the strongest one count as equal to it. */
 const EQUAL_SHARE = 0.75;
 
 /** What each daemon has told of the size of its VM; kept for good, so it also names daemons that are gone. */
@@ -66,7 +66,7 @@
   }
 }
 
-/** Polls and orders for a few hundred workers take about so much of a link for each core that they take. */
+/** Bandwidth that the coordinator uses for each core it uses. */
 const MEGABITS_PER_CORE = 40;
 
 /** What a VM can carry as the coordinator, in cores: the smaller of what its processor and its link allow. */
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -52,9 +52,9 @@
   launch(session: WorkerSession, run: LiveRun): void;
 }
 
-/** Steps that find no room in one round before the rest is left for the next: a pool that is full stays full. */
+/** Placement of a round ends after so many steps found no room. */
 const MISSES_BEFORE_GIVING_UP = 12;
-/** The wall clock of a step due later is looked at again this often at least. */
+/** Longest timer for a step that is due later, since wall clocks may jump. */
 const LONGEST_SLEEP_MILLISECONDS = 1_000;
 const ISOLATION_RETRY_MILLISECONDS = 200;
 
--- a/packages/coordinator/src/fleet-keeper.ts
+++ b/packages/coordinator/src/fleet-keeper.ts
@@ -35,7 +35,7 @@
   noteIncarnations(alive: ReadonlySet<string>): void;
 }
 
-/** While the jobs can't be read nothing seems to arrive: VMs that leave their pools then are missing when callers come back, all at once. */
+/** Pools are not resized on job data older than this: without arrivals they would be emptied. */
 const DEMAND_AGE_MILLISECONDS = 1_000;
 /** Why a VM takes no new starts before it changes its pool. */
 const POOL_CHANGE = 'pool change';
--- a/packages/coordinator/src/grouped-appender.ts
+++ b/packages/coordinator/src/grouped-appender.ts
@@ -12,7 +12,7 @@
   Unknown = 'unknown',
 }
 
-/** The store takes up to 2 MB in a call; this leaves room for the heads of the records. */
+/** Below the store's request limit, which includes record headers. */
 const MAXIMUM_BATCH_BYTES = 1_000_000;
 const RETRY_MILLISECONDS = 60;
 
--- a/packages/coordinator/src/job-front-desk.ts
+++ b/packages/coordinator/src/job-front-desk.ts
@@ -45,15 +45,15 @@
   | {readonly kind: 'absent'}
   | {readonly kind: 'unavailable'};
 
-/** A submission without a successful append is refused after this: a caller's own retry, elsewhere, is quicker than waiting on. */
+/** A submission whose appends fail is refused after this, so that the caller can retry at another daemon. */
 const PATIENCE_MILLISECONDS = 450;
-/** The answer must leave before the caller stops waiting. */
+/** Time reserved for sending the answer before the caller's deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 250;
-/** An outage that has lasted this long mostly lasts for seconds more. */
+/** Submissions are refused at once when the store has been unavailable this long. */
 const LASTING_OUTAGE_MILLISECONDS = 1_000;
-/** A state so old is shown without asking the store again. */
+/** A job state is answered without a read of the store up to this age. */
 const STATE_AGE_MILLISECONDS = 80;
-/** The number of waiting jobs may be 2 s old; each of their partitions costs a read. */
+/** The number of pending jobs is answered without a read up to this age. */
 const COUNT_AGE_MILLISECONDS = 1_500;
 
 /** Takes jobs in, and answers for them, at any daemon: the store is the only memory. */
--- a/packages/coordinator/src/job-retention.ts
+++ b/packages/coordinator/src/job-retention.ts
@@ -1,8 +1,7 @@
 import type {Clock} from '@gentiandoor/kernel';
 
-/** Rounds are rare beside the minutes for which states are kept, and each looks at all ended jobs. */
 const ROUND_MILLISECONDS = 10_000;
-/** A submission that comes again late must still be known. */
+/** A repeated submission may arrive late and must still be recognised. */
 const KEPT_FACTOR = 2;
 
 /** Lets ended jobs be dropped once nobody may ask for their state any more. */
--- a/packages/coordinator/src/job-streams.ts
+++ b/packages/coordinator/src/job-streams.ts
@@ -5,10 +5,10 @@
 import {SUBMISSION_PARTITIONS, submissionPartition} from './submission-log.js';
 
 const FOLLOW_WAIT_MILLISECONDS = 500;
-/** Submissions that come close together are read with one call. */
+/** Batches submissions into one read. */
 const FOLLOW_GAP_MILLISECONDS = 20;
 const RETRY_MILLISECONDS = 100;
-/** Well within the time for which the store keeps history; each of the partitions costs a read, and callers' questions read what they need. */
+/** Must stay below the retention time of the store. */
 const SUBMISSION_AGE_MILLISECONDS = 9_000;
 const PROGRESS_AGE_MILLISECONDS = 1_000;
 
--- a/packages/coordinator/src/learned-figures.ts
+++ b/packages/coordinator/src/learned-figures.ts
@@ -16,7 +16,7 @@
 }
 
 const LEARNED_KEY = 'learned';
-/** Run times of a queue are known after a second or two of a turn; a successor misses no more than this. */
+/** A successor loses at most this much of what was learned. */
 const SAVE_MILLISECONDS = 2_000;
 
 /**
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -16,7 +16,7 @@
 import type {RecordFormats} from './record-formats.js';
 import {StreamFollower, type StreamSink} from './stream-follower.js';
 
-/** Well under the bound within which a configuration must be in force, so that a silent connection is left in time. */
+/** Read timeout; must stay below the time within which a configuration has to be in force. */
 const WAIT_MILLISECONDS = 900;
 const RETRY_MILLISECONDS = 150;
 
--- a/packages/coordinator/src/organisation-rooms.ts
+++ b/packages/coordinator/src/organisation-rooms.ts
@@ -15,11 +15,11 @@
 import {runName, type LiveRun} from './live-run.js';
 import type {OperatorView} from './operator-view.js';
 
-/** Room for the way of an order after its limit was looked at. */
+/** Time between the check of a limit and the arrival of the order. */
 const AGE_MARGIN_MILLISECONDS = 500;
-/** Work waits no longer than this once the limits are known again. */
+/** Interval at which work that waits for unknown limits is placed again. */
 const LOOK_AGAIN_MILLISECONDS = 200;
-/** The line about an organisation at its limit comes once in this time. */
+/** Minimum interval between two log lines about one organisation. */
 const LINE_GAP_MILLISECONDS = 1_000;
 
 /** What the rooms of organisations are built from. */
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -3,7 +3,7 @@
 import {longestLease} from '@gentiandoor/scheduling';
 import type {LiveRun} from './live-run.js';
 
-/** Room for the time that a step of ours takes between a sum and its use. */
+/** Allowance for local processing delays. */
 const SLACK_MILLISECONDS = 100;
 
 /**
--- a/packages/coordinator/src/pool-log.ts
+++ b/packages/coordinator/src/pool-log.ts
@@ -1,7 +1,7 @@
 import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
 import {wantedVms, type PlannedPool} from '@gentiandoor/scheduling';
 
-/** Two lines a second of a pool that changes: enough to see a burst of seconds, and bounded by the number of pools. */
+/** Minimum interval between two log lines about one pool. */
 const LEAST_GAP_MILLISECONDS = 500;
 
 interface LastLine {
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -11,9 +11,9 @@
   type VmRoom,
 } from '@gentiandoor/scheduling';
 
-/** Sizes of jobs vary by a factor of ten: the rate of a queue is the number of its jobs times the mean of the last ones. */
+/** Jobs over which the mean work of a queue is taken. */
 const MEMORY_JOBS = 30;
-/** A VM that leaves a pool and comes back costs as much as two seconds in it; chance lulls of a few jobs a second are shorter than this. */
+/** Demand is held at its peak this long, so that VMs do not leave in a short lull. */
 const HOLD_MILLISECONDS = 1_500;
 
 /**
@@ -22,7 +22,7 @@
  */
 const SLOWEST_SHARE = 0.5;
 
-/** Runs whose way from plan to start is remembered. */
+/** Runs over which the delay from placement to start is averaged. */
 const MEMORY_STARTS = 200;
 
 /** Work that arrives for a service. */
--- a/packages/coordinator/src/task-failures.ts
+++ b/packages/coordinator/src/task-failures.ts
@@ -1,9 +1,9 @@
 import type {Clock} from '@gentiandoor/kernel';
 import {mustIsolate, type Avoidance} from '@gentiandoor/scheduling';
 
-/** A task waits so long for a worker on which it has not failed; the others may be full of tasks that last. */
+/** A task that has failed avoids the workers concerned for this long. */
 export const BAR_MILLISECONDS = 1_000;
-/** A task is stopped for standing still at most on so many workers: a third one at fault is unlikely, a task of which a percent takes seconds is not. */
+/** After this many stalls the task itself is assumed to be slow. */
 const MOST_STALLS = 2;
 
 /** Workers on which runs of a task have failed, and when the last one did. */
--- a/packages/coordinator/src/term-keeper.ts
+++ b/packages/coordinator/src/term-keeper.ts
@@ -14,30 +14,30 @@
   type RecordLog,
 } from './record-log.js';
 
-/** A holder gives no orders later than this after it sent its last renewal that succeeded; while nobody holds the term nothing starts. */
+/** Term length, counted from the sending of the last renewal that succeeded. */
 const LEAST_TERM_MILLISECONDS = 800;
-/** The same with a store that answers slowly: four times the answer of one slowed sixty times over. */
+/** Term length while the store responds slowly. */
 const MOST_TERM_MILLISECONDS = 1_300;
-/** A renewal is sent, answered, and the next one answered within the term. */
+/** Store response times per term length: two renewals must fit. */
 const ANSWERS_IN_TERM = 4;
-/** Three renewals are sent within the shortest term: one may be lost. */
+/** Renewal interval; one renewal per term may be lost. */
 const RENEWAL_MILLISECONDS = 250;
-/** Room for two steady clocks that differ and for a step that was under way when the term ran out. */
+/** Allowance for clock drift and local processing delays when a term expires. */
 const TAKEOVER_SLACK_MILLISECONDS = 150;
-/** Candidates spread over this, so that they don't all write at once. */
+/** Jitter of candidates. */
 const TAKEOVER_SPREAD_MILLISECONDS = 120;
 const WATCH_MILLISECONDS = 1_000;
 const RETRY_MILLISECONDS = 100;
-/** A weak daemon lets a stronger one go first for this: the coordinator of a few hundred workers needs more than the smallest VMs have, and a slow store takes this long to answer. */
+/** Delay for which a weaker daemon gives precedence to a stronger one. */
 const DEFERENCE_MILLISECONDS = 400;
 /**
  * A weak daemon looks at the term this seldom while a stronger one could take it. Without it each of forty
  * daemons reads every renewal, which together is most of what the store is asked on a calm day.
  */
 const WEAK_WATCH_GAP_MILLISECONDS = 500;
-/** Daemons that start for the first time, all at once, do so within this; each has told its strength by then. */
+/** On the first start of a deployment candidates wait this long for each other's records. */
 const FIRST_START_MILLISECONDS = 700;
-/** A suspended machine's steady clock stands still while its wall clock goes on; a step of the wall clock polls the same and costs one renewal. */
+/** A larger advance of the wall clock than of the steady clock means that the VM was suspended. */
 const CLOCK_DRIFT_MILLISECONDS = 200;
 
 /** Key of the term's record. */
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -48,9 +48,9 @@
   readonly settled: (outcome: VmOrderOutcome) => void;
 }
 
-/** An order that got no answer is repeated after this: the platform takes it twice. */
+/** Retry interval of an unanswered order; orders are idempotent. */
 const REPEAT_MILLISECONDS = 500;
-/** A list that was asked for so long after an order's answer shows the VM's new state. */
+/** A list requested this long after an order's answer reflects the order. */
 const SETTLE_MILLISECONDS = 300;
 const RETRY_MILLISECONDS = 100;
 
--- a/packages/coordinator/src/waiting-jobs.ts
+++ b/packages/coordinator/src/waiting-jobs.ts
@@ -14,7 +14,7 @@
 import type {Queue} from './operator-records.js';
 import type {ServiceDemand} from './service-demand.js';
 
-/** Callers still count an answer as late until so many times the objective. */
+/** A job is of no use to its caller after this multiple of its objective. */
 const LATE_FACTOR = 3;
 /** Worth of VMs that go on with a job: a late answer is worth little to its caller, one that nobody waits for nothing. */
 const WEIGHTS: Readonly<Record<Chance, number>> = {
--- a/packages/coordinator/src/wave-keeper.ts
+++ b/packages/coordinator/src/wave-keeper.ts
@@ -16,7 +16,7 @@
 
 /** Time between a maintenance and the return to service, besides the maintenance itself. */
 const MAINTENANCE_OVERHEAD_MILLISECONDS = 1_000;
-/** Longer than the longest lease on the slowest clock: nothing that an earlier coordinator ordered is alive on a worker that has had no entry for so long. */
+/** Exceeds the longest lease: no run can be alive on a worker without an entry for this long. */
 const UNKNOWN_WORKER_MILLISECONDS = 10_500;
 const FULL_PERCENT = 100;
 /** Begins the reason why a VM takes no new starts before its maintenance. */
--- a/packages/coordinator/src/worker-presence.ts
+++ b/packages/coordinator/src/worker-presence.ts
@@ -9,9 +9,9 @@
   readonly beganAt: number;
 }
 
-/** Workers that have answered so lately need no probe when others near them fall silent. */
+/** Workers that have answered this recently are not probed. */
 const ANSWERED_LATELY_MILLISECONDS = 100;
-/** Room for the time that our own step takes between a sum and its order. */
+/** Allowance for local processing delays. */
 const LEASE_SLACK_MILLISECONDS = 300;
 
 /** Whether a worker answers, and until when what runs on it may be alive. */
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -8,12 +8,12 @@
 import type {SessionHost} from './session-host.js';
 import {WorkerSession} from './worker-session.js';
 
-/** A connection that went silent is left soon after; a leaving worker must be noticed well within two seconds. */
+/** Long-poll timeout; bounds the time until a dead connection is replaced. */
 const WAIT_MILLISECONDS = 300;
-/** Entries that change close together are read with one call; a VM that has come for a turn is wanted at once. */
+/** Batches changed entries into one read. */
 const READ_GAP_MILLISECONDS = 30;
 const RETRY_MILLISECONDS = 150;
-/** Room that a worker has lost counts a few seconds after its entry says so. */
+/** Entries older than this are not relied on for the room of workers that do not enforce it. */
 const MOST_AGE_MILLISECONDS = 1_500;
 
 /** What a registry is built from. */
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -29,24 +29,23 @@
 } from './worker-gateway.js';
 import {WorkerPresence} from './worker-presence.js';
 
-/** A poll waits so long for an end: a lease is renewed many times over its length, and a worker that falls silent is found within a second and a half where no start finds it before. */
+/** Long-poll timeout; each poll renews the lease. */
 const POLL_WAIT_MILLISECONDS = 750;
-/** Two polls within the time that tells a run which stands still from a slow one. */
+/** Long-poll timeout while a run is overdue. */
 const OVERDUE_POLL_WAIT_MILLISECONDS = 300;
-/** Ends that come close together are read with one poll. */
+/** Batches ends into one poll. */
 const POLL_GAP_MILLISECONDS = 40;
-/** An idle worker's last ends are acknowledged after this, unless a start brings a poll anyway. */
+/** An idle worker's last ends are acknowledged after this delay. */
 const LAST_ACKNOWLEDGEMENT_MILLISECONDS = 400;
 const RETRY_MILLISECONDS = 200;
-/** A silent worker with nothing on it is only wanted back for new work. */
+/** Retry interval for an unresponsive worker without runs. */
 const IDLE_SILENCE_RETRY_MILLISECONDS = 1_000;
-/** A start that is not answered by then is looked into: a worker answers within a few milliseconds. */
-const START_DOUBT_MILLISECONDS = 150;
-/** Bound of a probe: fifty times a worker's answer, and short against the second in which a burst brings dozens of starts. */
-const PROBE_BOUND_MILLISECONDS = 200;
-/** A daemon that lags so much waits no longer: the calls themselves are given up a little later. */
-const LONGEST_DOUBT_MILLISECONDS = 700;
-/** An answer lists so many ends at most; the others follow. */
+/** Start timeout after which the worker is polled for the run's fate. */
+const START_TIMEOUT_MILLISECONDS = 150;
+const PROBE_TIMEOUT_MILLISECONDS = 200;
+/** Upper limit of the start timeout while this daemon is overloaded. */
+const LONGEST_START_TIMEOUT_MILLISECONDS = 700;
+/** Page size of the list of ends. */
 const MAXIMUM_ENDS_LISTED = 500;
 
 /**
@@ -55,7 +54,10 @@
  * seems silent, is asked again over new connections, and what is asked fills the link for good.
  */
 export function newAnswerBound(): AnswerBound {
-  return new AnswerBound(START_DOUBT_MILLISECONDS, LONGEST_DOUBT_MILLISECONDS);
+  return new AnswerBound(
+    START_TIMEOUT_MILLISECONDS,
+    LONGEST_START_TIMEOUT_MILLISECONDS,
+  );
 }
 
 /** Everything between the coordinator and one incarnation of a worker. */
@@ -234,7 +236,7 @@
       endsStored: this.ends.stored,
       waitMilliseconds: 0,
       boundMilliseconds: Math.max(
-        PROBE_BOUND_MILLISECONDS,
+        PROBE_TIMEOUT_MILLISECONDS,
         this.host.answerBoundMilliseconds,
       ),
     });
--- a/packages/scheduling/src/answer-bound.ts
+++ b/packages/scheduling/src/answer-bound.ts
@@ -1,6 +1,6 @@
-/** Share of the newest answer in the mean: a dozen answers make it follow. */
+/** Weight of the newest response time in the moving average. */
 const NEWEST_SHARE = 0.15;
-/** An answer that takes so many times the mean is taken as lost. */
+/** The timeout as a multiple of the mean response time. */
 const MEAN_FACTOR = 4;
 
 /**
--- a/packages/scheduling/src/best-effort-pace.ts
+++ b/packages/scheduling/src/best-effort-pace.ts
@@ -1,13 +1,13 @@
-/** Share of the target at which best-effort work gives way, before callers see it. */
+/** Share of the target above which best-effort work is slowed down. */
 const GIVE_WAY_RATIO = 0.85;
-/** Share of the target under which best-effort work gets some of its speed back. */
+/** Share of the target below which best-effort work is sped up again. */
 const RECOVER_RATIO = 0.6;
 const FULL_PERCENT = 100;
-/** One step down must be felt within the next poll, since harm is counted after a few of them. */
+/** Factor of one step down. */
 const BACK_OFF_FACTOR = 0.4;
-/** One step up is small against a step down, so that the speed settles instead of swinging. */
+/** Percent of one step up; smaller than a step down to avoid oscillation. */
 const RECOVER_STEP_PERCENT = 15;
-/** Below this the work is as good as standing still. */
+/** Percent below which the work is paused. */
 const LEAST_PERCENT = 5;
 
 /**
--- a/packages/scheduling/src/demand-meter.ts
+++ b/packages/scheduling/src/demand-meter.ts
@@ -1,9 +1,9 @@
 const BUCKET_MILLISECONDS = 100;
-/** Long enough that a few jobs make a rate, short against the seconds that a queue's turn lasts. */
+/** Window over which arrivals are counted. */
 const HALF_WINDOW_BUCKETS = 5;
 const WINDOW_BUCKETS = 2 * HALF_WINDOW_BUCKETS;
 const WINDOW_MILLISECONDS = WINDOW_BUCKETS * BUCKET_MILLISECONDS;
-/** A rate that rises is taken to rise on for about a move's time, at most to so many times itself: a burst doubles within that, a chance cluster of jobs must not fetch a whole pool. */
+/** A rising rate is extrapolated at most to this multiple. */
 const MOST_GROWTH = 2;
 
 interface Bucket {
--- a/packages/scheduling/src/duration-model.ts
+++ b/packages/scheduling/src/duration-model.ts
@@ -1,8 +1,8 @@
-/** Runs that are remembered: enough for a slope, short enough to follow a change within a burst. */
+/** Number of recent runs in the regression. */
 const MEMORY_RUNS = 200;
-/** Runs that are needed before the estimates are corrected. */
+/** Minimum number of runs before estimates are corrected. */
 const LEAST_RUNS = 12;
-/** Estimates and run times under this are taken as this: the logarithm of 0 says nothing. */
+/** Lower limit of estimates and run times, which enter as logarithms. */
 const LEAST_MILLISECONDS = 1;
 
 /** What a model has learned, for a successor. */
--- a/packages/scheduling/src/job-order.ts
+++ b/packages/scheduling/src/job-order.ts
@@ -20,7 +20,7 @@
   Lost = 'lost',
 }
 
-/** A late job that would be lost within this is called for the last time: a round of starts with some room. */
+/** A late job gets priority when it would expire within this time. */
 const LAST_CALL_MILLISECONDS = 700;
 
 const CHANCE_RANKS: Readonly<Record<Chance, number>> = {
--- a/packages/scheduling/src/lease-clock.ts
+++ b/packages/scheduling/src/lease-clock.ts
@@ -1,4 +1,4 @@
-/** A worker's clock may run so much slow, as the platform states. */
+/** Maximum drift of a worker's clock, as the platform states. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
 /**
--- a/packages/scheduling/src/order-window.ts
+++ b/packages/scheduling/src/order-window.ts
@@ -1,13 +1,13 @@
-/** Many times a worker's answer of a few milliseconds, and short against a term: polls and renewals wait behind the orders. */
+/** Response time above which the window shrinks. */
 const SLOW_ANSWER_MILLISECONDS = 100;
-/** Several rounds of placement: one that orders hundreds of tasks at once has its last ones answered late, and its first ones not. */
+/** Interval over which response times are judged. */
 const INTERVAL_MILLISECONDS = 250;
-/** A large step's tasks twice over: fewer orders at a time leave even a small VM idle. */
+/** Lower limit of the window, in orders. */
 const LEAST_ORDERS = 24;
-/** What the first rounds of a turn ask for on a few hundred workers. */
+/** Initial size of the window, in orders. */
 const FIRST_ORDERS = 384;
 const MOST_ORDERS = 4_000;
-/** Least that is kept at once of the orders under way, however late the answers are. */
+/** The window shrinks at most to this share at once. */
 const LEAST_KEPT_SHARE = 0.5;
 const GROWTH_FACTOR = 1.25;
 
--- a/packages/scheduling/src/rescue-budget.ts
+++ b/packages/scheduling/src/rescue-budget.ts
@@ -1,4 +1,4 @@
-/** One job in so many may be brought forward because it has waited too long. */
+/** At most one job in this many is moved forward. */
 const JOBS_FOR_ONE_RESCUE = 12;
 const MAXIMUM_SAVED = 4;
 
--- a/packages/scheduling/src/sibling-spread.ts
+++ b/packages/scheduling/src/sibling-spread.ts
@@ -1,12 +1,12 @@
 import {RunningMean, type MeanSnapshot} from './running-mean.js';
 
-/** Steps that are remembered: a few seconds of a queue's turn. */
+/** Number of recent steps in the average. */
 const MEMORY_STEPS = 60;
-/** Steps that are needed before anything is corrected. */
+/** Minimum number of steps before anything is corrected. */
 const LEAST_STEPS = 4;
-/** Steps of which some tasks never end well are forgotten beyond so many. */
+/** Maximum number of unfinished steps that are tracked. */
 const MOST_OPEN_STEPS = 2_000;
-/** A step of fewer tasks says little of how far apart they are. */
+/** Minimum number of tasks of a step that is counted. */
 const LEAST_TASKS = 3;
 
 interface OpenStep {
--- a/packages/scheduling/src/stall-watch.ts
+++ b/packages/scheduling/src/stall-watch.ts
@@ -10,13 +10,13 @@
   readonly expectedMilliseconds: number;
 }
 
-/** A run that has begun shows progress each hundredth of its time; one slowed eight times, as workers at fault are, each twelfth. */
+/** Share of the expected run time without progress that counts as a stall. */
 const STILL_SHARE = 0.25;
-/** Least time without progress that says something: two looks at the worker lie in it. */
+/** Minimum time without progress; covers two polls. */
 const STILL_MILLISECONDS = 600;
-/** Before its first percent a run restores a checkpoint and starts up. */
+/** Minimum time before the first percent, which includes restoring a checkpoint. */
 const STILL_AT_START_MILLISECONDS = 1_500;
-/** Run times vary by half from what is expected: a run is looked at more closely once it is this late. */
+/** A run is overdue after this multiple of its expected time. */
 const OVERDUE_FACTOR = 1.6;
 const OVERDUE_MILLISECONDS = 400;
 const FULL_PERCENT = 100;
--- a/packages/scheduling/src/waiting-order.ts
+++ b/packages/scheduling/src/waiting-order.ts
@@ -19,11 +19,11 @@
   readonly arrivingMillicores: number;
 }
 
-/** Share of a job's chain by which estimates of its time are off: less is eaten up by them, more gives up jobs that can be in time. */
+/** Safety margin for wrong estimates, as a share of a job's critical path. */
 const ESTIMATE_MARGIN = 0.2;
-/** The same for the question whether all can be in time; half, since VMs that are ordered later help as well. */
+/** Safety margin when checking whether all jobs can be in time. */
 const FEASIBLE_MARGIN = 0.1;
-/** Rank behind what can be in time with the others, before what is late. */
+/** Rank of jobs that are put off: after those that can be in time, before late ones. */
 const POSTPONED_RANK = 1.2;
 
 /**
--- a/packages/scheduling/src/wave-plan.ts
+++ b/packages/scheduling/src/wave-plan.ts
@@ -35,13 +35,13 @@
   readonly empty: readonly string[];
 }
 
-/** Emptying a VM: its short tasks end, and a long-running task starts elsewhere. */
+/** Time to empty a VM. */
 const EMPTYING_MILLISECONDS = 2_500;
-/** Tasks of one step leave one after the other, each with a restart; several steps do so side by side. */
+/** Time to move one long-running task; tasks of one step move one at a time. */
 const LONG_RUNNING_TASK_MILLISECONDS = 700;
-/** Share of the time left that a wave plans to use; the rest is for what goes wrong. */
+/** Share of the remaining time that a wave plans to use. */
 const PLANNED_SHARE = 0.65;
-/** A VM whose pool lacks room is emptied after all others. */
+/** Added to the weight of a VM whose pool lacks room. */
 const DEMAND_WEIGHT = 100;
 
 /**
--- a/packages/scheduling/src/worker-choice.ts
+++ b/packages/scheduling/src/worker-choice.ts
@@ -31,13 +31,13 @@
   ): PlacementWorker | undefined;
 }
 
-/** A rack off the preferred one, in fullness: any worker on the right rack goes first. */
+/** Added for a worker on the preferred rack. */
 const RACK_BONUS = 10;
-/** A worker that has failed the task before, in fullness: any other goes first. */
+/** Subtracted for a worker on which the task has failed before. */
 const AVOID_PENALTY = 100;
-/** Distrust counts more than fullness and less than a rack. */
+/** Weight of trust: above fullness, below the rack. */
 const TRUST_WEIGHT = 4;
-/** A worker that already takes best-effort work is the last choice for more: they disturb what serves. */
+/** Subtracted per best-effort task already on the worker. */
 const BEST_EFFORT_PENALTY = 1;
 
 /**
--- a/packages/scheduling/src/worker-trust.ts
+++ b/packages/scheduling/src/worker-trust.ts
@@ -1,12 +1,12 @@
-/** Blame that makes a worker suspect: one failing job can't do it, three different ones can. */
+/** Failure score at which a worker becomes suspect; each job adds at most one. */
 const BLAME_FOR_SUSPICION = 2.5;
-/** Time for which a suspect worker takes one task at a time: long against a task, short against its repair. */
+/** Time for which a suspect worker takes one task at a time. */
 const SUSPICION_MILLISECONDS = 4_000;
-/** Blame halves in this time, so that a worker that was repaired is trusted again without being tried much. */
+/** Half-life of the failure score. */
 const HALF_LIFE_MILLISECONDS = 4_000;
-/** Share of its blame that a worker keeps when a run on it ends well. */
+/** Factor applied to the failure score after a successful run. */
 const KEPT_ON_SUCCESS = 0.5;
-/** A job that has failed on so many workers is to blame itself. */
+/** Failures of a job on this many workers are attributed to the job. */
 const WORKERS_FOR_BAD_JOB = 2;
 
 interface WorkerRecord {
