--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -6,11 +6,9 @@
   type Metrics,
 } from '@gentiandoor/kernel';
 import {
-  CRASH_AT_START_MILLISECONDS,
-  EndEffect,
   JobExecution,
   JobState,
-  RunEnd,
+  type RunEnd,
   dropJobRecords,
   type ExecutableTask,
   type JobProgress,
@@ -48,12 +46,9 @@
 import type {RecordLog} from './record-log.js';
 import {ServiceDemand} from './service-demand.js';
 import {RunLog} from './run-log.js';
+import {RunOutcomes, type OutcomeHost} from './run-outcomes.js';
 import type {SubmissionLog} from './submission-log.js';
-import {
-  OrderRefusal,
-  type EndedRun,
-  type WorkerGateway,
-} from './worker-gateway.js';
+import type {EndedRun, OrderRefusal, WorkerGateway} from './worker-gateway.js';
 import {WorkerRegistry} from './worker-registry.js';
 import type {SessionHost} from './session-host.js';
 import {newAnswerBound, type WorkerSession} from './worker-session.js';
@@ -75,26 +70,17 @@
   readonly metrics: Metrics;
 }
 
-/** How a run ended, and where. */
-interface RunEnding {
-  readonly end: RunEnd;
-  readonly checkpoint: string;
-  readonly worker: string;
-  /** Since when the worker has not answered; undefined while it does. */
-  readonly silentFrom?: number;
-}
-
 /** Runs survive a network partition shorter than this. */
 const LEASE_MILLISECONDS = 8_000;
 const RETRY_MILLISECONDS = 100;
 const DROP_TIMEOUT_MILLISECONDS = 15_000;
 /** Longest age of a job computed from the wall clocks of two daemons. */
 const MAXIMUM_AGE_MILLISECONDS = 60_000;
-/** Delay before tasks are placed again after a worker refused one. */
-const REFUSAL_PAUSE_MILLISECONDS = 100;
 
 /** Gives the orders for one term: from its beginning until another daemon's, nothing of it is used twice. */
-export class Coordinator implements SessionHost, DispatchHost, FleetHost {
+export class Coordinator
+  implements SessionHost, DispatchHost, FleetHost, OutcomeHost
+{
   readonly leaseMilliseconds: number;
   readonly beganAt: number;
   readonly registry: WorkerRegistry;
@@ -103,7 +89,7 @@
   private readonly answers = newAnswerBound();
   private readonly window = new OrderWindow();
   private readonly executions = new Map<string, JobExecution>();
-  private readonly suspicion: WorkerSuspicion;
+  private readonly outcomes: RunOutcomes;
   private readonly retention: JobRetention;
   private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
@@ -147,7 +133,6 @@
       clock,
     );
     this.learned = new LearnedFigures(parts, demand);
-    this.suspicion = new WorkerSuspicion(this.trust, clock, parts.logger);
     this.retention = new JobRetention(clock, settings.limits.stateKept, jobId =>
       this.dropJob(jobId),
     );
@@ -155,7 +140,21 @@
     this.orphans = new OrphanRuns(
       this.leaseMilliseconds,
       clock,
-      (worker, run, end) => this.endOrphan(worker, run, end),
+      (worker, run, end) => {
+        if (!this.closed) this.outcomes.orphaned(worker, run, end);
+      },
+    );
+    this.outcomes = new RunOutcomes(
+      {
+        log: this.log,
+        suspicion: new WorkerSuspicion(this.trust, clock, parts.logger),
+        dispatcher: this.dispatcher,
+        rooms: this.rooms,
+        writer: this.writer,
+        registry: this.registry,
+        clock,
+      },
+      this,
     );
     this.fleet = new FleetKeeper(
       term,
@@ -289,8 +288,8 @@
     );
   }
 
-  runSurvived({execution, taskOfJob}: LiveRun): void {
-    if (execution.noteSurvival(taskOfJob)) this.writer.store(execution);
+  runSurvived(run: LiveRun): void {
+    this.outcomes.survived(run);
   }
 
   runEnded(
@@ -299,38 +298,14 @@
     end: RunEnd,
     checkpoint: string,
   ): void {
-    this.suspicion.noteEnd(session, run, end);
-    if (end === RunEnd.Done && run.beganAt !== undefined)
-      this.dispatcher.noteDuration(
-        run,
-        this.parts.clock.monotonicMilliseconds() - run.beganAt,
-      );
-    this.endRun(run, {
-      end,
-      checkpoint,
-      worker: session.id,
-      silentFrom: session.silentFrom,
-    });
-    this.dispatcher.wake(session.entry.service);
+    this.outcomes.ended(session, run, end, checkpoint);
   }
 
   lateEnd(ended: EndedRun): void {
     const dot = ended.task.indexOf('.');
     const execution = this.executions.get(ended.task.slice(0, dot));
     const task = execution?.task(ended.task.slice(dot + 1));
-    if (!execution || !task) return;
-    const effect = execution.noteLateEnd(
-      task,
-      ended.run,
-      ended.end,
-      this.queueOf(execution)?.maximumAttempts ?? 1,
-    );
-    if (effect === EndEffect.Stale) return;
-    this.log.ended(ended, '', ended.end, effect);
-    this.stopRuns(execution, task);
-    if (effect === EndEffect.JobEnded) this.finish(execution);
-    this.writer.store(execution);
-    this.dispatcher.wake(execution.job.service);
+    if (execution && task) this.outcomes.endedLate(execution, task, ended);
   }
 
   startRefused(
@@ -338,21 +313,11 @@
     run: LiveRun,
     refusal: OrderRefusal,
   ): void {
-    this.log.refused(run, session.id, refusal);
-    if (refusal === OrderRefusal.Unhealthy)
-      this.suspicion.suspect(session, refusal);
-    this.endRun(run, {end: RunEnd.Lost, checkpoint: '', worker: session.id});
-    this.parts.clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
-      this.dispatcher.wake(session.entry.service),
-    );
+    this.outcomes.refused(session, run, refusal);
   }
 
-  /** The worker is to blame, since jobs at fault end as failed. */
   runStalled(session: WorkerSession, run: LiveRun): void {
-    this.log.stalled(run, session.id);
-    this.suspicion.suspect(session, 'run stalled');
-    this.dispatcher.noteFailure(run, session.id);
-    void session.stop(run);
+    this.outcomes.stalled(session, run);
   }
 
   afterStored(then: () => void): void {
@@ -457,12 +422,6 @@
     }
   }
 
-  private endOrphan(worker: string, run: LiveRun, end: RunEnd): void {
-    if (this.closed) return;
-    this.endRun(run, {end, checkpoint: '', worker});
-    this.dispatcher.wake(run.execution.job.service);
-  }
-
   private cancelJob(jobId: string): void {
     const execution = this.executions.get(jobId);
     if (!execution || execution.ended) return;
@@ -471,47 +430,8 @@
     this.writer.store(execution);
   }
 
-  private endRun(run: LiveRun, ending: RunEnding): void {
-    const {execution} = run;
-    const {end, worker} = ending;
-    this.rooms.end(run);
-    const wasEnded = execution.ended;
-    const effect =
-      end === RunEnd.Crashed
-        ? this.crashRun(run, ending)
-        : execution.endRun(
-            run.taskOfJob,
-            run.run,
-            end,
-            ending.checkpoint,
-            this.queueOf(execution)?.maximumAttempts ?? 1,
-          );
-    this.log.ended(run, worker, end, effect);
-    if (effect === EndEffect.Stale) return;
-    if (end === RunEnd.Failed) this.dispatcher.noteFailure(run, worker);
-    if (effect === EndEffect.JobEnded && !wasEnded) this.finish(execution);
-    if (run.taskOfJob.specification.gang && end === RunEnd.Done)
-      this.registry
-        .dropRunsOfStep(run)
-        .forEach(member => this.rooms.end(member));
-    this.writer.store(execution);
-  }
-
-  private crashRun(run: LiveRun, {worker, silentFrom}: RunEnding): EndEffect {
-    const {execution, taskOfJob} = run;
-    const crashedAt = silentFrom ?? this.parts.clock.monotonicMilliseconds();
-    const wasEnded = execution.ended;
-    const effect = execution.crashRun(taskOfJob, run.run, {
-      isAtStart: endedAtStart(run, crashedAt),
-      isIsolated: run.isIsolated,
-    });
-    this.dispatcher.noteCrash(run);
-    if (effect === EndEffect.JobEnded && !wasEnded)
-      this.log.givenUp(run, worker, taskOfJob.progress.crashes);
-    return effect;
-  }
-
-  private finish(execution: JobExecution): void {
+  /** Notes that a job has come to its end. */
+  finish(execution: JobExecution): void {
     const {state} = execution.progress;
     this.log.jobEnded({
       job: execution.job.id,
@@ -552,7 +472,7 @@
   }
 
   /** Stops what runs of a job, or of one task of it that is done. */
-  private stopRuns(execution: JobExecution, only?: ExecutableTask): void {
+  stopRuns(execution: JobExecution, only?: ExecutableTask): void {
     for (const task of execution.liveTasks()) {
       if (only && (task !== only || !task.progress.done)) continue;
       const session = this.registry.find(task.progress.worker);
@@ -568,13 +488,6 @@
   }
 }
 
-/** A start without an answer may have met a worker that had crashed before. */
-function endedAtStart({beganAt}: LiveRun, endedAt: number): boolean {
-  return (
-    beganAt !== undefined && endedAt - beganAt < CRASH_AT_START_MILLISECONDS
-  );
-}
-
 function copyProgress(progress: JobProgress): JobProgress {
   const tasks = [...progress.tasks].map(
     ([key, task]): [string, TaskProgress] => [
