A worker that refused a start for want of room counts as full for a while

Callers' jobs waited for the beat of a worker whose room had shrunk: the fullest worker that seems to have room was chosen again each 100 ms and refused again, while others had room (test on stand-ins: four tasks start 1,612 ms after they were handed in, of which all but the first 100 ms were refusals). Now the worker counts as full until its entry or its runs change, or for a second: the tasks start elsewhere within 200 ms, and a worker whose room is back without news is tried again. Both tests fail before.

--- a/packages/coordinator/src/__tests__/shrinking-room.test.ts
+++ b/packages/coordinator/src/__tests__/shrinking-room.test.ts
@@ -151,3 +151,45 @@
     });
   });
 });
+
+describe('the room of workers that guard it', () => {
+  // Guards against a task that is sent to the same shrunken worker again and again while others have room.
+  it('is looked for elsewhere once a worker has refused a start', async () => {
+    const deployment = new TestDeployment(2);
+    const daemon = await deployment.startDaemon('one');
+    deployment.behaviours.set(
+      'before',
+      behaviour({durationMilliseconds: 10_000}),
+    );
+    void daemon.desk.submit(job('before', [step({taskCount: 2})]), TIMEOUT);
+    await deployment.run(300);
+    const [{worker: shrunken}] = deployment.begunRuns();
+    deployment.changeRoom(shrunken, SHRUNK_MILLICORES, 1_500);
+    const submittedAt = deployment.clock.monotonicMilliseconds();
+    void daemon.desk.submit(job('after', [step({taskCount: 4})]), TIMEOUT);
+    await deployment.run(3_000);
+    const started = deployment
+      .begunRuns()
+      .filter(({task}) => task.startsWith('after.'));
+    assert.equal(started.length, 4);
+    const last = Math.max(...started.map(({begunAt}) => begunAt));
+    const waited = last - submittedAt;
+    assert.ok(waited < 500, `${waited} ms`);
+  });
+
+  // Guards against work that waits for good for a worker that refused it and has room again.
+  it('is tried again after a while, without news of the worker', async () => {
+    const deployment = new TestDeployment(1);
+    const daemon = await deployment.startDaemon('one');
+    deployment.changeRoom('worker-0', 500, 60_000);
+    void daemon.desk.submit(job('a'), TIMEOUT);
+    await deployment.run(300);
+    assert.equal(deployment.begunRuns().length, 0);
+    deployment.changeRoom('worker-0', WHOLE_MILLICORES, 60_000);
+    await deployment.run(3_000);
+    assert.deepEqual(await deployment.answerOf(daemon, 'a'), {
+      kind: 'state',
+      state: JobState.Completed,
+    });
+  });
+});
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -12,6 +12,7 @@
 import type {OrganisationRooms} from './organisation-rooms.js';
 import type {ProgressWriter} from './progress-writer.js';
 import type {RunLog} from './run-log.js';
+import {FULL_MILLISECONDS} from './session-runs.js';
 import {OrderRefusal, type EndedRun} from './worker-gateway.js';
 import type {WorkerRegistry} from './worker-registry.js';
 import type {WorkerSession} from './worker-session.js';
@@ -108,9 +109,10 @@
     log.refused(run, session.id, refusal);
     if (refusal === OrderRefusal.Unhealthy) suspicion.suspect(session, refusal);
     this.endRun(run, {end: RunEnd.Lost, checkpoint: '', worker: session.id});
-    clock.schedule(REFUSAL_PAUSE_MILLISECONDS, () =>
-      dispatcher.wake(session.entry.service),
-    );
+    const wake = () => dispatcher.wake(session.entry.service);
+    clock.schedule(REFUSAL_PAUSE_MILLISECONDS, wake);
+    if (refusal === OrderRefusal.NoRoom)
+      clock.schedule(FULL_MILLISECONDS, wake);
   }
 
   /** A stall is attributed to the worker: tasks at fault end as failed. */
--- a/packages/coordinator/src/session-runs.ts
+++ b/packages/coordinator/src/session-runs.ts
@@ -7,11 +7,16 @@
 } from './session-room.js';
 import type {ListedRun, Room, WorkerEntry} from './worker-gateway.js';
 
+/** A worker that refused a run for want of room counts as full for so long, or until its entry or runs change. */
+export const FULL_MILLISECONDS = 1_000;
+
 /** Runs that may be alive on one worker. */
 export class SessionRuns {
   private readonly byTask = new Map<string, LiveRun>();
   /** What a placement sees of the worker, until its runs or its entry change. */
   private view: PlacementWorker | undefined;
+  /** Until when the worker counts as full; undefined where it does not. */
+  private fullUntil: number | undefined;
 
   /** By task. */
   get all(): ReadonlyMap<string, LiveRun> {
@@ -38,12 +43,12 @@
 
   remove(run: LiveRun): void {
     this.byTask.delete(run.task);
-    this.view = undefined;
+    this.roomChanged();
   }
 
   /** The worker's entry has changed. */
   entryChanged(): void {
-    this.view = undefined;
+    this.roomChanged();
   }
 
   /** Millicores taken away from other work, weighed by what the work is still worth. */
@@ -51,10 +56,21 @@
     return valuedMillicores(this.byTask.values(), room);
   }
 
+  /** The worker refused a run for want of room: it has less than its entry says. */
+  noteNoRoom(now: number): void {
+    this.fullUntil = now + FULL_MILLISECONDS;
+    this.view = undefined;
+  }
+
   /** What a placement sees of the worker; made anew only when something has changed, since each round looks at every worker. */
-  placementView(entry: WorkerEntry, trust: number): PlacementWorker {
-    if (this.view?.trust !== trust)
-      this.view = placementView(entry, [...this.byTask.values()], trust);
+  placementView(
+    entry: WorkerEntry,
+    trust: number,
+    now: number,
+  ): PlacementWorker {
+    if (this.fullUntil !== undefined && now >= this.fullUntil)
+      this.roomChanged();
+    if (this.view?.trust !== trust) this.view = this.newView(entry, trust);
     return this.view;
   }
 
@@ -85,4 +101,15 @@
       return run.status === RunStatus.Recovered || run.settledAt < requestedAt;
     });
   }
+
+  private roomChanged(): void {
+    this.fullUntil = undefined;
+    this.view = undefined;
+  }
+
+  private newView(entry: WorkerEntry, trust: number): PlacementWorker {
+    const view = placementView(entry, [...this.byTask.values()], trust);
+    if (this.fullUntil === undefined) return view;
+    return {...view, freeMillicores: 0, freeMegabytes: 0, freeAccelerators: 0};
+  }
 }
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -198,7 +198,7 @@
   /** What a placement sees of the worker. */
   placementView(now: number): PlacementWorker {
     const trust = this.host.trust.level(this.id, now);
-    return this.live.placementView(this.current, trust);
+    return this.live.placementView(this.current, trust, now);
   }
 
   /** Takes room for a run; the order follows with `order`. */
@@ -316,6 +316,8 @@
 
   startRefused(run: LiveRun, refusal: OrderRefusal): void {
     this.forget(run);
+    if (refusal === OrderRefusal.NoRoom)
+      this.live.noteNoRoom(this.clock.monotonicMilliseconds());
     this.host.startRefused(this, run, refusal);
   }
 
