Whether a task starts apart is asked once for each placement; failures are kept for a next try only

From reading the change again. The question was asked three times for a task that is placed, by the clock each time, so a run could be marked otherwise than it was placed; for each task that waits it built a name, in every round, also where no worker had crashed under it. A crash under a job that had ended already (its other runs on the same worker) was kept after the job was forgotten, for good; the same held for a failed end. Both are noted only where another try follows. The line that a task is given up now follows the end of its run. Tests as they were.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -141,8 +141,9 @@
 
   /** Whether a task starts apart from other jobs' tasks if it starts now. */
   mustIsolate(execution: JobExecution, task: ExecutableTask): boolean {
-    const name = taskName(execution.job.id, task);
-    return this.failures.mustIsolate(name, task.progress.crashes.total);
+    const {total} = task.progress.crashes;
+    if (total === 0) return false;
+    return this.failures.mustIsolate(taskName(execution.job.id, task), total);
   }
 
   /** How long a job has been known. */
@@ -340,14 +341,15 @@
     tasks: readonly ExecutableTask[],
     now: number,
   ): boolean {
-    const chosen: WorkerSession[] = [];
+    const chosen: Array<{session: WorkerSession; isIsolated: boolean}> = [];
     for (const task of tasks) {
-      const session = round.take(this.wishOf(execution, task, now));
+      const wish = this.wishOf(execution, task, now);
+      const session = round.take(wish);
       if (!session) {
         round.giveBack();
         return false;
       }
-      chosen.push(session);
+      chosen.push({session, isIsolated: wish.isIsolated});
     }
     round.keep();
     this.turns.noteTurn(this.jobs.serviceOf(execution));
@@ -355,14 +357,14 @@
       ? 1 + Math.max(...tasks.map(task => task.progress.run))
       : undefined;
     tasks.forEach((task, index) => {
-      const session = chosen[index];
+      const {session, isIsolated} = chosen[index];
       const planned = newLiveRun(execution, task, {
         run: execution.beginRun(task, session.id, together),
         plannedAt: now,
         weight,
         expectedMilliseconds: this.expectedTime(execution, task),
         isWatched: this.failures.isWatched(taskName(execution.job.id, task)),
-        isIsolated: this.mustIsolate(execution, task),
+        isIsolated,
         status: RunStatus.Planned,
         settledAt: Infinity,
       });
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -129,7 +129,7 @@
   }
 
   private endRun(run: LiveRun, ending: RunEnding): void {
-    const {log, rooms, dispatcher, writer} = this.parts;
+    const {log, rooms, writer} = this.parts;
     const {execution} = run;
     const {end, worker} = ending;
     rooms.end(run);
@@ -137,16 +137,33 @@
     const effect = this.effectOf(run, ending);
     log.ended(run, worker, end, effect);
     if (effect === EndEffect.Stale) return;
-    if (end === RunEnd.Failed) dispatcher.noteFailure(run, worker);
-    if (effect === EndEffect.JobEnded && !wasEnded) this.host.finish(execution);
+    if (effect === EndEffect.Again) this.noteForNextTry(run, ending);
+    if (effect === EndEffect.JobEnded && !wasEnded) this.finishJob(run, ending);
     if (run.taskOfJob.specification.gang && end === RunEnd.Done)
       this.dropGang(run);
     writer.store(execution);
   }
 
+  private noteForNextTry(run: LiveRun, {end, worker}: RunEnding): void {
+    const {dispatcher} = this.parts;
+    if (end === RunEnd.Failed) dispatcher.noteFailure(run, worker);
+    if (end === RunEnd.Crashed) dispatcher.noteCrash(run);
+  }
+
+  private finishJob(run: LiveRun, {end, worker}: RunEnding): void {
+    const {execution, taskOfJob} = run;
+    if (end === RunEnd.Crashed)
+      this.parts.log.givenUp(run, worker, taskOfJob.progress.crashes);
+    this.host.finish(execution);
+  }
+
   private effectOf(run: LiveRun, ending: RunEnding): EndEffect {
     const {execution, taskOfJob} = run;
-    if (ending.end === RunEnd.Crashed) return this.crashRun(run, ending);
+    if (ending.end === RunEnd.Crashed)
+      return execution.crashRun(taskOfJob, run.run, {
+        isAtStart: endedAtStart(run, ending.silentFrom ?? this.now()),
+        isIsolated: run.isIsolated,
+      });
     return execution.endRun(
       taskOfJob,
       run.run,
@@ -156,19 +173,6 @@
     );
   }
 
-  private crashRun(run: LiveRun, {worker, silentFrom}: RunEnding): EndEffect {
-    const {execution, taskOfJob} = run;
-    const wasEnded = execution.ended;
-    const effect = execution.crashRun(taskOfJob, run.run, {
-      isAtStart: endedAtStart(run, silentFrom ?? this.now()),
-      isIsolated: run.isIsolated,
-    });
-    this.parts.dispatcher.noteCrash(run);
-    if (effect === EndEffect.JobEnded && !wasEnded)
-      this.parts.log.givenUp(run, worker, taskOfJob.progress.crashes);
-    return effect;
-  }
-
   /** The other members are over with the one that is done. */
   private dropGang(run: LiveRun): void {
     for (const member of this.parts.registry.dropRunsOfStep(run))
--- a/packages/coordinator/src/task-failures.ts
+++ b/packages/coordinator/src/task-failures.ts
@@ -39,10 +39,10 @@
         if (task.startsWith(prefix)) tasks.delete(task);
   }
 
-  /** Whether a task under which `crashes` workers have crashed is kept apart if it starts now. */
+  /** Whether a task under which `crashes` workers, one at least, have crashed is kept apart if it starts now. */
   mustIsolate(task: string, crashes: number): boolean {
     // An earlier coordinator saw the crashes: the wait begins here.
-    if (crashes > 0 && !this.crashedAt.has(task)) this.noteCrash(task);
+    if (!this.crashedAt.has(task)) this.noteCrash(task);
     const now = this.clock.monotonicMilliseconds();
     return mustIsolate(crashes, now - (this.crashedAt.get(task) ?? now));
   }
