Models of runs, limits and crashes change their states with one set of functions

Each had its own changeCoordinator, changeWorker, withoutOrder and fence, and the newest sorted its sets by itself beside sortedBag.

--- a/packages/specification/src/change-at.ts
+++ b/packages/specification/src/change-at.ts
@@ -17,3 +17,17 @@
 ): Item[] {
   return items.map((before, place) => (place === index ? item : before));
 }
+
+/** The items with one of them made anew from what it was. */
+export function updateAt<Item>(
+  items: readonly Item[],
+  index: number,
+  update: (item: Item) => Item,
+): Item[] {
+  return items.map((item, place) => (place === index ? update(item) : item));
+}
+
+/** The items without one of them. */
+export function removeAt<Item>(items: readonly Item[], index: number): Item[] {
+  return items.filter((_, place) => place !== index);
+}
--- a/packages/specification/src/crash-model.ts
+++ b/packages/specification/src/crash-model.ts
@@ -1,4 +1,5 @@
-import {replaceAt} from './change-at.js';
+import {sortedBag} from './bag.js';
+import {changeCoordinator, fence} from './order-state.js';
 import {
   Promised,
   type Invariant,
@@ -167,7 +168,7 @@
   }
 
   private store(state: CrashState, of: number): CrashState {
-    const planned = change(state, of, one => ({
+    const planned = changeCoordinator(state, of, one => ({
       ...one,
       belief: B.Stored,
       run: one.run + 1,
@@ -178,15 +179,14 @@
   /** The log is closed to earlier terms. */
   private keep(state: CrashState, of: number, isOpen: boolean): CrashState {
     const {term, run, crashes} = state.coordinators[of];
-    if (term < state.term)
-      return change(state, of, one => ({...one, fenced: true}));
+    if (term < state.term) return changeCoordinator(state, of, fence);
     const kept = this.mutation === M.CountNotStored ? 0 : crashes;
     return {...state, stored: {run, isOpen, crashes: kept}};
   }
 
   private learnCrash(state: CrashState, of: number): CrashState {
     const isBlind = this.mutation === M.RecoveredNotCounted;
-    return change(state, of, one => ({
+    return changeCoordinator(state, of, one => ({
       ...one,
       belief: B.None,
       crashes:
@@ -214,18 +214,18 @@
 
 function send(state: CrashState, of: number): CrashState {
   const {run} = state.coordinators[of];
-  const sent = change(state, of, one => ({...one, belief: B.Sent}));
+  const sent = changeCoordinator(state, of, one => ({...one, belief: B.Sent}));
   // An order finds nobody where the worker has crashed, and is refused where the run is barred.
   const isVain = state.crashed.includes(run) || state.barred.includes(run);
-  return isVain ? sent : {...sent, orders: withNumber(state.orders, run)};
+  return isVain ? sent : {...sent, orders: sortedSet([...state.orders, run])};
 }
 
 function arrive(state: CrashState, run: number): CrashState {
   const counts = state.crashed.length >= CRASHES_COUNTED;
   return {
     ...state,
-    orders: state.orders.filter(order => order !== run),
-    crashed: withNumber(state.crashed, run),
+    orders: without(state.orders, run),
+    crashed: sortedSet([...state.crashed, run]),
     startsAfterThird: state.startsAfterThird + (counts ? 1 : 0),
   };
 }
@@ -233,28 +233,23 @@
 /** The stop bars the run on its worker, so that its order does nothing any more. */
 function learnNever(state: CrashState, of: number): CrashState {
   const {run} = state.coordinators[of];
-  const barred = change(state, of, one => ({...one, belief: B.None}));
+  const barred = changeCoordinator(state, of, one => ({
+    ...one,
+    belief: B.None,
+  }));
   return {
     ...barred,
-    barred: withNumber(state.barred, run),
-    orders: state.orders.filter(order => order !== run),
+    barred: sortedSet([...state.barred, run]),
+    orders: without(state.orders, run),
   };
 }
 
-function withNumber(numbers: readonly number[], one: number): number[] {
-  return [...new Set([...numbers, one])].sort();
+function sortedSet(runs: readonly number[]): number[] {
+  return sortedBag([...new Set(runs)]);
 }
 
-function change(
-  state: CrashState,
-  of: number,
-  by: (coordinator: CrashCoordinator) => CrashCoordinator,
-): CrashState {
-  const changed = by(state.coordinators[of]);
-  return {
-    ...state,
-    coordinators: replaceAt(state.coordinators, of, changed),
-  };
+function without(runs: readonly number[], run: number): number[] {
+  return runs.filter(other => other !== run);
 }
 
 const MUTATIONS: readonly Mutation[] = [
--- a/packages/specification/src/limit-model.ts
+++ b/packages/specification/src/limit-model.ts
@@ -1,5 +1,11 @@
 import {sortedBag} from './bag.js';
 import {replaceAt} from './change-at.js';
+import {
+  changeCoordinator,
+  changeWorker,
+  fence,
+  withoutOrder,
+} from './order-state.js';
 import {
   Promised,
   type Invariant,
@@ -351,10 +357,6 @@
   return {...worker, alive: 0, stopping: false};
 }
 
-function fence(coordinator: LimitCoordinator): LimitCoordinator {
-  return {...coordinator, fenced: true};
-}
-
 function believe(
   state: LimitState,
   of: number,
@@ -367,31 +369,6 @@
   }));
 }
 
-function changeCoordinator(
-  state: LimitState,
-  of: number,
-  change: (coordinator: LimitCoordinator) => LimitCoordinator,
-): LimitState {
-  const {coordinators} = state;
-  return {
-    ...state,
-    coordinators: replaceAt(coordinators, of, change(coordinators[of])),
-  };
-}
-
-function changeWorker(
-  state: LimitState,
-  of: number,
-  change: (worker: LimitWorker) => LimitWorker,
-): LimitState {
-  const {workers} = state;
-  return {...state, workers: replaceAt(workers, of, change(workers[of]))};
-}
-
-function withoutOrder(state: LimitState, of: number): LimitState {
-  return {...state, orders: state.orders.filter((_, index) => index !== of)};
-}
-
 const MUTATIONS: readonly Mutation[] = [
   {
     name: M.UnansweredIsFree,
--- a/packages/specification/src/run-model.ts
+++ b/packages/specification/src/run-model.ts
@@ -1,4 +1,10 @@
 import {sortedBag} from './bag.js';
+import {
+  changeCoordinator,
+  changeWorker,
+  fence,
+  withoutOrder,
+} from './order-state.js';
 import {
   Promised,
   type Invariant,
@@ -399,40 +405,6 @@
   return {...coordinator, belief: B.None, worker: -1};
 }
 
-function fence(coordinator: RunCoordinator): RunCoordinator {
-  return {...coordinator, fenced: true};
-}
-
-function changeCoordinator(
-  state: RunState,
-  of: number,
-  change: (coordinator: RunCoordinator) => RunCoordinator,
-): RunState {
-  return {
-    ...state,
-    coordinators: state.coordinators.map((one, index) =>
-      index === of ? change(one) : one,
-    ),
-  };
-}
-
-function changeWorker(
-  state: RunState,
-  of: number,
-  change: (worker: RunWorker) => RunWorker,
-): RunState {
-  return {
-    ...state,
-    workers: state.workers.map((one, index) =>
-      index === of ? change(one) : one,
-    ),
-  };
-}
-
-function withoutOrder(state: RunState, of: number): RunState {
-  return {...state, orders: state.orders.filter((_, index) => index !== of)};
-}
-
 const MUTATIONS: readonly Mutation[] = [
   {
     name: M.SendBeforeStore,
