The end of a run is closed in one place; since when a run is alive, and a copy of progress, have one each

From reading the change again: crashRun repeated the first half of endRun (which run, is it open, is its job over); two places worked out since when a run is alive; the copy of a job's progress knew each field of a task from another package, so that a new field had to be remembered there. Behaviour and assertions as they were.

--- a/packages/coordinator/src/__tests__/shrinking-room.test.ts
+++ b/packages/coordinator/src/__tests__/shrinking-room.test.ts
@@ -4,6 +4,7 @@
 import {LogStream, type StartRequest} from '../index.js';
 import {StoreFault} from '../stand-ins/index.js';
 import {
+  SERVICE,
   TestDaemon,
   TestDeployment,
   behaviour,
@@ -39,7 +40,7 @@
   const deployment = new TestDeployment(0);
   deployment.workersGuardRoom = false;
   deployment.publishConfiguration(2);
-  for (const id of WORKERS) deployment.addWorker(id, 'previews');
+  for (const id of WORKERS) deployment.addWorker(id, SERVICE);
   prepare(deployment);
   const daemon = await deployment.startDaemon('one');
   return {deployment, daemon};
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -9,13 +9,12 @@
   JobExecution,
   JobState,
   type RunEnd,
+  copyProgress,
   dropJobRecords,
   type ExecutableTask,
-  type JobProgress,
   type JobSubmission,
   type JobTable,
   type StoredJob,
-  type TaskProgress,
 } from '@gentiandoor/jobs';
 import {
   FullestFirst,
@@ -487,17 +486,3 @@
       if (run.taskOfJob.specification.longRunning) void session.stop(run);
   }
 }
-
-function copyProgress(progress: JobProgress): JobProgress {
-  const tasks = [...progress.tasks].map(
-    ([key, task]): [string, TaskProgress] => [
-      key,
-      {
-        ...task,
-        failedRuns: [...task.failedRuns],
-        crashes: {...task.crashes},
-      },
-    ],
-  );
-  return {state: progress.state, tasks: new Map(tasks)};
-}
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -79,6 +79,15 @@
   };
 }
 
+/**
+ * Since when a run is known to be alive; undefined for one that is not. A run that an earlier coordinator
+ * ordered counts from when it was seen.
+ */
+export function aliveSince({beganAt, settledAt}: LiveRun): number | undefined {
+  if (beganAt !== undefined) return beganAt;
+  return Number.isFinite(settledAt) ? settledAt : undefined;
+}
+
 /** Name of a run among all jobs. */
 export function runName({task, run}: RunName): string {
   return `${task}/${run}`;
--- a/packages/coordinator/src/session-room.ts
+++ b/packages/coordinator/src/session-room.ts
@@ -3,7 +3,7 @@
   occupiedMillicores,
   type PlacementWorker,
 } from '@gentiandoor/scheduling';
-import type {LiveRun} from './live-run.js';
+import {aliveSince, type LiveRun} from './live-run.js';
 import type {Room, WorkerEntry} from './worker-gateway.js';
 
 /** What a placement sees of a worker that carries `runs`. */
@@ -36,20 +36,14 @@
     trust,
     countOf: stepKey => counts.get(stepKey) ?? 0,
     isolatedJob: now =>
-      isolated.find(run => isUnproven(provenFrom(run), now))?.execution.job.id,
+      isolated.find(run => isUnproven(aliveSince(run), now))?.execution.job.id,
     hasUnprovenOther: (job, now) =>
       runs.some(
-        run => run.execution.job.id !== job && isUnproven(provenFrom(run), now),
+        run => run.execution.job.id !== job && isUnproven(aliveSince(run), now),
       ),
   };
 }
 
-/** A run that an earlier coordinator ordered counts from when it was seen alive. */
-function provenFrom({beganAt, settledAt}: LiveRun): number | undefined {
-  if (beganAt !== undefined) return beganAt;
-  return Number.isFinite(settledAt) ? settledAt : undefined;
-}
-
 /** Millicores that runs on a worker with `room` take away, weighed by what the work is still worth. */
 export function valuedMillicores(runs: Iterable<LiveRun>, room: Room): number {
   let sum = 0;
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -9,7 +9,7 @@
 import {BestEffortPacer} from './best-effort-pacer.js';
 import {EndCursor} from './end-cursor.js';
 import {IncarnationEnd, isUnplanned} from './incarnation-end.js';
-import {RunStatus, runName, type LiveRun} from './live-run.js';
+import {RunStatus, aliveSince, runName, type LiveRun} from './live-run.js';
 import {RunOrders, type RunOrderHost} from './run-orders.js';
 import {canStall, watchedRun} from './run-watch.js';
 import type {SessionHost} from './session-host.js';
@@ -455,7 +455,7 @@
       run.progressedAt = now;
     } else if (canStall(run) && isStalled(watchedRun(run, now)))
       this.host.runStalled(this, run);
-    const aliveFor = now - (run.beganAt ?? run.settledAt);
+    const aliveFor = now - (aliveSince(run) ?? now);
     if (aliveFor >= SURVIVAL_MILLISECONDS) this.host.runSurvived(run);
     if (listed.checkpoint !== '')
       run.taskOfJob.progress.checkpoint = listed.checkpoint;
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -125,26 +125,18 @@
     checkpoint: string,
     maximumAttempts: number,
   ): EndEffect {
-    const {progress} = task;
-    if (progress.run !== run || progress.worker === '') return EndEffect.Stale;
-    progress.worker = '';
-    if (checkpoint !== '') progress.checkpoint = checkpoint;
-    if (this.ended) return EndEffect.JobEnded;
-    // An earlier run was found to be done while this one was alive.
-    if (progress.done) return EndEffect.TaskDone;
-    return this.countEnd(task, run, end, maximumAttempts);
+    const effect = this.closeRun(task, run);
+    if (effect !== EndEffect.Stale && checkpoint !== '')
+      task.progress.checkpoint = checkpoint;
+    return effect ?? this.countEnd(task, run, end, maximumAttempts);
   }
 
   /** Notes that a worker crashed under a run. */
   crashRun(task: ExecutableTask, run: number, crash: RunCrash): EndEffect {
-    const {progress} = task;
-    if (progress.run !== run || progress.worker === '') return EndEffect.Stale;
-    progress.worker = '';
-    if (this.ended) return EndEffect.JobEnded;
-    if (progress.done) return EndEffect.TaskDone;
-    if (!countCrash(progress.crashes, crash)) return EndEffect.Again;
-    this.progress.state = JobState.Failed;
-    return EndEffect.JobEnded;
+    const effect = this.closeRun(task, run);
+    if (effect) return effect;
+    const isGivenUp = countCrash(task.progress.crashes, crash);
+    return isGivenUp ? this.fail() : EndEffect.Again;
   }
 
   /** Notes that a run has lived long; returns true when that clears its task of earlier crashes. */
@@ -207,6 +199,16 @@
     return undefined;
   }
 
+  /** Notes that a run is over; undefined where what follows depends on how it ended. */
+  private closeRun(task: ExecutableTask, run: number): EndEffect | undefined {
+    const {progress} = task;
+    if (progress.run !== run || progress.worker === '') return EndEffect.Stale;
+    progress.worker = '';
+    if (this.ended) return EndEffect.JobEnded;
+    // An earlier run was found to be done while this one was alive.
+    return progress.done ? EndEffect.TaskDone : undefined;
+  }
+
   private countEnd(
     task: ExecutableTask,
     run: number,
@@ -218,7 +220,10 @@
     if (end !== RunEnd.Failed || longRunning) return EndEffect.Again;
     const {failedRuns} = task.progress;
     if (!failedRuns.includes(run)) failedRuns.push(run);
-    if (failedRuns.length < maximumAttempts) return EndEffect.Again;
+    return failedRuns.length < maximumAttempts ? EndEffect.Again : this.fail();
+  }
+
+  private fail(): EndEffect {
     this.progress.state = JobState.Failed;
     return EndEffect.JobEnded;
   }
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -37,3 +37,18 @@
     worker: '',
   };
 }
+
+/** A copy that changes by itself. */
+export function copyProgress(progress: JobProgress): JobProgress {
+  const tasks = [...progress.tasks].map(
+    ([key, task]): [string, TaskProgress] => [
+      key,
+      {
+        ...task,
+        failedRuns: [...task.failedRuns],
+        crashes: {...task.crashes},
+      },
+    ],
+  );
+  return {state: progress.state, tasks: new Map(tasks)};
+}
