A task waits while its start order may still be carried out

Whatever rules the order out is in the worker's memory, and a worker that restarts under its id has forgotten it; the order names only the worker.

Change, on workers that report their start: an order is sent once; a run whose order got no response stays open until it is listed, refused, or 12 s old, also after an answered stop and for a successor. A run record says whether the order is known to have been carried out. Orders that were never sent (no connection) and those that another worker refused free their task at once; before, they were retried like unanswered ones. StartUnanswered (1930), starts_unanswered and starts_not_sent tell them apart. The model of runs no longer assumes the case away, and has a mutation for it.

The test of a cancelled job on a worker that restarted expected one start: the task is no longer started there at all, which is asserted now, and the case in which it is started (no contact before the order arrives) has a test of its own.

--- a/packages/cli/src/__tests__/deployment.test.ts
+++ b/packages/cli/src/__tests__/deployment.test.ts
@@ -68,6 +68,7 @@
                 failedRuns: [1],
                 crashes: {total: 1, atStart: 1},
                 preemptions: 0,
+                isStartExecuted: false,
                 checkpoint: '',
                 worker: 'w-7',
               },
--- a/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
+++ b/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
@@ -130,9 +130,21 @@
     await cancelBeforeLateStart(deployment, daemon);
     void daemon.jobIntake.cancel(CANCELLED, TIMEOUT, ANY_CALLER);
     await deployment.run(1_200);
-    deployment.restartWorker(WORKER, 100);
+    deployment.restartWorker(WORKER, 100, 3_000);
     await deployment.run(15_000);
     assert.equal(deployment.startedRuns().length, 1);
     assertStoppedInTime(deployment);
   });
+
+  // The run is still waited for when the next incarnation registers, which is told to stop it.
+  it('is not started by a worker that restarted and registered before the order arrived', async () => {
+    const deployment = new TestDeployment(1, true);
+    const daemon = await deployment.startDaemon('one');
+    await cancelBeforeLateStart(deployment, daemon);
+    void daemon.jobIntake.cancel(CANCELLED, TIMEOUT, ANY_CALLER);
+    await deployment.run(1_200);
+    deployment.restartWorker(WORKER, 100);
+    await deployment.run(15_000);
+    assert.equal(deployment.startedRuns().length, 0);
+  });
 });
--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -60,6 +60,91 @@
   );
 }
 
+/** Delay after which the stand-ins carry out a late order. */
+const LATE_MILLISECONDS = 2_500;
+/** Time until all orders that may be late count as void, and a run after that. */
+const SETTLED_MILLISECONDS = 30_000;
+
+/** Submits a job to a worker that carries out its orders late for `lateForMilliseconds`. */
+async function submitWithLateStarts(
+  deployment: TestDeployment,
+  daemon: TestDaemon,
+  lateForMilliseconds: number,
+): Promise<void> {
+  daemon.workers.setFault(WORKER, WorkerFault.StartsLate);
+  void daemon.jobIntake.submit(job('a'), TIMEOUT);
+  await deployment.run(lateForMilliseconds);
+  daemon.workers.setFault(WORKER, undefined);
+}
+
+describe('a start order that a restarted worker carries out', () => {
+  // The order of a predecessor is not listed by the worker, then carried out by its next
+  // incarnation, while the successor has started the task elsewhere.
+  it('does not run after a successor has had its task done', async () => {
+    const deployment = new TestDeployment(2, true);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 300}));
+    const first = await deployment.startDaemon('one');
+    await submitWithLateStarts(deployment, first, SHORT_MILLISECONDS);
+    first.kill();
+    await deployment.startDaemon('two');
+    await deployment.run(LATE_MILLISECONDS - 1_000);
+    deployment.restartWorker(WORKER, SHORT_MILLISECONDS, 1_500);
+    await deployment.run(SETTLED_MILLISECONDS);
+
+    assert.deepEqual(
+      runsOf(deployment, 'a').map(run => run.end),
+      [RunEnd.Done],
+    );
+  });
+
+  // The run ends as done while a repeated order of it is in transit.
+  it('does not run after its task is done', async () => {
+    const deployment = new TestDeployment(2, true);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 300}));
+    const daemon = await deployment.startDaemon('one');
+    await submitWithLateStarts(deployment, daemon, LATE_MILLISECONDS + 500);
+    deployment.restartWorker(WORKER, SHORT_MILLISECONDS);
+    await deployment.run(SETTLED_MILLISECONDS);
+
+    assert.deepEqual(
+      runsOf(deployment, 'a').map(run => run.end),
+      [RunEnd.Done],
+    );
+  });
+
+  // The worker confirms the stop of a run and forgets it with its restart.
+  it('does not run beside the next run after a stop', async () => {
+    const deployment = new TestDeployment(2, true);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 8_000}));
+    const daemon = await deployment.startDaemon('one');
+    await submitWithLateStarts(deployment, daemon, LATE_MILLISECONDS + 750);
+    deployment.restartWorker(WORKER, SHORT_MILLISECONDS, 500);
+    await deployment.run(SETTLED_MILLISECONDS);
+
+    const runs = runsOf(deployment, 'a');
+    assert.deepEqual(overlappingRuns(runs), []);
+    assert.equal(runs.filter(run => run.end === RunEnd.Done).length, 1);
+  });
+
+  // A lost order must not hold its task back for longer than it can be carried out.
+  it('is waited for no longer than it can be carried out', async () => {
+    const deployment = new TestDeployment(1, true);
+    const daemon = await deployment.startDaemon('one');
+    daemon.workers.setFault(WORKER, WorkerFault.StartsLate);
+    void daemon.jobIntake.submit(job('a'), TIMEOUT);
+    await deployment.run(SHORT_MILLISECONDS);
+    deployment.restartWorker(WORKER, LATE_MILLISECONDS + 500);
+    daemon.workers.setFault(WORKER, undefined);
+    await deployment.run(14_000);
+
+    assert.deepEqual(
+      runsOf(deployment, 'a').map(run => run.end),
+      [RunEnd.Done],
+    );
+    assert.equal(daemon.events.of(LogEvent.StartUnanswered), 1);
+  });
+});
+
 describe('a worker that restarts under its id', () => {
   // The ends of a new incarnation are numbered from 1 again. Counted against the ends
   // read from the old one, they are lost and each task runs a second time.
--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -196,7 +196,7 @@
       if (session) {
         noteAssigned(run, session.id, run.plannedAt);
         session.addRun(run);
-      } else orphans.add(task.progress.worker, run);
+      } else orphans.addRecovered(task.progress.worker, run);
     }
   }
 
--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -16,21 +16,40 @@
 }
 
 /**
- * Returns whether the start of a run may have reached, or may still reach, an incarnation
- * later than the one it was sent to. A start order names the worker, not its incarnation,
- * so only a poll that lists the run shows which incarnation executed it. If the order was
- * sent several times, an earlier one may still be executed after that.
+ * Returns whether the start order of a run may still be carried out. It names the worker, not its
+ * incarnation, and a worker that restarts forgets the stop and the fencing token that ruled the
+ * order out. So until the order is known to have been carried out or refused, its task must not run
+ * elsewhere.
  */
-export function mayReachNextIncarnation(run: LiveRun): boolean {
-  if (run.status === RunStatus.Planned) return false;
-  if (run.listedAt === undefined) return true;
+export function isStartOpen({status, executableTask}: LiveRun): boolean {
   return (
-    run.startAttempts > 1 &&
-    run.listedAt <
-      (run.startSentAt ?? -Infinity) + LATEST_EXECUTION_MILLISECONDS
+    status !== RunStatus.Planned && !executableTask.progress.isStartExecuted
   );
 }
 
+/**
+ * Returns whether a poll sent at `requestedAt` that does not list a run, as alive or as ended,
+ * shows that the run is over, on a worker that may restart under its id.
+ */
+export function isOverIfUnlisted(
+  run: LiveRun,
+  requestedAt: number,
+  bounds: CarryBounds,
+): boolean {
+  if (isStartOpen(run)) return requestedAt >= latestExecutionAt(run, bounds);
+  return (
+    run.status === RunStatus.Recovered || run.orderAnsweredAt < requestedAt
+  );
+}
+
+/**
+ * Returns whether a run that no poll has listed on the former incarnation of its worker may be
+ * alive on the next one: its order may have been answered by either.
+ */
+export function mayReachNextIncarnation(run: LiveRun): boolean {
+  return run.status !== RunStatus.Planned && run.listedAt === undefined;
+}
+
 /** Prepares a run for the session with the next incarnation of its worker. */
 export function carryOver(run: LiveRun, former: FormerIncarnation): void {
   run.carriedFrom = former;
@@ -38,10 +57,9 @@
   run.stopRequested = false;
   if (run.status === RunStatus.Recovered) return;
   const {startConfirmedAt = Infinity} = run;
-  const isAnswered =
-    run.startAttempts === 1 && Number.isFinite(startConfirmedAt);
+  const isAnswered = Number.isFinite(startConfirmedAt);
   run.status = isAnswered ? RunStatus.Confirmed : RunStatus.Ordered;
-  run.orderAnsweredAt = isAnswered ? startConfirmedAt : Infinity;
+  run.orderAnsweredAt = startConfirmedAt;
 }
 
 /**
@@ -61,33 +79,14 @@
   run.carriedFrom = undefined;
 }
 
-/**
- * Returns the carried runs that must be stopped because their start was not answered and
- * the present incarnation, as polled, does not list them: it may still start them.
- */
-export function carriedRunsToStop(runs: Iterable<LiveRun>): LiveRun[] {
-  return [...runs].filter(
-    run =>
-      run.carriedFrom !== undefined &&
-      run.status === RunStatus.Ordered &&
-      !run.stopRequested,
-  );
-}
-
 /**
  * Returns until when a run on an unresponsive worker that reports its start may be alive,
  * whatever its lease: the worker may have restarted, and a late start order is executed by
  * the new incarnation with the longest lease, since it carries a time on the old clock.
  */
 export function mayBeAliveUntil(run: LiveRun, bounds: CarryBounds): number {
-  const isUnanswered =
-    run.status === RunStatus.Ordered && run.listedAt === undefined;
-  if (run.carriedFrom === undefined && !isUnanswered) return -Infinity;
-  return (
-    (run.startSentAt ?? bounds.termStartedAt) +
-    LATEST_EXECUTION_MILLISECONDS +
-    longestLease(bounds)
-  );
+  if (run.carriedFrom === undefined && !isStartOpen(run)) return -Infinity;
+  return latestExecutionAt(run, bounds) + longestLease(bounds);
 }
 
 /** Returns how long a carried run waits for a session with a new incarnation. */
@@ -95,6 +94,11 @@
   return LATEST_EXECUTION_MILLISECONDS + longestLease(bounds);
 }
 
+/** Returns when the start order of a run can no longer be carried out. */
+function latestExecutionAt(run: LiveRun, {termStartedAt}: CarryBounds): number {
+  return (run.startSentAt ?? termStartedAt) + LATEST_EXECUTION_MILLISECONDS;
+}
+
 function longestLease({maximumLeaseMilliseconds}: CarryBounds): number {
   return (
     worstCaseLeaseMilliseconds(maximumLeaseMilliseconds) + SLACK_MILLISECONDS
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -27,7 +27,7 @@
   type Resources,
 } from '@gentiandoor/organisations';
 import {ActiveJobs} from './active-jobs.js';
-import {carryMilliseconds, noteAssigned} from './carried-runs.js';
+import {noteAssigned} from './carried-runs.js';
 import {Dispatcher, type DispatchHost} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetController, type FleetHost} from './fleet-controller.js';
@@ -52,7 +52,12 @@
 import type {SubmissionLog} from './submission-log.js';
 import {VmEvacuation} from './vm-evacuation.js';
 import {WaitingWorkRecorder} from './waiting-work-recorder.js';
-import type {EndedRun, OrderRefusal, WorkerGateway} from './worker-gateway.js';
+import type {
+  CallFailure,
+  EndedRun,
+  OrderRefusal,
+  WorkerGateway,
+} from './worker-gateway.js';
 import {WorkerRegistry} from './worker-registry.js';
 import type {SessionHost} from './session-host.js';
 import type {WorkerHandle} from './worker-handle.js';
@@ -151,13 +156,9 @@
     );
     this.learned = new LearnedDemandStore(parts, demand);
     this.registry = new WorkerRegistry(parts, this);
-    this.orphans = new OrphanRuns(
-      this.leaseMilliseconds,
-      clock,
-      (worker, run, end) => {
-        if (!this.closed) this.outcomes.orphaned(worker, run, end);
-      },
-    );
+    this.orphans = new OrphanRuns(this, clock, (worker, run, end) => {
+      if (!this.closed) this.outcomes.orphaned(worker, run, end);
+    });
     this.jobs = new ActiveJobs({
       operators: parts.operators,
       submissions: parts.submissions,
@@ -355,6 +356,18 @@
     this.outcomes.refused(session, run, refusal);
   }
 
+  startUnanswered(
+    session: WorkerHandle,
+    run: LiveRun,
+    failure: CallFailure,
+  ): void {
+    this.log.startUnanswered(run, session.id, failure);
+  }
+
+  startExecuted(run: LiveRun): void {
+    this.outcomes.startExecuted(run);
+  }
+
   runStalled(session: WorkerHandle, run: LiveRun): void {
     this.outcomes.stalled(session, run);
   }
@@ -382,7 +395,7 @@
   runsCarriedOver(session: WorkerHandle, runs: readonly LiveRun[]): void {
     for (const run of runs) {
       this.log.carriedOver(run, session.id);
-      this.orphans.add(session.id, run, carryMilliseconds(this));
+      this.orphans.addCarried(session.id, run);
     }
   }
 
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -1,22 +1,34 @@
 import {RunEnd} from '@gentiandoor/jobs';
-import type {Clock} from '@gentiandoor/kernel';
+import type {Clock, Timer} from '@gentiandoor/kernel';
 import {worstCaseLeaseMilliseconds} from '@gentiandoor/scheduling';
+import {
+  carryMilliseconds,
+  isStartOpen,
+  type CarryBounds,
+} from './carried-runs.js';
 import type {LiveRun} from './live-run.js';
 import {instanceOf, type IncarnationName} from './worker-incarnation.js';
 
 /** Allowance for local processing delays. */
 const SLACK_MILLISECONDS = 100;
 
+/** Times that bound how long an orphaned run may be alive. */
+export interface OrphanBounds extends CarryBounds {
+  /** Duration of the leases that polls and starts grant, in milliseconds. */
+  readonly leaseMilliseconds: number;
+}
+
 /**
  * Tracks runs on workers without a session: those of an earlier coordinator, and those carried over
  * from an incarnation that is over. They count as alive until the worker registers, it is known that
  * no VM runs it, or the longest possible lease has expired.
  */
 export class OrphanRuns {
-  private readonly byWorker = new Map<string, Set<LiveRun>>();
+  /** Runs with the timers that end them, by worker. */
+  private readonly byWorker = new Map<string, Map<LiveRun, Timer>>();
 
   constructor(
-    private readonly leaseMilliseconds: number,
+    private readonly bounds: OrphanBounds,
     private readonly clock: Clock,
     private readonly endRun: (
       worker: string,
@@ -25,24 +37,19 @@
     ) => void,
   ) {}
 
-  /** Adds a run that counts as alive for at most `maximumMilliseconds` from now. */
-  add(
-    worker: string,
-    run: LiveRun,
-    maximumMilliseconds = worstCaseLeaseMilliseconds(this.leaseMilliseconds) +
-      SLACK_MILLISECONDS,
-  ): void {
-    let runs = this.byWorker.get(worker);
-    if (!runs) {
-      const added = (runs = new Set<LiveRun>());
-      this.byWorker.set(worker, added);
-      this.clock.schedule(maximumMilliseconds, () => {
-        // The runs may have been taken since, and others added.
-        if (this.byWorker.get(worker) === added)
-          this.endAll(worker, RunEnd.Lost);
-      });
+  /** Adds a run that an earlier coordinator ordered. */
+  addRecovered(worker: string, run: LiveRun): void {
+    const mayRestart = instanceOf(worker) !== worker;
+    if (mayRestart && isStartOpen(run)) this.addCarried(worker, run);
+    else {
+      const lease = worstCaseLeaseMilliseconds(this.bounds.leaseMilliseconds);
+      this.add(worker, run, lease + SLACK_MILLISECONDS);
     }
-    runs.add(run);
+  }
+
+  /** Adds a run that the next incarnation of its worker may start. */
+  addCarried(worker: string, run: LiveRun): void {
+    this.add(worker, run, carryMilliseconds(this.bounds));
   }
 
   /** Removes and returns the runs on a worker that has registered, whatever its incarnation. */
@@ -61,16 +68,26 @@
   noteIncarnations(alive: ReadonlySet<string>): void {
     for (const worker of [...this.byWorker.keys()])
       if (!alive.has(worker) && !alive.has(instanceOf(worker)))
-        this.endAll(worker, RunEnd.Crashed);
+        for (const run of this.remove(worker))
+          this.endRun(worker, run, RunEnd.Crashed);
   }
 
-  private endAll(worker: string, end: RunEnd): void {
-    for (const run of this.remove(worker)) this.endRun(worker, run, end);
+  private add(worker: string, run: LiveRun, milliseconds: number): void {
+    const runs = this.byWorker.get(worker) ?? new Map<LiveRun, Timer>();
+    this.byWorker.set(worker, runs);
+    const endRun = () => {
+      runs.delete(run);
+      if (runs.size === 0) this.byWorker.delete(worker);
+      this.endRun(worker, run, RunEnd.Lost);
+    };
+    runs.set(run, this.clock.schedule(milliseconds, endRun));
   }
 
   private remove(worker: string): LiveRun[] {
-    const runs = [...(this.byWorker.get(worker) ?? [])];
+    const runs = this.byWorker.get(worker);
+    if (!runs) return [];
     this.byWorker.delete(worker);
-    return runs;
+    for (const timer of runs.values()) timer.cancel();
+    return [...runs.keys()];
   }
 }
--- a/packages/coordinator/src/run-log.ts
+++ b/packages/coordinator/src/run-log.ts
@@ -12,7 +12,12 @@
   RunEnd,
 } from '@gentiandoor/jobs';
 import type {LiveRun} from './live-run.js';
-import type {OrderRefusal, RunName} from './worker-gateway.js';
+import {
+  OrderOutcome,
+  type CallFailure,
+  type OrderRefusal,
+  type RunName,
+} from './worker-gateway.js';
 
 /** Dependencies of a run log. */
 export interface RunLogParts {
@@ -88,6 +93,21 @@
     this.parts.metrics.increment(MetricName.RunRefusals, {reason: refusal});
   }
 
+  /** Logs that the order of a run got no response, or was not sent. */
+  startUnanswered(
+    {task, run}: RunName,
+    worker: string,
+    {outcome, reason}: CallFailure,
+  ): void {
+    if (outcome === OrderOutcome.NotSent) {
+      this.parts.metrics.increment(MetricName.StartsNotSent);
+      return;
+    }
+    const fields = {task, run, worker, reason};
+    this.parts.logger.info(LogEvent.StartUnanswered, fields);
+    this.parts.metrics.increment(MetricName.StartsUnanswered);
+  }
+
   /**
    * Logs that a run is kept for the next incarnation of its worker, which may still start
    * it.
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -2,11 +2,14 @@
 import {RunStatus, type LiveRun} from './live-run.js';
 import {
   OrderOutcome,
-  type OrderRefusal,
+  OrderRefusal,
+  isUnanswered,
+  type CallFailure,
   type OrderResult,
   type WorkerEntry,
   type WorkerGateway,
 } from './worker-gateway.js';
+import {reportsStart} from './worker-incarnation.js';
 import type {WorkerLiveness} from './worker-liveness.js';
 
 /** What run orders need from their session. */
@@ -29,6 +32,12 @@
    */
   noteResponseTime(sentAt: number): void;
   noteAnswer(clockMilliseconds: number): void;
+  /** Records that the worker could not be reached. */
+  noteSilence(): void;
+  /** Records that the start order of a run was carried out. */
+  noteStartExecuted(run: LiveRun): void;
+  /** A start order was sent and got no response, or was not sent. */
+  startUnanswered(run: LiveRun, failure: CallFailure): void;
   /**
    * Returns whether a result was a refusal that concerns the whole session, and handles
    * it if so.
@@ -55,7 +64,8 @@
 
   /**
    * Orders the worker to start a run. After the last attempt without a response it stops
-   * the run.
+   * the run. A worker that may restart under its id is sent a single order, since a second one
+   * could be carried out by the next incarnation after the run has ended; polls show its outcome.
    */
   async start(run: LiveRun): Promise<void> {
     for (let attempt = 0; attempt < MAXIMUM_START_ATTEMPTS; attempt++) {
@@ -71,6 +81,7 @@
         return;
       }
       if (await this.sendStart(run, attempt > 0)) return;
+      if (reportsStart(this.host.entry)) return;
       await sleep(this.clock, RETRY_MILLISECONDS);
     }
     // The start got no response, or the worker has no capacity any more. An earlier
@@ -88,7 +99,7 @@
       if (!(await this.host.waitUntilAllowed())) return;
       const {entry, term} = this.host;
       const result = await this.gateway.stop(entry, run, term);
-      if (result.outcome !== OrderOutcome.Unknown) {
+      if (!isUnanswered(result)) {
         if (this.host.handledRefusal(result)) return;
         // The worker may have restarted since: its answer says nothing about the run,
         // which the next incarnation may still start.
@@ -107,15 +118,17 @@
     run.status = RunStatus.Ordered;
     run.orderedAt ??= now;
     run.startSentAt = now;
-    run.startAttempts++;
     const result = await this.requestStart(run, now);
-    if (result.outcome !== OrderOutcome.Unknown)
-      this.host.noteResponseTime(now);
+    if (!isUnanswered(result)) this.host.noteResponseTime(now);
     if (!this.host.isExpected(run)) return true;
-    if (result.outcome === OrderOutcome.Unknown) return false;
+    if (isUnanswered(result))
+      return this.handleUnanswered(run, result, retried);
+    // The worker at this address is another one, which did not carry the order out.
+    if (isOtherIncarnation(result)) run.status = RunStatus.Planned;
     if (this.host.handledRefusal(result)) return true;
     if (result.outcome === OrderOutcome.Done) {
       this.host.noteAnswer(result.clockMilliseconds);
+      this.host.noteStartExecuted(run);
       run.status = RunStatus.Confirmed;
       run.orderAnsweredAt = this.clock.monotonicMilliseconds();
       run.startConfirmedAt = run.orderAnsweredAt;
@@ -129,6 +142,22 @@
     return true;
   }
 
+  /** Resolves to true if no further attempt is needed. */
+  private handleUnanswered(
+    run: LiveRun,
+    failure: CallFailure,
+    retried: boolean,
+  ): boolean {
+    this.host.startUnanswered(run, failure);
+    if (failure.outcome === OrderOutcome.Unknown) return false;
+    this.host.noteSilence();
+    // An earlier attempt may still be carried out.
+    if (retried) return false;
+    run.status = RunStatus.Planned;
+    if (this.host.isExpected(run)) this.host.runNeverStarted(run);
+    return true;
+  }
+
   private async requestStart(run: LiveRun, now: number): Promise<OrderResult> {
     const probeTimer = this.clock.schedule(
       this.host.responseTimeoutMilliseconds,
@@ -147,3 +176,10 @@
     return result;
   }
 }
+
+function isOtherIncarnation(result: OrderResult): boolean {
+  return (
+    result.outcome === OrderOutcome.Refused &&
+    result.refusal === OrderRefusal.OtherIncarnation
+  );
+}
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -132,6 +132,16 @@
     void session.stopRun(run);
   }
 
+  /**
+   * Handles a run whose order was carried out. Only for long-running tasks is that worth a record
+   * of its own: others have mostly ended by the time a successor would read it.
+   */
+  startExecuted({execution, executableTask, run}: LiveRun): void {
+    const isNews = execution.noteStartExecuted(executableTask, run);
+    if (isNews && executableTask.specification.longRunning)
+      this.parts.writer.store(execution);
+  }
+
   /** Handles a run that has been alive long enough to clear the crashes of its task. */
   survived({execution, executableTask}: LiveRun): void {
     if (execution.clearCrashes(executableTask))
--- a/packages/coordinator/src/session-host.ts
+++ b/packages/coordinator/src/session-host.ts
@@ -2,7 +2,7 @@
 import type {WorkerReliability} from '@gentiandoor/scheduling';
 import type {IncarnationEnd} from './incarnation-end.js';
 import type {LiveRun} from './live-run.js';
-import type {EndedRun, OrderRefusal} from './worker-gateway.js';
+import type {CallFailure, EndedRun, OrderRefusal} from './worker-gateway.js';
 import type {LivenessHost} from './worker-liveness.js';
 import type {WorkerHandle} from './worker-handle.js';
 
@@ -53,6 +53,14 @@
     run: LiveRun,
     refusal: OrderRefusal,
   ): void;
+  /** Called when the order of a run got no response, or was not sent. */
+  startUnanswered(
+    session: WorkerHandle,
+    run: LiveRun,
+    failure: CallFailure,
+  ): void;
+  /** Called when the order of a run is known to have been carried out. */
+  startExecuted(run: LiveRun): void;
   /** Called when the worker stops responding: workers near it may be unreachable too. */
   sessionSilent(session: WorkerHandle): void;
   /** Called when a run no longer makes progress. */
--- a/packages/coordinator/src/session-polls.ts
+++ b/packages/coordinator/src/session-polls.ts
@@ -5,7 +5,7 @@
 import {BestEffortThrottle} from './best-effort-throttle.js';
 import {
   LATEST_EXECUTION_MILLISECONDS,
-  carriedRunsToStop,
+  isOverIfUnlisted,
   noteListed,
 } from './carried-runs.js';
 import {EndCursor} from './end-cursor.js';
@@ -60,6 +60,8 @@
   noteResponseTime(sentAt: number): void;
   noteAnswer(clockMilliseconds: number): void;
   noteSilence(): void;
+  /** Records that the start order of a run was carried out. */
+  noteStartExecuted(run: LiveRun): void;
   endRun(run: LiveRun, end: RunEnd, checkpoint: string): void;
 }
 
@@ -253,19 +255,24 @@
     this.unexpectedRuns.beginList();
     for (const listed of result.running) this.noteRunning(listed);
     if (result.ended.length < MAXIMUM_ENDS_LISTED)
-      for (const run of sessionRuns.missingFrom(
-        result.running,
-        ended,
-        requestedAt,
+      for (const run of sessionRuns.missingFrom(result.running, ended, run =>
+        this.isOverIfUnlisted(run, requestedAt),
       ))
         session.endRun(run, run.carriedFrom?.end ?? RunEnd.Lost, '');
-    for (const run of carriedRunsToStop(session.runs.values()))
-      void session.stopRun(run);
     this.throttle.adjust(result.running, session.runs);
     if (!hadSeenToken || (hadUnexpectedRuns && !this.hasUnexpectedRuns))
       host.sessionChanged(session);
   }
 
+  private isOverIfUnlisted(run: LiveRun, requestedAt: number): boolean {
+    const {session, host} = this.parts;
+    if (reportsStart(session.entry))
+      return isOverIfUnlisted(run, requestedAt, host);
+    return (
+      run.status === RunStatus.Recovered || run.orderAnsweredAt < requestedAt
+    );
+  }
+
   private noteEnds(ended: readonly EndedRun[]): Set<string> {
     const {session, host} = this.parts;
     const names = new Set<string>();
@@ -291,6 +298,7 @@
     if (run.carriedFrom)
       liveness.noteFormerLease(host.maximumLeaseMilliseconds);
     noteListed(run, now);
+    session.noteStartExecuted(run);
     if (run.status !== RunStatus.Confirmed) {
       run.status = RunStatus.Confirmed;
       run.orderAnsweredAt = now;
--- a/packages/coordinator/src/session-runs.ts
+++ b/packages/coordinator/src/session-runs.ts
@@ -108,21 +108,18 @@
   }
 
   /**
-   * Returns the settled runs that a poll sent at `requestedAt` lists neither as alive nor
-   * as ended: they never ran, or ended long ago.
+   * Returns the runs that a poll lists neither as alive nor as ended and that are over if they
+   * are unlisted: they never ran, or ended long ago.
    */
   missingFrom(
     running: readonly ListedRun[],
     ended: ReadonlySet<string>,
-    requestedAt: number,
+    isOver: (run: LiveRun) => boolean,
   ): LiveRun[] {
     const alive = new Set(running.map(runName));
     return [...this.byTask.values()].filter(run => {
       const name = runName(run);
-      if (alive.has(name) || ended.has(name)) return false;
-      return (
-        run.status === RunStatus.Recovered || run.orderAnsweredAt < requestedAt
-      );
+      return !alive.has(name) && !ended.has(name) && isOver(run);
     });
   }
 
--- a/packages/coordinator/src/unexpected-runs.ts
+++ b/packages/coordinator/src/unexpected-runs.ts
@@ -1,7 +1,7 @@
 import {LogEvent, type Logger} from '@gentiandoor/kernel';
 import {runName} from './live-run.js';
 import {
-  OrderOutcome,
+  isUnanswered,
   type ListedRun,
   type OrderResult,
 } from './worker-gateway.js';
@@ -51,6 +51,6 @@
       reason: 'not expected',
     });
     const result = await this.stopOrder(listed);
-    if (result.outcome === OrderOutcome.Unknown) this.stopping.delete(name);
+    if (isUnanswered(result)) this.stopping.delete(name);
   }
 }
--- a/packages/coordinator/src/worker-gateway.ts
+++ b/packages/coordinator/src/worker-gateway.ts
@@ -74,15 +74,23 @@
 export enum OrderOutcome {
   Done = 'done',
   Refused = 'refused',
+  /** No connection was made: the order is never carried out. */
+  NotSent = 'not_sent',
   /** No response: the order may have been carried out, and may still be. */
   Unknown = 'unknown',
 }
 
+/** A call without a response. */
+export interface CallFailure {
+  readonly outcome: OrderOutcome.NotSent | OrderOutcome.Unknown;
+  readonly reason: string;
+}
+
 /** Response to an order. */
 export type OrderResult =
   | {readonly outcome: OrderOutcome.Done; readonly clockMilliseconds: number}
   | {readonly outcome: OrderOutcome.Refused; readonly refusal: OrderRefusal}
-  | {readonly outcome: OrderOutcome.Unknown; readonly reason: string};
+  | CallFailure;
 
 /** Response to a poll. */
 export type PollResult =
@@ -93,7 +101,17 @@
       readonly ended: readonly EndedRun[];
     }
   | {readonly outcome: OrderOutcome.Refused; readonly refusal: OrderRefusal}
-  | {readonly outcome: OrderOutcome.Unknown; readonly reason: string};
+  | CallFailure;
+
+/** Returns whether a call got no response, whether or not it was sent. */
+export function isUnanswered(
+  result: OrderResult | PollResult,
+): result is CallFailure {
+  return (
+    result.outcome === OrderOutcome.NotSent ||
+    result.outcome === OrderOutcome.Unknown
+  );
+}
 
 /** Identifies a worker as the target of calls. */
 export interface WorkerAddress {
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -17,6 +17,7 @@
   OrderOutcome,
   OrderRefusal,
   WorkerState,
+  type CallFailure,
   type Resources,
   type WorkerEntry,
   type WorkerGateway,
@@ -308,6 +309,14 @@
     return false;
   }
 
+  noteStartExecuted(run: LiveRun): void {
+    if (reportsStart(this.current)) this.host.startExecuted(run);
+  }
+
+  startUnanswered(run: LiveRun, failure: CallFailure): void {
+    this.host.startUnanswered(this, run, failure);
+  }
+
   runNeverStarted(run: LiveRun): void {
     this.endRun(run, RunEnd.Lost, '');
   }
--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -234,6 +234,27 @@
     assert.deepEqual(read.progress, job.progress);
   });
 
+  // A successor that does not know that the order was carried out waits for it in vain.
+  it('keep whether the order of the live run was carried out', () => {
+    const job = execution([STEP]);
+    const [task] = job.readyTasks(0);
+    const run = job.beginRun(task, 'worker');
+    assert.ok(job.noteStartExecuted(task, run));
+    assert.ok(!job.noteStartExecuted(task, run), 'known already');
+    const {value} = encodeJobRecord({
+      kind: JobRecordKind.Progress,
+      jobId: 'job',
+      progress: job.progress,
+    });
+    assert.ok(value);
+    const read = decodeJobRecord(JobRecordKind.Progress, 'job', value);
+    assert.ok(read.kind === JobRecordKind.Progress);
+    assert.deepEqual(read.progress, job.progress);
+    job.endRun(task, run, RunEnd.Lost, '', 3);
+    job.beginRun(task, 'worker');
+    assert.ok(!task.progress.isStartExecuted, 'of the latest run only');
+  });
+
   // Bytes of another writer under a job key must neither stop the reading of the log
   // nor change the known state of a job.
   it('are rejected or harmless if another writer wrote them', () => {
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -121,12 +121,23 @@
   beginRun(task: ExecutableTask, worker: string, run?: number): number {
     task.progress.run = run ?? task.progress.run + 1;
     task.progress.worker = worker;
+    task.progress.isStartExecuted = false;
     this.progress.tasks.set(task.key, task.progress);
     if (this.progress.state === JobState.Queued)
       this.progress.state = JobState.Running;
     return task.progress.run;
   }
 
+  /**
+   * Records that the order of a run was carried out; returns false if that was known or the run
+   * is not the task's latest one.
+   */
+  noteStartExecuted({progress}: ExecutableTask, run: number): boolean {
+    if (progress.run !== run || progress.isStartExecuted) return false;
+    progress.isStartExecuted = true;
+    return true;
+  }
+
   /**
    * Records how a run ended. `maximumAttempts` limits the number of runs that end as
    * failed.
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -17,6 +17,11 @@
   checkpoint: string;
   /** Worker whose run may be alive; empty if there is none. */
   worker: string;
+  /**
+   * Whether the order of the latest run is known to have been carried out, so that no order of
+   * the task is in transit. Recorded only for workers that may restart under their id.
+   */
+  isStartExecuted: boolean;
 }
 
 /** State of one job that must outlive the coordinator. */
@@ -41,6 +46,7 @@
     preemptions: 0,
     checkpoint: '',
     worker: '',
+    isStartExecuted: false,
   };
 }
 
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -35,8 +35,8 @@
 };
 
 /**
- * Stored form of a task's progress. The last entries, crashes and preemptions, are omitted if
- * there were none.
+ * Stored form of a task's progress. The last entries (crashes, preemptions, and 1 if the order of
+ * the live run was carried out) are omitted if they and all entries after them are empty.
  */
 type PackedTask = [
   string,
@@ -47,6 +47,7 @@
   string,
   [number, number]?,
   number?,
+  number?,
 ];
 
 /** Returns the key of the record of `kind` about `jobId`. */
@@ -154,6 +155,7 @@
 function packTask([key, task]: [string, TaskProgress]): PackedTask {
   const {run, done, failedRuns, checkpoint, worker} = task;
   const {crashes, preemptions} = task;
+  const isStartExecuted = task.isStartExecuted && worker !== '';
   const packed: PackedTask = [
     key,
     run,
@@ -162,9 +164,10 @@
     checkpoint,
     worker,
   ];
-  if (crashes.total > 0 || preemptions > 0)
+  if (crashes.total > 0 || preemptions > 0 || isStartExecuted)
     packed.push([crashes.total, crashes.atStart]);
-  if (preemptions > 0) packed.push(preemptions);
+  if (preemptions > 0 || isStartExecuted) packed.push(preemptions);
+  if (isStartExecuted) packed.push(1);
   return packed;
 }
 
@@ -179,7 +182,7 @@
 
 function unpackTask(packed: PackedTask): [string, TaskProgress] {
   const [key, run, done, failedRuns, checkpoint, worker] = packed;
-  const [, , , , , , crashed, preemptions = 0] = packed;
+  const [, , , , , , crashed, preemptions = 0, executed] = packed;
   const [total, atStart] = crashed ?? [0, 0];
   return [
     key,
@@ -191,6 +194,7 @@
       preemptions,
       checkpoint,
       worker,
+      isStartExecuted: executed === 1,
     },
   ];
 }
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -188,6 +188,9 @@
     'The store still shows the entry of an incarnation that is over; it is ignored.',
     'if it stays so, look at why the worker publishes no new entry',
   ),
+  [LogEvent.StartUnanswered]: entry(
+    'The order to start a run got no response, and may still be carried out; `reason` says how the call failed.',
+  ),
   [LogEvent.VmOrdered]: entry(
     'A VM was told to move or to be maintained; `outcome` says what became of it.',
   ),
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -59,6 +59,7 @@
   RunCarriedOver = 1927,
   WorkerEntryInvalid = 1928,
   WorkerEntryOutdated = 1929,
+  StartUnanswered = 1930,
   VmOrdered = 1931,
   WaveSeen = 1932,
   WaveCompleted = 1933,
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -165,6 +165,12 @@
   [MetricName.RunsCarriedOver]: counter(
     'runs kept for the next incarnation of their worker, which may still start them',
   ),
+  [MetricName.StartsUnanswered]: counter(
+    'start orders that got no response and may still be carried out',
+  ),
+  [MetricName.StartsNotSent]: counter(
+    'start orders that were never sent, because no connection to the worker was made',
+  ),
   [MetricName.WorkerEntriesRejected]: counter(
     'entries of workers that were not used, by reason; counted once until the entry is usable again',
     'reason',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -78,6 +78,10 @@
   WorkerRestarts = 'worker_restarts',
   /** Runs kept for the next incarnation of their worker, which may still start them. */
   RunsCarriedOver = 'runs_carried_over',
+  /** Start orders that got no response and may still be carried out. */
+  StartsUnanswered = 'starts_unanswered',
+  /** Start orders that were never sent, because no connection to the worker was made. */
+  StartsNotSent = 'starts_not_sent',
   /** Entries of workers that were not used, by reason. */
   WorkerEntriesRejected = 'worker_entries_rejected',
   /** Milliseconds from the choice of a worker to the order that starts the run. */
--- a/packages/specification/src/run-model.ts
+++ b/packages/specification/src/run-model.ts
@@ -123,10 +123,11 @@
   NoCarryOver = 'no-carry-over',
   RecoveredNotCarried = 'recovered-not-carried',
   LeaseOnOldClock = 'lease-on-old-clock',
+  DecidedInTransit = 'decided-in-transit',
 }
 
 const WORKERS = [0, 1];
-/** The workers are alike, so a single restart is one of the first worker. */
+/** The worker that may restart under its id; after a crash the other has a new one. */
 const RESTARTING_WORKER = 0;
 const MAXIMUM_RUN = 2;
 const MAXIMUM_TERM = 2;
@@ -199,7 +200,7 @@
     });
     state.workers.forEach((worker, index) => {
       if (worker.activeRun > 0) add(EventType.Finish, -1, index);
-      if (index === RESTARTING_WORKER && mayRestart(state, index))
+      if (index === RESTARTING_WORKER && state.restartsLeft > 0)
         add(EventType.RestartWorker, -1, index);
       if (!worker.isPartitioned && state.partitionsLeft > 0)
         add(EventType.Partition, -1, index);
@@ -300,12 +301,13 @@
     )
       return false;
     if (this.mutation === MutationName.NoLeaseWait) return true;
+    // An order whose lease has expired may reach an incarnation with another clock.
+    const ignoresLease =
+      worker === RESTARTING_WORKER &&
+      this.mutation !== MutationName.LeaseOnOldClock;
     const hasOrderInFlight = state.orders.some(
       order =>
-        order.worker === worker &&
-        (!order.isLeaseExpired ||
-          (this.mutation !== MutationName.LeaseOnOldClock &&
-            order.incarnation !== state.workers[worker].incarnation)),
+        order.worker === worker && (ignoresLease || !order.isLeaseExpired),
     );
     // A paused coordinator may still send an order whose lease began during its own term.
     const mayBeSentLater = state.coordinators.some(
@@ -440,11 +442,12 @@
         ...previous,
         isListed: true,
       }));
-    // The run is neither active nor ended. A recovered run never starts any more, because the
-    // worker has now seen this coordinator's token. An order that this coordinator sent may
-    // still arrive.
+    // The run is neither active nor ended. This incarnation never starts a recovered run any more,
+    // because it has now seen this coordinator's token; a later one may. An order that this
+    // coordinator sent may still arrive.
     const neverStarts =
-      assumedRunState === Assumed.Recovered ||
+      (assumedRunState === Assumed.Recovered &&
+        !this.mayStartAfterRestart(state, coordinatorIndex)) ||
       this.mutation === MutationName.UnansweredIsNotRun;
     return neverStarts
       ? updateCoordinator(withToken, coordinatorIndex, clearRun)
@@ -493,7 +496,30 @@
         ...previous,
         knowsDone: true,
       }));
-    return updateCoordinator(stopped, coordinatorIndex, clearRun);
+    return this.mayStartAfterRestart(state, coordinatorIndex)
+      ? stopped
+      : updateCoordinator(stopped, coordinatorIndex, clearRun);
+  }
+
+  /**
+   * Returns whether the order of a coordinator's run may reach a later incarnation of its worker,
+   * which has forgotten the stop and the token that rule it out.
+   */
+  private mayStartAfterRestart(
+    state: RunState,
+    coordinatorIndex: number,
+  ): boolean {
+    const {worker, run} = state.coordinators[coordinatorIndex];
+    if (worker !== RESTARTING_WORKER) return false;
+    if (this.mutation === MutationName.DecidedInTransit) return false;
+    const isOfRun = (item: {readonly worker: number; readonly run: number}) =>
+      item.worker === worker && item.run === run;
+    return (
+      state.orders.some(isOfRun) ||
+      state.coordinators.some(
+        other => other.assumedRunState === Assumed.Stored && isOfRun(other),
+      )
+    );
   }
 
   private storeEnd(
@@ -580,32 +606,6 @@
   return {...clearRun(coordinator), fenced: true};
 }
 
-/**
- * Returns whether a worker may restart. Assumption: it does not while a start order to it
- * may still arrive although its run has been decided, because no coordinator can recall
- * that order and the next incarnation has forgotten the stop and the fencing token that
- * rule it out.
- */
-function mayRestart(state: RunState, worker: number): boolean {
-  if (state.restartsLeft === 0) return false;
-  const newest = state.coordinators[state.coordinators.length - 1];
-  const isDecided = (run: number) =>
-    newest.run !== run ||
-    newest.worker !== worker ||
-    newest.knowsDone ||
-    newest.assumedRunState === Assumed.None;
-  const isSentLater = state.coordinators.some(
-    other =>
-      other.assumedRunState === Assumed.Stored &&
-      other.worker === worker &&
-      isDecided(other.run),
-  );
-  return (
-    !isSentLater &&
-    !state.orders.some(order => order.worker === worker && isDecided(order.run))
-  );
-}
-
 /** Restarts a worker under its id; it forgets its runs, their ends and the token. */
 function restart(state: RunState, worker: number): RunState {
   return {
@@ -682,6 +682,12 @@
       'an order with a lease on a former clock counts until it can no longer arrive',
     brokenInvariant: AT_MOST_ONE_ACTIVE_RUN,
   },
+  {
+    name: MutationName.DecidedInTransit,
+    removedSafeguard:
+      'a run on a worker that may restart counts until its order is carried out or can no longer arrive',
+    brokenInvariant: AT_MOST_ONE_ACTIVE_RUN,
+  },
 ];
 
 /** Specification of when a task may start. */
