A restart before the order is sent does not count as a crash under the task

Cause: a run whose start got no response counts as crashed with its worker, since the task may have crashed it before it answered. Runs that were stored and not yet ordered counted as well.

Change: a task under which a worker has crashed is ordered only on a worker that has just responded to a poll; otherwise nothing is sent and nothing counted. A run whose order was not sent ends as lost. The first crash, and one between that poll and the order, count as before, so the bound on tasks that do crash their workers is as strict as before.

Before: the new test's job is given up after six restarts of a worker on which it never ran. After: it completes, with one counted crash.

--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -93,6 +93,8 @@
 export class EventCounts implements Logger {
   private readonly counts = new Map<LogEvent, number>();
   readonly lastFields = new Map<LogEvent, LogFields>();
+  /** Called with each event, so that a test can bring a failure about at that moment. */
+  onEvent: (event: LogEvent) => void = () => {};
 
   of(event: LogEvent): number {
     return this.counts.get(event) ?? 0;
@@ -101,6 +103,7 @@
   debug(event: LogEvent, fields: LogFields = {}): void {
     this.counts.set(event, this.of(event) + 1);
     this.lastFields.set(event, fields);
+    this.onEvent(event);
   }
 
   info(event: LogEvent, fields?: LogFields): void {
--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -65,6 +65,9 @@
 /** Time until all orders that may be late count as void, and a run after that. */
 const SETTLED_MILLISECONDS = 30_000;
 
+/** One more than the number of crashes after which a task is given up. */
+const MOST_RESTARTS = 6;
+
 /** Submits a job to a worker that carries out its orders late for `lateForMilliseconds`. */
 async function submitWithLateStarts(
   deployment: TestDeployment,
@@ -145,6 +148,30 @@
   });
 });
 
+describe('a task whose start orders reach no worker', () => {
+  // Five restarts of workers on which the task never ran count as five crashes under it, and its
+  // job is given up.
+  it('is not given up for the crashes of these workers', async () => {
+    const deployment = new TestDeployment(1, true);
+    const daemon = await deployment.startDaemon('one');
+    let restarts = 0;
+    daemon.events.onEvent = event => {
+      if (event !== LogEvent.RunOrdered || restarts === MOST_RESTARTS) return;
+      restarts++;
+      deployment.restartWorker(WORKER, SHORT_MILLISECONDS);
+    };
+    void daemon.jobIntake.submit(job('a'), TIMEOUT);
+    await deployment.run(60_000);
+
+    assert.equal(restarts, MOST_RESTARTS);
+    assert.deepEqual(await deployment.answerOf(daemon, 'a'), {
+      kind: 'state',
+      state: JobState.Completed,
+    });
+    assert.equal(endsOf(daemon, RunEnd.Crashed), 1);
+  });
+});
+
 describe('a worker that restarts under its id', () => {
   // The ends of a new incarnation are numbered from 1 again. Counted against the ends
   // read from the old one, they are lost and each task runs a second time.
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -26,6 +26,8 @@
   waitUntilAllowed(): Promise<boolean>;
   /** Polls the worker without waiting, in parallel to a pending long poll. */
   probe(): Promise<void>;
+  /** Polls the worker without waiting; resolves to whether it responded. */
+  isResponding(): Promise<boolean>;
   /**
    * Records that a call, sent at `sentAt`, that does not wait on the worker got its
    * response.
@@ -68,6 +70,10 @@
    * could be carried out by the next incarnation after the run has ended; polls show its outcome.
    */
   async start(run: LiveRun): Promise<void> {
+    if (!(await this.isReadyForStart(run))) {
+      if (this.host.isExpected(run)) this.host.runNeverStarted(run);
+      return;
+    }
     for (let attempt = 0; attempt < MAXIMUM_START_ATTEMPTS; attempt++) {
       if (!this.host.isExpected(run)) return;
       if (run.stopRequested && attempt === 0) {
@@ -112,6 +118,16 @@
     }
   }
 
+  /**
+   * Resolves to whether the order of a run may be sent. If a worker crashes and the order got no
+   * response, the task may have crashed it. So a task under which workers have crashed is ordered
+   * only on a worker that has just responded: one that was gone before must not count against it.
+   */
+  private async isReadyForStart(run: LiveRun): Promise<boolean> {
+    if (run.executableTask.progress.crashes.total === 0) return true;
+    return this.host.isResponding();
+  }
+
   /** Sends one start order. Resolves to true if no further attempt is needed. */
   private async sendStart(run: LiveRun, retried: boolean): Promise<boolean> {
     const now = this.clock.monotonicMilliseconds();
--- a/packages/coordinator/src/session-polls.ts
+++ b/packages/coordinator/src/session-polls.ts
@@ -84,7 +84,7 @@
   private readonly unexpectedRuns: UnexpectedRuns;
   private readonly throttle: BestEffortThrottle;
   private seenToken = false;
-  private probing = false;
+  private pendingProbe: Promise<void> | undefined;
   private polledAt = -Infinity;
   private readonly startedAt: number;
 
@@ -180,11 +180,31 @@
    * seconds, and each job with a task there waits for the lease to expire.
    */
   async probe(): Promise<void> {
+    const {host, liveness, clock} = this.parts;
+    const now = clock.monotonicMilliseconds();
+    if (!this.seenToken || liveness.isProbeRedundant(now)) return;
+    if (host.ordersAllowed()) await this.sendProbe();
+  }
+
+  /** Polls the worker without waiting; resolves to whether it responded. */
+  async isResponding(): Promise<boolean> {
+    const {session, liveness, clock} = this.parts;
+    const now = clock.monotonicMilliseconds();
+    await this.sendProbe();
+    return !session.isClosed && liveness.hasAnsweredSince(now);
+  }
+
+  private sendProbe(): Promise<void> {
+    this.pendingProbe ??= this.requestProbe().finally(() => {
+      this.pendingProbe = undefined;
+    });
+    return this.pendingProbe;
+  }
+
+  private async requestProbe(): Promise<void> {
     const {session, host, liveness, gateway, clock} = this.parts;
+    if (session.isClosed) return;
     const now = clock.monotonicMilliseconds();
-    if (session.isClosed || this.probing || !this.seenToken) return;
-    if (liveness.isProbeRedundant(now) || !host.ordersAllowed()) return;
-    this.probing = true;
     const result = await gateway.poll(session.entry, {
       fencingToken: host.term,
       acknowledgedEnd: this.acknowledgedEnd,
@@ -194,7 +214,6 @@
         host.responseTimeoutMilliseconds,
       ),
     });
-    this.probing = false;
     if (session.isClosed) return;
     if (result.outcome === OrderOutcome.Done) {
       session.noteResponseTime(now);
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -8,7 +8,7 @@
   mayReachNextIncarnation,
 } from './carried-runs.js';
 import {IncarnationEnd, isUnplanned} from './incarnation-end.js';
-import type {LiveRun} from './live-run.js';
+import {RunStatus, type LiveRun} from './live-run.js';
 import {RunOrders, type RunOrderHost} from './run-orders.js';
 import type {SessionHost} from './session-host.js';
 import {SessionPolls, type PollingSession} from './session-polls.js';
@@ -230,6 +230,10 @@
     return this.polls.probe();
   }
 
+  isResponding(): Promise<boolean> {
+    return this.polls.isResponding();
+  }
+
   /** Ends all runs because the worker's incarnation is over. */
   endIncarnation(end: IncarnationEnd): void {
     if (this.closed) return;
@@ -243,7 +247,8 @@
     this.close();
     const runEnd = hasCrashed ? RunEnd.Crashed : RunEnd.Lost;
     if (end === IncarnationEnd.Restarted) this.carryRunsOver(runEnd);
-    this.endRuns([...this.runs.values()], runEnd);
+    for (const run of [...this.runs.values()])
+      this.endRun(run, isOrdered(run) ? runEnd : RunEnd.Lost, '');
     this.gateway.closeConnections(this.current);
     this.host.sessionEnded(this, end);
   }
@@ -383,6 +388,11 @@
   }
 }
 
+/** Returns whether the order of a run was sent; otherwise it cannot have crashed its worker. */
+function isOrdered({status}: LiveRun): boolean {
+  return status !== RunStatus.Planned;
+}
+
 function isLarger(capacity: Resources, before: Resources): boolean {
   return (
     capacity.processorMillicores > before.processorMillicores ||
