Random faults in pools full of stoppable work always bring a stop about

Seed 9058 failed on `run.preempted > 0` without a violation: in that run no worker was full when urgent work waited, so nothing was stopped. The check guards against a seed that proves nothing about stops, and it stays as it is for each seed. Instead, once the faults of a seed have healed, its workers are filled with stoppable work and urgent jobs are submitted; the random choices before that are those of the seed as before.

--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -53,6 +53,14 @@
 /** Work that fills the workers and may be stopped: more than they can do meanwhile. */
 const STOPPABLE_TASKS = 12;
 const STOPPABLE_MILLISECONDS = 4_000;
+/** Time until workers and daemons are in use again after the last fault. */
+const HEALED_MILLISECONDS = 15_000;
+/** Stoppable jobs that fill all workers, and the time until they do. */
+const FILLING_JOBS = 4;
+const FILL_MILLISECONDS = 1_000;
+const URGENT_JOBS = 3;
+const URGENT_TASKS = 3;
+const URGENT_MILLISECONDS = 500;
 
 /** Result of a seeded run of faults; `violations` is empty if every guarantee held. */
 export interface RandomRun {
@@ -181,6 +189,7 @@
       await this.deployment.run(200 + this.random.nextInteger(1_800));
     }
     this.heal();
+    if (this.hasPreemption) await this.forceStop();
     await this.deployment.run(
       this.hasPreemption ? CALM_MILLISECONDS_FULL : CALM_MILLISECONDS,
     );
@@ -249,6 +258,32 @@
     this.submit(submitted, this.pickDaemon());
   }
 
+  /** Submits urgent jobs once the workers are full of stoppable work, so that some is stopped. */
+  private async forceStop(): Promise<void> {
+    await this.deployment.run(HEALED_MILLISECONDS);
+    for (let index = 0; index < FILLING_JOBS; index++)
+      this.submitStoppable(FAULT_ROUNDS + index);
+    await this.deployment.run(FILL_MILLISECONDS);
+    for (let index = 0; index < URGENT_JOBS; index++) this.submitUrgent(index);
+  }
+
+  private submitUrgent(index: number): void {
+    const id = `urgent-${index}`;
+    this.deployment.behaviours.set(
+      id,
+      behaviour({durationMilliseconds: URGENT_MILLISECONDS}),
+    );
+    const submitted: Submitted = {
+      id,
+      answers: [],
+      attempts: 0,
+      tasks: URGENT_TASKS,
+      longRunning: false,
+    };
+    this.submitted.push(submitted);
+    this.submit(submitted, this.pickDaemon());
+  }
+
   private behaviourOf(longRunning: boolean): ReturnType<typeof behaviour> {
     const fails = this.random.nextInteger(8) === 0;
     return behaviour({
