--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -13,6 +13,7 @@
   emptyProgress,
   encodeJobRecord,
   parseJobRecordKey,
+  type JobProgress,
   type JobSubmission,
   type StepSpecification,
 } from '../index.js';
@@ -48,6 +49,19 @@
   });
 }
 
+/** Encodes and decodes the progress of a job. */
+function readBack({progress}: JobExecution): JobProgress {
+  const {value} = encodeJobRecord({
+    kind: JobRecordKind.Progress,
+    jobId: 'job',
+    progress,
+  });
+  assert.ok(value);
+  const read = decodeJobRecord(JobRecordKind.Progress, 'job', value);
+  assert.ok(read.kind === JobRecordKind.Progress);
+  return read.progress;
+}
+
 describe('JobExecution', () => {
   it('starts a step when all tasks of earlier steps are done', () => {
     const job = execution([STEP, {...STEP, after: [0]}]);
@@ -223,15 +237,7 @@
     const [task] = job.readyTasks(0);
     job.beginRun(task, 'worker');
     task.progress.preemptions = 2;
-    const {value} = encodeJobRecord({
-      kind: JobRecordKind.Progress,
-      jobId: 'job',
-      progress: job.progress,
-    });
-    assert.ok(value);
-    const read = decodeJobRecord(JobRecordKind.Progress, 'job', value);
-    assert.ok(read.kind === JobRecordKind.Progress);
-    assert.deepEqual(read.progress, job.progress);
+    assert.deepEqual(readBack(job), job.progress);
   });
 
   // A successor that does not know that the order was carried out waits for it in vain.
@@ -241,15 +247,7 @@
     const run = job.beginRun(task, 'worker');
     assert.ok(job.noteStartExecuted(task, run));
     assert.ok(!job.noteStartExecuted(task, run), 'known already');
-    const {value} = encodeJobRecord({
-      kind: JobRecordKind.Progress,
-      jobId: 'job',
-      progress: job.progress,
-    });
-    assert.ok(value);
-    const read = decodeJobRecord(JobRecordKind.Progress, 'job', value);
-    assert.ok(read.kind === JobRecordKind.Progress);
-    assert.deepEqual(read.progress, job.progress);
+    assert.deepEqual(readBack(job), job.progress);
     job.endRun(task, run, RunEnd.Lost, '', 3);
     job.beginRun(task, 'worker');
     assert.ok(!task.progress.isStartExecuted, 'of the latest run only');
