A start that was not sent is confirmed by a poll before its task is freed

Cause, found by reading again: a single failed connection counted the worker as silent, where before only a poll did. With a saturated link of the coordinator itself connections fail as well, and every worker would seem silent. The poll before the start of a suspect task was also sent while the term could be over.

Change: an order that was not sent polls the worker and frees its task after that; the poll before a suspect start waits for the term like any order. New test of a start that is not sent, on workers of both kinds.

--- a/packages/coordinator/src/__tests__/silent-workers.test.ts
+++ b/packages/coordinator/src/__tests__/silent-workers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {RunEnd} from '@gentiandoor/jobs';
+import {OrderOutcome} from '../index.js';
 import {WorkerFault} from '../stand-ins/index.js';
 import {TestDeployment, job, step} from './deployment.js';
 
@@ -34,6 +35,25 @@
     );
   });
 
+  // Treated like an order without a response, an order that was not sent holds its task back, for
+  // twelve seconds on a worker that may restart under its id.
+  for (const reportsStart of [false, true])
+    it(`frees a task whose order was not sent, reports its start ${reportsStart}`, async () => {
+      const deployment = new TestDeployment(2, reportsStart);
+      const daemon = await deployment.startDaemon('one');
+      daemon.workers.setFault('worker-0', WorkerFault.Cut);
+      const start = daemon.workers.start.bind(daemon.workers);
+      daemon.workers.start = async (worker, request) =>
+        worker.instance === 'worker-0'
+          ? {outcome: OrderOutcome.NotSent, reason: 'connection refused'}
+          : start(worker, request);
+      void daemon.jobIntake.submit(job('a'), TIMEOUT);
+      await deployment.run(600);
+
+      const [{worker}] = deployment.startedRuns();
+      assert.equal(worker, 'worker-1');
+    });
+
   // A whole data centre is unreachable. The first worker that is found silent reveals the
   // second one before anything is started there.
   it('reveals other silent workers of its data centre', async () => {
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -34,8 +34,6 @@
    */
   noteResponseTime(sentAt: number): void;
   noteAnswer(clockMilliseconds: number): void;
-  /** Records that the worker could not be reached. */
-  noteSilence(): void;
   /** Records that the start order of a run was carried out. */
   noteStartExecuted(run: LiveRun): void;
   /** A start order was sent and got no response, or was not sent. */
@@ -71,7 +69,7 @@
    */
   async start(run: LiveRun): Promise<void> {
     if (!(await this.isReadyForStart(run))) {
-      if (this.host.isExpected(run)) this.host.runNeverStarted(run);
+      this.release(run);
       return;
     }
     for (let attempt = 0; attempt < MAXIMUM_START_ATTEMPTS; attempt++) {
@@ -125,7 +123,7 @@
    */
   private async isReadyForStart(run: LiveRun): Promise<boolean> {
     if (run.executableTask.progress.crashes.total === 0) return true;
-    return this.host.isResponding();
+    return (await this.host.waitUntilAllowed()) && this.host.isResponding();
   }
 
   /** Sends one start order. Resolves to true if no further attempt is needed. */
@@ -137,8 +135,13 @@
     const result = await this.requestStart(run, now);
     if (!isUnanswered(result)) this.host.noteResponseTime(now);
     if (!this.host.isExpected(run)) return true;
-    if (isUnanswered(result))
-      return this.handleUnanswered(run, result, retried);
+    if (isUnanswered(result)) {
+      this.host.startUnanswered(run, result);
+      // If it is a retry, the first attempt may still be carried out.
+      if (result.outcome === OrderOutcome.Unknown || retried) return false;
+      await this.releaseUnsent(run);
+      return true;
+    }
     // The worker at this address is another one, which did not carry the order out.
     if (isOtherIncarnation(result)) run.status = RunStatus.Planned;
     if (this.host.handledRefusal(result)) return true;
@@ -158,20 +161,18 @@
     return true;
   }
 
-  /** Resolves to true if no further attempt is needed. */
-  private handleUnanswered(
-    run: LiveRun,
-    failure: CallFailure,
-    retried: boolean,
-  ): boolean {
-    this.host.startUnanswered(run, failure);
-    if (failure.outcome === OrderOutcome.Unknown) return false;
-    this.host.noteSilence();
-    // An earlier attempt may still be carried out.
-    if (retried) return false;
+  /**
+   * Frees the task of a run whose order was not sent, once it is known whether the worker responds;
+   * until then the task would be placed there again.
+   */
+  private async releaseUnsent(run: LiveRun): Promise<void> {
     run.status = RunStatus.Planned;
+    await this.host.isResponding();
+    this.release(run);
+  }
+
+  private release(run: LiveRun): void {
     if (this.host.isExpected(run)) this.host.runNeverStarted(run);
-    return true;
   }
 
   private async requestStart(run: LiveRun, now: number): Promise<OrderResult> {
