--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -16,15 +16,16 @@
 }
 
 /**
- * Returns whether the start order of a run may still be carried out. It names the worker, not its
- * incarnation, and a worker that restarts forgets the stop and the fencing token that ruled the
- * order out. So until the order is known to have been carried out or refused, its task must not run
- * elsewhere.
+ * Returns whether the start order of a run, or a copy of it, may still be carried out. It names the
+ * worker, not its incarnation, and a worker that restarts forgets the stop and the fencing token
+ * that ruled the order out.
  */
-export function isStartOpen({status, executableTask}: LiveRun): boolean {
-  return (
-    status !== RunStatus.Planned && !executableTask.progress.isStartExecuted
-  );
+export function isStartOpen(
+  run: LiveRun,
+  bounds: CarryBounds,
+  now: number,
+): boolean {
+  return isInDoubt(run) && now < latestExecutionAt(run, bounds);
 }
 
 /**
@@ -36,7 +37,7 @@
   requestedAt: number,
   bounds: CarryBounds,
 ): boolean {
-  if (isStartOpen(run)) return requestedAt >= latestExecutionAt(run, bounds);
+  if (isInDoubt(run)) return requestedAt >= latestExecutionAt(run, bounds);
   return (
     run.status === RunStatus.Recovered || run.orderAnsweredAt < requestedAt
   );
@@ -46,7 +47,7 @@
  * Returns whether a run that no poll has listed on the former incarnation of its worker may be
  * alive on the next one: its order may have been answered by either.
  */
-export function mayReachNextIncarnation(run: LiveRun): boolean {
+export function mayRunOnNextIncarnation(run: LiveRun): boolean {
   return run.status !== RunStatus.Planned && run.listedAt === undefined;
 }
 
@@ -85,15 +86,34 @@
  * the new incarnation with the longest lease, since it carries a time on the old clock.
  */
 export function mayBeAliveUntil(run: LiveRun, bounds: CarryBounds): number {
-  if (run.carriedFrom === undefined && !isStartOpen(run)) return -Infinity;
+  if (run.carriedFrom === undefined && !isInDoubt(run)) return -Infinity;
   return latestExecutionAt(run, bounds) + longestLease(bounds);
 }
 
+/**
+ * Returns until when a copy of the start order of a run that has ended on `worker` may still be
+ * carried out by the worker's next incarnation; -Infinity if there is none.
+ */
+export function orderCopyOpenUntil(
+  {startAttempts, startSentAt = -Infinity}: LiveRun,
+  worker: string,
+): number {
+  if (startAttempts <= 1 || instanceOf(worker) === worker) return -Infinity;
+  return startSentAt + LATEST_EXECUTION_MILLISECONDS;
+}
+
 /** Returns how long a carried run waits for a session with a new incarnation. */
 export function carryMilliseconds(bounds: CarryBounds): number {
   return LATEST_EXECUTION_MILLISECONDS + longestLease(bounds);
 }
 
+/** Returns whether a sent order is not known to have been carried out, or a copy of it is not. */
+function isInDoubt({status, executableTask}: LiveRun): boolean {
+  return (
+    status !== RunStatus.Planned && !executableTask.progress.isStartExecuted
+  );
+}
+
 /** Returns when the start order of a run can no longer be carried out. */
 function latestExecutionAt(run: LiveRun, {termStartedAt}: CarryBounds): number {
   return (run.startSentAt ?? termStartedAt) + LATEST_EXECUTION_MILLISECONDS;
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -153,6 +153,15 @@
     );
   }
 
+  /** Keeps a task from starting until a monotonic time, since a copy of its last order may start it. */
+  holdTask(run: LiveRun, until: number): void {
+    this.failures.hold(run.task, until);
+    const service = this.jobs.serviceOf(run.execution);
+    this.clock.schedule(until - this.clock.monotonicMilliseconds(), () =>
+      this.schedulePlacement(service),
+    );
+  }
+
   /** Records that a worker crashed during a run, so that the next attempt is isolated. */
   noteCrash(run: LiveRun): void {
     this.failures.noteCrash(run.task);
@@ -294,6 +303,7 @@
         isWaiting = true;
         continue;
       }
+      if (this.isHeld(execution, tasks, now)) continue;
       // Tasks that wait for a limit do not count as waiting load, since more VMs would not help.
       if (!this.host.organisationLimitAllows(execution, tasks, service))
         continue;
@@ -318,6 +328,16 @@
     return unplacedSteps.size;
   }
 
+  private isHeld(
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+    now: number,
+  ): boolean {
+    return tasks.some(task =>
+      this.failures.isHeld(taskName(execution.job.id, task), now),
+    );
+  }
+
   private retryIsolated(
     service: string,
     {execution}: PlacementCandidate,
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -39,7 +39,7 @@
 
   /** Adds a run that an earlier coordinator ordered. */
   addRecovered(worker: string, run: LiveRun): void {
-    if (mayRestart(worker) && isStartOpen(run)) this.addCarried(worker, run);
+    if (this.mayBeStarted(worker, run)) this.addCarried(worker, run);
     else {
       const lease = worstCaseLeaseMilliseconds(this.bounds.leaseMilliseconds);
       this.add(worker, run, lease + SLACK_MILLISECONDS);
@@ -71,13 +71,20 @@
     for (const [worker, runs] of [...this.byWorker]) {
       if (!isGone(instanceOf(worker))) continue;
       for (const [run, timer] of [...runs]) {
-        if (mayRestart(worker) && isStartOpen(run)) continue;
+        if (this.mayBeStarted(worker, run)) continue;
         timer.cancel();
         this.end(worker, run, RunEnd.Crashed);
       }
     }
   }
 
+  /** Returns whether a worker starts the run if it comes back under its id. */
+  private mayBeStarted(worker: string, run: LiveRun): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    const mayRestart = instanceOf(worker) !== worker;
+    return mayRestart && isStartOpen(run, this.bounds, now);
+  }
+
   private add(worker: string, run: LiveRun, milliseconds: number): void {
     const runs = this.byWorker.get(worker) ?? new Map<LiveRun, Timer>();
     this.byWorker.set(worker, runs);
@@ -100,8 +107,3 @@
     return [...runs.keys()];
   }
 }
-
-/** Returns whether a worker, named by one of its incarnations, may restart under its id. */
-function mayRestart(worker: string): boolean {
-  return instanceOf(worker) !== worker;
-}
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -9,7 +9,6 @@
   type WorkerEntry,
   type WorkerGateway,
 } from './worker-gateway.js';
-import {reportsStart} from './worker-incarnation.js';
 import type {WorkerLiveness} from './worker-liveness.js';
 
 /** What run orders need from their session. */
@@ -64,8 +63,7 @@
 
   /**
    * Orders the worker to start a run. After the last attempt without a response it stops
-   * the run. A worker that may restart under its id is sent a single order, since a second one
-   * could be carried out by the next incarnation after the run has ended; polls show its outcome.
+   * the run.
    */
   async start(run: LiveRun): Promise<void> {
     if (!(await this.isReadyForStart(run))) {
@@ -85,7 +83,6 @@
         return;
       }
       if (await this.sendStart(run, attempt > 0)) return;
-      if (reportsStart(this.host.entry)) return;
       await sleep(this.clock, RETRY_MILLISECONDS);
     }
     // The start got no response, or the worker has no capacity any more. An earlier
@@ -132,6 +129,7 @@
     run.status = RunStatus.Ordered;
     run.orderedAt ??= now;
     run.startSentAt = now;
+    run.startAttempts++;
     const result = await this.requestStart(run, now);
     if (!isUnanswered(result)) this.host.noteResponseTime(now);
     if (!this.host.isExpected(run)) return true;
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -6,7 +6,7 @@
   carryOver,
   isStartOpen,
   mayBeAliveUntil,
-  mayReachNextIncarnation,
+  mayRunOnNextIncarnation,
 } from './carried-runs.js';
 import {IncarnationEnd, isUnplanned} from './incarnation-end.js';
 import {RunStatus, type LiveRun} from './live-run.js';
@@ -256,12 +256,14 @@
 
   /** Keeps the runs that the worker's next incarnation may start, or has started. */
   private carryRunsOver(incarnationEnd: IncarnationEnd, end: RunEnd): void {
+    const now = this.clock.monotonicMilliseconds();
+    const isRestart = incarnationEnd === IncarnationEnd.Restarted;
     const carried = [...this.runs.values()].filter(
-      incarnationEnd === IncarnationEnd.Restarted
-        ? mayReachNextIncarnation
-        : isStartOpen,
+      run =>
+        isStartOpen(run, this.host, now) ||
+        (isRestart && mayRunOnNextIncarnation(run)),
     );
-    const endedAt = this.silentFrom ?? this.clock.monotonicMilliseconds();
+    const endedAt = this.silentFrom ?? now;
     for (const run of carried) {
       this.forget(run);
       carryOver(run, {end, endedAt});
@@ -321,7 +323,9 @@
   }
 
   noteStartExecuted(run: LiveRun): void {
-    if (reportsStart(this.current)) this.host.startExecuted(run);
+    // Another copy of the order may be in transit.
+    if (run.startAttempts > 1 || !reportsStart(this.current)) return;
+    this.host.startExecuted(run);
   }
 
   startUnanswered(run: LiveRun, failure: CallFailure): void {
