A closed registry starts no sessions

What operators could see: a daemon that is no longer the coordinator wakes up twenty times a second for each worker concerned, as long as it runs. Found by admission.test of the entry, whose process once did not exit (120 s) in a run of all tests.

Cause: a read of worker entries that was in flight when the registry was closed still applied its records, and a new worker among them got a session that waits for a term that never comes. Evidence: the only active resource of a hanging process is a 50 ms timer of WorkerSession.waitUntilAllowed.

--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -158,6 +158,8 @@
   }
 
   apply(record: KeyedRecord): void {
+    // A read that was in flight when the registry was closed would start a session that nobody closes.
+    if (this.closed) return;
     const session = this.byInstance.get(record.key);
     if (record.value === undefined) {
       this.entries.noteRemoved(record.key);
