--- a/packages/scheduling/src/pool-plan.ts
+++ b/packages/scheduling/src/pool-plan.ts
@@ -157,8 +157,18 @@
     pool.usedMillicores + pool.waitingMillicores,
     demandAfterLeadTime(pool, options),
   );
-  const vms = (demand * options.headroom) / Math.max(1, pool.vmMillicores);
-  return Math.max(Math.ceil(vms) + options.spareVms, pool.spreadConstraintVms);
+  return vmsForDemand(pool, demand, options.spareVms, options);
+}
+
+/** Returns the number of VMs for a demand in millicores, with spare VMs beyond it. */
+function vmsForDemand(
+  {vmMillicores, spreadConstraintVms}: PlannedPool,
+  demandMillicores: number,
+  spareVms: number,
+  {headroom}: PoolPlanOptions,
+): number {
+  const vms = (demandMillicores * headroom) / Math.max(1, vmMillicores);
+  return Math.max(Math.ceil(vms) + spareVms, spreadConstraintVms);
 }
 
 /**
@@ -349,10 +359,11 @@
     pool.usedMillicores + pool.waitingMillicores,
     pool.currentLoadMillicores,
   );
-  const vms = (demand * options.headroom) / Math.max(1, pool.vmMillicores);
-  const needed = Math.max(
-    Math.ceil(vms) + options.spareVmsUnderPressure,
-    pool.spreadConstraintVms,
+  const needed = vmsForDemand(
+    pool,
+    demand,
+    options.spareVmsUnderPressure,
+    options,
   );
   return Math.max(0, pool.usableVms - needed);
 }
