One place each for what an unlisted run means, a delayed placement and a stop for other work

- isOverIfUnlisted holds the rule for workers of both kinds; SessionPolls had a copy of its second half.
- namesIncarnation replaces three comparisons of an id with its instance.
- Dispatcher.noteFailure and holdTask schedule the next placement alike.
- RunLog.preempted writes the log line and the counter that RunPreemption and VmEvacuation each wrote.

--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -1,7 +1,11 @@
 import {RunEnd} from '@gentiandoor/jobs';
 import {worstCaseLeaseMilliseconds} from '@gentiandoor/scheduling';
 import {RunStatus, type FormerIncarnation, type LiveRun} from './live-run.js';
-import {instanceOf} from './worker-incarnation.js';
+import {
+  namesIncarnation,
+  reportsStart,
+  type IncarnationName,
+} from './worker-incarnation.js';
 
 /** A call without a response is executed at most this long after it was sent. */
 export const LATEST_EXECUTION_MILLISECONDS = 12_000;
@@ -29,15 +33,17 @@
 }
 
 /**
- * Returns whether a poll sent at `requestedAt` that does not list a run, as alive or as ended,
- * shows that the run is over, on a worker that may restart under its id.
+ * Returns whether a poll of `worker`, sent at `requestedAt`, that does not list a run, as alive or
+ * as ended, shows that the run is over.
  */
 export function isOverIfUnlisted(
   run: LiveRun,
+  worker: IncarnationName,
   requestedAt: number,
   bounds: CarryBounds,
 ): boolean {
-  if (isInDoubt(run)) return requestedAt >= latestExecutionAt(run, bounds);
+  if (reportsStart(worker) && isInDoubt(run))
+    return requestedAt >= latestExecutionAt(run, bounds);
   return (
     run.status === RunStatus.Recovered || run.orderAnsweredAt < requestedAt
   );
@@ -70,7 +76,7 @@
 export function noteAssigned(run: LiveRun, id: string, now: number): void {
   const {worker} = run.executableTask.progress;
   if (worker === id) run.carriedFrom = undefined;
-  else if (instanceOf(worker) !== worker)
+  else if (namesIncarnation(worker))
     run.carriedFrom ??= {end: RunEnd.Crashed, endedAt: now};
 }
 
@@ -98,7 +104,7 @@
   {startAttempts, startSentAt = -Infinity}: LiveRun,
   worker: string,
 ): number {
-  if (startAttempts <= 1 || instanceOf(worker) === worker) return -Infinity;
+  if (startAttempts <= 1 || !namesIncarnation(worker)) return -Infinity;
   return startSentAt + LATEST_EXECUTION_MILLISECONDS;
 }
 
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -443,6 +443,7 @@
   private newEvacuation(): VmEvacuation {
     return new VmEvacuation({
       ...this.parts,
+      runLog: this.log,
       store: (execution, then) => this.writer.store(execution, then),
     });
   }
@@ -451,6 +452,7 @@
     const {limits} = this.parts.settings;
     return new RunPreemption({
       ...this.parts,
+      runLog: this.log,
       policy: new LowestCostPreemption(limits.restoreMilliseconds),
       workerChoice: new FullestFirst(),
       limits,
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -147,19 +147,14 @@
   /** Records that a run failed on a worker, so that the next attempt goes to another worker. */
   noteFailure(run: LiveRun, workerId: string): void {
     this.failures.note(run.task, workerId);
-    const service = this.jobs.serviceOf(run.execution);
-    this.clock.schedule(AVOIDANCE_MILLISECONDS, () =>
-      this.schedulePlacement(service),
-    );
+    this.schedulePlacementAfter(run, AVOIDANCE_MILLISECONDS);
   }
 
   /** Keeps a task from starting until a monotonic time, since a copy of its last order may start it. */
   holdTask(run: LiveRun, until: number): void {
     this.failures.hold(run.task, until);
-    const service = this.jobs.serviceOf(run.execution);
-    this.clock.schedule(until - this.clock.monotonicMilliseconds(), () =>
-      this.schedulePlacement(service),
-    );
+    const remaining = until - this.clock.monotonicMilliseconds();
+    this.schedulePlacementAfter(run, remaining);
   }
 
   /** Records that a worker crashed during a run, so that the next attempt is isolated. */
@@ -219,6 +214,11 @@
     this.schedule.close();
   }
 
+  private schedulePlacementAfter(run: LiveRun, milliseconds: number): void {
+    const service = this.jobs.serviceOf(run.execution);
+    this.clock.schedule(milliseconds, () => this.schedulePlacement(service));
+  }
+
   private placeService(service: string): void {
     const now = this.clock.monotonicMilliseconds();
     const sessions = this.host
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -7,7 +7,11 @@
   type CarryBounds,
 } from './carried-runs.js';
 import type {LiveRun} from './live-run.js';
-import {instanceOf, type IncarnationName} from './worker-incarnation.js';
+import {
+  instanceOf,
+  namesIncarnation,
+  type IncarnationName,
+} from './worker-incarnation.js';
 
 /** Allowance for local processing delays. */
 const SLACK_MILLISECONDS = 100;
@@ -81,8 +85,7 @@
   /** Returns whether a worker starts the run if it comes back under its id. */
   private mayBeStarted(worker: string, run: LiveRun): boolean {
     const now = this.clock.monotonicMilliseconds();
-    const mayRestart = instanceOf(worker) !== worker;
-    return mayRestart && isStartOpen(run, this.bounds, now);
+    return namesIncarnation(worker) && isStartOpen(run, this.bounds, now);
   }
 
   private add(worker: string, run: LiveRun, milliseconds: number): void {
--- a/packages/coordinator/src/run-log.ts
+++ b/packages/coordinator/src/run-log.ts
@@ -2,6 +2,7 @@
   LogEvent,
   MetricName,
   type Clock,
+  type LogFields,
   type Logger,
   type Metrics,
 } from '@gentiandoor/kernel';
@@ -119,6 +120,26 @@
     this.parts.metrics.increment(MetricName.RunsCarriedOver);
   }
 
+  /**
+   * Logs that a run is stopped for other work; `details` are the figures of the decision.
+   */
+  preempted(
+    {task, run, executableTask}: LiveRun,
+    worker: string,
+    reason: string,
+    details: LogFields = {},
+  ): void {
+    this.parts.logger.info(LogEvent.RunPreempted, {
+      task,
+      run,
+      worker,
+      reason,
+      ...details,
+      preemptions: executableTask.progress.preemptions,
+    });
+    this.parts.metrics.increment(MetricName.Preemptions, {reason});
+  }
+
   stalled(run: LiveRun, worker: string): void {
     this.parts.logger.warn(LogEvent.RunStalled, {
       task: run.task,
--- a/packages/coordinator/src/run-preemption.ts
+++ b/packages/coordinator/src/run-preemption.ts
@@ -27,6 +27,7 @@
   workersFor,
 } from './preemption-view.js';
 import type {StoredAction} from './progress-writer.js';
+import type {RunLog} from './run-log.js';
 import {StoppingRuns} from './stopping-runs.js';
 import type {PlacementCandidate, WaitingJobs} from './waiting-jobs.js';
 import type {WorkerSession} from './worker-session.js';
@@ -37,6 +38,7 @@
   readonly workerChoice: WorkerChoice;
   readonly limits: PlatformLimits;
   readonly clock: Clock;
+  readonly runLog: RunLog;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Stores the progress of a job, then calls `then`. */
@@ -177,24 +179,16 @@
     preemption: Preemption,
   ): void {
     const {run, session, decidedAt} = stop;
-    const {progress} = run.executableTask;
     this.stopping.mark(run, decidedAt);
-    progress.preemptions++;
+    run.executableTask.progress.preemptions++;
     const lost = preemption.lostMillicoreMilliseconds;
     const gained = request.gainedMillicoreMilliseconds;
-    this.parts.logger.info(LogEvent.RunPreempted, {
+    this.parts.runLog.preempted(run, session.id, preemption.reason, {
       job: request.job,
-      task: run.task,
-      run: run.run,
-      worker: session.id,
-      reason: preemption.reason,
       lostMillicoreMilliseconds: Math.round(lost),
       gainedMillicoreMilliseconds: Math.round(gained),
       cost: Number((lost / Math.max(1, gained)).toFixed(2)),
-      preemptions: progress.preemptions,
     });
-    const {reason} = preemption;
-    this.parts.metrics.increment(MetricName.Preemptions, {reason});
     this.parts.store(run.execution, () => this.send(stop));
   }
 
--- a/packages/coordinator/src/session-polls.ts
+++ b/packages/coordinator/src/session-polls.ts
@@ -275,7 +275,7 @@
     for (const listed of result.running) this.noteRunning(listed);
     if (result.ended.length < MAXIMUM_ENDS_LISTED)
       for (const run of sessionRuns.missingFrom(result.running, ended, run =>
-        this.isOverIfUnlisted(run, requestedAt),
+        isOverIfUnlisted(run, session.entry, requestedAt, host),
       ))
         session.endRun(run, run.carriedFrom?.end ?? RunEnd.Lost, '');
     this.throttle.adjust(result.running, session.runs);
@@ -283,15 +283,6 @@
       host.sessionChanged(session);
   }
 
-  private isOverIfUnlisted(run: LiveRun, requestedAt: number): boolean {
-    const {session, host} = this.parts;
-    if (reportsStart(session.entry))
-      return isOverIfUnlisted(run, requestedAt, host);
-    return (
-      run.status === RunStatus.Recovered || run.orderAnsweredAt < requestedAt
-    );
-  }
-
   private noteEnds(ended: readonly EndedRun[]): Set<string> {
     const {session, host} = this.parts;
     const names = new Set<string>();
--- a/packages/coordinator/src/vm-evacuation.ts
+++ b/packages/coordinator/src/vm-evacuation.ts
@@ -1,21 +1,15 @@
-import {
-  LogEvent,
-  MetricName,
-  type Clock,
-  type Logger,
-  type Metrics,
-} from '@gentiandoor/kernel';
+import type {Clock} from '@gentiandoor/kernel';
 import type {JobExecution} from '@gentiandoor/jobs';
 import {runsToEvacuate, type EvacuationRun} from '@gentiandoor/scheduling';
 import {RunStatus, aliveSince, type LiveRun} from './live-run.js';
 import type {StoredAction} from './progress-writer.js';
+import type {RunLog} from './run-log.js';
 import type {WorkerSession} from './worker-session.js';
 
 /** Dependencies of the evacuation of VMs. */
 export interface VmEvacuationParts {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
+  readonly runLog: RunLog;
   /** Stores the progress of a job, then calls `then`. */
   readonly store: (execution: JobExecution, then?: StoredAction) => void;
 }
@@ -50,18 +44,10 @@
   }
 
   private stop(session: WorkerSession, run: LiveRun): void {
-    const {logger, metrics, store} = this.parts;
-    const {progress} = run.executableTask;
+    const {runLog, store} = this.parts;
     this.pending.add(run);
-    progress.preemptions++;
-    logger.info(LogEvent.RunPreempted, {
-      task: run.task,
-      run: run.run,
-      worker: session.id,
-      reason: REASON,
-      preemptions: progress.preemptions,
-    });
-    metrics.increment(MetricName.Preemptions, {reason: REASON});
+    run.executableTask.progress.preemptions++;
+    runLog.preempted(run, session.id, REASON);
     store(run.execution, () => {
       this.pending.delete(run);
       if (session.isExpected(run)) void session.stopRun(run);
--- a/packages/coordinator/src/worker-incarnation.ts
+++ b/packages/coordinator/src/worker-incarnation.ts
@@ -24,6 +24,11 @@
   return INCARNATION_ID.exec(incarnation)?.[1] ?? incarnation;
 }
 
+/** Returns whether an id is that of an incarnation, whose worker may restart under its own id. */
+export function namesIncarnation(id: string): boolean {
+  return INCARNATION_ID.test(id);
+}
+
 /** Returns whether the worker reports when it started, which reveals a restart. */
 export function reportsStart({id, instance}: IncarnationName): boolean {
   return id !== instance;
