Tests say what they repeat once

The set-up of an overload, the assertions on the runs of a job and the submission of a job of random faults stood several times in their files. The assertions are the same.

--- a/packages/coordinator/src/__tests__/admission.test.ts
+++ b/packages/coordinator/src/__tests__/admission.test.ts
@@ -20,15 +20,12 @@
 
 /** A coordinator, a daemon that decides, and one that sends load without deciding. */
 class Overload {
-  readonly deployment = new TestDeployment(1);
   private submitted = 0;
 
   private constructor(
     readonly feeder: TestDaemon,
-    deployment: TestDeployment,
-  ) {
-    this.deployment = deployment;
-  }
+    readonly deployment: TestDeployment,
+  ) {}
 
   static async start(isAdmissionControlled = true): Promise<Overload> {
     const deployment = new TestDeployment(1);
@@ -88,13 +85,21 @@
   }
 }
 
+/** Starts an overload with a coordinator, and returns a daemon that takes callers beside it. */
+async function startOverload(): Promise<{
+  overload: Overload;
+  daemon: TestDaemon;
+}> {
+  const overload = await Overload.start();
+  await overload.deployment.startDaemon('one');
+  return {overload, daemon: await overload.intake('two')};
+}
+
 describe('admission control', () => {
   // A refused job that was stored all the same starts although its caller was told that it never
   // would.
   it('stores nothing of a refused job, and accepts its id later', async () => {
-    const overload = await Overload.start();
-    await overload.deployment.startDaemon('one');
-    const daemon = await overload.intake('two');
+    const {overload, daemon} = await startOverload();
     await overload.burst(2_500);
     const answer = await overload.submit(daemon, 'large');
     assert.equal(answer, SubmitAnswer.Overloaded);
@@ -106,9 +111,7 @@
   });
 
   it('logs the figures and the report of a refusal, and counts it', async () => {
-    const overload = await Overload.start();
-    await overload.deployment.startDaemon('one');
-    const daemon = await overload.intake('two');
+    const {overload, daemon} = await startOverload();
     await overload.burst(2_500);
     await overload.submit(daemon, 'large');
     const fields = daemon.events.lastFields.get(LogEvent.JobRefused);
@@ -194,9 +197,7 @@
 
   describe('never refuses', () => {
     it('a job that the daemon knows', async () => {
-      const overload = await Overload.start();
-      await overload.deployment.startDaemon('one');
-      const daemon = await overload.intake('two');
+      const {overload, daemon} = await startOverload();
       assert.equal(
         await overload.submit(daemon, 'large'),
         SubmitAnswer.Accepted,
@@ -211,9 +212,7 @@
     // The store has the job, but its response to the daemon was lost: a refusal of the retry would
     // be a refusal of a job that runs.
     it('a job whose acceptance is in doubt', async () => {
-      const overload = await Overload.start();
-      await overload.deployment.startDaemon('one');
-      const daemon = await overload.intake('two');
+      const {overload, daemon} = await startOverload();
       daemon.store.setFault(StoreFault.AnswersLost, LogStream.Submissions);
       assert.equal(
         await overload.submit(daemon, 'large'),
@@ -230,9 +229,7 @@
     // A caller sends a job twice at once: the second copy must not be refused while the first one's
     // append is in flight.
     it('a job whose append is in flight', async () => {
-      const overload = await Overload.start();
-      await overload.deployment.startDaemon('one');
-      const daemon = await overload.intake('two');
+      const {overload, daemon} = await startOverload();
       daemon.store.setFault(StoreFault.Silent, LogStream.Submissions);
       const large = job('large', [step({taskCount: 4})]);
       const attempt = daemon.jobIntake.submit(large, TIMEOUT);
@@ -404,9 +401,7 @@
 
     // A daemon that the store turns away knows neither the pressure nor whether it is over.
     it('does not refuse for overload at a daemon that the store refuses', async () => {
-      const overload = await Overload.start();
-      await overload.deployment.startDaemon('one');
-      const daemon = await overload.intake('two');
+      const {overload, daemon} = await startOverload();
       await overload.burst(2_500);
       daemon.store.setFault(StoreFault.Refusing);
       assert.equal(
--- a/packages/coordinator/src/__tests__/missing-vms.test.ts
+++ b/packages/coordinator/src/__tests__/missing-vms.test.ts
@@ -16,6 +16,13 @@
   };
 }
 
+/** Asserts that the task was started a second time, and only after its first run was over. */
+function assertStartedAgainLater(deployment: TestDeployment): void {
+  const runs = deployment.startedRuns();
+  assert.deepEqual(overlappingRuns(runs), []);
+  assert.equal(runs.length, 2);
+}
+
 describe('MissingVms', () => {
   // A VM that changed its pool between two pages of the list was taken for gone, and its
   // wave was reported as completed without its maintenance.
@@ -65,8 +72,7 @@
     leaveOutOnce(deployment, worker);
     await deployment.run(20_000);
 
-    assert.deepEqual(overlappingRuns(deployment.startedRuns()), []);
-    assert.equal(deployment.startedRuns().length, 2);
+    assertStartedAgainLater(deployment);
   });
 
   // The same for a run of an earlier coordinator on a worker without an entry.
@@ -82,7 +88,6 @@
     leaveOutOnce(deployment, worker);
     await deployment.run(20_000);
 
-    assert.deepEqual(overlappingRuns(deployment.startedRuns()), []);
-    assert.equal(deployment.startedRuns().length, 2);
+    assertStartedAgainLater(deployment);
   });
 });
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -219,14 +219,7 @@
           behaviour({crashesAfterMilliseconds: CRASH_MILLISECONDS}),
         );
       const tasks = 1 + this.random.nextInteger(3);
-      const submitted: Submitted = {
-        id,
-        answers: [],
-        attempts: 0,
-        tasks,
-        longRunning,
-      };
-      this.submitted.push(submitted);
+      const submitted = this.addJob({id, tasks, longRunning});
       // Long-running tasks would use up the limit permanently.
       if (this.taskLimit !== undefined && !longRunning && index % 2 === 0)
         this.owned.add(id);
@@ -246,15 +239,12 @@
         checkpointMilliseconds: 500,
       }),
     );
-    const submitted: Submitted = {
+    const submitted = this.addJob({
       id,
-      answers: [],
-      attempts: 0,
       tasks: STOPPABLE_TASKS,
       longRunning: false,
       isStoppable: true,
-    };
-    this.submitted.push(submitted);
+    });
     this.submit(submitted, this.pickDaemon());
   }
 
@@ -273,17 +263,22 @@
       id,
       behaviour({durationMilliseconds: URGENT_MILLISECONDS}),
     );
-    const submitted: Submitted = {
+    const submitted = this.addJob({
       id,
-      answers: [],
-      attempts: 0,
       tasks: URGENT_TASKS,
       longRunning: false,
-    };
-    this.submitted.push(submitted);
+    });
     this.submit(submitted, this.pickDaemon());
   }
 
+  private addJob(
+    fields: Pick<Submitted, 'id' | 'tasks' | 'longRunning' | 'isStoppable'>,
+  ): Submitted {
+    const submitted = {...fields, answers: [], attempts: 0};
+    this.submitted.push(submitted);
+    return submitted;
+  }
+
   private behaviourOf(longRunning: boolean): ReturnType<typeof behaviour> {
     const fails = this.random.nextInteger(8) === 0;
     return behaviour({
--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -60,6 +60,21 @@
   );
 }
 
+/** Asserts that no two runs of the job `a` overlapped, and that one of them is done. */
+function assertDoneOnce(deployment: TestDeployment): void {
+  const runs = runsOf(deployment, 'a');
+  assert.deepEqual(overlappingRuns(runs), []);
+  assert.equal(runs.filter(run => run.end === RunEnd.Done).length, 1);
+}
+
+/** Asserts that the job `a` had a single run, which is done. */
+function assertOnlyRunDone(deployment: TestDeployment): void {
+  assert.deepEqual(
+    runsOf(deployment, 'a').map(run => run.end),
+    [RunEnd.Done],
+  );
+}
+
 /** Delay after which the stand-ins carry out a late order. */
 const LATE_MILLISECONDS = 2_500;
 /** Time until all orders that may be late count as void, and a run after that. */
@@ -94,10 +109,7 @@
     deployment.restartWorker(WORKER, SHORT_MILLISECONDS, 1_500);
     await deployment.run(SETTLED_MILLISECONDS);
 
-    assert.deepEqual(
-      runsOf(deployment, 'a').map(run => run.end),
-      [RunEnd.Done],
-    );
+    assertOnlyRunDone(deployment);
   });
 
   // The run ends as done while a repeated order of it is in transit.
@@ -109,10 +121,7 @@
     deployment.restartWorker(WORKER, SHORT_MILLISECONDS);
     await deployment.run(SETTLED_MILLISECONDS);
 
-    assert.deepEqual(
-      runsOf(deployment, 'a').map(run => run.end),
-      [RunEnd.Done],
-    );
+    assertOnlyRunDone(deployment);
   });
 
   // The worker confirms the stop of a run and forgets it with its restart.
@@ -124,9 +133,7 @@
     deployment.restartWorker(WORKER, SHORT_MILLISECONDS, 500);
     await deployment.run(SETTLED_MILLISECONDS);
 
-    const runs = runsOf(deployment, 'a');
-    assert.deepEqual(overlappingRuns(runs), []);
-    assert.equal(runs.filter(run => run.end === RunEnd.Done).length, 1);
+    assertDoneOnce(deployment);
   });
 
   // The list of VMs shows the VM without its worker until that is back under its id.
@@ -144,9 +151,7 @@
     vms.set(vm.name, vm);
     await deployment.run(SETTLED_MILLISECONDS);
 
-    const runs = runsOf(deployment, 'a');
-    assert.deepEqual(overlappingRuns(runs), []);
-    assert.equal(runs.filter(run => run.end === RunEnd.Done).length, 1);
+    assertDoneOnce(deployment);
   });
 
   // A lost order must not hold its task back for longer than it can be carried out.
@@ -160,10 +165,7 @@
     daemon.workers.setFault(WORKER, undefined);
     await deployment.run(16_000);
 
-    assert.deepEqual(
-      runsOf(deployment, 'a').map(run => run.end),
-      [RunEnd.Done],
-    );
+    assertOnlyRunDone(deployment);
     assert.ok(daemon.events.of(LogEvent.StartUnanswered) > 0);
   });
 });
@@ -314,9 +316,7 @@
       }
       await deployment.run(30_000);
 
-      const runs = runsOf(deployment, 'a');
-      assert.deepEqual(overlappingRuns(runs), []);
-      assert.equal(runs.filter(run => run.end === RunEnd.Done).length, 1);
+      assertDoneOnce(deployment);
     });
 
   // The order was carried out by the new incarnation before its entry was read.
