A run that a poll has listed is not ordered again

Cause: if the response to a start order is lost and a poll lists the run, its record says that the order was carried out. The coordinator sent the order again all the same. A copy that is carried out by the next incarnation of the worker runs beside the run that a successor starts elsewhere, since the record tells the successor that no order is open.

Change: a start that a poll has listed is not sent again.

Found with it and not mended here: a successor does not know that copies of the order of a stopped run are in transit.

--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -136,6 +136,38 @@
     assertDoneOnce(deployment);
   });
 
+  // The successor does not know that copies of the order of a stopped run are in transit.
+  it('does not run beside the next run of a successor after a stop', async () => {
+    const deployment = new TestDeployment(2, true);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 8_000}));
+    const first = await deployment.startDaemon('one');
+    await submitWithLateStarts(deployment, first, LATE_MILLISECONDS + 750);
+    deployment.restartWorker(WORKER, SHORT_MILLISECONDS, 6_000);
+    first.kill();
+    await deployment.startDaemon('two');
+    await deployment.run(SETTLED_MILLISECONDS);
+
+    assertDoneOnce(deployment);
+  });
+
+  // The response to the order was lost and a poll has listed the run. A second order reaches the
+  // next incarnation, and a successor, which does not know of it, starts the task elsewhere.
+  it('is not sent again once the run was listed', async () => {
+    const deployment = new TestDeployment(2, true);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 4_000}));
+    const first = await deployment.startDaemon('one');
+    first.workers.setFault(WORKER, WorkerFault.AnswersLost);
+    void first.jobIntake.submit(job('a'), TIMEOUT);
+    await deployment.run(800);
+    deployment.restartWorker(WORKER, SHORT_MILLISECONDS, 6_000);
+    await deployment.run(500);
+    first.kill();
+    await deployment.startDaemon('two');
+    await deployment.run(SETTLED_MILLISECONDS);
+
+    assertDoneOnce(deployment);
+  });
+
   // The list of VMs shows the VM without its worker until that is back under its id.
   it('does not run beside the next run after its VM was listed without it', async () => {
     const deployment = new TestDeployment(2, true);
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -82,6 +82,8 @@
         this.host.runNeverStarted(run);
         return;
       }
+      // A poll has shown that the order was carried out; the next incarnation could carry out a copy.
+      if (run.listedAt !== undefined) return;
       if (await this.sendStart(run, attempt > 0)) return;
       await sleep(this.clock, RETRY_MILLISECONDS);
     }
