A job whose start is not known to have been carried out is pending

What callers saw: jobs shown as running and a queue without pending jobs, while nothing of them had started.

Cause: JobExecution.beginRun sets a job to running when its first order is about to be sent. With open starts an order may be open for 12 s, and no reader of the state asked whether it was known to have been carried out.

Change: a job counts as running with its first order as before, so no record is added where orders are answered. When an order of it gets no response, is refused, was not sent, or is open for a successor, and no task is known to have started, it counts as pending again, until a worker confirms or lists a run.

--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -14,7 +14,7 @@
 import type {JobEntitlements} from './job-entitlements.js';
 import {JobRetention} from './job-retention.js';
 import {noteAssigned} from './carried-runs.js';
-import {RunStatus, newLiveRun, taskName} from './live-run.js';
+import {RunStatus, newLiveRun, taskName, type LiveRun} from './live-run.js';
 import type {Queue} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
 import type {OrganisationLimits} from './organisation-limits.js';
@@ -178,8 +178,7 @@
   }
 
   private recoverRuns(execution: JobExecution): void {
-    const {registry, orphans, organisationLimits, dispatcher, clock} =
-      this.parts;
+    const {registry, organisationLimits, dispatcher, clock} = this.parts;
     for (const task of execution.liveTasks()) {
       const run = newLiveRun(execution, task, {
         run: task.progress.run,
@@ -196,10 +195,19 @@
       if (session) {
         noteAssigned(run, session.id, run.plannedAt);
         session.addRun(run);
-      } else orphans.addRecovered(task.progress.worker, run);
+      } else this.addOrphan(task.progress.worker, run);
     }
   }
 
+  /** Adds a run that an earlier coordinator ordered on a worker without a session. */
+  private addOrphan(worker: string, run: LiveRun): void {
+    const {orphans, writer} = this.parts;
+    orphans.addRecovered(worker, run);
+    const {execution} = run;
+    if (orphans.mayBeStarted(worker, run) && execution.noteStartInDoubt())
+      writer.store(execution);
+  }
+
   private drop(jobId: string): void {
     this.executions.delete(jobId);
     void this.dropRecords(jobId);
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -362,6 +362,15 @@
     failure: CallFailure,
   ): void {
     this.log.startUnanswered(run, session.id, failure);
+    this.startInDoubt(run);
+  }
+
+  startInDoubt(run: LiveRun): void {
+    this.outcomes.startInDoubt(run);
+  }
+
+  runStarted(run: LiveRun): void {
+    this.outcomes.started(run);
   }
 
   startExecuted(run: LiveRun): void {
--- a/packages/coordinator/src/orphan-runs.ts
+++ b/packages/coordinator/src/orphan-runs.ts
@@ -83,7 +83,7 @@
   }
 
   /** Returns whether a worker starts the run if it comes back under its id. */
-  private mayBeStarted(worker: string, run: LiveRun): boolean {
+  mayBeStarted(worker: string, run: LiveRun): boolean {
     const now = this.clock.monotonicMilliseconds();
     return namesIncarnation(worker) && isStartOpen(run, this.bounds, now);
   }
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -133,6 +133,19 @@
     void session.stopRun(run);
   }
 
+  /** Handles a run that is known to have started. */
+  started({execution}: LiveRun): void {
+    if (execution.noteStarted()) this.parts.writer.store(execution);
+  }
+
+  /**
+   * Handles a run whose order may not have been carried out. Callers are not shown as running, and
+   * not left out of the pending jobs, what may not have started.
+   */
+  startInDoubt({execution}: LiveRun): void {
+    if (execution.noteStartInDoubt()) this.parts.writer.store(execution);
+  }
+
   /**
    * Handles a run whose order was carried out. Only for long-running tasks is that worth a record
    * of its own: others have mostly ended by the time a successor would read it.
--- a/packages/coordinator/src/session-host.ts
+++ b/packages/coordinator/src/session-host.ts
@@ -59,7 +59,14 @@
     run: LiveRun,
     failure: CallFailure,
   ): void;
-  /** Called when the order of a run is known to have been carried out. */
+  /** Called when a run is not listed by its worker, though its order may still be carried out. */
+  startInDoubt(run: LiveRun): void;
+  /** Called when a run is known to have started. */
+  runStarted(run: LiveRun): void;
+  /**
+   * Called when the order of a run is known to have been carried out, and no copy of it is in
+   * transit.
+   */
   startExecuted(run: LiveRun): void;
   /** Called when the worker stops responding: workers near it may be unreachable too. */
   sessionSilent(session: WorkerHandle): void;
--- a/packages/coordinator/src/session-polls.ts
+++ b/packages/coordinator/src/session-polls.ts
@@ -62,6 +62,8 @@
   noteSilence(): void;
   /** Records that the start order of a run was carried out. */
   noteStartExecuted(run: LiveRun): void;
+  /** Records that the worker does not list a run, though its order may still be carried out. */
+  noteStartInDoubt(run: LiveRun): void;
   endRun(run: LiveRun, end: RunEnd, checkpoint: string): void;
 }
 
@@ -274,10 +276,8 @@
     this.unexpectedRuns.beginList();
     for (const listed of result.running) this.noteRunning(listed);
     if (result.ended.length < MAXIMUM_ENDS_LISTED)
-      for (const run of sessionRuns.missingFrom(result.running, ended, run =>
-        isOverIfUnlisted(run, session.entry, requestedAt, host),
-      ))
-        session.endRun(run, run.carriedFrom?.end ?? RunEnd.Lost, '');
+      for (const run of sessionRuns.missingFrom(result.running, ended))
+        this.noteUnlisted(run, requestedAt);
     this.throttle.adjust(result.running, session.runs);
     if (!hadSeenToken || (hadUnexpectedRuns && !this.hasUnexpectedRuns))
       host.sessionChanged(session);
@@ -297,6 +297,14 @@
     return names;
   }
 
+  /** Handles a run that a poll sent at `requestedAt` lists neither as alive nor as ended. */
+  private noteUnlisted(run: LiveRun, requestedAt: number): void {
+    const {session, host} = this.parts;
+    if (isOverIfUnlisted(run, session.entry, requestedAt, host))
+      session.endRun(run, run.carriedFrom?.end ?? RunEnd.Lost, '');
+    else if (run.status === RunStatus.Recovered) session.noteStartInDoubt(run);
+  }
+
   private noteRunning(listed: ListedRun): void {
     const {session, host, liveness, clock} = this.parts;
     const run = session.runs.get(listed.task);
--- a/packages/coordinator/src/session-runs.ts
+++ b/packages/coordinator/src/session-runs.ts
@@ -107,19 +107,15 @@
     for (const run of this.byTask.values()) run.percentChangedAt = now;
   }
 
-  /**
-   * Returns the runs that a poll lists neither as alive nor as ended and that are over if they
-   * are unlisted: they never ran, or ended long ago.
-   */
+  /** Returns the runs that a poll lists neither as alive nor as ended. */
   missingFrom(
     running: readonly ListedRun[],
     ended: ReadonlySet<string>,
-    isOver: (run: LiveRun) => boolean,
   ): LiveRun[] {
     const alive = new Set(running.map(runName));
     return [...this.byTask.values()].filter(run => {
       const name = runName(run);
-      return !alive.has(name) && !ended.has(name) && isOver(run);
+      return !alive.has(name) && !ended.has(name);
     });
   }
 
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -323,6 +323,7 @@
   }
 
   noteStartExecuted(run: LiveRun): void {
+    this.host.runStarted(run);
     // Another copy of the order may be in transit.
     if (run.startAttempts > 1 || !reportsStart(this.current)) return;
     this.host.startExecuted(run);
@@ -332,6 +333,10 @@
     this.host.startUnanswered(this, run, failure);
   }
 
+  noteStartInDoubt(run: LiveRun): void {
+    this.host.startInDoubt(run);
+  }
+
   runNeverStarted(run: LiveRun): void {
     this.endRun(run, RunEnd.Lost, '');
   }
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -55,6 +55,8 @@
 export class JobExecution {
   private readonly groups = new Map<string, StepGroup>();
   private openGroups = 0;
+  /** Whether a task of the job is known to have started. */
+  private hasStarted: boolean;
 
   constructor(
     readonly job: JobSubmission,
@@ -64,6 +66,7 @@
       job.steps.forEach((step, index) =>
         this.addGroup(occurrence, index, step),
       );
+    this.hasStarted = [...progress.tasks.values()].some(showsStart);
   }
 
   /** Whether no task of the job starts any more. */
@@ -117,7 +120,10 @@
     return ready;
   }
 
-  /** Records that a run is about to be ordered; returns the number of the run. */
+  /**
+   * Records that a run is about to be ordered; returns the number of the run. The job counts as
+   * running from here on, until it turns out that the order may not have been carried out.
+   */
   beginRun(task: ExecutableTask, worker: string, run?: number): number {
     task.progress.run = run ?? task.progress.run + 1;
     task.progress.worker = worker;
@@ -128,9 +134,28 @@
     return task.progress.run;
   }
 
+  /** Records that a task has started; returns whether the job counts as running from here on. */
+  noteStarted(): boolean {
+    this.hasStarted = true;
+    if (this.progress.state !== JobState.Queued) return false;
+    this.progress.state = JobState.Running;
+    return true;
+  }
+
+  /**
+   * Records that the order of a run is not known to have been carried out; returns whether the job
+   * counts as queued again, because none of its tasks is known to have started.
+   */
+  noteStartInDoubt(): boolean {
+    if (this.hasStarted || this.progress.state !== JobState.Running)
+      return false;
+    this.progress.state = JobState.Queued;
+    return true;
+  }
+
   /**
-   * Records that the order of a run was carried out; returns false if that was known or the run
-   * is not the task's latest one.
+   * Records that the order of a run was carried out and that no copy of it is in transit; returns
+   * false if that was known or the run is not the task's latest one.
    */
   noteStartExecuted({progress}: ExecutableTask, run: number): boolean {
     if (progress.run !== run || progress.isStartExecuted) return false;
@@ -259,6 +284,8 @@
     end: RunEnd,
     maximumAttempts: number,
   ): RunEndEffect {
+    if (end === RunEnd.Lost) this.noteStartInDoubt();
+    else this.noteStarted();
     const {longRunning} = task.specification;
     if (end === RunEnd.Done && !longRunning) return this.completeRun(task);
     if (end !== RunEnd.Failed || longRunning) return RunEndEffect.Retry;
@@ -327,6 +354,16 @@
   }
 }
 
+/** Returns whether the record of a task shows that a run of it has started. */
+function showsStart(task: TaskProgress): boolean {
+  return (
+    task.done ||
+    task.isStartExecuted ||
+    task.failedRuns.length > 0 ||
+    task.checkpoint !== ''
+  );
+}
+
 function longestPathMilliseconds(
   job: JobSubmission,
   estimate: StepEstimate,
