--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -88,10 +88,7 @@
       if (run.listedAt !== undefined || reportsStart(this.host.entry)) return;
       await sleep(this.clock, RETRY_MILLISECONDS);
     }
-    // The start got no response, or the worker has no capacity any more. An earlier
-    // attempt may still be carried out; a stop that gets a response rules that out for
-    // good.
-    void this.stop(run);
+    await this.stopUnlessStarted(run);
   }
 
   /** Orders the worker to stop a run, retrying until it responds. */
@@ -154,13 +151,20 @@
       this.host.outcomeReadable();
       return true;
     }
-    // A refused retry says nothing about the first attempt, which may still be carried
-    // out.
-    if (retried) void this.stop(run);
+    if (retried) void this.stopUnlessStarted(run);
     else this.host.startRefused(run, result.refusal);
     return true;
   }
 
+  /**
+   * Stops a run whose order, or a copy of it, may still be carried out, so that its task can run
+   * elsewhere. A run that the worker already lists goes on.
+   */
+  private async stopUnlessStarted(run: LiveRun): Promise<void> {
+    await this.host.isResponding();
+    if (run.listedAt === undefined) void this.stop(run);
+  }
+
   /**
    * Frees the task of a run whose order was not sent, once it is known whether the worker responds;
    * until then the task would be placed there again.
