That an order was carried out adds nothing to the record of a task

What callers saw: quick checks that are late when a queue's demand rises.

Cause: stores with each live task that its order was carried out, as three further entries. Each start and end stores all tasks of its job, one append after the other, and an order waits until its run is stored: with larger records each start waits longer.

Change: the flag is a value of an entry that is there already, and failed runs and checkpoint of a task that is done are left out.

Before: two new tests of jobs.test.ts fail.

--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -11,6 +11,7 @@
   RunEnd,
   decodeJobRecord,
   emptyProgress,
+  emptyTaskProgress,
   encodeJobRecord,
   parseJobRecordKey,
   type JobProgress,
@@ -50,13 +51,18 @@
 }
 
 /** Encodes and decodes the progress of a job. */
-function readBack({progress}: JobExecution): JobProgress {
+function recordOf({progress}: JobExecution): Buffer {
   const {value} = encodeJobRecord({
     kind: JobRecordKind.Progress,
     jobId: 'job',
     progress,
   });
   assert.ok(value);
+  return value;
+}
+
+function readBack(job: JobExecution): JobProgress {
+  const value = recordOf(job);
   const read = decodeJobRecord(JobRecordKind.Progress, 'job', value);
   assert.ok(read.kind === JobRecordKind.Progress);
   return read.progress;
@@ -253,6 +259,49 @@
     assert.ok(!task.progress.isStartExecuted, 'of the latest run only');
   });
 
+  // Every start and end writes the records of all tasks of a job; larger ones delay each of them.
+  it('do not grow when the order of a run was carried out', () => {
+    const job = execution([STEP]);
+    const [task] = job.readyTasks(0);
+    const run = job.beginRun(task, 'worker');
+    const before = recordOf(job).length;
+    job.noteStartExecuted(task, run);
+    assert.equal(recordOf(job).length, before);
+  });
+
+  it('leave out what is not read of a task that is done', () => {
+    const job = execution([STEP, STEP]);
+    const [task] = job.readyTasks(0);
+    const run = job.beginRun(task, 'worker');
+    task.progress.checkpoint = 'saved';
+    job.endRun(task, run, RunEnd.Done, 'saved', 3);
+    const read = readBack(job).tasks.get(task.key);
+    assert.deepEqual(read, {...emptyTaskProgress(), run, done: true});
+  });
+
+  // During an upgrade the store holds records of the build before.
+  it('are read as an earlier build wrote them', () => {
+    const record = decodeJobRecord(
+      JobRecordKind.Progress,
+      'job',
+      Buffer.from(
+        JSON.stringify({
+          state: JobState.Running,
+          tasks: [
+            ['0.0.0', 2, 1, [1], 'saved', ''],
+            ['0.0.1', 1, 0, [], '', 'worker', [0, 0], 0, 1],
+          ],
+        }),
+      ),
+    );
+    assert.ok(record.kind === JobRecordKind.Progress);
+    const [done, started] = [...record.progress.tasks.values()];
+    assert.ok(done.done);
+    assert.deepEqual(done.failedRuns, [1]);
+    assert.ok(started.isStartExecuted);
+    assert.equal(started.worker, 'worker');
+  });
+
   // Bytes of another writer under a job key must neither stop the reading of the log
   // nor change the known state of a job.
   it('are rejected or harmless if another writer wrote them', () => {
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -34,14 +34,24 @@
   [JobRecordKind.Progress]: 'p/',
 };
 
+/** Phase of a task as it is stored. */
+enum PackedPhase {
+  Open = 0,
+  Done = 1,
+  /** Its latest run may be alive, and the order of that run was carried out. */
+  Started = 2,
+}
+
 /**
- * Stored form of a task's progress. The last entries (crashes, preemptions, and 1 if the order of
- * the live run was carried out) are omitted if they and all entries after them are empty.
+ * Stored form of a task's progress: key, run, phase, failed runs, checkpoint, worker, crashes,
+ * preemptions, and 1 if the order was carried out and the phase does not say so. The last entries
+ * are omitted if they and all entries after them are empty. Each start and end writes all tasks of
+ * its job, and every daemon reads them.
  */
 type PackedTask = [
   string,
   number,
-  number,
+  PackedPhase,
   number[],
   string,
   string,
@@ -153,24 +163,29 @@
 }
 
 function packTask([key, task]: [string, TaskProgress]): PackedTask {
-  const {run, done, failedRuns, checkpoint, worker} = task;
-  const {crashes, preemptions} = task;
-  const isStartExecuted = task.isStartExecuted && worker !== '';
-  const packed: PackedTask = [
-    key,
-    run,
-    done ? 1 : 0,
-    failedRuns,
-    checkpoint,
-    worker,
-  ];
-  if (crashes.total > 0 || preemptions > 0 || isStartExecuted)
+  const {run, worker, crashes, preemptions} = task;
+  const phase = phaseOf(task);
+  // Nothing of its runs is read any more once a task is done.
+  const failedRuns = task.done ? [] : task.failedRuns;
+  const checkpoint = task.done ? '' : task.checkpoint;
+  const packed: PackedTask = [key, run, phase, failedRuns, checkpoint, worker];
+  const isStarted = hasStarted(task) && phase !== PackedPhase.Started;
+  if (crashes.total > 0 || preemptions > 0 || isStarted)
     packed.push([crashes.total, crashes.atStart]);
-  if (preemptions > 0 || isStartExecuted) packed.push(preemptions);
-  if (isStartExecuted) packed.push(1);
+  if (preemptions > 0 || isStarted) packed.push(preemptions);
+  if (isStarted) packed.push(1);
   return packed;
 }
 
+function phaseOf(task: TaskProgress): PackedPhase {
+  if (task.done) return PackedPhase.Done;
+  return hasStarted(task) ? PackedPhase.Started : PackedPhase.Open;
+}
+
+function hasStarted({isStartExecuted, worker}: TaskProgress): boolean {
+  return isStartExecuted && worker !== '';
+}
+
 function unpackProgress(jobId: string, packed: object): JobProgress {
   const {state, tasks} = packed as {state?: JobState; tasks?: PackedTask[]};
   if (state === undefined || !Object.values(JobState).includes(state))
@@ -181,20 +196,20 @@
 }
 
 function unpackTask(packed: PackedTask): [string, TaskProgress] {
-  const [key, run, done, failedRuns, checkpoint, worker] = packed;
+  const [key, run, phase, failedRuns, checkpoint, worker] = packed;
   const [, , , , , , crashed, preemptions = 0, executed] = packed;
   const [total, atStart] = crashed ?? [0, 0];
   return [
     key,
     {
       run,
-      done: done === 1,
+      done: phase === PackedPhase.Done,
       failedRuns: [...failedRuns],
       crashes: {total, atStart},
       preemptions,
       checkpoint,
       worker,
-      isStartExecuted: executed === 1,
+      isStartExecuted: phase === PackedPhase.Started || executed === 1,
     },
   ];
 }
