An order counts as open from when its call ended, not from when it began

What callers could see: two runs of a task at the same time.

Cause: an order without a response is void 12 s after it was sent, and that time was taken before the call. A frozen process or a slow connection sends the order later, so the task was freed while the order could still be carried out, and the next incarnation of the worker ran it beside the next run. Found by reading.

Change: when a call ends without a response, the 12 s count from its end.

--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -168,6 +168,24 @@
     assertDoneOnce(deployment);
   });
 
+  // A frozen process or a slow connection sends the order long after the call began.
+  it('does not run beside the next run after it left late', async () => {
+    const deployment = new TestDeployment(2, true);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 8_000}));
+    const daemon = await deployment.startDaemon('one');
+    daemon.workers.departureMilliseconds = 11_000;
+    daemon.workers.setFault(WORKER, WorkerFault.StartsLate);
+    void daemon.jobIntake.submit(job('a'), TIMEOUT);
+    await deployment.run(SHORT_MILLISECONDS);
+    daemon.workers.departureMilliseconds = 0;
+    daemon.workers.setFault(WORKER, undefined);
+    await deployment.run(12_800);
+    deployment.restartWorker(WORKER, SHORT_MILLISECONDS);
+    await deployment.run(SETTLED_MILLISECONDS);
+
+    assertDoneOnce(deployment);
+  });
+
   // The list of VMs shows the VM without its worker until that is back under its id.
   it('does not run beside the next run after its VM was listed without it', async () => {
     const deployment = new TestDeployment(2, true);
--- a/packages/coordinator/src/live-run.ts
+++ b/packages/coordinator/src/live-run.ts
@@ -38,7 +38,10 @@
   readonly expectedMilliseconds: number;
   /** When the start order was first sent; undefined before, and for recovered runs. */
   orderedAt: number | undefined;
-  /** When the start order was last sent; undefined before, and for recovered runs. */
+  /**
+   * Time by which the start order had left this daemon; undefined before it was sent, and for
+   * recovered runs.
+   */
   startSentAt: number | undefined;
   /** When a poll last listed it on the present incarnation of its worker. */
   listedAt: number | undefined;
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -133,6 +133,8 @@
     if (!isUnanswered(result)) this.host.noteResponseTime(now);
     if (!this.host.isExpected(run)) return true;
     if (isUnanswered(result)) {
+      // The order may have left late: the process was frozen, or the connection was slow.
+      run.startSentAt = this.clock.monotonicMilliseconds();
       this.host.startUnanswered(run, result);
       // If it is a retry, the first attempt may still be carried out.
       if (result.outcome === OrderOutcome.Unknown || retried) return false;
--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -60,6 +60,8 @@
   private readonly faults = new Map<string, WorkerFault>();
   /** Response time of all workers for this daemon. */
   answerMilliseconds = ANSWER_MILLISECONDS;
+  /** Time that start orders wait in this daemon before they leave. */
+  departureMilliseconds = 0;
   /** Number of polls, by worker. */
   readonly polls = new Map<string, number>();
 
@@ -97,6 +99,8 @@
     request: StartRequest,
   ): Promise<OrderResult> {
     const fault = this.faults.get(worker.instance);
+    if (this.departureMilliseconds > 0)
+      await sleep(this.workers.clock, this.departureMilliseconds);
     const target = await this.reach(worker, ORDER_BYTES);
     if (!target) return silent();
     if (fault === WorkerFault.Unhealthy)
