The replay of admission control serves jobs in the product's order

The replay had an order of its own (by the total work of a job), so what it said about admission control was about another product. It calls WaitingOrder and the boosts of late jobs now; bound, load and seeds are as they were.

The check on wrong refusals had to change with it: a refused job took its turns without using capacity. In the product's order a job gets its turn because others are postponed for it, so such turns say that nearly every refused job would have been in time, or none, by where the order puts it. Now the load is replayed with the same accepted jobs and one in twenty of the refused ones, and a refusal is wrong if more jobs are done in all; bounds, loads and seeds are the same. It is as strict: it counts the same jobs against the same one in twenty, and catches a policy that refuses what the pool would have done, since then the sample adds to what is done.

--- a/packages/admission/src/__tests__/replayed-burst.test.ts
+++ b/packages/admission/src/__tests__/replayed-burst.test.ts
@@ -18,19 +18,68 @@
 const SEEDS = [1, 2, 3];
 const MAXIMUM_WRONG_REFUSALS = 1 / 20;
 const MAXIMUM_EXPIRED = 1 / 50;
+/** One in this many refused jobs is accepted in the replay that judges the refusals. */
+const SAMPLING = 20;
 
-function replayAll(changes: Partial<Load> = {}): Outcome {
-  const outcomes = SEEDS.map(seed =>
-    new WaitingModel({...LOAD, ...changes, seed}).replay(),
-  );
-  const sumOf = (name: keyof Outcome) =>
-    outcomes.reduce((sum, outcome) => sum + outcome[name], 0);
+/** Sums over all seeds. */
+interface Totals {
+  readonly accepted: number;
+  readonly refused: number;
+  readonly inTime: number;
+  readonly ofUse: number;
+}
+
+/** What more is done if a sample of the refused jobs is accepted as well. */
+interface Regret {
+  readonly sampled: number;
+  readonly inTime: number;
+  readonly ofUse: number;
+}
+
+const replays = new Map<string, Outcome>();
+
+function replay(load: Load): Outcome {
+  const key = JSON.stringify(load);
+  const outcome = replays.get(key) ?? new WaitingModel(load).replay();
+  replays.set(key, outcome);
+  return outcome;
+}
+
+function sumOver<Item extends object>(
+  items: readonly Item[],
+  valueOf: (item: Item) => number,
+): number {
+  return items.reduce((sum, item) => sum + valueOf(item), 0);
+}
+
+function replayAll(changes: Partial<Load> = {}): Totals {
+  const outcomes = SEEDS.map(seed => replay({...LOAD, ...changes, seed}));
   return {
-    accepted: sumOf('accepted'),
-    expired: sumOf('expired'),
-    refused: sumOf('refused'),
-    refusedInTime: sumOf('refusedInTime'),
-    refusedOfUse: sumOf('refusedOfUse'),
+    accepted: sumOver(outcomes, ({accepted}) => accepted.size),
+    refused: sumOver(outcomes, ({refused}) => refused.length),
+    inTime: sumOver(outcomes, ({inTime}) => inTime),
+    ofUse: sumOver(outcomes, ({ofUse}) => ofUse),
+  };
+}
+
+/** Replays each load again with the same accepted jobs and a sample of the refused ones. */
+function regretOf(changes: Partial<Load> = {}): Regret {
+  const regrets = SEEDS.map(seed => {
+    const load = {...LOAD, ...changes, seed};
+    const {accepted, refused, inTime, ofUse} = replay(load);
+    const sample = refused.filter((_, index) => index % SAMPLING === 0);
+    const admitted = new Set([...accepted, ...sample]);
+    const again = new WaitingModel({...load, admitted}).replay();
+    return {
+      sampled: sample.length,
+      inTime: again.inTime - inTime,
+      ofUse: again.ofUse - ofUse,
+    };
+  });
+  return {
+    sampled: sumOver(regrets, ({sampled}) => sampled),
+    inTime: sumOver(regrets, ({inTime}) => inTime),
+    ofUse: sumOver(regrets, ({ofUse}) => ofUse),
   };
 }
 
@@ -39,20 +88,21 @@
   // jobs that one daemon has accepted, refuses jobs that the pool would have done.
   for (const changes of [{}, {daemons: 300}, {laterCores: 250}])
     it(`refuses at most one job in twenty that would have been in time, with ${JSON.stringify(changes)}`, () => {
-      const outcome = replayAll(changes);
-      assert.ok(outcome.refused > 500, JSON.stringify(outcome));
+      const {refused} = replayAll(changes);
+      assert.ok(refused > 500, String(refused));
+      const regret = regretOf(changes);
       assert.ok(
-        outcome.refusedInTime <= MAXIMUM_WRONG_REFUSALS * outcome.refused,
-        JSON.stringify(outcome),
+        regret.inTime <= MAXIMUM_WRONG_REFUSALS * regret.sampled,
+        JSON.stringify(regret),
       );
     });
 
   // The same with a job that is late, but within three times its objective, counted as done.
   it('refuses at most one job in twenty that would have been of use', () => {
-    const outcome = replayAll();
+    const regret = regretOf();
     assert.ok(
-      outcome.refusedOfUse <= MAXIMUM_WRONG_REFUSALS * outcome.refused,
-      JSON.stringify(outcome),
+      regret.ofUse <= MAXIMUM_WRONG_REFUSALS * regret.sampled,
+      JSON.stringify(regret),
     );
   });
 
@@ -60,15 +110,16 @@
   it('accepts at most one job in fifty that is never done in time', () => {
     const outcome = replayAll();
     assert.ok(
-      outcome.expired <= MAXIMUM_EXPIRED * outcome.accepted,
+      outcome.accepted - outcome.ofUse <= MAXIMUM_EXPIRED * outcome.accepted,
       JSON.stringify(outcome),
     );
   });
 
   // A policy that refuses jobs without sparing the others anything.
   it('lowers the share of accepted jobs that expire', () => {
+    const expiredShare = ({accepted, ofUse}: Totals) =>
+      (accepted - ofUse) / accepted;
     const without = replayAll({isAdmissionControlled: false});
-    const outcome = replayAll();
-    assert.ok(outcome.expired < 0.8 * without.expired);
+    assert.ok(expiredShare(replayAll()) < 0.8 * expiredShare(without));
   });
 });
--- a/packages/admission/src/__tests__/waiting-model.ts
+++ b/packages/admission/src/__tests__/waiting-model.ts
@@ -1,5 +1,15 @@
 import {PLAIN_STEP, type JobSubmission} from '@gentiandoor/jobs';
 import {SeededRandom, VirtualClock} from '@gentiandoor/kernel';
+import {
+  DeadlineFeasibility,
+  LargestPostponed,
+  PriorityBoostBudget,
+  feasibilityOf,
+  rankOf,
+  type WaitingJob,
+  type WaitingOrder,
+  type WaitingWork,
+} from '@gentiandoor/scheduling';
 import {
   ArrivalRates,
   FeasibilityAdmission,
@@ -23,25 +33,25 @@
   readonly laterCores: number;
   readonly followMilliseconds: number;
   readonly isAdmissionControlled: boolean;
+  /** Ids of the accepted jobs; if undefined, the policy decides. */
+  readonly admitted?: ReadonlySet<string>;
 }
 
 /** Numbers of jobs at the end of a replay. */
 export interface Outcome {
-  accepted: number;
-  /** Accepted jobs that ended after three times their objective, or never. */
-  expired: number;
-  refused: number;
-  /** Refused jobs that would have met their objective. */
-  refusedInTime: number;
-  /** Refused jobs that would have ended within three times their objective. */
-  refusedOfUse: number;
+  /** Ids of the accepted jobs. */
+  readonly accepted: ReadonlySet<string>;
+  /** Ids of the refused jobs. */
+  readonly refused: readonly string[];
+  /** Accepted jobs that met their objective. */
+  readonly inTime: number;
+  /** Accepted jobs that ended within three times their objective. */
+  readonly ofUse: number;
 }
 
 interface ModelJob {
   readonly submission: JobSubmission;
   readonly arrivedAt: number;
-  /** A refused job takes its turns without using capacity, which shows when it would have ended. */
-  readonly isRefused: boolean;
   readonly runMilliseconds: number;
   readonly expectedMilliseconds: number;
   readonly work: number;
@@ -49,6 +59,11 @@
   waiting: number;
 }
 
+/** A waiting job as the product's order sees it. */
+interface Candidate extends WaitingWork {
+  readonly job: ModelJob;
+}
+
 const STRETCH = 2;
 const LATENCY_MILLISECONDS = 500;
 const LATE_FACTOR = 3;
@@ -75,21 +90,23 @@
   meanFactor: Math.exp((SPREAD ** 2 * (1 - SLOPE)) / 2),
 };
 
-/**
- * A pool that serves waiting jobs as the coordinator does: those that can be in time first, the
- * smallest of them first, then the late ones by their deadline, and expired ones last.
- */
+/** A pool that serves waiting jobs in the order of the coordinator. */
 export class WaitingModel {
   private readonly clock = new VirtualClock();
   private readonly random: SeededRandom;
   private readonly policies: readonly FeasibilityAdmission[];
   private readonly rates = new ArrivalRates();
+  private readonly order: WaitingOrder = new LargestPostponed();
+  private readonly boosts = new PriorityBoostBudget();
   private readonly jobs: ModelJob[] = [];
+  private readonly refused: string[] = [];
   private waiting: ModelJob[] = [];
+  private expired: ModelJob[] = [];
   private running: number[] = [];
   private pressedSince: number | undefined;
   private reportedAt = -Infinity;
   private sequence = 0;
+  private submitted = 0;
   private now = 0;
 
   constructor(private readonly load: Load) {
@@ -129,6 +146,11 @@
     return isLater ? this.load.laterCores : this.load.cores;
   }
 
+  private get incomingCores(): number {
+    const {laterCores, followMilliseconds} = this.load;
+    return this.phase < followMilliseconds ? laterCores - this.cores : 0;
+  }
+
   private submitJobs(): void {
     const {burstMilliseconds, burstFactor, meanCores} = this.load;
     const meanTasks = (1 + MAXIMUM_TASKS) / 2;
@@ -145,7 +167,7 @@
     const run = MEDIAN_MILLISECONDS * Math.exp(SPREAD * this.normal());
     const estimate = run * Math.exp(ESTIMATE_SPREAD * this.normal());
     const submission: JobSubmission = {
-      id: `job-${this.jobs.length}`,
+      id: `job-${this.submitted++}`,
       queue: QUEUE,
       service: SERVICE,
       payload: '',
@@ -153,20 +175,20 @@
       steps: [{...PLAIN_STEP, taskCount, estimatedMilliseconds: estimate}],
     };
     const policy = this.policies[this.random.nextInteger(this.policies.length)];
-    const isRefused =
-      this.load.isAdmissionControlled && !decide(policy, submission);
+    const isAccepted = this.isAccepted(policy, submission);
     const expected =
       MEDIAN_MILLISECONDS * (estimate / MEDIAN_MILLISECONDS) ** SLOPE;
     const work =
       PLAIN_STEP.processorMillicores * taskCount * expected * RATIO.meanFactor;
-    if (!isRefused) {
-      policy.noteAccepted(submission);
-      this.rates.note(work, this.now);
+    if (!isAccepted) {
+      this.refused.push(submission.id);
+      return;
     }
+    policy.noteAccepted(submission);
+    this.rates.note(work, this.now);
     const job: ModelJob = {
       submission,
       arrivedAt: this.now,
-      isRefused,
       runMilliseconds: run,
       expectedMilliseconds: expected,
       work,
@@ -177,32 +199,94 @@
     this.waiting.push(job);
   }
 
+  private isAccepted(
+    policy: FeasibilityAdmission,
+    submission: JobSubmission,
+  ): boolean {
+    const {admitted, isAdmissionControlled} = this.load;
+    if (admitted) return admitted.has(submission.id);
+    return !isAdmissionControlled || decide(policy, submission);
+  }
+
   private startTasks(): void {
     this.running = this.running.filter(end => end > this.now);
-    this.waiting.sort(
-      (left, right) =>
-        this.rankOf(left) - this.rankOf(right) ||
-        (this.rankOf(left) === 1
-          ? left.work - right.work
-          : this.deadlineOf(left) - this.deadlineOf(right)),
-    );
-    for (const job of this.waiting) {
+    this.expire();
+    if (this.running.length >= this.cores) return;
+    this.startTasksOf(this.waiting);
+    this.startTasksOf(this.expired);
+    this.waiting = this.waiting.filter(job => job.waiting > 0);
+    this.expired = this.expired.filter(job => job.waiting > 0);
+  }
+
+  /** Sets jobs that nobody waits for any more apart: they only get what the others leave. */
+  private expire(): void {
+    const isExpired = (job: ModelJob) =>
+      this.feasibilityOf(job) === DeadlineFeasibility.Infeasible;
+    this.expired.push(...this.waiting.filter(isExpired));
+    this.waiting = this.waiting.filter(job => !isExpired(job));
+  }
+
+  private startTasksOf(jobs: readonly ModelJob[]): void {
+    if (this.running.length >= this.cores) return;
+    for (const {job} of this.inOrder(jobs)) {
       const free = this.cores - this.running.length;
-      if (free <= 0) break;
+      if (free <= 0) return;
       for (let count = Math.min(free, job.waiting); count > 0; count--) {
         const end = this.now + job.runMilliseconds;
         job.ends.push(end);
         job.waiting--;
-        if (!job.isRefused) this.running.push(end);
+        this.running.push(end);
       }
+      if (job.waiting === 0) this.noteServed(job);
     }
-    this.waiting = this.waiting.filter(job => job.waiting > 0);
   }
 
-  private rankOf(job: ModelJob): number {
-    const end = this.now + job.expectedMilliseconds;
-    if (end <= this.deadlineOf(job)) return 1;
-    return end <= this.deadlineOf(job, LATE_FACTOR) ? 2 : 3;
+  private noteServed({submission}: ModelJob): void {
+    this.boosts.recordServed();
+    this.boosts.forget(submission.id);
+  }
+
+  private inOrder(jobs: readonly ModelJob[]): Candidate[] {
+    const {processorMillicores} = PLAIN_STEP;
+    const pool = {
+      usableMillicores: processorMillicores * this.cores,
+      incomingMillicores: processorMillicores * this.incomingCores,
+    };
+    const candidates = jobs.map(job => this.candidateOf(job));
+    return this.order.order(candidates, pool, this.now);
+  }
+
+  private candidateOf(job: ModelJob): Candidate {
+    const waiting = this.waitingJobOf(job);
+    const feasibility = feasibilityOf(waiting, this.now);
+    const goesFirst =
+      feasibility === DeadlineFeasibility.AboutToExpire &&
+      this.boosts.allows(job.submission.id);
+    return {
+      ...waiting,
+      job,
+      rank: rankOf(feasibility, goesFirst),
+      remainingMillicoreMilliseconds: this.openWorkOf(job),
+    };
+  }
+
+  private waitingJobOf(job: ModelJob): WaitingJob {
+    return {
+      priority: 0,
+      dueAt: this.deadlineOf(job),
+      expiresAt: this.deadlineOf(job, LATE_FACTOR),
+      remainingCriticalPathMilliseconds: job.expectedMilliseconds,
+    };
+  }
+
+  /** Returns the expected work of the tasks of a job that have not ended. */
+  private openWorkOf({submission, work, waiting, ends}: ModelJob): number {
+    const running = ends.filter(end => end > this.now).length;
+    return (work * (waiting + running)) / submission.steps[0].taskCount;
+  }
+
+  private feasibilityOf(job: ModelJob): DeadlineFeasibility {
+    return feasibilityOf(this.waitingJobOf(job), this.now);
   }
 
   private deadlineOf(job: ModelJob, factor = 1): number {
@@ -210,9 +294,7 @@
   }
 
   private report(): void {
-    const waiting = this.waiting.filter(
-      job => !job.isRefused && this.rankOf(job) < 3,
-    );
+    const {waiting} = this;
     if (waiting.length === 0) this.pressedSince = undefined;
     else this.pressedSince ??= this.now;
     const isPressed =
@@ -232,16 +314,16 @@
   }
 
   private reportOf(waiting: readonly ModelJob[]): PressureReport {
-    const {laterCores, followMilliseconds, daemons} = this.load;
+    const {followMilliseconds, daemons} = this.load;
     const inTime = emptyHistogram();
     let lateMillicoreMilliseconds = 0;
     for (const job of waiting) {
       const {taskCount} = job.submission.steps[0];
       const open = (job.work * job.waiting) / taskCount;
-      if (this.rankOf(job) === 1) inTime[sizeClassOf(job.work)] += open;
+      if (this.feasibilityOf(job) === DeadlineFeasibility.InTime)
+        inTime[sizeClassOf(job.work)] += open;
       else lateMillicoreMilliseconds += open;
     }
-    const comes = this.phase < followMilliseconds ? laterCores - this.cores : 0;
     return {
       term: 1,
       sequence: ++this.sequence,
@@ -252,7 +334,8 @@
         {
           name: SERVICE,
           usableMillicores: PLAIN_STEP.processorMillicores * this.cores,
-          incomingMillicores: PLAIN_STEP.processorMillicores * comes,
+          incomingMillicores:
+            PLAIN_STEP.processorMillicores * this.incomingCores,
           incomingDelayMilliseconds: Math.max(
             0,
             followMilliseconds - this.phase,
@@ -269,27 +352,13 @@
   }
 
   private outcome(): Outcome {
-    const result: Outcome = {
-      accepted: 0,
-      expired: 0,
-      refused: 0,
-      refusedInTime: 0,
-      refusedOfUse: 0,
+    const ofUse = this.jobs.filter(job => isDoneWithin(job, LATE_FACTOR));
+    return {
+      accepted: new Set(this.jobs.map(({submission}) => submission.id)),
+      refused: this.refused,
+      inTime: ofUse.filter(job => isDoneWithin(job, 1)).length,
+      ofUse: ofUse.length,
     };
-    for (const job of this.jobs) {
-      const end = job.waiting > 0 ? Infinity : Math.max(...job.ends);
-      const objective = objectiveOf(job.runMilliseconds);
-      const isOfUse = end - job.arrivedAt <= LATE_FACTOR * objective;
-      if (job.isRefused) {
-        result.refused++;
-        if (end - job.arrivedAt <= objective) result.refusedInTime++;
-        if (isOfUse) result.refusedOfUse++;
-      } else {
-        result.accepted++;
-        if (!isOfUse) result.expired++;
-      }
-    }
-    return result;
   }
 
   private normal(): number {
@@ -298,6 +367,12 @@
   }
 }
 
+/** Returns whether a job ended within `factor` times its objective. */
+function isDoneWithin(job: ModelJob, factor: number): boolean {
+  const end = job.waiting > 0 ? Infinity : Math.max(...job.ends);
+  return end - job.arrivedAt <= factor * objectiveOf(job.runMilliseconds);
+}
+
 function objectiveOf(milliseconds: number): number {
   return STRETCH * milliseconds + LATENCY_MILLISECONDS;
 }
