The replay of a burst orders its jobs without copying them

Beside a loaded machine replayed-burst.test.js ran into the limit of 120 s for a test file: one replay took 4.2 s, most of it for the copies that each round made of each waiting job.

--- a/packages/admission/src/__tests__/waiting-model.ts
+++ b/packages/admission/src/__tests__/waiting-model.ts
@@ -6,7 +6,6 @@
   PriorityBoostBudget,
   feasibilityOf,
   rankOf,
-  type WaitingJob,
   type WaitingOrder,
   type WaitingWork,
 } from '@gentiandoor/scheduling';
@@ -49,19 +48,15 @@
   readonly ofUse: number;
 }
 
-interface ModelJob {
+interface ModelJob extends WaitingWork {
   readonly submission: JobSubmission;
   readonly arrivedAt: number;
   readonly runMilliseconds: number;
-  readonly expectedMilliseconds: number;
   readonly work: number;
   readonly ends: number[];
   waiting: number;
-}
-
-/** A waiting job as the product's order sees it. */
-interface Candidate extends WaitingWork {
-  readonly job: ModelJob;
+  rank: number;
+  remainingMillicoreMilliseconds: number;
 }
 
 const STRETCH = 2;
@@ -190,10 +185,15 @@
       submission,
       arrivedAt: this.now,
       runMilliseconds: run,
-      expectedMilliseconds: expected,
+      priority: 0,
+      dueAt: this.now + objectiveOf(expected),
+      expiresAt: this.now + LATE_FACTOR * objectiveOf(expected),
+      remainingCriticalPathMilliseconds: expected,
       work,
       ends: [],
       waiting: taskCount,
+      rank: 0,
+      remainingMillicoreMilliseconds: work,
     };
     this.jobs.push(job);
     this.waiting.push(job);
@@ -221,14 +221,14 @@
   /** Sets jobs that nobody waits for any more apart: they only get what the others leave. */
   private expire(): void {
     const isExpired = (job: ModelJob) =>
-      this.feasibilityOf(job) === DeadlineFeasibility.Infeasible;
+      feasibilityOf(job, this.now) === DeadlineFeasibility.Infeasible;
     this.expired.push(...this.waiting.filter(isExpired));
     this.waiting = this.waiting.filter(job => !isExpired(job));
   }
 
   private startTasksOf(jobs: readonly ModelJob[]): void {
     if (this.running.length >= this.cores) return;
-    for (const {job} of this.inOrder(jobs)) {
+    for (const job of this.inOrder(jobs)) {
       const free = this.cores - this.running.length;
       if (free <= 0) return;
       for (let count = Math.min(free, job.waiting); count > 0; count--) {
@@ -246,37 +246,25 @@
     this.boosts.forget(submission.id);
   }
 
-  private inOrder(jobs: readonly ModelJob[]): Candidate[] {
+  private inOrder(jobs: readonly ModelJob[]): ModelJob[] {
     const {processorMillicores} = PLAIN_STEP;
     const pool = {
       usableMillicores: processorMillicores * this.cores,
       incomingMillicores: processorMillicores * this.incomingCores,
     };
-    const candidates = jobs.map(job => this.candidateOf(job));
-    return this.order.order(candidates, pool, this.now);
+    for (const job of jobs) {
+      job.rank = this.rankOf(job);
+      job.remainingMillicoreMilliseconds = this.openWorkOf(job);
+    }
+    return this.order.order(jobs, pool, this.now);
   }
 
-  private candidateOf(job: ModelJob): Candidate {
-    const waiting = this.waitingJobOf(job);
-    const feasibility = feasibilityOf(waiting, this.now);
+  private rankOf(job: ModelJob): number {
+    const feasibility = feasibilityOf(job, this.now);
     const goesFirst =
       feasibility === DeadlineFeasibility.AboutToExpire &&
       this.boosts.allows(job.submission.id);
-    return {
-      ...waiting,
-      job,
-      rank: rankOf(feasibility, goesFirst),
-      remainingMillicoreMilliseconds: this.openWorkOf(job),
-    };
-  }
-
-  private waitingJobOf(job: ModelJob): WaitingJob {
-    return {
-      priority: 0,
-      dueAt: this.deadlineOf(job),
-      expiresAt: this.deadlineOf(job, LATE_FACTOR),
-      remainingCriticalPathMilliseconds: job.expectedMilliseconds,
-    };
+    return rankOf(feasibility, goesFirst);
   }
 
   /** Returns the expected work of the tasks of a job that have not ended. */
@@ -285,14 +273,6 @@
     return (work * (waiting + running)) / submission.steps[0].taskCount;
   }
 
-  private feasibilityOf(job: ModelJob): DeadlineFeasibility {
-    return feasibilityOf(this.waitingJobOf(job), this.now);
-  }
-
-  private deadlineOf(job: ModelJob, factor = 1): number {
-    return job.arrivedAt + factor * objectiveOf(job.expectedMilliseconds);
-  }
-
   private report(): void {
     const {waiting} = this;
     if (waiting.length === 0) this.pressedSince = undefined;
@@ -320,7 +300,7 @@
     for (const job of waiting) {
       const {taskCount} = job.submission.steps[0];
       const open = (job.work * job.waiting) / taskCount;
-      if (this.feasibilityOf(job) === DeadlineFeasibility.InTime)
+      if (feasibilityOf(job, this.now) === DeadlineFeasibility.InTime)
         inTime[sizeClassOf(job.work)] += open;
       else lateMillicoreMilliseconds += open;
     }
