--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -20,9 +20,9 @@
 }
 
 /**
- * Returns whether the start order of a run may still be carried out. It names the
- * worker, not its incarnation, and a worker that restarts forgets the stop and the fencing token
- * that ruled the order out.
+ * Returns whether the start order of a run may still be carried out. It names the worker, not its
+ * incarnation, and a worker that restarts forgets the stop and the fencing token that ruled the
+ * order out.
  */
 export function isStartOpen(
   run: LiveRun,
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -159,8 +159,8 @@
   }
 
   /**
-   * Stops a run whose order, or a copy of it, may still be carried out, so that its task can run
-   * elsewhere. A run that the worker already lists goes on.
+   * Stops a run whose orders got no response, so that its task can run elsewhere: after a stop that
+   * is answered, none of them is carried out any more. A run that the worker already lists goes on.
    */
   private async stopUnlessStarted(run: LiveRun): Promise<void> {
     await this.host.isResponding();
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Handles a run whose order may not have been carried out. Callers are not shown as running, and
-   * not left out of the pending jobs, what may not have started.
+   * Handles a run whose order may not have been carried out. Until a task of its job is known to
+   * have started, callers see the job as queued, and it counts as pending.
    */
   startInDoubt({execution}: LiveRun): void {
     if (execution.noteStartInDoubt()) this.parts.writer.store(execution);
