A speculative task does not wait for an order that may still be carried out

What callers saw: a quick job that waits up to 12 s for one lost order, though they had said that its tasks may run in parallel. Since open starts such an order holds its task back until it can no longer be carried out, and since one order for each run it is not sent again either.

Cause: the hold guards against two runs of a task, and asked nothing about whether the task may have two.

Change: an order of a speculative task is sent again, and a stop or a successor's poll frees the task as before open starts. Gangs and long-running tasks are excluded.

Before: two new tests of unanswered-starts.test.ts fail. After: they pass; coordinator 303 tests.

--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -101,10 +101,26 @@
   return LATEST_EXECUTION_MILLISECONDS + longestLease(bounds);
 }
 
-/** Returns whether a sent order is not known to have been carried out. */
-function isInDoubt({status, executableTask}: LiveRun): boolean {
+/**
+ * Returns whether several runs of a task may be alive at the same time, so that none of them has to
+ * wait until the order of another one can no longer be carried out.
+ */
+export function mayRunInParallel({
+  executableTask: {specification},
+}: LiveRun): boolean {
+  const {speculative, gang, longRunning} = specification;
+  return speculative && !gang && !longRunning;
+}
+
+/**
+ * Returns whether a sent order is not known to have been carried out, and its task has to wait for
+ * that.
+ */
+function isInDoubt(run: LiveRun): boolean {
   return (
-    status !== RunStatus.Planned && !executableTask.progress.isStartExecuted
+    run.status !== RunStatus.Planned &&
+    !run.executableTask.progress.isStartExecuted &&
+    !mayRunInParallel(run)
   );
 }
 
--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -1,4 +1,5 @@
 import {sleep, type Clock} from '@gentiandoor/kernel';
+import {mayRunInParallel} from './carried-runs.js';
 import {RunStatus, type LiveRun} from './live-run.js';
 import {
   OrderOutcome,
@@ -64,8 +65,9 @@
 
   /**
    * Orders the worker to start a run, and again if it does not respond. A worker that may restart
-   * under its id is sent a single order: a copy that is still in transit when the run has ended
-   * would start it again on the next incarnation. Polls show the outcome.
+   * under its id is sent a single order, unless the task may run in parallel: a copy that is still
+   * in transit when the run has ended would start it again on the next incarnation. Polls show the
+   * outcome.
    */
   async start(run: LiveRun): Promise<void> {
     if (!(await this.isReadyForStart(run))) {
@@ -85,7 +87,7 @@
         return;
       }
       if (await this.sendStart(run, attempt > 0)) return;
-      if (run.listedAt !== undefined || reportsStart(this.host.entry)) return;
+      if (run.listedAt !== undefined || this.hasSingleOrder(run)) return;
       await sleep(this.clock, RETRY_MILLISECONDS);
     }
     await this.stopUnlessStarted(run);
@@ -113,6 +115,10 @@
     }
   }
 
+  private hasSingleOrder(run: LiveRun): boolean {
+    return reportsStart(this.host.entry) && !mayRunInParallel(run);
+  }
+
   /**
    * Resolves to whether the order of a run may be sent. If a worker crashes and the order got no
    * response, the task may have crashed it. So a task under which workers have crashed is ordered
