--- a/packages/coordinator/src/__tests__/unanswered-starts.test.ts
+++ b/packages/coordinator/src/__tests__/unanswered-starts.test.ts
@@ -60,6 +60,21 @@
     assert.deepEqual(endsOfJob(deployment), [RunEnd.Done]);
   });
 
+  // Its organisation would be over its limit with two runs.
+  it('waits if it belongs to an organisation', async () => {
+    const deployment = new TestDeployment(1, true);
+    const daemon = await deployment.startDaemon('one');
+    daemon.workers.setFault(WORKER, WorkerFault.StartsLate);
+    const steps = [step({speculative: true})];
+    const submission = {...job('a', steps), organisation: 'reviewers'};
+    void daemon.jobIntake.submit(submission, TIMEOUT);
+    await deployment.run(SHORT_MILLISECONDS);
+    daemon.workers.setFault(WORKER, undefined);
+    await deployment.run(ORDERED_AGAIN_MILLISECONDS);
+
+    assert.deepEqual(endsOfJob(deployment), []);
+  });
+
   it('runs elsewhere when a successor does not find it on its worker', async () => {
     const deployment = new TestDeployment(1, true);
     deployment.behaviours.set('a', behaviour({durationMilliseconds: 300}));
--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -103,13 +103,16 @@
 
 /**
  * Returns whether several runs of a task may be alive at the same time, so that none of them has to
- * wait until the order of another one can no longer be carried out.
+ * wait until the order of another one can no longer be carried out. The limit of an organisation
+ * counts one run of each task, so its tasks wait.
  */
 export function mayRunInParallel({
-  executableTask: {specification},
+  execution,
+  executableTask,
 }: LiveRun): boolean {
-  const {speculative, gang, longRunning} = specification;
-  return speculative && !gang && !longRunning;
+  const {speculative, gang, longRunning} = executableTask.specification;
+  const isLimited = execution.job.organisation !== undefined;
+  return speculative && !gang && !longRunning && !isLimited;
 }
 
 /**
