Review case 1: a late entry of a worker's former life runs tasks twice

Cause: an entry with another start time than the session's ends the session as restarted, also when its start time is the earlier one. The runs that the worker lists are taken for crashed and started elsewhere. Nothing is fixed.

--- a/review/stand-ins/workers.mjs
+++ b/review/stand-ins/workers.mjs
@@ -31,6 +31,8 @@
     this.machine = machine;
     this.fleet = fleet;
     this.service = machine.pool;
+    /** Set where workers start again under their id. */
+    this.born = fleet.reportsBorn ? Date.now() : undefined;
   }
 
   get clock() {
@@ -41,8 +43,13 @@
     this.server = createServer((request, response) => {
       this.handle(request, response).catch(() => response.destroy());
     });
-    await new Promise(resolve => this.server.listen(0, host, resolve));
-    this.address = `${host}:${this.server.address().port}`;
+    const port = this.born === undefined ? 0 : (this.machine.port ?? 0);
+    await new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    this.machine.port = this.server.address().port;
+    this.address = `${host}:${this.machine.port}`;
     this.beat();
     this.beatTimer = setInterval(() => this.beat(), HEARTBEAT_MS);
   }
@@ -59,13 +66,18 @@
       cold_remaining_ms: 0,
       capacity: machine.capacity,
       labels: machine.labels,
+      born: this.born,
       sequence: ++this.fleet.sequence,
     };
   }
 
   beat() {
-    if (!this.isDead)
-      this.fleet.store.write('keyed.servers', this.id, this.entry());
+    if (this.isDead) return;
+    const {store} = this.fleet;
+    const write = this.fleet.heldWrite(this);
+    if (write)
+      write.call = () => store.write('keyed.servers', this.id, write.entry);
+    else store.write('keyed.servers', this.id, this.entry());
   }
 
   /** The worker is gone at once, with all that runs on it; nobody is told. */
@@ -82,10 +94,10 @@
     this.server.closeAllConnections();
     this.server.close();
     // The store drops the entry after some heartbeats of silence.
-    setTimeout(
-      () => this.fleet.store.write('keyed.servers', this.id, undefined),
-      SILENT_HEARTBEATS * HEARTBEAT_MS,
-    ).unref();
+    setTimeout(() => {
+      if (this.machine.worker?.id !== this.id)
+        this.fleet.store.write('keyed.servers', this.id, undefined);
+    }, SILENT_HEARTBEATS * HEARTBEAT_MS).unref();
   }
 
   async handle(request, response) {
@@ -169,6 +181,7 @@
     return [
       200,
       {
+        born: this.born,
         running: [...this.running.values()].map(run => this.row(run)),
         ended_runs: ended.map(({number, run, how}) => [
           number,
@@ -224,7 +237,7 @@
 /** The machines, their workers and the list of machines. */
 export class Fleet {
   machines = new Map();
-  /** Every worker that ever lived, by id. */
+  /** Every worker that ever lived, by its life. */
   workers = new Map();
   /** What was submitted, by the id of the job: its steps. */
   jobs = new Map();
@@ -233,11 +246,20 @@
   tokens = new Map();
   /** Tasks with a run that ended as done. */
   done = new Set();
+  /** Starts of a task while another run of it is alive on a worker that is up. */
+  overlaps = [];
   /** Number of runs that ended as failed. */
   failedEnds = 0;
 
-  constructor({host, store, record, endOf = () => 'done', workMs = () => 800}) {
-    Object.assign(this, {host, store, record, endOf, workMs});
+  constructor({
+    host,
+    store,
+    record,
+    endOf = () => 'done',
+    workMs = () => 800,
+    reportsBorn = false,
+  }) {
+    Object.assign(this, {host, store, record, endOf, workMs, reportsBorn});
   }
 
   async start() {
@@ -261,15 +283,45 @@
     return machine;
   }
 
-  /** Starts a new life of a machine's worker, under a new id. */
+  /**
+   * Starts a new life of a machine's worker: under a new id, or where workers start again under
+   * their id, under the one that it had in this pool.
+   */
   async begin(machine) {
-    const id = `w${(++this.lives).toString(36)}${machine.name}`;
+    const life = ++this.lives;
+    const id = this.reportsBorn
+      ? `w-${machine.name}-${machine.pool}`
+      : `w${life.toString(36)}${machine.name}`;
     const worker = new Worker(id, machine, this);
-    this.workers.set(id, worker);
+    this.workers.set(life, worker);
     await worker.start(this.host);
     machine.worker = worker;
     machine.state = 'up';
-    this.record(`worker ${id} of ${machine.pool} begins on ${machine.name}`);
+    const born = worker.born === undefined ? '' : `, born ${worker.born}`;
+    this.record(
+      `worker ${id} of ${machine.pool} begins on ${machine.name}${born}`,
+    );
+  }
+
+  /**
+   * The next entry that the worker of `machine` writes gets no answer, and the store executes it
+   * when `call` of the returned write is called.
+   */
+  holdNextWrite(machine) {
+    const write = {machine, entry: undefined, call: undefined};
+    this.held = write;
+    return write;
+  }
+
+  heldWrite(worker) {
+    const write = this.held;
+    if (write?.machine !== worker.machine) return undefined;
+    this.held = undefined;
+    write.entry = worker.entry();
+    this.record(
+      `the entry of ${worker.id}, born ${worker.born}, gets no answer`,
+    );
+    return write;
   }
 
   /** The worker of a machine is gone; the machine is down until `begin`. */
@@ -315,6 +367,13 @@
   }
 
   noteStart(worker, {task, run}) {
+    for (const other of this.workers.values()) {
+      const here = other.running.get(task);
+      if (here && !(other === worker && here.run === run))
+        this.overlaps.push(
+          `${task}: run ${run} starts on ${worker.id} while run ${here.run} is alive on ${other.id}`,
+        );
+    }
     this.record(`start ${task} run ${run} on ${worker.id}`);
   }
 
