--- a/review/stand-ins/workers.mjs
+++ b/review/stand-ins/workers.mjs
@@ -23,6 +23,7 @@
   leaseEnd = 0;
   waiting = new Set();
   isDead = false;
+  sequence = 0;
   state = 'ready';
   clockOffset = Math.floor(Math.random() * 1e6);
 
@@ -67,7 +68,7 @@
       capacity: machine.capacity,
       labels: machine.labels,
       born: this.born,
-      sequence: ++this.fleet.sequence,
+      sequence: ++this.sequence,
     };
   }
 
@@ -241,7 +242,6 @@
   workers = new Map();
   /** What was submitted, by the id of the job: its steps. */
   jobs = new Map();
-  sequence = 0;
   lives = 0;
   tokens = new Map();
   /** Tasks with a run that ended as done. */
