Work that stands is logged and measured, with the reason

No log line, counter or gauge said that ready work waits beside capacity, nor why, so the hypotheses on the incident could not be told apart. No decision changes.

Each placement round now knows what caused it and why it leaves each task: no worker, no suitable worker, the limit of tasks per worker, no free capacity, a restriction that ends with time, the miss limit, the limit of the organisation, orders in flight. A session says why it accepts no starts. The coordinator logs WorkStands, at most every two seconds for each service, once ready tasks have stood for over a second without one being placed, and ProgressNotStored once progress has waited as long for the store. Metrics: placement_rounds by cause, tasks_waiting by service and reason, work_standing, progress_store_wait.

--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -9,6 +9,7 @@
 } from '@gentiandoor/organisations';
 import {FullestFirst, LargestPostponed} from '@gentiandoor/scheduling';
 import {Dispatcher} from '../dispatcher.js';
+import {RoundCause} from '../round-cause.js';
 import {ServiceDemand} from '../service-demand.js';
 import {SERVICE, job} from './deployment.js';
 
@@ -57,7 +58,7 @@
       0,
     );
     for (let wake = 0; wake < 100; wake++) {
-      dispatcher.schedulePlacement(SERVICE);
+      dispatcher.schedulePlacement(SERVICE, RoundCause.WorkerChanged);
       await clock.advanceAsync(10);
     }
     const busy = rounds;
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -46,11 +46,13 @@
 import type {RecordFormats} from './record-formats.js';
 import type {RecordLog} from './record-log.js';
 import {ServiceDemand} from './service-demand.js';
+import {RoundCause} from './round-cause.js';
 import {RunLog} from './run-log.js';
 import {RunOutcomes} from './run-outcomes.js';
 import {RunPreemption} from './run-preemption.js';
 import type {SubmissionLog} from './submission-log.js';
 import {VmEvacuation} from './vm-evacuation.js';
+import {WaitingWorkMonitor} from './waiting-work-monitor.js';
 import {WaitingWorkRecorder} from './waiting-work-recorder.js';
 import type {
   CallFailure,
@@ -103,6 +105,7 @@
   private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
+  private readonly monitor: WaitingWorkMonitor;
   private readonly organisationLimits: OrganisationLimits;
   private readonly entitlements: JobEntitlements;
   private readonly learned: LearnedDemandStore;
@@ -136,13 +139,15 @@
       clock,
       logger: parts.logger,
       metrics: parts.metrics,
-      schedulePlacement: service => this.dispatcher.schedulePlacement(service),
+      schedulePlacement: (service, cause) =>
+        this.dispatcher.schedulePlacement(service, cause),
     });
     const demand = new ServiceDemand();
     const waitingWork = settings.features.admissionControl
       ? new WaitingWorkRecorder(demand, clock)
       : undefined;
     this.entitlements = new JobEntitlements(this.ledger, parts);
+    this.monitor = this.newMonitor();
     this.dispatcher = new Dispatcher(
       this,
       new FullestFirst(),
@@ -153,6 +158,7 @@
       clock,
       settings.features.preemption ? this.newPreemption() : undefined,
       waitingWork,
+      this.monitor,
     );
     this.learned = new LearnedDemandStore(parts, demand);
     this.registry = new WorkerRegistry(parts, this);
@@ -230,6 +236,7 @@
     this.fleet.start();
     this.learned.start();
     this.pressure?.start();
+    this.monitor.start();
     this.jobs.start();
     await this.followJobs();
   }
@@ -240,6 +247,7 @@
     this.parts.table.listen({});
     this.writer.close();
     this.dispatcher.close();
+    this.monitor.close();
     this.fleet.close();
     this.learned.close();
     this.entitlements.close();
@@ -326,7 +334,10 @@
   ): void {
     if (!isIsolated) return;
     this.parts.clock.schedule(CRASH_RISK_MILLISECONDS, () =>
-      this.dispatcher.schedulePlacement(entry.service),
+      this.dispatcher.schedulePlacement(
+        entry.service,
+        RoundCause.ConditionLapsed,
+      ),
     );
   }
 
@@ -388,7 +399,10 @@
   sessionChanged(session: WorkerHandle): void {
     if (session.isDraining) this.evacuateLongRunningTasks(session);
     if (session.acceptsStarts)
-      this.dispatcher.schedulePlacement(session.entry.service);
+      this.dispatcher.schedulePlacement(
+        session.entry.service,
+        RoundCause.WorkerChanged,
+      );
   }
 
   /**
@@ -457,6 +471,16 @@
     });
   }
 
+  private newMonitor(): WaitingWorkMonitor {
+    return new WaitingWorkMonitor({
+      ...this.parts,
+      services: () => this.dispatcher.services(),
+      hasReadyTasks: service => this.dispatcher.hasReadyTasks(service),
+      sessionsOf: service => this.registry.ofService(service),
+      storeWaitMilliseconds: () => this.writer.waitMilliseconds,
+    });
+  }
+
   private newPreemption(): RunPreemption {
     const {limits} = this.parts.settings;
     return new RunPreemption({
@@ -466,7 +490,8 @@
       workerChoice: new FullestFirst(),
       limits,
       store: (execution, then) => this.writer.store(execution, then),
-      schedulePlacement: service => this.dispatcher.schedulePlacement(service),
+      schedulePlacement: (service, cause) =>
+        this.dispatcher.schedulePlacement(service, cause),
     });
   }
 
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -25,6 +25,8 @@
 import type {Queue} from './operator-records.js';
 import {PlacementRound, type TaskPlacementRequest} from './placement-round.js';
 import {PlacementSchedule} from './placement-schedule.js';
+import {RoundCause} from './round-cause.js';
+import {RoundLimit, RoundOutcome, type RoundObserver} from './round-outcome.js';
 import type {RunPreemption} from './run-preemption.js';
 import type {ServiceDemand} from './service-demand.js';
 import {WaitingLoadCounter, type ServiceLoad} from './service-load.js';
@@ -88,10 +90,12 @@
     private readonly preemption?: RunPreemption,
     /** Undefined if waiting work is not reported to all daemons. */
     private readonly waitingWork?: WaitingWorkRecorder,
+    /** Undefined if nobody observes the rounds. */
+    private readonly observer?: RoundObserver,
   ) {
     this.failures = new TaskFailures(clock);
-    this.schedule = new PlacementSchedule(clock, service =>
-      this.placeService(service),
+    this.schedule = new PlacementSchedule(clock, (service, causes) =>
+      this.placeService(service, causes),
     );
     this.jobs = new WaitingJobs(
       execution => host.queueOf(execution),
@@ -110,7 +114,10 @@
       execution,
       ageMilliseconds,
     );
-    this.schedulePlacement(this.jobs.add(execution, ageMilliseconds));
+    this.schedulePlacement(
+      this.jobs.add(execution, ageMilliseconds),
+      RoundCause.JobAdded,
+    );
   }
 
   /**
@@ -149,7 +156,7 @@
     this.failures.note(run.task, workerId);
     const service = this.jobs.serviceOf(run.execution);
     this.clock.schedule(AVOIDANCE_MILLISECONDS, () =>
-      this.schedulePlacement(service),
+      this.schedulePlacement(service, RoundCause.ConditionLapsed),
     );
   }
 
@@ -189,8 +196,8 @@
   }
 
   /** Schedules a placement round for `service`. */
-  schedulePlacement(service: string): void {
-    this.schedule.request(service);
+  schedulePlacement(service: string, cause: RoundCause): void {
+    this.schedule.request(service, cause);
   }
 
   /** Schedules services that wait for orders in flight, since the outcome of one is known. */
@@ -203,14 +210,25 @@
    */
   regroup(): void {
     this.waitingWork?.clear();
-    for (const service of this.jobs.regroup()) this.schedulePlacement(service);
+    for (const service of this.jobs.regroup())
+      this.schedulePlacement(service, RoundCause.ConfigurationChanged);
+  }
+
+  /** Returns the services with jobs that have not ended. */
+  services(): Iterable<string> {
+    return this.jobs.services();
+  }
+
+  /** Returns whether a task of a service may start now. */
+  hasReadyTasks(service: string): boolean {
+    return this.jobs.hasReadyTasks(service);
   }
 
   close(): void {
     this.schedule.close();
   }
 
-  private placeService(service: string): void {
+  private placeService(service: string, causes: ReadonlySet<RoundCause>): void {
     const now = this.clock.monotonicMilliseconds();
     const sessions = this.host
       .sessionsOf(service)
@@ -231,19 +249,29 @@
       now,
     );
     const unplaced: PlacementCandidate[] = [];
+    const outcome = new RoundOutcome();
     const misses = {[Entitlement.Entitled]: 0, [Entitlement.Excess]: 0};
     for (const candidate of this.orderByShares(service, groups, sessions)) {
       const {entitlement} = candidate;
       const isMissLimitReached =
         misses[entitlement] >= MAXIMUM_PLACEMENT_MISSES;
       misses[entitlement] += this.placeCandidate(
-        {service, round, waitingLoad, now, isMissLimitReached, unplaced},
+        {
+          service,
+          round,
+          waitingLoad,
+          now,
+          isMissLimitReached,
+          unplaced,
+          outcome,
+        },
         candidate,
       );
     }
     const before = this.loads.waitingLoadOf(service);
     this.loads.set(service, waitingLoad.load(before, now));
     this.waitingWork?.noteRound(service, unplaced, sessions, now);
+    this.observer?.noteRound(outcome.summaryOf(service, causes));
     this.preemption?.afterRound({
       service,
       sessions,
@@ -284,27 +312,40 @@
     placement: ServicePlacement,
     candidate: PlacementCandidate,
   ): number {
-    const {service, round, waitingLoad, now, isMissLimitReached} = placement;
+    const {service, round, waitingLoad, now, isMissLimitReached, outcome} =
+      placement;
     let isWaiting = false;
     const {execution} = candidate;
     const unplacedSteps = new Set<string>();
     for (const tasks of groupsOf(candidate.ready)) {
       if (!this.mayOrder(tasks)) {
         this.schedule.requestAfterOrders(service);
+        outcome.noteWaiting(tasks, RoundLimit.OrdersInFlight);
         isWaiting = true;
         continue;
       }
       // Tasks that wait for a limit do not count as waiting load, since more VMs would not help.
-      if (!this.host.organisationLimitAllows(execution, tasks, service))
+      if (!this.host.organisationLimitAllows(execution, tasks, service)) {
+        outcome.noteWaiting(tasks, RoundLimit.Organisation);
         continue;
+      }
       const key = stepName(execution.job.id, tasks[0]);
       const isPlaced =
         !isMissLimitReached &&
         !unplacedSteps.has(key) &&
         this.placeTogether(round, candidate, tasks, now);
-      if (isPlaced) continue;
+      if (isPlaced) {
+        outcome.notePlaced(tasks);
+        continue;
+      }
       this.retryIsolated(service, candidate, tasks);
       unplacedSteps.add(key);
+      outcome.noteWaiting(
+        tasks,
+        isMissLimitReached
+          ? RoundLimit.Misses
+          : round.shortageOf(this.placementRequestOf(execution, tasks[0], now)),
+      );
       if (!isMissLimitReached)
         this.preemption?.noteUnplaced(
           candidate,
@@ -417,4 +458,5 @@
   readonly isMissLimitReached: boolean;
   /** Jobs of which some tasks could not be placed; those that wait for a limit are left out. */
   readonly unplaced: PlacementCandidate[];
+  readonly outcome: RoundOutcome;
 }
--- a/packages/coordinator/src/organisation-limits.ts
+++ b/packages/coordinator/src/organisation-limits.ts
@@ -14,6 +14,7 @@
 } from '@gentiandoor/organisations';
 import {runName, type LiveRun} from './live-run.js';
 import type {OperatorView} from './operator-view.js';
+import {RoundCause} from './round-cause.js';
 
 /**
  * Allowance for the time between the check of a limit and the arrival of the order at the worker.
@@ -33,7 +34,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Schedules a placement round for a service. */
-  readonly schedulePlacement: (service: string) => void;
+  readonly schedulePlacement: (service: string, cause: RoundCause) => void;
 }
 
 /** Keeps each organisation within its resource limit across all services. */
@@ -81,7 +82,8 @@
     this.reportUsage(organisation);
     const services = this.waitingServices.get(organisation) ?? NO_SERVICES;
     this.waitingServices.delete(organisation);
-    for (const service of services) this.parts.schedulePlacement(service);
+    for (const service of services)
+      this.parts.schedulePlacement(service, RoundCause.OrganisationBelowLimit);
   }
 
   /**
@@ -179,7 +181,7 @@
     this.servicesToRetry.add(service);
     this.parts.clock.schedule(UNKNOWN_LIMIT_RETRY_MILLISECONDS, () => {
       this.servicesToRetry.delete(service);
-      this.parts.schedulePlacement(service);
+      this.parts.schedulePlacement(service, RoundCause.OrganisationBelowLimit);
     });
   }
 
--- a/packages/coordinator/src/placement-round.ts
+++ b/packages/coordinator/src/placement-round.ts
@@ -1,7 +1,9 @@
-import type {
-  PlacementRequest,
-  PlacementWorker,
-  WorkerChoice,
+import {
+  shortageOf,
+  type PlacementRequest,
+  type PlacementShortage,
+  type PlacementWorker,
+  type WorkerChoice,
 } from '@gentiandoor/scheduling';
 import type {WorkerSession} from './worker-session.js';
 
@@ -37,6 +39,11 @@
     return this.sessions.get(worker.id);
   }
 
+  /** Returns what keeps a task that found no worker from being placed. */
+  shortageOf(task: TaskPlacementRequest): PlacementShortage {
+    return shortageOf({...task, now: this.now}, this.committedViews);
+  }
+
   /** Releases what was reserved since the last `commit`. */
   rollBack(): void {
     this.views = [...this.committedViews];
--- a/packages/coordinator/src/placement-schedule.ts
+++ b/packages/coordinator/src/placement-schedule.ts
@@ -3,6 +3,7 @@
   LeastRecentlyServedOrder,
   placementDelayMilliseconds,
 } from '@gentiandoor/scheduling';
+import {RoundCause} from './round-cause.js';
 
 /** Longest timer for a step that is due later; limited since the wall clock may jump. */
 const MAXIMUM_DUE_TIMER_MILLISECONDS = 1_000;
@@ -10,7 +11,8 @@
 
 /** Decides when the services get their placement rounds, and in which order. */
 export class PlacementSchedule {
-  private readonly servicesDue = new Set<string>();
+  /** Services that are due, with what caused their rounds. */
+  private readonly servicesDue = new Map<string, Set<RoundCause>>();
   /** Services with tasks that wait until fewer orders are in flight. */
   private readonly servicesAwaitingOrders = new Set<string>();
   private readonly serviceOrder = new LeastRecentlyServedOrder();
@@ -26,12 +28,16 @@
   /** `placeService` runs one placement round of a service. */
   constructor(
     private readonly clock: Clock,
-    private readonly placeService: (service: string) => void,
+    private readonly placeService: (
+      service: string,
+      causes: ReadonlySet<RoundCause>,
+    ) => void,
   ) {}
 
   /** Schedules a placement round for `service`. */
-  request(service: string): void {
-    this.servicesDue.add(service);
+  request(service: string, cause: RoundCause): void {
+    const causes = this.servicesDue.get(service) ?? new Set();
+    this.servicesDue.set(service, causes.add(cause));
     if (this.scheduled || this.closed) return;
     this.scheduled = true;
     const elapsedMilliseconds =
@@ -52,7 +58,8 @@
 
   /** Schedules services that wait for orders in flight, since the outcome of one is known. */
   noteOrderCompleted(): void {
-    for (const service of this.servicesAwaitingOrders) this.request(service);
+    for (const service of this.servicesAwaitingOrders)
+      this.request(service, RoundCause.OrderCompleted);
     this.servicesAwaitingOrders.clear();
   }
 
@@ -70,7 +77,7 @@
     this.isolationRetries.add(service);
     this.clock.schedule(ISOLATION_RETRY_MILLISECONDS, () => {
       this.isolationRetries.delete(service);
-      this.request(service);
+      this.request(service, RoundCause.ConditionLapsed);
     });
   }
 
@@ -88,7 +95,7 @@
       MAXIMUM_DUE_TIMER_MILLISECONDS,
     );
     const timer = this.clock.schedule(delayMilliseconds, () =>
-      this.request(service),
+      this.request(service, RoundCause.JobDue),
     );
     this.dueTimers.set(service, timer);
   }
@@ -102,9 +109,10 @@
     this.scheduled = false;
     if (this.closed) return;
     const startedAt = this.clock.monotonicMilliseconds();
-    const services = this.serviceOrder.order(this.servicesDue);
+    const due = new Map(this.servicesDue);
     this.servicesDue.clear();
-    for (const service of services) this.placeService(service);
+    for (const service of this.serviceOrder.order(due.keys()))
+      this.placeService(service, due.get(service) ?? new Set());
     this.placedAt = this.clock.monotonicMilliseconds();
     this.placementDelayMilliseconds = placementDelayMilliseconds(
       this.placedAt - startedAt,
--- a/packages/coordinator/src/placement-view.ts
+++ b/packages/coordinator/src/placement-view.ts
@@ -30,6 +30,8 @@
     freeMegabytes: capacity.memoryMegabytes - sum(step => step.memoryMegabytes),
     freeAccelerators: capacity.accelerators - sum(step => step.accelerators),
     totalMillicores: Math.max(1, capacity.processorMillicores),
+    totalMegabytes: capacity.memoryMegabytes,
+    totalAccelerators: capacity.accelerators,
     latencySensitiveTaskCount: steps.filter(step => step.targetMilliseconds > 0)
       .length,
     bestEffortTaskCount: steps.filter(step => step.bestEffort).length,
--- a/packages/coordinator/src/progress-writer.ts
+++ b/packages/coordinator/src/progress-writer.ts
@@ -27,6 +27,8 @@
   private sequence = 0;
   private running = false;
   private closed = false;
+  /** Since when some progress or action waits; undefined if none does. */
+  private waitingSince: number | undefined;
 
   constructor(
     private readonly log: RecordLog,
@@ -53,6 +55,12 @@
     return false;
   }
 
+  /** How long progress has waited to be stored; 0 if none waits. */
+  get waitMilliseconds(): number {
+    if (this.waitingSince === undefined) return 0;
+    return this.clock.monotonicMilliseconds() - this.waitingSince;
+  }
+
   /** Stores the current progress of `execution`, then calls `then`. */
   store(execution: JobExecution, then?: StoredAction): void {
     this.dirty.add(execution);
@@ -82,6 +90,7 @@
 
   private async run(): Promise<void> {
     this.running = true;
+    this.waitingSince = this.clock.monotonicMilliseconds();
     // Changes made in the same turn of the event loop go into one append.
     await new Promise<void>(resolve => {
       setImmediate(resolve);
@@ -89,9 +98,11 @@
     while (!this.closed && this.hasWork()) {
       const {records, actions} = this.takeBatch();
       if (!(await this.append(records))) break;
+      this.waitingSince = this.clock.monotonicMilliseconds();
       for (const action of actions) action();
     }
     this.running = false;
+    this.waitingSince = undefined;
   }
 
   private hasWork(): boolean {
--- /dev/null
+++ b/packages/coordinator/src/round-cause.ts
@@ -0,0 +1,16 @@
+/** What caused a placement round of a service. */
+export enum RoundCause {
+  JobAdded = 'job_added',
+  RunEnded = 'run_ended',
+  StartRefused = 'start_refused',
+  /** A worker accepts starts again, or has grown. */
+  WorkerChanged = 'worker_changed',
+  ConfigurationChanged = 'configuration_changed',
+  OrderCompleted = 'order_completed',
+  OrganisationBelowLimit = 'organisation_below_limit',
+  PreemptionCheck = 'preemption_check',
+  /** A condition that kept a task waiting has ended with time. */
+  ConditionLapsed = 'condition_lapsed',
+  /** A scheduled job is due. */
+  JobDue = 'job_due',
+}
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -11,6 +11,7 @@
 import type {Queue} from './operator-records.js';
 import type {OrganisationLimits} from './organisation-limits.js';
 import type {ProgressWriter} from './progress-writer.js';
+import {RoundCause} from './round-cause.js';
 import type {RunLog} from './run-log.js';
 import {CAPACITY_REFUSAL_MILLISECONDS} from './session-runs.js';
 import {OrderRefusal, type EndedRun} from './worker-gateway.js';
@@ -77,7 +78,7 @@
       worker: session.id,
       silentFrom: session.silentFrom,
     });
-    dispatcher.schedulePlacement(session.entry.service);
+    dispatcher.schedulePlacement(session.entry.service, RoundCause.RunEnded);
   }
 
   /** Handles the late end of a run that had been given up. */
@@ -97,7 +98,10 @@
     this.host.stopRuns(execution, task);
     if (effect === RunEndEffect.JobEnded) this.host.jobEnded(execution);
     this.parts.writer.store(execution);
-    this.parts.dispatcher.schedulePlacement(execution.job.service);
+    this.parts.dispatcher.schedulePlacement(
+      execution.job.service,
+      RoundCause.RunEnded,
+    );
   }
 
   /**
@@ -106,7 +110,10 @@
    */
   orphaned(worker: string, run: LiveRun, end: RunEnd): void {
     this.endRun(run, {end, checkpoint: '', worker});
-    this.parts.dispatcher.schedulePlacement(run.execution.job.service);
+    this.parts.dispatcher.schedulePlacement(
+      run.execution.job.service,
+      RoundCause.RunEnded,
+    );
   }
 
   /** Handles a start order that a worker refused. */
@@ -115,7 +122,11 @@
     log.refused(run, session.id, refusal);
     if (refusal === OrderRefusal.Unhealthy) suspicion.suspect(session, refusal);
     this.endRun(run, {end: RunEnd.Lost, checkpoint: '', worker: session.id});
-    const wake = () => dispatcher.schedulePlacement(session.entry.service);
+    const wake = () =>
+      dispatcher.schedulePlacement(
+        session.entry.service,
+        RoundCause.StartRefused,
+      );
     clock.schedule(REFUSAL_PAUSE_MILLISECONDS, wake);
     if (refusal === OrderRefusal.InsufficientCapacity)
       clock.schedule(CAPACITY_REFUSAL_MILLISECONDS, wake);
--- a/packages/coordinator/src/run-preemption.ts
+++ b/packages/coordinator/src/run-preemption.ts
@@ -27,6 +27,7 @@
   workersFor,
 } from './preemption-view.js';
 import type {StoredAction} from './progress-writer.js';
+import {RoundCause} from './round-cause.js';
 import type {RunLog} from './run-log.js';
 import {StoppingRuns} from './stopping-runs.js';
 import type {PlacementCandidate, WaitingJobs} from './waiting-jobs.js';
@@ -44,7 +45,7 @@
   /** Stores the progress of a job, then calls `then`. */
   readonly store: (execution: JobExecution, then?: StoredAction) => void;
   /** Schedules a placement round for a service. */
-  readonly schedulePlacement: (service: string) => void;
+  readonly schedulePlacement: (service: string, cause: RoundCause) => void;
 }
 
 /** A placement round that has ended. */
@@ -249,7 +250,7 @@
     this.retries.add(service);
     this.parts.clock.schedule(RETRY_MILLISECONDS, () => {
       this.retries.delete(service);
-      this.parts.schedulePlacement(service);
+      this.parts.schedulePlacement(service, RoundCause.PreemptionCheck);
     });
   }
 }
--- a/packages/coordinator/src/waiting-jobs.ts
+++ b/packages/coordinator/src/waiting-jobs.ts
@@ -110,6 +110,19 @@
     return this.queueOf(execution)?.service ?? execution.job.service;
   }
 
+  /** Returns the services with jobs that have not ended. */
+  *services(): Iterable<string> {
+    for (const [service, jobs] of this.active) if (jobs.size > 0) yield service;
+  }
+
+  /** Returns whether a task of a service may start now. */
+  hasReadyTasks(service: string): boolean {
+    const wall = this.clock.wallMilliseconds();
+    for (const execution of this.active.get(service) ?? [])
+      if (execution.readyTasks(wall).length > 0) return true;
+    return false;
+  }
+
   /** Returns whether a service has jobs that have not ended. */
   hasJobs(service: string): boolean {
     return (this.active.get(service)?.size ?? 0) > 0;
--- /dev/null
+++ b/packages/coordinator/src/waiting-work-monitor.ts
@@ -0,0 +1,159 @@
+import {
+  LogEvent,
+  MetricName,
+  countBy,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Timer,
+} from '@gentiandoor/kernel';
+import type {RoundObserver, RoundSummary, WaitReason} from './round-outcome.js';
+import type {WorkerSession} from './worker-session.js';
+
+/** Dependencies of a monitor of waiting work. */
+export interface WaitingWorkMonitorParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns all services with jobs. */
+  readonly services: () => Iterable<string>;
+  readonly hasReadyTasks: (service: string) => boolean;
+  readonly sessionsOf: (service: string) => readonly WorkerSession[];
+  /** How long progress has waited to be stored, in milliseconds. */
+  readonly storeWaitMilliseconds: () => number;
+}
+
+const CHECK_INTERVAL_MILLISECONDS = 500;
+/** Work that stands, or progress that is not stored, for longer is logged. */
+const LOGGED_STAND_MILLISECONDS = 1_000;
+/** Minimum interval between two log lines about one service. */
+const MINIMUM_LOG_INTERVAL_MILLISECONDS = 2_000;
+
+/** The last round of a service, and how long its ready tasks have stood. */
+interface ServiceRecord {
+  /** Latest time at which a task was placed or none was ready. */
+  movedAt: number;
+  loggedAt: number;
+  roundAt: number;
+  round: RoundSummary | undefined;
+}
+
+/** Measures for how long ready tasks stand, and logs why. */
+export class WaitingWorkMonitor implements RoundObserver {
+  private readonly records = new Map<string, ServiceRecord>();
+  private timer: Timer | undefined;
+  private storeWaitLoggedAt = -Infinity;
+  private closed = false;
+
+  constructor(private readonly parts: WaitingWorkMonitorParts) {}
+
+  start(): void {
+    if (this.closed) return;
+    this.timer = this.parts.clock.schedule(CHECK_INTERVAL_MILLISECONDS, () => {
+      this.check();
+      this.start();
+    });
+  }
+
+  close(): void {
+    this.closed = true;
+    this.timer?.cancel();
+  }
+
+  noteRound(round: RoundSummary): void {
+    const {metrics} = this.parts;
+    const record = this.recordOf(round.service);
+    for (const cause of round.causes)
+      metrics.increment(MetricName.PlacementRounds, {cause});
+    for (const reason of record.round?.waiting.keys() ?? [])
+      this.gaugeWaiting(round.service, reason, 0);
+    for (const [reason, count] of round.waiting)
+      this.gaugeWaiting(round.service, reason, count);
+    record.round = round;
+    record.roundAt = this.now();
+    if (round.placed > 0 || round.waiting.size === 0)
+      record.movedAt = record.roundAt;
+  }
+
+  private check(): void {
+    this.checkStore();
+    for (const service of this.parts.services()) this.checkService(service);
+  }
+
+  private checkStore(): void {
+    const {metrics, logger, storeWaitMilliseconds} = this.parts;
+    const milliseconds = Math.round(storeWaitMilliseconds());
+    metrics.gauge(MetricName.ProgressStoreWait, milliseconds);
+    if (
+      milliseconds < LOGGED_STAND_MILLISECONDS ||
+      this.now() - this.storeWaitLoggedAt < MINIMUM_LOG_INTERVAL_MILLISECONDS
+    )
+      return;
+    this.storeWaitLoggedAt = this.now();
+    logger.warn(LogEvent.ProgressNotStored, {milliseconds});
+  }
+
+  private checkService(service: string): void {
+    const {metrics, hasReadyTasks} = this.parts;
+    const now = this.now();
+    const record = this.recordOf(service);
+    if (!hasReadyTasks(service)) record.movedAt = now;
+    const stoodMilliseconds = now - record.movedAt;
+    metrics.gauge(MetricName.WorkStanding, Math.round(stoodMilliseconds), {
+      service,
+    });
+    if (
+      stoodMilliseconds < LOGGED_STAND_MILLISECONDS ||
+      now - record.loggedAt < MINIMUM_LOG_INTERVAL_MILLISECONDS
+    )
+      return;
+    record.loggedAt = now;
+    this.log(service, record, stoodMilliseconds);
+  }
+
+  private log(
+    service: string,
+    {round, roundAt}: ServiceRecord,
+    stoodMilliseconds: number,
+  ): void {
+    const {logger, sessionsOf, storeWaitMilliseconds} = this.parts;
+    const sessions = sessionsOf(service);
+    const blocks = sessions.flatMap(({startBlock}) => startBlock ?? []);
+    logger.warn(LogEvent.WorkStands, {
+      service,
+      milliseconds: Math.round(stoodMilliseconds),
+      sinceRoundMilliseconds: round && Math.round(this.now() - roundAt),
+      causes: round && [...round.causes],
+      waiting: round && Object.fromEntries(round.waiting),
+      workers: sessions.length,
+      blocked: Object.fromEntries(countBy(blocks, block => block)),
+      storeWaitMilliseconds: Math.round(storeWaitMilliseconds()),
+    });
+  }
+
+  private gaugeWaiting(
+    service: string,
+    reason: WaitReason,
+    count: number,
+  ): void {
+    this.parts.metrics.gauge(MetricName.TasksWaiting, count, {service, reason});
+  }
+
+  private recordOf(service: string): ServiceRecord {
+    let record = this.records.get(service);
+    if (!record) {
+      record = {
+        movedAt: this.now(),
+        loggedAt: -Infinity,
+        roundAt: -Infinity,
+        round: undefined,
+      };
+      this.records.set(service, record);
+    }
+    return record;
+  }
+
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
+  }
+}
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -14,6 +14,7 @@
 import type {SessionHost} from './session-host.js';
 import {SessionPolls, type PollingSession} from './session-polls.js';
 import {SessionRuns} from './session-runs.js';
+import {StartBlock} from './start-block.js';
 import {
   OrderOutcome,
   OrderRefusal,
@@ -118,18 +119,23 @@
 
   /** Whether a start may be ordered now. */
   get acceptsStarts(): boolean {
-    return (
-      !this.closed &&
-      this.listed &&
-      this.hasValidEntry &&
-      this.host.usesWorkersOf(this.current.service) &&
-      this.polls.hasSeenToken &&
-      !this.liveness.isSilent &&
-      this.cordonedFor === undefined &&
-      !this.isDraining &&
-      (this.enforcesCapacity ||
-        (this.host.areCapacitiesFresh() && !this.polls.hasUnexpectedRuns))
-    );
+    return this.startBlock === undefined;
+  }
+
+  /** Why no start may be ordered now; undefined if one may. */
+  get startBlock(): StartBlock | undefined {
+    if (this.closed) return StartBlock.Closed;
+    if (!this.listed) return StartBlock.NoEntry;
+    if (!this.hasValidEntry) return StartBlock.InvalidEntry;
+    if (!this.host.usesWorkersOf(this.current.service))
+      return StartBlock.ServiceNotUsed;
+    if (!this.polls.hasSeenToken) return StartBlock.NotPolled;
+    if (this.liveness.isSilent) return StartBlock.Silent;
+    if (this.cordonedFor !== undefined) return StartBlock.Cordoned;
+    if (this.isDraining) return StartBlock.Draining;
+    if (this.enforcesCapacity) return undefined;
+    if (!this.host.areCapacitiesFresh()) return StartBlock.CapacityUnknown;
+    return this.polls.hasUnexpectedRuns ? StartBlock.UnexpectedRuns : undefined;
   }
 
   private get enforcesCapacity(): boolean {
--- a/packages/kernel/src/group-by.ts
+++ b/packages/kernel/src/group-by.ts
@@ -12,3 +12,16 @@
   }
   return groups;
 }
+
+/** Returns the number of items of each key, in the order in which the keys first occur. */
+export function countBy<Key, Item>(
+  items: Iterable<Item>,
+  keyOf: (item: Item) => Key,
+): Map<Key, number> {
+  const counts = new Map<Key, number>();
+  for (const item of items) {
+    const key = keyOf(item);
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return counts;
+}
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -199,6 +199,14 @@
   [LogEvent.PoolSized]: entry(
     'What the size of a pool is decided from, when it changes: VMs that take work, are coming and may leave, and work in use, waiting and arriving, in VMs.',
   ),
+  [LogEvent.WorkStands]: entry(
+    'Ready tasks of a service have stood for over a second and none was placed; the line says when and why its last round was, why that round left them, and why workers accept no starts.',
+    'look for more VMs where the reason is `capacity`; report it where workers are idle',
+  ),
+  [LogEvent.ProgressNotStored]: entry(
+    'The coordinator has waited for over a second for the store to keep the progress of jobs; no run starts until it does.',
+    'look at the store; report it if other daemons can append',
+  ),
   [LogEvent.ConfigurationInForce]: entry(
     'A configuration is in force at this daemon.',
   ),
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -64,6 +64,8 @@
   WaveSeen = 1932,
   WaveCompleted = 1933,
   PoolSized = 1934,
+  WorkStands = 1935,
+  ProgressNotStored = 1936,
   ConfigurationInForce = 1941,
   StoreLost = 1942,
   StoreBack = 1943,
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -183,5 +183,21 @@
     'order',
     'outcome',
   ),
+  [MetricName.PlacementRounds]: counter(
+    'placement rounds at the coordinator, by what caused them',
+    'cause',
+  ),
+  [MetricName.TasksWaiting]: gauge(
+    'ready tasks that the last placement round of a service left, by reason',
+    'service',
+    'reason',
+  ),
+  [MetricName.WorkStanding]: gauge(
+    'milliseconds for which ready tasks of a service have stood without one being placed',
+    'service',
+  ),
+  [MetricName.ProgressStoreWait]: gauge(
+    'milliseconds for which progress has waited to be stored, at the coordinator',
+  ),
   [MetricName.TermsTaken]: counter('terms that this daemon took'),
 };
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -88,6 +88,14 @@
   RunWaitDuration = 'run_wait_duration',
   /** Orders to move or maintain VMs, by order and outcome. */
   VmOrders = 'vm_orders',
+  /** Placement rounds, by cause. */
+  PlacementRounds = 'placement_rounds',
+  /** Ready tasks that the last placement round of a service left, by reason. */
+  TasksWaiting = 'tasks_waiting',
+  /** Milliseconds for which ready tasks of a service have stood. */
+  WorkStanding = 'work_standing',
+  /** Milliseconds for which progress has waited to be stored. */
+  ProgressStoreWait = 'progress_store_wait',
   /** Coordinator terms that this daemon acquired. */
   TermsTaken = 'terms_taken',
 }
--- a/packages/scheduling/src/__tests__/placement.test.ts
+++ b/packages/scheduling/src/__tests__/placement.test.ts
@@ -19,6 +19,8 @@
     freeMegabytes: 1_000,
     freeAccelerators: 0,
     totalMillicores: 10_000,
+    totalMegabytes: 10_000,
+    totalAccelerators: 0,
     latencySensitiveTaskCount: 0,
     bestEffortTaskCount: 0,
     taskCount: 0,
--- a/packages/scheduling/src/placement-worker.ts
+++ b/packages/scheduling/src/placement-worker.ts
@@ -10,6 +10,8 @@
   readonly freeMegabytes: number;
   readonly freeAccelerators: number;
   readonly totalMillicores: number;
+  readonly totalMegabytes: number;
+  readonly totalAccelerators: number;
   /** Number of long-running tasks on it that serve requests. */
   readonly latencySensitiveTaskCount: number;
   /** Number of tasks on it that use only processor time left over by others. */
@@ -43,6 +45,22 @@
   return step.bestEffort || worker.freeMillicores >= step.processorMillicores;
 }
 
+/** Whether a task of `step` would fit on the worker if nothing else ran there. */
+export function wouldFitOnIdleWorker(
+  worker: PlacementWorker,
+  step: StepSpecification,
+): boolean {
+  return fitsOnWorker(
+    {
+      ...worker,
+      freeMillicores: worker.totalMillicores,
+      freeMegabytes: worker.totalMegabytes,
+      freeAccelerators: worker.totalAccelerators,
+    },
+    step,
+  );
+}
+
 /** Whether a worker has the label that `step` requires, if any. */
 export function hasRequiredLabel(
   worker: PlacementWorker,
