Soak: whole deployments, whose callers leave before work is checked

The soak played two services of three workers with jobs of one step. The incident was seen on deployments of four services with lasting jobs, demand by turns and a fleet that moves, also after the last caller had left.

Then nobody calls for 14 s, and for 3 s no task may wait beside capacity that is free for it twice over in a service of which less than half is in use.

The stand-in store tells the partitions of a stream apart; it served all of them from the first. The small soak and its checks are as before, but a job whose task failed as often as its queue allows may be shown as failed.

--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -107,6 +107,17 @@
     return [...this.alive.values()];
   }
 
+  /** Resources that the runs alive now take. */
+  get used(): Resources {
+    const used = {processorMillicores: 0, memoryMegabytes: 0, accelerators: 0};
+    for (const {resources} of this.alive.values()) {
+      used.processorMillicores += resources.processorMillicores;
+      used.memoryMegabytes += resources.memoryMegabytes;
+      used.accelerators += resources.accelerators;
+    }
+    return used;
+  }
+
   /** Number of ends that are not acknowledged. */
   get unacknowledged(): number {
     return this.ended.length;
@@ -260,10 +271,11 @@
   }
 
   private hasCapacityFor(required: Resources): boolean {
-    let millicores = required.processorMillicores;
-    for (const run of this.alive.values())
-      millicores += run.resources.processorMillicores;
-    return millicores <= this.capacity.processorMillicores;
+    const {processorMillicores} = this.used;
+    return (
+      processorMillicores + required.processorMillicores <=
+      this.capacity.processorMillicores
+    );
   }
 
   private extendLease(leaseEnd: number): void {
--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -3,12 +3,14 @@
 import {join} from 'node:path';
 import sade from 'sade';
 import {Soak} from '../soak.js';
+import {SMALL_PROFILE, deploymentProfile} from '../soak-profile.js';
 
 interface Options {
   readonly seeds: number;
   readonly first: number;
   readonly daemons: number;
   readonly rounds: number;
+  readonly workers: number;
 }
 
 async function run(options: Options): Promise<void> {
@@ -21,6 +23,10 @@
       daemons: Number(options.daemons),
       rounds: Number(options.rounds),
       folder: join(folder, `seed-${seed}`),
+      profile:
+        Number(options.workers) > 0
+          ? deploymentProfile(Number(options.workers))
+          : SMALL_PROFILE,
     }).play();
     const verdict = result.violations.length === 0 ? 'held' : 'BROKEN';
     console.log(
@@ -41,5 +47,10 @@
   .option('--first', 'The first seed', Math.floor(Math.random() * 1e6))
   .option('--daemons', 'Daemons of each run', 3)
   .option('--rounds', 'Rounds of faults of each run', 25)
+  .option(
+    '--workers',
+    'Workers of each service of a whole deployment; 0 for a small one',
+    0,
+  )
   .action(run)
   .parse(process.argv);
--- a/packages/soak/src/guarantee-violations.ts
+++ b/packages/soak/src/guarantee-violations.ts
@@ -4,9 +4,11 @@
   type StartedRun,
 } from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
-import type {ObservedJob} from './soak-callers.js';
+import {isLongRunning, taskCountOf, type ObservedJob} from './soak-callers.js';
 
 const REFUSED_STATUSES = [429, 503];
+/** Attempts of a task in the queues of the stand-in platform. */
+const MAXIMUM_ATTEMPTS = 3;
 
 /** Returns a description of each guarantee that a soak violated. */
 export function guaranteeViolations(
@@ -33,16 +35,27 @@
       : [];
   // A cancellation without a response may or may not have been stored.
   if (job.cancelTried && job.state === 'cancelled') return [];
+  if (job.state === 'failed' && hasFailedTask(own)) return [];
   const done = new Set(
     own.filter(run => run.end === RunEnd.Done).map(run => run.task),
   ).size;
-  if (job.state === 'completed' && done < job.tasks)
-    return [`${job.id}: shown as completed with ${done} of ${job.tasks} tasks`];
-  return job.state === 'completed'
+  const tasks = taskCountOf(job);
+  if (job.state === 'completed' && done < tasks)
+    return [`${job.id}: shown as completed with ${done} of ${tasks} tasks`];
+  return job.state === (isLongRunning(job) ? 'running' : 'completed')
     ? []
     : [`${job.id}: taken and ${job.state ?? 'never answered'}`];
 }
 
+/** Whether a task ended as failed as often as the stand-in platform's queues allow. */
+export function hasFailedTask(runs: readonly StartedRun[]): boolean {
+  const failures = new Map<string, number>();
+  for (const {task, end} of runs)
+    if (end === RunEnd.Failed)
+      failures.set(task, (failures.get(task) ?? 0) + 1);
+  return Math.max(0, ...failures.values()) >= MAXIMUM_ATTEMPTS;
+}
+
 function runsAfterAcknowledgedEnd(runs: readonly StartedRun[]): string[] {
   return pairsOfRuns(runs)
     .filter(
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -1,11 +1,12 @@
 import {QUEUE_HOST} from '@gentiandoor/platform/stand-ins';
 import {Agent, request} from 'undici';
+import {encodeSteps, type SoakStep} from './workload.js';
 
 /** The responses that callers received about a job. */
 export interface ObservedJob {
   readonly id: string;
   readonly service: string;
-  readonly tasks: number;
+  readonly steps: readonly SoakStep[];
   readonly statuses: number[];
   /** Attempts without a complete response. */
   unanswered: number;
@@ -19,6 +20,18 @@
 const MAXIMUM_ATTEMPTS = 4;
 const RETRY_PAUSE_MILLISECONDS = 400;
 
+/** Returns the number of tasks of a job. */
+export function taskCountOf({steps}: ObservedJob): number {
+  return steps.reduce((count, {tasks}) => count + tasks, 0);
+}
+
+/** Returns whether a job ends only when its caller cancels it. */
+export function isLongRunning({steps}: ObservedJob): boolean {
+  return steps.some(
+    ({durationMilliseconds}) => durationMilliseconds === undefined,
+  );
+}
+
 /** Callers with keep-alive connections that retry at another daemon. */
 export class SoakCallers {
   private readonly agent = new Agent({keepAliveTimeout: 30_000});
@@ -29,9 +42,7 @@
   /** Submits a job with up to four attempts, each at any daemon. */
   async submit(job: ObservedJob): Promise<void> {
     this.jobs.push(job);
-    const steps = [
-      {count: job.tasks, cpu: 1_000, mem_mb: 10, estimated_ms: 300},
-    ];
+    const steps = encodeSteps(job.steps);
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
       const status = await this.call('POST', job, {spec: 'soak', steps});
       if (status === undefined) job.unanswered++;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,7 +1,7 @@
 import {mkdirSync} from 'node:fs';
 import {createServer, type AddressInfo} from 'node:net';
 import {join} from 'node:path';
-import {StoreFault} from '@gentiandoor/coordinator/stand-ins';
+import type {TaskBehaviour} from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
 import {SeededRandom} from '@gentiandoor/kernel';
 import {
@@ -9,9 +9,18 @@
   standInSettings,
 } from '@gentiandoor/platform/stand-ins';
 import {DaemonProcess} from './daemon-process.js';
-import {FaultProxy, ProxyMode} from './fault-proxy.js';
-import {SoakCallers, pause, type ObservedJob} from './soak-callers.js';
+import {FaultProxy} from './fault-proxy.js';
+import {
+  SoakCallers,
+  isLongRunning,
+  pause,
+  type ObservedJob,
+} from './soak-callers.js';
+import {SoakFaults} from './soak-faults.js';
+import {SMALL_PROFILE, type SoakProfile} from './soak-profile.js';
 import {guaranteeViolations} from './guarantee-violations.js';
+import {workLeftWaiting} from './work-left-waiting.js';
+import {behaviourOfTask, type SoakRequest} from './workload.js';
 
 /** Parameters of one soak run. */
 export interface SoakOptions {
@@ -20,6 +29,8 @@
   readonly rounds: number;
   /** Folder of the daemons' settings and logs. */
   readonly folder: string;
+  /** Size and load; a small deployment by default. */
+  readonly profile?: SoakProfile;
 }
 
 /** Outcome of a soak run. */
@@ -30,18 +41,14 @@
   readonly faults: readonly string[];
 }
 
-const SERVICES = ['previews', 'crests'];
-const WORKER_CAPACITY = {
-  processorMillicores: 8_000,
-  memoryMegabytes: 64_000,
-  accelerators: 0,
-};
-const TASK_RESOURCES = {...WORKER_CAPACITY, processorMillicores: 1_000};
 const MAXIMUM_PAUSE_MILLISECONDS = 1_200;
 const MINIMUM_PAUSE_MILLISECONDS = 150;
 /** Covers the longest lease and the jobs that wait for it. */
 const RECOVERY_MILLISECONDS = 25_000;
 const POLL_MILLISECONDS = 500;
+/** On a worker that fails all tasks, each does so after this time. */
+const FAILURE_MILLISECONDS = 20;
+const STANDBY_SERVICE = 'spare';
 
 /**
  * Injects faults into real daemons, heals them, waits for jobs to end, and checks what callers
@@ -49,28 +56,34 @@
  */
 export class Soak {
   private readonly random: SeededRandom;
+  private readonly profile: SoakProfile;
   private readonly platform: StandInPlatform;
   private readonly daemons: DaemonProcess[] = [];
   private readonly proxies: FaultProxy[] = [];
-  private readonly faults: string[] = [];
+  private readonly failingWorkers = new Set<string>();
   private readonly callers: SoakCallers;
+  private readonly faults: SoakFaults;
   private readonly pending: Array<Promise<void>> = [];
-  private jobCount = 0;
+  private readonly jobs = new Map<string, ObservedJob>();
 
   constructor(private readonly options: SoakOptions) {
     this.random = new SeededRandom(options.seed);
+    this.profile = options.profile ?? SMALL_PROFILE;
     this.platform = new StandInPlatform({
-      services: SERVICES,
-      standbyService: 'spare',
-      workersPerService: 3,
-      capacity: WORKER_CAPACITY,
-      behaviourOf: task => ({
-        durationMilliseconds: 150 + (hashOf(task) % 1_500),
-        end: RunEnd.Done,
-        resources: TASK_RESOURCES,
-      }),
+      services: this.profile.services,
+      standbyService: STANDBY_SERVICE,
+      workersPerService: this.profile.workersPerService,
+      capacity: this.profile.workerCapacity,
+      behaviourOf: (task, worker) => this.behaviourOf(task, worker),
     });
-    this.callers = new SoakCallers(() => this.pick(this.daemons).callers);
+    this.callers = new SoakCallers(
+      () => this.daemons[this.random.nextInteger(this.daemons.length)].callers,
+    );
+    const {platform, daemons, proxies, failingWorkers, random} = this;
+    this.faults = new SoakFaults(
+      {platform, daemons, proxies, failingWorkers, random},
+      this.profile.hasFleetFaults,
+    );
   }
 
   async play(): Promise<SoakResult> {
@@ -79,28 +92,55 @@
     for (let index = 0; index < this.options.daemons; index++)
       await this.addDaemon(index);
     await pause(2 * MAXIMUM_PAUSE_MILLISECONDS);
-    for (let round = 0; round < this.options.rounds; round++) {
-      this.submitJobs();
-      this.injectFault(round);
-      await pause(
-        MINIMUM_PAUSE_MILLISECONDS +
-          this.random.nextInteger(MAXIMUM_PAUSE_MILLISECONDS),
-      );
-    }
-    this.heal();
-    await Promise.all(this.pending);
+    await this.playRounds();
+    this.faults.heal();
+    await this.settle();
+    const left = await this.workLeftWaiting();
     await this.waitForJobEnds();
     const runs = this.platform.startedRuns();
     const violations = guaranteeViolations(this.callers.jobs, runs);
     await this.stop();
     return {
-      violations,
+      violations: [...left, ...violations],
       jobs: this.callers.jobs.length,
       runs: runs.length,
-      faults: this.faults,
+      faults: this.faults.log,
     };
   }
 
+  private async playRounds(): Promise<void> {
+    const workload = this.profile.newWorkload(this.random);
+    const startedAt = performance.now();
+    for (let round = 0; round < this.options.rounds; round++) {
+      const elapsed = performance.now() - startedAt;
+      for (const request of workload.requestsOf(round, elapsed))
+        this.submit(request);
+      this.faults.inject(round);
+      await pause(
+        MINIMUM_PAUSE_MILLISECONDS +
+          this.random.nextInteger(MAXIMUM_PAUSE_MILLISECONDS),
+      );
+    }
+  }
+
+  /** Waits for calls and restarts in progress, after which all daemons are to run. */
+  private async settle(): Promise<void> {
+    await Promise.all([...this.pending, ...this.faults.pending]);
+    this.faults.heal();
+  }
+
+  /** Leaves the deployment without a call for a while; returns the work that waits all the same. */
+  private async workLeftWaiting(): Promise<string[]> {
+    const {quietMilliseconds} = this.profile;
+    if (quietMilliseconds === 0) return [];
+    await pause(quietMilliseconds);
+    return workLeftWaiting(
+      this.callers.jobs,
+      () => this.platform.liveWorkers(),
+      () => this.platform.startedRuns(),
+    );
+  }
+
   private async addDaemon(index: number): Promise<void> {
     // Each daemon has its own loopback address, as each VM has its own address.
     const host = loopbackHost(process.pid, index);
@@ -124,84 +164,37 @@
     daemon.start();
   }
 
-  private submitJobs(): void {
-    for (let count = 1 + this.random.nextInteger(3); count > 0; count--) {
-      const job: ObservedJob = {
-        id: (++this.jobCount).toString(16).padStart(16, '0'),
-        service: this.pick(SERVICES),
-        tasks: 1 + this.random.nextInteger(4),
-        statuses: [],
-        unanswered: 0,
-        cancelled: false,
-        cancelTried: false,
-        state: undefined,
-      };
-      const cancels = this.random.nextInteger(8) === 0;
-      this.pending.push(
-        this.callers
-          .submit(job)
-          .then(() => (cancels ? this.callers.cancel(job) : undefined)),
-      );
-    }
-  }
-
-  private injectFault(round: number): void {
-    const index = this.random.nextInteger(this.daemons.length);
-    const daemon = this.daemons[index];
-    const note = (what: string) => this.faults.push(`${round}: ${what}`);
-    switch (this.random.nextInteger(9)) {
-      case 0:
-        note(`${daemon.node} killed and started`);
-        this.awaitBeforeCheck(daemon.end('SIGKILL').then(() => daemon.start()));
-        return;
-      case 1:
-        note(`${daemon.node} stopped gracefully and started`);
-        this.awaitBeforeCheck(daemon.end('SIGTERM').then(() => daemon.start()));
-        return;
-      case 2:
-        note(`${daemon.node} paused`);
-        daemon.signal('SIGSTOP');
-        setTimeout(
-          () => daemon.signal('SIGCONT'),
-          500 + this.random.nextInteger(4_000),
-        );
-        return;
-      case 3:
-      case 4: {
-        const mode = this.pick(Object.values(ProxyMode));
-        note(`${daemon.node} to the store: ${mode}`);
-        this.proxies[index].setMode(mode);
-        return;
-      }
-      case 5: {
-        const fault = this.pick([undefined, ...Object.values(StoreFault)]);
-        note(`store: ${fault ?? 'well'}`);
-        this.platform.storeConnection.setFault(fault);
-        return;
-      }
-      case 6: {
-        const worker = this.pick(this.platform.liveWorkers());
-        note(`${worker.id} crashes`);
-        this.platform.crash(worker.id);
-        return;
-      }
-      case 7:
-        note(`${daemon.node} told to read its settings`);
-        daemon.signal('SIGHUP');
-        return;
-      default:
-        note('all well');
-        this.heal();
-    }
+  private submit({service, steps}: SoakRequest): void {
+    const job: ObservedJob = {
+      id: (this.jobs.size + 1).toString(16).padStart(16, '0'),
+      service,
+      steps,
+      statuses: [],
+      unanswered: 0,
+      cancelled: false,
+      cancelTried: false,
+      state: undefined,
+    };
+    this.jobs.set(job.id, job);
+    const cancels = this.random.nextInteger(8) === 0 && !isLongRunning(job);
+    this.pending.push(
+      this.callers
+        .submit(job)
+        .then(() => (cancels ? this.callers.cancel(job) : undefined)),
+    );
   }
 
-  private heal(): void {
-    this.platform.storeConnection.setFault(undefined);
-    for (const proxy of this.proxies) proxy.setMode(ProxyMode.Pass);
-    for (const daemon of this.daemons) {
-      daemon.signal('SIGCONT');
-      daemon.start();
-    }
+  private behaviourOf(task: string, worker: string): TaskBehaviour {
+    const [id, , step] = task.split('.');
+    const job = this.jobs.get(id);
+    if (!job) throw new Error(`job ${id} was not submitted`);
+    const behaviour = behaviourOfTask(job.steps[Number(step)], task);
+    if (!this.failingWorkers.has(worker)) return behaviour;
+    return {
+      ...behaviour,
+      durationMilliseconds: FAILURE_MILLISECONDS,
+      end: RunEnd.Failed,
+    };
   }
 
   private async waitForJobEnds(): Promise<void> {
@@ -210,7 +203,8 @@
       const open = this.callers.jobs.filter(
         job =>
           job.statuses.includes(200) &&
-          !['completed', 'cancelled', 'failed'].includes(job.state ?? ''),
+          !['completed', 'cancelled', 'failed'].includes(job.state ?? '') &&
+          !(isLongRunning(job) && job.state === 'running'),
       );
       if (open.length === 0) break;
       await Promise.all(open.map(job => this.callers.queryState(job)));
@@ -226,21 +220,6 @@
     await this.callers.stop();
     this.platform.stop();
   }
-
-  private awaitBeforeCheck(work: Promise<void>): void {
-    this.pending.push(work);
-  }
-
-  private pick<Item>(items: readonly Item[]): Item {
-    return items[this.random.nextInteger(items.length)];
-  }
-}
-
-function hashOf(text: string): number {
-  let hash = 7;
-  for (const character of text)
-    hash = (hash * 31 + character.charCodeAt(0)) % 1_000_003;
-  return hash;
 }
 
 const OCTETS = 256;
