A timer of the system clock never fires early

Callers saw an accepted job that stays queued for ever beside an idle worker, on real processes only.

Decisions compare times of that clock: the only timer that was to place a refused task again found its worker still counted as full, left the task, and no other event of its service ever came.

Fix: SystemClock.schedule keeps the contract that the virtual clock keeps, and starts another timer for what is missing. It holds for every wait of the product: refusals, avoided workers, isolation, leases, terms. Delays that do not fit into a timer are capped instead of firing at once.

--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -12,7 +12,10 @@
   monotonicMilliseconds(): number;
   /** Milliseconds since the Unix epoch; for display and records only. */
   wallMilliseconds(): number;
-  /** Calls `action` once after `delayMilliseconds`. */
+  /**
+   * Calls `action` once after `delayMilliseconds`, never before `monotonicMilliseconds` has advanced
+   * by as much.
+   */
   schedule(delayMilliseconds: number, action: () => void): Timer;
 }
 
@@ -37,6 +40,13 @@
   });
 }
 
+/** A longer delay does not fit into a timer of Node.js, which would fire at once. */
+const MAXIMUM_TIMER_MILLISECONDS = 2 ** 31 - 1;
+
+function startTimer(action: () => void, milliseconds: number): NodeJS.Timeout {
+  return setTimeout(action, Math.min(milliseconds, MAXIMUM_TIMER_MILLISECONDS));
+}
+
 /** The system clock. */
 export class SystemClock implements Clock {
   monotonicMilliseconds(): number {
@@ -48,7 +58,14 @@
   }
 
   schedule(delayMilliseconds: number, action: () => void): Timer {
-    const handle = setTimeout(action, delayMilliseconds);
+    const dueAt = this.monotonicMilliseconds() + delayMilliseconds;
+    const run = () => {
+      const remaining = dueAt - this.monotonicMilliseconds();
+      // Timers of Node.js count whole milliseconds and may fire one too early.
+      if (remaining > 0) handle = startTimer(run, remaining);
+      else action();
+    };
+    let handle = startTimer(run, delayMilliseconds);
     return {cancel: () => clearTimeout(handle)};
   }
 }
