Only a full pool uses up the miss limit of a placement round

Cause: a round stops trying after twelve steps that found no worker, whatever they lacked. Lasting jobs always go first, so twelve of them that wait for a lost worker's label, for more workers than there are, or for a worker larger than any, use up the limit in every round. The class: a bound that is meant for one cause (the pool is full) counts others as well.

Fix: a step counts only if the pool has no worker, or if capacity is what it lacks and half of the pool is in use. The rounds of a full pool are bounded as before.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -26,7 +26,12 @@
 import {PlacementRound, type TaskPlacementRequest} from './placement-round.js';
 import {PlacementSchedule} from './placement-schedule.js';
 import {RoundCause} from './round-cause.js';
-import {RoundLimit, RoundOutcome, type RoundObserver} from './round-outcome.js';
+import {
+  RoundLimit,
+  RoundOutcome,
+  type RoundObserver,
+  type WaitReason,
+} from './round-outcome.js';
 import type {RunPreemption} from './run-preemption.js';
 import type {ServiceDemand} from './service-demand.js';
 import {WaitingLoadCounter, type ServiceLoad} from './service-load.js';
@@ -63,7 +68,7 @@
 }
 
 /**
- * A placement round stops after this many steps found no worker with enough capacity. Steps of
+ * A placement round stops after this many steps found the pool full. Steps of
  * excess jobs are counted separately: otherwise capacity that large entitled tasks can't use would
  * stay idle although smaller excess tasks fit.
  */
@@ -305,8 +310,7 @@
   }
 
   /**
-   * Places the ready tasks of a job; returns the number of its steps for which capacity was
-   * missing.
+   * Places the ready tasks of a job; returns the number of its steps that found the pool full.
    */
   private placeCandidate(
     placement: ServicePlacement,
@@ -316,7 +320,9 @@
       placement;
     let isWaiting = false;
     const {execution} = candidate;
-    const unplacedSteps = new Set<string>();
+    /** Why steps of the job wait. */
+    const reasons = new Map<string, WaitReason>();
+    let misses = 0;
     for (const tasks of groupsOf(candidate.ready)) {
       if (!this.mayOrder(tasks)) {
         this.schedule.requestAfterOrders(service);
@@ -332,20 +338,22 @@
       const key = stepName(execution.job.id, tasks[0]);
       const isPlaced =
         !isMissLimitReached &&
-        !unplacedSteps.has(key) &&
+        !reasons.has(key) &&
         this.placeTogether(round, candidate, tasks, now);
       if (isPlaced) {
         outcome.notePlaced(tasks);
         continue;
       }
       this.retryIsolated(service, candidate, tasks);
-      unplacedSteps.add(key);
-      outcome.noteWaiting(
-        tasks,
-        isMissLimitReached
-          ? RoundLimit.Misses
-          : round.shortageOf(this.placementRequestOf(execution, tasks[0], now)),
-      );
+      let reason = isMissLimitReached ? RoundLimit.Misses : reasons.get(key);
+      if (reason === undefined) {
+        const request = this.placementRequestOf(execution, tasks[0], now);
+        const shortage = round.shortageOf(request);
+        if (round.indicatesFullPool(shortage)) misses++;
+        reason = shortage;
+      }
+      reasons.set(key, reason);
+      outcome.noteWaiting(tasks, reason);
       if (!isMissLimitReached)
         this.preemption?.noteUnplaced(
           candidate,
@@ -356,7 +364,7 @@
       isWaiting = true;
     }
     if (isWaiting) placement.unplaced.push(candidate);
-    return unplacedSteps.size;
+    return misses;
   }
 
   private retryIsolated(
--- a/packages/coordinator/src/placement-round.ts
+++ b/packages/coordinator/src/placement-round.ts
@@ -1,4 +1,5 @@
 import {
+  indicatesFullPool,
   shortageOf,
   type PlacementRequest,
   type PlacementShortage,
@@ -39,6 +40,11 @@
     return this.sessions.get(worker.id);
   }
 
+  /** Returns whether a shortage indicates that the pool is full. */
+  indicatesFullPool(shortage: PlacementShortage): boolean {
+    return indicatesFullPool(shortage, this.committedViews);
+  }
+
   /** Returns what keeps a task that found no worker from being placed. */
   shortageOf(task: TaskPlacementRequest): PlacementShortage {
     return shortageOf({...task, now: this.now}, this.committedViews);
--- a/packages/scheduling/src/__tests__/placement.test.ts
+++ b/packages/scheduling/src/__tests__/placement.test.ts
@@ -2,6 +2,11 @@
 import {describe, it} from 'node:test';
 import {PLAIN_STEP, type StepSpecification} from '@gentiandoor/jobs';
 import {LeaseClock, worstCaseLeaseMilliseconds} from '../lease-clock.js';
+import {
+  PlacementShortage,
+  indicatesFullPool,
+  shortageOf,
+} from '../placement-shortage.js';
 import {FullestFirst} from '../worker-choice.js';
 import type {PlacementWorker} from '../placement-worker.js';
 
@@ -123,3 +128,59 @@
     assert.equal(new LeaseClock().hasLapsed(1e9), false);
   });
 });
+
+describe('shortageOf', () => {
+  const plainStep = {...PLAIN_STEP, processorMillicores: 1_000};
+
+  function shortage(
+    workers: readonly PlacementWorker[],
+    overrides: Partial<StepSpecification> = {},
+  ): PlacementShortage {
+    return shortageOf(
+      {
+        stepKey: 'a',
+        step: {...plainStep, ...overrides},
+        job: 'job',
+        avoid: {workers: new Set(), isMandatory: false},
+        isIsolated: false,
+        now: 0,
+      },
+      workers,
+    );
+  }
+
+  it('tells what a task lacks', () => {
+    const full = worker('full', {freeMillicores: 500});
+    const taken = worker('taken', {taskCountOfStep: () => 1});
+    assert.equal(shortage([]), PlacementShortage.NoWorker);
+    assert.equal(
+      shortage([full], {requiredLabel: 'missing'}),
+      PlacementShortage.NoSuitableWorker,
+    );
+    assert.equal(
+      shortage([full], {processorMillicores: 20_000}),
+      PlacementShortage.NoSuitableWorker,
+    );
+    assert.equal(
+      shortage([taken], {maximumPerWorker: 1}),
+      PlacementShortage.SpreadLimit,
+    );
+    assert.equal(shortage([full]), PlacementShortage.Capacity);
+    assert.equal(
+      shortage([worker('suspect', {reliability: 0, taskCount: 1})]),
+      PlacementShortage.Restricted,
+    );
+  });
+
+  it('indicates a full pool only if capacity is short and half of it in use', () => {
+    const full = worker('full', {freeMillicores: 500});
+    const idle = worker('idle', {
+      freeMillicores: 10_000,
+      freeMegabytes: 10_000,
+    });
+    const {Capacity, SpreadLimit} = PlacementShortage;
+    assert.equal(indicatesFullPool(Capacity, [full]), true);
+    assert.equal(indicatesFullPool(Capacity, [full, idle, idle]), false);
+    assert.equal(indicatesFullPool(SpreadLimit, [full]), false);
+  });
+});
--- a/packages/scheduling/src/placement-shortage.ts
+++ b/packages/scheduling/src/placement-shortage.ts
@@ -19,6 +19,42 @@
   Restricted = 'restricted',
 }
 
+/** From this share of its capacity in use on, a pool may leave tasks that would still fit. */
+const BUSY_SHARE = 0.5;
+
+/**
+ * Returns whether a shortage indicates that the pool is full, so that trying further tasks is mostly
+ * futile.
+ * Load: jobs that wait for one worker or label, or for more workers than there are, beside a pool
+ * that is nearly idle. Without it, enough of them keep all other jobs from being tried.
+ */
+export function indicatesFullPool(
+  shortage: PlacementShortage,
+  workers: readonly PlacementWorker[],
+): boolean {
+  switch (shortage) {
+    case PlacementShortage.NoWorker:
+      return true;
+    case PlacementShortage.Capacity:
+    case PlacementShortage.Restricted:
+      return isBusy(workers);
+    default:
+      return false;
+  }
+}
+
+function isBusy(workers: readonly PlacementWorker[]): boolean {
+  const sum = (valueOf: (worker: PlacementWorker) => number) =>
+    workers.reduce((total, worker) => total + valueOf(worker), 0);
+  const freeShare = 1 - BUSY_SHARE;
+  return (
+    sum(worker => worker.freeMillicores) <=
+      freeShare * sum(worker => worker.totalMillicores) ||
+    sum(worker => worker.freeMegabytes) <=
+      freeShare * sum(worker => worker.totalMegabytes)
+  );
+}
+
 /** Returns what keeps a task that found no worker from being placed. */
 export function shortageOf(
   {step, stepKey}: PlacementRequest,
