The end of a run wakes the service where its job waits

Callers saw a job of two steps whose second step never starts, although its queue has idle workers: a configuration gave the queue to another service while the first step ran, and nothing else was submitted there.

Cause: the end of a run scheduled a placement round for the service of its worker, or, if it was read late or its worker was gone, for the service that the queue had at the submission. The job waits where the configuration of today sends its queue. The class: a wake-up for another key than the one under which the work waits.

Fix: one method of the dispatcher wakes both, the service of the worker, which has capacity again, and the one where the job waits, after an end, a late end, an orphaned run and a refusal.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -205,6 +205,16 @@
     this.schedule.request(service, cause);
   }
 
+  /**
+   * Schedules rounds after the end of a run: for the service of its worker, which has capacity
+   * again, and for the one where its job waits, which another configuration may have changed.
+   */
+  noteRunEnded(execution: JobExecution, workerService?: string): void {
+    if (workerService !== undefined)
+      this.schedulePlacement(workerService, RoundCause.RunEnded);
+    this.schedulePlacement(this.jobs.serviceOf(execution), RoundCause.RunEnded);
+  }
+
   /** Schedules services that wait for orders in flight, since the outcome of one is known. */
   noteOrderCompleted(): void {
     this.schedule.noteOrderCompleted();
--- a/packages/coordinator/src/round-cause.ts
+++ b/packages/coordinator/src/round-cause.ts
@@ -2,7 +2,6 @@
 export enum RoundCause {
   JobAdded = 'job_added',
   RunEnded = 'run_ended',
-  StartRefused = 'start_refused',
   /** A worker accepts starts again, or has grown. */
   WorkerChanged = 'worker_changed',
   ConfigurationChanged = 'configuration_changed',
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -11,7 +11,6 @@
 import type {Queue} from './operator-records.js';
 import type {OrganisationLimits} from './organisation-limits.js';
 import type {ProgressWriter} from './progress-writer.js';
-import {RoundCause} from './round-cause.js';
 import type {RunLog} from './run-log.js';
 import {CAPACITY_REFUSAL_MILLISECONDS} from './session-runs.js';
 import {OrderRefusal, type EndedRun} from './worker-gateway.js';
@@ -78,7 +77,7 @@
       worker: session.id,
       silentFrom: session.silentFrom,
     });
-    dispatcher.schedulePlacement(session.entry.service, RoundCause.RunEnded);
+    dispatcher.noteRunEnded(run.execution, session.entry.service);
   }
 
   /** Handles the late end of a run that had been given up. */
@@ -98,10 +97,7 @@
     this.host.stopRuns(execution, task);
     if (effect === RunEndEffect.JobEnded) this.host.jobEnded(execution);
     this.parts.writer.store(execution);
-    this.parts.dispatcher.schedulePlacement(
-      execution.job.service,
-      RoundCause.RunEnded,
-    );
+    this.parts.dispatcher.noteRunEnded(execution);
   }
 
   /**
@@ -110,10 +106,7 @@
    */
   orphaned(worker: string, run: LiveRun, end: RunEnd): void {
     this.endRun(run, {end, checkpoint: '', worker});
-    this.parts.dispatcher.schedulePlacement(
-      run.execution.job.service,
-      RoundCause.RunEnded,
-    );
+    this.parts.dispatcher.noteRunEnded(run.execution);
   }
 
   /** Handles a start order that a worker refused. */
@@ -123,10 +116,7 @@
     if (refusal === OrderRefusal.Unhealthy) suspicion.suspect(session, refusal);
     this.endRun(run, {end: RunEnd.Lost, checkpoint: '', worker: session.id});
     const wake = () =>
-      dispatcher.schedulePlacement(
-        session.entry.service,
-        RoundCause.StartRefused,
-      );
+      dispatcher.noteRunEnded(run.execution, session.entry.service);
     clock.schedule(REFUSAL_PAUSE_MILLISECONDS, wake);
     if (refusal === OrderRefusal.InsufficientCapacity)
       clock.schedule(CAPACITY_REFUSAL_MILLISECONDS, wake);
