A waiting occurrence does not hide when the next one is due

Callers saw a scheduled job whose next occurrence does not start at its time while a task of an earlier one can't be placed.

Cause: only jobs without any ready task were asked when their next occurrence is due, so a job with a task that waits got no timer; the next occurrence started with the next event of its service, or never.

Fix: each job is asked. The timer of a service stays a single one.

Evidence: scheduled-jobs.test.ts, the task of the second occurrence did not start within 4 s of its time before, and starts at its time since.

--- a/packages/coordinator/src/waiting-jobs.ts
+++ b/packages/coordinator/src/waiting-jobs.ts
@@ -58,7 +58,7 @@
 export interface ReadyJobs {
   readonly candidates: readonly PlacementCandidate[];
   /**
-   * Wall-clock time at which the next of the other jobs is due; infinite if there is
+   * Wall-clock time at which the next occurrence of a job is due; infinite if there is
    * none.
    */
   readonly nextDue: number;
@@ -157,11 +157,10 @@
       const ready = execution.readyTasks(wall);
       if (ready.length > 0)
         candidates.push(this.candidate(execution, ready, now, wall));
-      else
-        nextDue = Math.min(
-          nextDue,
-          execution.nextScheduledStartAfter(wall) ?? Infinity,
-        );
+      nextDue = Math.min(
+        nextDue,
+        execution.nextScheduledStartAfter(wall) ?? Infinity,
+      );
     }
     return {candidates, nextDue};
   }
