Tasks kept from a worker for a time are tried again when it is over

Callers saw jobs that stay queued beside workers that had been suspect: a suspect worker takes a single task at a time, for 4 s, and where it holds a lasting task it takes none.

Cause: the end of a suspicion is no event, and nothing looked again. After the last caller had left, the next event never came. The same holds for each restriction that ends with time; isolation had a retry of its own, avoidance a single timer.

Fix: a round that leaves a task although capacity is free for it on a worker where it must not start for now has the service looked at again every 200 ms, as it was for isolated tasks already.

--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -9,6 +9,7 @@
   type SharePolicy,
 } from '@gentiandoor/organisations';
 import {
+  PlacementShortage,
   largestCapacity,
   type PoolMillicores,
   type WaitingOrder,
@@ -360,6 +361,8 @@
         const request = this.placementRequestOf(execution, tasks[0], now);
         const shortage = round.shortageOf(request);
         if (round.indicatesFullPool(shortage)) misses++;
+        if (shortage === PlacementShortage.Restricted)
+          this.schedule.retryRestricted(service);
         reason = shortage;
       }
       reasons.set(key, reason);
@@ -383,7 +386,7 @@
     tasks: readonly ExecutableTask[],
   ): void {
     if (tasks.some(task => this.mustIsolate(execution, task)))
-      this.schedule.retryIsolated(service);
+      this.schedule.retryRestricted(service);
   }
 
   /**
--- a/packages/coordinator/src/placement-schedule.ts
+++ b/packages/coordinator/src/placement-schedule.ts
@@ -7,7 +7,7 @@
 
 /** Longest timer for a step that is due later; limited since the wall clock may jump. */
 const MAXIMUM_DUE_TIMER_MILLISECONDS = 1_000;
-const ISOLATION_RETRY_MILLISECONDS = 200;
+const RESTRICTION_RETRY_MILLISECONDS = 200;
 
 /** Decides when the services get their placement rounds, and in which order. */
 export class PlacementSchedule {
@@ -18,8 +18,8 @@
   private readonly serviceOrder = new LeastRecentlyServedOrder();
   /** One timer per service with a job that is due later. */
   private readonly dueTimers = new Map<string, Timer>();
-  /** Services with a scheduled retry for a task that must be isolated. */
-  private readonly isolationRetries = new Set<string>();
+  /** Services with a scheduled retry for tasks that must not start on some worker for now. */
+  private readonly restrictionRetries = new Set<string>();
   private scheduled = false;
   private placedAt = -Infinity;
   private placementDelayMilliseconds = 0;
@@ -69,14 +69,14 @@
   }
 
   /**
-   * Schedules a retry for tasks that must be isolated: what they wait for ends with time, without
-   * an event.
+   * Schedules a retry for tasks that must not start on some worker for now: isolation, suspicion and
+   * avoidance end with time, without an event.
    */
-  retryIsolated(service: string): void {
-    if (this.isolationRetries.has(service)) return;
-    this.isolationRetries.add(service);
-    this.clock.schedule(ISOLATION_RETRY_MILLISECONDS, () => {
-      this.isolationRetries.delete(service);
+  retryRestricted(service: string): void {
+    if (this.restrictionRetries.has(service)) return;
+    this.restrictionRetries.add(service);
+    this.clock.schedule(RESTRICTION_RETRY_MILLISECONDS, () => {
+      this.restrictionRetries.delete(service);
       this.request(service, RoundCause.ConditionLapsed);
     });
   }
