A VM that is not moved after all takes work of its pool again

Callers saw jobs that stay queued while VMs of their pool are idle.

Cause: a busy VM is cordoned so that another pool gets it once it is empty. It was uncordoned only while something ran on it. If its own pool needed it by the time it was empty, it was not moved, counted as usable in the size of the pool, and accepted no start until the pool had VMs to spare again. The class: a state that ends only through the action for which it was set.

Fix: each plan uncordons the VMs that it neither wants emptied nor moves now.

--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -189,7 +189,10 @@
 
   private planMoves(pools: readonly PlannedPool[]): VmOrderRequest[] {
     const plan = planPools(pools);
-    this.cordonForMoves(new Set(plan.cordon));
+    this.cordonForMoves(
+      new Set(plan.cordon),
+      new Set(plan.moves.map(({vm}) => vm)),
+    );
     return plan.moves.flatMap(move => {
       const vm = this.vms.find(listed => listed.name === move.vm);
       const isImpossible = this.impossibleMoves.has(`${move.vm}>${move.to}`);
@@ -209,15 +212,20 @@
     };
   }
 
-  /** Cordons VMs that are to move, and uncordons those that no longer need to. */
-  private cordonForMoves(names: ReadonlySet<string>): void {
+  /**
+   * Cordons VMs that are to move, and uncordons those that no longer need to, unless they move now.
+   */
+  private cordonForMoves(
+    names: ReadonlySet<string>,
+    moving: ReadonlySet<string>,
+  ): void {
     for (const vm of this.vms) {
       const session = this.sessionOn(vm);
       if (!session) continue;
       if (names.has(vm.name)) {
         if (session.cordonReason === undefined) session.cordon(POOL_CHANGE);
         this.evacuation?.evacuate(session);
-      } else if (session.cordonReason === POOL_CHANGE && session.runs.size > 0)
+      } else if (session.cordonReason === POOL_CHANGE && !moving.has(vm.name))
         session.cordon(undefined);
     }
   }
