A fenced coordinator gives its term up

Callers would see every accepted job stand for as long as the daemon lives.

Cause: a coordinator that is told of a higher fencing token, by a worker, a VM order or the store, closes itself, and one that is fenced at its start returns at once. Its election knew nothing of it and went on renewing the term, so no other daemon took the next one. The class: a holder of a lease that keeps it without doing what it is for.

Fix: the coordinator resigns. The election releases the term, and any daemon, this one included, takes the next, with a higher token.

No run has shown how a holder of the newest term could meet a higher token.

--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -231,11 +231,7 @@
 
   private begin(term: number): void {
     this.coordinator?.close();
-    this.coordinator = new Coordinator(
-      term,
-      this.parts,
-      () => this.election.isValid,
-    );
+    this.coordinator = new Coordinator(term, this.parts, this.election);
     void this.coordinator.run();
   }
 
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -92,6 +92,7 @@
   private wallClockOffset = 0;
   private isHolder = false;
   private stopping = false;
+  private resigning = false;
   private finished: Promise<void> | undefined;
   private startedAt = 0;
   private readonly roster: DaemonRoster;
@@ -122,6 +123,14 @@
     this.finished = this.run();
   }
 
+  /**
+   * Releases the term because its coordinator can give no orders in it; this daemon stays a candidate
+   * for the next one.
+   */
+  resign(): void {
+    this.resigning = this.isHolder;
+  }
+
   /** Releases the term, so that the next coordinator can start immediately. */
   async stop(): Promise<void> {
     this.stopping = true;
@@ -134,7 +143,8 @@
     while (!this.stopping && !(await this.readCurrent()))
       await this.pause(RETRY_MILLISECONDS);
     while (!this.stopping) {
-      if (this.isHolder) await this.renew();
+      if (this.isHolder && this.resigning) await this.release();
+      else if (this.isHolder) await this.renew();
       else await this.watch();
     }
     if (this.isHolder) await this.release();
@@ -143,7 +153,7 @@
   private async renew(): Promise<void> {
     const pause = this.isValid ? RENEWAL_MILLISECONDS : RETRY_MILLISECONDS;
     await this.pause(pause);
-    if (this.stopping || !this.current) return;
+    if (this.stopping || this.resigning || !this.current) return;
     await this.write({
       ...this.current,
       released: false,
@@ -308,6 +318,7 @@
   private async release(): Promise<void> {
     const {current} = this;
     this.isHolder = false;
+    this.resigning = false;
     this.listener.onTermEnded();
     if (!current) return;
     const result = await this.log.append(
@@ -315,6 +326,8 @@
       [encodeTerm({...current, released: true})],
       {expectedEndOffset: this.endOffset},
     );
+    if (result.outcome === AppendOutcome.Appended)
+      this.endOffset = result.endOffset;
     this.logger.info(LogEvent.TermReleased, {
       term: current.term,
       outcome: result.outcome,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -82,6 +82,14 @@
   readonly metrics: Metrics;
 }
 
+/** Holds the term in which a coordinator gives orders. */
+export interface TermHolder {
+  /** Whether the term is held and orders may be issued now. */
+  readonly isValid: boolean;
+  /** Gives the term up, since no order is accepted in it any more. */
+  resign(): void;
+}
+
 /** Runs survive a network partition shorter than this. */
 const LEASE_MILLISECONDS = 8_000;
 const RECOVERY_RETRY_MILLISECONDS = 100;
@@ -119,7 +127,7 @@
   constructor(
     readonly term: number,
     private readonly parts: CoordinatorParts,
-    private readonly termIsValid: () => boolean,
+    private readonly holder: TermHolder,
   ) {
     const {settings, clock} = parts;
     this.termStartedAt = clock.monotonicMilliseconds();
@@ -214,7 +222,10 @@
   /** Recovers what earlier coordinators ordered, then continues from there until closed. */
   async run(): Promise<void> {
     const {logger, clock} = this.parts;
-    if (!(await this.writer.fenceEarlierTerms())) return;
+    if (!(await this.writer.fenceEarlierTerms())) {
+      if (!this.closed) this.onFenced();
+      return;
+    }
     // Earlier terms can no longer write: a read from now on returns everything that they ordered.
     while (!this.closed && !(await this.parts.jobs.refresh()))
       await sleep(this.parts.clock, RECOVERY_RETRY_MILLISECONDS);
@@ -257,7 +268,7 @@
   }
 
   ordersAllowed(): boolean {
-    return !this.closed && this.recovered && this.termIsValid();
+    return !this.closed && this.recovered && this.holder.isValid;
   }
 
   onFenced(): void {
@@ -266,6 +277,7 @@
       reason: 'a higher fencing token was seen',
     });
     this.close();
+    this.holder.resign();
   }
 
   sessionsOf(service: string): readonly WorkerSession[] {
--- a/packages/entry/src/coordinator-plugin.ts
+++ b/packages/entry/src/coordinator-plugin.ts
@@ -57,11 +57,7 @@
   onTermStarted(term: number): void {
     this.coordinator?.close();
     this.parts.metrics.increment(MetricName.TermsTaken);
-    const coordinator = new Coordinator(
-      term,
-      this.parts,
-      () => this.election.isValid,
-    );
+    const coordinator = new Coordinator(term, this.parts, this.election);
     this.coordinator = coordinator;
     coordinator.run().catch((error: unknown) => {
       this.parts.logger.error(LogEvent.TaskFailed, {
