Entries that grow old during a read wake the work that waited for them

Callers saw a job that never starts, on workers that do not enforce their capacity: it was submitted in the last milliseconds of a slow read of their entries, which were then too old to rely on.

Cause: whether the entries were fresh was asked before the read and after it. Entries that grew old in between and were fresh at its end looked as if they had never been old, so the sessions that had accepted no start woke nobody.

Fix: the read is judged by the time until which the entries were fresh when it began.

--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -103,7 +103,11 @@
 
   /** Whether the workers' capacities in the entries can be relied on. */
   get isFresh(): boolean {
-    return this.follower.ageMilliseconds < MAXIMUM_ENTRY_AGE_MILLISECONDS;
+    return this.remainingFreshMilliseconds > 0;
+  }
+
+  private get remainingFreshMilliseconds(): number {
+    return MAXIMUM_ENTRY_AGE_MILLISECONDS - this.follower.ageMilliseconds;
   }
 
   /** Reads all entries, retrying until that succeeds or the registry is closed. */
@@ -182,6 +186,10 @@
       if (!keys.has(instance)) session.update(undefined);
   }
 
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
+  }
+
   private add(entry: WorkerEntry): void {
     const {workers, clock, logger} = this.parts;
     const session = new WorkerSession(entry, this.host, workers, clock, logger);
@@ -198,9 +206,10 @@
 
   private async follow(): Promise<void> {
     while (!this.closed) {
-      const wasFresh = this.isFresh;
+      const freshUntil = this.now() + this.remainingFreshMilliseconds;
       const answered = await this.follower.follow(WAIT_MILLISECONDS);
-      if (!wasFresh && this.isFresh)
+      // The entries may have grown old during the read, which kept starts away until now.
+      if (this.now() >= freshUntil && this.isFresh)
         for (const session of this.sessions.values())
           this.host.sessionChanged(session);
       await sleep(
