A VM whose worker does not turn up is not on its way for ever

Callers saw jobs that stay queued while a pool waits for VMs that never take work.

Cause: a VM that is up and whose worker has no session, or has not responded, counted as arriving without end. With as many of them as the pool wished for, it asked for no other, and even work that had waited too long brought none.

Fix: a worker that has not responded 5 s after its VM was first seen up without it is not expected any more. When it does register, its VM counts as usable.

Evidence: pools.test.ts, 'a pool whose VMs have no workers': no task started in 10 s before, it starts on a VM of the standby pool since.

--- a/packages/coordinator/src/__tests__/pools.test.ts
+++ b/packages/coordinator/src/__tests__/pools.test.ts
@@ -80,6 +80,27 @@
   });
 });
 
+describe('a pool whose VMs have no workers', () => {
+  // VMs that are up and whose workers never register counted as being on their way for ever, so
+  // that no other VM came and all jobs of the pool stayed queued.
+  it('is given other VMs', async () => {
+    const deployment = new TestDeployment(3);
+    deployment.linkFleet();
+    for (let index = 0; index < 4; index++)
+      deployment.addWorker(`spare-${index}`, STANDBY);
+    const daemon = await deployment.startDaemon('one');
+    for (let index = 0; index < 3; index++)
+      deployment.store.write(LogStream.Workers, {
+        key: `worker-${index}`,
+        value: undefined,
+      });
+    await deployment.run(1_000);
+    void daemon.jobIntake.submit(job('waits'), TIMEOUT);
+    await deployment.run(10_000);
+    assert.equal(deployment.startedRuns().length, 1);
+  });
+});
+
 describe('a pool with waiting work', () => {
   // Each read of submissions took longer than the age up to which they counted as
   // current, so no VM was moved until the store was fast again. Callers wait for seconds
--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -17,6 +17,7 @@
 import {PoolSizeLog} from './pool-size-log.js';
 import type {RecordFormats} from './record-formats.js';
 import type {ServiceDemand} from './service-demand.js';
+import {VmArrivals} from './vm-arrivals.js';
 import {VmOrders, type VmOrderParts, type VmOrderRequest} from './vm-orders.js';
 import {MaintenanceController} from './maintenance-controller.js';
 import type {VmEvacuation} from './vm-evacuation.js';
@@ -59,6 +60,7 @@
   private readonly missing: MissingVms;
   private readonly maintenance: MaintenanceController;
   private readonly poolLog: PoolSizeLog;
+  private readonly arrivals: VmArrivals;
   private vms: readonly ListedVm[] = [];
   private listDueAt = -Infinity;
   private closed = false;
@@ -74,6 +76,7 @@
     private readonly evacuation?: VmEvacuation,
   ) {
     this.poolLog = new PoolSizeLog(parts.clock, parts.logger);
+    this.arrivals = new VmArrivals(parts.clock);
     this.missing = new MissingVms(parts.clock);
     this.orders = new VmOrders(term, parts, () => host.ordersAllowed());
     this.maintenance = new MaintenanceController(parts, registry, this.orders);
@@ -314,14 +317,15 @@
 
   /**
    * Returns whether a VM is being moved or maintained, or is up with a worker that has not been
-   * polled yet.
+   * polled yet and is expected to be soon.
    */
   private isIncoming(vm: ListedVm): boolean {
     if (vm.state === VmState.Moving || vm.state === VmState.Maintenance)
       return true;
     if (vm.state !== VmState.Up) return false;
     const session = this.sessionOn(vm);
-    return !session || session.isStarting;
+    const isArriving = !session || session.isStarting;
+    return this.arrivals.isExpected(vm.workerId, isArriving);
   }
 
   /**
