A coordinator looks again at work that stands without a round

A wake-up that is missing left accepted work standing until the next event of its service, after the last caller had left for ever, and nothing showed it.

Placement stays driven by events. Ready tasks that have stood for a second without a round get one. It bounds what a missing wake-up costs, and hides none: if such a round places tasks, WorkOverlooked is logged and tasks_overlooked counts them. Each is a fault to trace; the tests of the faults fixed before assert that there was none.

Evidence: waiting-work-monitor.test.ts, 'work that no event announces': an entry that only gains a label wakes nobody; the task starts within 3 s and is reported. It did not start before.

--- a/packages/coordinator/src/__tests__/fenced-coordinator.test.ts
+++ b/packages/coordinator/src/__tests__/fenced-coordinator.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {TestDeployment} from './deployment.js';
 import {
+  overlookedRounds,
   SHORT_TASKS,
   startedShortTasks,
   submitShortJobs,
@@ -17,5 +18,6 @@
     await submitShortJobs(deployment, daemon);
     await deployment.run(5_000);
     assert.equal(startedShortTasks(deployment), SHORT_TASKS);
+    assert.equal(overlookedRounds(daemon), 0);
   });
 });
--- a/packages/coordinator/src/__tests__/moved-queues.test.ts
+++ b/packages/coordinator/src/__tests__/moved-queues.test.ts
@@ -10,7 +10,7 @@
   job,
   step,
 } from './deployment.js';
-import {startedTasks, submit} from './submitted-jobs.js';
+import {overlookedRounds, startedTasks, submit} from './submitted-jobs.js';
 
 // The end of a run scheduled a round for the service at the submission or of its worker, where the
 // job no longer waited.
@@ -46,5 +46,6 @@
     );
     await deployment.run(5_000);
     assert.equal(startedTasks(deployment, 'moved.0.1.'), 1);
+    assert.equal(overlookedRounds(daemon), 0);
   });
 });
--- a/packages/coordinator/src/__tests__/placement-misses.test.ts
+++ b/packages/coordinator/src/__tests__/placement-misses.test.ts
@@ -3,6 +3,7 @@
 import {LogStream} from '../index.js';
 import {TestDeployment, behaviour, job, step} from './deployment.js';
 import {
+  overlookedRounds,
   SHORT_TASKS,
   startedShortTasks,
   submit,
@@ -55,6 +56,7 @@
       await submitShortJobs(deployment, daemon);
       await deployment.run(5_000);
       assert.equal(startedShortTasks(deployment), SHORT_TASKS);
+      assert.equal(overlookedRounds(daemon), 0);
     });
 
   it('run although the only worker with their label is full', async () => {
@@ -85,5 +87,6 @@
     await submitShortJobs(deployment, daemon);
     await deployment.run(5_000);
     assert.equal(startedShortTasks(deployment), SHORT_TASKS);
+    assert.equal(overlookedRounds(daemon), 0);
   });
 });
--- a/packages/coordinator/src/__tests__/scheduled-jobs.test.ts
+++ b/packages/coordinator/src/__tests__/scheduled-jobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {TestDeployment, job, step} from './deployment.js';
-import {startedTasks, submit} from './submitted-jobs.js';
+import {overlookedRounds, startedTasks, submit} from './submitted-jobs.js';
 
 // A task of one occurrence that could not be placed hid when the next occurrence is due.
 describe('a scheduled job with an occurrence that can not be placed', () => {
@@ -21,5 +21,6 @@
     });
     await deployment.run(10_000);
     assert.equal(startedTasks(deployment, 'timed.1.1.'), 1);
+    assert.equal(overlookedRounds(daemon), 0);
   });
 });
--- a/packages/coordinator/src/__tests__/stale-entries.test.ts
+++ b/packages/coordinator/src/__tests__/stale-entries.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {TestDeployment, job} from './deployment.js';
-import {startedTasks, submit} from './submitted-jobs.js';
+import {overlookedRounds, startedTasks, submit} from './submitted-jobs.js';
 
 /** Together with the wait of a read longer than entries count as fresh. */
 const SLOW_READ_MILLISECONDS = 1_200;
@@ -32,5 +32,6 @@
       await deployment.run(5_000);
       assert.equal(startedTasks(deployment, 'job-'), probe + 1);
     }
+    assert.equal(overlookedRounds(daemon), 0);
   });
 });
--- a/packages/coordinator/src/__tests__/submitted-jobs.ts
+++ b/packages/coordinator/src/__tests__/submitted-jobs.ts
@@ -1,4 +1,5 @@
 import type {JobSubmission} from '@gentiandoor/jobs';
+import {LogEvent} from '@gentiandoor/kernel';
 import {job, step, type TestDaemon, type TestDeployment} from './deployment.js';
 
 const TIMEOUT_MILLISECONDS = 3_000;
@@ -30,6 +31,11 @@
     await submit(deployment, daemon, job(`short-${index}`, steps));
 }
 
+/** Returns how many rounds placed work that no event had announced. */
+export function overlookedRounds(daemon: TestDaemon): number {
+  return daemon.events.of(LogEvent.WorkOverlooked);
+}
+
 /** Returns the number of tasks of `submitShortJobs` that have started. */
 export function startedShortTasks(deployment: TestDeployment): number {
   return startedTasks(deployment, 'short-');
--- a/packages/coordinator/src/__tests__/suspect-workers.test.ts
+++ b/packages/coordinator/src/__tests__/suspect-workers.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {TestDeployment} from './deployment.js';
 import {
+  overlookedRounds,
   SHORT_TASKS,
   startedShortTasks,
   submitShortJobs,
@@ -22,5 +23,6 @@
     assert.equal(startedShortTasks(deployment), 0);
     await deployment.run(8_000);
     assert.equal(startedShortTasks(deployment), SHORT_TASKS);
+    assert.equal(overlookedRounds(daemon), 0);
   });
 });
--- a/packages/coordinator/src/__tests__/waiting-work-monitor.test.ts
+++ b/packages/coordinator/src/__tests__/waiting-work-monitor.test.ts
@@ -83,3 +83,24 @@
     assert.equal(daemon.events.of(LogEvent.WorkStands), 0);
   });
 });
+
+// A wake-up that is missing left work standing until the next event of its service.
+describe('work that no event announces', () => {
+  it('is placed by a round after a second and reported', async () => {
+    const deployment = new TestDeployment(1);
+    const daemon = await deployment.startDaemon('one');
+    await submit(deployment, daemon, 'needs-label', {requiredLabel: 'b'});
+    const worker = deployment.worker('worker-0')!;
+    deployment.store.write(LogStream.Workers, {
+      key: worker.id,
+      value: Buffer.from(JSON.stringify(worker.entry(['rack-1', 'b']))),
+    });
+    await deployment.run(3_000);
+    assert.equal(deployment.startedRuns().length, 1);
+    assert.equal(daemon.events.of(LogEvent.WorkOverlooked), 1);
+    assert.equal(
+      daemon.metrics.value(MetricName.TasksOverlooked, {service: SERVICE}),
+      1,
+    );
+  });
+});
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -489,6 +489,8 @@
       services: () => this.dispatcher.services(),
       hasReadyTasks: service => this.dispatcher.hasReadyTasks(service),
       sessionsOf: service => this.registry.ofService(service),
+      schedulePlacement: (service, cause) =>
+        this.dispatcher.schedulePlacement(service, cause),
       storeWaitMilliseconds: () => this.writer.waitMilliseconds,
     });
   }
--- a/packages/coordinator/src/round-cause.ts
+++ b/packages/coordinator/src/round-cause.ts
@@ -10,6 +10,8 @@
   PreemptionCheck = 'preemption_check',
   /** A condition that kept a task waiting has ended with time. */
   ConditionLapsed = 'condition_lapsed',
+  /** Work stood although no event had announced a round. */
+  Reconciliation = 'reconciliation',
   /** A scheduled job is due. */
   JobDue = 'job_due',
 }
--- a/packages/coordinator/src/waiting-work-monitor.ts
+++ b/packages/coordinator/src/waiting-work-monitor.ts
@@ -7,6 +7,7 @@
   type Metrics,
   type Timer,
 } from '@gentiandoor/kernel';
+import {RoundCause} from './round-cause.js';
 import type {RoundObserver, RoundSummary, WaitReason} from './round-outcome.js';
 import type {WorkerSession} from './worker-session.js';
 
@@ -19,6 +20,7 @@
   readonly services: () => Iterable<string>;
   readonly hasReadyTasks: (service: string) => boolean;
   readonly sessionsOf: (service: string) => readonly WorkerSession[];
+  readonly schedulePlacement: (service: string, cause: RoundCause) => void;
   /** How long progress has waited to be stored, in milliseconds. */
   readonly storeWaitMilliseconds: () => number;
 }
@@ -26,6 +28,11 @@
 const CHECK_INTERVAL_MILLISECONDS = 500;
 /** Work that stands, or progress that is not stored, for longer is logged. */
 const LOGGED_STAND_MILLISECONDS = 1_000;
+/**
+ * A service whose work has stood for this long, without a round meanwhile, gets one. Without it, a
+ * wake-up that is missing leaves the work standing until the next event of the service.
+ */
+const RECONCILED_STAND_MILLISECONDS = 1_000;
 /** Minimum interval between two log lines about one service. */
 const MINIMUM_LOG_INTERVAL_MILLISECONDS = 2_000;
 
@@ -69,6 +76,7 @@
       this.gaugeWaiting(round.service, reason, 0);
     for (const [reason, count] of round.waiting)
       this.gaugeWaiting(round.service, reason, count);
+    if (isOverlooked(round)) this.reportOverlooked(round, record);
     record.round = round;
     record.roundAt = this.now();
     if (round.placed > 0 || round.waiting.size === 0)
@@ -102,6 +110,11 @@
     metrics.gauge(MetricName.WorkStanding, Math.round(stoodMilliseconds), {
       service,
     });
+    if (
+      stoodMilliseconds >= RECONCILED_STAND_MILLISECONDS &&
+      now - record.roundAt >= RECONCILED_STAND_MILLISECONDS
+    )
+      this.parts.schedulePlacement(service, RoundCause.Reconciliation);
     if (
       stoodMilliseconds < LOGGED_STAND_MILLISECONDS ||
       now - record.loggedAt < MINIMUM_LOG_INTERVAL_MILLISECONDS
@@ -131,6 +144,20 @@
     });
   }
 
+  private reportOverlooked(
+    {service, placed}: RoundSummary,
+    {movedAt, round}: ServiceRecord,
+  ): void {
+    const {logger, metrics} = this.parts;
+    metrics.increment(MetricName.TasksOverlooked, {service}, placed);
+    logger.warn(LogEvent.WorkOverlooked, {
+      service,
+      tasks: placed,
+      milliseconds: Math.round(this.now() - movedAt),
+      waiting: round && Object.fromEntries(round.waiting),
+    });
+  }
+
   private gaugeWaiting(
     service: string,
     reason: WaitReason,
@@ -157,3 +184,10 @@
     return this.parts.clock.monotonicMilliseconds();
   }
 }
+
+/** Returns whether a round placed work that no event had announced. */
+function isOverlooked({causes, placed}: RoundSummary): boolean {
+  return (
+    placed > 0 && causes.size === 1 && causes.has(RoundCause.Reconciliation)
+  );
+}
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -207,6 +207,10 @@
     'The coordinator has waited for over a second for the store to keep the progress of jobs; no run starts until it does.',
     'look at the store; report it if other daemons can append',
   ),
+  [LogEvent.WorkOverlooked]: entry(
+    'Tasks that had stood for over a second were placed by a round that no event had announced; the line says why the round before left tasks.',
+    'report it with the line: a wake-up is missing',
+  ),
   [LogEvent.ConfigurationInForce]: entry(
     'A configuration is in force at this daemon.',
   ),
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -66,6 +66,7 @@
   PoolSized = 1934,
   WorkStands = 1935,
   ProgressNotStored = 1936,
+  WorkOverlooked = 1937,
   ConfigurationInForce = 1941,
   StoreLost = 1942,
   StoreBack = 1943,
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -196,6 +196,10 @@
     'milliseconds for which ready tasks of a service have stood without one being placed',
     'service',
   ),
+  [MetricName.TasksOverlooked]: counter(
+    'tasks that had stood for over a second and were placed by a round that no event had announced; must stay 0',
+    'service',
+  ),
   [MetricName.ProgressStoreWait]: gauge(
     'milliseconds for which progress has waited to be stored, at the coordinator',
   ),
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -94,6 +94,8 @@
   TasksWaiting = 'tasks_waiting',
   /** Milliseconds for which ready tasks of a service have stood. */
   WorkStanding = 'work_standing',
+  /** Tasks placed by a round that no event had announced, by service. */
+  TasksOverlooked = 'tasks_overlooked',
   /** Milliseconds for which progress has waited to be stored. */
   ProgressStoreWait = 'progress_store_wait',
   /** Coordinator terms that this daemon acquired. */
