An entry with an unreadable address ends no process

Cause: an entry of another writer whose address was not UTF-8 was decoded with replacement characters and taken for valid. The client made the connection pool for that address outside its error handling, and nobody handled the rejection of the session's loop. The class: one bad input, read by every coordinator, ends each of them.

--- a/packages/coordinator/src/__tests__/invalid-entries.test.ts
+++ b/packages/coordinator/src/__tests__/invalid-entries.test.ts
@@ -34,6 +34,31 @@
   return metrics.value(MetricName.WorkerEntriesRejected, {reason}) ?? 0;
 }
 
+// A call to a worker that threw ended the process, and the next coordinator's after it.
+describe('a worker whose calls fail unexpectedly', () => {
+  it('leaves the others alone', async () => {
+    const deployment = new TestDeployment(2);
+    const daemon = await deployment.startDaemon('one');
+    const {workers} = daemon;
+    const poll = workers.poll.bind(workers);
+    workers.poll = async (worker, request) => {
+      if (worker.instance === WORKER) throw new TypeError('Invalid URL');
+      return poll(worker, request);
+    };
+    for (let index = 0; index < 3; index++)
+      void daemon.jobIntake.submit(
+        job(`job-${index}`, [step({taskCount: TASKS_OF_A_FULL_WORKER})]),
+        TIMEOUT,
+      );
+    await deployment.run(5_000);
+    assert.ok(daemon.events.of(LogEvent.TaskFailed) > 0);
+    const done = deployment
+      .startedRuns()
+      .filter(run => run.worker === OTHER_WORKER && run.end === RunEnd.Done);
+    assert.ok(done.length >= TASKS_OF_A_FULL_WORKER, `${done.length}`);
+  });
+});
+
 describe('an invalid entry of a worker', () => {
   // Another writer's entry must neither hide the other workers nor be logged with each
   // heartbeat.
