A late entry of a worker's former life does not end its present one

Cause: each entry with another start time than that of the session was taken for a restart, also one with an earlier time. The store may execute a write that got no answer seconds later: the entry of a former life then ended the session with the living worker, its listed runs counted as crashed, and their tasks were started elsewhere.

Fix: an entry with an earlier start than the one in use is outdated. Since the wall clock of a worker may have been set back before it restarted, the worker is asked at once: its answer tells its start time, and a restart that the answer shows is handled as before, with the next entry.

--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -4,6 +4,7 @@
 import {LogEvent, MemoryMetrics, MetricName} from '@gentiandoor/kernel';
 import {LogStream, WorkerState} from '../index.js';
 import {
+  SimulatedWorker,
   WorkerFault,
   overlappingRuns,
   startsAfterCrashes,
@@ -11,6 +12,7 @@
 } from '../stand-ins/index.js';
 import {
   LASTING_JOB,
+  SERVICE,
   TestDeployment,
   behaviour,
   job,
@@ -60,6 +62,23 @@
   );
 }
 
+/** Returns an incarnation of a worker that reports an earlier start. */
+function incarnationBefore(
+  {clock}: TestDeployment,
+  {id, service, capacity, startedAtMilliseconds = 0}: SimulatedWorker,
+  milliseconds: number,
+): SimulatedWorker {
+  return new SimulatedWorker(
+    id,
+    service,
+    capacity,
+    clock,
+    () => behaviour({durationMilliseconds: undefined}),
+    0,
+    startedAtMilliseconds - milliseconds,
+  );
+}
+
 /** Asserts that no two runs of the job `a` overlapped, and that one of them is done. */
 function assertDoneOnce(deployment: TestDeployment): void {
   const runs = runsOf(deployment, 'a');
@@ -442,6 +461,48 @@
     assert.equal(runsOf(deployment, LASTING_JOB).length, 2);
   });
 
+  // A late write of the former incarnation's entry was taken for a restart, and the tasks that ran
+  // on the present one were started a second time elsewhere.
+  it('keeps its runs when the store executes a write of its former incarnation late', async () => {
+    const deployment = new TestDeployment(1, true);
+    const daemon = await deployment.startDaemon('one');
+    const present = deployment.worker(WORKER)!;
+    const former = incarnationBefore(deployment, present, 1_000);
+    deployment.behaviours.set('a', behaviour({durationMilliseconds: 6_000}));
+    await submit(deployment, daemon, 'a');
+    // By then a poll has listed the run.
+    await deployment.run(2_500);
+    deployment.addWorker('worker-1', SERVICE);
+    await deployment.run(500);
+    for (let late = 0; late < 3; late++) {
+      deployment.writeEntry(former);
+      await deployment.run(500);
+    }
+    await deployment.run(6_000);
+    assertOnlyRunDone(deployment);
+
+    assert.equal(daemon.events.of(LogEvent.WorkerEntryOutdated), 1);
+    assert.equal(daemon.coordinator?.registry.size, 2);
+  });
+
+  // The wall clock of a worker is set back before it restarts: its new entry looks like one of a
+  // former incarnation.
+  it('is noticed when its new incarnation reports an earlier start', async () => {
+    const deployment = new TestDeployment(1, true);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.startLongRunningJob(daemon);
+    const former = deployment.worker(WORKER)!;
+    const endedAt = deployment.clock.monotonicMilliseconds();
+    former.crash();
+    const restarted = incarnationBefore(deployment, former, 2_000);
+    deployment.workers.add(restarted);
+    for (let beat = 0; beat < 3; beat++) {
+      deployment.writeEntry(restarted);
+      await deployment.run(HEARTBEAT_MILLISECONDS);
+    }
+    assertRunsAgain(deployment, endedAt);
+  });
+
   // The entry reveals the restart while no poll gets through: the runs of the old
   // incarnation are over, and need not wait for their lease.
   it('has its runs started elsewhere when only its entry reveals the restart', async () => {
--- a/packages/coordinator/src/worker-entries.ts
+++ b/packages/coordinator/src/worker-entries.ts
@@ -7,13 +7,13 @@
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import type {RecordFormats} from './record-formats.js';
 import type {WorkerEntry} from './worker-gateway.js';
-import {reportsStart} from './worker-incarnation.js';
+import {reportsStart, startedEarlier} from './worker-incarnation.js';
 
 /** Why an entry is not used. */
 export enum EntryRejection {
   /** It cannot be decoded, or lacks a field that earlier entries had. */
   Invalid = 'invalid',
-  /** It describes an incarnation that is over. */
+  /** It describes an incarnation that is over, or seems to. */
   Outdated = 'outdated',
   /** The configuration does not name its service. */
   UnknownService = 'unknown_service',
@@ -43,7 +43,11 @@
   ): WorkerEntry | EntryRejection {
     const entry = this.decode(record, current);
     if (!entry) return EntryRejection.Invalid;
-    if (this.endedIncarnations.has(entry.id)) {
+    // The store may execute a write of a former incarnation late.
+    const isOutdated =
+      this.endedIncarnations.has(entry.id) ||
+      (current !== undefined && startedEarlier(entry, current));
+    if (isOutdated) {
       this.reject(record.key, EntryRejection.Outdated, entry.id);
       return EntryRejection.Outdated;
     }
--- a/packages/coordinator/src/worker-incarnation.ts
+++ b/packages/coordinator/src/worker-incarnation.ts
@@ -4,7 +4,7 @@
   readonly instance: string;
 }
 
-const INCARNATION_ID = /^(.+)@\d+$/;
+const INCARNATION_ID = /^(.+)@(\d+)$/;
 
 /**
  * Returns the id of the incarnation of a worker that started at a time; the worker's own
@@ -19,6 +19,21 @@
     : `${instance}@${startedAtMilliseconds}`;
 }
 
+/**
+ * Returns whether one incarnation reports an earlier start than another of the same worker. It is a
+ * time of the worker's wall clock, which may have been stepped in between.
+ */
+export function startedEarlier(
+  one: IncarnationName,
+  other: IncarnationName,
+): boolean {
+  return startOf(one) < startOf(other);
+}
+
+function startOf({id}: IncarnationName): number {
+  return Number(INCARNATION_ID.exec(id)?.[2]);
+}
+
 /** Returns the worker's own id, given the id of one of its incarnations. */
 export function instanceOf(incarnation: string): string {
   return INCARNATION_ID.exec(incarnation)?.[1] ?? incarnation;
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -172,6 +172,8 @@
     }
     const entry = this.entries.read(record, session?.entry);
     if (entry === EntryRejection.Invalid) session?.entryInvalid();
+    // Only the worker can tell a late write from a restart after its clock was set back.
+    if (entry === EntryRejection.Outdated) void session?.isResponding();
     if (typeof entry === 'string') return;
     if (session?.id === entry.id) {
       session.update(entry);
