Work that waits for orders in flight is looked at when more are allowed

Callers saw quick jobs that waited up to 1.7 s longer than they had to, right after a change of coordinator.

Cause: the number of orders that may be in flight grows with fast responses, polls among them, but the services that wait for it were only woken by the outcome of an order. While the orders in flight waited for the store, nothing came.

The limiter now tells when it has grown, and the coordinator wakes those services.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -298,10 +298,11 @@
 
   noteResponseTime(milliseconds: number): void {
     this.responseTimeout.recordResponse(milliseconds);
-    this.orderLimiter.recordResponse(
+    const allowsMore = this.orderLimiter.recordResponse(
       milliseconds,
       this.parts.clock.monotonicMilliseconds(),
     );
+    if (allowsMore) this.dispatcher.noteOrdersAllowed();
   }
 
   mayOrder(count: number): boolean {
@@ -333,7 +334,7 @@
       if (!this.organisationLimits.mayBeOrdered(run)) run.stopRequested = true;
       void session.startRun(run).finally(() => {
         this.orderLimiter.end();
-        this.dispatcher.noteOrderCompleted();
+        this.dispatcher.noteOrdersAllowed();
         this.wakeAfterIsolation(session, run);
       });
     });
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -216,9 +216,9 @@
     this.schedulePlacement(this.jobs.serviceOf(execution), RoundCause.RunEnded);
   }
 
-  /** Schedules services that wait for orders in flight, since the outcome of one is known. */
-  noteOrderCompleted(): void {
-    this.schedule.noteOrderCompleted();
+  /** Schedules services that wait for orders in flight, since more of them are allowed. */
+  noteOrdersAllowed(): void {
+    this.schedule.noteOrdersAllowed();
   }
 
   /**
--- a/packages/coordinator/src/placement-schedule.ts
+++ b/packages/coordinator/src/placement-schedule.ts
@@ -56,10 +56,10 @@
     this.servicesAwaitingOrders.add(service);
   }
 
-  /** Schedules services that wait for orders in flight, since the outcome of one is known. */
-  noteOrderCompleted(): void {
+  /** Schedules services that wait for orders in flight, since more of them are allowed. */
+  noteOrdersAllowed(): void {
     for (const service of this.servicesAwaitingOrders)
-      this.request(service, RoundCause.OrderCompleted);
+      this.request(service, RoundCause.OrdersAllowed);
     this.servicesAwaitingOrders.clear();
   }
 
--- a/packages/coordinator/src/round-cause.ts
+++ b/packages/coordinator/src/round-cause.ts
@@ -5,7 +5,8 @@
   /** A worker accepts starts again, or has grown. */
   WorkerChanged = 'worker_changed',
   ConfigurationChanged = 'configuration_changed',
-  OrderCompleted = 'order_completed',
+  /** Fewer orders are in flight, or more are allowed. */
+  OrdersAllowed = 'orders_allowed',
   OrganisationBelowLimit = 'organisation_below_limit',
   PreemptionCheck = 'preemption_check',
   /** A condition that kept a task waiting has ended with time. */
--- a/packages/scheduling/src/__tests__/order-concurrency-limiter.test.ts
+++ b/packages/scheduling/src/__tests__/order-concurrency-limiter.test.ts
@@ -35,6 +35,18 @@
 }
 
 describe('OrderConcurrencyLimiter', () => {
+  // Work that waited for orders in flight was not looked at again when the limit had grown, until the
+  // outcome of an order was known.
+  it('tells when more orders are allowed than before', () => {
+    const limiter = new OrderConcurrencyLimiter();
+    while (limiter.allows(1)) limiter.begin();
+    assert.equal(limiter.recordResponse(5, 1_000), true);
+    assert.equal(limiter.allows(1), true);
+    assert.equal(limiter.recordResponse(5, 1_100), false);
+    limiter.recordResponse(5, 1_400);
+    assert.equal(limiter.recordResponse(1_000, 1_800), false);
+  });
+
   // A burst needs twice as many orders as the link of a small VM's coordinator can
   // carry. Without a limit, every order waits behind all earlier ones, and its job is
   // late when it starts.
--- a/packages/scheduling/src/order-concurrency-limiter.ts
+++ b/packages/scheduling/src/order-concurrency-limiter.ts
@@ -48,20 +48,22 @@
 
   /**
    * Records the time until the response to an order that the worker itself answered
-   * without delay.
+   * without delay. Returns whether more orders are allowed than before.
    */
-  recordResponse(milliseconds: number, now: number): void {
+  recordResponse(milliseconds: number, now: number): boolean {
     this.fastestResponseMilliseconds = Math.min(
       this.fastestResponseMilliseconds,
       milliseconds,
     );
-    if (now - this.intervalStart < INTERVAL_MILLISECONDS) return;
+    if (now - this.intervalStart < INTERVAL_MILLISECONDS) return false;
+    const limitBefore = this.limit;
     if (this.fastestResponseMilliseconds > SLOW_RESPONSE_MILLISECONDS)
       this.shrink();
     else if (2 * this.peakInFlight >= this.limit) this.grow();
     this.intervalStart = now;
     this.fastestResponseMilliseconds = Infinity;
     this.peakInFlight = this.inFlight;
+    return this.limit > limitBefore;
   }
 
   private shrink(): void {
