A late write of a worker's entry does not hide a newer one

Cause: the number that rises with each entry was not read. A write that the store executes after later ones, or a read that is behind, showed the worker as it had been.

Fix: entries carry their number, and one with a lower number than the entry in use is outdated; entries without a number are used as before.

Evidence: invalid-entries.test.ts, 'does not hide that the worker drains': a task started on the draining worker before.

--- a/packages/coordinator/src/__tests__/invalid-entries.test.ts
+++ b/packages/coordinator/src/__tests__/invalid-entries.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {JobState, RunEnd} from '@gentiandoor/jobs';
 import {LogEvent, MemoryMetrics, MetricName} from '@gentiandoor/kernel';
-import {LogStream} from '../index.js';
+import {LogStream, WorkerState} from '../index.js';
 import {
   OTHER_QUEUE,
   OTHER_SERVICE,
@@ -59,6 +59,34 @@
   });
 });
 
+// The store may execute a write after later ones: a worker that drains looked ready again, and was
+// given tasks that ended with it.
+describe('an entry of a worker that the store writes late', () => {
+  it('does not hide that the worker drains', async () => {
+    const deployment = new TestDeployment(1);
+    const worker = deployment.worker(WORKER)!;
+    const write = (sequence: number) =>
+      deployment.store.write(LogStream.Workers, {
+        key: WORKER,
+        value: Buffer.from(JSON.stringify({...worker.entry(), sequence})),
+      });
+    write(1);
+    const daemon = await deployment.startDaemon('one');
+    worker.state = WorkerState.Draining;
+    write(3);
+    worker.state = WorkerState.Ready;
+    write(2);
+    await deployment.run(100);
+    void daemon.jobIntake.submit(job('a'), TIMEOUT);
+    await deployment.run(2_000);
+    assert.deepEqual(deployment.startedRuns(), []);
+
+    write(4);
+    await deployment.run(1_000);
+    assert.equal(deployment.startedRuns().length, 1);
+  });
+});
+
 describe('an invalid entry of a worker', () => {
   // Another writer's entry must neither hide the other workers nor be logged with each
   // heartbeat.
--- a/packages/coordinator/src/worker-entries.ts
+++ b/packages/coordinator/src/worker-entries.ts
@@ -43,10 +43,9 @@
   ): WorkerEntry | EntryRejection {
     const entry = this.decode(record, current);
     if (!entry) return EntryRejection.Invalid;
-    // The store may execute a write of a former incarnation late.
     const isOutdated =
       this.endedIncarnations.has(entry.id) ||
-      (current !== undefined && startedEarlier(entry, current));
+      (current !== undefined && isLateWrite(entry, current));
     if (isOutdated) {
       this.reject(record.key, EntryRejection.Outdated, entry.id);
       return EntryRejection.Outdated;
@@ -98,3 +97,14 @@
     this.parts.metrics.increment(MetricName.WorkerEntriesRejected, {reason});
   }
 }
+
+/**
+ * Returns whether an entry was written before the one in use. The store may execute a write seconds
+ * after later ones.
+ */
+function isLateWrite(entry: WorkerEntry, current: WorkerEntry): boolean {
+  if (startedEarlier(entry, current)) return true;
+  return (
+    entry.id === current.id && (entry.sequence ?? 0) < (current.sequence ?? 0)
+  );
+}
--- a/packages/coordinator/src/worker-gateway.ts
+++ b/packages/coordinator/src/worker-gateway.ts
@@ -21,6 +21,8 @@
   readonly state: WorkerState;
   readonly capacity: Resources;
   readonly labels: readonly string[];
+  /** Rises with each entry of an incarnation; undefined where entries are not numbered. */
+  readonly sequence?: number;
 }
 
 /** Identifies a run on a worker. */
