A job keeps its attempts while no configuration names its queue

Cause: the limit of attempts was looked up in the configuration of the moment, and a queue that it does not name, or a coordinator without any configuration, counted as a limit of one.

Fix: the limit is that of the latest configuration that named the queue. While none has, a failed task is tried again.

--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -134,6 +134,10 @@
     return this.parts.operators.queue(execution.job.queue);
   }
 
+  maximumAttemptsOf({job}: JobExecution): number | undefined {
+    return this.parts.operators.maximumAttempts(job.queue);
+  }
+
   /**
    * Logs the end of a job, removes it from placement, starts its retention, and stops its runs
    * unless it completed.
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -27,6 +27,8 @@
   readonly waves = new Map<number, MaintenanceWave>();
   private latest: Configuration | undefined;
   private queuesByName = new Map<string, Queue>();
+  /** Attempts of each queue that any configuration has named, as of the latest one that did. */
+  private readonly attemptsByQueue = new Map<string, number>();
   private servicesByName = new Map<string, ServicePool>();
   private unreachableSince: number | undefined;
   private stopping = false;
@@ -90,6 +92,14 @@
     return this.queuesByName.get(name);
   }
 
+  /**
+   * Returns the maximum number of attempts of the tasks of a queue, as the latest configuration says
+   * that names it; undefined if none does.
+   */
+  maximumAttempts(queue: string): number | undefined {
+    return this.attemptsByQueue.get(queue);
+  }
+
   service(name: string): ServicePool | undefined {
     return this.servicesByName.get(name);
   }
@@ -122,6 +132,8 @@
     this.queuesByName = new Map(
       configuration.queues.map(queue => [queue.name, queue]),
     );
+    for (const {name, maximumAttempts} of configuration.queues)
+      this.attemptsByQueue.set(name, maximumAttempts);
     this.servicesByName = new Map(
       configuration.services.map(service => [service.name, service]),
     );
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -8,7 +8,6 @@
 import type {Clock} from '@gentiandoor/kernel';
 import type {Dispatcher} from './dispatcher.js';
 import type {LiveRun} from './live-run.js';
-import type {Queue} from './operator-records.js';
 import type {OrganisationLimits} from './organisation-limits.js';
 import type {ProgressWriter} from './progress-writer.js';
 import type {RunLog} from './run-log.js';
@@ -31,7 +30,8 @@
 
 /** What run outcomes need from the coordinator. */
 export interface OutcomeHost {
-  queueOf(execution: JobExecution): Queue | undefined;
+  /** Returns the maximum number of attempts of a job's tasks; undefined while it is not known. */
+  maximumAttemptsOf(execution: JobExecution): number | undefined;
   /** Called when a job has ended. */
   jobEnded(execution: JobExecution): void;
   /** Stops the remaining runs of a task that is done. */
@@ -218,7 +218,8 @@
   }
 
   private maximumAttempts(execution: JobExecution): number {
-    return this.host.queueOf(execution)?.maximumAttempts ?? 1;
+    // A job is not given up for a limit that nobody knows.
+    return this.host.maximumAttemptsOf(execution) ?? Infinity;
   }
 
   private now(): number {
