--- a/packages/soak/src/__tests__/soak.test.ts
+++ b/packages/soak/src/__tests__/soak.test.ts
@@ -3,11 +3,15 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {describe, it} from 'node:test';
+import {deploymentProfile} from '../soak-profile.js';
 import {Soak} from '../soak.js';
 
 /** A short run for each test run; longer ones are started by hand. */
 const SEEDS = [1, 2];
 const ROUNDS = 8;
+const DEPLOYMENT_SEED = 11;
+const DEPLOYMENT_ROUNDS = 12;
+const DEPLOYMENT_WORKERS = 4;
 
 // Kills, pauses, stops and partitions real daemons from the store while callers send requests.
 // No job may run twice, be refused and still run, get lost, or be reported as completed when it
@@ -26,4 +30,19 @@
       assert.ok(result.runs > 0);
       rmSync(folder, {recursive: true});
     });
+
+  // Accepted work stood beside free capacity after the last caller had left.
+  it('leaves no work waiting in a deployment without callers', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'soak-test-'));
+    const result = await new Soak({
+      seed: DEPLOYMENT_SEED,
+      daemons: 3,
+      rounds: DEPLOYMENT_ROUNDS,
+      folder,
+      profile: deploymentProfile(DEPLOYMENT_WORKERS),
+    }).play();
+    assert.deepEqual(result.violations, [], result.faults.join('\n'));
+    assert.ok(result.runs > 0);
+    rmSync(folder, {recursive: true});
+  });
 });
--- a/packages/soak/src/daemon-process.ts
+++ b/packages/soak/src/daemon-process.ts
@@ -19,7 +19,7 @@
     readonly callers: string,
     private readonly settingsPath: string,
     settings: object,
-    logPath: string,
+    readonly logPath: string,
   ) {
     writeFileSync(settingsPath, JSON.stringify(settings));
     this.log = createWriteStream(logPath, {flags: 'a'});
--- a/packages/soak/src/guarantee-violations.ts
+++ b/packages/soak/src/guarantee-violations.ts
@@ -4,6 +4,7 @@
   type StartedRun,
 } from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
+import {groupBy} from '@gentiandoor/kernel';
 import {isLongRunning, taskCountOf, type ObservedJob} from './soak-callers.js';
 
 const REFUSED_STATUSES = [429, 503];
@@ -15,15 +16,15 @@
   jobs: readonly ObservedJob[],
   runs: readonly StartedRun[],
 ): string[] {
+  const runsByJob = groupBy(runs, ({task}) => task.split('.')[0]);
   return [
     ...overlappingRuns(runs),
     ...runsAfterAcknowledgedEnd(runs),
-    ...jobs.flatMap(job => violationsOf(job, runs)),
+    ...jobs.flatMap(job => violationsOf(job, runsByJob.get(job.id) ?? [])),
   ];
 }
 
-function violationsOf(job: ObservedJob, runs: readonly StartedRun[]): string[] {
-  const own = runs.filter(run => run.task.startsWith(`${job.id}.`));
+function violationsOf(job: ObservedJob, own: readonly StartedRun[]): string[] {
   const allRefused =
     job.unanswered === 0 &&
     job.statuses.every(status => REFUSED_STATUSES.includes(status));
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,9 +1,9 @@
-import {mkdirSync} from 'node:fs';
+import {mkdirSync, readFileSync} from 'node:fs';
 import {createServer, type AddressInfo} from 'node:net';
 import {join} from 'node:path';
 import type {TaskBehaviour} from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
-import {SeededRandom} from '@gentiandoor/kernel';
+import {LogEvent, SeededRandom} from '@gentiandoor/kernel';
 import {
   StandInPlatform,
   standInSettings,
@@ -49,6 +49,8 @@
 /** On a worker that fails all tasks, each does so after this time. */
 const FAILURE_MILLISECONDS = 20;
 const STANDBY_SERVICE = 'spare';
+/** Part of a log line that reports work that no event had announced. */
+const OVERLOOKED = `"event":${LogEvent.WorkOverlooked}`;
 
 /**
  * Injects faults into real daemons, heals them, waits for jobs to end, and checks what callers
@@ -101,7 +103,7 @@
     const violations = guaranteeViolations(this.callers.jobs, runs);
     await this.stop();
     return {
-      violations: [...left, ...violations],
+      violations: [...left, ...violations, ...this.overlookedWork()],
       jobs: this.callers.jobs.length,
       runs: runs.length,
       faults: this.faults.log,
@@ -141,6 +143,16 @@
     );
   }
 
+  /** Returns the log lines about work that a wake-up would have started sooner. */
+  private overlookedWork(): string[] {
+    return this.daemons.flatMap(({node, logPath}) =>
+      readFileSync(logPath, 'utf8')
+        .split('\n')
+        .filter(line => line.includes(OVERLOOKED))
+        .map(line => `${node}: ${line}`),
+    );
+  }
+
   private async addDaemon(index: number): Promise<void> {
     // Each daemon has its own loopback address, as each VM has its own address.
     const host = loopbackHost(process.pid, index);
--- a/packages/soak/src/work-left-waiting.ts
+++ b/packages/soak/src/work-left-waiting.ts
@@ -3,6 +3,7 @@
   StartedRun,
 } from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
+import {groupBy} from '@gentiandoor/kernel';
 import {hasFailedTask} from './guarantee-violations.js';
 import {pause, type ObservedJob} from './soak-callers.js';
 import type {SoakStep} from './workload.js';
@@ -32,11 +33,12 @@
   let left: Map<string, ObservedJob> | undefined;
   while (performance.now() < until && left?.size !== 0) {
     const runs = startedRuns();
+    const runsByJob = groupBy(runs, ({task}) => jobOf(task));
     const owed = jobs.filter(
       job =>
         job.statuses.includes(200) &&
         !job.cancelTried &&
-        !hasFailedTask(runs.filter(({task}) => isTaskOf(job, task))),
+        !hasFailedTask(runsByJob.get(job.id) ?? []),
     );
     const waiting = waitingTasks(owed, liveWorkers(), doneTasksOf(runs));
     left = left
@@ -61,13 +63,13 @@
   const running = new Set(
     workers.flatMap(worker => worker.running.map(({task}) => task)),
   );
+  const runningJobs = new Set([...running].map(jobOf));
   const waiting = new Map<string, ObservedJob>();
   for (const job of jobs) {
     const pool = workers.filter(({service}) => service === job.service);
-    const isRunning = [...running].some(task => isTaskOf(job, task));
     for (const [index, step] of job.steps.entries()) {
       const isLongRunning = step.durationMilliseconds === undefined;
-      if (isRunning && !isLongRunning) continue;
+      if (runningJobs.has(job.id) && !isLongRunning) continue;
       if (!hasFreeCapacity(`${job.id}.0.${index}.`, step, pool)) continue;
       for (const task of readyTasks(job, index, done))
         if (!running.has(task)) waiting.set(task, job);
@@ -76,8 +78,8 @@
   return waiting;
 }
 
-function isTaskOf({id}: ObservedJob, task: string): boolean {
-  return task.startsWith(`${id}.`);
+function jobOf(task: string): string {
+  return task.slice(0, task.indexOf('.'));
 }
 
 function readyTasks(
