--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -5,7 +5,7 @@
   parseJobRecordKey,
   type JobSubmission,
 } from '@gentiandoor/jobs';
-import {SeededRandom} from '@gentiandoor/kernel';
+import {LogEvent, SeededRandom} from '@gentiandoor/kernel';
 import {NO_LIMIT} from '@gentiandoor/organisations';
 import {LogStream, SubmitAnswer} from '../index.js';
 import {
@@ -137,6 +137,8 @@
   private readonly random: SeededRandom;
   private readonly deployment: TestDeployment;
   private readonly daemons: TestDaemon[] = [];
+  /** All daemons that were ever started. */
+  private readonly started: TestDaemon[] = [];
   private readonly submitted: Submitted[] = [];
   /** Jobs of the organisation with a limit. */
   private readonly owned = new Set<string>();
@@ -204,6 +206,7 @@
       String(++this.incarnations),
     );
     this.daemons[index] = daemon;
+    this.started.push(daemon);
     daemon.start();
   }
 
@@ -396,6 +399,17 @@
     return items[this.random.nextInteger(items.length)];
   }
 
+  /** Describes rounds that placed work which no event had announced. */
+  private overlookedWork(): string[] {
+    return this.started.flatMap(({events}) => {
+      const count = events.of(LogEvent.WorkOverlooked);
+      const fields = events.lastFields.get(LogEvent.WorkOverlooked);
+      return count > 0
+        ? [`${count} times overlooked work: ${JSON.stringify(fields)}`]
+        : [];
+    });
+  }
+
   private checkGuarantees(): RandomRun {
     const runs = this.deployment.startedRuns();
     const preemptions = this.preemptionsByTask();
@@ -414,6 +428,7 @@
           .filter(([, count]) => count > MAXIMUM_PREEMPTIONS)
           .map(([task, count]) => `${task}: ${count} preemptions`),
         ...taken.flatMap(one => this.unfinished(one, runs)),
+        ...this.overlookedWork(),
       ],
       started: runs.length,
       taken: taken.length,
