Soak: lasting tasks are checked from 4 s after the last fault, workers may restart under their id

The users' rule on lasting tasks holds at any calm time: each has to run within 6 s after its last run and for 3 s, however full its service is. The soak only looked 14 s after the last caller. The stand-in platform can have workers that report their start and restart under their id ('--restarting').

--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -11,6 +11,7 @@
   readonly daemons: number;
   readonly rounds: number;
   readonly workers: number;
+  readonly restarting: boolean;
 }
 
 async function run(options: Options): Promise<void> {
@@ -25,7 +26,7 @@
       folder: join(folder, `seed-${seed}`),
       profile:
         Number(options.workers) > 0
-          ? deploymentProfile(Number(options.workers))
+          ? deploymentProfile(Number(options.workers), options.restarting)
           : SMALL_PROFILE,
     }).play();
     const verdict = result.violations.length === 0 ? 'held' : 'BROKEN';
@@ -52,5 +53,6 @@
     'Workers of each service of a whole deployment; 0 for a small one',
     0,
   )
+  .option('--restarting', 'Workers restart under their id', false)
   .action(run)
   .parse(process.argv);
--- a/packages/soak/src/soak-profile.ts
+++ b/packages/soak/src/soak-profile.ts
@@ -9,6 +9,8 @@
   readonly workerCapacity: Resources;
   /** Whether the faults of workers, waves, configurations and all daemons at once are injected. */
   readonly hasFleetFaults: boolean;
+  /** Whether workers restart under their id. */
+  readonly reportsStart: boolean;
   /** How long nobody calls after the last round, in milliseconds. */
   readonly quietMilliseconds: number;
   newWorkload(random: SeededRandom): Workload;
@@ -24,12 +26,16 @@
     accelerators: 0,
   },
   hasFleetFaults: false,
+  reportsStart: false,
   quietMilliseconds: 0,
   newWorkload: random => new FewJobs(SMALL_PROFILE.services, random),
 };
 
 /** A deployment of four services and a standby pool, whose callers leave before the check. */
-export function deploymentProfile(workersPerService: number): SoakProfile {
+export function deploymentProfile(
+  workersPerService: number,
+  reportsStart = false,
+): SoakProfile {
   const services = ['previews', 'crests', 'logos', 'emblems'];
   return {
     services,
@@ -40,6 +46,7 @@
       accelerators: 0,
     },
     hasFleetFaults: true,
+    reportsStart,
     quietMilliseconds: 14_000,
     newWorkload: random =>
       new QueuesByTurns(services, random, workersPerService),
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -76,6 +76,7 @@
       standbyService: STANDBY_SERVICE,
       workersPerService: this.profile.workersPerService,
       capacity: this.profile.workerCapacity,
+      reportsStart: this.profile.reportsStart,
       behaviourOf: (task, worker) => this.behaviourOf(task, worker),
     });
     this.callers = new SoakCallers(
@@ -135,11 +136,13 @@
   private async workLeftWaiting(): Promise<string[]> {
     const {quietMilliseconds} = this.profile;
     if (quietMilliseconds === 0) return [];
-    await pause(quietMilliseconds);
     return workLeftWaiting(
-      this.callers.jobs,
-      () => this.platform.liveWorkers(),
-      () => this.platform.startedRuns(),
+      {
+        jobs: this.callers.jobs,
+        liveWorkers: () => this.platform.liveWorkers(),
+        startedRuns: () => this.platform.startedRuns(),
+      },
+      quietMilliseconds,
     );
   }
 
--- a/packages/soak/src/work-left-waiting.ts
+++ b/packages/soak/src/work-left-waiting.ts
@@ -3,9 +3,9 @@
   StartedRun,
 } from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
-import {groupBy} from '@gentiandoor/kernel';
+import {countBy, groupBy} from '@gentiandoor/kernel';
 import {hasFailedTask} from './guarantee-violations.js';
-import {pause, type ObservedJob} from './soak-callers.js';
+import {isLongRunning, pause, type ObservedJob} from './soak-callers.js';
 import type {SoakStep} from './workload.js';
 
 /** For how long work must wait without interruption to count as left. */
@@ -13,48 +13,88 @@
 const SAMPLE_MILLISECONDS = 250;
 /** How often the capacity for a task has to be free. */
 const FREE_CAPACITY_FACTOR = 2;
-/** Share of a service's capacity in use from which work may wait. */
+/** Share of a service's capacity in use from which ordinary work may wait. */
 const BUSY_SHARE = 0.5;
+/** A long-running task may be away for this long after a run. */
+const RESTART_MILLISECONDS = 6_000;
+/** Nothing is held against a deployment this soon after a disruption. */
+const CALM_MILLISECONDS = 4_000;
 
-/** Returns the workers that are alive now. */
-export type LiveWorkers = () => readonly SimulatedWorker[];
+/** What callers and workers know. */
+export interface WaitingWorkView {
+  readonly jobs: readonly ObservedJob[];
+  liveWorkers(): readonly SimulatedWorker[];
+  startedRuns(): readonly StartedRun[];
+}
+
+/** A task that could run and does not, and since when it has been so at each sample. */
+interface WaitingTask {
+  readonly job: ObservedJob;
+  readonly since: number;
+}
 
 /**
- * Samples for three seconds, and describes each task that could run all the while and did not:
- * its job has nothing running, or it is long-running, its earlier steps are done, capacity for it is
- * free twice over, and under half of its service is in use.
+ * Watches a deployment without disruptions and callers, and describes each task that could run for
+ * three seconds and did not: its earlier steps are done, capacity for it is free twice over, and it
+ * is long-running, or its job has nothing running, under half of its service is in use, and
+ * `quietMilliseconds` have passed.
  */
 export async function workLeftWaiting(
-  jobs: readonly ObservedJob[],
-  liveWorkers: LiveWorkers,
-  startedRuns: () => readonly StartedRun[],
+  view: WaitingWorkView,
+  quietMilliseconds: number,
 ): Promise<string[]> {
-  const until = performance.now() + WAIT_MILLISECONDS;
-  let left: Map<string, ObservedJob> | undefined;
-  while (performance.now() < until && left?.size !== 0) {
-    const runs = startedRuns();
-    const runsByJob = groupBy(runs, ({task}) => jobOf(task));
-    const owed = jobs.filter(
-      job =>
-        job.statuses.includes(200) &&
-        !job.cancelTried &&
-        !hasFailedTask(runsByJob.get(job.id) ?? []),
+  const startedAt = performance.now();
+  const until = startedAt + quietMilliseconds + WAIT_MILLISECONDS;
+  const left = new Map<string, ObservedJob>();
+  let waiting = new Map<string, WaitingTask>();
+  await pause(CALM_MILLISECONDS);
+  while (performance.now() <= until + SAMPLE_MILLISECONDS) {
+    const now = performance.now();
+    const isQuiet = now - startedAt >= quietMilliseconds;
+    const before = waiting;
+    waiting = new Map(
+      [...tasksWaiting(view, now, isQuiet)].map(([task, job]) => [
+        task,
+        before.get(task) ?? {job, since: now},
+      ]),
     );
-    const waiting = waitingTasks(owed, liveWorkers(), doneTasksOf(runs));
-    left = left
-      ? new Map([...left].filter(([task]) => waiting.has(task)))
-      : waiting;
+    for (const [task, {job, since}] of waiting)
+      if (now - since >= WAIT_MILLISECONDS) left.set(task, job);
     await pause(SAMPLE_MILLISECONDS);
   }
-  const byService = new Map<string, number>();
-  for (const {service} of left?.values() ?? [])
-    byService.set(service, (byService.get(service) ?? 0) + 1);
-  return [...(left ?? [])].map(
+  const byService = countBy(left.values(), ({service}) => service);
+  return [...left].map(
     ([task, {service}]) =>
       `${task}: left waiting beside free capacity (${byService.get(service)} of ${service})`,
   );
 }
 
+/** Returns the tasks that could run now and do not; ordinary ones only if `isQuiet`. */
+function tasksWaiting(
+  view: WaitingWorkView,
+  now: number,
+  isQuiet: boolean,
+): Map<string, ObservedJob> {
+  const runs = view.startedRuns();
+  const runsByJob = groupBy(runs, ({task}) => jobOf(task));
+  const owed = view.jobs.filter(
+    job =>
+      job.statuses.includes(200) &&
+      !job.cancelTried &&
+      (isQuiet || isLongRunning(job)) &&
+      !hasFailedTask(runsByJob.get(job.id) ?? []),
+  );
+  const restartable = new Set(
+    runs
+      .filter(({endedAt = now}) => now - endedAt < RESTART_MILLISECONDS)
+      .map(({task}) => task),
+  );
+  const waiting = waitingTasks(owed, view.liveWorkers(), doneTasksOf(runs));
+  for (const [task, job] of waiting)
+    if (isLongRunning(job) && restartable.has(task)) waiting.delete(task);
+  return waiting;
+}
+
 function waitingTasks(
   jobs: readonly ObservedJob[],
   workers: readonly SimulatedWorker[],
@@ -95,10 +135,10 @@
   return isReady ? namesOf(index).filter(name => !done.has(name)) : [];
 }
 
-/** Whether a task of a step fits twice into a pool of which less than half is in use. */
+/** Whether a task of a step fits twice into a pool, of which less than half is in use unless it lasts. */
 function hasFreeCapacity(
   stepPrefix: string,
-  {millicores, megabytes, maximumPerWorker}: SoakStep,
+  {millicores, megabytes, maximumPerWorker, durationMilliseconds}: SoakStep,
   pool: readonly SimulatedWorker[],
 ): boolean {
   const total = sum(pool, ({capacity}) => capacity.processorMillicores);
@@ -113,7 +153,9 @@
       maximumPerWorker === 0 ? Infinity : maximumPerWorker - here,
     );
   });
-  return used < BUSY_SHARE * total && fitting >= FREE_CAPACITY_FACTOR;
+  const isBusy =
+    durationMilliseconds !== undefined && used >= BUSY_SHARE * total;
+  return !isBusy && fitting >= FREE_CAPACITY_FACTOR;
 }
 
 function sum<Item>(
