Dispatcher: placing the tasks of a job is a class of its own

TaskPlacer holds what places the ready tasks of one job in a round, DispatchHost its interface to the coordinator. No behaviour changes.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -28,7 +28,8 @@
 } from '@gentiandoor/organisations';
 import {ActiveJobs} from './active-jobs.js';
 import {noteAssigned} from './carried-runs.js';
-import {Dispatcher, type DispatchHost} from './dispatcher.js';
+import type {DispatchHost} from './dispatch-host.js';
+import {Dispatcher} from './dispatcher.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetController, type FleetHost} from './fleet-controller.js';
 import {JobEntitlements} from './job-entitlements.js';
--- /dev/null
+++ b/packages/coordinator/src/dispatch-host.ts
@@ -0,0 +1,30 @@
+import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import type {PoolShares, Resources} from '@gentiandoor/organisations';
+import type {LiveRun} from './live-run.js';
+import type {Queue} from './operator-records.js';
+import type {WorkerSession} from './worker-session.js';
+
+/** Functions of the coordinator that a dispatcher calls. */
+export interface DispatchHost {
+  sessionsOf(service: string): readonly WorkerSession[];
+  queueOf(execution: JobExecution): Queue | undefined;
+  /**
+   * Whether `count` more orders may be sent now; beyond the limit they would only queue at this
+   * daemon.
+   */
+  mayOrder(count: number): boolean;
+  /** Whether the limit of the job's organisation allows these tasks to start together. */
+  organisationLimitAllows(
+    execution: JobExecution,
+    tasks: readonly ExecutableTask[],
+    service: string,
+  ): boolean;
+  /** Shares of organisations in the pool of a service, including at least those in `waiting`. */
+  poolShares(
+    service: string,
+    waiting: ReadonlySet<string>,
+    pool: Resources,
+  ): PoolShares;
+  /** Stores the run, then sends its order. */
+  launch(session: WorkerSession, run: LiveRun): void;
+}
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -4,70 +4,31 @@
   Entitlement,
   sumResources,
   type EntitlementLedger,
-  type PoolShares,
-  type Resources,
   type SharePolicy,
 } from '@gentiandoor/organisations';
 import {
-  PlacementShortage,
   largestCapacity,
   type PoolMillicores,
   type WaitingOrder,
   type WorkerChoice,
 } from '@gentiandoor/scheduling';
+import type {DispatchHost} from './dispatch-host.js';
 import {orderByEntitlement} from './entitlement-order.js';
-import {
-  RunStatus,
-  newLiveRun,
-  stepName,
-  taskName,
-  type LiveRun,
-} from './live-run.js';
-import type {Queue} from './operator-records.js';
-import {PlacementRound, type TaskPlacementRequest} from './placement-round.js';
+import type {LiveRun} from './live-run.js';
+import {PlacementRound} from './placement-round.js';
 import {PlacementSchedule} from './placement-schedule.js';
 import {RoundCause} from './round-cause.js';
-import {
-  RoundLimit,
-  RoundOutcome,
-  type RoundObserver,
-  type WaitReason,
-} from './round-outcome.js';
+import {RoundOutcome, type RoundObserver} from './round-outcome.js';
 import type {RunPreemption} from './run-preemption.js';
 import type {ServiceDemand} from './service-demand.js';
 import {WaitingLoadCounter, type ServiceLoad} from './service-load.js';
 import {ServiceLoads} from './service-loads.js';
 import {AVOIDANCE_MILLISECONDS, TaskFailures} from './task-failures.js';
-import {groupsOf} from './task-groups.js';
+import {TaskPlacer} from './task-placer.js';
 import {WaitingJobs, type PlacementCandidate} from './waiting-jobs.js';
 import type {WaitingWorkRecorder} from './waiting-work-recorder.js';
 import type {WorkerSession} from './worker-session.js';
 
-/** Functions of the coordinator that a dispatcher calls. */
-export interface DispatchHost {
-  sessionsOf(service: string): readonly WorkerSession[];
-  queueOf(execution: JobExecution): Queue | undefined;
-  /**
-   * Whether `count` more orders may be sent now; beyond the limit they would only queue at this
-   * daemon.
-   */
-  mayOrder(count: number): boolean;
-  /** Whether the limit of the job's organisation allows these tasks to start together. */
-  organisationLimitAllows(
-    execution: JobExecution,
-    tasks: readonly ExecutableTask[],
-    service: string,
-  ): boolean;
-  /** Shares of organisations in the pool of a service, including at least those in `waiting`. */
-  poolShares(
-    service: string,
-    waiting: ReadonlySet<string>,
-    pool: Resources,
-  ): PoolShares;
-  /** Stores the run, then sends its order. */
-  launch(session: WorkerSession, run: LiveRun): void;
-}
-
 /**
  * A placement round stops after this many steps found the pool full. Steps of
  * excess jobs are counted separately: otherwise capacity that large entitled tasks can't use would
@@ -83,6 +44,7 @@
   /** Millicores of VMs that are being moved into the pool of each service. */
   private readonly incomingMillicores = new Map<string, number>();
   private readonly schedule: PlacementSchedule;
+  private readonly placer: TaskPlacer;
 
   constructor(
     private readonly host: DispatchHost,
@@ -110,6 +72,14 @@
       clock,
     );
     this.loads = new ServiceLoads(service => this.jobs.hasJobs(service));
+    this.placer = new TaskPlacer({
+      host,
+      schedule: this.schedule,
+      failures: this.failures,
+      preemption,
+      expectedTime: (execution, task) => this.expectedTime(execution, task),
+      serviceOf: execution => this.jobs.serviceOf(execution),
+    });
   }
 
   /** Adds a job that is `ageMilliseconds` old. */
@@ -173,9 +143,7 @@
 
   /** Returns whether a task would have to be isolated from other jobs' tasks if it started now. */
   mustIsolate(execution: JobExecution, task: ExecutableTask): boolean {
-    const {total} = task.progress.crashes;
-    if (total === 0) return false;
-    return this.failures.mustIsolate(taskName(execution.job.id, task), total);
+    return this.placer.mustIsolate(execution, task);
   }
 
   /** Returns how long ago a job was submitted, as far as known. */
@@ -271,7 +239,7 @@
       const {entitlement} = candidate;
       const isMissLimitReached =
         misses[entitlement] >= MAXIMUM_PLACEMENT_MISSES;
-      misses[entitlement] += this.placeCandidate(
+      misses[entitlement] += this.placer.place(
         {
           service,
           round,
@@ -320,84 +288,6 @@
     for (const jobs of groups) yield* this.sharePolicy.order(jobs, shares);
   }
 
-  /**
-   * Places the ready tasks of a job; returns the number of its steps that found the pool full.
-   */
-  private placeCandidate(
-    placement: ServicePlacement,
-    candidate: PlacementCandidate,
-  ): number {
-    const {service, round, waitingLoad, now, isMissLimitReached, outcome} =
-      placement;
-    let isWaiting = false;
-    const {execution} = candidate;
-    /** Why steps of the job wait. */
-    const reasons = new Map<string, WaitReason>();
-    let misses = 0;
-    for (const tasks of groupsOf(candidate.ready)) {
-      if (!this.mayOrder(tasks)) {
-        this.schedule.requestAfterOrders(service);
-        outcome.noteWaiting(tasks, RoundLimit.OrdersInFlight);
-        isWaiting = true;
-        continue;
-      }
-      // Tasks that wait for a limit do not count as waiting load, since more VMs would not help.
-      if (!this.host.organisationLimitAllows(execution, tasks, service)) {
-        outcome.noteWaiting(tasks, RoundLimit.Organisation);
-        continue;
-      }
-      const key = stepName(execution.job.id, tasks[0]);
-      const isPlaced =
-        !isMissLimitReached &&
-        !reasons.has(key) &&
-        this.placeTogether(round, candidate, tasks, now);
-      if (isPlaced) {
-        outcome.notePlaced(tasks);
-        continue;
-      }
-      this.retryIsolated(service, candidate, tasks);
-      let reason = isMissLimitReached ? RoundLimit.Misses : reasons.get(key);
-      if (reason === undefined) {
-        const request = this.placementRequestOf(execution, tasks[0], now);
-        const shortage = round.shortageOf(request);
-        if (round.indicatesFullPool(shortage)) misses++;
-        if (shortage === PlacementShortage.Restricted)
-          this.schedule.retryRestricted(service);
-        reason = shortage;
-      }
-      reasons.set(key, reason);
-      outcome.noteWaiting(tasks, reason);
-      if (!isMissLimitReached)
-        this.preemption?.noteUnplaced(
-          candidate,
-          tasks,
-          this.placementRequestOf(execution, tasks[0], now),
-        );
-      waitingLoad.note(candidate, tasks);
-      isWaiting = true;
-    }
-    if (isWaiting) placement.unplaced.push(candidate);
-    return misses;
-  }
-
-  private retryIsolated(
-    service: string,
-    {execution}: PlacementCandidate,
-    tasks: readonly ExecutableTask[],
-  ): void {
-    if (tasks.some(task => this.mustIsolate(execution, task)))
-      this.schedule.retryRestricted(service);
-  }
-
-  /**
-   * Returns whether tasks may be ordered now. Long-running tasks are few and their absence is
-   * noticed at once, so they do not wait behind the orders of a load peak.
-   */
-  private mayOrder(tasks: readonly ExecutableTask[]): boolean {
-    const {longRunning} = tasks[0].specification;
-    return longRunning || this.host.mayOrder(tasks.length);
-  }
-
   private poolCapacityOf(
     service: string,
     sessions: readonly WorkerSession[],
@@ -410,74 +300,4 @@
       incomingMillicores: this.incomingMillicores.get(service) ?? 0,
     };
   }
-
-  private placementRequestOf(
-    execution: JobExecution,
-    task: ExecutableTask,
-    now: number,
-  ): TaskPlacementRequest {
-    const name = taskName(execution.job.id, task);
-    return {
-      stepKey: stepName(execution.job.id, task),
-      step: task.specification,
-      job: execution.job.id,
-      avoid: this.failures.avoidanceOf(name, now),
-      isIsolated: this.mustIsolate(execution, task),
-    };
-  }
-
-  /** Places all of `tasks` or none of them. */
-  private placeTogether(
-    round: PlacementRound,
-    {execution, weight}: PlacementCandidate,
-    tasks: readonly ExecutableTask[],
-    now: number,
-  ): boolean {
-    const chosen: Array<{session: WorkerSession; isIsolated: boolean}> = [];
-    for (const task of tasks) {
-      const request = this.placementRequestOf(execution, task, now);
-      const session = round.reserve(request);
-      if (!session) {
-        round.rollBack();
-        return false;
-      }
-      chosen.push({session, isIsolated: request.isIsolated});
-    }
-    round.commit();
-    this.schedule.noteServed(this.jobs.serviceOf(execution));
-    const gangRun = tasks[0].specification.gang
-      ? 1 + Math.max(...tasks.map(task => task.progress.run))
-      : undefined;
-    tasks.forEach((task, index) => {
-      const {session, isIsolated} = chosen[index];
-      const run = newLiveRun(execution, task, {
-        run: execution.beginRun(task, session.id, gangRun),
-        plannedAt: now,
-        weight,
-        expectedMilliseconds: this.expectedTime(execution, task),
-        stopsOnStall: this.failures.stopsOnStall(
-          taskName(execution.job.id, task),
-        ),
-        isIsolated,
-        status: RunStatus.Planned,
-        orderAnsweredAt: Infinity,
-      });
-      this.host.launch(session, run);
-    });
-    return true;
-  }
-}
-
-/** State of one placement round of a service. */
-interface ServicePlacement {
-  readonly service: string;
-  readonly round: PlacementRound;
-  /** Sums up the tasks that could not be placed. */
-  readonly waitingLoad: WaitingLoadCounter;
-  readonly now: number;
-  /** Too many steps could not be placed: the remaining ones are only counted as waiting. */
-  readonly isMissLimitReached: boolean;
-  /** Jobs of which some tasks could not be placed; those that wait for a limit are left out. */
-  readonly unplaced: PlacementCandidate[];
-  readonly outcome: RoundOutcome;
 }
