A successor waits for an order from the end of the term that sent it

Cause: an order without an answer may be carried out for 12 s, also by the next life of a worker that forgets what ruled it out, so a successor waits before it starts the task elsewhere. It counted from its own start, and each further change of coordinator began the wait anew, although none of the coordinators in between had sent that order. The class: a wait that a successor starts over instead of going on with it.

Fix: the record of an unanswered order names the term that sent it, in place of the phase of its task. Holders store with their term how long ago it and the earlier ones began, so that each daemon knows from when on a term sent no order any more, on its own monotonic clock and never too early. The wait counts from there.

The wait of 12 s itself remains.

--- a/packages/cli/src/__tests__/deployment.test.ts
+++ b/packages/cli/src/__tests__/deployment.test.ts
@@ -69,6 +69,7 @@
                 crashes: {total: 1, atStart: 1},
                 preemptions: 0,
                 isStartExecuted: false,
+                orderedInTerm: undefined,
                 checkpoint: '',
                 worker: 'w-7',
               },
--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -26,6 +26,8 @@
 /** Interval at which a worker publishes its entry. */
 const HEARTBEAT_MILLISECONDS = 1_500;
 const SHORT_MILLISECONDS = 100;
+/** Until the next term begins, an order can no longer be carried out, and the task is started. */
+const LATEST_START_MILLISECONDS = 1_500 + 12_000 + 1_500;
 
 function endsOf(daemon: TestDaemon, end: RunEnd): number {
   const metrics = daemon.parts.metrics as MemoryMetrics;
@@ -239,6 +241,29 @@
   });
 });
 
+describe('a task whose start order may still be carried out', () => {
+  // Each change of the coordinator began the wait anew: lasting tasks of all services stood for as
+  // long as daemons were restarted in turn, and 12 s more.
+  it('is waited for from the end of the term that ordered it, however often the coordinator changes', async () => {
+    const deployment = new TestDeployment(2, true);
+    let daemon = await deployment.startDaemon('daemon-0');
+    for (const id of [WORKER, 'worker-1'])
+      daemon.workers.setFault(id, WorkerFault.Cut);
+    await deployment.startLongRunningJob(daemon);
+    const orderedAt = deployment.clock.monotonicMilliseconds();
+    assert.deepEqual(deployment.startedRuns(), []);
+    for (let change = 1; change <= 5; change++) {
+      daemon.kill();
+      daemon = await deployment.startDaemon(`daemon-${change}`);
+      await deployment.run(4_000);
+    }
+    await deployment.run(14_000);
+    const [{startedAt}] = runsOf(deployment, LASTING_JOB);
+    const waited = startedAt - orderedAt;
+    assert.ok(waited <= LATEST_START_MILLISECONDS, `after ${waited} ms`);
+  });
+});
+
 describe('a task whose start orders reach no worker', () => {
   // Five restarts of workers on which the task never ran count as five crashes under it, and its
   // job is given up.
--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -15,6 +15,10 @@
 /** Times that bound how long a carried run may be alive. */
 export interface CarryBounds {
   readonly termStartedAt: number;
+  /**
+   * Returns a time at which an earlier term was over, so that its coordinator sent no order any more.
+   */
+  endOfTerm(term: number): number;
   /** Longest lease that a worker accepts. */
   readonly maximumLeaseMilliseconds: number;
 }
@@ -128,8 +132,19 @@
 }
 
 /** Returns when the start order of a run can no longer be carried out. */
-function latestExecutionAt(run: LiveRun, {termStartedAt}: CarryBounds): number {
-  return (run.startSentAt ?? termStartedAt) + LATEST_EXECUTION_MILLISECONDS;
+function latestExecutionAt(run: LiveRun, bounds: CarryBounds): number {
+  const sentBy = run.startSentAt ?? sentByPredecessor(run, bounds);
+  return sentBy + LATEST_EXECUTION_MILLISECONDS;
+}
+
+function sentByPredecessor(
+  {executableTask}: LiveRun,
+  bounds: CarryBounds,
+): number {
+  const {orderedInTerm} = executableTask.progress;
+  return orderedInTerm === undefined
+    ? bounds.termStartedAt
+    : Math.min(bounds.termStartedAt, bounds.endOfTerm(orderedInTerm));
 }
 
 function longestLease({maximumLeaseMilliseconds}: CarryBounds): number {
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -7,6 +7,7 @@
 } from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import {DaemonRoster} from './daemon-roster.js';
+import {TermHistory, type TermAge} from './term-history.js';
 import {
   AppendOutcome,
   LogStream,
@@ -59,6 +60,8 @@
    * term.
    */
   readonly validMilliseconds: number;
+  /** How long ago this and the latest earlier terms began; undefined in records of earlier versions. */
+  readonly ages?: readonly TermAge[];
 }
 
 /** Notified when a term of this daemon begins or ends. */
@@ -96,6 +99,7 @@
   private finished: Promise<void> | undefined;
   private startedAt = 0;
   private readonly roster: DaemonRoster;
+  private readonly history: TermHistory;
   /** Value of `changedAt` when the roster was last read. */
   private rosterReadAtChange: number | undefined;
 
@@ -107,6 +111,7 @@
     private readonly logger: Logger,
     private readonly listener: TermListener,
   ) {
+    this.history = new TermHistory(clock);
     const {node, strength} = candidate;
     this.roster = new DaemonRoster(log, node, strength, clock, logger);
   }
@@ -123,6 +128,11 @@
     this.finished = this.run();
   }
 
+  /** Returns a time at which an earlier term was over; the present time if that is not known. */
+  endOfTerm(term: number): number {
+    return this.history.endOf(term);
+  }
+
   /**
    * Releases the term because its coordinator can give no orders in it; this daemon stays a candidate
    * for the next one.
@@ -262,7 +272,7 @@
     const offset = this.wallOffset();
     const result = await this.log.append(
       LogStream.Terms,
-      [encodeTerm(record)],
+      [this.encode(record)],
       {
         expectedEndOffset: this.endOffset,
       },
@@ -299,6 +309,7 @@
     clockOffset: number,
   ): void {
     const isNew = !this.isHolder;
+    this.history.note(record.term, sentAt);
     this.current = record;
     this.isHolder = true;
     this.validUntil = sentAt + record.validMilliseconds;
@@ -323,7 +334,7 @@
     if (!current) return;
     const result = await this.log.append(
       LogStream.Terms,
-      [encodeTerm({...current, released: true})],
+      [this.encode({...current, released: true})],
       {expectedEndOffset: this.endOffset},
     );
     if (result.outcome === AppendOutcome.Appended)
@@ -373,12 +384,18 @@
     }
     this.current = decoded;
     this.changedAt = this.clock.monotonicMilliseconds();
+    this.history.note(decoded.term, this.changedAt);
+    this.history.noteAges(decoded.ages ?? [], this.changedAt);
   }
 
   private isOwn(record: TermRecord): boolean {
     return record.incarnation === this.candidate.incarnation;
   }
 
+  private encode(record: TermRecord): KeyedRecord {
+    return encodeTerm({...record, ages: this.history.agesAt(record.term)});
+  }
+
   private wallOffset(): number {
     return this.clock.wallMilliseconds() - this.clock.monotonicMilliseconds();
   }
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -87,6 +87,8 @@
 export interface TermHolder {
   /** Whether the term is held and orders may be issued now. */
   readonly isValid: boolean;
+  /** Returns a time at which an earlier term was over; the present time if that is not known. */
+  endOfTerm(term: number): number;
   /** Gives the term up, since no order is accepted in it any more. */
   resign(): void;
 }
@@ -355,6 +357,10 @@
     );
   }
 
+  endOfTerm(term: number): number {
+    return this.holder.endOfTerm(term);
+  }
+
   runSurvived(run: LiveRun): void {
     this.outcomes.survived(run);
   }
--- a/packages/coordinator/src/dispatch-host.ts
+++ b/packages/coordinator/src/dispatch-host.ts
@@ -6,6 +6,7 @@
 
 /** Functions of the coordinator that a dispatcher calls. */
 export interface DispatchHost {
+  readonly term: number;
   sessionsOf(service: string): readonly WorkerSession[];
   queueOf(execution: JobExecution): Queue | undefined;
   /**
--- a/packages/coordinator/src/session-host.ts
+++ b/packages/coordinator/src/session-host.ts
@@ -1,5 +1,6 @@
 import type {RunEnd} from '@gentiandoor/jobs';
 import type {WorkerReliability} from '@gentiandoor/scheduling';
+import type {CarryBounds} from './carried-runs.js';
 import type {IncarnationEnd} from './incarnation-end.js';
 import type {LiveRun} from './live-run.js';
 import type {CallFailure, EndedRun, OrderRefusal} from './worker-gateway.js';
@@ -7,7 +8,7 @@
 import type {WorkerHandle} from './worker-handle.js';
 
 /** What a session needs from the coordinator. */
-export interface SessionHost extends LivenessHost {
+export interface SessionHost extends LivenessHost, CarryBounds {
   readonly term: number;
   /** Reliability of workers, as learned from their failures. */
   readonly reliability: WorkerReliability;
--- a/packages/coordinator/src/task-placer.ts
+++ b/packages/coordinator/src/task-placer.ts
@@ -14,6 +14,7 @@
 import type {TaskFailures} from './task-failures.js';
 import {groupsOf} from './task-groups.js';
 import type {PlacementCandidate} from './waiting-jobs.js';
+import {reportsStart} from './worker-incarnation.js';
 import type {WorkerSession} from './worker-session.js';
 
 /** State of one placement round of a service. */
@@ -172,7 +173,12 @@
     tasks.forEach((task, index) => {
       const {session, isIsolated} = chosen[index];
       const run = newLiveRun(execution, task, {
-        run: execution.beginRun(task, session.id, gangRun),
+        run: execution.beginRun(
+          task,
+          session.id,
+          gangRun,
+          reportsStart(session.entry) ? this.parts.host.term : undefined,
+        ),
         plannedAt: now,
         weight,
         expectedMilliseconds: this.parts.expectedTime(execution, task),
--- a/packages/jobs/src/__tests__/jobs.test.ts
+++ b/packages/jobs/src/__tests__/jobs.test.ts
@@ -69,6 +69,24 @@
 }
 
 describe('JobExecution', () => {
+  // A successor waits for an order from the end of the term that sent it.
+  it('passes on which term ordered a run whose order may still be carried out', () => {
+    const job = execution([STEP]);
+    const [task] = job.readyTasks(0);
+    job.beginRun(task, 'worker@17', undefined, 41);
+    const open = readBack(job).tasks.get(task.key);
+    assert.deepEqual(
+      [open?.orderedInTerm, open?.done, open?.isStartExecuted],
+      [41, false, false],
+    );
+    job.noteStartExecuted(task, 1);
+    const started = readBack(job).tasks.get(task.key);
+    assert.deepEqual(
+      [started?.orderedInTerm, started?.isStartExecuted],
+      [undefined, true],
+    );
+  });
+
   it('starts a step when all tasks of earlier steps are done', () => {
     const job = execution([STEP, {...STEP, after: [0]}]);
     const [first, second] = job.readyTasks(0);
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -121,13 +121,20 @@
   }
 
   /**
-   * Records that a run is about to be ordered; returns the number of the run. The job counts as
+   * Records that a run is about to be ordered; returns the number of the run. `term` is that of the
+   * coordinator, if the outcome of the order may have to be waited for. The job counts as
    * running from here on, until it turns out that the order may not have been carried out.
    */
-  beginRun(task: ExecutableTask, worker: string, run?: number): number {
+  beginRun(
+    task: ExecutableTask,
+    worker: string,
+    run?: number,
+    term?: number,
+  ): number {
     task.progress.run = run ?? task.progress.run + 1;
     task.progress.worker = worker;
     task.progress.isStartExecuted = false;
+    task.progress.orderedInTerm = term;
     this.progress.tasks.set(task.key, task.progress);
     if (this.progress.state === JobState.Queued)
       this.progress.state = JobState.Running;
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -22,6 +22,11 @@
    * the task is in transit. Recorded only for workers that may restart under their id.
    */
   isStartExecuted: boolean;
+  /**
+   * Term of the coordinator that ordered the latest run; undefined if it is not known. Recorded only
+   * while `isStartExecuted` matters.
+   */
+  orderedInTerm: number | undefined;
 }
 
 /** State of one job that must outlive the coordinator. */
@@ -47,6 +52,7 @@
     checkpoint: '',
     worker: '',
     isStartExecuted: false,
+    orderedInTerm: undefined,
   };
 }
 
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -42,8 +42,11 @@
   Started = 2,
 }
 
+/** Added to the term that ordered the latest run of an open task, in the place of its phase. */
+const ORDERED_IN_TERM_BASE = 10;
+
 /**
- * Stored form of a task's progress: key, run, phase, failed runs, checkpoint, worker, crashes,
+ * Stored form of a task's progress: key, run, phase or the term that ordered its run, failed runs, checkpoint, worker, crashes,
  * preemptions, and 1 if the order was carried out and the phase does not say so. The last entries
  * are omitted if they and all entries after them are empty. Each start and end writes all tasks of
  * its job, and every daemon reads them.
@@ -51,7 +54,7 @@
 type PackedTask = [
   string,
   number,
-  PackedPhase,
+  number,
   number[],
   string,
   string,
@@ -177,9 +180,13 @@
   return packed;
 }
 
-function phaseOf(task: TaskProgress): PackedPhase {
+function phaseOf(task: TaskProgress): number {
   if (task.done) return PackedPhase.Done;
-  return hasStarted(task) ? PackedPhase.Started : PackedPhase.Open;
+  if (hasStarted(task)) return PackedPhase.Started;
+  const {orderedInTerm, worker} = task;
+  return orderedInTerm === undefined || worker === ''
+    ? PackedPhase.Open
+    : ORDERED_IN_TERM_BASE + orderedInTerm;
 }
 
 function hasStarted({isStartExecuted, worker}: TaskProgress): boolean {
@@ -210,6 +217,10 @@
       checkpoint,
       worker,
       isStartExecuted: phase === PackedPhase.Started || executed === 1,
+      orderedInTerm:
+        phase >= ORDERED_IN_TERM_BASE
+          ? phase - ORDERED_IN_TERM_BASE
+          : undefined,
     },
   ];
 }
