Soak: rounds begin once the daemons answer

Its logs show the daemons up 5 and 8 s after their start, after the last of the rounds, and not one job taken. The soak waited for a fixed 2.4 s; now it waits until each daemon answers, and 2.4 s more.

--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -19,6 +19,7 @@
 const REQUEST_TIMEOUT_MILLISECONDS = 3_000;
 const MAXIMUM_ATTEMPTS = 4;
 const RETRY_PAUSE_MILLISECONDS = 400;
+const LONGEST_START_MILLISECONDS = 30_000;
 
 /** Returns the number of tasks of a job. */
 export function taskCountOf({steps}: ObservedJob): number {
@@ -65,6 +66,22 @@
     if (response?.code === 200) job.state = response.state;
   }
 
+  /** Resolves once a daemon answers, or after a while: a process may start slowly beside others. */
+  async awaitAnswer(address: string): Promise<void> {
+    const until = performance.now() + LONGEST_START_MILLISECONDS;
+    while (performance.now() < until)
+      try {
+        const response = await request(`http://${address}/`, {
+          dispatcher: this.agent,
+        });
+        await response.body.dump();
+        return;
+      } catch {
+        // Nobody listens there yet.
+        await pause(RETRY_PAUSE_MILLISECONDS);
+      }
+  }
+
   async stop(): Promise<void> {
     await this.agent.destroy();
   }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -94,6 +94,9 @@
     await this.platform.start();
     for (let index = 0; index < this.options.daemons; index++)
       await this.addDaemon(index);
+    await Promise.all(
+      this.daemons.map(({callers}) => this.callers.awaitAnswer(callers)),
+    );
     await pause(2 * MAXIMUM_PAUSE_MILLISECONDS);
     await this.playRounds();
     this.faults.heal();
