A run does not count as started after its own crash

Trace: the third crash is that of run 3, which began and ended at 13,320, since its worker restarted in that very moment; runs 4 and 5 follow, two starts, as the bound allows. The check counted each run that did not begin before the third crash, and so run 3 itself. It now leaves out the runs whose crashes it counts, and no other: a run that begins in the same moment as another one's crash counts as before.

--- a/packages/coordinator/src/__tests__/random-faults.test.ts
+++ b/packages/coordinator/src/__tests__/random-faults.test.ts
@@ -90,7 +90,7 @@
 });
 
 /** Seeds with which these faults violated a guarantee. */
-const RESTART_REGRESSION_SEEDS = [64, 521, 662, 5030, 30_141];
+const RESTART_REGRESSION_SEEDS = [64, 521, 662, 5030, 30_141, 1_200_256];
 
 // Guards against the violations that were found with these seeds: a late order that the next
 // incarnation of a worker carries out, and a job that is given up under restarts.
--- a/packages/coordinator/src/stand-ins/started-runs.ts
+++ b/packages/coordinator/src/stand-ins/started-runs.ts
@@ -66,13 +66,15 @@
         run,
         Math.min(endedAt, firstCrashes.get(run) ?? endedAt),
       );
-  const crashedAt = [...firstCrashes.values()].sort(
-    (left, right) => left - right,
-  );
-  const countedFrom = crashedAt[crashes - 1] ?? Infinity;
-  const before = new Set(
-    own.filter(run => run.startedAt < countedFrom).map(({run}) => run),
-  );
+  const counted = [...firstCrashes]
+    .sort(([, left], [, right]) => left - right)
+    .slice(0, crashes);
+  const countedFrom = counted[crashes - 1]?.[1] ?? Infinity;
+  // A run that crashes in the moment in which it starts does not come after its own crash.
+  const before = new Set([
+    ...counted.map(([run]) => run),
+    ...own.filter(run => run.startedAt < countedFrom).map(({run}) => run),
+  ]);
   const started = new Set(own.map(({run}) => run));
   return [...started].filter(run => !before.has(run)).length;
 }
