The wait for an order counts from the expiry of its term

Callers saw lasting tasks stand for 12 s after the store had come back (workers that restart under their id): the term that sent their orders was over when the next one began, which without a store is at its return.

Cause and fix: the daemon that takes a term has seen the last renewal of the one before, and knows when that expired. No order was sent after it, so the next term counts as begun then.

--- a/packages/coordinator/src/__tests__/worker-incarnations.test.ts
+++ b/packages/coordinator/src/__tests__/worker-incarnations.test.ts
@@ -5,6 +5,7 @@
 import {LogStream, WorkerState} from '../index.js';
 import {
   SimulatedWorker,
+  StoreFault,
   WorkerFault,
   overlappingRuns,
   startsAfterCrashes,
@@ -264,6 +265,28 @@
   });
 });
 
+describe('a task whose start order was not answered before the store went away', () => {
+  // The wait began when the store was back, although the term that sent the order was over long
+  // before.
+  it('is waited for from the end of that term', async () => {
+    const deployment = new TestDeployment(2, true);
+    const daemon = await deployment.startDaemon('daemon-0');
+    const other = await deployment.startDaemon('daemon-1');
+    for (const id of [WORKER, 'worker-1'])
+      daemon.workers.setFault(id, WorkerFault.Cut);
+    await deployment.startLongRunningJob(daemon);
+    const orderedAt = deployment.clock.monotonicMilliseconds();
+    daemon.kill();
+    other.store.setFault(StoreFault.Refusing);
+    await deployment.run(9_000);
+    other.store.setFault(undefined);
+    await deployment.run(14_000);
+    const [{startedAt}] = runsOf(deployment, LASTING_JOB);
+    const waited = startedAt - orderedAt;
+    assert.ok(waited <= LATEST_START_MILLISECONDS, `after ${waited} ms`);
+  });
+});
+
 describe('a task whose start orders reach no worker', () => {
   // Five restarts of workers on which the task never ran count as five crashes under it, and its
   // job is given up.
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -280,6 +280,7 @@
     if (result.outcome === AppendOutcome.Appended) {
       this.writeResponseMilliseconds =
         this.clock.monotonicMilliseconds() - sentAt;
+      if (!this.isHolder) this.notePredecessorOver(record.term, sentAt);
       this.endOffset = result.endOffset;
       this.changedAt = sentAt;
       this.acceptTerm(record, sentAt, offset);
@@ -292,6 +293,13 @@
     return false;
   }
 
+  /** Records since when the term before a new one has been over: no order was sent after its expiry. */
+  private notePredecessorOver(term: number, takenAt: number): void {
+    const expiredAt =
+      this.changedAt + (this.current?.validMilliseconds ?? Infinity);
+    this.history.note(term, Math.min(takenAt, expiredAt));
+  }
+
   private async resolveFailedWrite(sentAt: number): Promise<void> {
     const previousEndOffset = this.endOffset;
     if (!(await this.readCurrent()) || this.endOffset === previousEndOffset)
