--- a/packages/coordinator/src/__tests__/term-history.test.ts
+++ b/packages/coordinator/src/__tests__/term-history.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {VirtualClock} from '@gentiandoor/kernel';
-import {TermHistory} from '../term-history.js';
+import {TermHistory, readTermAges} from '../term-history.js';
 
 describe('TermHistory', () => {
   it('knows the end of a term from when the next known one began', async () => {
@@ -32,6 +32,18 @@
     assert.equal(reader.endOf(1), 3_400);
   });
 
+  it('reads no ages from values that are not ages', () => {
+    assert.deepEqual(readTermAges(undefined), []);
+    assert.deepEqual(readTermAges('text'), []);
+    assert.deepEqual(
+      readTermAges([[1, 2], [1], ['1', 2], [1, -2], null, [3, 4]]),
+      [
+        [1, 2],
+        [3, 4],
+      ],
+    );
+  });
+
   it('forgets old terms, but not the order of those that it keeps', async () => {
     const clock = new VirtualClock();
     const history = new TermHistory(clock);
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -7,7 +7,7 @@
 } from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import {DaemonRoster} from './daemon-roster.js';
-import {TermHistory, type TermAge} from './term-history.js';
+import {TermHistory, readTermAges, type TermAge} from './term-history.js';
 import {
   AppendOutcome,
   LogStream,
@@ -60,7 +60,7 @@
    * term.
    */
   readonly validMilliseconds: number;
-  /** How long ago this and the latest earlier terms began; undefined in records of earlier versions. */
+  /** How long ago this and the latest earlier terms began; daemons of earlier versions write none. */
   readonly ages?: readonly TermAge[];
 }
 
@@ -425,7 +425,7 @@
     if (!Number.isSafeInteger(term.term)) return undefined;
     // Daemons of an earlier version write no length; their terms were never longer than this.
     const {validMilliseconds = MAXIMUM_TERM_MILLISECONDS} = term;
-    return {...term, validMilliseconds};
+    return {...term, validMilliseconds, ages: readTermAges(term.ages)};
   } catch {
     // The caller logs the key; the previous term stays in force.
     return undefined;
--- a/packages/coordinator/src/term-history.ts
+++ b/packages/coordinator/src/term-history.ts
@@ -47,3 +47,17 @@
       : this.clock.monotonicMilliseconds();
   }
 }
+
+/** Returns the ages in a stored value; none where it is missing or unreadable. */
+export function readTermAges(value: unknown): readonly TermAge[] {
+  return Array.isArray(value) ? value.filter(isTermAge) : [];
+}
+
+function isTermAge(value: unknown): value is TermAge {
+  return (
+    Array.isArray(value) &&
+    Number.isSafeInteger(value[0]) &&
+    Number.isFinite(value[1]) &&
+    value[1] >= 0
+  );
+}
