--- a/packages/coordinator/src/__tests__/waiting-work-monitor.test.ts
+++ b/packages/coordinator/src/__tests__/waiting-work-monitor.test.ts
@@ -6,6 +6,7 @@
 import {StoreFault} from '../stand-ins/index.js';
 import {LogStream} from '../record-log.js';
 import {
+  ANY_CALLER,
   SERVICE,
   TestDeployment,
   job,
@@ -51,6 +52,20 @@
     );
   });
 
+  it('is not measured any more once its job is cancelled', async () => {
+    const deployment = new TestDeployment(2);
+    const daemon = await deployment.startDaemon('one');
+    await submit(deployment, daemon, 'needs-label', {requiredLabel: 'missing'});
+    await deployment.run(2_500);
+    void daemon.jobIntake.cancel('needs-label', TIMEOUT, ANY_CALLER);
+    await deployment.run(2_000);
+    const reason = PlacementShortage.NoSuitableWorker;
+    const service = SERVICE;
+    const {metrics} = daemon;
+    assert.equal(metrics.value(MetricName.WorkStanding, {service}), 0);
+    assert.equal(metrics.value(MetricName.TasksWaiting, {service, reason}), 0);
+  });
+
   it('is logged with the reasons for which workers accept no starts', async () => {
     const deployment = new TestDeployment(2);
     const daemon = await deployment.startDaemon('one');
--- a/packages/coordinator/src/waiting-work-monitor.ts
+++ b/packages/coordinator/src/waiting-work-monitor.ts
@@ -72,8 +72,7 @@
     const record = this.recordOf(round.service);
     for (const cause of round.causes)
       metrics.increment(MetricName.PlacementRounds, {cause});
-    for (const reason of record.round?.waiting.keys() ?? [])
-      this.gaugeWaiting(round.service, reason, 0);
+    this.clearWaiting(round.service, record);
     for (const [reason, count] of round.waiting)
       this.gaugeWaiting(round.service, reason, count);
     if (isOverlooked(round)) this.reportOverlooked(round, record);
@@ -85,7 +84,8 @@
 
   private check(): void {
     this.checkStore();
-    for (const service of this.parts.services()) this.checkService(service);
+    const services = [...this.records.keys(), ...this.parts.services()];
+    for (const service of new Set(services)) this.checkService(service);
   }
 
   private checkStore(): void {
@@ -105,7 +105,10 @@
     const {metrics, hasReadyTasks} = this.parts;
     const now = this.now();
     const record = this.recordOf(service);
-    if (!hasReadyTasks(service)) record.movedAt = now;
+    if (!hasReadyTasks(service)) {
+      record.movedAt = now;
+      this.clearWaiting(service, record);
+    }
     const stoodMilliseconds = now - record.movedAt;
     metrics.gauge(MetricName.WorkStanding, Math.round(stoodMilliseconds), {
       service,
@@ -158,6 +161,11 @@
     });
   }
 
+  private clearWaiting(service: string, {round}: ServiceRecord): void {
+    for (const reason of round?.waiting.keys() ?? [])
+      this.gaugeWaiting(service, reason, 0);
+  }
+
   private gaugeWaiting(
     service: string,
     reason: WaitReason,
