--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -47,7 +47,7 @@
 import type {RecordFormats} from './record-formats.js';
 import type {RecordLog} from './record-log.js';
 import {ServiceDemand} from './service-demand.js';
-import {RoundCause} from './round-cause.js';
+import {RoundCause, type SchedulePlacement} from './round-cause.js';
 import {RunLog} from './run-log.js';
 import {RunOutcomes} from './run-outcomes.js';
 import {RunPreemption} from './run-preemption.js';
@@ -126,6 +126,8 @@
   private closed = false;
   private recovered = false;
   private configurationVersion = 0;
+  private readonly schedulePlacement: SchedulePlacement = (service, cause) =>
+    this.dispatcher.schedulePlacement(service, cause);
 
   constructor(
     readonly term: number,
@@ -150,8 +152,7 @@
       clock,
       logger: parts.logger,
       metrics: parts.metrics,
-      schedulePlacement: (service, cause) =>
-        this.dispatcher.schedulePlacement(service, cause),
+      schedulePlacement: this.schedulePlacement,
     });
     const demand = new ServiceDemand();
     const waitingWork = settings.features.admissionControl
@@ -350,10 +351,7 @@
   ): void {
     if (!isIsolated) return;
     this.parts.clock.schedule(CRASH_RISK_MILLISECONDS, () =>
-      this.dispatcher.schedulePlacement(
-        entry.service,
-        RoundCause.ConditionLapsed,
-      ),
+      this.schedulePlacement(entry.service, RoundCause.ConditionLapsed),
     );
   }
 
@@ -419,10 +417,7 @@
   sessionChanged(session: WorkerHandle): void {
     if (session.isDraining) this.evacuateLongRunningTasks(session);
     if (session.acceptsStarts)
-      this.dispatcher.schedulePlacement(
-        session.entry.service,
-        RoundCause.WorkerChanged,
-      );
+      this.schedulePlacement(session.entry.service, RoundCause.WorkerChanged);
   }
 
   /**
@@ -497,8 +492,7 @@
       services: () => this.dispatcher.services(),
       hasReadyTasks: service => this.dispatcher.hasReadyTasks(service),
       sessionsOf: service => this.registry.ofService(service),
-      schedulePlacement: (service, cause) =>
-        this.dispatcher.schedulePlacement(service, cause),
+      schedulePlacement: this.schedulePlacement,
       storeWaitMilliseconds: () => this.writer.waitMilliseconds,
     });
   }
@@ -512,8 +506,7 @@
       workerChoice: new FullestFirst(),
       limits,
       store: (execution, then) => this.writer.store(execution, then),
-      schedulePlacement: (service, cause) =>
-        this.dispatcher.schedulePlacement(service, cause),
+      schedulePlacement: this.schedulePlacement,
     });
   }
 
--- a/packages/coordinator/src/organisation-limits.ts
+++ b/packages/coordinator/src/organisation-limits.ts
@@ -14,7 +14,7 @@
 } from '@gentiandoor/organisations';
 import {runName, type LiveRun} from './live-run.js';
 import type {OperatorView} from './operator-view.js';
-import {RoundCause} from './round-cause.js';
+import {RoundCause, type SchedulePlacement} from './round-cause.js';
 
 /**
  * Allowance for the time between the check of a limit and the arrival of the order at the worker.
@@ -33,8 +33,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Schedules a placement round for a service. */
-  readonly schedulePlacement: (service: string, cause: RoundCause) => void;
+  readonly schedulePlacement: SchedulePlacement;
 }
 
 /** Keeps each organisation within its resource limit across all services. */
--- a/packages/coordinator/src/round-cause.ts
+++ b/packages/coordinator/src/round-cause.ts
@@ -16,3 +16,6 @@
   /** A scheduled job is due. */
   JobDue = 'job_due',
 }
+
+/** Schedules a placement round for a service. */
+export type SchedulePlacement = (service: string, cause: RoundCause) => void;
--- a/packages/coordinator/src/run-preemption.ts
+++ b/packages/coordinator/src/run-preemption.ts
@@ -27,7 +27,7 @@
   workersFor,
 } from './preemption-view.js';
 import type {StoredAction} from './progress-writer.js';
-import {RoundCause} from './round-cause.js';
+import {RoundCause, type SchedulePlacement} from './round-cause.js';
 import type {RunLog} from './run-log.js';
 import {StoppingRuns} from './stopping-runs.js';
 import type {PlacementCandidate, WaitingJobs} from './waiting-jobs.js';
@@ -44,8 +44,7 @@
   readonly metrics: Metrics;
   /** Stores the progress of a job, then calls `then`. */
   readonly store: (execution: JobExecution, then?: StoredAction) => void;
-  /** Schedules a placement round for a service. */
-  readonly schedulePlacement: (service: string, cause: RoundCause) => void;
+  readonly schedulePlacement: SchedulePlacement;
 }
 
 /** A placement round that has ended. */
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -15,6 +15,7 @@
 } from '../index.js';
 import {RunEnd} from '@gentiandoor/jobs';
 import type {Clock, Timer} from '@gentiandoor/kernel';
+import {sumResources} from '@gentiandoor/organisations';
 
 /** How a task behaves on any worker. */
 export interface TaskBehaviour {
@@ -109,13 +110,7 @@
 
   /** Resources that the runs alive now take. */
   get used(): Resources {
-    const used = {processorMillicores: 0, memoryMegabytes: 0, accelerators: 0};
-    for (const {resources} of this.alive.values()) {
-      used.processorMillicores += resources.processorMillicores;
-      used.memoryMegabytes += resources.memoryMegabytes;
-      used.accelerators += resources.accelerators;
-    }
-    return used;
+    return sumResources([...this.alive.values()].map(run => run.resources));
   }
 
   /** Number of ends that are not acknowledged. */
--- a/packages/coordinator/src/waiting-work-monitor.ts
+++ b/packages/coordinator/src/waiting-work-monitor.ts
@@ -7,7 +7,7 @@
   type Metrics,
   type Timer,
 } from '@gentiandoor/kernel';
-import {RoundCause} from './round-cause.js';
+import {RoundCause, type SchedulePlacement} from './round-cause.js';
 import type {RoundObserver, RoundSummary, WaitReason} from './round-outcome.js';
 import type {WorkerSession} from './worker-session.js';
 
@@ -20,7 +20,7 @@
   readonly services: () => Iterable<string>;
   readonly hasReadyTasks: (service: string) => boolean;
   readonly sessionsOf: (service: string) => readonly WorkerSession[];
-  readonly schedulePlacement: (service: string, cause: RoundCause) => void;
+  readonly schedulePlacement: SchedulePlacement;
   /** How long progress has waited to be stored, in milliseconds. */
   readonly storeWaitMilliseconds: () => number;
 }
