--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -1,6 +1,7 @@
 import {
   LogEvent,
   sleep,
+  supervise,
   type Clock,
   type Logger,
   type RandomSource,
@@ -149,15 +150,36 @@
 
   private async run(): Promise<void> {
     this.startedAt = this.clock.monotonicMilliseconds();
-    void this.roster.announce(() => this.stopping);
+    const isStopped = () => this.stopping;
+    const {clock, logger} = this;
+    void supervise({
+      name: 'announcement',
+      clock,
+      logger,
+      isStopped,
+      run: () => this.roster.announce(isStopped),
+    });
+    await supervise({
+      name: 'election',
+      clock,
+      logger,
+      isStopped,
+      run: () => this.takePart(),
+    });
+    if (this.isHolder) await this.release();
+  }
+
+  private async takePart(): Promise<void> {
     while (!this.stopping && !(await this.readCurrent()))
       await this.pause(RETRY_MILLISECONDS);
+    // After a failure, another daemon may have taken the term meanwhile.
+    if (this.current && !this.isOwn(this.current))
+      this.loseTerm('another daemon has taken it');
     while (!this.stopping) {
       if (this.isHolder && this.resigning) await this.release();
       else if (this.isHolder) await this.renew();
       else await this.watch();
     }
-    if (this.isHolder) await this.release();
   }
 
   private async renew(): Promise<void> {
--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -1,4 +1,4 @@
-import {sleep} from '@gentiandoor/kernel';
+import {sleep, supervise} from '@gentiandoor/kernel';
 import {
   vmListDelayMilliseconds,
   largestCapacity,
@@ -83,7 +83,12 @@
   }
 
   start(): void {
-    void this.run();
+    void supervise({
+      ...this.parts,
+      name: 'fleet controller',
+      isStopped: () => this.closed,
+      run: () => this.run(),
+    });
   }
 
   close(): void {
--- a/packages/coordinator/src/job-streams.ts
+++ b/packages/coordinator/src/job-streams.ts
@@ -1,4 +1,4 @@
-import {sleep, type Clock, type Logger} from '@gentiandoor/kernel';
+import {sleep, supervise, type Clock, type Logger} from '@gentiandoor/kernel';
 import type {JobTable} from '@gentiandoor/jobs';
 import {LogStream, type RecordLog} from './record-log.js';
 import {StreamFollower} from './stream-follower.js';
@@ -22,7 +22,7 @@
     log: RecordLog,
     table: JobTable,
     private readonly clock: Clock,
-    logger: Logger,
+    private readonly logger: Logger,
   ) {
     this.progress = new StreamFollower(
       log,
@@ -100,7 +100,13 @@
   ): Promise<void> {
     await Promise.all(
       this.submissions.map(follower =>
-        this.followOne(follower, isStopped, onRead),
+        supervise({
+          name: 'submissions',
+          clock: this.clock,
+          logger: this.logger,
+          isStopped,
+          run: () => this.followOne(follower, isStopped, onRead),
+        }),
       ),
     );
   }
--- a/packages/coordinator/src/learned-demand-store.ts
+++ b/packages/coordinator/src/learned-demand-store.ts
@@ -1,4 +1,10 @@
-import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  sleep,
+  supervise,
+  type Clock,
+  type Logger,
+} from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import {
   AppendOutcome,
@@ -44,7 +50,12 @@
   }
 
   start(): void {
-    void this.run();
+    void supervise({
+      ...this.parts,
+      name: 'learned figures',
+      isStopped: () => this.closed,
+      run: () => this.run(),
+    });
   }
 
   close(): void {
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -1,4 +1,10 @@
-import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  sleep,
+  supervise,
+  type Clock,
+  type Logger,
+} from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
 import {
   OrganisationRegistry,
@@ -105,7 +111,13 @@
   }
 
   start(): void {
-    void this.run();
+    void supervise({
+      name: 'operator records',
+      clock: this.clock,
+      logger: this.logger,
+      isStopped: () => this.stopping,
+      run: () => this.run(),
+    });
   }
 
   stop(): void {
--- a/packages/coordinator/src/pressure-follower.ts
+++ b/packages/coordinator/src/pressure-follower.ts
@@ -8,6 +8,7 @@
   LogEvent,
   MetricName,
   sleep,
+  supervise,
   type Clock,
   type Logger,
   type Metrics,
@@ -67,7 +68,12 @@
   }
 
   start(): void {
-    void this.run();
+    void supervise({
+      ...this.parts,
+      name: 'pressure reports',
+      isStopped: () => this.stopping,
+      run: () => this.run(),
+    });
   }
 
   stop(): void {
--- a/packages/coordinator/src/pressure-publisher.ts
+++ b/packages/coordinator/src/pressure-publisher.ts
@@ -6,6 +6,7 @@
   LogEvent,
   MetricName,
   sleep,
+  supervise,
   type Clock,
   type Logger,
   type Metrics,
@@ -67,8 +68,19 @@
   ) {}
 
   start(): void {
-    void this.run();
-    void this.countDaemons();
+    const isStopped = () => this.closed;
+    void supervise({
+      ...this.parts,
+      name: 'pressure publisher',
+      isStopped,
+      run: () => this.run(),
+    });
+    void supervise({
+      ...this.parts,
+      name: 'count of daemons',
+      isStopped,
+      run: () => this.countDaemons(),
+    });
   }
 
   close(): void {
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -2,6 +2,7 @@
   LogEvent,
   MetricName,
   sleep,
+  supervise,
   type Clock,
   type Logger,
   type Metrics,
@@ -120,7 +121,12 @@
   start(): void {
     this.started = true;
     for (const session of this.sessions.values()) session.start();
-    void this.follow();
+    void supervise({
+      ...this.parts,
+      name: 'worker entries',
+      isStopped: () => this.closed,
+      run: () => this.follow(),
+    });
   }
 
   remove(session: WorkerHandle, end: IncarnationEnd): void {
--- a/packages/coordinator/src/worker-session.ts
+++ b/packages/coordinator/src/worker-session.ts
@@ -1,4 +1,10 @@
-import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  sleep,
+  supervise,
+  type Clock,
+  type Logger,
+} from '@gentiandoor/kernel';
 import {RunEnd} from '@gentiandoor/jobs';
 import {AdaptiveTimeout, type PlacementWorker} from '@gentiandoor/scheduling';
 import {AutoResetEvent} from './auto-reset-event.js';
@@ -29,8 +35,6 @@
 
 /** Retry interval of an order while the term is being renewed. */
 const TERM_RETRY_MILLISECONDS = 50;
-/** Pause of a session after an unexpected failure. */
-const FAILURE_PAUSE_MILLISECONDS = 1_000;
 /** Start timeout after which the worker is polled for the outcome of the run. */
 const START_TIMEOUT_MILLISECONDS = 150;
 /** Upper limit of the start timeout while this daemon is overloaded. */
@@ -175,7 +179,14 @@
   }
 
   start(): void {
-    void this.runUntilClosed();
+    void supervise({
+      name: 'worker session',
+      fields: {worker: this.id},
+      clock: this.clock,
+      logger: this.logger,
+      isStopped: () => this.closed,
+      run: () => this.run(),
+    });
   }
 
   close(): void {
@@ -358,21 +369,6 @@
     this.signal.notify();
   }
 
-  /** Goes on after a failure, which must not end the sessions with all other workers. */
-  private async runUntilClosed(): Promise<void> {
-    while (!this.closed)
-      try {
-        await this.run();
-      } catch (error) {
-        this.logger.error(LogEvent.TaskFailed, {
-          task: 'worker session',
-          worker: this.id,
-          error: error instanceof Error ? error.stack : String(error),
-        });
-        await sleep(this.clock, FAILURE_PAUSE_MILLISECONDS);
-      }
-  }
-
   private async run(): Promise<void> {
     while (!this.closed) {
       if (this.isFinished()) {
--- a/packages/entry/src/job-table-refresh-plugin.ts
+++ b/packages/entry/src/job-table-refresh-plugin.ts
@@ -2,7 +2,9 @@
 import {
   jitter,
   sleep,
+  supervise,
   type Clock,
+  type Logger,
   type Plugin,
   type RandomSource,
 } from '@gentiandoor/kernel';
@@ -21,10 +23,17 @@
     private readonly jobs: JobStreams,
     private readonly clock: Clock,
     private readonly random: RandomSource,
+    private readonly logger: Logger,
   ) {}
 
   async start(): Promise<void> {
-    void this.run();
+    void supervise({
+      name: 'job table',
+      clock: this.clock,
+      logger: this.logger,
+      isStopped: () => this.stopping,
+      run: () => this.run(),
+    });
   }
 
   async stop(): Promise<void> {
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -213,7 +213,8 @@
         ),
     ),
     jobTableRefresh: singleton(
-      parts => new JobTableRefreshPlugin(parts.jobs, parts.clock, parts.random),
+      ({jobs, clock, random, logger}) =>
+        new JobTableRefreshPlugin(jobs, clock, random, logger),
     ),
     coordinator: singleton(
       parts =>
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -11,6 +11,7 @@
 export * from './plugin.js';
 export * from './random.js';
 export * from './settings.js';
+export * from './supervise.js';
 export * from './target-transport.js';
 export * from './admin-routes.js';
 export * from './decision-journal.js';
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -278,7 +278,7 @@
     'nothing; it may be exceeded again',
   ),
   [LogEvent.TaskFailed]: entry(
-    'A background task ended with an error; the daemon ends.',
+    'A task failed unexpectedly: `task` and, where it has one, the element that it was about. It is tried again, and everything else goes on; only if `task` is `coordinator`, the daemon ends.',
     'report it with the line',
   ),
 };
