--- a/packages/coordinator/src/__tests__/unexpected-failures.test.ts
+++ b/packages/coordinator/src/__tests__/unexpected-failures.test.ts
@@ -1,10 +1,21 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {RunEnd} from '@gentiandoor/jobs';
 import {LogEvent} from '@gentiandoor/kernel';
-import {LogStream} from '../index.js';
-import {TestDeployment, job, type TestDaemon} from './deployment.js';
+import {LogStream, type WorkerGateway} from '../index.js';
+import {
+  ANY_CALLER,
+  TestDeployment,
+  job,
+  step,
+  type TestDaemon,
+} from './deployment.js';
 import {startedTasks, submit} from './submitted-jobs.js';
 
+const WORKER = 'worker-0';
+const OTHER_WORKER = 'worker-1';
+const TASKS_OF_A_FULL_WORKER = 8;
+const JOBS = 3;
 const UNEXPECTED = new TypeError('unexpected');
 
 /** Makes the next call of a method throw. */
@@ -32,6 +43,38 @@
   assert.equal(startedTasks(deployment, name), 1);
 }
 
+// A call about one worker that threw ended the process, and that of each later coordinator.
+describe('a call to a worker that fails unexpectedly', () => {
+  for (const call of ['poll', 'start', 'stop'] as const)
+    it(`leaves the other workers alone: ${call}`, async () => {
+      const deployment = new TestDeployment(2);
+      const daemon = await deployment.startDaemon('one');
+      const original = daemon.workers[call].bind(daemon.workers) as (
+        ...args: unknown[]
+      ) => unknown;
+      const failing = async (...args: unknown[]) => {
+        const [{instance}] = args as Parameters<WorkerGateway['poll']>;
+        if (instance === WORKER) throw UNEXPECTED;
+        return original(...args);
+      };
+      Object.assign(daemon.workers, {[call]: failing});
+      for (let index = 0; index < JOBS; index++)
+        await submit(
+          deployment,
+          daemon,
+          job(`job-${index}`, [step({taskCount: TASKS_OF_A_FULL_WORKER})]),
+        );
+      if (call === 'stop')
+        void daemon.jobIntake.cancel('job-0', 3_000, ANY_CALLER);
+      await deployment.run(5_000);
+      assert.ok(daemon.events.of(LogEvent.TaskFailed) > 0);
+      const done = deployment
+        .startedRuns()
+        .filter(run => run.worker === OTHER_WORKER && run.end === RunEnd.Done);
+      assert.ok(done.length >= TASKS_OF_A_FULL_WORKER, `${done.length}`);
+    });
+});
+
 // A loop that serves all jobs ended with its first unexpected failure, and the process with it.
 describe('a background task that fails unexpectedly', () => {
   const calls = [
--- a/packages/coordinator/src/worker-registry.ts
+++ b/packages/coordinator/src/worker-registry.ts
@@ -13,6 +13,7 @@
 import type {RecordFormats} from './record-formats.js';
 import {LogStream, type RecordLog} from './record-log.js';
 import {StreamFollower, type StreamSink} from './stream-follower.js';
+import {ContainedWorkerGateway} from './contained-worker-gateway.js';
 import {EntryRejection, WorkerEntries} from './worker-entries.js';
 import type {WorkerEntry, WorkerGateway} from './worker-gateway.js';
 import {instanceOf} from './worker-incarnation.js';
@@ -56,6 +57,7 @@
   private readonly byInstance = new Map<string, WorkerSession>();
   private readonly entries: WorkerEntries;
   private readonly follower: StreamFollower;
+  private readonly workers: WorkerGateway;
   private closed = false;
   private started = false;
 
@@ -70,6 +72,7 @@
       parts.clock,
       parts.logger,
     );
+    this.workers = new ContainedWorkerGateway(parts.workers, parts.logger);
     this.entries = new WorkerEntries(parts, service =>
       host.isServiceKnown(service),
     );
@@ -199,8 +202,14 @@
   }
 
   private add(entry: WorkerEntry): void {
-    const {workers, clock, logger} = this.parts;
-    const session = new WorkerSession(entry, this.host, workers, clock, logger);
+    const {clock, logger} = this.parts;
+    const session = new WorkerSession(
+      entry,
+      this.host,
+      this.workers,
+      clock,
+      logger,
+    );
     this.sessions.set(entry.id, session);
     this.byInstance.set(entry.instance, session);
     logger.info(LogEvent.WorkerFound, {
