--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -1,4 +1,9 @@
-import type {Clock} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  errorText,
+  type Clock,
+  type Logger,
+} from '@gentiandoor/kernel';
 import {
   JobExecution,
   JobState,
@@ -40,6 +45,7 @@
   readonly entitlements: JobEntitlements;
   readonly reliability: WorkerReliability;
   readonly clock: Clock;
+  readonly logger: Logger;
   /** How long the final state of a job must remain available, in milliseconds. */
   readonly stateRetentionMilliseconds: number;
   /** Whether jobs that end after three times their objective are counted. */
@@ -85,7 +91,7 @@
     const jobs = [...stored];
     const {entitlements} = this.parts;
     entitlements.recordStored(jobs.map(({submission}) => submission));
-    for (const job of jobs) this.addRecorded(job);
+    for (const job of jobs) this.recoverOne(job);
   }
 
   /** Adds a job that was read from the store, with its runs that may be alive. */
@@ -95,6 +101,19 @@
     this.addRecorded(job);
   }
 
+  /** Adds a job; one that can't be added must not keep the others from being served. */
+  private recoverOne(job: SubmittedJob): void {
+    try {
+      this.addRecorded(job);
+    } catch (error) {
+      this.parts.logger.error(LogEvent.TaskFailed, {
+        task: 'recovery of a job',
+        job: job.submission.id,
+        error: errorText(error),
+      });
+    }
+  }
+
   private addRecorded(job: SubmittedJob): void {
     const {submission} = job;
     if (this.executions.has(submission.id)) return;
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -189,6 +189,7 @@
       entitlements: this.entitlements,
       reliability: this.reliability,
       clock,
+      logger: parts.logger,
       stateRetentionMilliseconds: settings.limits.stateRetentionMilliseconds,
       countsExpired: settings.features.admissionControl,
     });
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -1,4 +1,9 @@
-import {JobState, isFinal, type JobSubmission} from './job.js';
+import {
+  JobState,
+  isFinal,
+  type JobSubmission,
+  type StepSpecification,
+} from './job.js';
 import {type JobProgress, type TaskProgress} from './job-progress.js';
 
 /**
@@ -150,9 +155,21 @@
     throw new Error(
       `submission of job ${jobId} is incomplete: expected its id and at least one step`,
     );
+  if (!job.steps.every(isReadableStep))
+    throw new Error(
+      `submission of job ${jobId} has a step without a number of tasks or predecessors`,
+    );
   return job;
 }
 
+function isReadableStep(step: Partial<StepSpecification> | null): boolean {
+  return (
+    Number.isSafeInteger(step?.taskCount) &&
+    Array.isArray(step?.after) &&
+    step.after.every(Number.isSafeInteger)
+  );
+}
+
 /**
  * Of a job that has ended, records only runs that may still be alive. A hundred daemons
  * read every record, and after a gap in the store's history each of them reads all jobs
