--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -37,6 +37,9 @@
           weightOf: () => 1,
           usedBy: () => NO_LIMIT,
         }),
+        placementFailed: (_fields, error) => {
+          throw error;
+        },
         launch: () => undefined,
       },
       new FullestFirst(),
--- a/packages/coordinator/src/__tests__/unexpected-failures.test.ts
+++ b/packages/coordinator/src/__tests__/unexpected-failures.test.ts
@@ -5,6 +5,10 @@
 import {LogStream, type WorkerGateway} from '../index.js';
 import {
   ANY_CALLER,
+  OTHER_QUEUE,
+  OTHER_SERVICE,
+  QUEUE,
+  SERVICE,
   TestDeployment,
   job,
   step,
@@ -75,6 +79,50 @@
     });
 });
 
+// An error about one job or service in a placement round ended the process, in a timer.
+describe('a placement round that fails unexpectedly', () => {
+  it('for one job places the other jobs of its service', async () => {
+    const deployment = new TestDeployment(1);
+    const daemon = await deployment.startDaemon('one');
+    const coordinator = daemon.coordinator!;
+    const allows = coordinator.organisationLimitAllows.bind(coordinator);
+    coordinator.organisationLimitAllows = (execution, ...others) => {
+      if (execution.job.id === 'odd') throw UNEXPECTED;
+      return allows(execution, ...others);
+    };
+    await submit(deployment, daemon, job('odd'));
+    await assertJobsRun(deployment, daemon, 'sound');
+    assert.equal(startedTasks(deployment, 'odd'), 0);
+    assert.ok(daemon.events.of(LogEvent.TaskFailed) > 0);
+  });
+
+  it('for one service places the jobs of the others', async () => {
+    const deployment = new TestDeployment(1);
+    deployment.addWorker('other-0', OTHER_SERVICE);
+    deployment.publishConfiguration(
+      2,
+      new Map([
+        [QUEUE, SERVICE],
+        [OTHER_QUEUE, OTHER_SERVICE],
+      ]),
+    );
+    const daemon = await deployment.startDaemon('one');
+    const coordinator = daemon.coordinator!;
+    const sessionsOf = coordinator.sessionsOf.bind(coordinator);
+    coordinator.sessionsOf = service => {
+      if (service === OTHER_SERVICE) throw UNEXPECTED;
+      return sessionsOf(service);
+    };
+    await submit(deployment, daemon, {
+      ...job('odd'),
+      queue: OTHER_QUEUE,
+      service: OTHER_SERVICE,
+    });
+    await assertJobsRun(deployment, daemon, 'sound');
+    assert.ok(daemon.events.of(LogEvent.TaskFailed) > 0);
+  });
+});
+
 // A loop that serves all jobs ended with its first unexpected failure, and the process with it.
 describe('a background task that fails unexpectedly', () => {
   const calls = [
--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -1,9 +1,4 @@
-import {
-  LogEvent,
-  errorText,
-  type Clock,
-  type Logger,
-} from '@gentiandoor/kernel';
+import {logTaskFailure, type Clock, type Logger} from '@gentiandoor/kernel';
 import {
   JobExecution,
   JobState,
@@ -106,11 +101,8 @@
     try {
       this.addRecorded(job);
     } catch (error) {
-      this.parts.logger.error(LogEvent.TaskFailed, {
-        task: 'recovery of a job',
-        job: job.submission.id,
-        error: errorText(error),
-      });
+      const fields = {job: job.submission.id};
+      logTaskFailure(this.parts.logger, 'recovery of a job', fields, error);
     }
   }
 
--- a/packages/coordinator/src/contained-worker-gateway.ts
+++ b/packages/coordinator/src/contained-worker-gateway.ts
@@ -1,4 +1,4 @@
-import {LogEvent, errorText, type Logger} from '@gentiandoor/kernel';
+import {logTaskFailure, type Logger} from '@gentiandoor/kernel';
 import {
   OrderOutcome,
   type CallFailure,
@@ -66,9 +66,8 @@
     try {
       return await call();
     } catch (error) {
-      const reason = errorText(error);
-      this.logger.error(LogEvent.TaskFailed, {task, worker: id, error: reason});
-      return {outcome: OrderOutcome.Unknown, reason};
+      logTaskFailure(this.logger, task, {worker: id}, error);
+      return {outcome: OrderOutcome.Unknown, reason: String(error)};
     }
   }
 }
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,7 +1,9 @@
 import {
   LogEvent,
+  logTaskFailure,
   sleep,
   type Clock,
+  type LogFields,
   type Logger,
   type Metrics,
 } from '@gentiandoor/kernel';
@@ -330,6 +332,10 @@
     return this.organisationLimits.poolShares(service, waiting, pool);
   }
 
+  placementFailed(fields: LogFields, error: unknown): void {
+    logTaskFailure(this.parts.logger, 'placement', fields, error);
+  }
+
   launch(session: WorkerSession, run: LiveRun): void {
     this.orderLimiter.begin();
     session.addRun(run);
--- a/packages/coordinator/src/dispatch-host.ts
+++ b/packages/coordinator/src/dispatch-host.ts
@@ -1,3 +1,4 @@
+import type {LogFields} from '@gentiandoor/kernel';
 import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import type {PoolShares, Resources} from '@gentiandoor/organisations';
 import type {LiveRun} from './live-run.js';
@@ -26,6 +27,8 @@
     waiting: ReadonlySet<string>,
     pool: Resources,
   ): PoolShares;
+  /** Called when a part of a placement round fails unexpectedly; `fields` say which. */
+  placementFailed(fields: LogFields, error: unknown): void;
   /** Stores the run, then sends its order. */
   launch(session: WorkerSession, run: LiveRun): void;
 }
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@gentiandoor/kernel';
+import type {Clock, LogFields} from '@gentiandoor/kernel';
 import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
 import {
   Entitlement,
@@ -63,7 +63,7 @@
   ) {
     this.failures = new TaskFailures(clock);
     this.schedule = new PlacementSchedule(clock, (service, causes) =>
-      this.placeService(service, causes),
+      this.contain({service}, () => this.placeService(service, causes)),
     );
     this.jobs = new WaitingJobs(
       execution => host.queueOf(execution),
@@ -239,18 +239,20 @@
       const {entitlement} = candidate;
       const isMissLimitReached =
         misses[entitlement] >= MAXIMUM_PLACEMENT_MISSES;
-      misses[entitlement] += this.placer.place(
-        {
-          service,
-          round,
-          waitingLoad,
-          now,
-          isMissLimitReached,
-          unplaced,
-          outcome,
-        },
-        candidate,
-      );
+      const placement = {
+        service,
+        round,
+        waitingLoad,
+        now,
+        isMissLimitReached,
+        unplaced,
+        outcome,
+      };
+      const job = candidate.execution.job.id;
+      const succeeded = this.contain({service, job}, () => {
+        misses[entitlement] += this.placer.place(placement, candidate);
+      });
+      if (!succeeded) round.rollBack();
     }
     const before = this.loads.waitingLoadOf(service);
     this.loads.set(service, waitingLoad.load(before, now));
@@ -267,6 +269,20 @@
     });
   }
 
+  /**
+   * Runs a part of a round, whose failure leaves other jobs and services alone; returns whether it
+   * succeeded.
+   */
+  private contain(fields: LogFields, part: () => void): boolean {
+    try {
+      part();
+      return true;
+    } catch (error) {
+      this.host.placementFailed(fields, error);
+      return false;
+    }
+  }
+
   /**
    * Orders jobs by shares within each group of equal rank and entitlement only: by shares alone,
    * late jobs would precede jobs that can still be in time.
--- a/packages/entry/src/coordinator-plugin.ts
+++ b/packages/entry/src/coordinator-plugin.ts
@@ -6,8 +6,8 @@
   type TermListener,
 } from '@gentiandoor/coordinator';
 import {
-  LogEvent,
   MetricName,
+  logTaskFailure,
   type Plugin,
   type RandomSource,
 } from '@gentiandoor/kernel';
@@ -60,10 +60,7 @@
     const coordinator = new Coordinator(term, this.parts, this.election);
     this.coordinator = coordinator;
     coordinator.run().catch((error: unknown) => {
-      this.parts.logger.error(LogEvent.TaskFailed, {
-        task: 'coordinator',
-        error: error instanceof Error ? error.stack : String(error),
-      });
+      logTaskFailure(this.parts.logger, 'coordinator', {term}, error);
       throw error;
     });
   }
--- a/packages/kernel/src/supervise.ts
+++ b/packages/kernel/src/supervise.ts
@@ -17,11 +17,18 @@
   readonly run: () => Promise<void>;
 }
 
-/** Returns the text of an error with its stack. */
-export function errorText(error: unknown): string {
-  return error instanceof Error
-    ? (error.stack ?? String(error))
-    : String(error);
+/** Logs that a task failed unexpectedly; `fields` say what it was about. */
+export function logTaskFailure(
+  logger: Logger,
+  task: string,
+  fields: LogFields,
+  error: unknown,
+): void {
+  logger.error(LogEvent.TaskFailed, {
+    task,
+    ...fields,
+    error: error instanceof Error ? error.stack : String(error),
+  });
 }
 
 /**
@@ -34,11 +41,7 @@
       await task.run();
       return;
     } catch (error) {
-      task.logger.error(LogEvent.TaskFailed, {
-        task: task.name,
-        ...task.fields,
-        error: errorText(error),
-      });
+      logTaskFailure(task.logger, task.name, task.fields ?? {}, error);
       await sleep(task.clock, FAILURE_PAUSE_MILLISECONDS);
     }
 }
