--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -1,4 +1,9 @@
-import {logTaskFailure, type Clock, type Logger} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  logTaskFailure,
+  type Clock,
+  type Logger,
+} from '@gentiandoor/kernel';
 import {
   JobExecution,
   JobState,
@@ -131,6 +136,14 @@
     this.parts.writer.store(execution);
   }
 
+  /** Ends a job as failed because its progress can't be stored. */
+  giveUp(execution: JobExecution): void {
+    if (execution.hasEnded) return;
+    this.parts.logger.error(LogEvent.JobNotStorable, {job: execution.job.id});
+    execution.giveUp();
+    this.jobEnded(execution);
+  }
+
   /** Returns the job and task that a listed end belongs to; undefined if they are not known. */
   findTask(
     ended: EndedRun,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -144,8 +144,15 @@
       LEASE_MILLISECONDS,
       this.maximumLeaseMilliseconds,
     );
-    this.writer = new ProgressWriter(parts.log, clock, term, () =>
-      this.onFenced(),
+    this.writer = new ProgressWriter(
+      parts.log,
+      clock,
+      term,
+      {
+        onFenced: () => this.onFenced(),
+        onNotStorable: execution => this.jobs.giveUp(execution),
+      },
+      parts.logger,
     );
     this.organisationLimits = new OrganisationLimits({
       operators: parts.operators,
--- a/packages/coordinator/src/progress-writer.ts
+++ b/packages/coordinator/src/progress-writer.ts
@@ -1,9 +1,16 @@
-import {sleep, type Clock} from '@gentiandoor/kernel';
+import {
+  LogEvent,
+  logTaskFailure,
+  sleep,
+  type Clock,
+  type Logger,
+} from '@gentiandoor/kernel';
 import {
   JobRecordKind,
   encodeJobRecord,
   type JobExecution,
   type KeyedRecord,
+  type ProgressEncoding,
 } from '@gentiandoor/jobs';
 import {AppendOutcome, LogStream, type RecordLog} from './record-log.js';
 
@@ -14,6 +21,21 @@
 /** Called once the progress noted before it is stored. */
 export type StoredAction = () => void;
 
+/** Is notified of progress that the store does not take. */
+export interface ProgressHost {
+  /** Called when the store reports that a later term has written. */
+  onFenced(): void;
+  /** Ends a job whose progress can't be stored, so that what is left of it can be. */
+  onNotStorable(execution: JobExecution): void;
+}
+
+/** A record that is to be appended. */
+interface PendingRecord {
+  readonly record: KeyedRecord;
+  /** Undefined for a tombstone. */
+  readonly execution?: JobExecution;
+}
+
 /**
  * Stores the progress of jobs, one append at a time, under the coordinator's term. Starts
  * of runs wait for it, so that the next coordinator knows every run that may be alive.
@@ -34,8 +56,8 @@
     private readonly log: RecordLog,
     private readonly clock: Clock,
     private readonly term: number,
-    /** Called when the store reports that a later term has written. */
-    private readonly fenced: () => void,
+    private readonly host: ProgressHost,
+    private readonly logger: Logger,
   ) {}
 
   /**
@@ -97,9 +119,9 @@
     });
     while (!this.closed && this.hasWork()) {
       const {records, actions} = this.takeBatch();
-      if (!(await this.append(records))) break;
+      if (!(await this.storeRecords(records))) break;
       this.waitingSince = this.clock.monotonicMilliseconds();
-      for (const action of actions) action();
+      for (const action of actions) this.runAction(action);
     }
     this.running = false;
     this.waitingSince = undefined;
@@ -113,19 +135,24 @@
     );
   }
 
-  private takeBatch(): {records: KeyedRecord[]; actions: StoredAction[]} {
-    const records = this.tombstones;
+  /** A failure of one action must not keep the others from being called. */
+  private runAction(action: StoredAction): void {
+    try {
+      action();
+    } catch (error) {
+      logTaskFailure(this.logger, 'action after storing', {}, error);
+    }
+  }
+
+  private takeBatch(): {records: PendingRecord[]; actions: StoredAction[]} {
+    const records: PendingRecord[] = this.tombstones.map(record => ({record}));
     this.tombstones = [];
     let bytes = 0;
     for (const execution of this.dirty) {
-      const record = encodeJobRecord({
-        kind: JobRecordKind.Progress,
-        jobId: execution.job.id,
-        progress: execution.progress,
-      });
+      const record = progressRecord(execution);
       bytes += record.value?.length ?? 0;
       if (records.length > 0 && bytes > MAXIMUM_BATCH_BYTES) break;
-      records.push(record);
+      records.push({record, execution});
       this.dirty.delete(execution);
     }
     if (this.dirty.size > 0) return {records, actions: []};
@@ -134,8 +161,50 @@
     return {records, actions};
   }
 
-  private async append(records: readonly KeyedRecord[]): Promise<boolean> {
-    if (records.length === 0) return true;
+  /**
+   * Appends records; those of a batch that the store does not take are sent one by one, since mostly
+   * only one of them is at fault. Resolves to false if nothing is stored any more.
+   */
+  private async storeRecords(
+    pending: readonly PendingRecord[],
+  ): Promise<boolean> {
+    if (pending.length === 0) return true;
+    const outcome = await this.append(pending.map(({record}) => record));
+    if (outcome !== AppendOutcome.Rejected)
+      return outcome === AppendOutcome.Appended;
+    if (pending.length === 1) return this.storeReduced(pending[0]);
+    for (const one of pending)
+      if (!(await this.storeRecords([one]))) return false;
+    return true;
+  }
+
+  /**
+   * Stores what is left of a record that the store does not take: without checkpoints a successor
+   * starts the tasks anew, and a job that has ended is recorded by its state.
+   */
+  private async storeReduced({
+    record,
+    execution,
+  }: PendingRecord): Promise<boolean> {
+    if (execution) {
+      const options = {withoutCheckpoints: true};
+      const reduced = progressRecord(execution, options);
+      let outcome = await this.append([reduced]);
+      if (outcome === AppendOutcome.Rejected && !execution.hasEnded) {
+        this.host.onNotStorable(execution);
+        outcome = await this.append([progressRecord(execution, options)]);
+      }
+      if (outcome !== AppendOutcome.Rejected)
+        return outcome === AppendOutcome.Appended;
+    }
+    this.logger.error(LogEvent.RecordNotStorable, {key: record.key});
+    return true;
+  }
+
+  /** Appends records; resolves to undefined if this writer was closed or fenced. */
+  private async append(
+    records: readonly KeyedRecord[],
+  ): Promise<AppendOutcome.Appended | AppendOutcome.Rejected | undefined> {
     this.sequence++;
     while (!this.closed) {
       const result = await this.log.append(LogStream.Jobs, records, {
@@ -143,11 +212,14 @@
       });
       switch (result.outcome) {
         case AppendOutcome.Appended:
-          return true;
+          return result.outcome;
+        case AppendOutcome.Rejected:
+          this.sequence--;
+          return result.outcome;
         case AppendOutcome.Fenced:
           this.close();
-          this.fenced();
-          return false;
+          this.host.onFenced();
+          return undefined;
         case AppendOutcome.OutOfSequence:
           this.sequence = result.expected;
           break;
@@ -155,6 +227,16 @@
           await sleep(this.clock, RETRY_MILLISECONDS);
       }
     }
-    return false;
+    return undefined;
   }
 }
+
+function progressRecord(
+  {job, progress}: JobExecution,
+  options?: ProgressEncoding,
+): KeyedRecord {
+  return encodeJobRecord(
+    {kind: JobRecordKind.Progress, jobId: job.id, progress},
+    options,
+  );
+}
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -29,6 +29,8 @@
   readonly crashesAfterMilliseconds?: number;
   /** Interval at which the task saves its progress; it continues from there. */
   readonly checkpointMilliseconds?: number;
+  /** Least length of what it saves. */
+  readonly checkpointBytes?: number;
 }
 
 /** Returns the behaviour of a task, by name, on a worker. */
@@ -331,9 +333,11 @@
 
   /** Returns the saved milliseconds of work; empty for a task that does not save any. */
   private checkpointOf(run: AliveRun): string {
-    const interval = run.behaviour.checkpointMilliseconds;
-    if (interval === undefined) return '';
-    return String(Math.floor(this.workOf(run) / interval) * interval);
+    const {checkpointMilliseconds, checkpointBytes = 0} = run.behaviour;
+    if (checkpointMilliseconds === undefined) return '';
+    const intervals = Math.floor(this.workOf(run) / checkpointMilliseconds);
+    const saved = String(intervals * checkpointMilliseconds);
+    return saved.padStart(checkpointBytes, '0');
   }
 
   private done(): OrderResult {
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -228,6 +228,11 @@
     if (!this.hasEnded) this.progress.state = JobState.Cancelled;
   }
 
+  /** Ends the job as failed, since it can't be carried on. */
+  giveUp(): void {
+    if (!this.hasEnded) this.fail();
+  }
+
   /** Returns the longest chain of task times over all steps, in milliseconds. */
   criticalPathMilliseconds(estimate: StepEstimate): number {
     return longestPathMilliseconds(this.job, estimate, () => true);
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -73,15 +73,28 @@
   return KEY_PREFIXES[kind] + jobId;
 }
 
+/** How the progress of a job is encoded. */
+export interface ProgressEncoding {
+  /** Checkpoints are of any length; without them, tasks start anew after a change of coordinator. */
+  readonly withoutCheckpoints?: boolean;
+}
+
 /** Encodes a record for the log. */
-export function encodeJobRecord(record: JobRecord): KeyedRecord {
+export function encodeJobRecord(
+  record: JobRecord,
+  encoding: ProgressEncoding = {},
+): KeyedRecord {
   switch (record.kind) {
     case JobRecordKind.Submission:
       return keyed(record.kind, record.job.id, record.job);
     case JobRecordKind.Cancellation:
       return keyed(record.kind, record.jobId, {});
     case JobRecordKind.Progress:
-      return keyed(record.kind, record.jobId, packProgress(record.progress));
+      return keyed(
+        record.kind,
+        record.jobId,
+        packProgress(record.progress, encoding),
+      );
   }
 }
 
@@ -175,11 +188,19 @@
  * read every record, and after a gap in the store's history each of them reads all jobs
  * of the last minutes at once.
  */
-function packProgress({state, tasks}: JobProgress): unknown {
+function packProgress(
+  {state, tasks}: JobProgress,
+  {withoutCheckpoints = false}: ProgressEncoding,
+): unknown {
   const recorded = [...tasks].filter(
     ([, task]) => !isFinal(state) || task.worker !== '',
   );
-  return {state, tasks: recorded.map(packTask)};
+  return {
+    state,
+    tasks: recorded.map(([key, task]) =>
+      packTask([key, withoutCheckpoints ? {...task, checkpoint: ''} : task]),
+    ),
+  };
 }
 
 function packTask([key, task]: [string, TaskProgress]): PackedTask {
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -277,6 +277,14 @@
     'An organisation has submitted no excess job for three seconds; `jobs` is the number of its excess jobs, `milliseconds` the time from the first to the last.',
     'nothing; it may be exceeded again',
   ),
+  [LogEvent.JobNotStorable]: entry(
+    'The store does not take the progress of a job, also without checkpoints, so that nothing of it could be started safely: the job ends as failed, the others go on.',
+    'compare the size of the job with the largest record that the store takes',
+  ),
+  [LogEvent.RecordNotStorable]: entry(
+    'The store does not take a record about a job, whatever is left out of it; what it says is lost with the coordinator.',
+    'report it with the line',
+  ),
   [LogEvent.TaskFailed]: entry(
     'A task failed unexpectedly: `task` and, where it has one, the element that it was about. It is tried again, and everything else goes on; only if `task` is `coordinator`, the daemon ends.',
     'report it with the line',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -67,6 +67,8 @@
   WorkStands = 1935,
   ProgressNotStored = 1936,
   WorkOverlooked = 1937,
+  JobNotStorable = 1938,
+  RecordNotStorable = 1939,
   ConfigurationInForce = 1941,
   StoreLost = 1942,
   StoreBack = 1943,
