--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -37,6 +37,7 @@
           weightOf: () => 1,
           usedBy: () => NO_LIMIT,
         }),
+        fleetCanRun: () => true,
         placementFailed: (_fields, error) => {
           throw error;
         },
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -12,6 +12,7 @@
   JobExecution,
   JobTable,
   RunEnd,
+  StepSpecification,
 } from '@gentiandoor/jobs';
 import {
   FullestFirst,
@@ -331,6 +332,10 @@
     return this.organisationLimits.mayStart(execution, tasks, service);
   }
 
+  fleetCanRun(step: StepSpecification, except?: string): boolean {
+    return this.fleet.canRun(step, except);
+  }
+
   poolShares(
     service: string,
     waiting: ReadonlySet<string>,
--- a/packages/coordinator/src/dispatch-host.ts
+++ b/packages/coordinator/src/dispatch-host.ts
@@ -1,5 +1,9 @@
 import type {LogFields} from '@gentiandoor/kernel';
-import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import type {
+  ExecutableTask,
+  JobExecution,
+  StepSpecification,
+} from '@gentiandoor/jobs';
 import type {PoolShares, Resources} from '@gentiandoor/organisations';
 import type {LiveRun} from './live-run.js';
 import type {Queue} from './operator-records.js';
@@ -21,6 +25,11 @@
     tasks: readonly ExecutableTask[],
     service: string,
   ): boolean;
+  /**
+   * Whether a VM of the fleet could run a task of `step`, as far as is known; VMs of the pool `except`
+   * do not count.
+   */
+  fleetCanRun(step: StepSpecification, except?: string): boolean;
   /** Shares of organisations in the pool of a service, including at least those in `waiting`. */
   poolShares(
     service: string,
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -1,5 +1,9 @@
 import type {Clock, LogFields} from '@gentiandoor/kernel';
-import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
+import type {
+  ExecutableTask,
+  JobExecution,
+  JobSubmission,
+} from '@gentiandoor/jobs';
 import {
   Entitlement,
   sumResources,
@@ -102,7 +106,14 @@
    */
   noteDemand(execution: JobExecution, ageMilliseconds: number): void {
     const at = this.clock.monotonicMilliseconds() - ageMilliseconds;
-    this.demand.note(this.jobs.serviceOf(execution), execution.job, at);
+    const service = this.jobs.serviceOf(execution);
+    this.demand.note(service, this.runnablePartOf(execution.job), at);
+  }
+
+  /** Returns a job without the steps that no VM could run, for which VMs would be moved in vain. */
+  private runnablePartOf(job: JobSubmission): JobSubmission {
+    const steps = job.steps.filter(step => this.host.fleetCanRun(step));
+    return steps.length === job.steps.length ? job : {...job, steps};
   }
 
   /** Records the duration of a run that ended successfully. */
--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -1,4 +1,5 @@
 import {sleep, supervise} from '@gentiandoor/kernel';
+import type {StepSpecification} from '@gentiandoor/jobs';
 import {
   vmListDelayMilliseconds,
   largestCapacity,
@@ -8,6 +9,7 @@
   type PlannedVm,
 } from '@gentiandoor/scheduling';
 import type {Dispatcher} from './dispatcher.js';
+import {FleetCapabilities} from './fleet-capabilities.js';
 import {IncarnationEnd} from './incarnation-end.js';
 import type {JobStreams} from './job-streams.js';
 import {MissingVms} from './missing-vms.js';
@@ -62,6 +64,8 @@
   private readonly poolLog: PoolSizeLog;
   private readonly arrivals: VmArrivals;
   private vms: readonly ListedVm[] = [];
+  /** Undefined until the VMs have been listed. */
+  private capabilities: FleetCapabilities | undefined;
   private listDueAt = -Infinity;
   private closed = false;
 
@@ -96,6 +100,14 @@
     this.orders.close();
   }
 
+  /**
+   * Returns whether a VM could run a task of `step`, as far as is known; VMs of the pool `except` do
+   * not count.
+   */
+  canRun(step: StepSpecification, except?: string): boolean {
+    return this.capabilities?.canRun(step, except) ?? true;
+  }
+
   /**
    * Plans pools more often than it lists VMs: the list takes bandwidth, while callers in a burst
    * wait for the plan.
@@ -128,6 +140,7 @@
       this.now() + vmListDelayMilliseconds(this.now() - startedAt);
     if (this.closed || !vms || vms.length === 0) return;
     this.vms = vms;
+    this.capabilities = new FleetCapabilities(vms);
     this.orders.noteListed(startedAt);
     this.endLostIncarnations(startedAt);
   }
--- a/packages/coordinator/src/task-placer.ts
+++ b/packages/coordinator/src/task-placer.ts
@@ -108,7 +108,8 @@
           tasks,
           this.placementRequestOf(execution, tasks[0], now),
         );
-      waitingLoad.note(candidate, tasks);
+      if (this.parts.host.fleetCanRun(tasks[0].specification, service))
+        waitingLoad.note(candidate, tasks);
       isWaiting = true;
     }
     if (isWaiting) placement.unplaced.push(candidate);
