--- a/packages/coordinator/src/__tests__/placement-misses.test.ts
+++ b/packages/coordinator/src/__tests__/placement-misses.test.ts
@@ -6,6 +6,7 @@
   overlookedRounds,
   SHORT_TASKS,
   startedShortTasks,
+  startedTasks,
   submit,
   submitShortJobs,
 } from './submitted-jobs.js';
@@ -89,4 +90,48 @@
     assert.equal(startedShortTasks(deployment), SHORT_TASKS);
     assert.equal(overlookedRounds(daemon), 0);
   });
+
+  // Capacity that only the small tasks can use stayed idle as long as the lasting tasks ran.
+  it('run although larger tasks find the half used pool full', async () => {
+    const deployment = new TestDeployment(4);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.startLongRunningJob(daemon, {
+      taskCount: 4,
+      maximumPerWorker: 1,
+      processorMillicores: 4_800,
+    });
+    for (let index = 0; index < 20; index++)
+      await submit(
+        deployment,
+        daemon,
+        job(`large-${index}`, [step({processorMillicores: 4_000 + index})]),
+      );
+    await submitShortJobs(deployment, daemon);
+    await deployment.run(5_000);
+    assert.equal(startedTasks(deployment, 'large-'), 0);
+    assert.equal(startedShortTasks(deployment), SHORT_TASKS);
+  });
+
+  // A lasting task is owed also where half of the pool is in use.
+  it('run although they last and larger ones find the pool full', async () => {
+    const deployment = new TestDeployment(4);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.startLongRunningJob(daemon, {
+      taskCount: 4,
+      maximumPerWorker: 1,
+      processorMillicores: 4_800,
+    });
+    for (let index = 0; index < 20; index++)
+      await submit(
+        deployment,
+        daemon,
+        job(`large-${index}`, [
+          step({longRunning: true, processorMillicores: 4_000}),
+        ]),
+      );
+    const small = step({longRunning: true, processorMillicores: 100});
+    await submit(deployment, daemon, job('small', [small]));
+    await deployment.run(5_000);
+    assert.equal(startedTasks(deployment, 'small'), 1);
+  });
 });
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -11,6 +11,7 @@
   type SharePolicy,
 } from '@gentiandoor/organisations';
 import {
+  PlacementMisses,
   largestCapacity,
   type PoolMillicores,
   type WaitingOrder,
@@ -33,13 +34,6 @@
 import type {WaitingWorkRecorder} from './waiting-work-recorder.js';
 import type {WorkerSession} from './worker-session.js';
 
-/**
- * A placement round stops after this many steps found the pool full. Steps of
- * excess jobs are counted separately: otherwise capacity that large entitled tasks can't use would
- * stay idle although smaller excess tasks fit.
- */
-const MAXIMUM_PLACEMENT_MISSES = 12;
-
 /** Places the ready tasks of all jobs on workers. */
 export class Dispatcher {
   private readonly jobs: WaitingJobs;
@@ -245,24 +239,24 @@
     );
     const unplaced: PlacementCandidate[] = [];
     const outcome = new RoundOutcome();
-    const misses = {[Entitlement.Entitled]: 0, [Entitlement.Excess]: 0};
+    const misses = {
+      [Entitlement.Entitled]: new PlacementMisses(),
+      [Entitlement.Excess]: new PlacementMisses(),
+    };
     for (const candidate of this.orderByShares(service, groups, sessions)) {
-      const {entitlement} = candidate;
-      const isMissLimitReached =
-        misses[entitlement] >= MAXIMUM_PLACEMENT_MISSES;
       const placement = {
         service,
         round,
         waitingLoad,
         now,
-        isMissLimitReached,
+        misses: misses[candidate.entitlement],
         unplaced,
         outcome,
       };
       const job = candidate.execution.job.id;
-      const succeeded = this.contain({service, job}, () => {
-        misses[entitlement] += this.placer.place(placement, candidate);
-      });
+      const succeeded = this.contain({service, job}, () =>
+        this.placer.place(placement, candidate),
+      );
       if (!succeeded) round.rollBack();
     }
     const before = this.loads.waitingLoadOf(service);
--- a/packages/coordinator/src/round-outcome.ts
+++ b/packages/coordinator/src/round-outcome.ts
@@ -3,7 +3,7 @@
 
 /** Limit for which a placement round leaves tasks, whatever capacity is free. */
 export enum RoundLimit {
-  /** Too many steps before them could not be placed. */
+  /** Too many steps before them, none of which requests more, found the pool full. */
   Misses = 'miss_limit',
   Organisation = 'organisation_limit',
   OrdersInFlight = 'orders_in_flight',
--- a/packages/coordinator/src/task-placer.ts
+++ b/packages/coordinator/src/task-placer.ts
@@ -1,5 +1,5 @@
 import type {ExecutableTask, JobExecution} from '@gentiandoor/jobs';
-import {PlacementShortage} from '@gentiandoor/scheduling';
+import {PlacementShortage, type PlacementMisses} from '@gentiandoor/scheduling';
 import type {DispatchHost} from './dispatch-host.js';
 import {RunStatus, newLiveRun, stepName, taskName} from './live-run.js';
 import type {PlacementRound, TaskPlacementRequest} from './placement-round.js';
@@ -24,8 +24,8 @@
   /** Sums up the tasks that could not be placed. */
   readonly waitingLoad: WaitingLoadCounter;
   readonly now: number;
-  /** Too many steps could not be placed: the remaining ones are only counted as waiting. */
-  readonly isMissLimitReached: boolean;
+  /** Steps that found the pool full; what they rule out is only counted as waiting. */
+  readonly misses: PlacementMisses;
   /** Jobs of which some tasks could not be placed; those that wait for a limit are left out. */
   readonly unplaced: PlacementCandidate[];
   readonly outcome: RoundOutcome;
@@ -58,17 +58,13 @@
     return this.parts.failures.mustIsolate(name, total);
   }
 
-  /**
-   * Places the ready tasks of a job; returns the number of its steps that found the pool full.
-   */
-  place(placement: ServicePlacement, candidate: PlacementCandidate): number {
-    const {service, round, waitingLoad, now, isMissLimitReached, outcome} =
-      placement;
+  /** Places the ready tasks of a job. */
+  place(placement: ServicePlacement, candidate: PlacementCandidate): void {
+    const {service, round, waitingLoad, now, misses, outcome} = placement;
     let isWaiting = false;
     const {execution} = candidate;
     /** Why steps of the job wait. */
     const reasons = new Map<string, WaitReason>();
-    let misses = 0;
     for (const tasks of groupsOf(candidate.ready)) {
       if (!this.mayOrder(tasks)) {
         this.parts.schedule.requestAfterOrders(service);
@@ -82,8 +78,9 @@
         continue;
       }
       const key = stepName(execution.job.id, tasks[0]);
+      const isRuledOut = misses.ruleOut(tasks[0].specification);
       const isPlaced =
-        !isMissLimitReached &&
+        !isRuledOut &&
         !reasons.has(key) &&
         this.placeTogether(round, candidate, tasks, now);
       if (isPlaced) {
@@ -91,18 +88,22 @@
         continue;
       }
       this.retryIsolated(service, candidate, tasks);
-      let reason = isMissLimitReached ? RoundLimit.Misses : reasons.get(key);
+      let reason = isRuledOut ? RoundLimit.Misses : reasons.get(key);
       if (reason === undefined) {
         const request = this.placementRequestOf(execution, tasks[0], now);
         const shortage = round.shortageOf(request);
-        if (round.indicatesFullPool(shortage)) misses++;
+        // A group that must start together may lack capacity that a smaller one finds.
+        const saysSize =
+          tasks.length === 1 || shortage === PlacementShortage.Capacity;
+        if (saysSize && round.indicatesFullPool(shortage))
+          misses.note(tasks[0].specification);
         if (shortage === PlacementShortage.Restricted)
           this.parts.schedule.retryRestricted(service);
         reason = shortage;
       }
       reasons.set(key, reason);
       outcome.noteWaiting(tasks, reason);
-      if (!isMissLimitReached)
+      if (!isRuledOut)
         this.parts.preemption?.noteUnplaced(
           candidate,
           tasks,
@@ -113,7 +114,6 @@
       isWaiting = true;
     }
     if (isWaiting) placement.unplaced.push(candidate);
-    return misses;
   }
 
   private retryIsolated(
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -23,6 +23,7 @@
 export * from './waiting-order.js';
 export * from './wave-plan.js';
 export * from './worker-choice.js';
+export * from './placement-misses.js';
 export * from './placement-shortage.js';
 export * from './placement-worker.js';
 export * from './worker-reliability.js';
