--- a/packages/coordinator/src/__tests__/learned-demand-store.test.ts
+++ b/packages/coordinator/src/__tests__/learned-demand-store.test.ts
@@ -66,6 +66,50 @@
     assert.equal(store.calls.append, 1);
   });
 
+  // One job with estimates beyond measure made the sum of its queue infinite, and the figures of all
+  // queues unreadable for the next coordinator.
+  it('passes finite figures on whatever callers estimate', async () => {
+    const {clock, coordinator, logger} = setUp();
+    const first = coordinator();
+    recordObservations(first.demand);
+    const beyondMeasure = step({
+      estimatedMilliseconds: 1e308,
+      processorMillicores: 1e308,
+      taskCount: 50,
+    });
+    first.demand.note('service', job('odd', [beyondMeasure]), 0);
+    assert.ok(
+      Number.isFinite(first.demand.offeredLoadMillicores('service', 0)),
+    );
+    first.learned.start();
+    await clock.advanceAsync(2_500);
+    first.learned.close();
+    const second = coordinator();
+    const loaded = second.learned.load();
+    await clock.advanceAsync(50);
+    await loaded;
+    assert.equal(logger.of(LogEvent.RecordUnreadable), 0);
+    assert.deepEqual(second.demand.snapshot(), first.demand.snapshot());
+  });
+
+  it('leaves out only the queue whose figures are invalid', async () => {
+    const {clock, coordinator, store} = setUp();
+    const first = coordinator();
+    recordObservations(first.demand);
+    const {durations, ...others} = first.demand.snapshot();
+    const invalid = ['odd', {...durations[0][1], weight: null}];
+    const value = {...others, durations: [invalid, ...durations]};
+    store.write(LogStream.Fleet, {
+      key: 'learned',
+      value: Buffer.from(JSON.stringify(value)),
+    });
+    const {demand, learned} = coordinator();
+    const loaded = learned.load();
+    await clock.advanceAsync(50);
+    await loaded;
+    assert.deepEqual(demand.snapshot(), first.demand.snapshot());
+  });
+
   it('begins with the estimates when the store does not respond', async () => {
     const {clock, coordinator} = setUp();
     const {demand, connection, learned} = coordinator();
--- a/packages/coordinator/src/learned-demand-store.ts
+++ b/packages/coordinator/src/learned-demand-store.ts
@@ -92,12 +92,27 @@
 }
 
 /**
- * Parses stored figures; throws if one is null, which is how JSON stores NaN: a NaN would propagate
- * and make every run time unknown.
+ * Parses stored figures, without those of queues that have an invalid one. JSON stores NaN as null,
+ * which would propagate and make run times unknown.
  */
 function parseLearned(text: string): LearnedDemand {
-  return JSON.parse(text, (key, value: unknown) => {
-    if (value === null) throw new TypeError(`${key} is not a number`);
-    return value;
-  }) as LearnedDemand;
+  const learned = JSON.parse(text) as LearnedDemand;
+  if (!hasNumbersOnly(learned.startDelay))
+    throw new TypeError('the start delay is not a number');
+  return {
+    startDelay: learned.startDelay,
+    durations: withNumbersOnly(learned.durations),
+    spreads: withNumbersOnly(learned.spreads),
+    work: withNumbersOnly(learned.work),
+  };
+}
+
+function withNumbersOnly<Snapshot extends object>(
+  byQueue: ReadonlyArray<[string, Snapshot]>,
+): Array<[string, Snapshot]> {
+  return byQueue.filter(([, snapshot]) => hasNumbersOnly(snapshot));
+}
+
+function hasNumbersOnly(snapshot: object): boolean {
+  return Object.values(snapshot).every(Number.isFinite);
 }
--- a/packages/coordinator/src/service-demand.ts
+++ b/packages/coordinator/src/service-demand.ts
@@ -26,6 +26,11 @@
 /** Number of runs over which the delay from placement to start is averaged. */
 const START_DELAY_SAMPLES = 200;
 
+/** A longer estimate counts as this long: a sum of estimates must stay a number. */
+const LONGEST_ESTIMATE_MILLISECONDS = 24 * 60 * 60 * 1_000;
+/** A task that requests more counts as requesting this much, for the same reason. */
+const LARGEST_TASK_MILLICORES = 1_000_000;
+
 /** Estimates of the work that arrives for a service, and of its recent peak. */
 interface ServiceArrivals {
   readonly estimator: ArrivalRateEstimator;
@@ -103,7 +108,7 @@
     stepKey: string,
     milliseconds: number,
   ): void {
-    this.durationsOf(queue).observe(step.estimatedMilliseconds, milliseconds);
+    this.durationsOf(queue).observe(estimateOf(step), milliseconds);
     this.stragglersOf(queue).observe(stepKey, step.taskCount, milliseconds);
   }
 
@@ -127,11 +132,10 @@
 
   /** Returns the expected millicore-milliseconds of a task of `step`. */
   taskWork(queue: string, step: StepSpecification): number {
-    const mean = this.durationsOf(queue).meanMilliseconds(
-      step.estimatedMilliseconds,
-    );
+    const mean = this.durationsOf(queue).meanMilliseconds(estimateOf(step));
     const time = mean + this.startDelay.value;
-    return dominantResourceMillicores(step, this.vmCapacity) * time;
+    const millicores = dominantResourceMillicores(step, this.vmCapacity);
+    return Math.min(millicores, LARGEST_TASK_MILLICORES) * time;
   }
 
   /** Returns what was learned so far, for the next coordinator. */
@@ -160,9 +164,7 @@
 
   /** Returns the expected run time of a task of `step`, in milliseconds. */
   expectedTime(queue: string, step: StepSpecification): number {
-    return this.durationsOf(queue).medianMilliseconds(
-      step.estimatedMilliseconds,
-    );
+    return this.durationsOf(queue).medianMilliseconds(estimateOf(step));
   }
 
   private stragglersOf(queue: string): StragglerModel {
@@ -191,6 +193,10 @@
   }
 }
 
+function estimateOf({estimatedMilliseconds}: StepSpecification): number {
+  return Math.min(estimatedMilliseconds, LONGEST_ESTIMATE_MILLISECONDS);
+}
+
 function snapshotsIn<Snapshot>(
   learned: ReadonlyMap<string, {readonly snapshot: Snapshot}>,
 ): Array<[string, Snapshot]> {
