--- a/packages/coordinator/src/operator-records.ts
+++ b/packages/coordinator/src/operator-records.ts
@@ -35,6 +35,12 @@
   readonly healthPath: string;
 }
 
+/** A part of a configuration that can't be read, for example a queue. */
+export interface RejectedPart {
+  readonly part: string;
+  readonly reason: string;
+}
+
 /** Configuration published by the operators. */
 export interface Configuration {
   readonly version: number;
@@ -43,6 +49,8 @@
   /** Undefined in a deployment without organisations, whose queues are open to all callers. */
   readonly organisations: OrganisationList | undefined;
   readonly maximumBodyBytes: number;
+  /** Parts that are not in force. */
+  readonly rejected?: readonly RejectedPart[];
 }
 
 /** A maintenance wave requested by the operators. */
--- a/packages/coordinator/src/operator-view.ts
+++ b/packages/coordinator/src/operator-view.ts
@@ -149,6 +149,12 @@
     this.servicesByName = new Map(
       configuration.services.map(service => [service.name, service]),
     );
+    for (const {part, reason} of configuration.rejected ?? [])
+      this.logger.warn(LogEvent.ConfigurationPartUnreadable, {
+        version: configuration.version,
+        part,
+        reason,
+      });
     const {organisations = NO_ORGANISATIONS} = configuration;
     this.applyOrganisations(organisations);
     this.logger.info(LogEvent.ConfigurationInForce, {
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -285,6 +285,10 @@
     'The store does not take a record about a job, whatever is left out of it; what it says is lost with the coordinator.',
     'report it with the line',
   ),
+  [LogEvent.ConfigurationPartUnreadable]: entry(
+    'A queue or service of a configuration can not be read; `part` is its list and place. It is not in force, the rest of the version is.',
+    'correct the part in the next version',
+  ),
   [LogEvent.TaskFailed]: entry(
     'A task failed unexpectedly: `task` and, where it has one, the element that it was about. It is tried again, and everything else goes on; only if `task` is `coordinator`, the daemon ends.',
     'report it with the line',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -76,6 +76,7 @@
   SettingsUnreadable = 1945,
   LinesLeftOut = 1946,
   TaskFailed = 1947,
+  ConfigurationPartUnreadable = 1948,
   CallRefused = 1951,
   OrganisationUnreadable = 1952,
   OrganisationKeyShared = 1953,
