--- a/packages/coordinator/src/__tests__/crashing-tasks.test.ts
+++ b/packages/coordinator/src/__tests__/crashing-tasks.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {JobState, type StepSpecification} from '@gentiandoor/jobs';
 import {SeededRandom} from '@gentiandoor/kernel';
+import {LogStream} from '../index.js';
 import {startsAfterCrashes} from '../stand-ins/index.js';
 import {
   TestDaemon,
@@ -165,6 +166,40 @@
   });
 });
 
+// A VM that goes down and up by turns counted as evidence against the lasting task that only it may
+// run, and the job was shown as failed though no run of it had failed.
+describe('a worker that crashes again and again', () => {
+  for (const reportsStart of [false, true])
+    it(`does not end the lasting job that needs it (${reportsStart ? 'same' : 'new'} id)`, async () => {
+      const deployment = new TestDeployment(3, reportsStart);
+      const vm = deployment.fleet.vms.get('worker-0')!;
+      const labels = ['rack-1', 'rare'];
+      const label = () => {
+        const {workerId} = deployment.fleet.vms.get(vm.name)!;
+        const worker = deployment.worker(workerId);
+        if (!worker || worker.isDead) return;
+        deployment.store.write(LogStream.Workers, {
+          key: worker.id,
+          value: Buffer.from(JSON.stringify(worker.entry(labels))),
+        });
+      };
+      deployment.fleet.add({...vm, labels});
+      label();
+      const daemon = await deployment.startDaemon('one');
+      await deployment.startLongRunningJob(daemon, {requiredLabel: 'rare'});
+      for (let crash = 0; crash < 10; crash++) {
+        deployment.crashWorker(deployment.fleet.vms.get(vm.name)!.workerId);
+        await deployment.run(1_050);
+        label();
+        await deployment.run(2_500);
+      }
+      await deployment.run(20_000);
+      await assertState(deployment, daemon, 'lasting', JobState.Running);
+      const starts = deployment.startedRuns().length;
+      assert.ok(starts > 5, `${starts} starts`);
+    });
+});
+
 describe('workers that crash one after the other for other reasons', () => {
   // Guards against giving up jobs for crashes that no task has caused.
   for (const seed of [1, 2, 3, 4, 5, 6])
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -212,6 +212,7 @@
         writer: this.writer,
         registry: this.registry,
         clock,
+        vmOf: worker => this.fleet.vmOf(worker),
       },
       this.jobs,
     );
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -26,6 +26,8 @@
   readonly writer: ProgressWriter;
   readonly registry: WorkerRegistry;
   readonly clock: Clock;
+  /** Returns the VM on which a worker runs or ran, if that is known. */
+  readonly vmOf: (worker: string) => string | undefined;
 }
 
 /** What run outcomes need from the coordinator. */
@@ -201,6 +203,7 @@
           run.carriedFrom?.endedAt ?? ending.silentFrom ?? this.now(),
         ),
         isIsolated: run.isIsolated,
+        vm: this.crashedVm(run, ending.worker),
       });
     return execution.endRun(
       executableTask,
@@ -211,6 +214,11 @@
     );
   }
 
+  private crashedVm(run: LiveRun, worker: string): string | undefined {
+    const {longRunning} = run.executableTask.specification;
+    return longRunning ? (this.parts.vmOf(worker) ?? worker) : undefined;
+  }
+
   /** Drops the other members of a gang, which are over once one of them is done. */
   private dropGang(run: LiveRun): void {
     for (const member of this.parts.registry.dropRunsOfStep(run))
