--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -12,6 +12,7 @@
   readonly rounds: number;
   readonly workers: number;
   readonly restarting: boolean;
+  readonly odd: boolean;
 }
 
 async function run(options: Options): Promise<void> {
@@ -26,7 +27,10 @@
       folder: join(folder, `seed-${seed}`),
       profile:
         Number(options.workers) > 0
-          ? deploymentProfile(Number(options.workers), options.restarting)
+          ? deploymentProfile(Number(options.workers), {
+              reportsStart: options.restarting,
+              hasOddElements: options.odd,
+            })
           : SMALL_PROFILE,
     }).play();
     const verdict = result.violations.length === 0 ? 'held' : 'BROKEN';
@@ -54,5 +58,10 @@
     0,
   )
   .option('--restarting', 'Workers restart under their id', false)
+  .option(
+    '--odd',
+    'Elements that can not be read or served, in a whole deployment',
+    false,
+  )
   .action(run)
   .parse(process.argv);
--- a/packages/soak/src/daemon-process.ts
+++ b/packages/soak/src/daemon-process.ts
@@ -12,6 +12,9 @@
 export class DaemonProcess {
   private child: ChildProcess | undefined;
   private readonly log: WriteStream;
+  private isEnding = false;
+  /** How often the process has ended without being told to. */
+  ownEnds = 0;
 
   constructor(
     readonly node: string,
@@ -37,7 +40,9 @@
     });
     child.stdout.pipe(this.log, {end: false});
     child.stderr.pipe(this.log, {end: false});
+    this.isEnding = false;
     child.once('exit', () => {
+      if (!this.isEnding) this.ownEnds++;
       if (this.child === child) this.child = undefined;
     });
     this.child = child;
@@ -53,6 +58,7 @@
   async end(name: NodeJS.Signals): Promise<void> {
     const {child} = this;
     if (!child) return;
+    this.isEnding = true;
     const gone = new Promise(resolve => {
       child.once('exit', resolve);
     });
--- a/packages/soak/src/soak-faults.ts
+++ b/packages/soak/src/soak-faults.ts
@@ -6,6 +6,7 @@
   type StandInPlatform,
 } from '@gentiandoor/platform/stand-ins';
 import type {DaemonProcess} from './daemon-process.js';
+import {OddElements} from './odd-elements.js';
 import {ProxyMode, type FaultProxy} from './fault-proxy.js';
 import {pause} from './soak-callers.js';
 
@@ -42,11 +43,17 @@
   constructor(
     private readonly targets: SoakTargets,
     private readonly hasFleetFaults: boolean,
+    /** Undefined if all elements can be read and served. */
+    private readonly oddElements?: OddElements,
   ) {}
 
   inject(round: number): void {
     const {daemons, random} = this.targets;
     const index = random.nextInteger(daemons.length);
+    if (this.oddElements) {
+      const what = this.oddElements.inject(daemons[index].callers);
+      this.log.push(`${round}: ${what}`);
+    }
     const count = BASIC_FAULTS + (this.hasFleetFaults ? FLEET_FAULTS : 0);
     const kind = random.nextInteger(count);
     const what =
--- a/packages/soak/src/soak-profile.ts
+++ b/packages/soak/src/soak-profile.ts
@@ -9,6 +9,8 @@
   readonly workerCapacity: Resources;
   /** Whether the faults of workers, waves, configurations and all daemons at once are injected. */
   readonly hasFleetFaults: boolean;
+  /** Whether elements are brought in that can't be read or served. */
+  readonly hasOddElements?: boolean;
   /** Whether workers restart under their id. */
   readonly reportsStart: boolean;
   /** How long nobody calls after the last round, in milliseconds. */
@@ -34,7 +36,7 @@
 /** A deployment of four services and a standby pool, whose callers leave before the check. */
 export function deploymentProfile(
   workersPerService: number,
-  reportsStart = false,
+  {reportsStart = false, hasOddElements = false} = {},
 ): SoakProfile {
   const services = ['previews', 'crests', 'logos', 'emblems'];
   return {
@@ -46,6 +48,7 @@
       accelerators: 0,
     },
     hasFleetFaults: true,
+    hasOddElements,
     reportsStart,
     quietMilliseconds: 14_000,
     newWorkload: random =>
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -16,6 +16,7 @@
   pause,
   type ObservedJob,
 } from './soak-callers.js';
+import {OddElements} from './odd-elements.js';
 import {SoakFaults} from './soak-faults.js';
 import {SMALL_PROFILE, type SoakProfile} from './soak-profile.js';
 import {guaranteeViolations} from './guarantee-violations.js';
@@ -86,6 +87,9 @@
     this.faults = new SoakFaults(
       {platform, daemons, proxies, failingWorkers, random},
       this.profile.hasFleetFaults,
+      this.profile.hasOddElements
+        ? new OddElements(platform, this.profile.services, random)
+        : undefined,
     );
   }
 
@@ -107,7 +111,12 @@
     const violations = guaranteeViolations(this.callers.jobs, runs);
     await this.stop();
     return {
-      violations: [...left, ...violations, ...this.overlookedWork()],
+      violations: [
+        ...left,
+        ...violations,
+        ...this.overlookedWork(),
+        ...this.ownEnds(),
+      ],
       jobs: this.callers.jobs.length,
       runs: runs.length,
       faults: this.faults.log,
@@ -149,6 +158,15 @@
     );
   }
 
+  /** Returns the daemons that have ended without being told to. */
+  private ownEnds(): string[] {
+    return this.daemons.flatMap(({node, ownEnds}) =>
+      ownEnds > 0
+        ? [`FAULT: ${node} has ended by itself ${ownEnds} times`]
+        : [],
+    );
+  }
+
   /** Returns the log lines about work that a wake-up would have started sooner. */
   private overlookedWork(): string[] {
     return this.daemons.flatMap(({node, logPath}) =>
