--- a/packages/cli/src/__tests__/deployment.test.ts
+++ b/packages/cli/src/__tests__/deployment.test.ts
@@ -66,7 +66,7 @@
                 run: 2,
                 done: false,
                 failedRuns: [1],
-                crashes: {total: 1, atStart: 1, vms: []},
+                crashes: {total: 1, atStart: 1},
                 preemptions: 0,
                 isStartExecuted: false,
                 orderedInTerm: undefined,
--- a/packages/coordinator/src/__tests__/started-runs.test.ts
+++ b/packages/coordinator/src/__tests__/started-runs.test.ts
@@ -16,6 +16,7 @@
     endedAt,
     end: RunEnd.Crashed,
     acknowledgedAt: undefined,
+    checkpoint: '',
   };
 }
 
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -212,7 +212,7 @@
         writer: this.writer,
         registry: this.registry,
         clock,
-        vmOf: worker => this.fleet.vmOf(worker),
+        hasSingleVmFor: step => this.fleet.hasSingleVmFor(step),
       },
       this.jobs,
     );
--- a/packages/coordinator/src/fleet-capabilities.ts
+++ b/packages/coordinator/src/fleet-capabilities.ts
@@ -39,6 +39,15 @@
   }
 }
 
+/** Returns whether a VM could run a task of `step` if nothing else ran on it. */
+export function couldRun(
+  {labels, capacity}: ListedVm,
+  step: StepSpecification,
+): boolean {
+  const hasLabel = !step.requiredLabel || labels.includes(step.requiredLabel);
+  return hasLabel && isLargeEnough(capacity, step);
+}
+
 function isLargeEnough(capacity: Resources, step: StepSpecification): boolean {
   return (
     (step.bestEffort ||
--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -9,7 +9,7 @@
   type PlannedVm,
 } from '@gentiandoor/scheduling';
 import type {Dispatcher} from './dispatcher.js';
-import {FleetCapabilities} from './fleet-capabilities.js';
+import {FleetCapabilities, couldRun} from './fleet-capabilities.js';
 import {IncarnationEnd} from './incarnation-end.js';
 import type {JobStreams} from './job-streams.js';
 import {MissingVms} from './missing-vms.js';
@@ -23,7 +23,6 @@
 import {VmOrders, type VmOrderParts, type VmOrderRequest} from './vm-orders.js';
 import {MaintenanceController} from './maintenance-controller.js';
 import type {VmEvacuation} from './vm-evacuation.js';
-import {instanceOf} from './worker-incarnation.js';
 import type {WorkerRegistry} from './worker-registry.js';
 import type {WorkerSession} from './worker-session.js';
 
@@ -43,8 +42,6 @@
 
 /** Data about submitted jobs that is not older than this counts as current. */
 const CURRENT_DATA_AGE_MILLISECONDS = 1_000;
-/** Workers whose VM is remembered, as a multiple of the number of VMs. */
-const REMEMBERED_WORKERS_PER_VM = 4;
 /** Reason for cordoning a VM before it changes its pool. */
 const POOL_CHANGE = 'pool change';
 
@@ -66,8 +63,6 @@
   private readonly maintenance: MaintenanceController;
   private readonly poolLog: PoolSizeLog;
   private readonly arrivals: VmArrivals;
-  /** Names of VMs by the workers that they run or ran. */
-  private readonly vmNames = new Map<string, string>();
   private vms: readonly ListedVm[] = [];
   /** Undefined until the VMs have been listed. */
   private capabilities: FleetCapabilities | undefined;
@@ -105,9 +100,10 @@
     this.orders.close();
   }
 
-  /** Returns the VM on which a worker runs or ran, if a list has shown it. */
-  vmOf(worker: string): string | undefined {
-    return this.vmNames.get(instanceOf(worker));
+  /** Returns whether at most one VM could run a step, as far as is known. */
+  hasSingleVmFor(step: StepSpecification): boolean {
+    const isListed = this.vms.length > 0;
+    return isListed && this.vms.filter(vm => couldRun(vm, step)).length <= 1;
   }
 
   /**
@@ -151,25 +147,10 @@
     if (this.closed || !vms || vms.length === 0) return;
     this.vms = vms;
     this.capabilities = new FleetCapabilities(vms);
-    this.noteWorkers();
     this.orders.noteListed(startedAt);
     this.endLostIncarnations(startedAt);
   }
 
-  private noteWorkers(): void {
-    for (const {name, workerId} of this.vms) {
-      this.vmNames.delete(workerId);
-      if (workerId !== '') this.vmNames.set(workerId, name);
-    }
-    const surplus =
-      this.vmNames.size - REMEMBERED_WORKERS_PER_VM * this.vms.length;
-    for (const worker of [...this.vmNames.keys()].slice(
-      0,
-      Math.max(0, surplus),
-    ))
-      this.vmNames.delete(worker);
-  }
-
   /**
    * Ends incarnations whose VM runs another incarnation or none, so that their tasks need not wait
    * for the lease to expire. A worker whose VM one list leaves out may run on behind a partition.
--- a/packages/coordinator/src/run-outcomes.ts
+++ b/packages/coordinator/src/run-outcomes.ts
@@ -4,6 +4,7 @@
   RunEnd,
   type ExecutableTask,
   type JobExecution,
+  type StepSpecification,
 } from '@gentiandoor/jobs';
 import type {Clock} from '@gentiandoor/kernel';
 import type {Dispatcher} from './dispatcher.js';
@@ -26,8 +27,8 @@
   readonly writer: ProgressWriter;
   readonly registry: WorkerRegistry;
   readonly clock: Clock;
-  /** Returns the VM on which a worker runs or ran, if that is known. */
-  readonly vmOf: (worker: string) => string | undefined;
+  /** Returns whether at most one VM of the fleet could run a step. */
+  readonly hasSingleVmFor: (step: StepSpecification) => boolean;
 }
 
 /** What run outcomes need from the coordinator. */
@@ -203,7 +204,7 @@
           run.carriedFrom?.endedAt ?? ending.silentFrom ?? this.now(),
         ),
         isIsolated: run.isIsolated,
-        vm: this.crashedVm(run, ending.worker),
+        isOnOnlyVm: this.isOnOnlyVm(executableTask),
       });
     return execution.endRun(
       executableTask,
@@ -214,9 +215,10 @@
     );
   }
 
-  private crashedVm(run: LiveRun, worker: string): string | undefined {
-    const {longRunning} = run.executableTask.specification;
-    return longRunning ? (this.parts.vmOf(worker) ?? worker) : undefined;
+  private isOnOnlyVm({specification}: ExecutableTask): boolean {
+    return (
+      specification.longRunning && this.parts.hasSingleVmFor(specification)
+    );
   }
 
   /** Drops the other members of a gang, which are over once one of them is done. */
--- a/packages/coordinator/src/stand-ins/simulated-worker.ts
+++ b/packages/coordinator/src/stand-ins/simulated-worker.ts
@@ -38,6 +38,8 @@
 
 /** A run that a worker began, recorded for the checks of a test. */
 export interface StartedRun extends RunName {
+  /** What it was told to continue from; empty for nothing. */
+  readonly checkpoint: string;
   readonly worker: string;
   readonly startedAt: number;
   endedAt: number | undefined;
@@ -212,6 +214,7 @@
     const record: StartedRun = {
       task: request.task,
       run: request.run,
+      checkpoint: request.checkpoint,
       worker: this.id,
       startedAt: this.clock.monotonicMilliseconds(),
       endedAt: undefined,
--- a/packages/coordinator/src/task-placer.ts
+++ b/packages/coordinator/src/task-placer.ts
@@ -168,7 +168,9 @@
     }
     round.commit();
     this.parts.schedule.noteServed(this.parts.serviceOf(execution));
-    const gangRun = tasks[0].specification.gang
+    const {gang} = tasks[0].specification;
+    if (gang) execution.alignCheckpoints(tasks);
+    const gangRun = gang
       ? 1 + Math.max(...tasks.map(task => task.progress.run))
       : undefined;
     tasks.forEach((task, index) => {
--- a/packages/jobs/src/crash-count.ts
+++ b/packages/jobs/src/crash-count.ts
@@ -6,8 +6,6 @@
   total: number;
   /** Number of crashes shortly after the start of a run. */
   atStart: number;
-  /** VM of each counted crash of a long-running task. */
-  vms: string[];
 }
 
 /** A crash within this time after a run's start counts as one at its start. */
@@ -25,11 +23,8 @@
  */
 const MAXIMUM_CRASHES = 5;
 
-/**
- * Further crashes on the same VM say nothing more about a long-running task: the VM itself may crash
- * again and again, and be the only one that the task may use.
- */
-const MAXIMUM_CRASHES_ON_ONE_VM = 2;
+/** Further crashes on the only VM that may run a task do not tell it from a VM that crashes. */
+const MAXIMUM_CRASHES_ON_ONLY_VM = 2;
 
 /** Circumstances of one worker crash during a run. */
 export interface RunCrash {
@@ -37,13 +32,13 @@
   readonly isAtStart: boolean;
   /** Whether no task of another job can have caused it by starting. */
   readonly isIsolated: boolean;
-  /** VM of the worker, for a long-running task; for other tasks each crash counts. */
-  readonly vm?: string;
+  /** Whether the task is long-running and no other VM could run it. */
+  readonly isOnOnlyVm?: boolean;
 }
 
 /** Returns the count of a task during whose runs no worker has crashed. */
 export function emptyCrashCount(): CrashCount {
-  return {total: 0, atStart: 0, vms: []};
+  return {total: 0, atStart: 0};
 }
 
 /**
@@ -52,13 +47,9 @@
  */
 export function countCrash(
   count: CrashCount,
-  {isAtStart, isIsolated, vm}: RunCrash,
+  {isAtStart, isIsolated, isOnOnlyVm}: RunCrash,
 ): boolean {
-  if (vm !== undefined) {
-    const onSameVm = count.vms.filter(other => other === vm).length;
-    if (onSameVm >= MAXIMUM_CRASHES_ON_ONE_VM) return false;
-    count.vms.push(vm);
-  }
+  if (isOnOnlyVm && count.total >= MAXIMUM_CRASHES_ON_ONLY_VM) return false;
   count.total++;
   if (isAtStart) count.atStart++;
   const isProven = isIsolated && count.atStart >= MAXIMUM_CRASHES_AT_START;
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -141,6 +141,17 @@
     return task.progress.run;
   }
 
+  /**
+   * Makes the members of a gang, none of which is alive, continue from one checkpoint: that of any
+   * member is valid for all, and they meet only with the same one.
+   */
+  alignCheckpoints(members: readonly ExecutableTask[]): void {
+    const checkpoint = mostFrequent(
+      members.map(({progress}) => progress.checkpoint),
+    );
+    for (const {progress} of members) progress.checkpoint = checkpoint;
+  }
+
   /** Records that a task has started; returns whether the job counts as running from here on. */
   noteStarted(): boolean {
     this.hasStarted = true;
@@ -390,6 +401,15 @@
   return Math.max(0, ...length);
 }
 
+/** Returns the value that occurs most often, the first one of several; empty ones do not count. */
+function mostFrequent(values: readonly string[]): string {
+  const counts = new Map<string, number>();
+  for (const value of values)
+    if (value !== '') counts.set(value, (counts.get(value) ?? 0) + 1);
+  const highest = Math.max(0, ...counts.values());
+  return values.find(value => counts.get(value) === highest) ?? '';
+}
+
 function groupKey(occurrence: number, step: number): string {
   return `${occurrence}.${step}`;
 }
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -63,7 +63,7 @@
   number[],
   string,
   string,
-  [number, number, string[]?]?,
+  [number, number]?,
   number?,
   number?,
 ];
@@ -212,11 +212,7 @@
   const packed: PackedTask = [key, run, phase, failedRuns, checkpoint, worker];
   const isStarted = hasStarted(task) && phase !== PackedPhase.Started;
   if (crashes.total > 0 || preemptions > 0 || isStarted)
-    packed.push(
-      crashes.vms.length > 0
-        ? [crashes.total, crashes.atStart, crashes.vms]
-        : [crashes.total, crashes.atStart],
-    );
+    packed.push([crashes.total, crashes.atStart]);
   if (preemptions > 0 || isStarted) packed.push(preemptions);
   if (isStarted) packed.push(1);
   return packed;
@@ -247,14 +243,14 @@
 function unpackTask(packed: PackedTask): [string, TaskProgress] {
   const [key, run, phase, failedRuns, checkpoint, worker] = packed;
   const [, , , , , , crashed, preemptions = 0, executed] = packed;
-  const [total, atStart, vms = []] = crashed ?? [0, 0];
+  const [total, atStart] = crashed ?? [0, 0];
   return [
     key,
     {
       run,
       done: phase === PackedPhase.Done,
       failedRuns: [...failedRuns],
-      crashes: {total, atStart, vms: [...vms]},
+      crashes: {total, atStart},
       preemptions,
       checkpoint,
       worker,
