--- a/packages/cli/src/process-context.ts
+++ b/packages/cli/src/process-context.ts
@@ -10,7 +10,8 @@
 
 /** Returns a context that uses the streams, files and environment of this process. */
 export function processContext(): CommandContext {
-  process.stdout.on('error', exitOnBrokenPipe);
+  if (!process.stdout.listeners('error').includes(exitOnBrokenPipe))
+    process.stdout.on('error', exitOnBrokenPipe);
   return {
     print: line => process.stdout.write(`${line}\n`),
     printDiagnostic: line => process.stderr.write(`${line}\n`),
