--- a/packages/coordinator/src/__tests__/unexpected-failures.test.ts
+++ b/packages/coordinator/src/__tests__/unexpected-failures.test.ts
@@ -123,6 +123,29 @@
   });
 });
 
+// One wave that could not be planned kept all others, and all pools, from being planned.
+describe('a wave whose planning fails unexpectedly', () => {
+  it('leaves the other waves alone', async () => {
+    const deployment = new TestDeployment(2);
+    deployment.linkFleet();
+    const wave = (number: number, vms: readonly string[]) =>
+      deployment.writeOperatorRecord(`wave/${number}`, {
+        kind: 'wave',
+        wave: {number, vms, durationMilliseconds: 20_000, maximumAtOnce: 1},
+      });
+    wave(1, null as never);
+    wave(2, [WORKER]);
+    const daemon = await deployment.startDaemon('one');
+    await deployment.run(10_000);
+    assert.ok(daemon.events.of(LogEvent.TaskFailed) > 0);
+    const {orders} = deployment.fleet;
+    assert.deepEqual(
+      orders.filter(({kind}) => kind === 'maintain').map(({vm}) => vm),
+      [WORKER],
+    );
+  });
+});
+
 // A loop that serves all jobs ended with its first unexpected failure, and the process with it.
 describe('a background task that fails unexpectedly', () => {
   const calls = [
--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -1,4 +1,4 @@
-import {sleep, supervise} from '@gentiandoor/kernel';
+import {logTaskFailure, sleep, supervise} from '@gentiandoor/kernel';
 import type {StepSpecification} from '@gentiandoor/jobs';
 import {
   vmListDelayMilliseconds,
@@ -14,7 +14,7 @@
 import type {JobStreams} from './job-streams.js';
 import {MissingVms} from './missing-vms.js';
 import {VmOrderOutcome, VmState, type ListedVm} from './vm-gateway.js';
-import type {ServicePool} from './operator-records.js';
+import type {MaintenanceWave, ServicePool} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
 import {PoolSizeLog} from './pool-size-log.js';
 import type {RecordFormats} from './record-formats.js';
@@ -207,13 +207,27 @@
     this.poolLog.note(pools, this.parts.jobs.submissionAgeMilliseconds);
     const requests: VmOrderRequest[] = [];
     for (const wave of this.parts.operators.waves.values())
-      requests.push(...this.maintenance.planOrders(wave, this.vms, pools));
+      requests.push(...this.planWave(wave, pools));
     const maintainedVmNames = new Set(requests.map(request => request.vm.name));
     for (const request of this.planMoves(pools))
       if (!maintainedVmNames.has(request.vm.name)) requests.push(request);
     return requests;
   }
 
+  /** Plans a wave, whose failure leaves the other waves and the pools alone. */
+  private planWave(
+    wave: MaintenanceWave,
+    pools: readonly PlannedPool[],
+  ): VmOrderRequest[] {
+    try {
+      return this.maintenance.planOrders(wave, this.vms, pools);
+    } catch (error) {
+      const fields = {wave: wave.number};
+      logTaskFailure(this.parts.logger, 'plan of a wave', fields, error);
+      return [];
+    }
+  }
+
   private planMoves(pools: readonly PlannedPool[]): VmOrderRequest[] {
     const plan = planPools(pools);
     this.cordonForMoves(
