--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -18,8 +18,6 @@
   FullestFirst,
   LargestPostponed,
   LowestCostPreemption,
-  OrderConcurrencyLimiter,
-  CRASH_RISK_MILLISECONDS,
   WorkerReliability,
 } from '@gentiandoor/scheduling';
 import {
@@ -44,6 +42,7 @@
 import type {Queue} from './operator-records.js';
 import type {OperatorView} from './operator-view.js';
 import {OrganisationLimits} from './organisation-limits.js';
+import {OrderFlow} from './order-flow.js';
 import {OrphanRuns} from './orphan-runs.js';
 import {ProgressWriter} from './progress-writer.js';
 import {PressurePublisher} from './pressure-publisher.js';
@@ -67,7 +66,7 @@
 import {WorkerRegistry} from './worker-registry.js';
 import type {SessionHost} from './session-host.js';
 import type {WorkerHandle} from './worker-handle.js';
-import {newResponseTimeout, type WorkerSession} from './worker-session.js';
+import type {WorkerSession} from './worker-session.js';
 import {WorkerSuspicion} from './worker-suspicion.js';
 
 /** Dependencies of a coordinator; all of them outlive it. */
@@ -112,8 +111,7 @@
     name => this.parts.operators.organisations.find(name)?.weight ?? 0,
   );
   private readonly log: RunLog;
-  private readonly responseTimeout = newResponseTimeout();
-  private readonly orderLimiter = new OrderConcurrencyLimiter();
+  private readonly orders: OrderFlow;
   private readonly outcomes: RunOutcomes;
   private readonly jobs: ActiveJobs;
   private readonly orphans: OrphanRuns;
@@ -182,6 +180,14 @@
       waitingWork,
       this.monitor,
     );
+    this.orders = new OrderFlow({
+      ...parts,
+      term,
+      log: this.log,
+      writer: this.writer,
+      organisationLimits: this.organisationLimits,
+      dispatcher: this.dispatcher,
+    });
     this.learned = new LearnedDemandStore(parts, demand);
     this.registry = new WorkerRegistry(parts, this);
     this.orphans = new OrphanRuns(this, clock, (worker, run, end) => {
@@ -305,24 +311,19 @@
   }
 
   get responseTimeoutMilliseconds(): number {
-    return this.responseTimeout.milliseconds;
+    return this.orders.responseTimeoutMilliseconds;
   }
 
   get meanResponseMilliseconds(): number {
-    return this.responseTimeout.meanResponseMilliseconds;
+    return this.orders.meanResponseMilliseconds;
   }
 
   noteResponseTime(milliseconds: number): void {
-    this.responseTimeout.recordResponse(milliseconds);
-    const allowsMore = this.orderLimiter.recordResponse(
-      milliseconds,
-      this.parts.clock.monotonicMilliseconds(),
-    );
-    if (allowsMore) this.dispatcher.noteOrdersAllowed();
+    this.orders.noteResponseTime(milliseconds);
   }
 
   mayOrder(count: number): boolean {
-    return this.orderLimiter.allows(count);
+    return this.orders.mayOrder(count);
   }
 
   organisationLimitAllows(
@@ -350,29 +351,7 @@
   }
 
   launch(session: WorkerSession, run: LiveRun): void {
-    this.orderLimiter.begin();
-    session.addRun(run);
-    this.organisationLimits.countRun(run);
-    this.writer.store(run.execution, () => {
-      this.log.ordered(run, session.id, this.term);
-      if (!this.organisationLimits.mayBeOrdered(run)) run.stopRequested = true;
-      void session.startRun(run).finally(() => {
-        this.orderLimiter.end();
-        this.dispatcher.noteOrdersAllowed();
-        this.wakeAfterIsolation(session, run);
-      });
-    });
-  }
-
-  /** Schedules a placement for when other jobs may share the worker with an isolated run again. */
-  private wakeAfterIsolation(
-    {entry}: WorkerSession,
-    {isIsolated}: LiveRun,
-  ): void {
-    if (!isIsolated) return;
-    this.parts.clock.schedule(CRASH_RISK_MILLISECONDS, () =>
-      this.schedulePlacement(entry.service, RoundCause.ConditionLapsed),
-    );
+    this.orders.launch(session, run);
   }
 
   endOfTerm(term: number): number {
