--- a/packages/soak/src/odd-elements.ts
+++ b/packages/soak/src/odd-elements.ts
@@ -30,7 +30,7 @@
 const ANSWERS_MILLISECONDS = 2_500;
 const DRAIN_MILLISECONDS = 3_000;
 const SUBMISSION_TIMEOUT_MILLISECONDS = 3_000;
-const NAMED_KINDS = 4;
+const KIND_COUNT = 4;
 
 /**
  * Brings elements into a deployment of which each concerns one owner and may concern no other:
@@ -47,7 +47,7 @@
 
   /** Brings one in; `callers` is the address of a daemon. Returns what it was. */
   inject(callers: string): string {
-    switch (this.random.nextInteger(NAMED_KINDS)) {
+    switch (this.random.nextInteger(KIND_COUNT)) {
       case 0:
         for (const [index, entry] of UNREADABLE_ENTRIES.entries())
           this.platform.writeEntryOf(`stranger-${index}`, entry);
