Intake: each answer to a cancellation is logged with what it rests on, and callers that leave

JobCancelAsked now stands for each cancellation, with the answer, its basis (stored, stored before, not stored, ended, no submission, in doubt) and the age of the data about the job; the counter job_cancellations has both as labels. CallerLeft and callers_left tell of a call whose caller closed its connection before the answer. The timeline of a job shows both. No answer changes.

--- a/packages/cli/src/job-timeline.ts
+++ b/packages/cli/src/job-timeline.ts
@@ -52,7 +52,9 @@
   [LogEvent.CallRefused]: line =>
     `${fieldText(line, 'method')} not let in, ${fieldText(line, 'reason')}: the configuration was ${roundedField(line, 'configurationAgeMilliseconds')} ms old`,
   [LogEvent.JobCancelAsked]: line =>
-    `asked to cancel: ${fieldText(line, 'outcome')}`,
+    `asked to cancel, told ${fieldText(line, 'answer')} (${fieldText(line, 'basis')}) on data ${roundedField(line, 'ageMilliseconds')} ms old`,
+  [LogEvent.CallerLeft]: line =>
+    `the caller left before the answer ${roundedField(line, 'status')} to its ${fieldText(line, 'method')}`,
   [LogEvent.JobEnded]: line => `the job is ${fieldText(line, 'state')}`,
   [LogEvent.RunOrdered]: line =>
     `task ${taskWithoutJob(line)} run ${roundedField(line, 'run')} ordered from worker ${fieldText(line, 'worker')} in term ${roundedField(line, 'term')}, stored after ${roundedField(line, 'storedAfterMilliseconds')} ms`,
--- a/packages/coordinator/src/job-intake.ts
+++ b/packages/coordinator/src/job-intake.ts
@@ -57,6 +57,27 @@
   | {readonly kind: 'absent'}
   | {readonly kind: 'unavailable'};
 
+/** What the answer to a cancellation rests on. */
+export enum CancellationBasis {
+  /** The cancellation is in the store. */
+  Stored = 'stored',
+  /** An earlier cancellation is in the store. */
+  StoredBefore = 'stored_before',
+  /** The store did not confirm the cancellation. */
+  NotStored = 'not_stored',
+  /** The job has ended. */
+  Ended = 'ended',
+  /** The store holds no submission, or one that the caller may not access. */
+  NoSubmission = 'no_submission',
+  /** The store could not be read, or a submission through this daemon got no response. */
+  InDoubt = 'in_doubt',
+}
+
+interface CancellationDecision {
+  readonly answer: JobAnswer;
+  readonly basis: CancellationBasis;
+}
+
 /**
  * A submission whose appends fail is rejected after this, so that the caller can retry at another
  * daemon.
@@ -289,20 +310,62 @@
     timeoutMilliseconds: number,
     caller: Caller,
   ): Promise<JobAnswer> {
+    const startedAt = this.clock.monotonicMilliseconds();
+    const decision = await this.decideCancellation(
+      jobId,
+      timeoutMilliseconds,
+      caller,
+    );
+    this.noteCancellation(jobId, decision, caller, startedAt);
+    return decision.answer;
+  }
+
+  private async decideCancellation(
+    jobId: string,
+    timeoutMilliseconds: number,
+    caller: Caller,
+  ): Promise<CancellationDecision> {
     const found = await this.state(jobId, caller);
-    if (found.kind !== 'state') return found;
-    if (found.state === JobState.Cancelled) return found;
-    if (isFinal(found.state)) return {kind: 'absent'};
+    if (found.kind === 'absent')
+      return {answer: found, basis: CancellationBasis.NoSubmission};
+    if (found.kind === 'unavailable')
+      return {answer: found, basis: CancellationBasis.InDoubt};
+    if (found.state === JobState.Cancelled)
+      return {answer: found, basis: CancellationBasis.StoredBefore};
+    if (isFinal(found.state))
+      return {answer: {kind: 'absent'}, basis: CancellationBasis.Ended};
+    const timeout = timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS;
     const outcome = await this.submissions.append(
       jobId,
       encodeJobRecord({kind: JobRecordKind.Cancellation, jobId}),
-      timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
-      timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+      timeout,
+      timeout,
     );
-    this.logger.info(LogEvent.JobCancelAsked, {job: jobId, outcome});
     return outcome === BatchedAppendOutcome.Appended
-      ? {kind: 'state', state: JobState.Cancelled}
-      : {kind: 'unavailable'};
+      ? {
+          answer: {kind: 'state', state: JobState.Cancelled},
+          basis: CancellationBasis.Stored,
+        }
+      : {answer: {kind: 'unavailable'}, basis: CancellationBasis.NotStored};
+  }
+
+  private noteCancellation(
+    jobId: string,
+    {answer, basis}: CancellationDecision,
+    {queue, organisation}: Caller,
+    startedAt: number,
+  ): void {
+    const told = answer.kind === 'state' ? answer.state : answer.kind;
+    this.metrics.increment(MetricName.JobCancellations, {answer: told, basis});
+    this.logger.info(LogEvent.JobCancelAsked, {
+      job: jobId,
+      queue,
+      organisation,
+      answer: told,
+      basis,
+      ageMilliseconds: Math.round(this.streams.jobAgeMilliseconds(jobId)),
+      milliseconds: this.clock.monotonicMilliseconds() - startedAt,
+    });
   }
 
   /** Returns the number of jobs of a queue of which no task has started; undefined if unknown. */
--- a/packages/coordinator/src/job-streams.ts
+++ b/packages/coordinator/src/job-streams.ts
@@ -56,6 +56,12 @@
     return sum / this.submissions.length;
   }
 
+  /** Age in milliseconds of the data about one job. */
+  jobAgeMilliseconds(jobId: string): number {
+    const {ageMilliseconds} = this.submissions[submissionPartition(jobId)];
+    return Math.max(ageMilliseconds, this.progressAgeMilliseconds);
+  }
+
   /** Age in milliseconds of the data about the progress of jobs. */
   get progressAgeMilliseconds(): number {
     return this.progress.ageMilliseconds;
--- a/packages/entry/src/__tests__/whole-path.test.ts
+++ b/packages/entry/src/__tests__/whole-path.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
+import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
+import {setTimeout} from 'node:timers/promises';
+import {LogStream} from '@gentiandoor/coordinator';
+import {StoreFault} from '@gentiandoor/coordinator/stand-ins';
 import {RunEnd} from '@gentiandoor/jobs';
 import {QUEUE_HOST, StandInPlatform} from '@gentiandoor/platform/stand-ins';
 import {request} from 'undici';
@@ -12,6 +16,8 @@
   accelerators: 0,
 };
 const TASK_RESOURCES = {...CAPACITY, processorMillicores: 1_000};
+const LEAVES_AFTER_MILLISECONDS = 100;
+
 describe('a daemon on the platform', () => {
   const platform = new StandInPlatform({
     services: ['previews'],
@@ -122,4 +128,20 @@
       /gentiandoor_job_submissions\{answer="taken"\} 2/,
     );
   });
+
+  it('records that a caller left before its answer', async () => {
+    platform.storeConnection.setFault(StoreFault.Silent, LogStream.Submissions);
+    const body = JSON.stringify(JOB);
+    const socket = connect(daemon.callerPort, '127.0.0.1');
+    socket.write(
+      `POST /previews/00000000000000aa HTTP/1.1\r\nHost: ${QUEUE_HOST}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    await setTimeout(LEAVES_AFTER_MILLISECONDS);
+    socket.destroy();
+    const text = await eventually(
+      () => daemon.parts.metrics.text(),
+      metrics => metrics.includes('callers_left{'),
+    );
+    assert.match(text, /gentiandoor_callers_left\{method="POST"\} 1/);
+  });
 });
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -130,7 +130,9 @@
     'A job was not taken in, or its fate is not known; `answer` says which.',
     'look at the store lines around it',
   ),
-  [LogEvent.JobCancelAsked]: entry('A caller cancelled a job.'),
+  [LogEvent.JobCancelAsked]: entry(
+    'A caller asked to cancel a job; `answer` says what it was told, `basis` why, and `ageMilliseconds` how old the data was on which that rests.',
+  ),
   [LogEvent.JobEnded]: entry('A job has come to its end; `state` says how.'),
   [LogEvent.RunOrdered]: entry(
     'A run is stored and its order goes to the worker.',
@@ -229,6 +231,9 @@
   [LogEvent.LinesLeftOut]: entry(
     'Log lines of one kind were left out to bound the volume; `count` says how many.',
   ),
+  [LogEvent.CallerLeft]: entry(
+    'A caller closed its connection before the answer to its call; `status` is the answer that it did not get.',
+  ),
   [LogEvent.CallRefused]: entry(
     'A call was not let in; `reason` says why: its key is not known, the configuration is too old to tell, or the job is another organisation\u2019s.',
     'see docs/OPERATIONS.md, a key lost or revoked',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -77,6 +77,7 @@
   LinesLeftOut = 1946,
   TaskFailed = 1947,
   ConfigurationPartUnreadable = 1948,
+  CallerLeft = 1949,
   CallRefused = 1951,
   OrganisationUnreadable = 1952,
   OrganisationKeyShared = 1953,
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -109,6 +109,15 @@
     'organisation',
     'answer',
   ),
+  [MetricName.JobCancellations]: counter(
+    'answers to callers that cancel a job, by answer and by what it rests on',
+    'answer',
+    'basis',
+  ),
+  [MetricName.CallersLeft]: counter(
+    'calls whose caller closed the connection before the answer, by method',
+    'method',
+  ),
   [MetricName.CallsRefused]: counter(
     'calls of callers that were not let in, by reason',
     'reason',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -43,6 +43,10 @@
   JobSubmissions = 'job_submissions',
   /** Responses to job submissions, by organisation and result. */
   OrganisationJobs = 'organisation_jobs',
+  /** Responses to requests to cancel a job, by result and basis. */
+  JobCancellations = 'job_cancellations',
+  /** Calls whose caller left before the response, by method. */
+  CallersLeft = 'callers_left',
   /** Calls that were rejected, by reason. */
   CallsRefused = 'calls_refused',
   /** Jobs beyond the rate that their organisation is entitled to, by organisation. */
