--- /dev/null
+++ b/packages/coordinator/src/__tests__/overtaking-cancellations.test.ts
@@ -0,0 +1,214 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {JobState} from '@gentiandoor/jobs';
+import {NO_LIMIT, type Caller} from '@gentiandoor/organisations';
+import {
+  LogStream,
+  SubmitAnswer,
+  submissionPartition,
+  type JobAnswer,
+} from '../index.js';
+import {StoreFault} from '../stand-ins/index.js';
+import {
+  ANY_CALLER,
+  QUEUE,
+  TestDeployment,
+  behaviour,
+  job,
+  type TestDaemon,
+} from './deployment.js';
+
+const TIMEOUT = 3_000;
+const JOB = 'overtaken';
+const TASK_MILLISECONDS = 9_000;
+/** The longest time after which the store of a test still executes an append. */
+const SETTLED_MILLISECONDS = 15_000;
+
+/** A coordinator and a second daemon, which submissions go to. */
+class TwoDaemons {
+  private constructor(
+    readonly deployment: TestDeployment,
+    readonly coordinator: TestDaemon,
+    readonly intake: TestDaemon,
+  ) {}
+
+  static async start(deployment = new TestDeployment(2)): Promise<TwoDaemons> {
+    const coordinator = await deployment.startDaemon('one');
+    const intake = await deployment.startDaemon('two');
+    deployment.behaviours.set(
+      JOB,
+      behaviour({durationMilliseconds: TASK_MILLISECONDS}),
+    );
+    return new TwoDaemons(deployment, coordinator, intake);
+  }
+
+  submit(): Promise<SubmitAnswer> {
+    return this.intake.jobIntake.submit(job(JOB), TIMEOUT);
+  }
+
+  /** Cancels the job at a daemon, by default at the one to which it was not submitted. */
+  async cancel(
+    daemon = this.coordinator,
+    caller = ANY_CALLER,
+  ): Promise<JobAnswer> {
+    const answer = daemon.jobIntake.cancel(JOB, TIMEOUT, caller);
+    await this.deployment.run(TIMEOUT);
+    return answer;
+  }
+
+  /** Asserts that no task of the job ran. */
+  async assertNeverRuns(): Promise<void> {
+    await this.deployment.run(SETTLED_MILLISECONDS);
+    assert.deepEqual(this.deployment.startedRuns(), []);
+  }
+}
+
+function setIntakeFault({intake}: TwoDaemons, fault?: StoreFault): void {
+  intake.store.setFault(fault, LogStream.Submissions);
+}
+
+// A cancellation of a job that the store did not hold yet was answered as if there were no job,
+// and the job ran to its end once the store held it.
+describe('a cancellation that overtakes its submission', () => {
+  for (const cancelledAfter of [100, 1_000, 2_000, 2_900])
+    it(`keeps a job from running whose submission the store executes late, cancelled after ${cancelledAfter} ms`, async () => {
+      const daemons = await TwoDaemons.start();
+      setIntakeFault(daemons, StoreFault.DoneLate);
+      const submitted = daemons.submit();
+      await daemons.deployment.run(cancelledAfter);
+      assert.equal((await daemons.cancel()).kind, 'absent');
+      assert.equal(await submitted, SubmitAnswer.Unknown);
+      await daemons.assertNeverRuns();
+    });
+
+  for (const fault of [StoreFault.Refusing, StoreFault.Silent])
+    it(`keeps a job from running whose daemon reaches the store later, store ${fault}`, async () => {
+      const daemons = await TwoDaemons.start();
+      setIntakeFault(daemons, fault);
+      void daemons.submit();
+      await daemons.deployment.run(100);
+      const cancelled = daemons.coordinator.jobIntake.cancel(
+        JOB,
+        TIMEOUT,
+        ANY_CALLER,
+      );
+      await daemons.deployment.run(250);
+      setIntakeFault(daemons);
+      await cancelled;
+      await daemons.assertNeverRuns();
+    });
+
+  for (const appendMilliseconds of [200, 1_000])
+    it(`keeps a job from running while appends take ${appendMilliseconds} ms`, async () => {
+      const daemons = await TwoDaemons.start();
+      daemons.deployment.store.appendMilliseconds = appendMilliseconds;
+      void daemons.submit();
+      await daemons.deployment.run(50);
+      assert.equal((await daemons.cancel()).kind, 'absent');
+      daemons.deployment.store.appendMilliseconds = 0;
+      await daemons.assertNeverRuns();
+    });
+
+  it('keeps a copy of the submission from running that arrives after it', async () => {
+    const daemons = await TwoDaemons.start();
+    assert.equal((await daemons.cancel()).kind, 'absent');
+    const submitted = daemons.submit();
+    await daemons.assertNeverRuns();
+    assert.equal(await submitted, SubmitAnswer.Accepted);
+    const answer = await daemons.deployment.answerOf(daemons.intake, JOB);
+    assert.deepEqual(answer, {kind: 'state', state: JobState.Cancelled});
+  });
+
+  it('keeps the job from running with a coordinator that takes over later', async () => {
+    const daemons = await TwoDaemons.start();
+    setIntakeFault(daemons, StoreFault.DoneLate);
+    void daemons.submit();
+    await daemons.deployment.run(100);
+    await daemons.cancel();
+    daemons.coordinator.kill();
+    await daemons.assertNeverRuns();
+  });
+
+  it('is answered at the daemon whose submission is in doubt', async () => {
+    const daemons = await TwoDaemons.start();
+    setIntakeFault(daemons, StoreFault.Silent);
+    const submitted = daemons.submit();
+    await daemons.deployment.run(TIMEOUT);
+    assert.equal(await submitted, SubmitAnswer.Unknown);
+    setIntakeFault(daemons);
+    await daemons.deployment.run(1_000);
+    assert.equal((await daemons.cancel(daemons.intake)).kind, 'absent');
+  });
+
+  it('is not acknowledged while the store does not confirm it', async () => {
+    const daemons = await TwoDaemons.start();
+    const {coordinator} = daemons;
+    coordinator.store.setFault(StoreFault.AnswersLost, LogStream.Submissions);
+    assert.equal((await daemons.cancel()).kind, 'unavailable');
+  });
+});
+
+describe('a cancellation of an id that nobody has submitted', () => {
+  const OWNER: Caller = {
+    organisation: 'advisers',
+    queue: QUEUE,
+    isPublicQueue: false,
+  };
+  const STRANGER: Caller = {...OWNER, organisation: 'auditors'};
+
+  async function startWithOrganisations(): Promise<TwoDaemons> {
+    const deployment = new TestDeployment(2);
+    deployment.organisations = ['advisers', 'auditors'].map(name => ({
+      name,
+      keyDigests: [],
+      weight: 1,
+      limit: NO_LIMIT,
+    }));
+    deployment.publishConfiguration(2);
+    return TwoDaemons.start(deployment);
+  }
+
+  function submitAsOwner({intake}: TwoDaemons): Promise<SubmitAnswer> {
+    const owned = {...job(JOB), organisation: OWNER.organisation};
+    return intake.jobIntake.submit(owned, TIMEOUT);
+  }
+
+  // An organisation that guesses an id must not be able to keep another's job out.
+  it('does not keep the job of another organisation from running', async () => {
+    const daemons = await startWithOrganisations();
+    await daemons.cancel(daemons.coordinator, STRANGER);
+    void submitAsOwner(daemons);
+    await daemons.deployment.run(SETTLED_MILLISECONDS);
+    assert.equal(daemons.deployment.startedRuns().length, 1);
+  });
+
+  // The cancellation of a stranger must not take the place of the owner's.
+  it('holds beside the cancellation of another organisation', async () => {
+    const daemons = await startWithOrganisations();
+    await daemons.cancel(daemons.coordinator, OWNER);
+    await daemons.cancel(daemons.coordinator, STRANGER);
+    daemons.deployment.store.forgetHistory(LogStream.Submissions);
+    void submitAsOwner(daemons);
+    await daemons.assertNeverRuns();
+  });
+
+  // What the caller is told, and what is stored, must not tell that another's job exists.
+  it('is handled alike whether another organisation has a job of that id', async () => {
+    const daemons = await startWithOrganisations();
+    const {coordinator, deployment} = daemons;
+    const cancelAsStranger = async () => {
+      const stored = () =>
+        deployment.store.history(
+          LogStream.Submissions,
+          submissionPartition(JOB),
+        ).length;
+      const before = stored();
+      const answer = await daemons.cancel(coordinator, STRANGER);
+      return {answer, records: stored() - before};
+    };
+    const unknown = await cancelAsStranger();
+    void submitAsOwner(daemons);
+    await deployment.run(SETTLED_MILLISECONDS);
+    assert.deepEqual(await cancelAsStranger(), unknown);
+  });
+});
--- a/packages/coordinator/src/stand-ins/memory-store.ts
+++ b/packages/coordinator/src/stand-ins/memory-store.ts
@@ -78,9 +78,9 @@
         partition.firstKept = partition.records.length;
   }
 
-  /** Returns all records that were ever appended to a stream. */
-  history(stream: LogStream): readonly LoggedRecord[] {
-    return this.partition(stream).records;
+  /** Returns all records that were ever appended to a partition of a stream. */
+  history(stream: LogStream, partition = 0): readonly LoggedRecord[] {
+    return this.partition(stream, partition).records;
   }
 
   /** @internal */
