Intake: a cancellation that finds no submission is stored, and holds for one that lands later

Cause: JobIntake.cancel answered 'absent' (410) when a fresh read of the log held no submission, and stored nothing. A read says nothing about a write that is older and still under way: a submission at another daemon, one that the store carries out late after its caller got no answer, or a copy that a caller sends again. Each was a new job when it landed. At the daemon whose submission was in doubt the cancellation was answered 503 until the process ended.

Change: such a cancellation is a record of its own, in the partition of the job's submission, and is confirmed by the store before the caller is answered. The fold of the log gives the same result in whichever order the two records stand, so every coordinator, also one that takes over later, sees a cancelled job. The record says who cancelled and applies only to jobs that this caller may access; callers with different access have different keys. It is dropped after the time for which an ended job is kept, and one organisation or public queue may have 10,000 of them at a time (503 beyond that, no caller inside the platform's limits comes near).

--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -17,7 +17,6 @@
 import {BatchedAppendOutcome} from './batching-appender.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobEntitlements} from './job-entitlements.js';
-import {JobRetention} from './job-retention.js';
 import {noteAssigned} from './carried-runs.js';
 import {RunStatus, newLiveRun, taskName, type LiveRun} from './live-run.js';
 import type {Queue} from './operator-records.js';
@@ -25,6 +24,7 @@
 import type {OrganisationLimits} from './organisation-limits.js';
 import type {OrphanRuns} from './orphan-runs.js';
 import type {ProgressWriter} from './progress-writer.js';
+import {RecordRetention} from './record-retention.js';
 import type {RunLog} from './run-log.js';
 import type {OutcomeHost} from './run-outcomes.js';
 import type {SubmissionLog} from './submission-log.js';
@@ -62,11 +62,11 @@
 /** The jobs that a coordinator knows, from their submission until their records are dropped. */
 export class ActiveJobs implements OutcomeHost {
   private readonly executions = new Map<string, JobExecution>();
-  private readonly retention: JobRetention;
+  private readonly retention: RecordRetention<string>;
   private closed = false;
 
   constructor(private readonly parts: ActiveJobParts) {
-    this.retention = new JobRetention(
+    this.retention = new RecordRetention(
       parts.clock,
       parts.stateRetentionMilliseconds,
       jobId => this.drop(jobId),
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -31,6 +31,7 @@
 import {noteAssigned} from './carried-runs.js';
 import type {DispatchHost} from './dispatch-host.js';
 import {Dispatcher} from './dispatcher.js';
+import {EarlyCancellationRetention} from './early-cancellation-retention.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetController, type FleetHost} from './fleet-controller.js';
 import {JobEntitlements} from './job-entitlements.js';
@@ -114,6 +115,7 @@
   private readonly orders: OrderFlow;
   private readonly outcomes: RunOutcomes;
   private readonly jobs: ActiveJobs;
+  private readonly earlyCancellations: EarlyCancellationRetention;
   private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
@@ -209,6 +211,10 @@
       stateRetentionMilliseconds: settings.limits.stateRetentionMilliseconds,
       countsExpired: settings.features.admissionControl,
     });
+    this.earlyCancellations = new EarlyCancellationRetention({
+      ...parts,
+      stateRetentionMilliseconds: settings.limits.stateRetentionMilliseconds,
+    });
     this.outcomes = new RunOutcomes(
       {
         log: this.log,
@@ -256,6 +262,7 @@
     this.parts.table.listen({
       submitted: job => this.jobs.add(job),
       cancelled: jobId => this.jobs.cancel(jobId),
+      cancelledEarly: name => this.earlyCancellations.note(name),
     });
     this.jobs.recover(this.parts.table.all());
     this.recovered = true;
@@ -271,6 +278,7 @@
     this.pressure?.start();
     this.monitor.start();
     this.jobs.start();
+    this.earlyCancellations.start();
     await this.followJobs();
   }
 
@@ -287,6 +295,7 @@
     this.pressure?.close();
     this.registry.close();
     this.jobs.close();
+    this.earlyCancellations.close();
   }
 
   ordersAllowed(): boolean {
--- a/packages/coordinator/src/job-intake.ts
+++ b/packages/coordinator/src/job-intake.ts
@@ -13,6 +13,7 @@
   encodeJobRecord,
   isFinal,
   type JobSubmission,
+  type KeyedRecord,
 } from '@gentiandoor/jobs';
 import {
   NO_LIMIT,
@@ -67,10 +68,13 @@
   NotStored = 'not_stored',
   /** The job has ended. */
   Ended = 'ended',
-  /** The store holds no submission, or one that the caller may not access. */
-  NoSubmission = 'no_submission',
-  /** The store could not be read, or a submission through this daemon got no response. */
-  InDoubt = 'in_doubt',
+  /**
+   * No submission that the caller may access was known; the cancellation is in the store and
+   * applies to one that is appended later.
+   */
+  StoredEarly = 'stored_early',
+  /** The caller's organisation or queue has too many such cancellations in the store. */
+  TooManyEarly = 'too_many_early',
 }
 
 interface CancellationDecision {
@@ -107,6 +111,12 @@
 /** Maximum age of the number of pending jobs that is returned without reading the store. */
 const MAXIMUM_COUNT_AGE_MILLISECONDS = 1_500;
 
+/**
+ * Maximum number of early cancellations in the store by callers with the same access; more are not
+ * accepted until some have expired.
+ */
+export const MAXIMUM_EARLY_CANCELLATIONS = 10_000;
+
 /** Accepts jobs and reports their state at any daemon; all state is kept in the store. */
 export class JobIntake {
   /** Jobs whose submission through this daemon got no response from the store. */
@@ -311,37 +321,26 @@
     caller: Caller,
   ): Promise<JobAnswer> {
     const startedAt = this.clock.monotonicMilliseconds();
-    const decision = await this.decideCancellation(
-      jobId,
-      timeoutMilliseconds,
-      caller,
-    );
+    const deadline = startedAt + timeoutMilliseconds;
+    const decision = await this.decideCancellation(jobId, deadline, caller);
     this.noteCancellation(jobId, decision, caller, startedAt);
     return decision.answer;
   }
 
   private async decideCancellation(
     jobId: string,
-    timeoutMilliseconds: number,
+    deadline: number,
     caller: Caller,
   ): Promise<CancellationDecision> {
     const found = await this.state(jobId, caller);
-    if (found.kind === 'absent')
-      return {answer: found, basis: CancellationBasis.NoSubmission};
-    if (found.kind === 'unavailable')
-      return {answer: found, basis: CancellationBasis.InDoubt};
+    if (found.kind !== 'state')
+      return this.cancelEarly(jobId, deadline, caller);
     if (found.state === JobState.Cancelled)
       return {answer: found, basis: CancellationBasis.StoredBefore};
     if (isFinal(found.state))
       return {answer: {kind: 'absent'}, basis: CancellationBasis.Ended};
-    const timeout = timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS;
-    const outcome = await this.submissions.append(
-      jobId,
-      encodeJobRecord({kind: JobRecordKind.Cancellation, jobId}),
-      timeout,
-      timeout,
-    );
-    return outcome === BatchedAppendOutcome.Appended
+    const record = encodeJobRecord({kind: JobRecordKind.Cancellation, jobId});
+    return (await this.appendCancellation(jobId, record, deadline))
       ? {
           answer: {kind: 'state', state: JobState.Cancelled},
           basis: CancellationBasis.Stored,
@@ -349,6 +348,69 @@
       : {answer: {kind: 'unavailable'}, basis: CancellationBasis.NotStored};
   }
 
+  /**
+   * Cancels an id of which no submission is known: one may be on its way through another daemon, be
+   * executed late by the store, or be sent again. It is stored also if the job of another
+   * organisation has that id, so that nothing reveals whether there is one.
+   */
+  private async cancelEarly(
+    jobId: string,
+    deadline: number,
+    caller: Caller,
+  ): Promise<CancellationDecision> {
+    const count = this.table.earlyCancellationCount(caller);
+    if (count >= MAXIMUM_EARLY_CANCELLATIONS)
+      return {
+        answer: {kind: 'unavailable'},
+        basis: CancellationBasis.TooManyEarly,
+      };
+    const record = encodeJobRecord({
+      kind: JobRecordKind.EarlyCancellation,
+      jobId,
+      caller,
+    });
+    if (!(await this.appendCancellation(jobId, record, deadline)))
+      return {
+        answer: {kind: 'unavailable'},
+        basis: CancellationBasis.NotStored,
+      };
+    this.table.apply(record);
+    this.inDoubt.delete(jobId);
+    return {
+      answer: this.knownState(jobId, caller),
+      basis: CancellationBasis.StoredEarly,
+    };
+  }
+
+  /** Returns the state of a job that is known to be cancelled. */
+  private knownState(jobId: string, caller: Caller): JobAnswer {
+    const job = this.table.find(jobId);
+    const isCancelled =
+      job !== undefined &&
+      mayAccessJob(job.submission, caller) &&
+      this.table.stateOf(job) === JobState.Cancelled;
+    return isCancelled
+      ? {kind: 'state', state: JobState.Cancelled}
+      : {kind: 'absent'};
+  }
+
+  /** Returns whether the store confirmed the record before the deadline. */
+  private async appendCancellation(
+    jobId: string,
+    record: KeyedRecord,
+    deadline: number,
+  ): Promise<boolean> {
+    const now = this.clock.monotonicMilliseconds();
+    const timeout = Math.max(0, deadline - now - ANSWER_MARGIN_MILLISECONDS);
+    const outcome = await this.submissions.append(
+      jobId,
+      record,
+      timeout,
+      timeout,
+    );
+    return outcome === BatchedAppendOutcome.Appended;
+  }
+
   private noteCancellation(
     jobId: string,
     {answer, basis}: CancellationDecision,
--- a/packages/coordinator/src/job-retention.ts
+++ b/packages/coordinator/src/record-retention.ts
@@ -2,23 +2,24 @@
 
 const SWEEP_INTERVAL_MILLISECONDS = 10_000;
 /**
- * Ended jobs are kept this many times as long as their state must be available: a repeated
+ * Records are kept this many times as long as a job's final state must be available: a repeated
  * submission may arrive late and must still be recognised.
  */
 const RETENTION_FACTOR = 2;
 
-/** Drops ended jobs some time after their final state no longer has to be available. */
-export class JobRetention {
-  private readonly endedAt = new Map<string, number>();
+/** Drops records some time after they are no longer needed. */
+export class RecordRetention<Name> {
+  private readonly endedAt = new Map<Name, number>();
   private closed = false;
 
   /**
-   * `stateKeptMilliseconds` is how long a final state must remain available; `drop` deletes a job.
+   * `stateKeptMilliseconds` is how long a job's final state must remain available; `drop` deletes
+   * a record.
    */
   constructor(
     private readonly clock: Clock,
     private readonly stateKeptMilliseconds: number,
-    private readonly drop: (jobId: string) => void,
+    private readonly drop: (name: Name) => void,
   ) {}
 
   start(): void {
@@ -33,18 +34,19 @@
     this.closed = true;
   }
 
-  noteEnded(jobId: string): void {
-    this.endedAt.set(jobId, this.clock.monotonicMilliseconds());
+  /** Starts the retention time of a record; from now on it is kept only for late repetitions. */
+  noteEnded(name: Name): void {
+    this.endedAt.set(name, this.clock.monotonicMilliseconds());
   }
 
   private dropExpired(): void {
     const cutoff =
       this.clock.monotonicMilliseconds() -
       RETENTION_FACTOR * this.stateKeptMilliseconds;
-    for (const [jobId, endedAt] of this.endedAt) {
+    for (const [name, endedAt] of this.endedAt) {
       if (endedAt > cutoff) continue;
-      this.endedAt.delete(jobId);
-      this.drop(jobId);
+      this.endedAt.delete(name);
+      this.drop(name);
     }
   }
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,4 +1,5 @@
 export * from './crash-count.js';
+export * from './early-cancellations.js';
 export * from './job.js';
 export * from './job-execution.js';
 export * from './job-progress.js';
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -1,3 +1,5 @@
+import {createHash} from 'node:crypto';
+import {callerScope, type Caller} from '@gentiandoor/organisations';
 import {
   JobState,
   isFinal,
@@ -14,6 +16,8 @@
   Submission = 'submission',
   Cancellation = 'cancellation',
   Progress = 'progress',
+  /** A cancellation of an id of which the log contained no submission. */
+  EarlyCancellation = 'early_cancellation',
 }
 
 /** A record about a job. */
@@ -24,6 +28,12 @@
       readonly kind: JobRecordKind.Progress;
       readonly jobId: string;
       readonly progress: JobProgress;
+    }
+  | {
+      readonly kind: JobRecordKind.EarlyCancellation;
+      readonly jobId: string;
+      /** Who cancelled the id, which decides about the jobs that it applies to. */
+      readonly caller: Caller;
     };
 
 /** A record as the log stores it, which keeps the newest value of each key. */
@@ -37,8 +47,13 @@
   [JobRecordKind.Submission]: 'j/',
   [JobRecordKind.Cancellation]: 'c/',
   [JobRecordKind.Progress]: 'p/',
+  [JobRecordKind.EarlyCancellation]: 'e/',
 };
 
+/** Separates the id in the key of an early cancellation from who may access the same jobs. */
+const SCOPE_SEPARATOR = '/';
+const SCOPE_DIGEST_CHARACTERS = 16;
+
 /** Phase of a task as it is stored. */
 enum PackedPhase {
   Open = 0,
@@ -95,9 +110,26 @@
         record.jobId,
         packProgress(record.progress, encoding),
       );
+    case JobRecordKind.EarlyCancellation:
+      return keyed(record.kind, earlyCancellationName(record), record.caller);
   }
 }
 
+/**
+ * Names an early cancellation by its job and by who may access the same jobs, so that callers
+ * without access never replace each other's.
+ */
+function earlyCancellationName({
+  jobId,
+  caller,
+}: {
+  readonly jobId: string;
+  readonly caller: Caller;
+}): string {
+  const digest = createHash('sha256').update(callerScope(caller)).digest('hex');
+  return jobId + SCOPE_SEPARATOR + digest.slice(0, SCOPE_DIGEST_CHARACTERS);
+}
+
 /**
  * Returns the records that remove everything about a job, grouped by the stream that
  * contains them.
@@ -128,7 +160,11 @@
 ): {readonly kind: JobRecordKind; readonly jobId: string} | undefined {
   for (const kind of Object.values(JobRecordKind)) {
     const prefix = KEY_PREFIXES[kind];
-    if (key.startsWith(prefix)) return {kind, jobId: key.slice(prefix.length)};
+    if (!key.startsWith(prefix)) continue;
+    const name = key.slice(prefix.length);
+    if (kind !== JobRecordKind.EarlyCancellation) return {kind, jobId: name};
+    const end = name.lastIndexOf(SCOPE_SEPARATOR);
+    return end < 0 ? undefined : {kind, jobId: name.slice(0, end)};
   }
   return undefined;
 }
@@ -149,9 +185,22 @@
       return {kind, jobId};
     case JobRecordKind.Progress:
       return {kind, jobId, progress: unpackProgress(jobId, parsed)};
+    case JobRecordKind.EarlyCancellation:
+      return {kind, jobId, caller: readCaller(jobId, parsed)};
   }
 }
 
+function readCaller(jobId: string, parsed: Partial<Caller>): Caller {
+  const {organisation, queue, isPublicQueue} = parsed;
+  const isReadable =
+    typeof queue === 'string' &&
+    typeof isPublicQueue === 'boolean' &&
+    (organisation === undefined || typeof organisation === 'string');
+  if (!isReadable)
+    throw new Error(`cancellation of job ${jobId} does not tell its caller`);
+  return {organisation, queue, isPublicQueue};
+}
+
 function keyed(
   kind: JobRecordKind,
   jobId: string,
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -1,3 +1,8 @@
+import type {Caller} from '@gentiandoor/organisations';
+import {
+  EarlyCancellations,
+  type EarlyCancellationName,
+} from './early-cancellations.js';
 import {JobState, isFinal, type JobSubmission} from './job.js';
 import {emptyProgress, type JobProgress} from './job-progress.js';
 import {
@@ -19,11 +24,14 @@
 export interface JobTableListener {
   submitted?(job: StoredJob & {submission: JobSubmission}): void;
   cancelled?(jobId: string): void;
+  /** Called for a cancellation of an id that may have no submission. */
+  cancelledEarly?(name: EarlyCancellationName): void;
 }
 
 /** The fold of the job log: the newest record of each kind about each job. */
 export class JobTable {
   private readonly jobs = new Map<string, StoredJob>();
+  private readonly earlyCancellations = new EarlyCancellations();
   private listener: JobTableListener = {};
 
   /** Calls `listener` for records that are applied from now on. */
@@ -42,6 +50,16 @@
     for (const job of this.jobs.values()) if (hasSubmission(job)) yield job;
   }
 
+  /** Yields the names of all cancellations of ids that may have no submission. */
+  earlyCancellationNames(): Iterable<EarlyCancellationName> {
+    return this.earlyCancellations.names();
+  }
+
+  /** Returns the number of early cancellations by callers with the same access as `caller`. */
+  earlyCancellationCount(caller: Caller): number {
+    return this.earlyCancellations.countOf(caller);
+  }
+
   /**
    * Returns the state shown to callers, which depends only on what the log contains.
    */
@@ -66,30 +84,58 @@
     const key = parseJobRecordKey(record.key);
     if (!key)
       throw new Error('record key has none of the prefixes of job records');
-    if (record.value === undefined) this.jobs.delete(key.jobId);
-    else this.applyValue(key.kind, key.jobId, record.value);
+    if (record.value !== undefined)
+      this.applyValue(key.kind, {...key, key: record.key}, record.value);
+    else if (key.kind === JobRecordKind.EarlyCancellation)
+      this.earlyCancellations.remove({...key, key: record.key});
+    else this.jobs.delete(key.jobId);
   }
 
-  private applyValue(kind: JobRecordKind, jobId: string, value: Buffer): void {
+  private applyValue(
+    kind: JobRecordKind,
+    name: EarlyCancellationName,
+    value: Buffer,
+  ): void {
+    const {jobId} = name;
     const record = decodeJobRecord(kind, jobId, value);
+    if (record.kind === JobRecordKind.EarlyCancellation) {
+      this.applyEarlyCancellation(name, record.caller);
+      return;
+    }
     const job = this.entry(jobId);
     switch (record.kind) {
       case JobRecordKind.Submission:
         // The same job may be submitted again, even after it has ended.
         if (job.submission) return;
         job.submission = record.job;
+        job.cancelled ||= this.earlyCancellations.include(jobId, record.job);
         if (hasSubmission(job)) this.listener.submitted?.(job);
         return;
       case JobRecordKind.Cancellation:
-        if (job.cancelled) return;
-        job.cancelled = true;
-        this.listener.cancelled?.(jobId);
+        this.cancel(jobId, job);
         return;
       case JobRecordKind.Progress:
         job.progress = record.progress;
     }
   }
 
+  private applyEarlyCancellation(
+    name: EarlyCancellationName,
+    caller: Caller,
+  ): void {
+    if (!this.earlyCancellations.add(name, caller)) return;
+    const job = this.find(name.jobId);
+    if (job && this.earlyCancellations.include(name.jobId, job.submission))
+      this.cancel(name.jobId, job);
+    this.listener.cancelledEarly?.(name);
+  }
+
+  private cancel(jobId: string, job: StoredJob): void {
+    if (job.cancelled) return;
+    job.cancelled = true;
+    this.listener.cancelled?.(jobId);
+  }
+
   private entry(jobId: string): StoredJob {
     let job = this.jobs.get(jobId);
     if (!job) {
--- a/packages/organisations/src/access.ts
+++ b/packages/organisations/src/access.ts
@@ -89,6 +89,15 @@
   readonly queue: string;
 }
 
+/** Names the callers that may access the same jobs as `caller`. */
+export function callerScope({
+  organisation,
+  queue,
+  isPublicQueue,
+}: Caller): string {
+  return JSON.stringify([organisation ?? null, isPublicQueue ? queue : null]);
+}
+
 /** Whether a caller may query a job or cancel it. */
 export function mayAccessJob(job: OwnedJob, caller: Caller): boolean {
   if (job.organisation === undefined) return true;
