Orders: a stop that is requested while the start waits for the term holds

Cause: RunOrders.start looked at stopRequested, then waited until the term allowed orders, and sent the order without looking again. RunOrders.stop sends nothing for a run whose order has not left, and is done; so nobody stopped the run, and it ran to its end, or for ever.

Change: the wait comes first, then the checks, with no wait between them and the order. A run whose stop is requested after a first order is not ordered again: its stop is on its way.

--- a/packages/coordinator/src/run-orders.ts
+++ b/packages/coordinator/src/run-orders.ts
@@ -75,12 +75,13 @@
       return;
     }
     for (let attempt = 0; attempt < MAXIMUM_START_ATTEMPTS; attempt++) {
+      if (!(await this.host.waitUntilAllowed())) return;
       if (!this.host.isExpected(run)) return;
-      if (run.stopRequested && attempt === 0) {
-        this.host.runNeverStarted(run);
+      if (run.stopRequested) {
+        // Once an order has been sent, the stop is sent as well.
+        if (attempt === 0) this.host.runNeverStarted(run);
         return;
       }
-      if (!(await this.host.waitUntilAllowed())) return;
       if (!this.host.hasCapacityFor(run)) {
         if (attempt > 0) break;
         this.host.runNeverStarted(run);
@@ -93,7 +94,10 @@
     await this.stopUnlessStarted(run);
   }
 
-  /** Orders the worker to stop a run, retrying until it responds. */
+  /**
+   * Orders the worker to stop a run, retrying until it responds. The start order of a planned run
+   * has not been sent, and will not be.
+   */
   async stop(run: LiveRun): Promise<void> {
     if (run.stopRequested || !this.host.isExpected(run)) return;
     run.stopRequested = true;
