--- a/packages/coordinator/src/__tests__/deployment.ts
+++ b/packages/coordinator/src/__tests__/deployment.ts
@@ -48,7 +48,7 @@
 } from '../stand-ins/index.js';
 
 /** Record formats of the tests: plain JSON. */
-class PlainFormats implements RecordFormats {
+export class PlainFormats implements RecordFormats {
   operatorRecord(record: {value: Buffer | undefined}): OperatorRecord {
     return JSON.parse(String(record.value)) as OperatorRecord;
   }
