Early cancellations: their limit holds at once, and they are dropped, kept and counted as told

What a review of the fix found, each with a test that failed before (early-cancellation-limits.test.ts, 6 of 6): - A repeated cancellation was acknowledged and dropped with the first one; a submission after that ran to its end. Each repetition now starts the time anew. - The limit counted only what the store had confirmed, so 12,000 at once all passed. Those under way count as well, and there is a limit for all callers together (20,000; every daemon holds them in memory). - At the limit a cancellation that is stored already was refused when it was sent again. - One that could not be dropped at its time stayed, and counted, for the rest of the term. RecordRetention tries again, also for ended jobs. - A daemon that missed the drop behind a gap of the store's history kept and applied it until its restart. After a load of a partition's newest records it forgets those that are not among them. - A cancellation by another organisation ended the doubt about the owner's submission, whose GET was then answered 410. The doubt knows its owner.

One test of these (the gap) lacked the refresh that a daemon does every two seconds and got it. A caller beyond the limit is told to come back after 30 s.

--- a/packages/coordinator/src/__tests__/early-cancellation-limits.test.ts
+++ b/packages/coordinator/src/__tests__/early-cancellation-limits.test.ts
@@ -112,6 +112,7 @@
     await deployment.run(keptMilliseconds + SWEEP_MILLISECONDS);
     deployment.store.forgetHistory(LogStream.Submissions);
     intake.store.setFault(undefined);
+    void intake.jobs.refresh();
     await deployment.run(SETTLED_MILLISECONDS);
     assert.deepEqual([...coordinator.table.earlyCancellationNames()], []);
     assert.deepEqual([...intake.table.earlyCancellationNames()], []);
--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -62,7 +62,7 @@
 /** The jobs that a coordinator knows, from their submission until their records are dropped. */
 export class ActiveJobs implements OutcomeHost {
   private readonly executions = new Map<string, JobExecution>();
-  private readonly retention: RecordRetention<string>;
+  private readonly retention: RecordRetention;
   private closed = false;
 
   constructor(private readonly parts: ActiveJobParts) {
@@ -236,16 +236,13 @@
       writer.store(execution);
   }
 
-  private drop(jobId: string): void {
-    this.executions.delete(jobId);
-    void this.dropRecords(jobId);
-  }
-
   /**
    * Deletes the progress last, once the submission is certainly deleted: the next coordinator would
-   * take a submission without progress for a new job and run it a second time.
+   * take a submission without progress for a new job and run it a second time. Resolves to whether
+   * the submission is deleted.
    */
-  private async dropRecords(jobId: string): Promise<void> {
+  private async drop(jobId: string): Promise<boolean> {
+    this.executions.delete(jobId);
     const {progress, submission} = jobRecordTombstones(jobId);
     const outcomes = await Promise.all(
       submission.map(record =>
@@ -262,6 +259,7 @@
     );
     if (areDeleted && !this.closed)
       this.parts.writer.appendTombstones([progress]);
+    return areDeleted;
   }
 }
 
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -262,7 +262,7 @@
     this.parts.table.listen({
       submitted: job => this.jobs.add(job),
       cancelled: jobId => this.jobs.cancel(jobId),
-      cancelledEarly: name => this.earlyCancellations.note(name),
+      cancelledEarly: ({recordKey}) => this.earlyCancellations.note(recordKey),
     });
     this.jobs.recover(this.parts.table.all());
     this.recovered = true;
--- a/packages/coordinator/src/early-cancellation-retention.ts
+++ b/packages/coordinator/src/early-cancellation-retention.ts
@@ -1,5 +1,6 @@
-import type {EarlyCancellationName, JobTable} from '@gentiandoor/jobs';
+import {parseJobRecordKey, type JobTable} from '@gentiandoor/jobs';
 import type {Clock} from '@gentiandoor/kernel';
+import {BatchedAppendOutcome} from './batching-appender.js';
 import {RecordRetention} from './record-retention.js';
 import type {SubmissionLog} from './submission-log.js';
 
@@ -16,20 +17,20 @@
 
 /** Deletes early cancellations once no submission is expected to arrive that late. */
 export class EarlyCancellationRetention {
-  private readonly retention: RecordRetention<EarlyCancellationName>;
+  private readonly retention: RecordRetention;
 
   constructor(private readonly parts: EarlyCancellationRetentionParts) {
     this.retention = new RecordRetention(
       parts.clock,
       parts.stateRetentionMilliseconds,
-      name => this.drop(name),
+      recordKey => this.drop(recordKey),
     );
   }
 
   /** Includes the cancellations that earlier coordinators have read. */
   start(): void {
-    for (const name of this.parts.table.earlyCancellationNames())
-      this.note(name);
+    for (const {recordKey} of this.parts.table.earlyCancellationNames())
+      this.note(recordKey);
     this.retention.start();
   }
 
@@ -37,16 +38,18 @@
     this.retention.close();
   }
 
-  note(name: EarlyCancellationName): void {
-    this.retention.noteEnded(name);
+  /** Notes a cancellation, or that it was repeated. */
+  note(recordKey: string): void {
+    this.retention.noteEnded(recordKey);
   }
 
-  private drop({jobId, key}: EarlyCancellationName): void {
-    void this.parts.submissions.append(
-      jobId,
-      {key, value: undefined},
+  private async drop(recordKey: string): Promise<boolean> {
+    const outcome = await this.parts.submissions.append(
+      parseJobRecordKey(recordKey)?.jobId ?? '',
+      {key: recordKey, value: undefined},
       DROP_TIMEOUT_MILLISECONDS,
       DROP_TIMEOUT_MILLISECONDS,
     );
+    return outcome === BatchedAppendOutcome.Appended;
   }
 }
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -4,6 +4,7 @@
 export * from './daemon-roster.js';
 export * from './deployment-view.js';
 export * from './queue-organisation-view.js';
+export * from './early-cancellation-limit.js';
 export * from './entry-settings.js';
 export * from './batching-appender.js';
 export * from './job-admission.js';
--- a/packages/coordinator/src/job-intake.ts
+++ b/packages/coordinator/src/job-intake.ts
@@ -22,9 +22,11 @@
   mayAccessJob,
   type Caller,
   type OrganisationRegistry,
+  type OwnedJob,
   type Resources,
 } from '@gentiandoor/organisations';
 import {BatchedAppendOutcome} from './batching-appender.js';
+import {EarlyCancellationLimit} from './early-cancellation-limit.js';
 import type {JobAdmission, RefusedAdmission} from './job-admission.js';
 import type {JobStreams} from './job-streams.js';
 import type {SubmissionLog} from './submission-log.js';
@@ -56,7 +58,11 @@
 export type JobAnswer =
   | {readonly kind: 'state'; readonly state: JobState}
   | {readonly kind: 'absent'}
-  | {readonly kind: 'unavailable'};
+  | {
+      readonly kind: 'unavailable';
+      /** Undefined where the caller should retry as after any failure of the store. */
+      readonly retryAfterSeconds?: number;
+    };
 
 /** What the answer to a cancellation rests on. */
 export enum CancellationBasis {
@@ -111,19 +117,17 @@
 /** Maximum age of the number of pending jobs that is returned without reading the store. */
 const MAXIMUM_COUNT_AGE_MILLISECONDS = 1_500;
 
-/**
- * Maximum number of early cancellations in the store by callers with the same access; more are not
- * accepted until some have expired.
- */
-export const MAXIMUM_EARLY_CANCELLATIONS = 10_000;
+/** Delay after which a caller beyond the limit of early cancellations should retry. */
+const EARLY_CANCELLATION_RETRY_SECONDS = 30;
 
 /** Accepts jobs and reports their state at any daemon; all state is kept in the store. */
 export class JobIntake {
-  /** Jobs whose submission through this daemon got no response from the store. */
-  private readonly inDoubt = new Set<string>();
+  /** Jobs whose submission through this daemon got no response from the store, by id. */
+  private readonly inDoubt = new Map<string, OwnedJob>();
   /** Number of appends in progress by job; a caller may send the same job twice at once. */
   private readonly inProgress = new Map<string, number>();
   private readonly labels = new OrganisationMetricLabels();
+  private readonly earlyCancellationLimit: EarlyCancellationLimit;
 
   constructor(
     private readonly table: JobTable,
@@ -135,7 +139,9 @@
     private readonly metrics: Metrics,
     /** Undefined in a deployment that refuses no jobs under overload. */
     private readonly admission?: JobAdmission,
-  ) {}
+  ) {
+    this.earlyCancellationLimit = new EarlyCancellationLimit(table);
+  }
 
   /**
    * Seconds after which a rejected caller should retry: soon after the store has just failed, later
@@ -244,7 +250,7 @@
       timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
     );
     this.countInProgress(job.id, -1);
-    const answer = this.submissionAnswer(job.id, outcome);
+    const answer = this.submissionAnswer(job, outcome);
     const milliseconds = this.clock.monotonicMilliseconds() - startedAt;
     this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
     this.noteAnswer(job, answer, milliseconds);
@@ -358,24 +364,30 @@
     deadline: number,
     caller: Caller,
   ): Promise<CancellationDecision> {
-    const count = this.table.earlyCancellationCount(caller);
-    if (count >= MAXIMUM_EARLY_CANCELLATIONS)
-      return {
-        answer: {kind: 'unavailable'},
-        basis: CancellationBasis.TooManyEarly,
-      };
     const record = encodeJobRecord({
       kind: JobRecordKind.EarlyCancellation,
       jobId,
       caller,
     });
-    if (!(await this.appendCancellation(jobId, record, deadline)))
+    const limit = this.earlyCancellationLimit;
+    if (!limit.admits({jobId, recordKey: record.key}, caller))
+      return {
+        answer: {
+          kind: 'unavailable',
+          retryAfterSeconds: EARLY_CANCELLATION_RETRY_SECONDS,
+        },
+        basis: CancellationBasis.TooManyEarly,
+      };
+    const stored = this.appendCancellation(jobId, record, deadline);
+    if (!(await limit.during(caller, stored)))
       return {
         answer: {kind: 'unavailable'},
         basis: CancellationBasis.NotStored,
       };
+    // Counted from now on; streams of submissions are read seconds apart.
     this.table.apply(record);
-    this.inDoubt.delete(jobId);
+    const doubtful = this.inDoubt.get(jobId);
+    if (doubtful && mayAccessJob(doubtful, caller)) this.inDoubt.delete(jobId);
     return {
       answer: this.knownState(jobId, caller),
       basis: CancellationBasis.StoredEarly,
@@ -440,16 +452,20 @@
   }
 
   private submissionAnswer(
-    jobId: string,
+    job: JobSubmission,
     outcome: BatchedAppendOutcome,
   ): SubmitAnswer {
     if (outcome === BatchedAppendOutcome.Appended) {
-      this.inDoubt.delete(jobId);
+      this.inDoubt.delete(job.id);
       return SubmitAnswer.Accepted;
     }
-    if (outcome === BatchedAppendOutcome.Unknown) this.inDoubt.add(jobId);
+    if (outcome === BatchedAppendOutcome.Unknown)
+      this.inDoubt.set(job.id, {
+        organisation: job.organisation,
+        queue: job.queue,
+      });
     // An earlier attempt may still succeed, so the job must not be reported as refused.
-    if (this.inDoubt.has(jobId)) return SubmitAnswer.Unknown;
+    if (this.inDoubt.has(job.id)) return SubmitAnswer.Unknown;
     return outcome === BatchedAppendOutcome.Rejected
       ? SubmitAnswer.TooLarge
       : SubmitAnswer.Refused;
--- a/packages/coordinator/src/job-streams.ts
+++ b/packages/coordinator/src/job-streams.ts
@@ -1,7 +1,7 @@
 import {sleep, supervise, type Clock, type Logger} from '@gentiandoor/kernel';
 import type {JobTable} from '@gentiandoor/jobs';
 import {LogStream, type RecordLog} from './record-log.js';
-import {StreamFollower} from './stream-follower.js';
+import {StreamFollower, type StreamSink} from './stream-follower.js';
 import {SUBMISSION_PARTITIONS, submissionPartition} from './submission-log.js';
 
 const FOLLOW_WAIT_MILLISECONDS = 500;
@@ -12,6 +12,16 @@
 const MAXIMUM_SUBMISSION_AGE_MILLISECONDS = 9_000;
 const MAXIMUM_PROGRESS_AGE_MILLISECONDS = 1_000;
 
+/** Returns what applies the records of one partition of submissions to a table. */
+function submissionSink(table: JobTable, partition: number): StreamSink {
+  const isOfPartition = (jobId: string) =>
+    submissionPartition(jobId) === partition;
+  return {
+    apply: record => table.apply(record),
+    loaded: keys => table.forgetEarlyCancellations(isOfPartition, keys),
+  };
+}
+
 /** Keeps a table of jobs up to date with the streams of submissions and progress. */
 export class JobStreams {
   private readonly progress: StreamFollower;
@@ -34,9 +44,14 @@
     this.submissions = Array.from(
       {length: SUBMISSION_PARTITIONS},
       (_, partition) =>
-        new StreamFollower(log, LogStream.Submissions, table, clock, logger, {
-          partition,
-        }),
+        new StreamFollower(
+          log,
+          LogStream.Submissions,
+          submissionSink(table, partition),
+          clock,
+          logger,
+          {partition},
+        ),
     );
   }
 
--- a/packages/coordinator/src/record-retention.ts
+++ b/packages/coordinator/src/record-retention.ts
@@ -7,19 +7,19 @@
  */
 const RETENTION_FACTOR = 2;
 
-/** Drops records some time after they are no longer needed. */
-export class RecordRetention<Name> {
-  private readonly endedAt = new Map<Name, number>();
+/** Drops records, each named by a string, some time after they are no longer needed. */
+export class RecordRetention {
+  private readonly endedAt = new Map<string, number>();
   private closed = false;
 
   /**
    * `stateKeptMilliseconds` is how long a job's final state must remain available; `drop` deletes
-   * a record.
+   * a record and resolves to whether it is certainly deleted; if not, it is tried again.
    */
   constructor(
     private readonly clock: Clock,
     private readonly stateKeptMilliseconds: number,
-    private readonly drop: (name: Name) => void,
+    private readonly drop: (name: string) => Promise<boolean>,
   ) {}
 
   start(): void {
@@ -35,7 +35,7 @@
   }
 
   /** Starts the retention time of a record; from now on it is kept only for late repetitions. */
-  noteEnded(name: Name): void {
+  noteEnded(name: string): void {
     this.endedAt.set(name, this.clock.monotonicMilliseconds());
   }
 
@@ -46,7 +46,12 @@
     for (const [name, endedAt] of this.endedAt) {
       if (endedAt > cutoff) continue;
       this.endedAt.delete(name);
-      this.drop(name);
+      void this.dropOne(name, endedAt);
     }
   }
+
+  private async dropOne(name: string, endedAt: number): Promise<void> {
+    const isDropped = await this.drop(name);
+    if (!isDropped && !this.endedAt.has(name)) this.endedAt.set(name, endedAt);
+  }
 }
--- a/packages/jobs/src/early-cancellations.ts
+++ b/packages/jobs/src/early-cancellations.ts
@@ -8,7 +8,7 @@
 /** Names the record of an early cancellation. */
 export interface EarlyCancellationName {
   readonly jobId: string;
-  readonly key: string;
+  readonly recordKey: string;
 }
 
 /**
@@ -18,26 +18,34 @@
 export class EarlyCancellations {
   private readonly byJob = new Map<string, Map<string, Caller>>();
   private readonly counts = new Map<string, number>();
+  private total = 0;
 
-  /** Adds a cancellation; returns whether it is new. */
-  add({jobId, key}: EarlyCancellationName, caller: Caller): boolean {
+  /** Number of cancellations. */
+  get size(): number {
+    return this.total;
+  }
+
+  add({jobId, recordKey}: EarlyCancellationName, caller: Caller): void {
     const ofJob = this.byJob.get(jobId) ?? new Map<string, Caller>();
-    if (ofJob.has(key)) return false;
-    ofJob.set(key, caller);
+    if (ofJob.has(recordKey)) return;
+    ofJob.set(recordKey, caller);
     this.byJob.set(jobId, ofJob);
     this.count(caller, 1);
-    return true;
   }
 
-  remove({jobId, key}: EarlyCancellationName): void {
+  remove({jobId, recordKey}: EarlyCancellationName): void {
     const ofJob = this.byJob.get(jobId);
-    const caller = ofJob?.get(key);
+    const caller = ofJob?.get(recordKey);
     if (!ofJob || !caller) return;
-    ofJob.delete(key);
+    ofJob.delete(recordKey);
     if (ofJob.size === 0) this.byJob.delete(jobId);
     this.count(caller, -1);
   }
 
+  has({jobId, recordKey}: EarlyCancellationName): boolean {
+    return this.byJob.get(jobId)?.has(recordKey) === true;
+  }
+
   /** Returns whether a caller that may access the job has cancelled its id. */
   include(jobId: string, job: OwnedJob): boolean {
     const callers = this.byJob.get(jobId)?.values() ?? [];
@@ -49,13 +57,15 @@
     return this.counts.get(callerScope(caller)) ?? 0;
   }
 
-  /** Yields the names of all cancellations. */
-  *names(): Iterable<EarlyCancellationName> {
-    for (const [jobId, ofJob] of this.byJob)
-      for (const key of ofJob.keys()) yield {jobId, key};
+  /** Returns the names of all cancellations. */
+  names(): EarlyCancellationName[] {
+    return [...this.byJob].flatMap(([jobId, ofJob]) =>
+      [...ofJob.keys()].map(recordKey => ({jobId, recordKey})),
+    );
   }
 
   private count(caller: Caller, change: number): void {
+    this.total += change;
     const scope = callerScope(caller);
     const count = (this.counts.get(scope) ?? 0) + change;
     if (count > 0) this.counts.set(scope, count);
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -24,7 +24,7 @@
 export interface JobTableListener {
   submitted?(job: StoredJob & {submission: JobSubmission}): void;
   cancelled?(jobId: string): void;
-  /** Called for a cancellation of an id that may have no submission. */
+  /** Called for each cancellation of an id that may have no submission, also a repeated one. */
   cancelledEarly?(name: EarlyCancellationName): void;
 }
 
@@ -50,11 +50,21 @@
     for (const job of this.jobs.values()) if (hasSubmission(job)) yield job;
   }
 
-  /** Yields the names of all cancellations of ids that may have no submission. */
-  earlyCancellationNames(): Iterable<EarlyCancellationName> {
+  /** Number of cancellations of ids that may have no submission. */
+  get earlyCancellationTotal(): number {
+    return this.earlyCancellations.size;
+  }
+
+  /** Returns the names of all cancellations of ids that may have no submission. */
+  earlyCancellationNames(): readonly EarlyCancellationName[] {
     return this.earlyCancellations.names();
   }
 
+  /** Returns whether the log contains an early cancellation. */
+  hasEarlyCancellation(name: EarlyCancellationName): boolean {
+    return this.earlyCancellations.has(name);
+  }
+
   /** Returns the number of early cancellations by callers with the same access as `caller`. */
   earlyCancellationCount(caller: Caller): number {
     return this.earlyCancellations.countOf(caller);
@@ -79,16 +89,29 @@
     return count;
   }
 
+  /**
+   * Forgets the early cancellations of a part of the log that it no longer contains, after all its
+   * keys have been read.
+   */
+  forgetEarlyCancellations(
+    isOfPart: (jobId: string) => boolean,
+    contained: ReadonlySet<string>,
+  ): void {
+    for (const name of this.earlyCancellations.names())
+      if (isOfPart(name.jobId) && !contained.has(name.recordKey))
+        this.earlyCancellations.remove(name);
+  }
+
   /** Applies a record; throws if it is not a valid job record. */
-  apply(record: KeyedRecord): void {
-    const key = parseJobRecordKey(record.key);
-    if (!key)
+  apply({key: recordKey, value}: KeyedRecord): void {
+    const parsed = parseJobRecordKey(recordKey);
+    if (!parsed)
       throw new Error('record key has none of the prefixes of job records');
-    if (record.value !== undefined)
-      this.applyValue(key.kind, {...key, key: record.key}, record.value);
-    else if (key.kind === JobRecordKind.EarlyCancellation)
-      this.earlyCancellations.remove({...key, key: record.key});
-    else this.jobs.delete(key.jobId);
+    const {kind, jobId} = parsed;
+    if (value !== undefined) this.applyValue(kind, {jobId, recordKey}, value);
+    else if (kind === JobRecordKind.EarlyCancellation)
+      this.earlyCancellations.remove({jobId, recordKey});
+    else this.jobs.delete(jobId);
   }
 
   private applyValue(
@@ -123,7 +146,7 @@
     name: EarlyCancellationName,
     caller: Caller,
   ): void {
-    if (!this.earlyCancellations.add(name, caller)) return;
+    this.earlyCancellations.add(name, caller);
     const job = this.find(name.jobId);
     if (job && this.earlyCancellations.include(name.jobId, job.submission))
       this.cancel(name.jobId, job);
