Intake: a job sent twice at once to one daemon is not refused while the first attempt may succeed

Callers were answered 503 (not accepted, never runs) for a job that then ran: the second of two submissions waited unsent behind the append of the first, was refused after 450 ms, and the first was stored.

Cause: a refusal looked at attempts that had ended without an answer, not at those under way. The same class as a cancellation that overtakes its submission.

Change: an attempt waits for the one in progress by the same organisation and shares its success; it goes on by itself if that one fails, and is told that the outcome is unknown if its own time is over first.

Evidence: refused-submissions.test.ts, the two tests at one daemon failed before and pass.

--- a/packages/coordinator/src/job-intake.ts
+++ b/packages/coordinator/src/job-intake.ts
@@ -83,6 +83,11 @@
   TooManyEarly = 'too_many_early',
 }
 
+interface SubmissionAttempt {
+  readonly organisation: string | undefined;
+  readonly answer: Promise<SubmitAnswer>;
+}
+
 interface CancellationDecision {
   readonly answer: JobAnswer;
   readonly basis: CancellationBasis;
@@ -124,8 +129,8 @@
 export class JobIntake {
   /** Jobs whose submission through this daemon got no response from the store, by id. */
   private readonly inDoubt = new Map<string, OwnedJob>();
-  /** Number of appends in progress by job; a caller may send the same job twice at once. */
-  private readonly inProgress = new Map<string, number>();
+  /** Attempts in progress by job; a caller may send the same job twice at once. */
+  private readonly attempts = new Map<string, SubmissionAttempt>();
   private readonly labels = new OrganisationMetricLabels();
   private readonly earlyCancellationLimit: EarlyCancellationLimit;
 
@@ -218,16 +223,10 @@
     return (
       this.table.find(jobId) !== undefined ||
       this.inDoubt.has(jobId) ||
-      this.inProgress.has(jobId)
+      this.attempts.has(jobId)
     );
   }
 
-  private countInProgress(jobId: string, change: number): void {
-    const count = (this.inProgress.get(jobId) ?? 0) + change;
-    if (count > 0) this.inProgress.set(jobId, count);
-    else this.inProgress.delete(jobId);
-  }
-
   private async store(
     job: JobSubmission,
     timeoutMilliseconds: number,
@@ -242,19 +241,66 @@
       return SubmitAnswer.OverLimit;
     }
     const startedAt = this.clock.monotonicMilliseconds();
-    this.countInProgress(job.id, 1);
+    const deadline =
+      startedAt + timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS;
+    const answer =
+      (await this.answerOfEarlierAttempt(job, deadline)) ??
+      (await this.attempt(job, deadline));
+    const milliseconds = this.clock.monotonicMilliseconds() - startedAt;
+    this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
+    this.noteAnswer(job, answer, milliseconds);
+    return answer;
+  }
+
+  /**
+   * Waits for attempts in progress by the same organisation: as long as one may succeed, another
+   * must not be answered that the job never runs. Resolves to undefined once none is in progress and
+   * none has succeeded.
+   */
+  private async answerOfEarlierAttempt(
+    job: JobSubmission,
+    deadline: number,
+  ): Promise<SubmitAnswer | undefined> {
+    for (;;) {
+      const earlier = this.attempts.get(job.id);
+      if (!earlier || earlier.organisation !== job.organisation)
+        return undefined;
+      const remaining = deadline - this.clock.monotonicMilliseconds();
+      const answer = await Promise.race([
+        earlier.answer,
+        sleep(this.clock, Math.max(0, remaining)),
+      ]);
+      if (answer === undefined) return SubmitAnswer.Unknown;
+      if (answer === SubmitAnswer.Accepted) return answer;
+    }
+  }
+
+  private async attempt(
+    job: JobSubmission,
+    deadline: number,
+  ): Promise<SubmitAnswer> {
+    const {id, organisation} = job;
+    const answer = this.append(job, deadline);
+    const attempt = {organisation, answer};
+    this.attempts.set(id, attempt);
+    try {
+      return await answer;
+    } finally {
+      if (this.attempts.get(id) === attempt) this.attempts.delete(id);
+    }
+  }
+
+  private async append(
+    job: JobSubmission,
+    deadline: number,
+  ): Promise<SubmitAnswer> {
     const outcome = await this.submissions.append(
       job.id,
       encodeJobRecord({kind: JobRecordKind.Submission, job}),
       this.unsentTimeoutMilliseconds,
-      timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+      deadline - this.clock.monotonicMilliseconds(),
     );
-    this.countInProgress(job.id, -1);
-    const answer = this.submissionAnswer(job, outcome);
-    const milliseconds = this.clock.monotonicMilliseconds() - startedAt;
-    this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
-    this.noteAnswer(job, answer, milliseconds);
-    return answer;
+    return this.submissionAnswer(job, outcome);
   }
 
   /**
