Coordinator: nothing is placed before the configuration is known, and failures count once it is

Cause: a coordinator that takes over before it has read the operators' stream knows no limit of attempts, takes it for infinite, and places tasks all the same.

Change: a round of placement waits for the first configuration; leases and polls go on.

--- a/packages/coordinator/src/__tests__/dispatcher.test.ts
+++ b/packages/coordinator/src/__tests__/dispatcher.test.ts
@@ -23,6 +23,7 @@
     let rounds = 0;
     const dispatcher = new Dispatcher(
       {
+        isConfigured: true,
         term: 1,
         sessionsOf: () => {
           rounds++;
--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -144,6 +144,16 @@
     this.jobEnded(execution);
   }
 
+  /** Fails the jobs whose tasks have failed as often as the configuration allows. */
+  configurationChanged(): void {
+    for (const execution of this.executions.values()) {
+      const maximumAttempts = this.maximumAttemptsOf(execution) ?? Infinity;
+      if (!execution.failIfExhausted(maximumAttempts)) continue;
+      this.jobEnded(execution);
+      this.parts.writer.store(execution);
+    }
+  }
+
   /** Returns the job and task that a listed end belongs to; undefined if they are not known. */
   findTask(
     ended: EndedRun,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -128,7 +128,8 @@
   private readonly pressure: PressurePublisher | undefined;
   private closed = false;
   private recovered = false;
-  private configurationVersion = 0;
+  /** Version that all parts have taken notice of; undefined until the first one is known. */
+  private configurationVersion: number | undefined;
   private readonly schedulePlacement: SchedulePlacement = (service, cause) =>
     this.dispatcher.schedulePlacement(service, cause);
 
@@ -265,6 +266,7 @@
       cancelledEarly: ({recordKey}) => this.earlyCancellations.note(recordKey),
     });
     this.jobs.recover(this.parts.table.all());
+    this.detectConfigurationChange();
     this.recovered = true;
     logger.info(LogEvent.RecoveryFinished, {
       term: this.term,
@@ -311,6 +313,10 @@
     this.holder.resign();
   }
 
+  get isConfigured(): boolean {
+    return this.configurationVersion !== undefined;
+  }
+
   sessionsOf(service: string): readonly WorkerSession[] {
     return this.registry.ofService(service);
   }
@@ -526,10 +532,11 @@
   }
 
   private detectConfigurationChange(): void {
-    const version = this.parts.operators.configuration?.version ?? 0;
+    const version = this.parts.operators.configuration?.version;
     if (version === this.configurationVersion) return;
     this.configurationVersion = version;
     this.registry.configurationChanged();
+    this.jobs.configurationChanged();
     this.dispatcher.regroup();
   }
 
--- a/packages/coordinator/src/dispatch-host.ts
+++ b/packages/coordinator/src/dispatch-host.ts
@@ -12,6 +12,8 @@
 /** Functions of the coordinator that a dispatcher calls. */
 export interface DispatchHost {
   readonly term: number;
+  /** Whether a configuration is known, which says what may be started where and how often. */
+  readonly isConfigured: boolean;
   sessionsOf(service: string): readonly WorkerSession[];
   queueOf(execution: JobExecution): Queue | undefined;
   /**
--- a/packages/coordinator/src/dispatcher.ts
+++ b/packages/coordinator/src/dispatcher.ts
@@ -218,6 +218,8 @@
   }
 
   private placeService(service: string, causes: ReadonlySet<RoundCause>): void {
+    // The configuration causes rounds of all services once it is known.
+    if (!this.host.isConfigured) return;
     const now = this.clock.monotonicMilliseconds();
     const sessions = this.host
       .sessionsOf(service)
--- a/packages/jobs/src/job-execution.ts
+++ b/packages/jobs/src/job-execution.ts
@@ -319,6 +319,23 @@
       : this.fail();
   }
 
+  /**
+   * Fails the job if a task has failed as often as it may; returns whether it did. Needed when the
+   * limit was not known at the last failure.
+   */
+  failIfExhausted(maximumAttempts: number): boolean {
+    if (this.hasEnded) return false;
+    const tasks = [...this.groups.values()].flatMap(group => group.tasks);
+    const isExhausted = tasks.some(
+      ({progress, specification}) =>
+        !progress.done &&
+        !specification.longRunning &&
+        progress.failedRuns.length >= maximumAttempts,
+    );
+    if (isExhausted) this.fail();
+    return isExhausted;
+  }
+
   private fail(): RunEndEffect {
     this.progress.state = JobState.Failed;
     return RunEndEffect.JobEnded;
