--- a/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
+++ b/packages/coordinator/src/__tests__/cancelled-jobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {LogStream} from '../index.js';
-import {WorkerFault} from '../stand-ins/index.js';
+import {StoreFault, WorkerFault} from '../stand-ins/index.js';
 import {
   ANY_CALLER,
   LASTING_JOB,
@@ -148,3 +148,36 @@
     assert.equal(deployment.startedRuns().length, 0);
   });
 });
+
+/** Long enough for the term to expire, too short for the coordinator to end it. */
+const LATE_RENEWAL_MILLISECONDS = 1_300;
+
+// The order waits for the term to be renewed while the stop of its run is requested; sent all the
+// same, it starts a task that nothing stops.
+describe('a job that is cancelled while its start order waits for the term to be renewed', () => {
+  for (const fault of [StoreFault.Refusing, StoreFault.DoneLate])
+    for (const node of ['one', 'two'])
+      it(`is not run on, store ${fault}, cancelled at daemon ${node}`, async () => {
+        const deployment = new TestDeployment(1);
+        const one = await deployment.startDaemon('one');
+        const two = new TestDaemon(deployment, 'two');
+        two.startIntakeOnly();
+        await deployment.run(2_000);
+        deployment.behaviours.set(
+          CANCELLED,
+          behaviour({durationMilliseconds: undefined}),
+        );
+        one.store.setFault(fault);
+        await deployment.run(LATE_RENEWAL_MILLISECONDS);
+        one.store.setFault(undefined);
+
+        void two.jobIntake.submit(job(CANCELLED), TIMEOUT);
+        await deployment.run(20);
+        const daemon = node === 'one' ? one : two;
+        const answer = daemon.jobIntake.cancel(CANCELLED, TIMEOUT, ANY_CALLER);
+        await deployment.run(15_000);
+
+        assert.deepEqual(await answer, {kind: 'state', state: 'cancelled'});
+        assertStoppedInTime(deployment);
+      });
+});
