Random faults with callers that cancel

Callers cancel every other job at any daemon, before or after the answer to the submission, some twice, some with a copy of the submission afterwards, while the store of some daemons refuses, is silent, loses answers or carries appends out late. Once a cancelling is answered (cancelled or absent), no task of its job may start more than 4,000 ms later, and none may be alive after the calm.

--- a/packages/coordinator/src/__tests__/random-faults.test.ts
+++ b/packages/coordinator/src/__tests__/random-faults.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
+  playCancellingFaults,
   playCrashingFaults,
   playLimitedFaults,
   playPreemptedFaults,
@@ -89,6 +90,36 @@
   }
 });
 
+/**
+ * 185, 289, 292: an order waits for the term to be renewed while its job is cancelled.
+ * 388: a coordinator that does not know the configuration yet reads the last failure of a task.
+ */
+const KEPT_CANCELLING_SEEDS = [185, 289, 292, 388];
+
+// Guards against a cancellation that is answered while tasks of its job start or run on: it
+// overtook the submission or a copy of it, or a start order that was held up.
+describe('random faults with callers that cancel', () => {
+  const fresh = Array.from({length: SEEDS}, (_, index) => FIRST_SEED + index);
+  for (const seed of new Set([...KEPT_CANCELLING_SEEDS, ...fresh]))
+    it(`violate no guarantee with seed ${seed}`, async () => {
+      const run = await playCancellingFaults(seed);
+      assert.deepEqual(run.violations, []);
+      assert.ok(run.cancelled > 0);
+    });
+});
+
+// Guards against the same where a late order reaches the next incarnation of a worker.
+describe('random faults with callers that cancel on workers that restart under their id', () => {
+  for (let index = 0; index < SEEDS; index++) {
+    const seed = FIRST_SEED + index;
+    it(`violate no guarantee with seed ${seed}`, async () => {
+      const run = await playCancellingFaults(seed, true);
+      assert.deepEqual(run.violations, []);
+      assert.ok(run.cancelled > 0);
+    });
+  }
+});
+
 /** Seeds with which these faults violated a guarantee. */
 const RESTART_REGRESSION_SEEDS = [64, 521, 662, 5030, 30_141, 1_200_256];
 
--- a/packages/coordinator/src/__tests__/random-faults.ts
+++ b/packages/coordinator/src/__tests__/random-faults.ts
@@ -17,6 +17,7 @@
   startsAfterCrashes,
   type StartedRun,
 } from '../stand-ins/index.js';
+import {CancellingCallers} from './cancelling-callers.js';
 import {
   OTHER_QUEUE,
   QUEUE,
@@ -69,6 +70,8 @@
   readonly taken: number;
   /** Number of tasks that were chosen to be stopped for other work. */
   readonly preempted: number;
+  /** Number of jobs of which a cancellation was answered. */
+  readonly cancelled: number;
 }
 
 interface Submitted {
@@ -80,6 +83,8 @@
   longRunning: boolean;
   /** Whether it may be stopped for other work. */
   readonly isStoppable?: boolean;
+  /** Whether its caller cancels it. */
+  isCancelled?: boolean;
 }
 
 /**
@@ -125,6 +130,32 @@
   return new RandomFaults(seed, undefined, crashes, restarts).play();
 }
 
+/**
+ * Runs random faults with callers that cancel some jobs, and more faults of the store; with
+ * `hasRestarts` on workers that report their start and restart under the same id.
+ */
+export async function playCancellingFaults(
+  seed: number,
+  hasRestarts = false,
+): Promise<RandomRun> {
+  const restarts = hasRestarts
+    ? new SeededRandom(seed + RESTART_SEED_OFFSET)
+    : undefined;
+  const cancels = new SeededRandom(seed + CANCEL_SEED_OFFSET);
+  return new RandomFaults(
+    seed,
+    undefined,
+    undefined,
+    restarts,
+    false,
+    cancels,
+  ).play();
+}
+
+/** Separates the cancellations of a seed from its other faults. */
+const CANCEL_SEED_OFFSET = 2_000_000;
+const CANCELLED_JOBS_EVERY = 2;
+const STORE_FAULTS = [undefined, ...Object.values(StoreFault)];
 /** Separates the restarts of a seed from its other faults. */
 const RESTART_SEED_OFFSET = 1_000_000;
 const RESTART_ROUNDS_EVERY = 2;
@@ -142,6 +173,7 @@
   private readonly submitted: Submitted[] = [];
   /** Jobs of the organisation with a limit. */
   private readonly owned = new Set<string>();
+  private readonly callers: CancellingCallers | undefined;
   private incarnations = 0;
 
   constructor(
@@ -155,12 +187,20 @@
     /** Selects the workers that restart under their id; undefined if none does. */
     private readonly restarts?: SeededRandom,
     private readonly hasPreemption = false,
+    /** Selects the jobs that are cancelled, and when; undefined if none is. */
+    private readonly cancels?: SeededRandom,
   ) {
     this.random = new SeededRandom(seed);
     this.deployment = new TestDeployment(WORKERS, restarts !== undefined);
     this.deployment.linkFleet();
     if (taskLimit !== undefined) this.publishLimit(taskLimit);
     if (hasPreemption) this.enablePreemption();
+    if (cancels)
+      this.callers = new CancellingCallers(
+        this.deployment,
+        this.daemons,
+        cancels,
+      );
   }
 
   private enablePreemption(): void {
@@ -188,6 +228,7 @@
       this.submitSome(round);
       this.fault();
       this.restartSome();
+      this.faultStore();
       await this.deployment.run(200 + this.random.nextInteger(1_800));
     }
     this.heal();
@@ -226,13 +267,34 @@
       // Long-running tasks would use up the limit permanently.
       if (this.taskLimit !== undefined && !longRunning && index % 2 === 0)
         this.owned.add(id);
-      this.submit(submitted, this.pickDaemon());
+      this.submitAndCancel(submitted, this.pickDaemon());
       // Callers that got no certain response submit again elsewhere.
       if (this.random.nextInteger(3) === 0)
-        this.submit(submitted, this.pickDaemon());
+        void this.submit(submitted, this.pickDaemon());
     }
   }
 
+  /** Submits a job that its caller may cancel; a cancelled one would last. */
+  private submitAndCancel(submitted: Submitted, daemon: TestDaemon): void {
+    const {callers} = this;
+    if (!callers || this.cancels?.nextInteger(CANCELLED_JOBS_EVERY) !== 0) {
+      void this.submit(submitted, daemon);
+      return;
+    }
+    const {id} = submitted;
+    submitted.isCancelled = true;
+    submitted.longRunning = true;
+    this.deployment.behaviours.set(
+      id,
+      behaviour({durationMilliseconds: undefined}),
+    );
+    void callers.cancel({
+      id,
+      answer: this.submit(submitted, daemon),
+      submitCopy: other => void this.submit(submitted, other),
+    });
+  }
+
   private submitStoppable(round: number): void {
     const id = `stoppable-${round}`;
     this.deployment.behaviours.set(
@@ -248,7 +310,7 @@
       longRunning: false,
       isStoppable: true,
     });
-    this.submit(submitted, this.pickDaemon());
+    void this.submit(submitted, this.pickDaemon());
   }
 
   /** Submits urgent jobs once the workers are full of stoppable work, so that some is stopped. */
@@ -271,7 +333,7 @@
       tasks: URGENT_TASKS,
       longRunning: false,
     });
-    this.submit(submitted, this.pickDaemon());
+    void this.submit(submitted, this.pickDaemon());
   }
 
   private addJob(
@@ -292,18 +354,21 @@
     });
   }
 
-  private submit(submitted: Submitted, daemon: TestDaemon): void {
+  private async submit(
+    submitted: Submitted,
+    daemon: TestDaemon,
+  ): Promise<SubmitAnswer> {
     submitted.attempts++;
     const organisation = this.owned.has(submitted.id)
       ? ORGANISATION
       : undefined;
     // A killed daemon never responds.
-    void daemon.jobIntake
-      .submit(
-        {...this.submissionOf(submitted), organisation},
-        SUBMIT_BOUND_MILLISECONDS,
-      )
-      .then(answer => submitted.answers.push(answer));
+    const answer = await daemon.jobIntake.submit(
+      {...this.submissionOf(submitted), organisation},
+      SUBMIT_BOUND_MILLISECONDS,
+    );
+    submitted.answers.push(answer);
+    return answer;
   }
 
   private submissionOf(submitted: Submitted): JobSubmission {
@@ -373,6 +438,15 @@
     );
   }
 
+  /** Changes the store's fault at one daemon, beside the faults of the seed. */
+  private faultStore(): void {
+    const {cancels} = this;
+    if (!cancels) return;
+    const daemon = this.daemons[cancels.nextInteger(DAEMONS)];
+    const fault = STORE_FAULTS[cancels.nextInteger(STORE_FAULTS.length)];
+    daemon.store.setFault(fault);
+  }
+
   private heal(): void {
     for (const daemon of this.daemons) daemon.store.setFault(undefined);
     this.healWorkers();
@@ -416,6 +490,7 @@
     const taken = this.submitted.filter(one =>
       one.answers.includes(SubmitAnswer.Accepted),
     );
+    const kept = taken.filter(one => !one.isCancelled);
     return {
       violations: [
         ...overlappingRuns(runs),
@@ -427,12 +502,14 @@
         ...[...preemptions]
           .filter(([, count]) => count > MAXIMUM_PREEMPTIONS)
           .map(([task, count]) => `${task}: ${count} preemptions`),
-        ...taken.flatMap(one => this.unfinished(one, runs)),
+        ...kept.flatMap(one => this.unfinished(one, runs)),
+        ...(this.callers?.violations(runs) ?? []),
         ...this.overlookedWork(),
       ],
       started: runs.length,
       taken: taken.length,
       preempted: preemptions.size,
+      cancelled: this.callers?.answered ?? 0,
     };
   }
 
