Soak with callers that cancel at any moment

The soak counted a cancelling only if it was answered 200, and only of jobs whose submission had been answered 200, so that it couldn't see a task that runs on after a DELETE answered 410. Both answers count now, whatever became of the submission: no task of the job may start more than 4 s later, and none may be alive at the end.

--cancelling: half of the jobs last and are cancelled by their callers, before the answer, after it, or after they have closed the connection of the submission; half of those send a copy of it afterwards. In every third round the store carries submissions and cancellings out late, without an answer. These callers draw from numbers of their own.

The tests of the soak pass.

--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -13,6 +13,7 @@
   readonly workers: number;
   readonly restarting: boolean;
   readonly odd: boolean;
+  readonly cancelling: boolean;
 }
 
 async function run(options: Options): Promise<void> {
@@ -24,6 +25,7 @@
       seed,
       daemons: Number(options.daemons),
       rounds: Number(options.rounds),
+      hasCancelling: options.cancelling,
       folder: join(folder, `seed-${seed}`),
       profile:
         Number(options.workers) > 0
@@ -63,5 +65,10 @@
     'Elements that can not be read or served, in a whole deployment',
     false,
   )
+  .option(
+    '--cancelling',
+    'Callers that cancel before the answer and after they have left',
+    false,
+  )
   .action(run)
   .parse(process.argv);
--- a/packages/soak/src/guarantee-violations.ts
+++ b/packages/soak/src/guarantee-violations.ts
@@ -8,6 +8,8 @@
 import {isLongRunning, taskCountOf, type ObservedJob} from './soak-callers.js';
 
 const REFUSED_STATUSES = [429, 503];
+/** No task starts later than this after the cancellation of its job was answered. */
+const LATEST_START_MILLISECONDS = 4_000;
 /** Attempts of a task in the queues of the stand-in platform. */
 const MAXIMUM_ATTEMPTS = 3;
 
@@ -29,11 +31,9 @@
     job.unanswered === 0 &&
     job.statuses.every(status => REFUSED_STATUSES.includes(status));
   if (allRefused && own.length > 0) return [`${job.id}: refused and run`];
+  if (job.cancelledAt !== undefined)
+    return runsAfterCancellation(job.id, job.cancelledAt, own);
   if (!job.statuses.includes(200)) return [];
-  if (job.cancelled)
-    return own.some(run => run.endedAt === undefined)
-      ? [`${job.id}: cancelled and still running`]
-      : [];
   // A cancellation without a response may or may not have been stored.
   if (job.cancelTried && job.state === 'cancelled') return [];
   if (job.state === 'failed' && hasFailedTask(own)) return [];
@@ -48,6 +48,21 @@
     : [`${job.id}: taken and ${job.state ?? 'never answered'}`];
 }
 
+function runsAfterCancellation(
+  id: string,
+  cancelledAt: number,
+  own: readonly StartedRun[],
+): string[] {
+  const late = own.filter(
+    run => run.startedAt - cancelledAt > LATEST_START_MILLISECONDS,
+  );
+  const alive = own.filter(run => run.endedAt === undefined);
+  return [
+    ...late.map(run => `${run.task}: started late after its cancellation`),
+    ...(alive.length > 0 ? [`${id}: cancelled and still running`] : []),
+  ];
+}
+
 /** Whether a task ended as failed as often as the stand-in platform's queues allow. */
 export function hasFailedTask(runs: readonly StartedRun[]): boolean {
   const failures = new Map<string, number>();
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -10,12 +10,15 @@
   readonly statuses: number[];
   /** Attempts without a complete response. */
   unanswered: number;
-  cancelled: boolean;
+  /** When a cancellation was first answered, also that there is no such job. */
+  cancelledAt: number | undefined;
   /** Whether a cancellation was sent, with or without a response. */
   cancelTried: boolean;
   state: string | undefined;
 }
 
+/** Answers after which no task of a cancelled job may start or run on. */
+const ACKNOWLEDGED_STATUSES = [200, 410];
 const REQUEST_TIMEOUT_MILLISECONDS = 3_000;
 const MAXIMUM_ATTEMPTS = 4;
 const RETRY_PAUSE_MILLISECONDS = 400;
@@ -43,20 +46,29 @@
   /** Submits a job with up to four attempts, each at any daemon. */
   async submit(job: ObservedJob): Promise<void> {
     this.jobs.push(job);
-    const steps = encodeSteps(job.steps);
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
-      const status = await this.call('POST', job, {spec: 'soak', steps});
-      if (status === undefined) job.unanswered++;
-      else job.statuses.push(status.code);
-      if (status?.code === 200) return;
+      if ((await this.submitOnce(job)) === 200) return;
       await pause(RETRY_PAUSE_MILLISECONDS);
     }
   }
 
+  /** Submits a job with one attempt, which closes its connection after the time-out. */
+  async submitOnce(
+    job: ObservedJob,
+    timeoutMilliseconds = REQUEST_TIMEOUT_MILLISECONDS,
+  ): Promise<number | undefined> {
+    const body = {spec: 'soak', steps: encodeSteps(job.steps)};
+    const response = await this.call('POST', job, body, timeoutMilliseconds);
+    if (response === undefined) job.unanswered++;
+    else job.statuses.push(response.code);
+    return response?.code;
+  }
+
   async cancel(job: ObservedJob): Promise<void> {
     job.cancelTried = true;
     const response = await this.call('DELETE', job);
-    if (response?.code === 200) job.cancelled = true;
+    if (response && ACKNOWLEDGED_STATUSES.includes(response.code))
+      job.cancelledAt ??= performance.now();
   }
 
   /** Queries the state at any daemon; 410 for an accepted job is recorded as `absent`. */
@@ -90,6 +102,7 @@
     method: 'POST' | 'GET' | 'DELETE',
     job: ObservedJob,
     body?: object,
+    timeoutMilliseconds = REQUEST_TIMEOUT_MILLISECONDS,
   ): Promise<{code: number; state: string | undefined} | undefined> {
     try {
       const response = await request(
@@ -102,7 +115,7 @@
             'x-deadline-ms': String(REQUEST_TIMEOUT_MILLISECONDS),
           },
           body: body && JSON.stringify(body),
-          signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
+          signal: AbortSignal.timeout(timeoutMilliseconds),
         },
       );
       const text = await response.body.text();
--- a/packages/soak/src/soak-faults.ts
+++ b/packages/soak/src/soak-faults.ts
@@ -25,6 +25,8 @@
 const FLEET_FAULTS = 8;
 const MAXIMUM_FREEZE_MILLISECONDS = 4_000;
 const MINIMUM_FREEZE_MILLISECONDS = 500;
+const LATE_ROUNDS_EVERY = 3;
+const LATE_MILLISECONDS = 800;
 const ROLL_GAP_MILLISECONDS = 1_300;
 /** Share of the workers that a fault of workers hits, as one in this many. */
 const WORKERS_PER_FAULT = 6;
@@ -63,6 +65,15 @@
     this.log.push(`${round}: ${what}`);
   }
 
+  /** Lets the store carry submissions and cancellations out late, without an answer, in some rounds. */
+  delaySubmissions(round: number): void {
+    if (round % LATE_ROUNDS_EVERY !== 0) return;
+    const {storeConnection} = this.targets.platform;
+    storeConnection.setFault(StoreFault.DoneLate, LogStream.Submissions);
+    setTimeout(() => storeConnection.setFault(undefined), LATE_MILLISECONDS);
+    this.log.push(`${round}: submissions stored late`);
+  }
+
   heal(): void {
     const {platform, proxies, daemons, failingWorkers} = this.targets;
     platform.storeConnection.setFault(undefined);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -8,6 +8,7 @@
   StandInPlatform,
   standInSettings,
 } from '@gentiandoor/platform/stand-ins';
+import {CancellingCallers, lasting} from './cancelling-callers.js';
 import {DaemonProcess} from './daemon-process.js';
 import {FaultProxy} from './fault-proxy.js';
 import {
@@ -32,6 +33,8 @@
   readonly folder: string;
   /** Size and load; a small deployment by default. */
   readonly profile?: SoakProfile;
+  /** Whether callers cancel jobs before the answer and after they have left. */
+  readonly hasCancelling?: boolean;
 }
 
 /** Outcome of a soak run. */
@@ -49,6 +52,8 @@
 const POLL_MILLISECONDS = 500;
 /** On a worker that fails all tasks, each does so after this time. */
 const FAILURE_MILLISECONDS = 20;
+/** Covers a start at its latest after a cancellation, and its stop. */
+const STOPPED_MILLISECONDS = 6_000;
 const STANDBY_SERVICE = 'spare';
 /** Part of a log line that reports work that no event had announced. */
 const OVERLOOKED = `"event":${LogEvent.WorkOverlooked}`;
@@ -66,6 +71,7 @@
   private readonly failingWorkers = new Set<string>();
   private readonly callers: SoakCallers;
   private readonly faults: SoakFaults;
+  private readonly cancelling: CancellingCallers | undefined;
   private readonly pending: Array<Promise<void>> = [];
   private readonly jobs = new Map<string, ObservedJob>();
 
@@ -83,6 +89,11 @@
     this.callers = new SoakCallers(
       () => this.daemons[this.random.nextInteger(this.daemons.length)].callers,
     );
+    if (options.hasCancelling)
+      this.cancelling = new CancellingCallers(
+        this.callers,
+        new SeededRandom(options.seed),
+      );
     const {platform, daemons, proxies, failingWorkers, random} = this;
     this.faults = new SoakFaults(
       {platform, daemons, proxies, failingWorkers, random},
@@ -131,6 +142,7 @@
       for (const request of workload.requestsOf(round, elapsed))
         this.submit(request);
       this.faults.inject(round);
+      if (this.cancelling) this.faults.delaySubmissions(round);
       await pause(
         MINIMUM_PAUSE_MILLISECONDS +
           this.random.nextInteger(MAXIMUM_PAUSE_MILLISECONDS),
@@ -200,18 +212,24 @@
     daemon.start();
   }
 
-  private submit({service, steps}: SoakRequest): void {
+  private submit(request: SoakRequest): void {
+    const isCancelled = this.cancelling?.picksNext() ?? false;
+    const {service, steps} = isCancelled ? lasting(request) : request;
     const job: ObservedJob = {
       id: (this.jobs.size + 1).toString(16).padStart(16, '0'),
       service,
       steps,
       statuses: [],
       unanswered: 0,
-      cancelled: false,
+      cancelledAt: undefined,
       cancelTried: false,
       state: undefined,
     };
     this.jobs.set(job.id, job);
+    if (this.cancelling && isCancelled) {
+      this.pending.push(this.cancelling.play(job));
+      return;
+    }
     const cancels = this.random.nextInteger(8) === 0 && !isLongRunning(job);
     this.pending.push(
       this.callers
@@ -239,6 +257,7 @@
       const open = this.callers.jobs.filter(
         job =>
           job.statuses.includes(200) &&
+          !(job.cancelledAt !== undefined && job.state === 'absent') &&
           !['completed', 'cancelled', 'failed'].includes(job.state ?? '') &&
           !(isLongRunning(job) && job.state === 'running'),
       );
@@ -247,7 +266,7 @@
       await pause(POLL_MILLISECONDS);
     }
     // Stops of cancelled jobs may still be in flight.
-    await pause(2 * POLL_MILLISECONDS);
+    await pause(this.cancelling ? STOPPED_MILLISECONDS : 2 * POLL_MILLISECONDS);
   }
 
   private async stop(): Promise<void> {
