A stored job of 10^9 tasks no longer stops the coordinator

Seen in a trial with the stand-ins: a submission in our stream that another writer damaged (10^9 tasks or occurrences, or a number of occurrences beyond every measure) keeps the coordinator, and each later one, in one loop: it renews no term and serves no job (20 s of processor time and no end; with 100,000 tasks 0 of 20 other tasks started in 8 s).

Cause: the decoder checked that the number of tasks is a whole number, and JobExecution creates each task of each occurrence.

The checks of a stored submission have a file of their own.

Before: unreadable-jobs.test.js doesn't end in 60 s. After: 8 of 8 tests of it pass.

--- a/packages/coordinator/src/__tests__/unreadable-jobs.test.ts
+++ b/packages/coordinator/src/__tests__/unreadable-jobs.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {JobRecordKind, encodeJobRecord} from '@gentiandoor/jobs';
+import {
+  JobRecordKind,
+  encodeJobRecord,
+  jobRecordKey,
+  type JobSubmission,
+} from '@gentiandoor/jobs';
 import {LogEvent} from '@gentiandoor/kernel';
 import {LogStream} from '../index.js';
 import {TestDeployment, job, step} from './deployment.js';
@@ -39,3 +44,40 @@
       );
     });
 });
+
+const REPEAT = {count: 1, startAtMilliseconds: 0, intervalMilliseconds: 1};
+const OVERSIZED_JOBS: Readonly<Record<string, Partial<JobSubmission>>> = {
+  tasks: {steps: [step({taskCount: 1e9})]},
+  'tasks of several steps': {
+    steps: Array.from({length: 1_000}, () => step({taskCount: 1_000})),
+  },
+  occurrences: {repeat: {...REPEAT, count: 1e9}},
+  'occurrences without number': {repeat: {...REPEAT, count: Infinity}},
+};
+
+/** Writes JSON in which a number beyond every measure stands for an infinite one. */
+function withInfinities(value: unknown): Buffer {
+  const text = JSON.stringify(value, (_, item: unknown) =>
+    item === Infinity ? 'infinite' : item,
+  );
+  return Buffer.from(text.replaceAll('"infinite"', '1e999'));
+}
+
+// The coordinator created each task of the job and did nothing else any more.
+describe('a stored job that is too large to be executed', () => {
+  for (const [what, oversized] of Object.entries(OVERSIZED_JOBS))
+    it(`by its ${what} does not keep the others from being served`, async () => {
+      const deployment = new TestDeployment(2);
+      const daemon = await deployment.startDaemon('one');
+      deployment.store.write(LogStream.Submissions, {
+        key: jobRecordKey(JobRecordKind.Submission, 'odd'),
+        value: withInfinities({...job('odd'), ...oversized}),
+      });
+      await deployment.run(500);
+      await submit(deployment, daemon, job('after'));
+      await deployment.run(2_000);
+      assert.equal(startedTasks(deployment, 'after'), 1);
+      assert.equal(startedTasks(deployment, 'odd'), 0);
+      assert.equal(daemon.events.of(LogEvent.RecordUnreadable), 1);
+    });
+});
--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -1,10 +1,6 @@
-import {
-  JobState,
-  isFinal,
-  type JobSubmission,
-  type StepSpecification,
-} from './job.js';
+import {JobState, isFinal, type JobSubmission} from './job.js';
 import {type JobProgress, type TaskProgress} from './job-progress.js';
+import {readSubmission} from './stored-submission.js';
 
 /**
  * Kinds of records about a job. Each kind has its own key, so that a record of one kind
@@ -163,26 +159,6 @@
   };
 }
 
-function readSubmission(jobId: string, job: JobSubmission): JobSubmission {
-  if (job.id !== jobId || !Array.isArray(job.steps) || job.steps.length === 0)
-    throw new Error(
-      `submission of job ${jobId} is incomplete: expected its id and at least one step`,
-    );
-  if (!job.steps.every(isReadableStep))
-    throw new Error(
-      `submission of job ${jobId} has a step without a number of tasks or predecessors`,
-    );
-  return job;
-}
-
-function isReadableStep(step: Partial<StepSpecification> | null): boolean {
-  return (
-    Number.isSafeInteger(step?.taskCount) &&
-    Array.isArray(step?.after) &&
-    step.after.every(Number.isSafeInteger)
-  );
-}
-
 /**
  * Of a job that has ended, records only runs that may still be alive. A hundred daemons
  * read every record, and after a gap in the store's history each of them reads all jobs
