A damaged length of a term no longer keeps all daemons from the next one

Seen in a trial with the stand-ins: a term record with a length of 10^12 ms or more keeps every daemon from taking the next term for good, so that no job is served; one with a text, null or a negative number as its length lets a daemon take the term at once, while its holder may still give orders.

Cause: the stored length was used as read.

Change: a length that no daemon writes (not a number, negative, above the longest term) counts as the longest term.

Before: 7 of 7 cases of odd-terms.test.js fail. After: 7 of 7 pass.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/odd-terms.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {LogStream, TERM_KEY} from '../index.js';
+import {TestDeployment, job, type TestDaemon} from './deployment.js';
+import {startedTasks, submit} from './submitted-jobs.js';
+
+const TERM = {
+  term: 2,
+  holder: 'one',
+  incarnation: 'one/1',
+  released: false,
+  validMilliseconds: 1_000,
+};
+/** Longest term and what its successors wait beyond it, with room for the first placement. */
+const NEXT_TERM_MILLISECONDS = 3_000;
+
+function writeTerm(deployment: TestDeployment, text: string): void {
+  deployment.store.write(LogStream.Terms, {
+    key: TERM_KEY,
+    value: Buffer.from(text),
+  });
+}
+
+/** Returns JSON of a term of which a field has a value written as `text`. */
+function termWith(field: string, text: string): string {
+  return JSON.stringify({...TERM, [field]: '?'}).replace('"?"', text);
+}
+
+/** Lets a daemon hold a term that follows `term`, and ends the daemon. */
+async function endHolderAfter(
+  deployment: TestDeployment,
+  term: number,
+): Promise<void> {
+  writeTerm(deployment, JSON.stringify({...TERM, term, released: true}));
+  const holder = await deployment.startDaemon('holder');
+  await deployment.run(1_000);
+  assert.equal(holder.coordinator?.term, term + 1);
+  holder.kill();
+}
+
+async function assertServes(
+  deployment: TestDeployment,
+  daemon: TestDaemon,
+  name: string,
+): Promise<void> {
+  await submit(deployment, daemon, job(name));
+  await deployment.run(NEXT_TERM_MILLISECONDS);
+  assert.equal(startedTasks(deployment, name), 1);
+}
+
+// No daemon took a term any more, as the damaged one seemed to be valid for ever.
+describe('a stored term whose length can not be true', () => {
+  for (const length of ['1e12', '1e308', '1e999', '-5', '"x"', 'null', '{}'])
+    it(`is over after the longest term, and not before: ${length}`, async () => {
+      const deployment = new TestDeployment(1);
+      await endHolderAfter(deployment, 1);
+      writeTerm(deployment, termWith('validMilliseconds', length));
+      const daemon = await deployment.startDaemon('two');
+      await deployment.run(1_000);
+      assert.equal(daemon.coordinator, undefined);
+      await assertServes(deployment, daemon, 'after');
+    });
+});
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -445,11 +445,25 @@
   try {
     const term = JSON.parse(record.value.toString('utf8')) as TermRecord;
     if (!Number.isSafeInteger(term.term)) return undefined;
-    // Daemons of an earlier version write no length; their terms were never longer than this.
-    const {validMilliseconds = MAXIMUM_TERM_MILLISECONDS} = term;
-    return {...term, validMilliseconds, ages: readTermAges(term.ages)};
+    return {
+      ...term,
+      validMilliseconds: readTermLength(term.validMilliseconds),
+      ages: readTermAges(term.ages),
+    };
   } catch {
     // The caller logs the key; the previous term stays in force.
     return undefined;
   }
 }
+
+/**
+ * Returns the length of a stored term. No daemon writes a longer one than the maximum; one without
+ * a length, as daemons of an earlier version write it, or with an unreadable one may be as long.
+ */
+function readTermLength(milliseconds: unknown): number {
+  const isPossible =
+    typeof milliseconds === 'number' &&
+    milliseconds >= 0 &&
+    milliseconds <= MAXIMUM_TERM_MILLISECONDS;
+  return isPossible ? milliseconds : MAXIMUM_TERM_MILLISECONDS;
+}
