A term with the number 2^53 - 1 is unreadable and not the last one

Seen in a trial with the stand-ins: after a damaged term record with the number 2^53 - 1 the next daemon takes 2^53, which no later daemon can read: it begins anew at 1, is refused by workers and store (27 times in 7 s), and never reaches an accepted term. Negative numbers were taken as well.

Cause: any safe whole number was read as a term, also one that leaves no room.

Change: a stored number below 1 or above 2^40 is unreadable, which is logged.

--- a/packages/coordinator/src/__tests__/odd-terms.test.ts
+++ b/packages/coordinator/src/__tests__/odd-terms.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {LogEvent} from '@gentiandoor/kernel';
 import {LogStream, TERM_KEY} from '../index.js';
 import {TestDeployment, job, type TestDaemon} from './deployment.js';
 import {startedTasks, submit} from './submitted-jobs.js';
@@ -61,3 +62,23 @@
       await assertServes(deployment, daemon, 'after');
     });
 });
+
+// The next term could not be told from it, so that no later daemon was accepted as its holder.
+describe('a stored term whose number can not be true', () => {
+  const numbers = ['9007199254740991', '9007199254740993', '1e308', '-7', '0'];
+  for (const number of numbers)
+    it(`is unreadable and leaves room for later terms: ${number}`, async () => {
+      const deployment = new TestDeployment(1);
+      await endHolderAfter(deployment, 1);
+      writeTerm(deployment, termWith('term', number));
+      const two = await deployment.startDaemon('two');
+      await deployment.run(1_000);
+      assert.ok(two.events.of(LogEvent.RecordUnreadable) > 0);
+      await assertServes(deployment, two, 'by-two');
+      const three = await deployment.startDaemon('three');
+      two.kill();
+      await deployment.run(NEXT_TERM_MILLISECONDS);
+      assert.ok(Number(three.coordinator?.term) < 10);
+      await assertServes(deployment, three, 'by-three');
+    });
+});
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -47,6 +47,9 @@
  */
 const CLOCK_DRIFT_MILLISECONDS = 200;
 
+/** Far above any term that daemons reach one by one, far below the largest safe whole number. */
+const HIGHEST_TERM = 2 ** 40;
+
 /** Key of the term record. */
 export const TERM_KEY = 'coordinator';
 
@@ -444,7 +447,7 @@
   if (record.key !== TERM_KEY || !record.value) return undefined;
   try {
     const term = JSON.parse(record.value.toString('utf8')) as TermRecord;
-    if (!Number.isSafeInteger(term.term)) return undefined;
+    if (!isTermNumber(term.term)) return undefined;
     return {
       ...term,
       validMilliseconds: readTermLength(term.validMilliseconds),
@@ -456,6 +459,15 @@
   }
 }
 
+/** Returns whether a stored number can be that of a term, after which others can follow. */
+function isTermNumber(term: unknown): boolean {
+  return (
+    Number.isSafeInteger(term) &&
+    Number(term) > 0 &&
+    Number(term) <= HIGHEST_TERM
+  );
+}
+
 /**
  * Returns the length of a stored term. No daemon writes a longer one than the maximum; one without
  * a length, as daemons of an earlier version write it, or with an unreadable one may be as long.
