An unreadable term is followed by an accepted one within seconds

Seen in a trial with the stand-ins: once the newest record of the term can't be read, a daemon that starts begins at term 1, and workers and store refuse each term until as many have been taken as before: the first task starts 10.4 s after 40 terms, and not within 60 s after 300.

Cause: the number of the term is known from that record alone, and each term that is refused raises it by one.

Change: the distance to the next term doubles with each term in which no order was accepted, up to 1,024, until a term of another daemon is read.

--- a/packages/coordinator/src/__tests__/odd-terms.test.ts
+++ b/packages/coordinator/src/__tests__/odd-terms.test.ts
@@ -82,3 +82,16 @@
       await assertServes(deployment, three, 'by-three');
     });
 });
+
+// The workers and the store refused each new term until as many had been taken as before.
+describe('a stored term that can not be read', () => {
+  for (const term of [40, 300, 5_000])
+    it(`is followed by one that is accepted soon: ${term}`, async () => {
+      const deployment = new TestDeployment(1);
+      await endHolderAfter(deployment, term);
+      writeTerm(deployment, 'not JSON');
+      const daemon = await deployment.startDaemon('two');
+      await deployment.run(2_000);
+      await assertServes(deployment, daemon, 'after');
+    });
+});
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -50,6 +50,12 @@
 /** Far above any term that daemons reach one by one, far below the largest safe whole number. */
 const HIGHEST_TERM = 2 ** 40;
 
+/**
+ * Largest distance to the next term after terms in which no order was accepted: a thousand terms are
+ * more than daemons take in a day.
+ */
+const MAXIMUM_TERM_STEP = 1_024;
+
 /** Key of the term record. */
 export const TERM_KEY = 'coordinator';
 
@@ -100,6 +106,8 @@
   private isHolder = false;
   private stopping = false;
   private resigning = false;
+  /** Terms of this daemon in a row in which no order was accepted. */
+  private resignedTerms = 0;
   private finished: Promise<void> | undefined;
   private startedAt = 0;
   private readonly roster: DaemonRoster;
@@ -142,6 +150,7 @@
    * for the next one.
    */
   resign(): void {
+    if (this.isHolder && !this.resigning) this.resignedTerms++;
     this.resigning = this.isHolder;
   }
 
@@ -208,7 +217,7 @@
       return;
     }
     if (this.roster.hasStrongerDaemon && !(await this.staysVacant())) return;
-    const term = (this.current?.term ?? 0) + 1;
+    const term = (this.current?.term ?? 0) + this.termStep();
     const written = await this.write({
       term,
       holder: this.candidate.node,
@@ -246,6 +255,14 @@
     return true;
   }
 
+  /**
+   * Returns the distance to the next term. While the latest term can't be read from the store, its
+   * number is not known: doubled steps reach a term that is accepted after a few refused ones.
+   */
+  private termStep(): number {
+    return Math.min(MAXIMUM_TERM_STEP, 2 ** this.resignedTerms);
+  }
+
   /**
    * Returns the term length: short, so that a lost holder is replaced soon, but long enough to
    * renew on a slow store.
@@ -416,6 +433,7 @@
       return;
     }
     this.current = decoded;
+    if (!this.isOwn(decoded)) this.resignedTerms = 0;
     this.changedAt = this.clock.monotonicMilliseconds();
     this.history.note(decoded.term, this.changedAt);
     this.history.noteAges(decoded.ages ?? [], this.changedAt);
