A record beside a renewed term no longer hides the renewal

Cause: a candidate applied the last record of a read only. A record of another writer after a renewal in the same read hid it, and the candidate took the term while its holder was valid.

Change: each record of a read is applied, in order.

--- a/packages/coordinator/src/__tests__/odd-terms.test.ts
+++ b/packages/coordinator/src/__tests__/odd-terms.test.ts
@@ -95,3 +95,27 @@
       await assertServes(deployment, daemon, 'after');
     });
 });
+
+// A candidate that read it together with a renewal took the term while its holder was valid.
+describe('a record of another writer among the terms', () => {
+  it('does not hide the renewal before it', async () => {
+    const deployment = new TestDeployment(1);
+    const holder = await deployment.startDaemon('one');
+    const candidate = await deployment.startDaemon('two');
+    const read = candidate.store.read.bind(candidate.store);
+    candidate.store.read = async (stream, ...others) => {
+      const result = await read(stream, ...others);
+      if (stream !== LogStream.Terms || result.outcome !== 'read')
+        return result;
+      const strangers = result.records.map(record => ({
+        ...record,
+        key: 'stranger',
+      }));
+      return {...result, records: [...result.records, ...strangers]};
+    };
+    await deployment.run(10_000);
+    assert.ok(holder.coordinator);
+    assert.equal(candidate.coordinator, undefined);
+    assert.equal(holder.events.of(LogEvent.TermLost), 0);
+  });
+});
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -415,10 +415,10 @@
     if (result.outcome === ReadOutcome.Unavailable)
       await this.pause(RETRY_MILLISECONDS);
     if (result.outcome !== ReadOutcome.Read) return result.outcome;
-    const newest = result.records.at(-1);
-    if (!newest) return result.outcome;
-    this.endOffset = newest.offset + 1;
-    this.applyTermRecord(newest);
+    for (const record of result.records) {
+      this.endOffset = record.offset + 1;
+      this.applyTermRecord(record);
+    }
     return result.outcome;
   }
 
