The runs of a silent worker whose clock was far ahead are freed

Seen in a trial with the stand-ins: after one answer with a clock of 10^12 ms, the lease granted on it never ends, also when later answers are right. Once the worker is silent, its 8 tasks are never started again (8 of 16 done after 40 s).

Cause: the end of a lease is kept on the worker's clock alone, as the largest one granted.

Change: a lease is over as well once the longest lease of the latest order is, by the daemon's own clock: the time after which an order is no longer carried out, and the longest lease that a worker accepts.

--- a/packages/coordinator/src/carried-runs.ts
+++ b/packages/coordinator/src/carried-runs.ts
@@ -100,8 +100,13 @@
   return latestExecutionAt(run, bounds) + longestLease(bounds);
 }
 
-/** Returns how long a carried run waits for a session with a new incarnation. */
-export function carryMilliseconds(bounds: CarryBounds): number {
+/**
+ * Returns how long after it was sent an order may keep a run alive, whatever the clock of its
+ * worker: it is carried out late, with the longest lease.
+ */
+export function carryMilliseconds(
+  bounds: Pick<CarryBounds, 'maximumLeaseMilliseconds'>,
+): number {
   return LATEST_EXECUTION_MILLISECONDS + longestLease(bounds);
 }
 
@@ -147,7 +152,9 @@
     : Math.min(bounds.termStartedAt, bounds.endOfTerm(orderedInTerm));
 }
 
-function longestLease({maximumLeaseMilliseconds}: CarryBounds): number {
+function longestLease({
+  maximumLeaseMilliseconds,
+}: Pick<CarryBounds, 'maximumLeaseMilliseconds'>): number {
   return (
     worstCaseLeaseMilliseconds(maximumLeaseMilliseconds) + SLACK_MILLISECONDS
   );
--- a/packages/coordinator/src/worker-liveness.ts
+++ b/packages/coordinator/src/worker-liveness.ts
@@ -1,5 +1,6 @@
 import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
 import {LeaseClock, worstCaseLeaseMilliseconds} from '@gentiandoor/scheduling';
+import {carryMilliseconds} from './carried-runs.js';
 
 /** What worker liveness needs from the coordinator. */
 export interface LivenessHost {
@@ -21,6 +22,8 @@
   private readonly lease = new LeaseClock();
   private silentSince: number | undefined;
   private answeredAt = -Infinity;
+  /** When the latest order was sent that granted a lease. */
+  private grantedAt = -Infinity;
 
   constructor(
     private readonly worker: string,
@@ -77,6 +80,7 @@
   grantLease(now: number): number {
     const leaseEnd = this.lease.leaseEnd(now, this.host.leaseMilliseconds);
     this.lease.recordGrant(leaseEnd);
+    this.grantedAt = now;
     return leaseEnd;
   }
 
@@ -103,15 +107,26 @@
   noteFormerLease(maximumLeaseMilliseconds: number): void {
     const now = this.clock.monotonicMilliseconds();
     this.lease.recordGrant(this.lease.leaseEnd(now, maximumLeaseMilliseconds));
+    this.grantedAt = now;
   }
 
   /** Returns whether no run that was ever started on the worker can be alive. */
   isLeaseOver(now: number): boolean {
-    if (this.lease.isKnown) return this.lease.hasLapsed(now);
+    if (this.lease.isKnown)
+      return this.lease.hasLapsed(now) || this.isLongestLeaseOver(now);
     const latestLeaseEnd =
       this.host.termStartedAt +
       worstCaseLeaseMilliseconds(this.host.leaseMilliseconds) +
       LEASE_SLACK_MILLISECONDS;
     return now > latestLeaseEnd;
   }
+
+  /**
+   * Returns whether even the longest lease of the latest order is over, by this daemon's own clock:
+   * the worker's may have jumped, and with it the end of the lease.
+   */
+  private isLongestLeaseOver(now: number): boolean {
+    const sentBy = Math.max(this.grantedAt, this.silentSince ?? now);
+    return now > sentBy + carryMilliseconds(this.host);
+  }
 }
