A worker that lists runs without number is stopped a hundred at a time

Seen in a trial with the stand-ins: a worker that lists 20,000 runs that nobody expects is sent 20,000 stop orders in the same moment, each a request that waits for a connection.

Cause: each listed run that is not expected was stopped at once, and the names of stopped runs were kept for ever.

Change: at most 100 stop orders to a worker are in flight, the others wait for their turn; after an order without a response they wait for the next list. Names that are no longer listed are dropped.

--- a/packages/coordinator/src/__tests__/odd-answers.test.ts
+++ b/packages/coordinator/src/__tests__/odd-answers.test.ts
@@ -10,13 +10,22 @@
   step,
   type TestDaemon,
 } from './deployment.js';
-import {submit} from './submitted-jobs.js';
+import {startedTasks, submit} from './submitted-jobs.js';
 
 const WORKER = 'worker-0';
 const TASKS_OF_TWO_WORKERS = 16;
 /** Longest time until an order without a response is carried out, and the longest lease. */
 const LEASE_OVER_MILLISECONDS = 23_000;
 
+const MAXIMUM_STOPS_IN_FLIGHT = 100;
+const STRANGE_RUNS = Array.from({length: 1_000}, (_, index) => ({
+  task: `strange-${index}.0.0.0`,
+  run: 1,
+  checkpoint: '',
+  percent: 0,
+  load: 0,
+}));
+
 type PollAnswer = Extract<PollResult, {outcome: OrderOutcome.Done}>;
 
 /** Changes the answers of one worker to polls; returns a function that ends it. */
@@ -73,3 +82,30 @@
         );
     });
 });
+
+// Each listed run was stopped at once: 20,000 requests were prepared in the same moment.
+describe('a worker that lists runs without number', () => {
+  it('is sent a bounded number of stop orders at the same time', async () => {
+    const deployment = new TestDeployment(2);
+    const daemon = await deployment.startDaemon('one');
+    const stop = daemon.workers.stop.bind(daemon.workers);
+    const stopped = new Set<string>();
+    let open = 0;
+    let mostOpen = 0;
+    daemon.workers.stop = async (worker, run, fencingToken) => {
+      mostOpen = Math.max(mostOpen, ++open);
+      stopped.add(run.task);
+      return stop(worker, run, fencingToken).finally(() => open--);
+    };
+    changeAnswers(daemon, answer => ({
+      ...answer,
+      running: [...answer.running, ...STRANGE_RUNS],
+    }));
+    await submit(deployment, daemon, job('good', [step({taskCount: 8})]));
+    await deployment.run(20_000);
+
+    assert.equal(startedTasks(deployment, 'good'), 8);
+    assert.ok(mostOpen <= MAXIMUM_STOPS_IN_FLIGHT, `${mostOpen}`);
+    assert.equal(stopped.size, STRANGE_RUNS.length);
+  });
+});
--- a/packages/coordinator/src/unexpected-runs.ts
+++ b/packages/coordinator/src/unexpected-runs.ts
@@ -6,6 +6,9 @@
   type OrderResult,
 } from './worker-gateway.js';
 
+/** Orders to one worker at the same time; further runs wait for their turn. */
+const MAXIMUM_STOPS_IN_FLIGHT = 100;
+
 /** Sends the order to stop a run. */
 export type StopOrder = (run: ListedRun) => Promise<OrderResult>;
 
@@ -14,7 +17,12 @@
  * must not continue.
  */
 export class UnexpectedRuns {
+  /** Runs whose stop is in flight or was answered, as long as they are listed. */
   private readonly stopping = new Set<string>();
+  private listedNames = new Set<string>();
+  /** Runs of the latest list that wait until fewer orders are in flight. */
+  private waiting: ListedRun[] = [];
+  private inFlight = 0;
   private listed = 0;
 
   constructor(
@@ -32,7 +40,11 @@
 
   /** Called before the runs of a new list are passed in. */
   beginList(): void {
+    for (const name of this.stopping)
+      if (!this.listedNames.has(name)) this.stopping.delete(name);
+    this.listedNames = new Set();
     this.listed = 0;
+    this.waiting = [];
   }
 
   /**
@@ -41,8 +53,25 @@
    */
   async stop(worker: string, listed: ListedRun): Promise<void> {
     this.listed++;
+    this.listedNames.add(runName(listed));
+    if (this.inFlight < MAXIMUM_STOPS_IN_FLIGHT)
+      await this.sendStops(worker, listed);
+    else this.waiting.push(listed);
+  }
+
+  /** Stops a run and then, one by one, those that wait. */
+  private async sendStops(worker: string, first: ListedRun): Promise<void> {
+    this.inFlight++;
+    let next: ListedRun | undefined = first;
+    while (next) {
+      if (!this.stopping.has(runName(next))) await this.sendStop(worker, next);
+      next = this.waiting.shift();
+    }
+    this.inFlight--;
+  }
+
+  private async sendStop(worker: string, listed: ListedRun): Promise<void> {
     const name = runName(listed);
-    if (this.stopping.has(name)) return;
     this.stopping.add(name);
     this.logger.warn(LogEvent.RunStopped, {
       worker,
@@ -51,6 +80,9 @@
       reason: 'not expected',
     });
     const result = await this.stopOrder(listed);
-    if (isUnanswered(result)) this.stopping.delete(name);
+    if (!isUnanswered(result)) return;
+    this.stopping.delete(name);
+    // The others would wait for the same response; they are stopped when they are listed again.
+    this.waiting = [];
   }
 }
