A damaged record of a wave no longer keeps it from being carried out

Seen in a trial with the stand-ins: after a record of a wave's progress whose time is a text, an object or infinite, none of its VMs is ever maintained.

Cause: the record was used as parsed, and the remaining time was no number.

A time in the future counts as now.

--- a/packages/coordinator/src/wave-progress.ts
+++ b/packages/coordinator/src/wave-progress.ts
@@ -97,11 +97,12 @@
   private restore(record: KeyedRecord): void {
     const number = Number(record.key);
     try {
-      const stored = JSON.parse(
-        record.value?.toString('utf8') ?? '',
-      ) as StoredWave;
+      const stored = readStoredWave(record.value?.toString('utf8') ?? '');
       this.done.set(number, new Set(stored.done));
-      this.seenAt.set(number, stored.seenAt);
+      this.seenAt.set(
+        number,
+        Math.min(stored.seenAt, this.parts.clock.wallMilliseconds()),
+      );
     } catch (error) {
       this.parts.logger.warn(LogEvent.RecordUnreadable, {
         stream: LogStream.Fleet,
@@ -144,3 +145,13 @@
     }
   }
 }
+
+/** Decodes a stored wave; throws if it is unreadable. */
+function readStoredWave(text: string): StoredWave {
+  const {seenAt, done} = JSON.parse(text) as Partial<StoredWave>;
+  if (typeof seenAt !== 'number' || !Number.isFinite(seenAt))
+    throw new TypeError('seenAt is missing or not a number');
+  if (!Array.isArray(done) || !done.every(vm => typeof vm === 'string'))
+    throw new TypeError('done is missing or not a list of names');
+  return {seenAt, done};
+}
