One order about a VM with an infinite time no longer hides the others

Cause: the age of a predecessor's order is taken from the newest one of its term. One with a time of 1e999 or 1e308 made all others of its term seem long past, so that a successor gave orders about their VMs at once, which the platform may refuse.

Change: a time or term beyond 2^53 is unreadable, which is logged.

--- a/packages/coordinator/src/__tests__/vm-orders.test.ts
+++ b/packages/coordinator/src/__tests__/vm-orders.test.ts
@@ -76,4 +76,14 @@
     for (const vm of ['own', 'torn', 'old'])
       assert.equal(orders.isFree(vm), true);
   });
+
+  // Beside a time beyond measure the other orders of its term seemed to be long past.
+  for (const at of ['1e999', '1e308'])
+    it(`block their VMs beside one whose time can not be true: ${at}`, async () => {
+      const orders = await readOrders([
+        {vm: 'late', value: order(3, 60_000)},
+        {vm: 'odd', value: `{"holder": "one", "term": 3, "at": ${at}}`},
+      ]);
+      assert.equal(orders.isFree('late'), false);
+    });
 });
--- a/packages/coordinator/src/vm-orders.ts
+++ b/packages/coordinator/src/vm-orders.ts
@@ -184,9 +184,9 @@
       const {holder, term, at} = order;
       if (typeof holder !== 'string')
         throw new TypeError('holder is missing or not a string');
-      if (typeof term !== 'number')
+      if (!isReadableNumber(term))
         throw new TypeError('term is missing or not a number');
-      if (typeof at !== 'number')
+      if (!isReadableNumber(at))
         throw new TypeError('at is missing or not a number');
       return {holder, term, at};
     } catch (error) {
@@ -269,6 +269,12 @@
   maintain: IncarnationEnd.Maintained,
 };
 
+function isReadableNumber(value: unknown): value is number {
+  return (
+    typeof value === 'number' && Math.abs(value) <= Number.MAX_SAFE_INTEGER
+  );
+}
+
 function vmOfKey(key: string): string {
   return key.slice(ORDER_KEY_PREFIX.length);
 }
