--- a/packages/entry/src/__tests__/odd-requests.test.ts
+++ b/packages/entry/src/__tests__/odd-requests.test.ts
@@ -12,6 +12,21 @@
   memoryMegabytes: 64_000,
   accelerators: 0,
 };
+const DEPTH = 15_000;
+const DEEP_LIST = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
+const DEEP_OBJECT = '{"a":'.repeat(DEPTH) + '1' + '}'.repeat(DEPTH);
+const NO_NUMBERS = [
+  '1e999',
+  '1e308',
+  `1${'0'.repeat(400)}`,
+  '9007199254740993',
+  '-5',
+  '"12"',
+  '"NaN"',
+  '{"valueOf":1}',
+  DEEP_LIST,
+  DEEP_OBJECT,
+];
 const TARGETS = [
   'http://[::1',
   'http://xn--i\u00f1valid.com/',
@@ -109,4 +124,40 @@
         await assertServes();
       });
   });
+
+  describe('because of its body', () => {
+    const fields = ['count', 'cpu', 'mem_mb', 'estimated_ms', 'may_miss'];
+    for (const value of NO_NUMBERS)
+      it(`is refused with a number like ${short(value)}`, async () => {
+        for (const field of fields)
+          assertRefused(await submit(`{"steps":[{"${field}":${value}}]}`));
+        assertRefused(await submit(`{"steps":[{}],"repeat_count":${value}}`));
+        assertRefused(
+          await submit(
+            `{"steps":[{}],"repeat_count":2,"start_at_ms":1,"interval_ms":${value}}`,
+          ),
+        );
+        await assertServes();
+      });
+
+    const bodies = {
+      'is empty': '',
+      'is deep': DEEP_LIST,
+      'is no object': 'null',
+      'has a step after itself': '{"steps":[{"after":[0]}]}',
+      'has steps in a circle': '{"steps":[{"after":[1]},{"after":[0]}]}',
+      'has deep predecessors': `{"steps":[{},{"after":${DEEP_LIST}}]}`,
+      'has too many steps': `{"steps":[${Array(30_000).fill('{}').join()}]}`,
+      'has half an occurrence':
+        '{"steps":[{}],"repeat_count":0.5,"start_at_ms":1}',
+      'has no time of its occurrences': '{"steps":[{}],"repeat_count":2}',
+      'has occurrences in 300,000 years':
+        '{"steps":[{}],"repeat_count":2,"start_at_ms":9007199254740991,"interval_ms":9007199254740991}',
+    };
+    for (const [what, body] of Object.entries(bodies))
+      it(`is refused if it ${what}`, async () => {
+        assertRefused(await submit(body));
+        await assertServes();
+      });
+  });
 });
