--- a/packages/entry/src/__tests__/odd-requests.test.ts
+++ b/packages/entry/src/__tests__/odd-requests.test.ts
@@ -144,6 +144,7 @@
       'is empty': '',
       'is deep': DEEP_LIST,
       'is no object': 'null',
+      'is not UTF-8': '{"spec":"\xff\xfe","steps":[{}]}',
       'has a step after itself': '{"steps":[{"after":[0]}]}',
       'has steps in a circle': '{"steps":[{"after":[1]},{"after":[0]}]}',
       'has deep predecessors': `{"steps":[{},{"after":${DEEP_LIST}}]}`,
