Waves: fence progress and reports by the term, one write at a time

Seen by operators: VMs of a wave whose maintenance was done came due again, a completed wave stayed "running", and a wave that was extended stayed "completed" (rule MIXED), all for good.

Cause: WaveProgress appended progress and reports without writer or condition, a report beside an earlier one, and went on after its coordinator was closed. An append without a response that the store executed seconds later (of this coordinator or of an earlier one) replaced what had been stored since. A record that the store does not take was sent again five times a second, without a log line.

Change: FencedWriter, taken out of ProgressWriter, appends to one stream under name, term and sequence. It repeats an append without a response unchanged until its outcome is known: with newer contents under the same sequence, the store could answer for the older ones. ProgressWriter and WaveProgress (one writer each for the fleet and the reports) use it. LatestStateWriter stores the latest state of each wave, one append at a time. The writers of waves have their own name, so the unconditional appends of the fleet stream by others do not collide with them. A fenced one ends the coordinator as that of the jobs does: a later term writes waves only after it has fenced the jobs of all earlier ones. A writer that was closed before it is fenced no longer tells its coordinator, which resigned a later term of the same daemon.

Not done: a fence before the progress is loaded. What an earlier term stores after the load can only be older than or equal to its own last state, and the next write of the new term replaces it either way; the fence would keep waves from being planned while the store takes no appends.

--- a/packages/coordinator/src/fleet-controller.ts
+++ b/packages/coordinator/src/fleet-controller.ts
@@ -38,6 +38,8 @@
   ordersAllowed(): boolean;
   /** Called with each list of VMs; `isGone` tells which workers no VM runs any more. */
   vmsListed(isGone: (instance: string) => boolean): void;
+  /** Called when the store reports that a later term has written. */
+  onFenced(): void;
 }
 
 /** Data about submitted jobs that is not older than this counts as current. */
@@ -83,7 +85,13 @@
     this.arrivals = new VmArrivals(parts.clock);
     this.missing = new MissingVms(parts.clock);
     this.orders = new VmOrders(term, parts, () => host.ordersAllowed());
-    this.maintenance = new MaintenanceController(parts, registry, this.orders);
+    this.maintenance = new MaintenanceController(
+      term,
+      parts,
+      registry,
+      this.orders,
+      () => host.onFenced(),
+    );
   }
 
   start(): void {
@@ -98,6 +106,7 @@
   close(): void {
     this.closed = true;
     this.orders.close();
+    this.maintenance.close();
   }
 
   /** Returns whether at most one VM could run a step, as far as is known. */
--- a/packages/coordinator/src/maintenance-controller.ts
+++ b/packages/coordinator/src/maintenance-controller.ts
@@ -31,11 +31,14 @@
   private readonly entryMissingSince = new Map<string, number>();
 
   constructor(
+    term: number,
     private readonly parts: MaintenanceParts,
     private readonly registry: WorkerRegistry,
     private readonly orders: VmOrders,
+    /** Called when the store reports that a later term has written. */
+    onFenced: () => void,
   ) {
-    this.progress = new WaveProgress(parts);
+    this.progress = new WaveProgress(term, parts, onFenced);
     this.missing = new MissingVms(parts.clock);
   }
 
@@ -44,6 +47,10 @@
     await this.progress.load();
   }
 
+  close(): void {
+    this.progress.close();
+  }
+
   /** Evacuates VMs of a wave; returns the maintenance orders to issue now. */
   planOrders(
     wave: MaintenanceWave,
--- a/packages/coordinator/src/progress-writer.ts
+++ b/packages/coordinator/src/progress-writer.ts
@@ -12,6 +12,7 @@
   type KeyedRecord,
   type ProgressEncoding,
 } from '@gentiandoor/jobs';
+import {FencedWriter} from './fenced-writer.js';
 import {AppendOutcome, LogStream, type RecordLog} from './record-log.js';
 
 const WRITER = 'coordinator';
@@ -46,33 +47,37 @@
   private dirty = new Set<JobExecution>();
   private actions: StoredAction[] = [];
   private tombstones: KeyedRecord[] = [];
-  private sequence = 0;
+  private readonly writer: FencedWriter;
   private running = false;
-  private closed = false;
   /** Since when some progress or action waits; undefined if none does. */
   private waitingSince: number | undefined;
 
   constructor(
-    private readonly log: RecordLog,
+    log: RecordLog,
     private readonly clock: Clock,
-    private readonly term: number,
+    term: number,
     private readonly host: ProgressHost,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.writer = new FencedWriter({
+      log,
+      clock,
+      stream: LogStream.Jobs,
+      name: WRITER,
+      term,
+      retryMilliseconds: RETRY_MILLISECONDS,
+      onFenced: () => host.onFenced(),
+    });
+  }
 
   /**
    * Fences all writers of earlier terms. Resolves to false if this writer is fenced
    * itself or was closed.
    */
   async fenceEarlierTerms(): Promise<boolean> {
-    while (!this.closed) {
-      const result = await this.log.append(LogStream.Jobs, [], {
-        writer: {name: WRITER, term: this.term, sequence: 0},
-      });
-      if (result.outcome === AppendOutcome.Appended) return true;
-      if (result.outcome === AppendOutcome.Fenced) return false;
-      if (result.outcome === AppendOutcome.OutOfSequence) return true;
-      await sleep(this.clock, RETRY_MILLISECONDS);
+    while (!this.writer.isClosed) {
+      if (await this.writer.fenceEarlierTerms()) return true;
+      if (!this.writer.isClosed) await sleep(this.clock, RETRY_MILLISECONDS);
     }
     return false;
   }
@@ -103,11 +108,11 @@
   }
 
   close(): void {
-    this.closed = true;
+    this.writer.close();
   }
 
   private wake(): void {
-    if (!this.running && !this.closed) void this.run();
+    if (!this.running && !this.writer.isClosed) void this.run();
   }
 
   private async run(): Promise<void> {
@@ -117,7 +122,7 @@
     await new Promise<void>(resolve => {
       setImmediate(resolve);
     });
-    while (!this.closed && this.hasWork()) {
+    while (!this.writer.isClosed && this.hasWork()) {
       const {records, actions} = this.takeBatch();
       if (!(await this.storeRecords(records))) break;
       this.waitingSince = this.clock.monotonicMilliseconds();
@@ -169,7 +174,7 @@
     pending: readonly PendingRecord[],
   ): Promise<boolean> {
     if (pending.length === 0) return true;
-    const outcome = await this.append(pending.map(({record}) => record));
+    const outcome = await this.writer.append(pending.map(({record}) => record));
     if (outcome !== AppendOutcome.Rejected)
       return outcome === AppendOutcome.Appended;
     if (pending.length === 1) return this.storeReduced(pending[0]);
@@ -189,10 +194,12 @@
     if (execution) {
       const options = {withoutCheckpoints: true};
       const reduced = progressRecord(execution, options);
-      let outcome = await this.append([reduced]);
+      let outcome = await this.writer.append([reduced]);
       if (outcome === AppendOutcome.Rejected && !execution.hasEnded) {
         this.host.onNotStorable(execution);
-        outcome = await this.append([progressRecord(execution, options)]);
+        outcome = await this.writer.append([
+          progressRecord(execution, options),
+        ]);
       }
       if (outcome !== AppendOutcome.Rejected)
         return outcome === AppendOutcome.Appended;
@@ -200,35 +207,6 @@
     this.logger.error(LogEvent.RecordNotStorable, {key: record.key});
     return true;
   }
-
-  /** Appends records; resolves to undefined if this writer was closed or fenced. */
-  private async append(
-    records: readonly KeyedRecord[],
-  ): Promise<AppendOutcome.Appended | AppendOutcome.Rejected | undefined> {
-    this.sequence++;
-    while (!this.closed) {
-      const result = await this.log.append(LogStream.Jobs, records, {
-        writer: {name: WRITER, term: this.term, sequence: this.sequence},
-      });
-      switch (result.outcome) {
-        case AppendOutcome.Appended:
-          return result.outcome;
-        case AppendOutcome.Rejected:
-          this.sequence--;
-          return result.outcome;
-        case AppendOutcome.Fenced:
-          this.close();
-          this.host.onFenced();
-          return undefined;
-        case AppendOutcome.OutOfSequence:
-          this.sequence = result.expected;
-          break;
-        default:
-          await sleep(this.clock, RETRY_MILLISECONDS);
-      }
-    }
-    return undefined;
-  }
 }
 
 function progressRecord(
--- a/packages/coordinator/src/wave-progress.ts
+++ b/packages/coordinator/src/wave-progress.ts
@@ -1,13 +1,10 @@
-import {LogEvent, sleep, type Clock, type Logger} from '@gentiandoor/kernel';
+import {LogEvent, type Clock, type Logger} from '@gentiandoor/kernel';
 import type {KeyedRecord} from '@gentiandoor/jobs';
+import {FencedWriter} from './fenced-writer.js';
+import {LatestStateWriter} from './latest-state-writer.js';
 import {WaveState, type MaintenanceWave} from './operator-records.js';
 import type {RecordFormats} from './record-formats.js';
-import {
-  AppendOutcome,
-  LogStream,
-  ReadOutcome,
-  type RecordLog,
-} from './record-log.js';
+import {LogStream, ReadOutcome, type RecordLog} from './record-log.js';
 
 /** Dependencies of wave progress. */
 export interface WaveProgressParts {
@@ -23,19 +20,46 @@
   readonly done: readonly string[];
 }
 
+const WRITER = 'waves';
 const RETRY_MILLISECONDS = 200;
 /** Matches the number of a wave; other keys of the stream belong to other records. */
 const WAVE_KEY = /^\d+$/;
 
-/** Tracks which VMs of which waves have had their maintenance, and stores it. */
+/**
+ * Tracks which VMs of which waves have had their maintenance, and stores it. The first write of a
+ * term fences the earlier ones.
+ */
 export class WaveProgress {
   private readonly done = new Map<number, Set<string>>();
   private readonly seenAt = new Map<number, number>();
   private readonly reported = new Map<number, WaveState>();
-  private readonly writing = new Set<number>();
+  private readonly writer: FencedWriter;
+  private readonly reportWriter: FencedWriter;
+  private readonly stored: LatestStateWriter<number>;
+  private readonly reports: LatestStateWriter<number>;
   private loaded = false;
 
-  constructor(private readonly parts: WaveProgressParts) {}
+  constructor(
+    private readonly term: number,
+    private readonly parts: WaveProgressParts,
+    /** Called when the store reports that a later term has written. */
+    private readonly onFenced: () => void,
+  ) {
+    this.writer = this.newWriter(LogStream.Fleet);
+    this.reportWriter = this.newWriter(LogStream.Reports);
+    this.stored = new LatestStateWriter({
+      ...parts,
+      name: 'wave progress',
+      writer: this.writer,
+      encode: number => this.progressRecord(number),
+    });
+    this.reports = new LatestStateWriter({
+      ...parts,
+      name: 'wave reports',
+      writer: this.reportWriter,
+      encode: number => this.reportRecord(number),
+    });
+  }
 
   get isLoaded(): boolean {
     return this.loaded;
@@ -51,6 +75,12 @@
     this.loaded = true;
   }
 
+  /** Nothing more is stored or reported, apart from a write that is under way. */
+  close(): void {
+    this.writer.close();
+    this.reportWriter.close();
+  }
+
   isDone(wave: MaintenanceWave, vm: string): boolean {
     return this.doneOf(wave).has(vm);
   }
@@ -63,7 +93,7 @@
       this.reported.set(wave.number, state);
       if (completed)
         this.parts.logger.info(LogEvent.WaveCompleted, {wave: wave.number});
-      void this.report(wave.number, state);
+      this.reports.store(wave.number);
     }
     return completed;
   }
@@ -80,7 +110,7 @@
 
   noteDone(wave: MaintenanceWave, vm: string): void {
     this.doneOf(wave).add(vm);
-    void this.save(wave.number);
+    this.stored.store(wave.number);
   }
 
   private doneOf(wave: MaintenanceWave): Set<string> {
@@ -89,7 +119,7 @@
       done = new Set();
       this.done.set(wave.number, done);
       this.seenAt.set(wave.number, this.parts.clock.wallMilliseconds());
-      void this.save(wave.number);
+      this.stored.store(wave.number);
     }
     return done;
   }
@@ -111,36 +141,27 @@
     }
   }
 
-  /**
-   * Stores the newest progress; changes made while a write is in flight go into the next
-   * one.
-   */
-  private async save(number: number): Promise<void> {
-    if (this.writing.has(number)) return;
-    this.writing.add(number);
-    let storedCount = -1;
-    const done = this.done.get(number) ?? new Set<string>();
-    while (storedCount < done.size) {
-      const size = done.size;
-      const value: StoredWave = {
-        seenAt: this.seenAt.get(number) ?? 0,
-        done: [...done],
-      };
-      const result = await this.parts.log.append(LogStream.Fleet, [
-        {key: String(number), value: Buffer.from(JSON.stringify(value))},
-      ]);
-      if (result.outcome === AppendOutcome.Appended) storedCount = size;
-      else await sleep(this.parts.clock, RETRY_MILLISECONDS);
-    }
-    this.writing.delete(number);
+  private newWriter(stream: LogStream): FencedWriter {
+    return new FencedWriter({
+      ...this.parts,
+      stream,
+      name: WRITER,
+      term: this.term,
+      retryMilliseconds: RETRY_MILLISECONDS,
+      onFenced: () => this.onFenced(),
+    });
   }
 
-  private async report(number: number, state: WaveState): Promise<void> {
-    const record = this.parts.formats.waveReport(number, state);
-    while (this.reported.get(number) === state) {
-      const result = await this.parts.log.append(LogStream.Reports, [record]);
-      if (result.outcome === AppendOutcome.Appended) return;
-      await sleep(this.parts.clock, RETRY_MILLISECONDS);
-    }
+  private progressRecord(number: number): KeyedRecord {
+    const value: StoredWave = {
+      seenAt: this.seenAt.get(number) ?? 0,
+      done: [...(this.done.get(number) ?? [])],
+    };
+    return {key: String(number), value: Buffer.from(JSON.stringify(value))};
+  }
+
+  private reportRecord(number: number): KeyedRecord {
+    const state = this.reported.get(number) ?? WaveState.Running;
+    return this.parts.formats.waveReport(number, state);
   }
 }
