Stand-ins: lost stops are lost on workers that report their start, too

The fault was looked up by the id of the worker's life, under which it is never kept for such workers, so that trials with lost stops on them lost none.

--- a/packages/coordinator/src/stand-ins/simulated-workers.ts
+++ b/packages/coordinator/src/stand-ins/simulated-workers.ts
@@ -126,7 +126,7 @@
     fencingToken: number,
   ): Promise<OrderResult> {
     const target = await this.reach(worker, POLL_BYTES);
-    if (this.faults.get(worker.id) === WorkerFault.StopsLost)
+    if (this.faults.get(worker.instance) === WorkerFault.StopsLost)
       return this.silence();
     return target ? target.stop(run, fencingToken) : silent();
   }
