--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -8,6 +8,8 @@
 export * from './entry-settings.js';
 export * from './batching-appender.js';
 export * from './job-admission.js';
+export * from './job-answer.js';
+export * from './job-cancellations.js';
 export * from './job-intake.js';
 export * from './job-streams.js';
 export * from './live-run.js';
--- a/packages/coordinator/src/job-intake.ts
+++ b/packages/coordinator/src/job-intake.ts
@@ -8,12 +8,10 @@
 } from '@gentiandoor/kernel';
 import {
   JobRecordKind,
-  JobState,
   JobTable,
   encodeJobRecord,
   isFinal,
   type JobSubmission,
-  type KeyedRecord,
 } from '@gentiandoor/jobs';
 import {
   NO_LIMIT,
@@ -22,13 +20,14 @@
   mayAccessJob,
   type Caller,
   type OrganisationRegistry,
-  type OwnedJob,
   type Resources,
 } from '@gentiandoor/organisations';
 import {BatchedAppendOutcome} from './batching-appender.js';
-import {EarlyCancellationLimit} from './early-cancellation-limit.js';
+import {ANSWER_MARGIN_MILLISECONDS, type JobAnswer} from './job-answer.js';
 import type {JobAdmission, RefusedAdmission} from './job-admission.js';
+import {JobCancellations} from './job-cancellations.js';
 import type {JobStreams} from './job-streams.js';
+import {SubmissionDoubts} from './submission-doubts.js';
 import type {SubmissionLog} from './submission-log.js';
 
 /** Result of a submission. */
@@ -54,45 +53,11 @@
   readonly retryAfterSeconds: number;
 }
 
-/** Result of a query for a job's state, or of a cancellation. */
-export type JobAnswer =
-  | {readonly kind: 'state'; readonly state: JobState}
-  | {readonly kind: 'absent'}
-  | {
-      readonly kind: 'unavailable';
-      /** Undefined where the caller should retry as after any failure of the store. */
-      readonly retryAfterSeconds?: number;
-    };
-
-/** What the answer to a cancellation rests on. */
-export enum CancellationBasis {
-  /** The cancellation is in the store. */
-  Stored = 'stored',
-  /** An earlier cancellation is in the store. */
-  StoredBefore = 'stored_before',
-  /** The store did not confirm the cancellation. */
-  NotStored = 'not_stored',
-  /** The job has ended. */
-  Ended = 'ended',
-  /**
-   * No submission that the caller may access was known; the cancellation is in the store and
-   * applies to one that is appended later.
-   */
-  StoredEarly = 'stored_early',
-  /** The caller's organisation or queue has too many such cancellations in the store. */
-  TooManyEarly = 'too_many_early',
-}
-
 interface SubmissionAttempt {
   readonly organisation: string | undefined;
   readonly answer: Promise<SubmitAnswer>;
 }
 
-interface CancellationDecision {
-  readonly answer: JobAnswer;
-  readonly basis: CancellationBasis;
-}
-
 /**
  * A submission whose appends fail is rejected after this, so that the caller can retry at another
  * daemon.
@@ -110,8 +75,6 @@
  * another daemon has stored it: a read in flight and one more on a store of 376 ms per response.
  */
 const REFUSAL_CHECK_TIMEOUT_MILLISECONDS = 1_000;
-/** Time reserved for sending the response before the caller's deadline. */
-const ANSWER_MARGIN_MILLISECONDS = 250;
 /**
  * An outage of the store counts as lasting after this; the retry delay sent to rejected callers is
  * longer from then on.
@@ -122,17 +85,13 @@
 /** Maximum age of the number of pending jobs that is returned without reading the store. */
 const MAXIMUM_COUNT_AGE_MILLISECONDS = 1_500;
 
-/** Delay after which a caller beyond the limit of early cancellations should retry. */
-const EARLY_CANCELLATION_RETRY_SECONDS = 30;
-
 /** Accepts jobs and reports their state at any daemon; all state is kept in the store. */
 export class JobIntake {
-  /** Jobs whose submission through this daemon got no response from the store, by id. */
-  private readonly inDoubt = new Map<string, OwnedJob>();
+  private readonly doubts = new SubmissionDoubts();
   /** Attempts in progress by job; a caller may send the same job twice at once. */
   private readonly attempts = new Map<string, SubmissionAttempt>();
   private readonly labels = new OrganisationMetricLabels();
-  private readonly earlyCancellationLimit: EarlyCancellationLimit;
+  private readonly cancellations: JobCancellations;
 
   constructor(
     private readonly table: JobTable,
@@ -145,7 +104,16 @@
     /** Undefined in a deployment that refuses no jobs under overload. */
     private readonly admission?: JobAdmission,
   ) {
-    this.earlyCancellationLimit = new EarlyCancellationLimit(table);
+    this.cancellations = new JobCancellations({
+      table,
+      streams,
+      submissions,
+      doubts: this.doubts,
+      clock,
+      logger,
+      metrics,
+      stateOf: (jobId, caller) => this.state(jobId, caller),
+    });
   }
 
   /**
@@ -222,7 +190,7 @@
   private mayBeStored(jobId: string): boolean {
     return (
       this.table.find(jobId) !== undefined ||
-      this.inDoubt.has(jobId) ||
+      this.doubts.has(jobId) ||
       this.attempts.has(jobId)
     );
   }
@@ -361,131 +329,18 @@
     const job = this.table.find(jobId);
     if (job && !mayAccessJob(job.submission, caller)) return {kind: 'absent'};
     if (job) return {kind: 'state', state: this.table.stateOf(job)};
-    return isFresh && !this.inDoubt.has(jobId)
+    return isFresh && !this.doubts.has(jobId)
       ? {kind: 'absent'}
       : {kind: 'unavailable'};
   }
 
   /** Cancels a job; the coordinator stops its tasks soon after. */
-  async cancel(
+  cancel(
     jobId: string,
     timeoutMilliseconds: number,
     caller: Caller,
   ): Promise<JobAnswer> {
-    const startedAt = this.clock.monotonicMilliseconds();
-    const deadline = startedAt + timeoutMilliseconds;
-    const decision = await this.decideCancellation(jobId, deadline, caller);
-    this.noteCancellation(jobId, decision, caller, startedAt);
-    return decision.answer;
-  }
-
-  private async decideCancellation(
-    jobId: string,
-    deadline: number,
-    caller: Caller,
-  ): Promise<CancellationDecision> {
-    const found = await this.state(jobId, caller);
-    if (found.kind !== 'state')
-      return this.cancelEarly(jobId, deadline, caller);
-    if (found.state === JobState.Cancelled)
-      return {answer: found, basis: CancellationBasis.StoredBefore};
-    if (isFinal(found.state))
-      return {answer: {kind: 'absent'}, basis: CancellationBasis.Ended};
-    const record = encodeJobRecord({kind: JobRecordKind.Cancellation, jobId});
-    return (await this.appendCancellation(jobId, record, deadline))
-      ? {
-          answer: {kind: 'state', state: JobState.Cancelled},
-          basis: CancellationBasis.Stored,
-        }
-      : {answer: {kind: 'unavailable'}, basis: CancellationBasis.NotStored};
-  }
-
-  /**
-   * Cancels an id of which no submission is known: one may be on its way through another daemon, be
-   * executed late by the store, or be sent again. It is stored also if the job of another
-   * organisation has that id, so that nothing reveals whether there is one.
-   */
-  private async cancelEarly(
-    jobId: string,
-    deadline: number,
-    caller: Caller,
-  ): Promise<CancellationDecision> {
-    const record = encodeJobRecord({
-      kind: JobRecordKind.EarlyCancellation,
-      jobId,
-      caller,
-    });
-    const limit = this.earlyCancellationLimit;
-    if (!limit.admits({jobId, recordKey: record.key}, caller))
-      return {
-        answer: {
-          kind: 'unavailable',
-          retryAfterSeconds: EARLY_CANCELLATION_RETRY_SECONDS,
-        },
-        basis: CancellationBasis.TooManyEarly,
-      };
-    const stored = this.appendCancellation(jobId, record, deadline);
-    if (!(await limit.during(caller, stored)))
-      return {
-        answer: {kind: 'unavailable'},
-        basis: CancellationBasis.NotStored,
-      };
-    // Counted from now on; streams of submissions are read seconds apart.
-    this.table.apply(record);
-    const doubtful = this.inDoubt.get(jobId);
-    if (doubtful && mayAccessJob(doubtful, caller)) this.inDoubt.delete(jobId);
-    return {
-      answer: this.knownState(jobId, caller),
-      basis: CancellationBasis.StoredEarly,
-    };
-  }
-
-  /** Returns the state of a job that is known to be cancelled. */
-  private knownState(jobId: string, caller: Caller): JobAnswer {
-    const job = this.table.find(jobId);
-    const isCancelled =
-      job !== undefined &&
-      mayAccessJob(job.submission, caller) &&
-      this.table.stateOf(job) === JobState.Cancelled;
-    return isCancelled
-      ? {kind: 'state', state: JobState.Cancelled}
-      : {kind: 'absent'};
-  }
-
-  /** Returns whether the store confirmed the record before the deadline. */
-  private async appendCancellation(
-    jobId: string,
-    record: KeyedRecord,
-    deadline: number,
-  ): Promise<boolean> {
-    const now = this.clock.monotonicMilliseconds();
-    const timeout = Math.max(0, deadline - now - ANSWER_MARGIN_MILLISECONDS);
-    const outcome = await this.submissions.append(
-      jobId,
-      record,
-      timeout,
-      timeout,
-    );
-    return outcome === BatchedAppendOutcome.Appended;
-  }
-
-  private noteCancellation(
-    jobId: string,
-    {answer, basis}: CancellationDecision,
-    {queue, organisation}: Caller,
-    startedAt: number,
-  ): void {
-    const told = answer.kind === 'state' ? answer.state : answer.kind;
-    this.metrics.increment(MetricName.JobCancellations, {answer: told, basis});
-    this.logger.info(LogEvent.JobCancelAsked, {
-      job: jobId,
-      queue,
-      organisation,
-      answer: told,
-      basis,
-      ageMilliseconds: Math.round(this.streams.jobAgeMilliseconds(jobId)),
-      milliseconds: this.clock.monotonicMilliseconds() - startedAt,
-    });
+    return this.cancellations.cancel(jobId, timeoutMilliseconds, caller);
   }
 
   /** Returns the number of jobs of a queue of which no task has started; undefined if unknown. */
@@ -502,16 +357,12 @@
     outcome: BatchedAppendOutcome,
   ): SubmitAnswer {
     if (outcome === BatchedAppendOutcome.Appended) {
-      this.inDoubt.delete(job.id);
+      this.doubts.end(job.id);
       return SubmitAnswer.Accepted;
     }
-    if (outcome === BatchedAppendOutcome.Unknown)
-      this.inDoubt.set(job.id, {
-        organisation: job.organisation,
-        queue: job.queue,
-      });
+    if (outcome === BatchedAppendOutcome.Unknown) this.doubts.note(job.id, job);
     // An earlier attempt may still succeed, so the job must not be reported as refused.
-    if (this.inDoubt.has(job.id)) return SubmitAnswer.Unknown;
+    if (this.doubts.has(job.id)) return SubmitAnswer.Unknown;
     return outcome === BatchedAppendOutcome.Rejected
       ? SubmitAnswer.TooLarge
       : SubmitAnswer.Refused;
