Crowds of clients without limits: tests that fail, listed in KNOWN-RED.txt

Clients that we don't control ended a process: out of memory. 15 tests start a daemon in a process of its own, with the options of the deploy file, on a stand-in of the platform, and send it a small crowd. They check that the process lives, that its largest resident memory and its descriptors stay within the limits of the test's own settings (250 MB; 600 descriptors where they are the matter, of which 200 are for files), and that an ordinary caller, a probe and a reader of metrics are answered beside the crowd and after it. No times, no share of served requests.

scripts/run-tests.mjs runs files named *.crowd.test.js after all others, one at a time.

--- a/packages/soak/src/daemon-process.ts
+++ b/packages/soak/src/daemon-process.ts
@@ -23,6 +23,8 @@
     private readonly settingsPath: string,
     settings: object,
     readonly logPath: string,
+    /** Options of Node.js that the process is started with. */
+    private readonly nodeOptions: readonly string[] = [],
   ) {
     writeFileSync(settingsPath, JSON.stringify(settings));
     this.log = createWriteStream(logPath, {flags: 'a'});
@@ -32,9 +34,13 @@
     return this.child !== undefined;
   }
 
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   start(): void {
     if (this.child) return;
-    const child = spawn(process.execPath, [PROGRAM], {
+    const child = spawn(process.execPath, [...this.nodeOptions, PROGRAM], {
       env: {...process.env, GENTIANDOOR_CONFIG: this.settingsPath},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -11,6 +11,8 @@
 const TEST_PREFIX = 'test: ';
 const NAME_SEPARATOR = ' > ';
 const TEST_TIMEOUT_MILLISECONDS = 120_000;
+/** Tests that start a daemon beside a crowd; they run by themselves, one file at a time. */
+const CROWD_SUFFIX = '.crowd.test.js';
 const ROOTS = ['packages', 'platform'];
 
 function readKnownRed() {
@@ -45,30 +47,43 @@
   }
 }
 
+/** Runs test files, several at a time if `concurrency` is true, and resolves at their end. */
+function runFiles(files, concurrency) {
+  const tests = run({files, concurrency, timeout: TEST_TIMEOUT_MILLISECONDS});
+  tests.on('test:start', data => names.recordStart(data));
+  tests.on('test:fail', data => {
+    // A block also fails if one of its tests fails; that test is reported separately.
+    if (data.details.error?.failureType === 'subtestsFailed') return;
+    const name = names.nameOf(data);
+    (knownRed.has(name) ? knownFailures : failed).add(name);
+  });
+  return new Promise((resolve, reject) => {
+    tests.on('error', reject);
+    const report = tests.compose(new spec());
+    report.on('error', reject);
+    report.on('end', resolve);
+    report.pipe(process.stdout, {end: false});
+  });
+}
+
 const knownRed = readKnownRed();
 const names = new TestNames();
 const knownFailures = new Set();
 const failed = new Set();
 
-const tests = run({
-  files: ROOTS.flatMap(findTests)
-    .sort()
-    .map(file => path.resolve(file)),
-  concurrency: true,
-  timeout: TEST_TIMEOUT_MILLISECONDS,
-});
-tests.on('test:start', data => names.recordStart(data));
-tests.on('test:fail', data => {
-  // A block also fails if one of its tests fails; that test is reported separately.
-  if (data.details.error?.failureType === 'subtestsFailed') return;
-  const name = names.nameOf(data);
-  (knownRed.has(name) ? knownFailures : failed).add(name);
-});
-tests.on('end', () => {
-  const stale = [...knownRed].filter(name => !knownFailures.has(name));
-  for (const name of knownFailures) console.log(`known red: ${name}`);
-  for (const name of stale)
-    console.error(`${KNOWN_RED_FILE} names a test that did not fail: ${name}`);
-  if (failed.size > 0 || stale.length > 0) process.exitCode = 1;
-});
-tests.compose(new spec()).pipe(process.stdout);
+const files = ROOTS.flatMap(findTests)
+  .sort()
+  .map(file => path.resolve(file));
+await runFiles(
+  files.filter(file => !file.endsWith(CROWD_SUFFIX)),
+  true,
+);
+await runFiles(
+  files.filter(file => file.endsWith(CROWD_SUFFIX)),
+  false,
+);
+const stale = [...knownRed].filter(name => !knownFailures.has(name));
+for (const name of knownFailures) console.log(`known red: ${name}`);
+for (const name of stale)
+  console.error(`${KNOWN_RED_FILE} names a test that did not fail: ${name}`);
+if (failed.size > 0 || stale.length > 0) process.exitCode = 1;
