Requests ahead and unfinished bodies no longer end a daemon

What callers saw: a daemon ended, out of memory, when clients sent thousands of requests ahead on a connection, or held many chunked bodies open just short of their end.

Cause: nothing bounded the requests of one connection that are under way (Node.js stops reading only once answers wait, not while handlers run), all requests under way, nor the bytes of all bodies together; each chunk of a body was a Buffer of its own.

Change: ServerGuard closes a connection beyond 64 requests without a taken answer and turns requests beyond 15% of the memory away, before anything of them is stored; a submission with 504, since an earlier attempt at another daemon may have been accepted and a 503 would promise that it never runs, any other request with 503, both with Retry-After and the connection closed. The servers for metrics and readiness have small limits of their own. BodyBudget holds all bodies to 10% of the memory: a body grows in one buffer with what has arrived, each piece costs 32 bytes more, and the oldest incomplete body is given up for a newer one, so that open ones keep nobody out and a single body, in pieces of any size, is served. An answer that nobody takes for 60 s closes its connection.

--- a/packages/coordinator/src/entry-settings.ts
+++ b/packages/coordinator/src/entry-settings.ts
@@ -7,6 +7,7 @@
   readonly isFirstStart: boolean;
   /** Size of this daemon's VM. */
   readonly size: VmSize;
+  readonly processLimits: ProcessLimits;
   /** Addresses to listen on. */
   readonly callerAddress: string;
   readonly readinessAddress: string;
@@ -35,6 +36,13 @@
   readonly megabitsPerSecond: number;
 }
 
+/** Limits beyond which the platform ends a process or opens no more for it. */
+export interface ProcessLimits {
+  readonly memoryBytes: number;
+  /** Open files, sockets and pipes. */
+  readonly descriptors: number;
+}
+
 /** Time limits set by the platform, in milliseconds. */
 export interface PlatformLimits {
   /** Longest lease that a worker accepts. */
--- a/packages/coordinator/src/stand-ins/simulated-settings.ts
+++ b/packages/coordinator/src/stand-ins/simulated-settings.ts
@@ -7,6 +7,7 @@
     dataCentre: 'one',
     isFirstStart: false,
     size: {cores: 1, megabitsPerSecond: 1_000},
+    processLimits: {memoryBytes: 350_000_000, descriptors: 4_100},
     callerAddress: '',
     readinessAddress: '',
     storeAddress: '',
--- a/packages/entry/src/http-server-plugin.ts
+++ b/packages/entry/src/http-server-plugin.ts
@@ -1,8 +1,13 @@
-import {createServer, type RequestListener, type Server} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {splitAddress, type Plugin} from '@gentiandoor/kernel';
+import type {
+  RequestHandler,
+  ServerGuard,
+} from './caller-limits/server-guard.js';
 
 /** A request whose headers are not complete within this time is not worth a connection. */
 const HEADERS_TIMEOUT_MILLISECONDS = 5_000;
+const CHECK_INTERVAL_MILLISECONDS = 1_000;
 /**
  * Callers keep connections open for minutes; closing them here would race with their next
  * request.
@@ -12,18 +17,21 @@
 /** Runs an HTTP server as a plugin of the daemon. */
 export class HttpServerPlugin implements Plugin {
   private readonly server: Server;
+  private checkTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly address: string,
-    listener: RequestListener,
+    handle: RequestHandler,
+    private readonly guard: ServerGuard,
   ) {
     this.server = createServer(
       {
         keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
         headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
       },
-      listener,
+      guard.guard(handle),
     );
+    guard.attach(this.server);
   }
 
   get boundAddress(): string {
@@ -36,6 +44,10 @@
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
         this.server.off('error', reject);
+        this.checkTimer = setInterval(
+          () => this.guard.closeUnread(),
+          CHECK_INTERVAL_MILLISECONDS,
+        );
         resolve();
       });
     });
@@ -50,6 +62,7 @@
   }
 
   async stop(): Promise<void> {
+    clearInterval(this.checkTimer);
     this.server.closeAllConnections();
     this.server.close();
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -15,6 +15,7 @@
 import {JobTable} from '@gentiandoor/jobs';
 import {AccessGuard} from '@gentiandoor/organisations';
 import {
+  BodyBudget,
   RateLimitedLogger,
   DrainState,
   LifeCycle,
@@ -37,6 +38,13 @@
   PlatformWorkerGateway,
 } from '@gentiandoor/platform';
 import {PrometheusMetrics} from '@gentiandoor/plugin-metrics';
+import {ServerGuard} from './caller-limits/server-guard.js';
+import {
+  OWN_SERVER_LIMITS,
+  bodyBudgetBytes,
+  callerServerLimits,
+  type ServerLimits,
+} from './caller-limits/server-limits.js';
 import {CoordinatorPlugin} from './coordinator-plugin.js';
 import {HttpServerPlugin} from './http-server-plugin.js';
 import {JobTableRefreshPlugin} from './job-table-refresh-plugin.js';
@@ -75,6 +83,7 @@
   pressureFollower: PressureFollower;
   jobIntake: JobIntake;
   accessGuard: AccessGuard;
+  bodyBudget: BodyBudget;
   callerRoutes: CallerRoutes;
   callerServer: HttpServerPlugin;
   daemonReadiness: DaemonReadiness;
@@ -117,6 +126,7 @@
         new HttpServerPlugin(
           `${splitAddress(settings.callerAddress).host}:${overrides.metricsPort ?? METRICS_PORT}`,
           metricsListener(parts.metrics),
+          serverGuard('metrics', OWN_SERVER_LIMITS, parts),
         ),
     ),
     drainState: singleton(() => new DrainState()),
@@ -182,11 +192,15 @@
           clock,
         ),
     ),
+    bodyBudget: singleton(
+      () => new BodyBudget(bodyBudgetBytes(settings.processLimits)),
+    ),
     callerRoutes: singleton(
       ({
         jobIntake,
         operators,
         accessGuard,
+        bodyBudget,
         clock,
         logger,
         metrics,
@@ -196,6 +210,7 @@
           jobIntake,
           operators,
           accessGuard,
+          bodyBudget,
           clock,
           logger,
           metrics,
@@ -207,6 +222,11 @@
         new HttpServerPlugin(
           settings.callerAddress,
           parts.callerRoutes.app.callback(),
+          serverGuard(
+            'callers',
+            callerServerLimits(settings.processLimits),
+            parts,
+          ),
         ),
     ),
     readinessServer: singleton(
@@ -214,6 +234,7 @@
         new HttpServerPlugin(
           settings.readinessAddress,
           readinessListener(parts.daemonReadiness),
+          serverGuard('readiness', OWN_SERVER_LIMITS, parts),
         ),
     ),
     jobTableRefresh: singleton(
@@ -235,6 +256,14 @@
   return container.cradle;
 }
 
+function serverGuard(
+  server: string,
+  limits: ServerLimits,
+  {clock, logger, metrics}: EntryParts,
+): ServerGuard {
+  return new ServerGuard(server, limits, {clock, logger, metrics});
+}
+
 function jobAdmission(parts: EntryParts): JobAdmission {
   const {admissionPolicy, operators, metrics} = parts;
   return new JobAdmission(admissionPolicy, operators, metrics);
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,3 +1,5 @@
+export * from './body-budget.js';
+export * from './body-collector.js';
 export * from './clock.js';
 export * from './drain-state.js';
 export * from './error-kinds.js';
--- a/packages/kernel/src/log-event-catalogue.ts
+++ b/packages/kernel/src/log-event-catalogue.ts
@@ -289,6 +289,14 @@
     'A queue or service of a configuration can not be read; `part` is its list and place. It is not in force, the rest of the version is.',
     'correct the part in the next version',
   ),
+  [LogEvent.RequestTurnedAway]: entry(
+    'A request was not worked on, and nothing of it was stored: `reason` says which limit of `server` was reached, `requests_under_way` or `body_budget`. A submission is answered 504, since an earlier attempt may have been accepted, any other request 503.',
+    'see docs/OPERATIONS.md, clients that ask for too much',
+  ),
+  [LogEvent.ConnectionClosed]: entry(
+    'A connection to `server` was closed; `reason` says why: `too_many_connections` (it was the least useful of them), `requests_ahead` (more requests at once than one connection may send) or `answer_not_taken`.',
+    'see docs/OPERATIONS.md, clients that ask for too much',
+  ),
   [LogEvent.TaskFailed]: entry(
     'A task failed unexpectedly: `task` and, where it has one, the element that it was about. It is tried again, and everything else goes on; only if `task` is `coordinator`, the daemon ends.',
     'report it with the line',
--- a/packages/kernel/src/log-events.ts
+++ b/packages/kernel/src/log-events.ts
@@ -90,4 +90,6 @@
   RunPreempted = 1981,
   PreemptionBudgetExhausted = 1982,
   PreemptionWithdrawn = 1983,
+  RequestTurnedAway = 1990,
+  ConnectionClosed = 1991,
 }
--- a/packages/kernel/src/metric-catalogue.ts
+++ b/packages/kernel/src/metric-catalogue.ts
@@ -113,6 +113,16 @@
     'calls of callers that were not let in, by reason',
     'reason',
   ),
+  [MetricName.RequestsTurnedAway]: counter(
+    'requests that were not worked on since a limit was reached, by server and reason',
+    'server',
+    'reason',
+  ),
+  [MetricName.ConnectionsClosed]: counter(
+    'connections closed since a limit was reached, by server and reason',
+    'server',
+    'reason',
+  ),
   [MetricName.OrganisationExcessJobs]: counter(
     'jobs beyond the rate that the weight of their organisation entitles it to, as classified by the coordinator when it reads them',
     'organisation',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -45,6 +45,10 @@
   OrganisationJobs = 'organisation_jobs',
   /** Calls that were rejected, by reason. */
   CallsRefused = 'calls_refused',
+  /** Requests that were not worked on since a limit was reached, by server and reason. */
+  RequestsTurnedAway = 'requests_turned_away',
+  /** Connections closed since a limit was reached, by server and reason. */
+  ConnectionsClosed = 'connections_closed',
   /** Jobs beyond the rate that their organisation is entitled to, by organisation. */
   OrganisationExcessJobs = 'organisation_excess_jobs',
   /** Jobs refused under overload, by reason. */
