Connections without a complete request no longer take all descriptors

What callers saw: thousands of connections with half a request line, an announced or trickling body stayed open; the store and the workers need the same descriptors.

Cause: no bound on connections; the time limit for headers was checked every 30 s only, and a whole request had 300 s.

Beyond it the least useful connection is closed, the one that has been so for longest: without a complete request, incomplete body, answers not taken, idle. A whole request has 30 s, checked every second.

--- a/packages/entry/src/caller-limits/__tests__/server-guard.test.ts
+++ b/packages/entry/src/caller-limits/__tests__/server-guard.test.ts
@@ -118,4 +118,26 @@
     const tags = {server: 'callers', reason: 'requests_ahead'};
     assert.equal(metrics.value(MetricName.ConnectionsClosed, tags), 1);
   });
+
+  it('closes a connection without a complete request for a new one', async () => {
+    const {port, held} = await serve();
+    const half = [open(port, 'GET /'), open(port, 'GET /'), open(port, 'GET')];
+    await Promise.all(half.map(socket => once(socket, 'connect')));
+    const answered = call(port, 'GET');
+    await once(half[0], 'close');
+    await until(() => held.count === 1);
+    held.answerAll();
+    assert.equal((await answered).statusCode, 200);
+    assert.ok(!half[1].destroyed && !half[2].destroyed);
+  });
+
+  it('closes a new connection when all others are of use', async () => {
+    const {port, held} = await serve({requests: 10});
+    const calls = [0, 1, 2].map(() => call(port, 'GET'));
+    await until(() => held.count === 3);
+    await assert.rejects(call(port, 'GET'));
+    held.answerAll();
+    for (const {statusCode} of await Promise.all(calls))
+      assert.equal(statusCode, 200);
+  });
 });
--- a/packages/entry/src/caller-limits/server-guard.ts
+++ b/packages/entry/src/caller-limits/server-guard.ts
@@ -18,6 +18,7 @@
 
 /** Why a connection was closed. */
 enum CloseReason {
+  TooManyConnections = 'too_many_connections',
   RequestsAhead = 'requests_ahead',
   AnswerNotTaken = 'answer_not_taken',
 }
@@ -98,9 +99,13 @@
 
   private noteConnected(socket: Socket): void {
     const connection = new GuardedConnection(socket);
+    const isFull = this.ranking.size >= this.limits.connections;
+    const givenUp = isFull ? this.ranking.leastUseful() : undefined;
     this.connections.set(socket, connection);
     this.rank(connection);
     socket.once('close', () => this.remove(connection));
+    if (isFull)
+      this.close(givenUp ?? connection, CloseReason.TooManyConnections);
   }
 
   private noteRequest(
--- a/packages/entry/src/http-server-plugin.ts
+++ b/packages/entry/src/http-server-plugin.ts
@@ -7,6 +7,8 @@
 
 /** A request whose headers are not complete within this time is not worth a connection. */
 const HEADERS_TIMEOUT_MILLISECONDS = 5_000;
+/** Time for a whole request with its body; the largest body takes a second on a slow link. */
+const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
 const CHECK_INTERVAL_MILLISECONDS = 1_000;
 /**
  * Callers keep connections open for minutes; closing them here would race with their next
@@ -28,6 +30,8 @@
       {
         keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
         headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+        requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
       },
       guard.guard(handle),
     );
