--- a/packages/entry/src/caller-limits/server-limits.ts
+++ b/packages/entry/src/caller-limits/server-limits.ts
@@ -12,7 +12,7 @@
 /** Descriptors that a VM keeps for files. */
 const FILE_DESCRIPTORS = 200;
 /** The others are for the store and the workers. */
-const CALLER_CONNECTION_SHARE = 0.6;
+const CALLER_CONNECTION_SHARE = 0.5;
 const CALLER_REQUESTS_PER_CONNECTION = 64;
 const CALLER_REQUEST_MEMORY_SHARE = 0.15;
 /** Memory of a small request while it is worked on. */
