--- a/packages/coordinator/src/active-jobs.ts
+++ b/packages/coordinator/src/active-jobs.ts
@@ -17,7 +17,6 @@
 import {BatchedAppendOutcome} from './batching-appender.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobEntitlements} from './job-entitlements.js';
-import {JobRetention} from './job-retention.js';
 import {noteAssigned} from './carried-runs.js';
 import {RunStatus, newLiveRun, taskName, type LiveRun} from './live-run.js';
 import type {Queue} from './operator-records.js';
@@ -25,6 +24,7 @@
 import type {OrganisationLimits} from './organisation-limits.js';
 import type {OrphanRuns} from './orphan-runs.js';
 import type {ProgressWriter} from './progress-writer.js';
+import {RecordRetention} from './record-retention.js';
 import type {RunLog} from './run-log.js';
 import type {OutcomeHost} from './run-outcomes.js';
 import type {SubmissionLog} from './submission-log.js';
@@ -62,11 +62,11 @@
 /** The jobs that a coordinator knows, from their submission until their records are dropped. */
 export class ActiveJobs implements OutcomeHost {
   private readonly executions = new Map<string, JobExecution>();
-  private readonly retention: JobRetention;
+  private readonly retention: RecordRetention;
   private closed = false;
 
   constructor(private readonly parts: ActiveJobParts) {
-    this.retention = new JobRetention(
+    this.retention = new RecordRetention(
       parts.clock,
       parts.stateRetentionMilliseconds,
       jobId => this.drop(jobId),
@@ -144,6 +144,16 @@
     this.jobEnded(execution);
   }
 
+  /** Fails the jobs whose tasks have failed as often as the configuration allows. */
+  configurationChanged(): void {
+    for (const execution of this.executions.values()) {
+      const maximumAttempts = this.maximumAttemptsOf(execution) ?? Infinity;
+      if (!execution.failIfExhausted(maximumAttempts)) continue;
+      this.jobEnded(execution);
+      this.parts.writer.store(execution);
+    }
+  }
+
   /** Returns the job and task that a listed end belongs to; undefined if they are not known. */
   findTask(
     ended: EndedRun,
@@ -236,16 +246,13 @@
       writer.store(execution);
   }
 
-  private drop(jobId: string): void {
-    this.executions.delete(jobId);
-    void this.dropRecords(jobId);
-  }
-
   /**
    * Deletes the progress last, once the submission is certainly deleted: the next coordinator would
-   * take a submission without progress for a new job and run it a second time.
+   * take a submission without progress for a new job and run it a second time. Resolves to whether
+   * the submission is deleted.
    */
-  private async dropRecords(jobId: string): Promise<void> {
+  private async drop(jobId: string): Promise<boolean> {
+    this.executions.delete(jobId);
     const {progress, submission} = jobRecordTombstones(jobId);
     const outcomes = await Promise.all(
       submission.map(record =>
@@ -262,6 +269,7 @@
     );
     if (areDeleted && !this.closed)
       this.parts.writer.appendTombstones([progress]);
+    return areDeleted;
   }
 }
 
--- a/packages/coordinator/src/coordinator-election.ts
+++ b/packages/coordinator/src/coordinator-election.ts
@@ -47,6 +47,15 @@
  */
 const CLOCK_DRIFT_MILLISECONDS = 200;
 
+/** Far above any term that daemons reach one by one, far below the largest safe whole number. */
+const HIGHEST_TERM = 2 ** 40;
+
+/**
+ * Largest distance to the next term after terms in which no order was accepted: a thousand terms are
+ * more than daemons take in a day.
+ */
+const MAXIMUM_TERM_STEP = 1_024;
+
 /** Key of the term record. */
 export const TERM_KEY = 'coordinator';
 
@@ -97,6 +106,8 @@
   private isHolder = false;
   private stopping = false;
   private resigning = false;
+  /** Terms of this daemon in a row in which no order was accepted. */
+  private resignedTerms = 0;
   private finished: Promise<void> | undefined;
   private startedAt = 0;
   private readonly roster: DaemonRoster;
@@ -139,6 +150,7 @@
    * for the next one.
    */
   resign(): void {
+    if (this.isHolder && !this.resigning) this.resignedTerms++;
     this.resigning = this.isHolder;
   }
 
@@ -205,7 +217,7 @@
       return;
     }
     if (this.roster.hasStrongerDaemon && !(await this.staysVacant())) return;
-    const term = (this.current?.term ?? 0) + 1;
+    const term = (this.current?.term ?? 0) + this.termStep();
     const written = await this.write({
       term,
       holder: this.candidate.node,
@@ -243,6 +255,14 @@
     return true;
   }
 
+  /**
+   * Returns the distance to the next term. While the latest term can't be read from the store, its
+   * number is not known: doubled steps reach a term that is accepted after a few refused ones.
+   */
+  private termStep(): number {
+    return Math.min(MAXIMUM_TERM_STEP, 2 ** this.resignedTerms);
+  }
+
   /**
    * Returns the term length: short, so that a lost holder is replaced soon, but long enough to
    * renew on a slow store.
@@ -395,10 +415,10 @@
     if (result.outcome === ReadOutcome.Unavailable)
       await this.pause(RETRY_MILLISECONDS);
     if (result.outcome !== ReadOutcome.Read) return result.outcome;
-    const newest = result.records.at(-1);
-    if (!newest) return result.outcome;
-    this.endOffset = newest.offset + 1;
-    this.applyTermRecord(newest);
+    for (const record of result.records) {
+      this.endOffset = record.offset + 1;
+      this.applyTermRecord(record);
+    }
     return result.outcome;
   }
 
@@ -413,6 +433,7 @@
       return;
     }
     this.current = decoded;
+    if (!this.isOwn(decoded)) this.resignedTerms = 0;
     this.changedAt = this.clock.monotonicMilliseconds();
     this.history.note(decoded.term, this.changedAt);
     this.history.noteAges(decoded.ages ?? [], this.changedAt);
@@ -444,12 +465,35 @@
   if (record.key !== TERM_KEY || !record.value) return undefined;
   try {
     const term = JSON.parse(record.value.toString('utf8')) as TermRecord;
-    if (!Number.isSafeInteger(term.term)) return undefined;
-    // Daemons of an earlier version write no length; their terms were never longer than this.
-    const {validMilliseconds = MAXIMUM_TERM_MILLISECONDS} = term;
-    return {...term, validMilliseconds, ages: readTermAges(term.ages)};
+    if (!isTermNumber(term.term)) return undefined;
+    return {
+      ...term,
+      validMilliseconds: readTermLength(term.validMilliseconds),
+      ages: readTermAges(term.ages),
+    };
   } catch {
     // The caller logs the key; the previous term stays in force.
     return undefined;
   }
 }
+
+/** Returns whether a stored number can be that of a term, after which others can follow. */
+function isTermNumber(term: unknown): boolean {
+  return (
+    Number.isSafeInteger(term) &&
+    Number(term) > 0 &&
+    Number(term) <= HIGHEST_TERM
+  );
+}
+
+/**
+ * Returns the length of a stored term. No daemon writes a longer one than the maximum; one without
+ * a length, as daemons of an earlier version write it, or with an unreadable one may be as long.
+ */
+function readTermLength(milliseconds: unknown): number {
+  const isPossible =
+    typeof milliseconds === 'number' &&
+    milliseconds >= 0 &&
+    milliseconds <= MAXIMUM_TERM_MILLISECONDS;
+  return isPossible ? milliseconds : MAXIMUM_TERM_MILLISECONDS;
+}
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -31,6 +31,7 @@
 import {noteAssigned} from './carried-runs.js';
 import type {DispatchHost} from './dispatch-host.js';
 import {Dispatcher} from './dispatcher.js';
+import {EarlyCancellationRetention} from './early-cancellation-retention.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetController, type FleetHost} from './fleet-controller.js';
 import {JobEntitlements} from './job-entitlements.js';
@@ -114,6 +115,7 @@
   private readonly orders: OrderFlow;
   private readonly outcomes: RunOutcomes;
   private readonly jobs: ActiveJobs;
+  private readonly earlyCancellations: EarlyCancellationRetention;
   private readonly orphans: OrphanRuns;
   private readonly writer: ProgressWriter;
   private readonly dispatcher: Dispatcher;
@@ -126,7 +128,8 @@
   private readonly pressure: PressurePublisher | undefined;
   private closed = false;
   private recovered = false;
-  private configurationVersion = 0;
+  /** Version that all parts have taken notice of; undefined until the first one is known. */
+  private configurationVersion: number | undefined;
   private readonly schedulePlacement: SchedulePlacement = (service, cause) =>
     this.dispatcher.schedulePlacement(service, cause);
 
@@ -209,6 +212,10 @@
       stateRetentionMilliseconds: settings.limits.stateRetentionMilliseconds,
       countsExpired: settings.features.admissionControl,
     });
+    this.earlyCancellations = new EarlyCancellationRetention({
+      ...parts,
+      stateRetentionMilliseconds: settings.limits.stateRetentionMilliseconds,
+    });
     this.outcomes = new RunOutcomes(
       {
         log: this.log,
@@ -256,8 +263,10 @@
     this.parts.table.listen({
       submitted: job => this.jobs.add(job),
       cancelled: jobId => this.jobs.cancel(jobId),
+      cancelledEarly: ({recordKey}) => this.earlyCancellations.note(recordKey),
     });
     this.jobs.recover(this.parts.table.all());
+    this.detectConfigurationChange();
     this.recovered = true;
     logger.info(LogEvent.RecoveryFinished, {
       term: this.term,
@@ -271,6 +280,7 @@
     this.pressure?.start();
     this.monitor.start();
     this.jobs.start();
+    this.earlyCancellations.start();
     await this.followJobs();
   }
 
@@ -287,6 +297,7 @@
     this.pressure?.close();
     this.registry.close();
     this.jobs.close();
+    this.earlyCancellations.close();
   }
 
   ordersAllowed(): boolean {
@@ -302,6 +313,10 @@
     this.holder.resign();
   }
 
+  get isConfigured(): boolean {
+    return this.configurationVersion !== undefined;
+  }
+
   sessionsOf(service: string): readonly WorkerSession[] {
     return this.registry.ofService(service);
   }
@@ -517,10 +532,11 @@
   }
 
   private detectConfigurationChange(): void {
-    const version = this.parts.operators.configuration?.version ?? 0;
+    const version = this.parts.operators.configuration?.version;
     if (version === this.configurationVersion) return;
     this.configurationVersion = version;
     this.registry.configurationChanged();
+    this.jobs.configurationChanged();
     this.dispatcher.regroup();
   }
 
--- a/packages/coordinator/src/job-intake.ts
+++ b/packages/coordinator/src/job-intake.ts
@@ -13,6 +13,7 @@
   encodeJobRecord,
   isFinal,
   type JobSubmission,
+  type KeyedRecord,
 } from '@gentiandoor/jobs';
 import {
   NO_LIMIT,
@@ -21,9 +22,11 @@
   mayAccessJob,
   type Caller,
   type OrganisationRegistry,
+  type OwnedJob,
   type Resources,
 } from '@gentiandoor/organisations';
 import {BatchedAppendOutcome} from './batching-appender.js';
+import {EarlyCancellationLimit} from './early-cancellation-limit.js';
 import type {JobAdmission, RefusedAdmission} from './job-admission.js';
 import type {JobStreams} from './job-streams.js';
 import type {SubmissionLog} from './submission-log.js';
@@ -55,7 +58,40 @@
 export type JobAnswer =
   | {readonly kind: 'state'; readonly state: JobState}
   | {readonly kind: 'absent'}
-  | {readonly kind: 'unavailable'};
+  | {
+      readonly kind: 'unavailable';
+      /** Undefined where the caller should retry as after any failure of the store. */
+      readonly retryAfterSeconds?: number;
+    };
+
+/** What the answer to a cancellation rests on. */
+export enum CancellationBasis {
+  /** The cancellation is in the store. */
+  Stored = 'stored',
+  /** An earlier cancellation is in the store. */
+  StoredBefore = 'stored_before',
+  /** The store did not confirm the cancellation. */
+  NotStored = 'not_stored',
+  /** The job has ended. */
+  Ended = 'ended',
+  /**
+   * No submission that the caller may access was known; the cancellation is in the store and
+   * applies to one that is appended later.
+   */
+  StoredEarly = 'stored_early',
+  /** The caller's organisation or queue has too many such cancellations in the store. */
+  TooManyEarly = 'too_many_early',
+}
+
+interface SubmissionAttempt {
+  readonly organisation: string | undefined;
+  readonly answer: Promise<SubmitAnswer>;
+}
+
+interface CancellationDecision {
+  readonly answer: JobAnswer;
+  readonly basis: CancellationBasis;
+}
 
 /**
  * A submission whose appends fail is rejected after this, so that the caller can retry at another
@@ -86,13 +122,17 @@
 /** Maximum age of the number of pending jobs that is returned without reading the store. */
 const MAXIMUM_COUNT_AGE_MILLISECONDS = 1_500;
 
+/** Delay after which a caller beyond the limit of early cancellations should retry. */
+const EARLY_CANCELLATION_RETRY_SECONDS = 30;
+
 /** Accepts jobs and reports their state at any daemon; all state is kept in the store. */
 export class JobIntake {
-  /** Jobs whose submission through this daemon got no response from the store. */
-  private readonly inDoubt = new Set<string>();
-  /** Number of appends in progress by job; a caller may send the same job twice at once. */
-  private readonly inProgress = new Map<string, number>();
+  /** Jobs whose submission through this daemon got no response from the store, by id. */
+  private readonly inDoubt = new Map<string, OwnedJob>();
+  /** Attempts in progress by job; a caller may send the same job twice at once. */
+  private readonly attempts = new Map<string, SubmissionAttempt>();
   private readonly labels = new OrganisationMetricLabels();
+  private readonly earlyCancellationLimit: EarlyCancellationLimit;
 
   constructor(
     private readonly table: JobTable,
@@ -104,7 +144,9 @@
     private readonly metrics: Metrics,
     /** Undefined in a deployment that refuses no jobs under overload. */
     private readonly admission?: JobAdmission,
-  ) {}
+  ) {
+    this.earlyCancellationLimit = new EarlyCancellationLimit(table);
+  }
 
   /**
    * Seconds after which a rejected caller should retry: soon after the store has just failed, later
@@ -181,16 +223,10 @@
     return (
       this.table.find(jobId) !== undefined ||
       this.inDoubt.has(jobId) ||
-      this.inProgress.has(jobId)
+      this.attempts.has(jobId)
     );
   }
 
-  private countInProgress(jobId: string, change: number): void {
-    const count = (this.inProgress.get(jobId) ?? 0) + change;
-    if (count > 0) this.inProgress.set(jobId, count);
-    else this.inProgress.delete(jobId);
-  }
-
   private async store(
     job: JobSubmission,
     timeoutMilliseconds: number,
@@ -205,19 +241,66 @@
       return SubmitAnswer.OverLimit;
     }
     const startedAt = this.clock.monotonicMilliseconds();
-    this.countInProgress(job.id, 1);
+    const deadline =
+      startedAt + timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS;
+    const answer =
+      (await this.answerOfEarlierAttempt(job, deadline)) ??
+      (await this.attempt(job, deadline));
+    const milliseconds = this.clock.monotonicMilliseconds() - startedAt;
+    this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
+    this.noteAnswer(job, answer, milliseconds);
+    return answer;
+  }
+
+  /**
+   * Waits for attempts in progress by the same organisation: as long as one may succeed, another
+   * must not be answered that the job never runs. Resolves to undefined once none is in progress and
+   * none has succeeded.
+   */
+  private async answerOfEarlierAttempt(
+    job: JobSubmission,
+    deadline: number,
+  ): Promise<SubmitAnswer | undefined> {
+    for (;;) {
+      const earlier = this.attempts.get(job.id);
+      if (!earlier || earlier.organisation !== job.organisation)
+        return undefined;
+      const remaining = deadline - this.clock.monotonicMilliseconds();
+      const answer = await Promise.race([
+        earlier.answer,
+        sleep(this.clock, Math.max(0, remaining)),
+      ]);
+      if (answer === undefined) return SubmitAnswer.Unknown;
+      if (answer === SubmitAnswer.Accepted) return answer;
+    }
+  }
+
+  private async attempt(
+    job: JobSubmission,
+    deadline: number,
+  ): Promise<SubmitAnswer> {
+    const {id, organisation} = job;
+    const answer = this.append(job, deadline);
+    const attempt = {organisation, answer};
+    this.attempts.set(id, attempt);
+    try {
+      return await answer;
+    } finally {
+      if (this.attempts.get(id) === attempt) this.attempts.delete(id);
+    }
+  }
+
+  private async append(
+    job: JobSubmission,
+    deadline: number,
+  ): Promise<SubmitAnswer> {
     const outcome = await this.submissions.append(
       job.id,
       encodeJobRecord({kind: JobRecordKind.Submission, job}),
       this.unsentTimeoutMilliseconds,
-      timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+      deadline - this.clock.monotonicMilliseconds(),
     );
-    this.countInProgress(job.id, -1);
-    const answer = this.submissionAnswer(job.id, outcome);
-    const milliseconds = this.clock.monotonicMilliseconds() - startedAt;
-    this.metrics.timing(MetricName.JobIntakeDuration, milliseconds);
-    this.noteAnswer(job, answer, milliseconds);
-    return answer;
+    return this.submissionAnswer(job, outcome);
   }
 
   /**
@@ -289,20 +372,120 @@
     timeoutMilliseconds: number,
     caller: Caller,
   ): Promise<JobAnswer> {
+    const startedAt = this.clock.monotonicMilliseconds();
+    const deadline = startedAt + timeoutMilliseconds;
+    const decision = await this.decideCancellation(jobId, deadline, caller);
+    this.noteCancellation(jobId, decision, caller, startedAt);
+    return decision.answer;
+  }
+
+  private async decideCancellation(
+    jobId: string,
+    deadline: number,
+    caller: Caller,
+  ): Promise<CancellationDecision> {
     const found = await this.state(jobId, caller);
-    if (found.kind !== 'state') return found;
-    if (found.state === JobState.Cancelled) return found;
-    if (isFinal(found.state)) return {kind: 'absent'};
+    if (found.kind !== 'state')
+      return this.cancelEarly(jobId, deadline, caller);
+    if (found.state === JobState.Cancelled)
+      return {answer: found, basis: CancellationBasis.StoredBefore};
+    if (isFinal(found.state))
+      return {answer: {kind: 'absent'}, basis: CancellationBasis.Ended};
+    const record = encodeJobRecord({kind: JobRecordKind.Cancellation, jobId});
+    return (await this.appendCancellation(jobId, record, deadline))
+      ? {
+          answer: {kind: 'state', state: JobState.Cancelled},
+          basis: CancellationBasis.Stored,
+        }
+      : {answer: {kind: 'unavailable'}, basis: CancellationBasis.NotStored};
+  }
+
+  /**
+   * Cancels an id of which no submission is known: one may be on its way through another daemon, be
+   * executed late by the store, or be sent again. It is stored also if the job of another
+   * organisation has that id, so that nothing reveals whether there is one.
+   */
+  private async cancelEarly(
+    jobId: string,
+    deadline: number,
+    caller: Caller,
+  ): Promise<CancellationDecision> {
+    const record = encodeJobRecord({
+      kind: JobRecordKind.EarlyCancellation,
+      jobId,
+      caller,
+    });
+    const limit = this.earlyCancellationLimit;
+    if (!limit.admits({jobId, recordKey: record.key}, caller))
+      return {
+        answer: {
+          kind: 'unavailable',
+          retryAfterSeconds: EARLY_CANCELLATION_RETRY_SECONDS,
+        },
+        basis: CancellationBasis.TooManyEarly,
+      };
+    const stored = this.appendCancellation(jobId, record, deadline);
+    if (!(await limit.during(caller, stored)))
+      return {
+        answer: {kind: 'unavailable'},
+        basis: CancellationBasis.NotStored,
+      };
+    // Counted from now on; streams of submissions are read seconds apart.
+    this.table.apply(record);
+    const doubtful = this.inDoubt.get(jobId);
+    if (doubtful && mayAccessJob(doubtful, caller)) this.inDoubt.delete(jobId);
+    return {
+      answer: this.knownState(jobId, caller),
+      basis: CancellationBasis.StoredEarly,
+    };
+  }
+
+  /** Returns the state of a job that is known to be cancelled. */
+  private knownState(jobId: string, caller: Caller): JobAnswer {
+    const job = this.table.find(jobId);
+    const isCancelled =
+      job !== undefined &&
+      mayAccessJob(job.submission, caller) &&
+      this.table.stateOf(job) === JobState.Cancelled;
+    return isCancelled
+      ? {kind: 'state', state: JobState.Cancelled}
+      : {kind: 'absent'};
+  }
+
+  /** Returns whether the store confirmed the record before the deadline. */
+  private async appendCancellation(
+    jobId: string,
+    record: KeyedRecord,
+    deadline: number,
+  ): Promise<boolean> {
+    const now = this.clock.monotonicMilliseconds();
+    const timeout = Math.max(0, deadline - now - ANSWER_MARGIN_MILLISECONDS);
     const outcome = await this.submissions.append(
       jobId,
-      encodeJobRecord({kind: JobRecordKind.Cancellation, jobId}),
-      timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
-      timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
+      record,
+      timeout,
+      timeout,
     );
-    this.logger.info(LogEvent.JobCancelAsked, {job: jobId, outcome});
-    return outcome === BatchedAppendOutcome.Appended
-      ? {kind: 'state', state: JobState.Cancelled}
-      : {kind: 'unavailable'};
+    return outcome === BatchedAppendOutcome.Appended;
+  }
+
+  private noteCancellation(
+    jobId: string,
+    {answer, basis}: CancellationDecision,
+    {queue, organisation}: Caller,
+    startedAt: number,
+  ): void {
+    const told = answer.kind === 'state' ? answer.state : answer.kind;
+    this.metrics.increment(MetricName.JobCancellations, {answer: told, basis});
+    this.logger.info(LogEvent.JobCancelAsked, {
+      job: jobId,
+      queue,
+      organisation,
+      answer: told,
+      basis,
+      ageMilliseconds: Math.round(this.streams.jobAgeMilliseconds(jobId)),
+      milliseconds: this.clock.monotonicMilliseconds() - startedAt,
+    });
   }
 
   /** Returns the number of jobs of a queue of which no task has started; undefined if unknown. */
@@ -315,16 +498,20 @@
   }
 
   private submissionAnswer(
-    jobId: string,
+    job: JobSubmission,
     outcome: BatchedAppendOutcome,
   ): SubmitAnswer {
     if (outcome === BatchedAppendOutcome.Appended) {
-      this.inDoubt.delete(jobId);
+      this.inDoubt.delete(job.id);
       return SubmitAnswer.Accepted;
     }
-    if (outcome === BatchedAppendOutcome.Unknown) this.inDoubt.add(jobId);
+    if (outcome === BatchedAppendOutcome.Unknown)
+      this.inDoubt.set(job.id, {
+        organisation: job.organisation,
+        queue: job.queue,
+      });
     // An earlier attempt may still succeed, so the job must not be reported as refused.
-    if (this.inDoubt.has(jobId)) return SubmitAnswer.Unknown;
+    if (this.inDoubt.has(job.id)) return SubmitAnswer.Unknown;
     return outcome === BatchedAppendOutcome.Rejected
       ? SubmitAnswer.TooLarge
       : SubmitAnswer.Refused;
--- a/packages/soak/src/__tests__/soak.test.ts
+++ b/packages/soak/src/__tests__/soak.test.ts
@@ -31,6 +31,21 @@
       rmSync(folder, {recursive: true});
     });
 
+  // Tasks ran on after the cancelling of their job was answered.
+  it('violates no guarantee with callers that cancel at any moment', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'soak-test-'));
+    const result = await new Soak({
+      seed: SEEDS[0],
+      daemons: 3,
+      rounds: ROUNDS,
+      folder,
+      hasCancelling: true,
+    }).play();
+    assert.deepEqual(result.violations, [], result.faults.join('\n'));
+    assert.ok(result.runs > 0);
+    rmSync(folder, {recursive: true});
+  });
+
   // Accepted work stood beside free capacity after the last caller had left.
   it('leaves no work waiting in a deployment without callers', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'soak-test-'));
