--- a/packages/jobs/src/job-records.ts
+++ b/packages/jobs/src/job-records.ts
@@ -16,6 +16,9 @@
   EarlyCancellation = 'early_cancellation',
 }
 
+/** Kinds of which a job has one record at most. */
+type KindOfOneRecord = Exclude<JobRecordKind, JobRecordKind.EarlyCancellation>;
+
 /** A record about a job. */
 export type JobRecord =
   | {readonly kind: JobRecordKind.Submission; readonly job: JobSubmission}
@@ -80,7 +83,7 @@
 ];
 
 /** Returns the key of the record of `kind` about `jobId`. */
-export function jobRecordKey(kind: JobRecordKind, jobId: string): string {
+export function jobRecordKey(kind: KindOfOneRecord, jobId: string): string {
   return KEY_PREFIXES[kind] + jobId;
 }
 
@@ -134,7 +137,7 @@
   readonly progress: KeyedRecord;
   readonly submission: readonly KeyedRecord[];
 } {
-  const tombstone = (kind: JobRecordKind): KeyedRecord => ({
+  const tombstone = (kind: KindOfOneRecord): KeyedRecord => ({
     key: jobRecordKey(kind, jobId),
     value: undefined,
   });
@@ -197,13 +200,9 @@
   return {organisation, queue, isPublicQueue};
 }
 
-function keyed(
-  kind: JobRecordKind,
-  jobId: string,
-  value: unknown,
-): KeyedRecord {
+function keyed(kind: JobRecordKind, name: string, value: unknown): KeyedRecord {
   return {
-    key: jobRecordKey(kind, jobId),
+    key: KEY_PREFIXES[kind] + name,
     value: Buffer.from(JSON.stringify(value)),
   };
 }
