--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -430,6 +430,12 @@
 export async function runCase(deployment, play) {
   const {record} = deployment;
   let code = 2;
+  const giveUp = error => {
+    record.note(`the case could not run: ${error?.stack ?? error}`);
+    void deployment.stop().finally(() => process.exit(2));
+  };
+  process.on('uncaughtException', giveUp);
+  process.on('unhandledRejection', giveUp);
   const limit = setTimeout(() => {
     record.note('the case took too long');
     void deployment.stop().finally(() => process.exit(2));
