--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -653,6 +653,7 @@
   }
 
   start() {
+    if (this.deployment.stopped) return;
     const child = spawn(
       'node',
       ['--max-old-space-size=200', 'target/gentiandoor-entry.mjs'],
@@ -1015,7 +1016,10 @@
 /** Runs a script: 1 if it returns a broken rule, 0 if it returns none, 2 if it can't run. */
 export async function play(deployment, script) {
   let code = 2;
-  const guard = setTimeout(() => process.exit(2), 115_000);
+  const guard = setTimeout(() => {
+    for (const {child} of deployment.daemons) child?.kill('SIGKILL');
+    process.exit(2);
+  }, 115_000);
   try {
     await deployment.start();
     const broken = await script();
