--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -44,6 +44,18 @@
   pace_ms: 100,
   harm_ms: 4000,
 };
+const CONTRACTS = [
+  'base',
+  'drain',
+  'config',
+  'cost',
+  'recover',
+  'sched',
+  'platform',
+  'advice',
+  'upkeep',
+  'sharing',
+];
 const HEARTBEAT_MS = 1500;
 const ENDS_IN_A_PAGE = 500;
 
@@ -211,6 +223,8 @@
   async readCall(partition, query) {
     const from = Number(query.get('from'));
     const wait = Number(query.get('wait_ms') ?? 0);
+    const first = partition.first ?? 0;
+    if (from < first) return {status: 410, body: {first_offset: first}};
     if (wait > 0 && partition.records.length <= from)
       await new Promise(resolve => {
         const wake = () => {
@@ -223,6 +237,7 @@
       });
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(partition.records.length), 0);
+    head.writeBigUInt64BE(BigInt(partition.first ?? 0), 8);
     const parts = [head];
     let bytes = 0;
     for (const record of partition.records.slice(from)) {
@@ -565,7 +580,8 @@
   }
 
   async prepare(index) {
-    this.front = `${this.host}:${await freePort(this.host)}`;
+    const [front, ready, control] = await freePorts(this.host, 3);
+    this.front = `${this.host}:${front}`;
     const {deployment} = this;
     // Each daemon has its own way to the store, on which a script can inject a fault.
     const store = await listen(
@@ -591,8 +607,8 @@
         zones: {one: 'here'},
         listen: {
           front: this.front,
-          ready: `${this.host}:${await freePort(this.host)}`,
-          control: `${this.host}:${await freePort(this.host)}`,
+          ready: `${this.host}:${ready}`,
+          control: `${this.host}:${control}`,
         },
         internal_ports: [7060, 7075],
         seeds: [],
@@ -610,18 +626,7 @@
         discovery: 'platform',
         entry: 'vip',
         heartbeat_ms: HEARTBEAT_MS,
-        contracts: [
-          'base',
-          'drain',
-          'config',
-          'cost',
-          'recover',
-          'sched',
-          'platform',
-          'advice',
-          'upkeep',
-          'sharing',
-        ],
+        contracts: deployment.options.contracts ?? CONTRACTS,
         fault_tolerance: {machines: 2, zones: 1, regions: 0},
         bounds: BOUNDS,
         orders: 'call',
@@ -692,12 +697,19 @@
   }
 }
 
-async function freePort(host) {
-  const server = net.createServer();
-  await new Promise(resolve => server.listen(0, host, resolve));
-  const {port} = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
+/** Returns free ports of an address, each of them once. */
+async function freePorts(host, count) {
+  const servers = [];
+  for (let index = 0; index < count; index++) {
+    const server = net.createServer();
+    await new Promise(resolve => server.listen(0, host, resolve));
+    servers.push(server);
+  }
+  const ports = servers.map(server => server.address().port);
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
 }
 
 /** Store, machines, workers, daemons and callers of one small deployment. */
@@ -759,7 +771,9 @@
     }
     for (const daemon of this.daemons) {
       const deadline = now() + 15_000;
-      while ((await this.call(daemon, 'GET', '')).status !== 200) {
+      while (
+        ![200, 401].includes((await this.call(daemon, 'GET', '')).status)
+      ) {
         if (now() > deadline) throw new Error(`${daemon.node} does not answer`);
         await pause(100);
       }
@@ -904,7 +918,14 @@
   }
 
   /** Sends a call of a client; status 0 means that there was no answer. */
-  call(daemon, method, id, body, prefix = this.options.prefix) {
+  call(
+    daemon,
+    method,
+    id,
+    body,
+    prefix = this.options.prefix,
+    {headers = {}, abortMs} = {},
+  ) {
     const [host, port] = daemon.front.split(':');
     return new Promise(resolve => {
       const request = http.request(
@@ -919,6 +940,7 @@
             Host: this.options.host,
             'Content-Type': 'application/json',
             'X-Deadline-Ms': '3000',
+            ...headers,
           },
         },
         response => {
@@ -937,6 +959,8 @@
           response.on('error', () => resolve({status: 0}));
         },
       );
+      // A client that leaves before its answer.
+      if (abortMs !== undefined) setTimeout(() => request.destroy(), abortMs);
       request.on('timeout', () => request.destroy());
       request.on('error', () => resolve({status: 0}));
       request.end(body === undefined ? undefined : JSON.stringify(body));
@@ -960,13 +984,19 @@
     throw new Error(`job ${id} was not accepted`);
   }
 
-  async state(id, daemon = this.daemons.find(({child}) => child), prefix) {
+  async state(
+    id,
+    daemon = this.daemons.find(({child}) => child),
+    prefix,
+    headers,
+  ) {
     const {status, body} = await this.call(
       daemon,
       'GET',
       id,
       undefined,
       prefix,
+      {headers},
     );
     this.record.note(
       `GET ${id} at ${daemon.node}: ${status} ${body?.state ?? ''}`,
